--- /dev/null
+++ b/include/junctionrail/net.h
@@ -0,0 +1,203 @@
+// Sockets behind small interfaces: an HTTP/1.1 server and client (Boost.Beast)
+// and the WebSocket links between entries and agents (websocketpp). All of it
+// runs on one io_context and calls back on its thread.
+#ifndef JUNCTIONRAIL_NET_H_
+#define JUNCTIONRAIL_NET_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/settings.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace junctionrail {
+
+// Why a socket could not be used.
+struct NetError {
+  std::string sentence;
+};
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+
+  // The value of a header, compared without case; null when absent.
+  const std::string* Find(std::string_view name) const;
+};
+
+// The way to answer one request. Exactly one of Whole, or Begin followed by
+// pieces and then End or Break, is called; calls after the connection has gone
+// do nothing.
+class HttpResponder {
+ public:
+  virtual ~HttpResponder() = default;
+  virtual void Whole(unsigned status, std::vector<HttpHeader> headers, std::string body) = 0;
+  virtual void Begin(unsigned status, std::vector<HttpHeader> headers) = 0;
+  virtual void Piece(std::string data) = 0;
+  virtual void End() = 0;
+  // Closes the connection without the last chunk, so that the client sees a
+  // broken answer.
+  virtual void Break() = 0;
+  // Calls `gone` once if the client goes away before the answer is complete.
+  virtual void OnGone(std::function<void()> gone) = 0;
+};
+
+using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+struct HttpServerOptions {
+  Endpoint endpoint;  // Port 0 takes any free port.
+  std::uint64_t max_body_bytes = 1 << 20;
+  std::uint32_t max_header_bytes = 16 << 10;
+  std::uint64_t max_unsent_bytes = 16 << 20;  // Of one answer; a slower client is cut off.
+  std::uint32_t max_connections = 20000;
+};
+
+class HttpServer {
+ public:
+  HttpServer(boost::asio::io_context& io, HttpServerOptions options, HttpHandler handler);
+  ~HttpServer();
+
+  // Binds and starts to accept. Returns the port.
+  Result<std::uint16_t, NetError> Listen();
+
+  // Stops accepting and closes idle connections; answers under way go on.
+  void Stop();
+
+  std::uint64_t bad_requests() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+struct HttpCall {
+  Endpoint endpoint;
+  std::string method = "GET";
+  std::string target = "/";
+  std::vector<HttpHeader> headers;
+  std::string body;
+  DurationMs connect_ms = 1000;
+  DurationMs quiet_ms = 60000;  // The longest silence after the call was sent.
+  bool is_fresh = false;        // Never on a connection used before.
+};
+
+// What becomes of a call: a head, pieces, then `done`; or `failed` at any point.
+struct HttpCallbacks {
+  std::function<void(unsigned status, const std::string& content_type)> head;
+  std::function<void(std::string data)> piece;
+  std::function<void()> done;
+  // `was_sent` is false only when not one byte of the call left this process.
+  std::function<void(bool was_sent, const std::string& reason)> failed;
+};
+
+// Stops a call; no callback comes after Cancel.
+class HttpCallHandle {
+ public:
+  virtual ~HttpCallHandle() = default;
+  virtual void Cancel() = 0;
+};
+
+// Keeps connections open for reuse.
+class HttpClient {
+ public:
+  explicit HttpClient(boost::asio::io_context& io);
+  ~HttpClient();
+
+  std::shared_ptr<HttpCallHandle> Start(HttpCall call, HttpCallbacks callbacks);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// A whole answer, for calls that need no stream. `status` 0 means none came.
+struct HttpAnswer {
+  unsigned status = 0;
+  std::string body;
+  bool was_sent = false;
+  std::string reason;
+};
+std::shared_ptr<HttpCallHandle> FetchWhole(HttpClient& client, HttpCall call,
+                                           std::function<void(HttpAnswer)> done);
+
+// Calls back on the io_context's thread after a delay, or every so often.
+class Timer {
+ public:
+  explicit Timer(boost::asio::io_context& io);
+  ~Timer();
+  void After(DurationMs delay, std::function<void()> call);
+  void Every(DurationMs period, std::function<void()> call);
+  void Cancel();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// Milliseconds on the machine's monotonic clock, and since 1970.
+TimeMs MonotonicMs();
+std::int64_t UnixMs();
+
+// The agent's end of the links.
+struct LinkServerCallbacks {
+  std::function<void(std::uint64_t link)> opened;
+  std::function<void(std::uint64_t link, std::string_view bytes)> message;
+  std::function<void(std::uint64_t link)> closed;
+};
+class LinkServer {
+ public:
+  LinkServer(boost::asio::io_context& io, LinkServerCallbacks callbacks);
+  ~LinkServer();
+  Result<std::uint16_t, NetError> Listen(const Endpoint& endpoint);
+  void Send(std::uint64_t link, std::string bytes);
+  void Close(std::uint64_t link, std::string_view reason);
+  void Stop();
+  std::size_t open_links() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// The entry's end: one link for each endpoint, opened by the first Send.
+struct LinkClientCallbacks {
+  std::function<void(const std::string& peer)> opened;
+  std::function<void(const std::string& peer, std::string_view bytes)> message;
+  // `was_open` is false when the link never opened; nothing was sent then.
+  std::function<void(const std::string& peer, bool was_open)> closed;
+};
+class LinkClient {
+ public:
+  LinkClient(boost::asio::io_context& io, LinkClientCallbacks callbacks);
+  ~LinkClient();
+  // Sends on the link to `peer`, opening it at `endpoint` when there is none.
+  void Send(const std::string& peer, const Endpoint& endpoint, std::string bytes);
+  void Close(const std::string& peer, std::string_view reason);
+  // Closes links that have carried nothing for `idle_ms` and are not busy.
+  void CloseIdle(DurationMs idle_ms, const std::function<bool(const std::string&)>& is_busy);
+  void Stop();
+  std::size_t open_links() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_NET_H_
--- /dev/null
+++ b/include/junctionrail/settings.h
@@ -0,0 +1,72 @@
+// The daemon's settings: one JSON file, checked whole before anything starts.
+#ifndef JUNCTIONRAIL_SETTINGS_H_
+#define JUNCTIONRAIL_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/checked_json.h"
+
+namespace junctionrail {
+
+// An IP number and a TCP port.
+struct Endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  std::string ToString() const { return address + ":" + std::to_string(port); }
+};
+
+enum class Role { kEntry, kAgent };
+enum class UpstreamKind { kEngine, kService };
+enum class LogFormat { kText, kJson };
+
+// What only an entry needs.
+struct EntrySettings {
+  Endpoint http;                           // Callers, behind the platform's balancer.
+  Endpoint rpc;                            // Operators.
+  std::uint64_t max_body_bytes = 1 << 20;  // A larger body is refused with 413.
+  DurationMs default_deadline_ms = 30000;  // For calls that name none.
+  DurationMs idle_link_ms = 60000;         // An unused link to an agent closes after it.
+};
+
+// What only an agent needs.
+struct AgentSettings {
+  Endpoint link;      // Entries.
+  Endpoint http;      // Health and metrics.
+  Endpoint upstream;  // The one upstream this agent stands before.
+  UpstreamKind upstream_kind = UpstreamKind::kEngine;
+  bool upstream_checks_fencing = false;  // Whether it refuses old fencing tokens.
+  std::uint32_t max_concurrent = 16;     // Requests at the upstream, for each model.
+  std::uint32_t max_queue_requests = 1024;
+  std::uint64_t max_queue_bytes = 64 << 20;
+  double cold_start_weight = 1.0;       // Cost of one second of cold start.
+  double idle_weight = 0.01;            // Cost of one second an idle model is held.
+  DurationMs longest_idle_ms = 600000;  // An idle model never stays longer.
+};
+
+struct Settings {
+  Role role = Role::kEntry;
+  std::string id;           // The VM's name in the platform's list.
+  std::string incarnation;  // Differs each time the platform replaces the VM.
+  std::string data_hall;
+  std::vector<Endpoint> kv;  // The key-value service, tried in turn.
+  Endpoint vm_list;
+  LogFormat log_format = LogFormat::kText;
+  std::string log_level = "info";
+  DurationMs drain_ms = 30000;  // A planned stop waits at most this long.
+  EntrySettings entry;
+  AgentSettings agent;
+};
+
+// Reads and checks a settings file.
+Result<Settings, DocumentError> ReadSettings(const std::string& file);
+
+// Splits `address:port`; false when it is neither IPv4 nor bracketed IPv6.
+bool ParseEndpoint(std::string_view text, Endpoint* endpoint);
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_SETTINGS_H_
--- /dev/null
+++ b/src/base/settings.cc
@@ -0,0 +1,111 @@
+#include "junctionrail/settings.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace junctionrail {
+namespace {
+
+constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
+constexpr char kEndpointForm[] = "an IP number and a port such as \"127.0.0.1:8080\"";
+
+bool IsAddress(const std::string& text) {
+  unsigned char buf[sizeof(in6_addr)];
+  return inet_pton(AF_INET, text.c_str(), buf) == 1 || inet_pton(AF_INET6, text.c_str(), buf) == 1;
+}
+
+Endpoint ReadEndpoint(ObjectReader& reader, const char* key) {
+  Endpoint endpoint;
+  const std::string text = reader.String(key, std::nullopt);
+  if (!ParseEndpoint(text, &endpoint)) reader.Complain(key, kEndpointForm, "\"" + text + "\"");
+  return endpoint;
+}
+
+EntrySettings ReadEntry(ObjectReader& r) {
+  EntrySettings entry;
+  entry.http = ReadEndpoint(r, "http");
+  entry.rpc = ReadEndpoint(r, "rpc");
+  entry.max_body_bytes =
+      static_cast<std::uint64_t>(r.Integer("max_body_bytes", 1, 64 << 20, 1 << 20));
+  entry.default_deadline_ms =
+      r.Integer("default_deadline_ms", 1, kLongestMs, entry.default_deadline_ms);
+  entry.idle_link_ms = r.Integer("idle_link_ms", 100, kLongestMs, entry.idle_link_ms);
+  return entry;
+}
+
+AgentSettings ReadAgent(ObjectReader& r) {
+  AgentSettings agent;
+  agent.link = ReadEndpoint(r, "link");
+  agent.http = ReadEndpoint(r, "http");
+  agent.upstream = ReadEndpoint(r, "upstream");
+  agent.upstream_kind = r.Word("upstream_kind", {"engine", "service"}, std::nullopt) == 0
+                            ? UpstreamKind::kEngine
+                            : UpstreamKind::kService;
+  agent.upstream_checks_fencing = r.Boolean("upstream_checks_fencing", false);
+  agent.max_concurrent =
+      static_cast<std::uint32_t>(r.Integer("max_concurrent", 1, 4096, agent.max_concurrent));
+  agent.max_queue_requests = static_cast<std::uint32_t>(
+      r.Integer("max_queue_requests", 1, 1 << 20, agent.max_queue_requests));
+  agent.max_queue_bytes = static_cast<std::uint64_t>(
+      r.Integer("max_queue_bytes", 1, 1LL << 34, static_cast<std::int64_t>(agent.max_queue_bytes)));
+  agent.cold_start_weight = r.Number("cold_start_weight", 0, 1e9, agent.cold_start_weight);
+  agent.idle_weight = r.Number("idle_weight", 0, 1e9, agent.idle_weight);
+  agent.longest_idle_ms = r.Integer("longest_idle_ms", 1, kLongestMs, agent.longest_idle_ms);
+  return agent;
+}
+
+}  // namespace
+
+bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  std::string address(text.substr(0, colon));
+  if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
+    address = address.substr(1, address.size() - 2);
+  }
+  const auto digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto end = digits.data() + digits.size();
+  const auto parsed = std::from_chars(digits.data(), end, port);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !IsAddress(address)) return false;
+  *endpoint = Endpoint{std::move(address), port};
+  return true;
+}
+
+Result<Settings, DocumentError> ReadSettings(const std::string& file) {
+  const auto document = ReadJsonFile(file);
+  if (!document) return document.error();
+  Settings settings;
+  ObjectReader r(document.value(), file, "");
+  settings.role =
+      r.Word("role", {"entry", "agent"}, std::nullopt) == 0 ? Role::kEntry : Role::kAgent;
+  settings.id = r.String("id", std::nullopt);
+  settings.incarnation = r.String("incarnation", std::nullopt);
+  settings.data_hall = r.String("data_hall", std::nullopt);
+  if (settings.id.empty()) r.Complain("id", "a name that is not empty", "\"\"");
+  for (const auto& it : r.Strings("kv")) {
+    Endpoint endpoint;
+    if (!ParseEndpoint(it, &endpoint)) r.Complain("kv", kEndpointForm, "\"" + it + "\"");
+    settings.kv.push_back(endpoint);
+  }
+  if (settings.kv.empty()) r.Complain("kv", "at least one endpoint", "none");
+  settings.vm_list = ReadEndpoint(r, "vm_list");
+  settings.log_format =
+      r.Word("log_format", {"text", "json"}, 0) == 0 ? LogFormat::kText : LogFormat::kJson;
+  const std::vector<std::string> levels = {"debug", "info", "warning", "error"};
+  settings.log_level = levels[r.Word("log_level", levels, 1)];
+  settings.drain_ms = r.Integer("drain_ms", 0, kLongestMs, settings.drain_ms);
+  if (settings.role == Role::kEntry) {
+    if (!r.Has("entry")) r.Complain("entry", "an object, as the role is \"entry\"", "nothing");
+    r.Object("entry", [&](ObjectReader& it) { settings.entry = ReadEntry(it); });
+  } else {
+    if (!r.Has("agent")) r.Complain("agent", "an object, as the role is \"agent\"", "nothing");
+    r.Object("agent", [&](ObjectReader& it) { settings.agent = ReadAgent(it); });
+  }
+  const auto error = r.Finish();
+  if (error) return *error;
+  return settings;
+}
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,35 @@
+// The commands of `junctionrail`, one function each.
+#ifndef JUNCTIONRAIL_CLI_COMMANDS_H_
+#define JUNCTIONRAIL_CLI_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+#include "client.h"
+
+namespace junctionrail::cli {
+
+// The flags that commands share.
+struct Options {
+  std::string entry;
+  std::string directory;  // Of declarations.
+  std::string author;
+  std::string change_id;  // Made up when empty.
+  std::string reason;
+  bool prune = false;
+  bool is_json = false;
+  int timeout_ms = 5000;
+  int wait_ms = 10000;  // For a change to be in force everywhere.
+};
+
+ExitCode Apply(const Options& options);
+ExitCode Diff(const Options& options);
+ExitCode Check(const Options& options);
+ExitCode Get(const Options& options);
+ExitCode Status(const Options& options);
+ExitCode Drain(const Options& options, const std::string& vm);
+ExitCode Why(const Options& options, const std::string& kind, const std::string& subject);
+
+}  // namespace junctionrail::cli
+
+#endif  // JUNCTIONRAIL_CLI_COMMANDS_H_
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,92 @@
+// junctionrail: the operators' command-line tool.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "commands.h"
+
+ABSL_FLAG(std::string, entry, "127.0.0.1:7000", "The RPC address of any entry.");
+ABSL_FLAG(std::string, f, "", "The directory of declarations (apply, diff, check).");
+ABSL_FLAG(std::string, output, "text", "How to print: text or json.");
+ABSL_FLAG(std::string, author, "", "Who makes the change (apply).");
+ABSL_FLAG(std::string, change_id, "", "A name for the change; repeating one is harmless (apply).");
+ABSL_FLAG(std::string, reason, "", "Why the upstream is to leave (drain).");
+ABSL_FLAG(bool, prune, false, "Also delete what the declarations do not name (apply, diff).");
+ABSL_FLAG(int, timeout_ms, 5000, "How long to wait for an entry.");
+ABSL_FLAG(int, wait_ms, 10000, "How long to wait for a change to be in force everywhere (apply).");
+
+namespace {
+
+using junctionrail::cli::ExitCode;
+using junctionrail::cli::Options;
+
+constexpr char kUsage[] =
+    "junctionrail [flags] COMMAND\n"
+    "  check -f DIR              check declarations without any entry\n"
+    "  diff -f DIR               show what apply would change\n"
+    "  apply -f DIR              accept declarations and wait until they are in force\n"
+    "  get                       print the declarations in force\n"
+    "  status                    entries, upstreams and replica slots\n"
+    "  drain VM                  ask an upstream to leave\n"
+    "  why request ID            why a request went where it went\n"
+    "  why model NAME@VERSION    why a model is where it is\n"
+    "  why upstream VM           what was decided about an upstream\n"
+    "Exit codes: 0 done, 1 refused, 2 bad input, 3 entry away, 4 not in force yet, 5 unknown";
+
+ExitCode BadUsage(const std::string& sentence) {
+  std::fprintf(stderr, "error: %s\n%s\n", sentence.c_str(), kUsage);
+  return ExitCode::kBadInput;
+}
+
+ExitCode RunWhy(const Options& options, const std::vector<std::string>& words) {
+  if (words.size() != 3) return BadUsage("why: expected request, model or upstream, and a name");
+  const std::string& kind = words[1];
+  if (kind != "request" && kind != "model" && kind != "upstream") {
+    return BadUsage("why: expected request, model or upstream, found \"" + kind + "\"");
+  }
+  return junctionrail::cli::Why(options, kind, words[2]);
+}
+
+ExitCode Run(const Options& options, const std::vector<std::string>& words) {
+  if (words.empty()) return BadUsage("expected a command, found nothing");
+  const std::string& command = words[0];
+  if (command == "why") return RunWhy(options, words);
+  if (command == "drain") {
+    if (words.size() != 2) return BadUsage("drain: expected the name of one VM");
+    return junctionrail::cli::Drain(options, words[1]);
+  }
+  if (words.size() != 1) return BadUsage(command + ": expected no further words");
+  if (command == "check") return junctionrail::cli::Check(options);
+  if (command == "diff") return junctionrail::cli::Diff(options);
+  if (command == "apply") return junctionrail::cli::Apply(options);
+  if (command == "get") return junctionrail::cli::Get(options);
+  if (command == "status") return junctionrail::cli::Status(options);
+  return BadUsage("no command is called \"" + command + "\"");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(kUsage);
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  const std::vector<std::string> words(rest.begin() + 1, rest.end());
+  const std::string output = absl::GetFlag(FLAGS_output);
+  if (output != "text" && output != "json") {
+    return BadUsage("--output: expected text or json, found \"" + output + "\"");
+  }
+  Options options;
+  options.entry = absl::GetFlag(FLAGS_entry);
+  options.directory = absl::GetFlag(FLAGS_f);
+  options.author = absl::GetFlag(FLAGS_author);
+  options.change_id = absl::GetFlag(FLAGS_change_id);
+  options.reason = absl::GetFlag(FLAGS_reason);
+  options.prune = absl::GetFlag(FLAGS_prune);
+  options.is_json = output == "json";
+  options.timeout_ms = absl::GetFlag(FLAGS_timeout_ms);
+  options.wait_ms = absl::GetFlag(FLAGS_wait_ms);
+  return Run(options, words);
+}
--- /dev/null
+++ b/src/core/agent_core.cc
@@ -0,0 +1,66 @@
+#include "junctionrail/agent_core.h"
+
+#include <utility>
+
+#include "agent_impl.h"
+
+namespace junctionrail {
+namespace internal {
+namespace {
+
+constexpr std::size_t kRecordsWithoutNumber = 1;
+
+}  // namespace
+
+AgentImpl::AgentImpl(AgentOptions options)
+    : options_(std::move(options)),
+      decisions_(options_.decision_records == 0 ? kRecordsWithoutNumber
+                                                : options_.decision_records),
+      answers_(options_.max_answers, options_.max_answer_bytes),
+      unix_ms_(options_.started_unix_ms) {}
+
+void AgentImpl::Start(TimeMs now, std::vector<agent::Command>* commands) {
+  out_ = commands;
+  now_ = now;
+  started_at_ = now;
+  if (options_.kind == UpstreamKind::kService) return;
+  AskEngine();
+  next_read_at_ = now;
+}
+
+void AgentImpl::Handle(TimeMs now, agent::Event event, std::vector<agent::Command>* commands) {
+  CheckInvariant(now >= now_, "time never goes back");
+  out_ = commands;
+  now_ = now;
+  std::visit([this](auto&& it) { On(std::move(it)); }, std::move(event));
+  if (reconsider_) {
+    reconsider_ = false;
+    if (options_.kind == UpstreamKind::kEngine) BeginLoads();
+    ContinueLeaving();
+  }
+  CheckConservation();
+}
+
+}  // namespace internal
+
+AgentCore::AgentCore(AgentOptions options)
+    : impl_(std::make_unique<internal::AgentImpl>(std::move(options))) {}
+AgentCore::~AgentCore() = default;
+AgentCore::AgentCore(AgentCore&&) noexcept = default;
+
+void AgentCore::Start(TimeMs now, std::vector<agent::Command>* commands) {
+  impl_->Start(now, commands);
+}
+
+void AgentCore::Handle(TimeMs now, agent::Event event, std::vector<agent::Command>* commands) {
+  impl_->Handle(now, std::move(event), commands);
+}
+
+const AgentCounters& AgentCore::counters() const { return impl_->counters(); }
+const DecisionLog& AgentCore::decisions() const { return impl_->decisions(); }
+std::size_t AgentCore::present() const { return impl_->present(); }
+bool AgentCore::IsReady() const { return impl_->IsReady(); }
+bool AgentCore::IsLeaving() const { return impl_->IsLeaving(); }
+std::vector<ReplicaStatus> AgentCore::Replicas() const { return impl_->Replicas(); }
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/core/agent_impl.h
@@ -0,0 +1,223 @@
+// The tables of an agent and the systems that run over them. The sources are
+// split by concern: agent_requests.cc (admission, queue, dispatch, answers),
+// agent_replicas.cc (grants, loads, memory, idleness, leaving), agent_once.cc
+// (calls that may not run twice).
+#ifndef JUNCTIONRAIL_CORE_AGENT_IMPL_H_
+#define JUNCTIONRAIL_CORE_AGENT_IMPL_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "answer_table.h"
+#include "junctionrail/agent_core.h"
+#include "memory_ledger.h"
+
+namespace junctionrail::internal {
+
+// Where a request stands. Only the last two have reached the upstream.
+enum class RequestState { kQueued, kDispatched, kAnswering };
+
+struct AgentRequest {
+  LinkId link = 0;
+  CallFrame call;
+  RequestState state = RequestState::kQueued;
+  TimeMs arrived_at = 0;
+  TimeMs deadline_at = 0;
+  TimeMs dispatched_at = 0;
+  std::uint64_t next_sequence = 0;
+  std::string answer_key;  // Row of the at-most-once table; empty when unkeyed.
+  // Set when nobody waits any more but the call may not be cut off: it runs on,
+  // and at its end counts as this.
+  std::uint64_t AgentCounters::*gone_as = nullptr;
+};
+
+// Orders the queue of one key: class, then deadline, then arrival.
+struct QueuePlace {
+  Priority priority = Priority::kNormal;
+  TimeMs deadline_at = 0;
+  std::string id;
+
+  bool operator<(const QueuePlace& other) const;
+};
+
+enum class GrantState { kNone, kHeld, kRetiring, kFreeing };
+
+// One key on this upstream: a model, an adapter, or the plain service.
+struct Replica {
+  std::string key;
+  std::string base;
+  std::uint64_t memory_mb = 0;
+  GrantState grant = GrantState::kNone;
+  std::uint32_t slot = 0;
+  std::int64_t token = 0;           // Of the grant.
+  std::int64_t released_token = 0;  // Never accept this grant or an older one.
+
+  ReplicaState state = ReplicaState::kAbsent;
+  std::int64_t order = 0;   // Of the order in flight; 0 when none is.
+  bool is_unknown = false;  // The last order's outcome is not known.
+  TimeMs unknown_since = 0;
+  bool is_wanted = false;  // A call asked for it and it is not loaded yet.
+  TimeMs order_at = 0;
+  DurationMs expected_load_ms = 0;
+  DurationMs measured_load_ms = 0;  // Of the last load; 0 before the first.
+  std::uint64_t stale_asks = 0;     // Inventories up to this number are too old for it.
+  CacheTier tier = CacheTier::kRemote;
+
+  std::set<QueuePlace> queue;
+  std::uint32_t running = 0;
+  TimeMs idle_since = 0;    // Start of the present idleness while loaded.
+  TimeMs last_work_at = 0;  // End of the last call; 0 before the first.
+  DurationMs idle_limit_ms = kNeverUnload;
+  ArrivalHistory history;
+  double service_ms = 0;  // Moving average; 0 before the first answer.
+};
+
+class AgentImpl {
+ public:
+  explicit AgentImpl(AgentOptions options);
+
+  void Start(TimeMs now, std::vector<agent::Command>* commands);
+  void Handle(TimeMs now, agent::Event event, std::vector<agent::Command>* commands);
+
+  const AgentCounters& counters() const { return counters_; }
+  const DecisionLog& decisions() const { return decisions_; }
+  std::size_t present() const { return requests_.size(); }
+  bool IsReady() const;
+  bool IsLeaving() const { return leaving_; }
+  std::vector<ReplicaStatus> Replicas() const;
+
+ private:
+  // agent_requests.cc
+  void On(agent::FrameArrived event);
+  void On(agent::LinkClosed event);
+  void On(agent::UpstreamHead event);
+  void On(agent::UpstreamPiece event);
+  void On(agent::UpstreamEnd event);
+  void On(agent::UpstreamFailed event);
+  void OnFrame(LinkId link, CallFrame call);
+  void OnFrame(LinkId link, const CancelFrame& cancel);
+  void OnFrame(LinkId link, const AskFrame& ask);
+  void OnFrame(LinkId link, const RetireFrame& retire);
+  void OnFrame(LinkId link, const WhyFrame& why);
+  void OnFrame(LinkId link, const DrainFrame& drain);
+  template <class Other>
+  void OnFrame(LinkId, const Other&) {}  // Frames only an agent sends, and hello.
+  std::optional<Refusal> Admit(AgentRequest& request);
+  std::optional<Refusal> AdmitToEngine(AgentRequest& request);
+  std::optional<Refusal> QueueRefusal(const AgentRequest& request, const Replica& replica);
+  void Enqueue(AgentRequest request);
+  void CancelRequest(const std::string& id);
+  void PumpQueue(Replica& replica);
+  void SendToUpstream(AgentRequest& request, Replica& replica);
+  void Refuse(const AgentRequest& request, const Refusal& refusal);
+  void Remove(const std::string& id);
+  void StopWaiting(AgentRequest& request, std::uint64_t AgentCounters::*counter);
+  void NoteArrival(Replica& replica);
+  void RefuseQueued(Replica& replica, const Refusal& refusal);
+  void Finished(AgentRequest& request);
+  void ExpireRequests();
+  void CheckConservation() const;
+  UpstreamReport ReportOn(const std::string& key) const;
+  DurationMs QueueWait(const Replica& replica, Priority priority, TimeMs deadline) const;
+
+  // agent_replicas.cc
+  void On(agent::InventoryArrived event);
+  void On(agent::InventoryFailed event);
+  void On(agent::FenceDone event);
+  void On(agent::LoadEnded event);
+  void On(agent::UnloadEnded event);
+  void On(agent::GrantsRead event);
+  void On(agent::GrantFreed event);
+  void On(agent::LeaveRequested event);
+  void On(agent::Ticked event);
+  Replica& ReplicaOf(const std::string& key);
+  bool AcceptGrant(const GrantView& grant);
+  void ReconcileReplica(Replica& replica, const EngineModel* found, std::uint64_t asked);
+  void BeginLoads();
+  void BeginLoad(Replica& replica);
+  bool MakeRoom(const Replica& wanted);
+  void GiveUpLoad(Replica& replica, const Refusal& refusal);
+  bool IsIdle(const Replica& replica) const;
+  bool IsEvictable(const Replica& replica) const;
+  bool HasAdapter(const std::string& key) const;
+  std::uint64_t RoomOn(std::uint32_t accelerator) const;
+  void Evict(Replica& replica);
+  void BecomeIdle(Replica& replica);
+  void BecomeAbsent(Replica& replica);
+  void BecomeUnknown(Replica& replica);
+  void BeginUnload(Replica& replica, std::string_view reason);
+  void UnloadIdle();
+  bool IsSettled(const Replica& replica) const;
+  void Retire(Replica& replica, std::string_view reason);
+  void ContinueRetiring(Replica& replica);
+  void ContinueLeaving();
+  bool MayOrder() const;
+  bool CouldFit(const Replica& replica) const;
+  bool CouldFit(std::uint64_t memory_mb, const std::string& base) const;
+  DurationMs ExpectedLoad(const Replica& replica) const;
+  DurationMs RemainingLoad(const Replica& replica) const;
+  DurationMs UntilReady(const Replica& replica) const;
+  std::uint32_t LoadsInFlight() const;
+  std::int64_t NextOrder();
+  void AskEngine();
+  static QueuePlace MostUrgent(const Replica& replica);
+  void SettleFence(TimeMs asked_at);
+
+  // agent_once.cc
+  void On(agent::PeersChanged event);
+  std::optional<Refusal> AdmitKeyed(AgentRequest& request, bool* replayed);
+  std::optional<Refusal> HomeRefusal(const CallFrame& call) const;
+  void Replay(const AgentRequest& request, const StoredAnswer& row);
+  void KeepHead(const AgentRequest& request, const agent::UpstreamHead& head);
+  void KeepPiece(const AgentRequest& request, std::string_view data);
+  void SettleRow(const AgentRequest& request, AnswerState state);
+
+  void Send(LinkId link, Frame frame);
+  template <class C>
+  void Emit(C command) {
+    out_->emplace_back(std::move(command));
+  }
+  void Note(std::string request, std::string key, std::string sentence, std::string inputs = {});
+
+  AgentOptions options_;
+  AgentCounters counters_;
+  DecisionLog decisions_;
+  AnswerTable answers_;
+  MemoryLedger ledger_;
+  std::unordered_map<std::string, AgentRequest> requests_;
+  std::map<std::string, Replica, std::less<>> replicas_;
+  std::map<std::string, std::int64_t, std::less<>> seen_tokens_;
+  std::map<std::string, CacheTier, std::less<>> tiers_;
+  std::map<std::string, std::int64_t> lost_peers_;  // VM to the Unix time it left the list.
+  std::set<ServicePeer> peers_;
+  std::vector<agent::Command>* out_ = nullptr;
+  TimeMs now_ = 0;
+  TimeMs started_at_ = 0;
+  std::int64_t unix_ms_ = 0;
+  std::uint64_t queued_bytes_ = 0;
+  std::uint32_t queued_ = 0;
+  std::int64_t orders_ = 0;
+  std::uint64_t asks_ = 0;
+  bool ask_in_flight_ = false;
+  TimeMs asked_at_ = 0;
+  bool reconsider_ = false;  // Something changed that loads or leaving depend on.
+  TimeMs next_ask_at_ = 0;
+  TimeMs next_read_at_ = 0;
+  bool engine_known_ = false;  // An inventory has been taken since the start.
+  bool engine_reachable_ = false;
+  bool engine_fenced_ = false;  // No order of an earlier process can still land.
+  bool grants_known_ = false;
+  bool leaving_ = false;
+  bool vm_leaves_ = false;
+  bool exited_ = false;
+  std::uint64_t last_config_version_ = 0;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_CORE_AGENT_IMPL_H_
--- /dev/null
+++ b/src/core/agent_requests.cc
@@ -0,0 +1,431 @@
+// The requests of an agent: admission, the queue of each key, dispatch, the
+// frames of an answer, and the conservation of requests.
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "agent_impl.h"
+
+namespace junctionrail::internal {
+namespace {
+
+constexpr double kFirstServiceMs = 200;    // Assumed until the first answer.
+constexpr double kServiceSmoothing = 0.2;  // Weight of the newest service time.
+constexpr DurationMs kShortRetryMs = 200;
+constexpr DurationMs kLeavingRetryMs = 100;
+
+double ServiceMs(const Replica& replica) {
+  return replica.service_ms > 0 ? replica.service_ms : kFirstServiceMs;
+}
+
+}  // namespace
+
+bool QueuePlace::operator<(const QueuePlace& other) const {
+  // A higher class sorts first.
+  return std::tie(other.priority, deadline_at, id) <
+         std::tie(priority, other.deadline_at, other.id);
+}
+
+void AgentImpl::On(agent::FrameArrived event) {
+  std::visit([&](auto&& frame) { OnFrame(event.link, std::move(frame)); }, std::move(event.frame));
+}
+
+void AgentImpl::OnFrame(LinkId link, CallFrame call) {
+  if (requests_.count(call.id) > 0) return;  // An id names one attempt; a copy adds nothing.
+  ++counters_.received;
+  last_config_version_ = std::max(last_config_version_, call.config_version);
+  AgentRequest request;
+  request.link = link;
+  request.arrived_at = now_;
+  request.deadline_at = now_ + call.deadline_ms;
+  request.call = std::move(call);
+  reconsider_ = true;
+  const auto refusal = Admit(request);
+  if (refusal) Refuse(request, *refusal);
+}
+
+std::optional<Refusal> AgentImpl::Admit(AgentRequest& request) {
+  const CallFrame& call = request.call;
+  if (leaving_) {
+    return Refusal{RefusalCode::kLeaving, "this upstream is leaving", Ran::kNo, kLeavingRetryMs};
+  }
+  if (call.deadline_ms <= 0) {
+    return Refusal{RefusalCode::kDeadlinePassed, "the deadline had passed on arrival", Ran::kNo, 0};
+  }
+  if (options_.kind == UpstreamKind::kEngine) {
+    const auto refusal = AdmitToEngine(request);
+    if (refusal) return refusal;
+  } else {
+    ReplicaOf(call.key).state = ReplicaState::kLoaded;
+  }
+  Replica& replica = ReplicaOf(call.key);
+  if (!call.idempotency_key.empty()) {
+    bool is_replayed = false;
+    const auto refusal = AdmitKeyed(request, &is_replayed);
+    if (refusal || is_replayed) return refusal;
+  }
+  const auto refusal = QueueRefusal(request, replica);
+  if (refusal) return refusal;
+  Enqueue(std::move(request));
+  PumpQueue(replica);
+  return std::nullopt;
+}
+
+std::optional<Refusal> AgentImpl::AdmitToEngine(AgentRequest& request) {
+  const CallFrame& call = request.call;
+  if (!engine_known_) {
+    return Refusal{RefusalCode::kUpstreamUnreachable, "the engine has not said yet what it holds",
+                   Ran::kNo, kShortRetryMs};
+  }
+  for (const auto& it : call.grants) AcceptGrant(it);
+  Replica& replica = ReplicaOf(call.key);
+  // What an earlier process loaded keeps its grant until this one unloads it,
+  // so it may be served even while the key-value service cannot be read.
+  const bool may_serve = replica.grant == GrantState::kHeld ||
+                         (!grants_known_ && replica.state == ReplicaState::kLoaded);
+  if (!may_serve && !grants_known_) {
+    return Refusal{RefusalCode::kGrantUnverified,
+                   "the key-value service cannot be asked whether this upstream may hold it",
+                   Ran::kNo, kShortRetryMs};
+  }
+  if (!may_serve) {
+    return Refusal{RefusalCode::kNotGranted, "this upstream holds no grant for it", Ran::kNo,
+                   kShortRetryMs};
+  }
+  NoteArrival(replica);
+  if (replica.state == ReplicaState::kLoaded) return std::nullopt;
+  if (!MayOrder()) {
+    return Refusal{RefusalCode::kUpstreamUnreachable, "the engine cannot be given orders now",
+                   Ran::kNo, kShortRetryMs};
+  }
+  if (replica.state == ReplicaState::kAbsent && !CouldFit(replica)) {
+    Refusal refusal{RefusalCode::kNoMemory, "no accelerator has room and nothing idle can make it",
+                    Ran::kNo, kShortRetryMs};
+    Retire(replica, "it does not fit here");
+    return refusal;
+  }
+  const DurationMs ready = UntilReady(replica);
+  // The load goes on even when this caller cannot wait: it is told when to come back.
+  replica.is_wanted = true;
+  if (!replica.base.empty()) ReplicaOf(replica.base).is_wanted = true;
+  if (now_ + ready <= request.deadline_at) return std::nullopt;
+  return Refusal{RefusalCode::kColdTooLate,
+                 "the model is cold and would be ready only after the deadline", Ran::kNo, ready};
+}
+
+DurationMs AgentImpl::QueueWait(const Replica& replica, Priority priority, TimeMs deadline) const {
+  const QueuePlace place{priority, deadline, std::string()};
+  const auto ahead = std::distance(replica.queue.begin(), replica.queue.lower_bound(place));
+  const double at_once = options_.max_concurrent;
+  const double excess = static_cast<double>(ahead) + replica.running + 1 - at_once;
+  if (excess <= 0) return 0;
+  return static_cast<DurationMs>(ServiceMs(replica) * excess / at_once);
+}
+
+std::optional<Refusal> AgentImpl::QueueRefusal(const AgentRequest& request,
+                                               const Replica& replica) {
+  const CallFrame& call = request.call;
+  const DurationMs ready = options_.kind == UpstreamKind::kEngine ? UntilReady(replica) : 0;
+  const DurationMs wait = ready + QueueWait(replica, call.priority, request.deadline_at);
+  if (now_ + wait > request.deadline_at) {
+    return Refusal{RefusalCode::kQueueTooLate, "the queue would end after the deadline", Ran::kNo,
+                   wait};
+  }
+  const bool is_full = queued_ >= options_.max_queue_requests ||
+                       queued_bytes_ + call.body.size() > options_.max_queue_bytes;
+  if (!is_full) return std::nullopt;
+  const Refusal refusal{RefusalCode::kQueueFull, "the queue is full", Ran::kNo,
+                        std::max<DurationMs>(wait, kShortRetryMs)};
+  // A higher class takes the place of the last of a lower one.
+  if (replica.queue.empty() || replica.queue.rbegin()->priority >= call.priority) return refusal;
+  const auto last = requests_.find(replica.queue.rbegin()->id);
+  if (last->second.call.body.size() < call.body.size()) return refusal;
+  const AgentRequest shed = last->second;
+  Remove(shed.call.id);
+  Refuse(shed, refusal);
+  return std::nullopt;
+}
+
+void AgentImpl::Enqueue(AgentRequest request) {
+  const std::string id = request.call.id;
+  Replica& replica = ReplicaOf(request.call.key);
+  replica.queue.insert(QueuePlace{request.call.priority, request.deadline_at, id});
+  ++queued_;
+  queued_bytes_ += request.call.body.size();
+  requests_.emplace(id, std::move(request));
+}
+
+void AgentImpl::PumpQueue(Replica& replica) {
+  if (replica.state != ReplicaState::kLoaded || leaving_) return;
+  while (replica.running < options_.max_concurrent && !replica.queue.empty()) {
+    AgentRequest& request = requests_.at(replica.queue.begin()->id);
+    if (request.deadline_at < now_) {
+      const AgentRequest late = request;
+      Remove(late.call.id);
+      Refuse(late, Refusal{RefusalCode::kDeadlinePassed, "the deadline passed in the queue",
+                           Ran::kNo, 0});
+      continue;
+    }
+    SendToUpstream(request, replica);
+  }
+}
+
+void AgentImpl::SendToUpstream(AgentRequest& request, Replica& replica) {
+  CheckInvariant(!leaving_, "an agent that is leaving dispatches nothing");
+  CheckInvariant(request.state == RequestState::kQueued, "an attempt is dispatched at most once");
+  replica.queue.erase(QueuePlace{request.call.priority, request.deadline_at, request.call.id});
+  --queued_;
+  queued_bytes_ -= request.call.body.size();
+  request.state = RequestState::kDispatched;
+  request.dispatched_at = now_;
+  ++replica.running;
+  ++counters_.dispatched;
+  const CallFrame& call = request.call;
+  Emit(agent::Dispatch{call.id, call.key, call.method, call.path, call.content_type,
+                       std::move(request.call.body), call.idempotency_key, call.is_stream});
+  request.call.body.clear();
+}
+
+void AgentImpl::On(agent::UpstreamHead event) {
+  const auto it = requests_.find(event.id);
+  if (it == requests_.end()) return;
+  AgentRequest& request = it->second;
+  request.state = RequestState::kAnswering;
+  KeepHead(request, event);
+  if (request.gone_as != nullptr) return;
+  Send(request.link, HeadFrame{event.id, event.status, std::move(event.content_type),
+                               ReportOn(request.call.key)});
+}
+
+void AgentImpl::On(agent::UpstreamPiece event) {
+  const auto it = requests_.find(event.id);
+  if (it == requests_.end()) return;
+  AgentRequest& request = it->second;
+  KeepPiece(request, event.data);
+  if (request.gone_as != nullptr) return;
+  Send(request.link, PieceFrame{event.id, request.next_sequence++, std::move(event.data)});
+}
+
+void AgentImpl::On(agent::UpstreamEnd event) {
+  const auto it = requests_.find(event.id);
+  if (it == requests_.end()) return;
+  AgentRequest& request = it->second;
+  SettleRow(request, AnswerState::kAnswered);
+  if (request.gone_as != nullptr) {
+    ++(counters_.*request.gone_as);
+  } else {
+    ++counters_.answered;
+    Send(request.link, EndFrame{event.id, request.next_sequence, ReportOn(request.call.key)});
+  }
+  Finished(request);
+  Remove(event.id);
+}
+
+void AgentImpl::On(agent::UpstreamFailed event) {
+  const auto it = requests_.find(event.id);
+  if (it == requests_.end()) return;
+  AgentRequest& request = it->second;
+  if (options_.kind == UpstreamKind::kEngine) AskEngine();
+  if (event.was_sent) SettleRow(request, AnswerState::kUnknown);
+  Replica& replica = ReplicaOf(request.call.key);
+  CheckInvariant(replica.running > 0, "a dispatched call is counted at its replica");
+  Finished(request);
+  if (!event.was_sent) request.state = RequestState::kQueued;
+  AgentRequest ended = std::move(request);
+  requests_.erase(it);
+  if (ended.gone_as != nullptr) {
+    ++(counters_.*ended.gone_as);
+    return;
+  }
+  if (event.was_sent) {
+    Refuse(ended, Refusal{RefusalCode::kUpstreamFailed, "the upstream failed: " + event.reason,
+                          Ran::kUnknown, kShortRetryMs});
+  } else {
+    Refuse(ended,
+           Refusal{RefusalCode::kUpstreamUnreachable,
+                   "the upstream took no connection: " + event.reason, Ran::kNo, kShortRetryMs});
+  }
+}
+
+// Ends the part a dispatched request played at its replica.
+void AgentImpl::Finished(AgentRequest& request) {
+  Replica& replica = ReplicaOf(request.call.key);
+  --replica.running;
+  const double took = static_cast<double>(now_ - request.dispatched_at);
+  replica.service_ms = replica.service_ms > 0
+                           ? replica.service_ms + kServiceSmoothing * (took - replica.service_ms)
+                           : std::max(took, 1.0);
+  replica.last_work_at = now_;
+  reconsider_ = true;
+  PumpQueue(replica);
+  if (replica.running == 0 && replica.queue.empty()) BecomeIdle(replica);
+}
+
+void AgentImpl::Refuse(const AgentRequest& request, const Refusal& refusal) {
+  const CallFrame& call = request.call;
+  if (refusal.ran == Ran::kNo) {
+    CheckInvariant(request.state == RequestState::kQueued,
+                   "a request said not to have run has no dispatch");
+    ++counters_.refused;
+    if (!request.answer_key.empty()) answers_.Forget(request.answer_key);
+  } else {
+    ++counters_.failed;
+  }
+  ++counters_.refused_by_code[static_cast<std::size_t>(refusal.code)];
+  Note(call.id, call.key,
+       "refused, " + std::string(RefusalName(refusal.code)) + ": " + refusal.sentence,
+       "deadline_left_ms=" + std::to_string(request.deadline_at - now_) +
+           " retry_after_ms=" + std::to_string(refusal.retry_after_ms));
+  Send(request.link, RefusalFrame{call.id, refusal, ReportOn(call.key)});
+}
+
+void AgentImpl::Remove(const std::string& id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  const AgentRequest& request = it->second;
+  if (request.state == RequestState::kQueued) {
+    Replica& replica = ReplicaOf(request.call.key);
+    replica.queue.erase(QueuePlace{request.call.priority, request.deadline_at, request.call.id});
+    --queued_;
+    queued_bytes_ -= request.call.body.size();
+    if (replica.running == 0 && replica.queue.empty()) BecomeIdle(replica);
+  }
+  requests_.erase(it);
+}
+
+void AgentImpl::RefuseQueued(Replica& replica, const Refusal& refusal) {
+  while (!replica.queue.empty()) {
+    const AgentRequest request = requests_.at(replica.queue.begin()->id);
+    Remove(request.call.id);
+    Refuse(request, refusal);
+  }
+}
+
+// The caller or its link is gone, or the deadline has passed. A call that may
+// be repeated is cut off; one that may not runs on and is remembered.
+void AgentImpl::StopWaiting(AgentRequest& request, std::uint64_t AgentCounters::*counter) {
+  if (request.gone_as != nullptr) return;
+  const std::string id = request.call.id;
+  if (request.state == RequestState::kQueued) {
+    if (!request.answer_key.empty()) answers_.Forget(request.answer_key);
+    ++(counters_.*counter);
+    Remove(id);
+    return;
+  }
+  if (!request.call.is_repeatable || !request.answer_key.empty()) {
+    request.gone_as = counter;
+    return;
+  }
+  Emit(agent::CancelDispatch{id});
+  ++(counters_.*counter);
+  Finished(request);
+  Remove(id);
+}
+
+void AgentImpl::CancelRequest(const std::string& id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  StopWaiting(it->second, &AgentCounters::cancelled);
+}
+
+void AgentImpl::OnFrame(LinkId, const CancelFrame& cancel) { CancelRequest(cancel.id); }
+
+void AgentImpl::On(agent::LinkClosed event) {
+  std::vector<std::string> ids;
+  for (const auto& [id, request] : requests_) {
+    if (request.link == event.link) ids.push_back(id);
+  }
+  // The table's own order differs between builds; decisions must not.
+  std::sort(ids.begin(), ids.end());
+  for (const auto& it : ids) CancelRequest(it);
+}
+
+void AgentImpl::ExpireRequests() {
+  std::vector<std::string> late;
+  for (const auto& [id, request] : requests_) {
+    const bool waits = request.state != RequestState::kAnswering && request.gone_as == nullptr;
+    const Replica& replica = ReplicaOf(request.call.key);
+    const bool slipped = request.state == RequestState::kQueued &&
+                         replica.state == ReplicaState::kLoading &&
+                         now_ + RemainingLoad(replica) > request.deadline_at;
+    if (waits && (request.deadline_at < now_ || slipped)) late.push_back(id);
+  }
+  std::sort(late.begin(), late.end());
+  for (const auto& id : late) {
+    const auto it = requests_.find(id);
+    if (it == requests_.end()) continue;
+    AgentRequest& request = it->second;
+    if (request.state == RequestState::kQueued) {
+      const AgentRequest ended = request;
+      Remove(id);
+      const bool passed = ended.deadline_at < now_;
+      const Replica& replica = ReplicaOf(ended.call.key);
+      Refuse(ended,
+             passed ? Refusal{RefusalCode::kDeadlinePassed, "the deadline passed in the queue",
+                              Ran::kNo, kShortRetryMs}
+                    : Refusal{RefusalCode::kColdTooLate, "the load has slipped past the deadline",
+                              Ran::kNo, RemainingLoad(replica)});
+      continue;
+    }
+    const AgentRequest copy = request;
+    StopWaiting(request, &AgentCounters::failed);
+    // StopWaiting has counted, or will count, this one; only the frame is owed.
+    Send(copy.link, RefusalFrame{id,
+                                 Refusal{RefusalCode::kDeadlinePassed,
+                                         "the upstream gave no answer before the deadline",
+                                         Ran::kUnknown, kShortRetryMs},
+                                 ReportOn(copy.call.key)});
+    Note(id, copy.call.key, "gave up: the upstream gave no answer before the deadline");
+  }
+}
+
+void AgentImpl::NoteArrival(Replica& replica) {
+  const bool was_idle = replica.running == 0 && replica.queue.empty();
+  if (was_idle && replica.last_work_at > 0) replica.history.AddGap(now_ - replica.last_work_at);
+}
+
+UpstreamReport AgentImpl::ReportOn(const std::string& key) const {
+  UpstreamReport report;
+  report.leaving = leaving_;
+  const auto it = replicas_.find(key);
+  if (it == replicas_.end()) return report;
+  const Replica& replica = it->second;
+  report.state = replica.state;
+  report.queued = static_cast<std::uint32_t>(replica.queue.size());
+  report.running = replica.running;
+  const DurationMs ready = options_.kind == UpstreamKind::kEngine ? UntilReady(replica) : 0;
+  report.wait_ms = ready + QueueWait(replica, Priority::kNormal, now_);
+  return report;
+}
+
+void AgentImpl::CheckConservation() const {
+  const AgentCounters& c = counters_;
+  CheckInvariant(c.received == c.answered + c.refused + c.failed + c.cancelled + requests_.size(),
+                 "received = answered + refused + failed + cancelled + present, at the agent");
+}
+
+void AgentImpl::OnFrame(LinkId link, const WhyFrame& why) {
+  Send(link, WhyAnswerFrame{why.id, EncodeRecords(decisions_.About(why.subject), options_.vm)});
+}
+
+void AgentImpl::OnFrame(LinkId, const DrainFrame& drain) {
+  On(agent::LeaveRequested{true, drain.reason});
+}
+
+void AgentImpl::Send(LinkId link, Frame frame) { Emit(agent::SendFrame{link, std::move(frame)}); }
+
+void AgentImpl::Note(std::string request, std::string key, std::string sentence,
+                     std::string inputs) {
+  DecisionRecord record;
+  record.at = now_;
+  record.request = std::move(request);
+  record.key = std::move(key);
+  record.vm = options_.vm;
+  record.sentence = std::move(sentence);
+  record.inputs = std::move(inputs);
+  record.config_version = last_config_version_;
+  decisions_.Add(std::move(record));
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/core/entry_impl.h
@@ -0,0 +1,200 @@
+// The tables of an entry and the systems that run over them. The sources are
+// split by concern: entry_requests.cc (calls, attempts, answers, retries),
+// entry_routing.cc (candidates, reports, ejection), entry_placement.cc (grants,
+// asking, retiring, configuration).
+#ifndef JUNCTIONRAIL_CORE_ENTRY_IMPL_H_
+#define JUNCTIONRAIL_CORE_ENTRY_IMPL_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "junctionrail/entry_core.h"
+
+namespace junctionrail::internal {
+
+// Where a call stands. From kSent on, an upstream may have run it.
+enum class CallState { kWaiting, kSent };
+
+struct EntryCall {
+  entry::CallArrived call;
+  std::string key;  // What the name resolved to.
+  CallState state = CallState::kWaiting;
+  TimeMs arrived_at = 0;
+  TimeMs deadline_at = 0;
+  std::uint32_t attempts = 0;
+  std::string vm;  // Of the attempt under way.
+  std::uint64_t next_sequence = 0;
+  bool has_head = false;      // The upstream has begun to answer.
+  bool is_delivered = false;  // The caller has been sent a head.
+  std::uint32_t status = 0;
+  std::string content_type;
+  std::string buffer;           // Pieces not passed on yet.
+  std::set<std::string> tried;  // Upstreams that did not run it.
+  bool may_have_run = false;    // An attempt ended with its outcome unknown.
+  bool only_loaded = false;     // A cold replica is known to be too late.
+  std::optional<Refusal> last_refusal;
+  TimeMs wait_until = 0;  // While waiting for a slot to come free.
+};
+
+// What this entry knows of one upstream.
+struct Upstream {
+  VmInfo info;
+  bool is_listed = true;
+  TimeMs leaving_until = 0;  // It said it was leaving; asked again after this.
+  std::uint32_t in_flight = 0;
+  std::uint32_t failures = 0;   // In a row.
+  std::uint32_t ejections = 0;  // In a row.
+  TimeMs ejected_until = 0;
+  std::map<std::string, UpstreamReport, std::less<>> reports;  // By key.
+};
+
+enum class PlacementState { kTurn, kBase, kAsking, kWriting, kReading };
+
+// The search for one more slot of a key.
+struct Placement {
+  PlacementState state = PlacementState::kTurn;
+  TimeMs until = 0;
+  std::uint32_t waves = 0;
+  std::uint32_t conflicts = 0;
+  std::set<std::string> asked;
+  std::set<std::string> pending;
+  std::vector<OfferFrame> offers;      // In the order they came.
+  std::vector<std::string> offer_vms;  // The VM of each offer.
+  std::vector<RejectedCandidate> rejected;
+};
+
+// A candidate with the time to its first token as far as this entry can tell.
+struct Candidate {
+  const Upstream* upstream = nullptr;
+  DurationMs estimate_ms = 0;
+  ReplicaState state = ReplicaState::kAbsent;
+};
+
+class EntryImpl {
+ public:
+  explicit EntryImpl(EntryOptions options);
+
+  void Handle(TimeMs now, entry::Event event, std::vector<entry::Command>* commands);
+
+  const EntryCounters& counters() const { return counters_; }
+  const DecisionLog& decisions() const { return decisions_; }
+  const Configuration& configuration() const { return configuration_; }
+  const VmList& vms() const { return list_; }
+  std::size_t present() const { return calls_.size(); }
+  bool IsStopping() const { return stopping_; }
+  std::uint32_t InFlight(std::string_view vm) const;
+  std::vector<UpstreamStatus> Upstreams(TimeMs now) const;
+  std::vector<GrantRecord> Grants() const;
+
+ private:
+  // entry_requests.cc
+  void On(entry::CallArrived event);
+  void On(entry::CallerGone event);
+  void On(entry::FrameArrived event);
+  void On(entry::LinkClosed event);
+  void On(entry::StopRequested event);
+  void On(entry::Ticked event);
+  void OnFrame(const std::string& vm, HeadFrame head);
+  void OnFrame(const std::string& vm, PieceFrame piece);
+  void OnFrame(const std::string& vm, const EndFrame& end);
+  void OnFrame(const std::string& vm, RefusalFrame refusal);
+  void OnFrame(const std::string& vm, OfferFrame offer);
+  template <class Other>
+  void OnFrame(const std::string&, const Other&) {}  // Frames only an entry sends, and hello.
+  EntryCall* CallOf(const std::string& attempt, const std::string& vm);
+  std::optional<Refusal> ResolveName(EntryCall& call);
+  void SendAttempt(EntryCall& call, const Upstream& upstream);
+  void EndAttempt(EntryCall& call);
+  void AttemptRefused(EntryCall& call, Refusal refusal);
+  void AttemptLost(EntryCall& call, Refusal refusal);
+  void Abandon(EntryCall& call, RefusalCode code, std::string_view why);
+  bool TakeRetry();
+  void Refuse(EntryCall& call, const Refusal& refusal);
+  void Remove(const std::string& id);
+  void ExpireCalls();
+  void CheckConservation() const;
+
+  // entry_routing.cc
+  void On(entry::VmsChanged event);
+  void Route(EntryCall& call);
+  void RouteToService(EntryCall& call);
+  void RouteToModel(EntryCall& call);
+  const Upstream* HomeOf(const EntryCall& call) const;
+  std::vector<Candidate> CandidatesFor(const EntryCall& call,
+                                       std::vector<RejectedCandidate>* rejected) const;
+  std::optional<std::string> Unusable(const EntryCall& call, const Upstream& upstream) const;
+  Candidate Estimate(const std::string& key, const Upstream& upstream) const;
+  const Candidate& Pick(const std::vector<Candidate>& candidates);
+  const GrantSlot* SlotOn(const std::string& key, const VmInfo& vm) const;
+  bool IsEjected(const Upstream& upstream) const { return upstream.ejected_until > now_; }
+  bool IsLeaving(const Upstream& upstream) const {
+    return upstream.info.is_leaving || upstream.leaving_until > now_;
+  }
+  void SaysLeaving(const std::string& vm, bool is_leaving);
+  void TakeReport(const std::string& vm, const std::string& key, const UpstreamReport& report);
+  void Succeeded(const std::string& vm);
+  void Failed(const std::string& vm, std::string_view reason);
+
+  // entry_placement.cc
+  void On(entry::ConfigurationRead event);
+  void On(entry::ConfigurationLogged event);
+  void On(entry::GrantChanged event);
+  void On(entry::GrantSettled event);
+  void WaitForPlacement(EntryCall& call);
+  void BeginPlacement(const std::string& key);
+  void ContinuePlacement(const std::string& key, Placement& placement);
+  void AskNextWave(const std::string& key, Placement& placement);
+  void ChooseOffer(const std::string& key, Placement& placement);
+  void OfferFailed(const std::string& vm);
+  void WriteSlot(const std::string& key, Placement& placement, const std::string& vm);
+  void EndPlacement(const std::string& key, const Refusal& refusal);
+  void RouteWaiters(const std::string& key);
+  void TakeGrant(GrantRecord record);
+  void RetireExcess();
+  void RetireExcessOf(const GrantRecord& record);
+  bool IsGone(const GrantSlot& slot) const;
+  std::vector<GrantSlot> StandingSlots(const std::string& key) const;
+  std::uint32_t DeclaredReplicas(std::string_view key) const;
+  std::uint32_t TurnOf(std::string_view key) const;
+  std::vector<const Upstream*> PlacementOrder(const std::string& key) const;
+  bool HasRoomForSlot(const std::string& key) const;
+
+  template <class C>
+  void Emit(C command) {
+    out_->emplace_back(std::move(command));
+  }
+  void Note(std::string request, std::string key, std::string vm, std::string sentence,
+            std::string inputs = {}, std::vector<RejectedCandidate> rejected = {});
+
+  EntryOptions options_;
+  EntryCounters counters_;
+  DecisionLog decisions_;
+  Configuration configuration_;
+  VmList list_;
+  std::mt19937_64 random_;
+  std::unordered_map<std::string, EntryCall> calls_;
+  std::set<std::pair<TimeMs, std::string>> deadlines_;       // Of calls not yet answering.
+  std::map<std::string, std::vector<std::string>> waiters_;  // Calls by the key they wait for.
+  std::map<std::string, Upstream, std::less<>> upstreams_;
+  std::map<std::string, GrantRecord, std::less<>> grants_;
+  std::map<std::string, Placement> placements_;
+  std::vector<entry::Command>* out_ = nullptr;
+  TimeMs now_ = 0;
+  std::map<std::string, TimeMs> excess_since_;
+  TimeMs next_retire_at_ = 0;
+  bool excess_ = false;  // Some record may hold more slots than are declared.
+  double retry_tokens_ = 0;
+  std::uint64_t attempts_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_CORE_ENTRY_IMPL_H_
--- /dev/null
+++ b/src/core/entry_placement.cc
@@ -0,0 +1,484 @@
+// Replica slots and configuration: who places the next slot of a key, where,
+// and which slots are given back when the declared count falls.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "entry_impl.h"
+
+namespace junctionrail::internal {
+namespace {
+
+constexpr DurationMs kRetrySoonMs = 200;
+constexpr DurationMs kServiceRetryMs = 1000;  // Of the key-value service.
+constexpr DurationMs kWriteWaitMs = 10000;    // Longer than the client's own limit.
+constexpr DurationMs kRetirePeriodMs = 1000;
+constexpr DurationMs kRetireTurnMs = 2000;  // Later entries step in after this, each.
+constexpr std::uint32_t kMostTurns = 8;     // Turns after this one coincide.
+constexpr std::uint32_t kMostConflicts = 8;
+constexpr double kEqualLoadShare = 1.2;  // Loads this close count as equal.
+
+std::string_view TierName(CacheTier tier) {
+  switch (tier) {
+    case CacheTier::kMemory:
+      return "memory";
+    case CacheTier::kDisk:
+      return "disk";
+    case CacheTier::kRemote:
+      return "remote";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+// ---- Configuration ---------------------------------------------------------
+
+void EntryImpl::On(entry::ConfigurationRead event) {
+  if (event.configuration.version() < configuration_.version()) return;
+  if (event.configuration.version() == configuration_.version() && configuration_.version() > 0) {
+    return;
+  }
+  configuration_ = std::move(event.configuration);
+  excess_ = true;
+  Note({}, {}, {}, "configuration " + std::to_string(configuration_.version()) + " is in force");
+}
+
+void EntryImpl::On(entry::ConfigurationLogged event) {
+  if (event.change.version <= configuration_.version()) return;
+  const std::uint64_t before = configuration_.version();
+  if (!configuration_.Apply(event.change)) return Emit(entry::ReadConfiguration{});
+  CheckInvariant(configuration_.version() > before, "an applied configuration never falls");
+  excess_ = true;
+  Note({}, {}, {}, "configuration " + std::to_string(configuration_.version()) + " is in force",
+       "change=" + event.change.change_id + " author=" + event.change.author);
+}
+
+std::uint32_t EntryImpl::DeclaredReplicas(std::string_view key) const {
+  const auto it = configuration_.models().find(key);
+  return it == configuration_.models().end() ? 0 : it->second.replicas;
+}
+
+// ---- Grants ----------------------------------------------------------------
+
+std::vector<GrantRecord> EntryImpl::Grants() const {
+  std::vector<GrantRecord> all;
+  for (const auto& [key, it] : grants_) all.push_back(it);
+  return all;
+}
+
+// Whether the VM that holds a slot is known to be gone. A list older than the
+// one the slot was placed by cannot tell.
+bool EntryImpl::IsGone(const GrantSlot& slot) const {
+  if (list_.revision < slot.list_revision) return false;
+  const auto it = upstreams_.find(slot.vm);
+  return it == upstreams_.end() || it->second.info.incarnation != slot.incarnation;
+}
+
+std::vector<GrantSlot> EntryImpl::StandingSlots(const std::string& key) const {
+  std::vector<GrantSlot> standing;
+  const auto record = grants_.find(key);
+  if (record == grants_.end()) return standing;
+  for (const auto& it : record->second.slots) {
+    if (!IsGone(it)) standing.push_back(it);
+  }
+  return standing;
+}
+
+bool EntryImpl::HasRoomForSlot(const std::string& key) const {
+  return StandingSlots(key).size() < DeclaredReplicas(key);
+}
+
+void EntryImpl::TakeGrant(GrantRecord record) {
+  GrantRecord& known = grants_[record.key];
+  if (record.revision < known.revision) return;
+  if (record.slots.size() > DeclaredReplicas(record.key)) excess_ = true;
+  known = std::move(record);
+}
+
+void EntryImpl::On(entry::GrantChanged event) {
+  const std::string key = event.record.key;
+  TakeGrant(std::move(event.record));
+  const auto placement = placements_.find(key);
+  // A write of this entry's own ends through its answer, not through the watch.
+  const bool is_writing =
+      placement != placements_.end() && (placement->second.state == PlacementState::kWriting ||
+                                         placement->second.state == PlacementState::kReading);
+  if (is_writing) return;
+  if (placement != placements_.end() && !HasRoomForSlot(key)) placements_.erase(placement);
+  RouteWaiters(key);
+}
+
+void EntryImpl::RouteWaiters(const std::string& key) {
+  const auto it = waiters_.find(key);
+  if (it == waiters_.end()) return;
+  const std::vector<std::string> ids = std::move(it->second);
+  waiters_.erase(it);
+  for (const auto& id : ids) {
+    const auto call = calls_.find(id);
+    if (call != calls_.end() && call->second.state == CallState::kWaiting) Route(call->second);
+  }
+}
+
+// ---- Placement -------------------------------------------------------------
+
+void EntryImpl::WaitForPlacement(EntryCall& call) {
+  const std::string key = call.key;
+  waiters_[key].push_back(call.call.id);
+  BeginPlacement(key);
+}
+
+// This entry's place in the order in which live entries act on a key.
+std::uint32_t EntryImpl::TurnOf(std::string_view key) const {
+  const std::uint64_t own = RendezvousScore(key, options_.vm);
+  std::uint32_t before = 0;
+  for (const auto& it : list_.vms) {
+    const bool is_other = it.role == VmRole::kEntry && !it.is_leaving && it.vm != options_.vm;
+    if (is_other && RendezvousScore(key, it.vm) > own) ++before;
+  }
+  return std::min(before, kMostTurns);
+}
+
+void EntryImpl::BeginPlacement(const std::string& key) {
+  const auto [it, is_new] = placements_.try_emplace(key);
+  if (!is_new) return;
+  ++counters_.placements;
+  Placement& placement = it->second;
+  const std::uint32_t turn = TurnOf(key);
+  placement.until = now_;
+  if (turn > 0) {
+    std::uniform_int_distribution<DurationMs> jitter(0, options_.turn_ms / 2);
+    placement.until = now_ + turn * options_.turn_ms + jitter(random_);
+  }
+  ContinuePlacement(key, placement);
+}
+
+void EntryImpl::ContinuePlacement(const std::string& key, Placement& placement) {
+  switch (placement.state) {
+    case PlacementState::kTurn: {
+      if (now_ < placement.until) return;
+      const ModelDeclaration* model = configuration_.Resolve(key);
+      if (model == nullptr) {
+        return EndPlacement(
+            key, Refusal{RefusalCode::kNotDeclared, "it is no longer declared", Ran::kNo, 0});
+      }
+      if (model->IsAdapter() && StandingSlots(model->base).empty()) {
+        // The base is placed first; its grant brings this placement on.
+        placement.state = PlacementState::kBase;
+        placement.until = now_ + kWriteWaitMs;
+        const std::string base = model->base;
+        if (HasRoomForSlot(base)) BeginPlacement(base);
+        return;
+      }
+      placement.state = PlacementState::kAsking;
+      return AskNextWave(key, placement);
+    }
+    case PlacementState::kBase: {
+      const ModelDeclaration* model = configuration_.Resolve(key);
+      const bool is_placed = model != nullptr && !StandingSlots(model->base).empty();
+      const bool is_failed =
+          !is_placed && (model == nullptr || placements_.count(model->base) == 0);
+      if (is_placed) {
+        placement.state = PlacementState::kAsking;
+        return AskNextWave(key, placement);
+      }
+      if (!is_failed && now_ < placement.until) return;
+      return EndPlacement(key, Refusal{RefusalCode::kPlacementFailed,
+                                       "its base could not be placed", Ran::kNo, kServiceRetryMs});
+    }
+    case PlacementState::kAsking:
+      if (placement.pending.empty() || now_ >= placement.until) ChooseOffer(key, placement);
+      return;
+    case PlacementState::kWriting:
+    case PlacementState::kReading:
+      if (now_ < placement.until) return;
+      return EndPlacement(
+          key, Refusal{RefusalCode::kPlacementFailed, "the key-value service did not answer",
+                       Ran::kNo, kServiceRetryMs});
+  }
+}
+
+// Upstreams that could be asked: those that have held the key before first, as
+// they are likely to have it cached, then in rendezvous order.
+std::vector<const Upstream*> EntryImpl::PlacementOrder(const std::string& key) const {
+  const ModelDeclaration* model = configuration_.Resolve(key);
+  struct Ranked {
+    bool knows;
+    std::uint64_t score;
+    const Upstream* upstream;
+  };
+  std::vector<Ranked> ranking;
+  for (const auto& [vm, it] : upstreams_) {
+    const bool is_fit = it.info.role == VmRole::kEngine && it.is_listed && !IsLeaving(it) &&
+                        !IsEjected(it) && SlotOn(key, it.info) == nullptr;
+    const bool has_base = !model->IsAdapter() || SlotOn(model->base, it.info) != nullptr;
+    if (!is_fit || !has_base) continue;
+    ranking.push_back({it.reports.count(key) > 0, RendezvousScore(key, vm), &it});
+  }
+  std::sort(ranking.begin(), ranking.end(), [](const Ranked& a, const Ranked& b) {
+    if (a.knows != b.knows) return a.knows;
+    return a.score > b.score;
+  });
+  std::vector<const Upstream*> order;
+  for (const auto& it : ranking) order.push_back(it.upstream);
+  return order;
+}
+
+void EntryImpl::AskNextWave(const std::string& key, Placement& placement) {
+  const ModelDeclaration* model = configuration_.Resolve(key);
+  std::vector<std::string> wave;
+  if (model != nullptr && placement.waves < options_.most_waves) {
+    for (const Upstream* it : PlacementOrder(key)) {
+      if (wave.size() >= options_.ask_wave) break;
+      if (placement.asked.count(it->info.vm) == 0) wave.push_back(it->info.vm);
+    }
+  }
+  if (wave.empty()) {
+    const bool any_asked = !placement.asked.empty();
+    Note({}, key, {},
+         any_asked ? "no upstream that was asked has room" : "no upstream could be asked",
+         "asked=" + std::to_string(placement.asked.size()), placement.rejected);
+    const Refusal refusal =
+        any_asked ? Refusal{RefusalCode::kNoMemory, "no upstream that was asked has room for it",
+                            Ran::kNo, kServiceRetryMs}
+                  : Refusal{RefusalCode::kNoUpstream, "no upstream could be asked to hold it",
+                            Ran::kNo, kServiceRetryMs};
+    return EndPlacement(key, refusal);
+  }
+  ++placement.waves;
+  placement.until = now_ + options_.ask_ms;
+  for (const auto& vm : wave) {
+    placement.asked.insert(vm);
+    placement.pending.insert(vm);
+  }
+  for (const auto& vm : wave) {
+    Emit(entry::SendFrame{vm, AskFrame{key, key, model->base, model->memory_mb}});
+  }
+}
+
+void EntryImpl::OnFrame(const std::string& vm, OfferFrame offer) {
+  const auto it = placements_.find(offer.key);
+  if (it == placements_.end() || it->second.pending.erase(vm) == 0) return;
+  Placement& placement = it->second;
+  placement.offers.push_back(std::move(offer));
+  placement.offer_vms.push_back(vm);
+  const std::string key = it->first;
+  if (placement.state == PlacementState::kAsking) ContinuePlacement(key, placement);
+}
+
+void EntryImpl::OfferFailed(const std::string& vm) {
+  std::vector<std::string> keys;
+  for (auto& [key, it] : placements_) {
+    if (it.pending.erase(vm) == 0) continue;
+    it.rejected.push_back({vm, "took no connection"});
+    if (it.state == PlacementState::kAsking && it.pending.empty()) keys.push_back(key);
+  }
+  for (const auto& key : keys) {
+    const auto it = placements_.find(key);
+    if (it != placements_.end()) ContinuePlacement(key, it->second);
+  }
+}
+
+// The shortest load; among loads as short, another data hall than the slots
+// already have, then the most free memory.
+void EntryImpl::ChooseOffer(const std::string& key, Placement& placement) {
+  std::set<std::string> halls;
+  for (const auto& slot : StandingSlots(key)) halls.insert(upstreams_.at(slot.vm).info.data_hall);
+  struct Choice {
+    std::size_t n;
+    bool is_new_hall;
+  };
+  std::optional<Choice> best;
+  for (std::size_t n = 0; n < placement.offers.size(); ++n) {
+    const OfferFrame& offer = placement.offers[n];
+    const std::string& vm = placement.offer_vms[n];
+    const auto upstream = upstreams_.find(vm);
+    const bool is_fit = offer.fits && !offer.leaving && upstream != upstreams_.end() &&
+                        upstream->second.is_listed && !IsLeaving(upstream->second);
+    if (!is_fit) {
+      placement.rejected.push_back({vm, offer.leaving ? "leaving" : "no room"});
+      continue;
+    }
+    const Choice choice{n, halls.count(upstream->second.info.data_hall) == 0};
+    if (!best) {
+      best = choice;
+      continue;
+    }
+    const OfferFrame& other = placement.offers[best->n];
+    const auto load = static_cast<double>(offer.load_ms);
+    const auto other_load = static_cast<double>(other.load_ms);
+    const bool is_equal =
+        load <= other_load * kEqualLoadShare && other_load <= load * kEqualLoadShare;
+    const bool is_better =
+        !is_equal ? load < other_load
+                  : (choice.is_new_hall != best->is_new_hall ? choice.is_new_hall
+                                                             : offer.free_mb > other.free_mb);
+    if (is_better) best = choice;
+  }
+  if (!best) return AskNextWave(key, placement);
+  for (std::size_t n = 0; n < placement.offers.size(); ++n) {
+    const OfferFrame& offer = placement.offers[n];
+    if (n == best->n || !offer.fits) continue;
+    placement.rejected.push_back(
+        {placement.offer_vms[n],
+         std::string(TierName(offer.tier)) + ", load " + std::to_string(offer.load_ms) + " ms"});
+  }
+  const OfferFrame& offer = placement.offers[best->n];
+  Note({}, key, placement.offer_vms[best->n], "placed on " + placement.offer_vms[best->n],
+       "tier=" + std::string(TierName(offer.tier)) + " load_ms=" + std::to_string(offer.load_ms) +
+           " free_mb=" + std::to_string(offer.free_mb),
+       placement.rejected);
+  WriteSlot(key, placement, placement.offer_vms[best->n]);
+}
+
+void EntryImpl::WriteSlot(const std::string& key, Placement& placement, const std::string& vm) {
+  const VmInfo& info = upstreams_.at(vm).info;
+  GrantRecord record = grants_[key];
+  record.key = key;
+  record.slots = StandingSlots(key);
+  if (record.slots.size() >= DeclaredReplicas(key)) {
+    return EndPlacement(key, Refusal{RefusalCode::kNoReplicas, "every declared replica is placed",
+                                     Ran::kNo, kRetrySoonMs});
+  }
+  std::set<std::uint32_t> used;
+  for (const auto& it : record.slots) used.insert(it.index);
+  std::uint32_t index = 0;
+  while (used.count(index) > 0) ++index;
+  ++record.last_token;
+  record.slots.push_back(GrantSlot{index, vm, info.incarnation, record.last_token, list_.revision});
+  CheckInvariant(record.slots.size() <= DeclaredReplicas(key),
+                 "slots granted never exceed the replicas declared in the version the writer saw");
+  placement.state = PlacementState::kWriting;
+  placement.until = now_ + kWriteWaitMs;
+  ++counters_.grant_writes;
+  Emit(entry::WriteGrant{std::move(record)});
+}
+
+void EntryImpl::On(entry::GrantSettled event) {
+  const auto it = placements_.find(event.key);
+  const bool is_placing =
+      it != placements_.end() && (it->second.state == PlacementState::kWriting ||
+                                  it->second.state == PlacementState::kReading);
+  if (event.is_known) TakeGrant(std::move(event.record));
+  if (!is_placing) return RouteWaiters(event.key);
+  Placement& placement = it->second;
+  if (!event.is_known) {
+    if (placement.state == PlacementState::kReading) {
+      return EndPlacement(
+          event.key, Refusal{RefusalCode::kPlacementFailed, "the key-value service did not answer",
+                             Ran::kNo, kServiceRetryMs});
+    }
+    // The write may have taken effect. Reading settles it: either the slot is
+    // there, or the next write depends on what was read and so excludes it.
+    placement.state = PlacementState::kReading;
+    placement.until = now_ + kWriteWaitMs;
+    ++counters_.grant_reads;
+    return Emit(entry::ReadGrant{event.key});
+  }
+  const bool was_read = placement.state == PlacementState::kReading;
+  if (!event.is_written && !was_read) ++counters_.grant_conflicts;
+  const bool may_write_again =
+      !event.is_written && HasRoomForSlot(event.key) && ++placement.conflicts < kMostConflicts;
+  if (may_write_again && StandingSlots(event.key).empty()) {
+    placement.state = PlacementState::kAsking;
+    placement.asked.clear();
+    placement.offers.clear();
+    placement.offer_vms.clear();
+    placement.waves = 0;
+    return AskNextWave(event.key, placement);
+  }
+  placements_.erase(it);
+  RouteWaiters(event.key);
+}
+
+// Ends a placement without a slot. The calls that waited are told at once.
+void EntryImpl::EndPlacement(const std::string& key, const Refusal& refusal) {
+  placements_.erase(key);
+  const auto it = waiters_.find(key);
+  if (it == waiters_.end()) return;
+  const std::vector<std::string> ids = std::move(it->second);
+  waiters_.erase(it);
+  for (const auto& id : ids) {
+    const auto call = calls_.find(id);
+    if (call != calls_.end() && call->second.state == CallState::kWaiting) {
+      Refuse(call->second, refusal);
+    }
+  }
+}
+
+// ---- Slots above the declared count ----------------------------------------
+
+void EntryImpl::RetireExcess() {
+  if (!excess_ || now_ < next_retire_at_) return;
+  next_retire_at_ = now_ + kRetirePeriodMs;
+  excess_ = false;
+  for (const auto& [key, record] : grants_) RetireExcessOf(record);
+}
+
+void EntryImpl::RetireExcessOf(const GrantRecord& record) {
+  std::vector<GrantSlot> slots = StandingSlots(record.key);
+  const std::size_t declared = DeclaredReplicas(record.key);
+  std::sort(slots.begin(), slots.end(),
+            [](const GrantSlot& a, const GrantSlot& b) { return a.index < b.index; });
+  std::vector<GrantSlot> excess;
+  if (slots.size() > declared) {
+    excess.assign(slots.begin() + static_cast<std::ptrdiff_t>(declared), slots.end());
+    slots.resize(declared);
+  }
+  const ModelDeclaration* model = configuration_.Resolve(record.key);
+  if (model != nullptr && model->IsAdapter()) {
+    for (const auto& it : slots) {
+      const auto upstream = upstreams_.find(it.vm);
+      const bool is_orphan =
+          upstream != upstreams_.end() && SlotOn(model->base, upstream->second.info) == nullptr;
+      if (is_orphan) excess.push_back(it);
+    }
+  }
+  if (excess.empty()) {
+    excess_since_.erase(record.key);
+    return;
+  }
+  excess_ = true;
+  const TimeMs since = excess_since_.try_emplace(record.key, now_).first->second;
+  if (now_ < since + static_cast<DurationMs>(TurnOf(record.key)) * kRetireTurnMs) return;
+  for (const auto& it : excess) {
+    ++counters_.retires_sent;
+    Note(
+        {}, record.key, it.vm,
+        it.vm + " is told to give slot " + std::to_string(it.index) + " back",
+        "declared=" + std::to_string(declared) + " granted=" + std::to_string(record.slots.size()));
+    Emit(entry::SendFrame{it.vm,
+                          RetireFrame{record.key, it.index, it.token, configuration_.version()}});
+  }
+}
+
+// ---- The tick --------------------------------------------------------------
+
+void EntryImpl::On(entry::Ticked) {
+  ExpireCalls();
+  std::vector<std::string> keys;
+  for (const auto& [key, it] : placements_) keys.push_back(key);
+  for (const auto& key : keys) {
+    const auto it = placements_.find(key);
+    if (it != placements_.end()) ContinuePlacement(key, it->second);
+  }
+  std::vector<std::string> overdue;
+  for (auto& [key, ids] : waiters_) {
+    const auto is_over = [this](const std::string& id) {
+      const auto call = calls_.find(id);
+      return call == calls_.end() ||
+             (call->second.wait_until > 0 && call->second.wait_until <= now_);
+    };
+    for (const auto& id : ids) {
+      if (is_over(id)) overdue.push_back(id);
+    }
+    ids.erase(std::remove_if(ids.begin(), ids.end(), is_over), ids.end());
+  }
+  for (const auto& id : overdue) {
+    const auto call = calls_.find(id);
+    if (call != calls_.end() && call->second.state == CallState::kWaiting) Route(call->second);
+  }
+  RetireExcess();
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/core/idle_policy.cc
@@ -0,0 +1,78 @@
+#include "junctionrail/idle_policy.h"
+
+#include <algorithm>
+
+namespace junctionrail {
+namespace {
+
+constexpr double kMsPerSecond = 1000.0;
+
+// How many gaps the prior weighs as much as. Small, so that a replica's own
+// history soon prevails.
+constexpr double kPriorWeight = 2.0;
+
+// What `limit` would have cost over the gaps seen, plus a prior gap: one that
+// lasts exactly as long as holding costs a cold start. With no history the
+// minimum is then the classic rent-or-buy point, at most twice the best
+// possible cost whatever comes.
+double CostOf(DurationMs limit, const ArrivalHistory& history, const WeightedCost& policy,
+              double cold_cost, DurationMs break_even) {
+  const auto cost = [&](DurationMs gap) {
+    const DurationMs held = std::min(gap, limit);
+    const double idle = policy.idle_weight * static_cast<double>(held) / kMsPerSecond;
+    return idle + (gap > limit ? cold_cost : 0.0);
+  };
+  double sum = kPriorWeight * (cost(break_even) + cost(2 * break_even)) / 2;
+  for (const auto gap : history.gaps()) sum += cost(gap);
+  return sum;
+}
+
+DurationMs WeightedLimit(const WeightedCost& policy, const ArrivalHistory& history,
+                         DurationMs load_ms) {
+  const double cold_cost = policy.cold_start_weight * static_cast<double>(load_ms) / kMsPerSecond;
+  if (policy.idle_weight <= 0) return policy.longest_idle_ms;
+  const double exact = cold_cost / policy.idle_weight * kMsPerSecond;
+  const DurationMs break_even =
+      static_cast<DurationMs>(std::min(exact, static_cast<double>(policy.longest_idle_ms)));
+  // The cost only jumps at a gap's end, so the gaps are the only candidates.
+  DurationMs best = 0;
+  double best_cost = CostOf(0, history, policy, cold_cost, break_even);
+  const auto consider = [&](DurationMs limit) {
+    limit = std::min(limit, policy.longest_idle_ms);
+    const double cost = CostOf(limit, history, policy, cold_cost, break_even);
+    if (cost > best_cost || (cost == best_cost && limit <= best)) return;
+    best = limit;
+    best_cost = cost;
+  };
+  consider(break_even);
+  for (const auto gap : history.gaps()) consider(gap);
+  return best;
+}
+
+struct LimitVisitor {
+  const ArrivalHistory& history;
+  DurationMs load_ms;
+
+  DurationMs operator()(const KeepForever&) const { return kNeverUnload; }
+  DurationMs operator()(const FixedTtl& policy) const { return policy.ttl_ms; }
+  DurationMs operator()(const WeightedCost& policy) const {
+    return WeightedLimit(policy, history, load_ms);
+  }
+};
+
+}  // namespace
+
+void ArrivalHistory::AddGap(DurationMs gap) {
+  if (gaps_.size() < kMostGaps) {
+    gaps_.push_back(gap);
+    return;
+  }
+  gaps_[next_] = gap;
+  next_ = (next_ + 1) % kMostGaps;
+}
+
+DurationMs IdleLimit(const IdlePolicy& policy, const ArrivalHistory& history, DurationMs load_ms) {
+  return std::visit(LimitVisitor{history, load_ms}, policy);
+}
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/core/memory_ledger.h
@@ -0,0 +1,55 @@
+// The one account of accelerator memory beside an upstream. Memory is reserved
+// before a load is ordered and released only once its absence is confirmed.
+#ifndef JUNCTIONRAIL_CORE_MEMORY_LEDGER_H_
+#define JUNCTIONRAIL_CORE_MEMORY_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace junctionrail::internal {
+
+class MemoryLedger {
+ public:
+  // Sets the accelerators' sizes, in MB. Reservations stay.
+  void SetCapacities(const std::vector<std::uint64_t>& capacities_mb);
+
+  // Reserves on the accelerator with the least room that still fits, so that
+  // large gaps stay whole. Nothing when none fits.
+  std::optional<std::uint32_t> Reserve(const std::string& key, std::uint64_t memory_mb);
+
+  // Reserves on one accelerator; false when it does not fit.
+  bool ReserveOn(std::uint32_t accelerator, const std::string& key, std::uint64_t memory_mb);
+
+  // Enters what the engine says it already holds. The engine's word is taken
+  // even beyond capacity: the memory is in use whatever the ledger thinks.
+  void Adopt(std::uint32_t accelerator, const std::string& key, std::uint64_t memory_mb);
+
+  void Release(std::string_view key);
+
+  bool Holds(std::string_view key) const { return rows_.find(key) != rows_.end(); }
+  // Where a key's memory lies; nothing when it has none.
+  std::optional<std::uint32_t> AcceleratorOf(std::string_view key) const;
+  std::uint64_t MemoryOf(std::string_view key) const;
+
+  std::uint64_t FreeOn(std::uint32_t accelerator) const;
+  std::uint64_t LargestFree() const;
+  std::size_t accelerators() const { return capacities_.size(); }
+
+ private:
+  struct Row {
+    std::uint32_t accelerator;
+    std::uint64_t memory_mb;
+  };
+
+  std::vector<std::uint64_t> capacities_;
+  std::vector<std::uint64_t> used_;
+  std::map<std::string, Row, std::less<>> rows_;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_CORE_MEMORY_LEDGER_H_
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,47 @@
+// The two roles of the daemon. Each owns its sockets and its decision core:
+// it turns what arrives into events and carries the core's commands out.
+#ifndef JUNCTIONRAIL_DAEMON_DAEMON_H_
+#define JUNCTIONRAIL_DAEMON_DAEMON_H_
+
+#include <memory>
+#include <optional>
+
+#include "junctionrail/net.h"
+#include "junctionrail/settings.h"
+
+namespace junctionrail::internal {
+
+// Loads are never so long that an engine may be silent for more.
+constexpr DurationMs kTickMs = 10;
+constexpr DurationMs kVmListPeriodMs = 500;
+
+class EntryDaemon {
+ public:
+  EntryDaemon(boost::asio::io_context& io, Settings settings);
+  ~EntryDaemon();
+  // Binds and starts. An error names the endpoint.
+  std::optional<NetError> Start();
+  // A planned stop: refuses new calls, finishes the present ones, then stops
+  // the io_context.
+  void Stop();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+class AgentDaemon {
+ public:
+  AgentDaemon(boost::asio::io_context& io, Settings settings);
+  ~AgentDaemon();
+  std::optional<NetError> Start();
+  void Stop();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_DAEMON_DAEMON_H_
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,71 @@
+// junctionraild: one process of the system, an entry or an agent by its settings.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <memory>
+
+#include "daemon.h"
+#include "junctionrail/settings.h"
+#include "junctionrail/telemetry.h"
+
+ABSL_FLAG(std::string, settings, "", "The JSON file with this process's settings.");
+ABSL_FLAG(bool, check_settings, false, "Check the settings file and exit.");
+
+namespace {
+
+// Exit codes, as docs/SETTINGS.md lists them.
+constexpr int kExitDone = 0;
+constexpr int kExitSettings = 2;
+
+template <class Daemon>
+int Run(const junctionrail::Settings& settings, const std::string& file) {
+  boost::asio::io_context io(1);
+  auto daemon = std::make_unique<Daemon>(io, settings);
+  const auto error = daemon->Start();
+  if (error) {
+    std::fprintf(stderr, "%s: expected a free address to listen at, found %s\n", file.c_str(),
+                 error->sentence.c_str());
+    return kExitSettings;
+  }
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&daemon](const boost::system::error_code& ec, int) {
+    if (!ec) daemon->Stop();
+  });
+  io.run();
+  spdlog::default_logger()->flush();
+  return kExitDone;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("junctionraild --settings=FILE [--check_settings]");
+  absl::ParseCommandLine(argc, argv);
+  const std::string file = absl::GetFlag(FLAGS_settings);
+  if (file.empty()) {
+    std::fprintf(stderr, "--settings: expected a file, found nothing\n");
+    return kExitSettings;
+  }
+  const auto settings = junctionrail::ReadSettings(file);
+  if (!settings) {
+    std::fprintf(stderr, "%s\n", settings.error().Sentence().c_str());
+    return kExitSettings;
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    std::printf("%s: the settings are well formed\n", file.c_str());
+    return kExitDone;
+  }
+  const junctionrail::Settings& checked = settings.value();
+  junctionrail::StartLogs(checked.log_format, checked.log_level, checked.id);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (checked.role == junctionrail::Role::kEntry) {
+    return Run<junctionrail::internal::EntryDaemon>(checked, file);
+  }
+  return Run<junctionrail::internal::AgentDaemon>(checked, file);
+}
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,247 @@
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "junctionrail/net.h"
+
+namespace junctionrail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr std::size_t kPieceBytes = 16 << 10;
+constexpr std::size_t kMostIdle = 64;  // Connections kept for each endpoint.
+constexpr std::uint64_t kMostAnswerBytes = 1ULL << 40;
+
+using Stream = beast::tcp_stream;
+using Parser = http::response_parser<http::buffer_body>;
+
+// Whether the far end has closed, or sent what nobody asked for.
+bool IsStale(Stream& stream) {
+  beast::error_code ec;
+  char byte = 0;
+  stream.socket().non_blocking(true, ec);
+  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
+}  // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
+ public:
+  explicit Impl(asio::io_context& io) : io_(io) {}
+
+  std::unique_ptr<Stream> TakeIdle(const Endpoint& endpoint) {
+    auto& list = idle_[endpoint.ToString()];
+    while (!list.empty()) {
+      auto stream = std::move(list.back());
+      list.pop_back();
+      if (!IsStale(*stream)) return stream;
+    }
+    return nullptr;
+  }
+
+  void Keep(const Endpoint& endpoint, std::unique_ptr<Stream> stream) {
+    auto& list = idle_[endpoint.ToString()];
+    if (list.size() < kMostIdle) list.push_back(std::move(stream));
+  }
+
+  class Call;
+  asio::io_context& io_;
+  std::map<std::string, std::vector<std::unique_ptr<Stream>>> idle_;
+};
+
+class HttpClient::Impl::Call : public HttpCallHandle, public std::enable_shared_from_this<Call> {
+ public:
+  Call(std::shared_ptr<Impl> client, HttpCall call, HttpCallbacks callbacks)
+      : client_(std::move(client)), call_(std::move(call)), callbacks_(std::move(callbacks)) {}
+
+  void Begin() {
+    request_.method_string(call_.method);
+    request_.target(call_.target);
+    request_.version(11);
+    request_.set(http::field::host, call_.endpoint.ToString());
+    for (const auto& it : call_.headers) request_.set(it.name, it.value);
+    request_.body() = std::move(call_.body);
+    request_.prepare_payload();
+    if (!call_.is_fresh) stream_ = client_->TakeIdle(call_.endpoint);
+    if (stream_) return Write();
+    Connect();
+  }
+
+  void Cancel() override {
+    is_over_ = true;
+    if (stream_) stream_->close();
+  }
+
+ private:
+  void Connect() {
+    stream_ = std::make_unique<Stream>(client_->io_);
+    beast::error_code ec;
+    const auto address = asio::ip::make_address(call_.endpoint.address, ec);
+    if (ec) return Fail(false, ec.message());
+    stream_->expires_after(std::chrono::milliseconds(call_.connect_ms));
+    stream_->async_connect(tcp::endpoint(address, call_.endpoint.port),
+                           [self = shared_from_this()](beast::error_code connect_ec) {
+                             if (self->is_over_) return;
+                             if (connect_ec) return self->Fail(false, connect_ec.message());
+                             beast::error_code option_ec;
+                             self->stream_->socket().set_option(tcp::no_delay(true), option_ec);
+                             self->Write();
+                           });
+  }
+
+  void Write() {
+    stream_->expires_after(std::chrono::milliseconds(call_.quiet_ms));
+    http::async_write(*stream_, request_,
+                      [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                        if (self->is_over_) return;
+                        if (ec) return self->Fail(n > 0, ec.message());
+                        self->ReadHead();
+                      });
+  }
+
+  void ReadHead() {
+    parser_.emplace();
+    parser_->body_limit(kMostAnswerBytes);
+    http::async_read_header(*stream_, buffer_, *parser_,
+                            [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                              if (self->is_over_) return;
+                              if (ec) return self->Fail(true, ec.message());
+                              self->OnHead();
+                            });
+  }
+
+  void OnHead() {
+    const auto& message = parser_->get();
+    if (callbacks_.head) {
+      callbacks_.head(message.result_int(), std::string(message[http::field::content_type]));
+    }
+    if (!is_over_) ReadPiece();
+  }
+
+  void ReadPiece() {
+    if (parser_->is_done()) return Finish();
+    parser_->get().body().data = piece_.data();
+    parser_->get().body().size = piece_.size();
+    stream_->expires_after(std::chrono::milliseconds(call_.quiet_ms));
+    http::async_read_some(*stream_, buffer_, *parser_,
+                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                            if (self->is_over_) return;
+                            self->OnPiece(ec);
+                          });
+  }
+
+  void OnPiece(beast::error_code ec) {
+    if (ec == http::error::need_buffer) ec = {};
+    if (ec) return Fail(true, ec.message());
+    const std::size_t n = piece_.size() - parser_->get().body().size;
+    if (n > 0 && callbacks_.piece) callbacks_.piece(std::string(piece_.data(), n));
+    if (!is_over_) ReadPiece();
+  }
+
+  void Finish() {
+    is_over_ = true;
+    stream_->expires_never();
+    if (parser_->keep_alive()) client_->Keep(call_.endpoint, std::move(stream_));
+    if (callbacks_.done) callbacks_.done();
+  }
+
+  void Fail(bool was_sent, const std::string& reason) {
+    is_over_ = true;
+    if (stream_) stream_->close();
+    if (callbacks_.failed) callbacks_.failed(was_sent, reason);
+  }
+
+  std::shared_ptr<Impl> client_;
+  HttpCall call_;
+  HttpCallbacks callbacks_;
+  std::unique_ptr<Stream> stream_;
+  http::request<http::string_body> request_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::array<char, kPieceBytes> piece_;
+  bool is_over_ = false;
+};
+
+HttpClient::HttpClient(asio::io_context& io) : impl_(std::make_shared<Impl>(io)) {}
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCallHandle> HttpClient::Start(HttpCall call, HttpCallbacks callbacks) {
+  auto started = std::make_shared<Impl::Call>(impl_, std::move(call), std::move(callbacks));
+  // Callbacks never come from inside Start.
+  asio::post(impl_->io_, [started] { started->Begin(); });
+  return started;
+}
+
+std::shared_ptr<HttpCallHandle> FetchWhole(HttpClient& client, HttpCall call,
+                                           std::function<void(HttpAnswer)> done) {
+  auto answer = std::make_shared<HttpAnswer>();
+  auto finish = std::make_shared<std::function<void(HttpAnswer)>>(std::move(done));
+  HttpCallbacks callbacks;
+  callbacks.head = [answer](unsigned status, const std::string&) { answer->status = status; };
+  callbacks.piece = [answer](std::string data) { answer->body += data; };
+  callbacks.done = [answer, finish] {
+    answer->was_sent = true;
+    (*finish)(std::move(*answer));
+  };
+  callbacks.failed = [finish](bool was_sent, const std::string& reason) {
+    (*finish)(HttpAnswer{0, {}, was_sent, reason});
+  };
+  return client.Start(std::move(call), std::move(callbacks));
+}
+
+class Timer::Impl : public std::enable_shared_from_this<Timer::Impl> {
+ public:
+  explicit Impl(asio::io_context& io) : timer_(io) {}
+
+  void Arm(DurationMs delay, DurationMs period, std::function<void()> call) {
+    timer_.expires_after(std::chrono::milliseconds(delay));
+    timer_.async_wait([self = shared_from_this(), period,
+                       call = std::move(call)](boost::system::error_code ec) mutable {
+      if (ec) return;
+      call();
+      if (period > 0 && !self->cancelled_) self->Arm(period, period, std::move(call));
+    });
+  }
+
+  asio::steady_timer timer_;
+  bool cancelled_ = false;
+};
+
+Timer::Timer(asio::io_context& io) : impl_(std::make_shared<Impl>(io)) {}
+Timer::~Timer() { Cancel(); }
+void Timer::After(DurationMs delay, std::function<void()> call) {
+  impl_->cancelled_ = false;
+  impl_->Arm(delay, 0, std::move(call));
+}
+void Timer::Every(DurationMs period, std::function<void()> call) {
+  impl_->cancelled_ = false;
+  impl_->Arm(period, period, std::move(call));
+}
+void Timer::Cancel() {
+  impl_->cancelled_ = true;
+  impl_->timer_.cancel();
+}
+
+TimeMs MonotonicMs() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+std::int64_t UnixMs() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,332 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "junctionrail/net.h"
+
+namespace junctionrail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr int kBacklog = 1024;
+constexpr auto kIdleTimeout = std::chrono::seconds(75);
+constexpr char kServerName[] = "junctionrail";
+
+using Parser = http::request_parser<http::string_body>;
+using WholeResponse = http::response<http::string_body>;
+using EmptyResponse = http::response<http::empty_body>;
+
+HttpRequest TakeRequest(Parser& parser) {
+  auto message = parser.release();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& it : message) {
+    request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+const std::string* HttpRequest::Find(std::string_view name) const {
+  for (const auto& it : headers) {
+    if (beast::iequals(it.name, beast::string_view(name.data(), name.size()))) return &it.value;
+  }
+  return nullptr;
+}
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+ public:
+  Impl(asio::io_context& io, HttpServerOptions options, HttpHandler handler)
+      : acceptor_(io), options_(std::move(options)), handler_(std::move(handler)) {}
+
+  Result<std::uint16_t, NetError> Listen();
+  void Accept();
+  void Stop();
+
+  const HttpServerOptions& options() const { return options_; }
+  bool stopping() const { return stopping_; }
+
+  // One connection; it answers one request at a time.
+  class Session;
+
+  tcp::acceptor acceptor_;
+  HttpServerOptions options_;
+  HttpHandler handler_;
+  std::set<Session*> sessions_;
+  std::uint64_t bad_requests_ = 0;
+  bool stopping_ = false;
+};
+
+class HttpServer::Impl::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(tcp::socket socket, std::shared_ptr<Impl> server)
+      : stream_(std::move(socket)), server_(std::move(server)) {
+    server_->sessions_.insert(this);
+  }
+  ~Session() { server_->sessions_.erase(this); }
+
+  void ReadNext() {
+    parser_.emplace();
+    parser_->body_limit(server_->options().max_body_bytes);
+    parser_->header_limit(server_->options().max_header_bytes);
+    is_idle_ = true;
+    stream_.expires_after(kIdleTimeout);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->OnRead(ec); });
+  }
+
+  void CloseIfIdle() {
+    if (is_idle_ && buffer_.size() == 0) Close();
+  }
+
+  void Whole(std::uint64_t request, unsigned status, std::vector<HttpHeader> headers,
+             std::string body) {
+    if (!IsCurrent(request)) return;
+    auto message = std::make_shared<WholeResponse>(http::int_to_status(status), version_);
+    Fill(*message, headers);
+    message->body() = std::move(body);
+    message->prepare_payload();
+    is_answered_ = true;
+    ArmWrite();
+    http::async_write(stream_, *message,
+                      [self = shared_from_this(), message](beast::error_code ec, std::size_t) {
+                        self->OnAnswered(ec);
+                      });
+  }
+
+  void Begin(std::uint64_t request, unsigned status, const std::vector<HttpHeader>& headers) {
+    if (!IsCurrent(request)) return;
+    EmptyResponse message(http::int_to_status(status), version_);
+    Fill(message, headers);
+    message.chunked(true);
+    std::ostringstream buf;
+    buf << message.base();
+    Queue(buf.str());
+  }
+
+  void Piece(std::uint64_t request, const std::string& data) {
+    if (!IsCurrent(request) || data.empty()) return;
+    std::ostringstream buf;
+    buf << std::hex << data.size() << "\r\n";
+    Queue(buf.str() + data + "\r\n");
+  }
+
+  void End(std::uint64_t request) {
+    if (!IsCurrent(request)) return;
+    is_answered_ = true;
+    Queue("0\r\n\r\n");
+  }
+
+  void Break(std::uint64_t request) {
+    if (!IsCurrent(request)) return;
+    is_answered_ = true;
+    is_broken_ = true;
+    gone_ = nullptr;
+    if (unsent_.empty()) Close();
+  }
+
+  void OnGone(std::uint64_t request, std::function<void()> gone) {
+    if (!IsCurrent(request)) return;
+    gone_ = std::move(gone);
+    WatchForGone();
+  }
+
+ private:
+  // The handler's view of one request on this connection.
+  class Responder : public HttpResponder {
+   public:
+    Responder(std::shared_ptr<Session> session, std::uint64_t request)
+        : session_(std::move(session)), request_(request) {}
+    void Whole(unsigned status, std::vector<HttpHeader> headers, std::string body) override {
+      session_->Whole(request_, status, std::move(headers), std::move(body));
+    }
+    void Begin(unsigned status, std::vector<HttpHeader> headers) override {
+      session_->Begin(request_, status, headers);
+    }
+    void Piece(std::string data) override { session_->Piece(request_, data); }
+    void End() override { session_->End(request_); }
+    void Break() override { session_->Break(request_); }
+    void OnGone(std::function<void()> gone) override {
+      session_->OnGone(request_, std::move(gone));
+    }
+
+   private:
+    std::shared_ptr<Session> session_;
+    std::uint64_t request_;
+  };
+
+  bool IsCurrent(std::uint64_t request) const {
+    return request == request_ && !is_answered_ && !is_closed_;
+  }
+
+  template <class Message>
+  void Fill(Message& message, const std::vector<HttpHeader>& headers) {
+    message.set(http::field::server, kServerName);
+    for (const auto& it : headers) message.set(it.name, it.value);
+    message.keep_alive(keep_alive_ && !server_->stopping());
+  }
+
+  void OnRead(beast::error_code ec) {
+    is_idle_ = false;
+    if (ec == http::error::body_limit)
+      return Reject(413, "the body is larger than this server takes");
+    if (ec == http::error::header_limit)
+      return Reject(431, "the header is larger than this server takes");
+    const bool is_bad_http =
+        ec && ec.category() == http::make_error_code(http::error::bad_method).category() &&
+        ec != http::error::end_of_stream && ec != http::error::partial_message;
+    if (is_bad_http) return Reject(400, "this is not HTTP/1.1: " + ec.message());
+    if (ec) return Close();
+    version_ = parser_->get().version();
+    keep_alive_ = parser_->get().keep_alive();
+    is_answered_ = false;
+    ++request_;
+    stream_.expires_never();
+    auto responder = std::make_shared<Responder>(shared_from_this(), request_);
+    server_->handler_(TakeRequest(*parser_), std::move(responder));
+  }
+
+  void Reject(unsigned status, const std::string& sentence) {
+    ++server_->bad_requests_;
+    ++request_;
+    version_ = 11;
+    keep_alive_ = false;
+    is_answered_ = false;
+    Whole(request_, status, {{"Content-Type", "application/json"}},
+          "{\"error\":{\"code\":\"bad_request\",\"message\":\"" + sentence +
+              "\",\"ran\":\"no\",\"retry_after_ms\":0}}");
+  }
+
+  void ArmWrite() { stream_.expires_after(kIdleTimeout); }
+
+  void Queue(std::string bytes) {
+    unsent_bytes_ += bytes.size();
+    unsent_.push_back(std::move(bytes));
+    if (unsent_bytes_ > server_->options().max_unsent_bytes) return Close();
+    if (unsent_.size() == 1) WriteNext();
+  }
+
+  void WriteNext() {
+    ArmWrite();
+    asio::async_write(stream_, asio::buffer(unsent_.front()),
+                      [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                        self->OnPieceWritten(ec);
+                      });
+  }
+
+  void OnPieceWritten(beast::error_code ec) {
+    if (ec || is_closed_) return Close();
+    unsent_bytes_ -= unsent_.front().size();
+    unsent_.pop_front();
+    if (!unsent_.empty()) return WriteNext();
+    stream_.expires_never();
+    if (is_broken_) return Close();
+    if (is_answered_) OnAnswered(ec);
+  }
+
+  void OnAnswered(beast::error_code ec) {
+    gone_ = nullptr;
+    if (ec || !keep_alive_ || server_->stopping()) return Close();
+    ReadNext();
+  }
+
+  // Notices a client that goes away while its answer is still being made.
+  void WatchForGone() {
+    if (is_watching_) return;
+    is_watching_ = true;
+    stream_.socket().async_wait(
+        tcp::socket::wait_read, [self = shared_from_this()](beast::error_code ec) {
+          self->is_watching_ = false;
+          if (ec || self->is_closed_ || self->is_answered_ || !self->gone_) return;
+          char byte = 0;
+          beast::error_code peek;
+          self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek);
+          // A byte to read is the next request; only an end is a going away.
+          if (peek) self->Close();
+        });
+  }
+
+  void Close() {
+    if (is_closed_) return;
+    is_closed_ = true;
+    beast::error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
+    stream_.close();
+    // Posted, as whoever holds the responder may be in the middle of using it.
+    if (gone_) asio::post(stream_.get_executor(), std::exchange(gone_, nullptr));
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<Impl> server_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::deque<std::string> unsent_;
+  std::size_t unsent_bytes_ = 0;
+  std::function<void()> gone_;
+  std::uint64_t request_ = 0;
+  unsigned version_ = 11;
+  bool keep_alive_ = true;
+  bool is_idle_ = false;
+  bool is_answered_ = true;
+  bool is_broken_ = false;
+  bool is_closed_ = false;
+  bool is_watching_ = false;
+};
+
+Result<std::uint16_t, NetError> HttpServer::Impl::Listen() {
+  beast::error_code ec;
+  const auto address = asio::ip::make_address(options_.endpoint.address, ec);
+  const tcp::endpoint endpoint(address, options_.endpoint.port);
+  if (!ec) acceptor_.open(endpoint.protocol(), ec);
+  if (!ec) acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(endpoint, ec);
+  if (!ec) acceptor_.listen(kBacklog, ec);
+  if (ec) return NetError{options_.endpoint.ToString() + ": " + ec.message()};
+  Accept();
+  return acceptor_.local_endpoint().port();
+}
+
+void HttpServer::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
+    if (self->stopping_) return;
+    const bool has_room = self->sessions_.size() < self->options_.max_connections;
+    if (!ec && has_room) {
+      socket.set_option(tcp::no_delay(true), ec);
+      std::make_shared<Session>(std::move(socket), self)->ReadNext();
+    }
+    self->Accept();
+  });
+}
+
+void HttpServer::Impl::Stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  beast::error_code ec;
+  acceptor_.close(ec);
+  const std::vector<Session*> all(sessions_.begin(), sessions_.end());
+  for (Session* it : all) it->CloseIfIdle();
+}
+
+HttpServer::HttpServer(asio::io_context& io, HttpServerOptions options, HttpHandler handler)
+    : impl_(std::make_shared<Impl>(io, std::move(options), std::move(handler))) {}
+HttpServer::~HttpServer() { impl_->Stop(); }
+Result<std::uint16_t, NetError> HttpServer::Listen() { return impl_->Listen(); }
+void HttpServer::Stop() { impl_->Stop(); }
+std::uint64_t HttpServer::bad_requests() const { return impl_->bad_requests_; }
+
+}  // namespace junctionrail
