Hold an idle model for the break-even time; spread placement turns by fleet size

Cause: the first warm call through a second entry took 87 ms. A trace of the processes showed the agent busy for 80 ms: the idle policy had unloaded the model right after its first call, since the prior for a model without history made a limit of 0 the cheapest. Ruled out: Nagle's delay in the link's handshake (setting the option earlier changed nothing; kept, as it is right). Change: the prior is now gaps of half the break-even time. Later entries wait 10 ms plus a spread that grows with the fleet instead of 40 ms a turn. why request shows the placement and load that a request waited for, in time order over processes. Conclusion: holding follows the rent-or-buy point until a model has a history of its own.

--- a/include/junctionrail/agent_core.h
+++ b/include/junctionrail/agent_core.h
@@ -38,6 +38,7 @@
   // effect after its connection was lost.
   DurationMs order_lifetime_ms = 2000;
   DurationMs inventory_period_ms = 5000;
+  DurationMs clock_skew_ms = 5000;   // The most that callers' clocks may be off.
   std::int64_t started_unix_ms = 0;  // Also the first part of fencing tokens.
   std::size_t decision_records = 4096;
 };
--- a/include/junctionrail/decision_log.h
+++ b/include/junctionrail/decision_log.h
@@ -53,8 +53,10 @@
   std::uint64_t evicted_ = 0;
 };
 
-// The JSON array `why` travels as.
-std::string EncodeRecords(const std::vector<DecisionRecord>& records, std::string_view process);
+// The JSON array `why` travels as. `unix_offset_ms` turns the process's own
+// clock into Unix time, so that records of several processes can be ordered.
+std::string EncodeRecords(const std::vector<DecisionRecord>& records, std::string_view process,
+                          std::int64_t unix_offset_ms);
 
 }  // namespace junctionrail
 
--- a/include/junctionrail/entry_core.h
+++ b/include/junctionrail/entry_core.h
@@ -26,9 +26,10 @@
   double retry_share = 0.2;   // Retries for each first attempt.
   double retry_reserve = 20;  // Most retries saved up.
   std::uint32_t most_attempts = 4;
-  DurationMs turn_ms = 40;     // Delay of each later entry's turn to place.
-  DurationMs ask_ms = 100;     // An offer later than this is not waited for.
-  std::uint32_t ask_wave = 6;  // Upstreams asked at a time.
+  DurationMs turn_ms = 10;         // Head start of the first entry to place a key.
+  DurationMs turn_spread_ms = 40;  // Most that the others' turns are spread over.
+  DurationMs ask_ms = 100;         // An offer later than this is not waited for.
+  std::uint32_t ask_wave = 6;      // Upstreams asked at a time.
   std::uint32_t most_waves = 4;
   DurationMs free_wait_ms = 1000;   // Waiting for a slot that is being given back.
   DurationMs answer_grace_ms = 50;  // For the agent's own word at the deadline.
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -45,6 +45,7 @@
   double cold_start_weight = 1.0;       // Cost of one second of cold start.
   double idle_weight = 0.01;            // Cost of one second an idle model is held.
   DurationMs longest_idle_ms = 600000;  // An idle model never stays longer.
+  DurationMs clock_skew_ms = 5000;      // The most that callers' clocks may be off.
 };
 
 struct Settings {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -52,6 +52,7 @@
   agent.cold_start_weight = r.Number("cold_start_weight", 0, 1e9, agent.cold_start_weight);
   agent.idle_weight = r.Number("idle_weight", 0, 1e9, agent.idle_weight);
   agent.longest_idle_ms = r.Integer("longest_idle_ms", 1, kLongestMs, agent.longest_idle_ms);
+  agent.clock_skew_ms = r.Integer("clock_skew_ms", 0, kLongestMs, agent.clock_skew_ms);
   return agent;
 }
 
--- a/src/core/agent_once.cc
+++ b/src/core/agent_once.cc
@@ -11,8 +11,6 @@
 namespace junctionrail::internal {
 namespace {
 
-// Callers' clocks may be off by this much without harm.
-constexpr std::int64_t kClockSkewMs = 5000;
 constexpr DurationMs kInProgressRetryMs = 500;
 constexpr DurationMs kNotHomeRetryMs = 500;
 
@@ -39,7 +37,7 @@
 std::optional<Refusal> AgentImpl::HomeRefusal(const CallFrame& call) const {
   const auto made_at = UuidV7Time(call.idempotency_key);
   const auto made_after = [&](std::int64_t unix_ms) {
-    return made_at.has_value() && *made_at > unix_ms + kClockSkewMs;
+    return made_at.has_value() && *made_at > unix_ms + options_.clock_skew_ms;
   };
   struct Ranked {
     std::uint64_t score;
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -406,7 +406,8 @@
 }
 
 void AgentImpl::OnFrame(LinkId link, const WhyFrame& why) {
-  Send(link, WhyAnswerFrame{why.id, EncodeRecords(decisions_.About(why.subject), options_.vm)});
+  Send(link, WhyAnswerFrame{why.id, EncodeRecords(decisions_.About(why.subject), options_.vm,
+                                                  unix_ms_ - now_)});
 }
 
 void AgentImpl::OnFrame(LinkId, const DrainFrame& drain) {
--- a/src/core/decision_log.cc
+++ b/src/core/decision_log.cc
@@ -38,7 +38,8 @@
   return found;
 }
 
-std::string EncodeRecords(const std::vector<DecisionRecord>& records, std::string_view process) {
+std::string EncodeRecords(const std::vector<DecisionRecord>& records, std::string_view process,
+                          std::int64_t unix_offset_ms) {
   using nlohmann::json;
   json all = json::array();
   for (const auto& it : records) {
@@ -47,7 +48,7 @@
       rejected.push_back({{"vm", candidate.vm}, {"reason", candidate.reason}});
     }
     all.push_back({{"process", process},
-                   {"at_ms", it.at},
+                   {"at_ms", it.at + unix_offset_ms},
                    {"request", it.request},
                    {"key", it.key},
                    {"vm", it.vm},
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -31,6 +31,7 @@
   std::uint32_t attempts = 0;
   std::string vm;  // Of the attempt under way.
   std::uint64_t next_sequence = 0;
+  TimeMs head_at = 0;
   bool has_head = false;      // The upstream has begun to answer.
   bool is_delivered = false;  // The caller has been sent a head.
   std::uint32_t status = 0;
--- a/src/core/entry_placement.cc
+++ b/src/core/entry_placement.cc
@@ -13,8 +13,8 @@
 constexpr DurationMs kServiceRetryMs = 1000;  // Of the key-value service.
 constexpr DurationMs kWriteWaitMs = 10000;    // Longer than the client's own limit.
 constexpr DurationMs kRetirePeriodMs = 1000;
-constexpr DurationMs kRetireTurnMs = 2000;  // Later entries step in after this, each.
-constexpr std::uint32_t kMostTurns = 8;     // Turns after this one coincide.
+constexpr DurationMs kRetireTurnMs = 2000;     // Later entries step in after this, each.
+constexpr std::uint32_t kMostRetireTurns = 8;  // Later entries' turns to retire coincide.
 constexpr std::uint32_t kMostConflicts = 8;
 constexpr double kEqualLoadShare = 1.2;  // Loads this close count as equal.
 
@@ -125,6 +125,9 @@
 void EntryImpl::WaitForPlacement(EntryCall& call) {
   const std::string key = call.key;
   waiters_[key].push_back(call.call.id);
+  Note(call.call.id, key, {}, "waits for a replica slot",
+       "slots=" + std::to_string(StandingSlots(key).size()) +
+           " declared=" + std::to_string(DeclaredReplicas(key)));
   BeginPlacement(key);
 }
 
@@ -136,7 +139,7 @@
     const bool is_other = it.role == VmRole::kEntry && !it.is_leaving && it.vm != options_.vm;
     if (is_other && RendezvousScore(key, it.vm) > own) ++before;
   }
-  return std::min(before, kMostTurns);
+  return before;
 }
 
 void EntryImpl::BeginPlacement(const std::string& key) {
@@ -147,8 +150,11 @@
   const std::uint32_t turn = TurnOf(key);
   placement.until = now_;
   if (turn > 0) {
-    std::uniform_int_distribution<DurationMs> jitter(0, options_.turn_ms / 2);
-    placement.until = now_ + turn * options_.turn_ms + jitter(random_);
+    // The more entries there are, the wider their turns are spread, so that
+    // most of a burst sees the first one's grant instead of writing its own.
+    const DurationMs spread = std::min<DurationMs>(turn, options_.turn_spread_ms);
+    std::uniform_int_distribution<DurationMs> jitter(0, spread);
+    placement.until = now_ + options_.turn_ms + jitter(random_);
   }
   ContinuePlacement(key, placement);
 }
@@ -440,7 +446,9 @@
   }
   excess_ = true;
   const TimeMs since = excess_since_.try_emplace(record.key, now_).first->second;
-  if (now_ < since + static_cast<DurationMs>(TurnOf(record.key)) * kRetireTurnMs) return;
+  if (now_ < since + static_cast<DurationMs>(std::min(TurnOf(record.key), kMostRetireTurns)) *
+                         kRetireTurnMs)
+    return;
   for (const auto& it : excess) {
     ++counters_.retires_sent;
     Note(
--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -141,6 +141,7 @@
                                       Ran::kUnknown, kRetrySoonMs});
   }
   call->has_head = true;
+  call->head_at = now_;
   call->status = head.status;
   call->content_type = std::move(head.content_type);
   deadlines_.erase({call->deadline_at, call->call.id});
@@ -180,6 +181,9 @@
   EndAttempt(*call);
   ++counters_.answered;
   const std::string id = call->call.id;
+  Note(id, call->key, vm, "answered by " + vm,
+       "first_ms=" + std::to_string(call->head_at - call->arrived_at) + " whole_ms=" +
+           std::to_string(now_ - call->arrived_at) + " attempts=" + std::to_string(call->attempts));
   if (call->is_delivered) {
     Emit(entry::AnswerEnd{id});
   } else {
--- a/src/core/idle_policy.cc
+++ b/src/core/idle_policy.cc
@@ -11,10 +11,10 @@
 // history soon prevails.
 constexpr double kPriorWeight = 2.0;
 
-// What `limit` would have cost over the gaps seen, plus a prior gap: one that
-// lasts exactly as long as holding costs a cold start. With no history the
-// minimum is then the classic rent-or-buy point, at most twice the best
-// possible cost whatever comes.
+// What `limit` would have cost over the gaps seen, plus a prior: gaps of half
+// the time in which holding costs as much as a cold start. With no history the
+// best limit is then that time itself, the classic rent-or-buy point, at most
+// twice the best possible cost whatever comes.
 double CostOf(DurationMs limit, const ArrivalHistory& history, const WeightedCost& policy,
               double cold_cost, DurationMs break_even) {
   const auto cost = [&](DurationMs gap) {
@@ -22,7 +22,7 @@
     const double idle = policy.idle_weight * static_cast<double>(held) / kMsPerSecond;
     return idle + (gap > limit ? cold_cost : 0.0);
   };
-  double sum = kPriorWeight * (cost(break_even) + cost(2 * break_even)) / 2;
+  double sum = kPriorWeight * cost(break_even / 2);
   for (const auto gap : history.gaps()) sum += cost(gap);
   return sum;
 }
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -97,6 +97,7 @@
   options.max_queue_bytes = from.max_queue_bytes;
   options.idle_policy =
       WeightedCost{from.cold_start_weight, from.idle_weight, from.longest_idle_ms};
+  options.clock_skew_ms = from.clock_skew_ms;
   options.started_unix_ms = UnixMs();
   return options;
 }
--- a/src/daemon/operator_service.cc
+++ b/src/daemon/operator_service.cc
@@ -26,6 +26,7 @@
 constexpr auto kAgentWait = std::chrono::milliseconds(1500);
 constexpr auto kPeerWait = std::chrono::milliseconds(800);
 constexpr auto kRebaseWait = std::chrono::milliseconds(50);
+constexpr std::int64_t kClockSlackMs = 50;  // VMs' clocks differ by less.
 constexpr int kMostRebases = 100;
 constexpr int kMostMessageBytes = 64 << 20;
 
@@ -43,7 +44,7 @@
 
 void FillDecision(const DecisionRecord& record, const std::string& process, rpc::Decision* out) {
   out->set_process(process);
-  out->set_at_ms(record.at);
+  out->set_at_ms(record.at + UnixMs() - MonotonicMs());
   out->set_request(record.request);
   out->set_key(record.key);
   out->set_vm(record.vm);
@@ -57,14 +58,17 @@
   }
 }
 
-// An agent's records come as the JSON that EncodeRecords wrote.
-void FillDecisions(const std::string& records, rpc::WhyReply* reply) {
+// An agent's records from `first` to `last`, as the JSON that EncodeRecords wrote.
+void FillDecisions(const std::string& records, rpc::WhyReply* reply, std::int64_t first,
+                   std::int64_t last) {
   const json all = json::parse(records, nullptr, false);
   if (!all.is_array()) return;
   for (const auto& it : all) {
+    const std::int64_t at = it.value("at_ms", std::int64_t{0});
+    if (at < first || at > last) continue;
     auto* out = reply->add_decisions();
     out->set_process(it.value("process", ""));
-    out->set_at_ms(it.value("at_ms", std::int64_t{0}));
+    out->set_at_ms(at);
     out->set_request(it.value("request", ""));
     out->set_key(it.value("key", ""));
     out->set_vm(it.value("vm", ""));
@@ -74,6 +78,28 @@
   }
 }
 
+// A request's records, and those of its model from its arrival to its end: the
+// placement it waited for has no request of its own.
+std::vector<DecisionRecord> RecordsFor(const DecisionLog& log, const std::string& subject) {
+  std::vector<DecisionRecord> records = log.About(subject);
+  if (records.empty() || records.front().request.empty()) return records;
+  const TimeMs first = records.front().at;
+  const TimeMs last = records.back().at;
+  for (auto& it : log.About(records.front().key)) {
+    const bool is_meanwhile = it.request.empty() && it.at >= first && it.at <= last;
+    if (is_meanwhile) records.push_back(std::move(it));
+  }
+  return records;
+}
+
+// Puts the decisions of several processes in the order they were made.
+void SortByTime(rpc::WhyReply* reply) {
+  auto* decisions = reply->mutable_decisions();
+  std::stable_sort(
+      decisions->begin(), decisions->end(),
+      [](const rpc::Decision& a, const rpc::Decision& b) { return a.at_ms() < b.at_ms(); });
+}
+
 bool Overlaps(const ConfigDifference& a, const ConfigDifference& b) {
   std::set<std::string> touched(a.added.begin(), a.added.end());
   touched.insert(a.changed.begin(), a.changed.end());
@@ -353,6 +379,8 @@
                                        rpc::WhyReply* reply) {
   const std::string& subject = request->subject();
   if (subject.empty()) return {grpc::StatusCode::INVALID_ARGUMENT, "subject: expected a name"};
+  // A request's own records, and what was decided about its model meanwhile:
+  // the placement or load it waited for.
   struct Seen {
     rpc::WhyReply own;
     std::vector<VmInfo> vms;
@@ -361,7 +389,7 @@
   const auto seen = OnEntry<Seen>([this, &subject] {
     Seen seen_here;
     const EntryCore& core = hooks_.core();
-    for (const auto& it : core.decisions().About(subject)) {
+    for (const auto& it : RecordsFor(core.decisions(), subject)) {
       FillDecision(it, vm_, seen_here.own.add_decisions());
     }
     seen_here.own.set_evicted(core.decisions().evicted());
@@ -378,17 +406,30 @@
   AskPeers(*request, seen->vms, reply);
   // The agents that any entry's records name, and the upstream asked about.
   std::set<std::string> agents = seen->agents;
+  std::string key;
+  std::int64_t first = INT64_MAX;
+  std::int64_t last = 0;
+  for (const auto& it : reply->decisions()) {
+    if (it.request().empty()) continue;
+    key = it.key();
+    first = std::min(first, it.at_ms() - kClockSlackMs);
+    last = std::max(last, it.at_ms() + kClockSlackMs);
+  }
   for (const auto& it : reply->decisions()) agents.insert(it.vm());
   for (const auto& it : seen->vms) {
     if (it.role == VmRole::kEntry) continue;
     if (it.vm != subject && agents.count(it.vm) == 0) continue;
     const AgentRecords records = AskAgent(it.vm, subject);
-    if (records) {
-      FillDecisions(*records, reply);
-    } else {
+    if (!records) {
       reply->add_unreachable(it.vm);
+      continue;
     }
+    FillDecisions(*records, reply, 0, INT64_MAX);
+    if (key.empty()) continue;
+    const AgentRecords about_key = AskAgent(it.vm, key);
+    if (about_key) FillDecisions(*about_key, reply, first, last);
   }
+  SortByTime(reply);
   return grpc::Status::OK;
 }
 
--- a/src/net/links.cc
+++ b/src/net/links.cc
@@ -36,13 +36,17 @@
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
 }
 
+// Small frames must not wait for each other's acknowledgement. The handshake
+// is already such a frame, so the option is set as soon as TCP stands.
 template <class EndpointType>
-void SendNow(EndpointType& endpoint, const Handle& handle) {
-  websocketpp::lib::error_code ec;
-  auto connection = endpoint.get_con_from_hdl(handle, ec);
-  if (ec) return;
-  boost::system::error_code option_ec;
-  connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), option_ec);
+void SendSmallFramesAtOnce(EndpointType& endpoint) {
+  endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
+    websocketpp::lib::error_code ec;
+    auto connection = endpoint.get_con_from_hdl(handle, ec);
+    if (ec) return;
+    boost::system::error_code option_ec;
+    connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), option_ec);
+  });
 }
 
 }  // namespace
@@ -54,6 +58,7 @@
     Quiet(endpoint_);
     endpoint_.init_asio(&io);
     endpoint_.set_reuse_addr(true);
+    SendSmallFramesAtOnce(endpoint_);
     endpoint_.set_open_handler([this](const Handle& handle) { OnOpen(handle); });
     endpoint_.set_message_handler(
         [this](const Handle& handle, const ServerEndpoint::message_ptr& message) {
@@ -64,7 +69,6 @@
   }
 
   void OnOpen(const Handle& handle) {
-    SendNow(endpoint_, handle);
     const std::uint64_t id = ++last_id_;
     ids_[handle] = id;
     handles_[id] = handle;
@@ -134,6 +138,7 @@
       : callbacks_(std::move(callbacks)) {
     Quiet(endpoint_);
     endpoint_.init_asio(&io);
+    SendSmallFramesAtOnce(endpoint_);
   }
 
   struct Link {
@@ -148,10 +153,7 @@
     auto connection = endpoint_.get_connection("ws://" + endpoint.ToString() + "/", ec);
     if (ec) return;
     connection->set_open_handshake_timeout(kOpenMs);
-    connection->set_open_handler([this, peer](const Handle& handle) {
-      SendNow(endpoint_, handle);
-      OnOpen(peer);
-    });
+    connection->set_open_handler([this, peer](const Handle&) { OnOpen(peer); });
     connection->set_fail_handler([this, peer](const Handle&) { OnClosed(peer, false); });
     connection->set_close_handler([this, peer](const Handle&) { OnClosed(peer, true); });
     connection->set_message_handler(
