Refuse frames nobody sends; count what was sent since the last report

And a queue at one replica never asked for the second declared one: an entry estimated by the agent's last report alone, so 24 calls sent at once all saw an idle replica, and a new slot looked 5 s away. Change: frames are built by a reader that stops at depth 4 and at more elements than bytes. Reports carry free places and the cost of each further call; the entry adds what it sent since. An offer stands as the first report of its upstream. Conclusion: estimates follow bursts; both ends survive any bytes.

--- a/include/junctionrail/wire.h
+++ b/include/junctionrail/wire.h
@@ -81,6 +81,8 @@
   std::uint32_t queued = 0;
   std::uint32_t running = 0;
   bool leaving = false;
+  std::uint32_t free_places = 0;  // Calls that could start at once.
+  std::uint32_t per_call_us = 0;  // What each call beyond those adds to the wait.
 };
 
 // Entry to agent.
--- a/src/base/wire.cc
+++ b/src/base/wire.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 namespace junctionrail {
 namespace {
@@ -36,7 +37,7 @@
 }
 template <class V>
 void Fields(UpstreamReport& f, V&& v) {
-  v(f.state, f.wait_ms, f.queued, f.running, f.leaving);
+  v(f.state, f.wait_ms, f.queued, f.running, f.leaving, f.free_places, f.per_call_us);
 }
 template <class V>
 void Fields(Refusal& f, V&& v) {
@@ -109,6 +110,59 @@
 template <>
 constexpr std::uint64_t kEnumSize<CacheTier> = 3;
 
+// Builds a value out of CBOR. Frames are flat, so anything deep or with more
+// elements than bytes could hold is refused before memory is spent on it.
+class FlatBuilder : public json::json_sax_t {
+ public:
+  explicit FlatBuilder(std::size_t most_elements) : most_elements_(most_elements) {}
+
+  bool null() override { return Add(nullptr); }
+  bool boolean(bool value) override { return Add(value); }
+  bool number_integer(number_integer_t value) override { return Add(value); }
+  bool number_unsigned(number_unsigned_t value) override { return Add(value); }
+  bool number_float(number_float_t value, const string_t&) override { return Add(value); }
+  bool string(string_t& value) override { return Add(std::move(value)); }
+  bool binary(binary_t& value) override { return Add(json::binary(std::move(value))); }
+  bool start_object(std::size_t) override { return false; }
+  bool key(string_t&) override { return false; }
+  bool end_object() override { return false; }
+  bool start_array(std::size_t elements) override {
+    constexpr auto kNotSaid = static_cast<std::size_t>(-1);
+    const bool is_too_big = elements != kNotSaid && elements > most_elements_;
+    if (is_too_big || open_.size() >= kDeepest) return false;
+    open_.push_back(json::array());
+    return true;
+  }
+  bool end_array() override {
+    json closed = std::move(open_.back());
+    open_.pop_back();
+    return Add(std::move(closed));
+  }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+  json Take() { return std::move(root_); }
+
+ private:
+  static constexpr std::size_t kDeepest = 4;
+
+  template <class T>
+  bool Add(T&& value) {
+    json& place = open_.empty() ? root_ : open_.back();
+    if (open_.empty()) {
+      place = std::forward<T>(value);
+    } else {
+      place.push_back(std::forward<T>(value));
+    }
+    return true;
+  }
+
+  std::size_t most_elements_;
+  std::vector<json> open_;
+  json root_;
+};
+
 class Writer {
  public:
   explicit Writer(json* out) : out_(out) {}
@@ -255,8 +309,11 @@
 
 Result<Frame, WireError> DecodeFrame(std::string_view bytes) {
   if (bytes.size() > kMaxFrameBytes) return WireError::kTooLarge;
-  json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (value.is_discarded()) return WireError::kNotCbor;
+  FlatBuilder builder(bytes.size());
+  const bool is_whole =
+      json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor, true);
+  if (!is_whole) return WireError::kNotCbor;
+  json value = builder.Take();
   if (!value.is_array() || value.empty() || !value[0].is_number_unsigned()) {
     return WireError::kBadShape;
   }
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -13,6 +13,7 @@
 constexpr double kFirstServiceMs = 200;    // Assumed until the first answer.
 constexpr double kServiceSmoothing = 0.2;  // Weight of the newest service time.
 constexpr DurationMs kShortRetryMs = 200;
+constexpr double kUsPerMs = 1000;
 constexpr DurationMs kLeavingRetryMs = 100;
 
 double ServiceMs(const Replica& replica) {
@@ -212,13 +213,13 @@
   if (it == requests_.end()) return;
   AgentRequest& request = it->second;
   SettleRow(request, AnswerState::kAnswered);
+  Finished(request);
   if (request.gone_as != nullptr) {
     ++(counters_.*request.gone_as);
   } else {
     ++counters_.answered;
     Send(request.link, EndFrame{event.id, request.next_sequence, ReportOn(request.call.key)});
   }
-  Finished(request);
   Remove(event.id);
 }
 
@@ -395,7 +396,11 @@
   report.queued = static_cast<std::uint32_t>(replica.queue.size());
   report.running = replica.running;
   const DurationMs ready = options_.kind == UpstreamKind::kEngine ? UntilReady(replica) : 0;
-  report.wait_ms = ready + QueueWait(replica, Priority::kNormal, now_);
+  report.wait_ms = ready + QueueWait(replica, Priority::kNormal, INT64_MAX);
+  const std::uint32_t present = replica.running + report.queued;
+  report.free_places = options_.max_concurrent - std::min(options_.max_concurrent, present);
+  report.per_call_us =
+      static_cast<std::uint32_t>(ServiceMs(replica) * kUsPerMs / options_.max_concurrent);
   return report;
 }
 
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -44,6 +44,12 @@
   TimeMs wait_until = 0;  // While waiting for a slot to come free.
 };
 
+// An upstream's last word about one key, and what was sent to it since.
+struct HeardReport {
+  UpstreamReport report;
+  std::uint32_t sent_since = 0;
+};
+
 // What this entry knows of one upstream.
 struct Upstream {
   VmInfo info;
@@ -53,7 +59,7 @@
   std::uint32_t failures = 0;   // In a row.
   std::uint32_t ejections = 0;  // In a row.
   TimeMs ejected_until = 0;
-  std::map<std::string, UpstreamReport, std::less<>> reports;  // By key.
+  std::map<std::string, HeardReport, std::less<>> reports;  // By key.
 };
 
 enum class PlacementState { kTurn, kBase, kAsking, kWriting, kReading };
--- a/src/core/entry_placement.cc
+++ b/src/core/entry_placement.cc
@@ -204,7 +204,7 @@
   }
 }
 
-// Upstreams that could be asked: those that have held the key before first, as
+// Upstreams that could be asked: those that have spoken of the key before first, as
 // they are likely to have it cached, then in rendezvous order.
 std::vector<const Upstream*> EntryImpl::PlacementOrder(const std::string& key) const {
   const ModelDeclaration* model = configuration_.Resolve(key);
@@ -266,6 +266,13 @@
   const auto it = placements_.find(offer.key);
   if (it == placements_.end() || it->second.pending.erase(vm) == 0) return;
   Placement& placement = it->second;
+  // Until a call has been there, the offer is the best word on its cold start.
+  const auto upstream = upstreams_.find(vm);
+  if (upstream != upstreams_.end()) {
+    UpstreamReport expected;
+    expected.wait_ms = offer.load_ms;
+    upstream->second.reports.try_emplace(offer.key, HeardReport{expected, 0});
+  }
   placement.offers.push_back(std::move(offer));
   placement.offer_vms.push_back(vm);
   const std::string key = it->first;
--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -86,7 +86,10 @@
   call.next_sequence = 0;
   call.has_head = false;
   call.buffer.clear();
-  ++upstreams_.at(call.vm).in_flight;
+  Upstream& chosen = upstreams_.at(call.vm);
+  ++chosen.in_flight;
+  const auto heard = chosen.reports.find(call.key);
+  if (heard != chosen.reports.end()) ++heard->second.sent_since;
   CallFrame frame;
   frame.id = AttemptId(call);
   frame.key = call.key;
--- a/src/core/entry_routing.cc
+++ b/src/core/entry_routing.cc
@@ -11,7 +11,8 @@
 constexpr DurationMs kColdGuessMs = 5000;  // Of a replica nobody reported on.
 constexpr DurationMs kOtherHallMs = 2;     // What leaving the data hall costs.
 constexpr DurationMs kEqualWithinMs = 5;   // Estimates this close count as equal.
-constexpr double kPerCallMs = 0.5;         // Breaks ties by own calls in flight.
+constexpr DurationMs kUsPerMs = 1000;
+constexpr double kPerCallMs = 0.5;  // Breaks ties by own calls in flight.
 constexpr DurationMs kRetrySoonMs = 200;
 constexpr DurationMs kLeavingWordMs = 3000;
 constexpr std::uint32_t kMostEjectionDoublings = 10;
@@ -84,8 +85,13 @@
   Candidate candidate{&upstream, kColdGuessMs, ReplicaState::kAbsent};
   const auto report = upstream.reports.find(key);
   if (report != upstream.reports.end()) {
-    candidate.estimate_ms = report->second.wait_ms;
-    candidate.state = report->second.state;
+    const UpstreamReport& said = report->second.report;
+    candidate.state = said.state;
+    // The report lags: what this entry has sent since stands in line too.
+    const std::uint32_t excess =
+        report->second.sent_since - std::min(report->second.sent_since, said.free_places);
+    candidate.estimate_ms =
+        said.wait_ms + static_cast<DurationMs>(excess) * said.per_call_us / kUsPerMs;
   }
   if (upstream.info.data_hall != options_.data_hall) candidate.estimate_ms += kOtherHallMs;
   candidate.estimate_ms += static_cast<DurationMs>(kPerCallMs * upstream.in_flight);
@@ -225,7 +231,7 @@
                            const UpstreamReport& report) {
   const auto it = upstreams_.find(vm);
   if (it == upstreams_.end()) return;
-  it->second.reports[key] = report;
+  it->second.reports[key] = HeardReport{report, 0};
   SaysLeaving(vm, report.leaving);
 }
 
--- a/test/documents_test.cc
+++ b/test/documents_test.cc
@@ -112,8 +112,7 @@
 }
 
 TEST(Declarations, RefuseAnAdapterWithoutItsBase) {
-  EXPECT_TEXT("x@1: base \"a@1\" is not declared",
-              DeclarationComplaint(R"({"adapters": [
+  EXPECT_TEXT("x@1: base \"a@1\" is not declared", DeclarationComplaint(R"({"adapters": [
                 {"name": "x", "version": "1", "base": "a@1", "replicas": 1, "memory_mb": 1}]})"),
               "see Configuration::Inconsistency");
 }
@@ -124,7 +123,8 @@
   EXPECT_TEXT("a@1", configuration.Resolve("a")->Key(), "one version needs no default");
   ModelDeclaration second = Model("a", "2");
   configuration.Put(second);
-  EXPECT_TRUE(configuration.Resolve("a") == nullptr, "two versions without a default are ambiguous");
+  EXPECT_TRUE(configuration.Resolve("a") == nullptr,
+              "two versions without a default are ambiguous");
   second.is_default = true;
   configuration.Put(second);
   EXPECT_TEXT("a@2", configuration.Resolve("a")->Key(), "the default is meant");
--- a/test/random_agent_test.cc
+++ b/test/random_agent_test.cc
@@ -50,20 +50,29 @@
     switch (word.Take(16)) {
       case 0:
       case 1:
-      case 2: return Call(word);
+      case 2:
+        return Call(word);
       case 3:
-      case 4: return Advance(1 + word.Take(40));
-      case 5: return Advance(1 + word.Take(3000));
+      case 4:
+        return Advance(1 + word.Take(40));
+      case 5:
+        return Advance(1 + word.Take(3000));
       case 6:
       case 7:
-      case 8: return Answer(word);
+      case 8:
+        return Answer(word);
       case 9:
       case 10:
-      case 11: return Upstream(word);
-      case 12: return Cancel(word);
-      case 13: return Grant(word);
-      case 14: return Retire(word);
-      default: return Rare(word);
+      case 11:
+        return Upstream(word);
+      case 12:
+        return Cancel(word);
+      case 13:
+        return Grant(word);
+      case 14:
+        return Retire(word);
+      default:
+        return Rare(word);
     }
   }
 
@@ -112,7 +121,8 @@
     if (!is_on) return;
     std::string key;
     if (const auto* load = std::get_if<agent::OrderLoad>(&command)) key = "load " + load->key;
-    if (const auto* unload = std::get_if<agent::OrderUnload>(&command)) key = "unload " + unload->key;
+    if (const auto* unload = std::get_if<agent::OrderUnload>(&command))
+      key = "unload " + unload->key;
     if (const auto* free = std::get_if<agent::FreeGrant>(&command)) {
       key = "free " + free->key + " token " + std::to_string(free->token);
     }
@@ -181,7 +191,8 @@
     const Slot& slot = slots_[model.key];
     // Now and then an entry that lags presents a grant that is no more.
     const bool is_stale = word.Take(8) == 0 || !slot.token;
-    const std::int64_t token = is_stale ? std::max<std::int64_t>(0, slot.last_token - 1) : *slot.token;
+    const std::int64_t token =
+        is_stale ? std::max<std::int64_t>(0, slot.last_token - 1) : *slot.token;
     return GrantView{model.key, 0, token, model.memory_mb, model.base, 1};
   }
 
@@ -203,7 +214,8 @@
   void Cancel(Word word) {
     if (word.Take(6) == 0) return Handle(agent::LinkClosed{1 + word.Take(2)});
     if (ids_.empty()) return;
-    const std::size_t back = word.Take(static_cast<std::uint32_t>(std::min<std::size_t>(8, ids_.size())));
+    const std::size_t back =
+        word.Take(static_cast<std::uint32_t>(std::min<std::size_t>(8, ids_.size())));
     Handle(agent::FrameArrived{1, CancelFrame{ids_[ids_.size() - 1 - back]}});
   }
 
--- a/test/support/check.h
+++ b/test/support/check.h
@@ -9,21 +9,21 @@
 #include <CppUTest/TestHarness.h>
 
 // Fails with what was expected, what was got, and what to look at.
-#define EXPECT_TEXT(expected, got, hint)                                                  \
-  do {                                                                                    \
-    const std::string expected_text(expected);                                            \
-    const std::string got_text(got);                                                      \
-    if (expected_text != got_text) {                                                      \
+#define EXPECT_TEXT(expected, got, hint)                                                         \
+  do {                                                                                           \
+    const std::string expected_text(expected);                                                   \
+    const std::string got_text(got);                                                             \
+    if (expected_text != got_text) {                                                             \
       FAIL(("expected \"" + expected_text + "\", got \"" + got_text + "\"; " + (hint)).c_str()); \
-    }                                                                                     \
-    CHECK(expected_text == got_text);                                                     \
+    }                                                                                            \
+    CHECK(expected_text == got_text);                                                            \
   } while (false)
 
-#define EXPECT_NUMBER(expected, got, hint)                                              \
-  EXPECT_TEXT(std::to_string(static_cast<long long>(expected)),                         \
+#define EXPECT_NUMBER(expected, got, hint)                      \
+  EXPECT_TEXT(std::to_string(static_cast<long long>(expected)), \
               std::to_string(static_cast<long long>(got)), hint)
 
-#define EXPECT_TRUE(condition, hint)                                                    \
+#define EXPECT_TRUE(condition, hint) \
   CHECK_TEXT(condition, (std::string("expected " #condition "; ") + (hint)).c_str())
 
 #endif  // JUNCTIONRAIL_TEST_SUPPORT_CHECK_H_
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -243,6 +243,7 @@
   if (pid != 0) kill(pid, signal);
 }
 
+std::string Cluster::BinaryOf(const std::string& program) { return Binary(program); }
 pid_t Cluster::PidOf(const std::string& name) const { return processes_.at(name).pid; }
 Endpoint Cluster::HttpOf(const std::string& name) const { return processes_.at(name).http; }
 Endpoint Cluster::RpcOf(const std::string& entry) const { return processes_.at(entry).rpc; }
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -95,6 +95,7 @@
   // Polls until `holds` or the time is up; returns whether it held.
   static bool WaitUntil(const std::function<bool()>& holds, DurationMs most = 20000);
 
+  static std::string BinaryOf(const std::string& program);  // Its file.
   pid_t PidOf(const std::string& name) const;
   const std::string& directory() const { return directory_; }
 
--- a/test/support/random_run.h
+++ b/test/support/random_run.h
@@ -43,12 +43,11 @@
 template <class World>
 bool RunAtRandom(const char* name) {
   constexpr int kWords = 400;
-  const InvariantHandler old = SetInvariantHandler(
-      [](std::string_view sentence) { throw Breach(std::string(sentence)); });
+  const InvariantHandler old =
+      SetInvariantHandler([](std::string_view sentence) { throw Breach(std::string(sentence)); });
   std::uint64_t steps = 0;
   const bool held = rc::check(name, [&steps] {
-    const auto words =
-        *rc::gen::resize(kWords, rc::gen::arbitrary<std::vector<std::uint32_t>>());
+    const auto words = *rc::gen::resize(kWords, rc::gen::arbitrary<std::vector<std::uint32_t>>());
     World world(words.empty() ? 0 : words.front());
     for (const auto it : words) {
       world.Step(Word(it));
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -1,8 +1,9 @@
 // Frames between entries and agents.
+#include "junctionrail/wire.h"
+
 #include <random>
 
 #include "check.h"
-#include "junctionrail/wire.h"
 
 namespace junctionrail {
 namespace {
@@ -42,6 +43,13 @@
   EXPECT_TEXT("bad_shape", ErrorOf("\x01"), "CBOR that is no array");
   EXPECT_TEXT("unknown_type", ErrorOf("\x81\x18\x63"), "a type from the future");
   EXPECT_TEXT("bad_shape", ErrorOf("\x81\x01"), "a call without its fields");
+  EXPECT_TEXT("not_cbor", ErrorOf("\xa1\x01\x01"), "a map is in no frame");
+}
+
+TEST(Wire, RefusesDepthAndSizesNobodySends) {
+  EXPECT_TEXT("not_cbor", ErrorOf(std::string(1000000, '\x81')), "a deep nest must not recurse");
+  EXPECT_TEXT("not_cbor", ErrorOf("\x9b\x61\x61\x61\x61\x61\x61\x61\x61"),
+              "an array of 7e18 elements must not be believed");
 }
 
 TEST(Wire, SurvivesAnyDamage) {
