--- a/bench/bench_path.cc
+++ b/bench/bench_path.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -27,7 +28,8 @@
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
-  const auto n = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+  const auto n =
+      static_cast<std::size_t>(std::lround(share * static_cast<double>(values.size() - 1)));
   return values[n];
 }
 
--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -32,7 +32,7 @@
   CheckInvariant(now >= now_, "time never goes back");
   out_ = commands;
   now_ = now;
-  std::visit([this](auto&& it) { On(std::move(it)); }, std::move(event));
+  std::visit([this](auto& it) { On(std::move(it)); }, event);
   if (reconsider_) {
     reconsider_ = false;
     if (options_.kind == UpstreamKind::kEngine) BeginLoads();
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -29,7 +29,7 @@
 }
 
 void AgentImpl::On(agent::FrameArrived event) {
-  std::visit([&](auto&& frame) { OnFrame(event.link, std::move(frame)); }, std::move(event.frame));
+  std::visit([&](auto& frame) { OnFrame(event.link, std::move(frame)); }, event.frame);
 }
 
 void AgentImpl::OnFrame(LinkId link, CallFrame call) {
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -17,7 +17,7 @@
   CheckInvariant(now >= now_, "time never goes back");
   out_ = commands;
   now_ = now;
-  std::visit([this](auto&& it) { On(std::move(it)); }, std::move(event));
+  std::visit([this](auto& it) { On(std::move(it)); }, event);
   CheckConservation();
 }
 
--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -131,7 +131,7 @@
 }
 
 void EntryImpl::On(entry::FrameArrived event) {
-  std::visit([&](auto&& frame) { OnFrame(event.vm, std::move(frame)); }, std::move(event.frame));
+  std::visit([&](auto& frame) { OnFrame(event.vm, std::move(frame)); }, event.frame);
 }
 
 void EntryImpl::OnFrame(const std::string& vm, HeadFrame head) {
--- a/src/net/links.cc
+++ b/src/net/links.cc
@@ -19,8 +19,9 @@
 
 template <class Base>
 struct SmallBuffers : public Base {
-  static const std::size_t connection_read_buffer_size = kReadBuffer;
-  static const std::size_t max_message_size = kMaxFrameBytes;
+  // Names that websocketpp looks for.
+  static const std::size_t connection_read_buffer_size = kReadBuffer;  // NOLINT
+  static const std::size_t max_message_size = kMaxFrameBytes;          // NOLINT
 };
 
 using ServerEndpoint = websocketpp::server<SmallBuffers<websocketpp::config::asio>>;
--- a/test/random_entry_test.cc
+++ b/test/random_entry_test.cc
@@ -242,7 +242,7 @@
     Handle(std::move(call));
   }
 
-  void Frame_(const std::string& vm, Frame frame) {
+  void Deliver(const std::string& vm, Frame frame) {
     open_.insert(vm);
     Handle(entry::FrameArrived{vm, std::move(frame)});
   }
@@ -262,7 +262,7 @@
         const std::string caller = id.substr(0, id.rfind('.'));
         callers_.at(caller).may_have_run = true;
         attempts_.erase(id);
-        return Frame_(
+        return Deliver(
             vm, RefusalFrame{id, Refusal{RefusalCode::kUpstreamFailed, "", Ran::kUnknown, 0}, {}});
       }
       case 2: {  // A piece is lost on the way.
@@ -290,7 +290,7 @@
     UpstreamReport report;
     report.state = static_cast<ReplicaState>(word.Take(4));
     report.wait_ms = word.Take(2000);
-    Frame_(attempt.vm, RefusalFrame{id, Refusal{kCodes[word.Take(7)], "", Ran::kNo, 100}, report});
+    Deliver(attempt.vm, RefusalFrame{id, Refusal{kCodes[word.Take(7)], "", Ran::kNo, 100}, report});
   }
 
   void Head(const std::string& id) {
@@ -298,7 +298,7 @@
     if (attempt.has_head) return;
     attempt.has_head = true;
     callers_.at(id.substr(0, id.rfind('.'))).may_have_run = true;
-    Frame_(attempt.vm, HeadFrame{id, 200, "text/plain", {ReplicaState::kLoaded, 0, 0, 1, false}});
+    Deliver(attempt.vm, HeadFrame{id, 200, "text/plain", {ReplicaState::kLoaded, 0, 0, 1, false}});
   }
 
   void Piece(const std::string& id) {
@@ -306,7 +306,7 @@
     const auto it = attempts_.find(id);
     if (it == attempts_.end()) return;
     const std::uint64_t n = it->second.sent++;
-    Frame_(it->second.vm, PieceFrame{id, n, id + ":" + std::to_string(n) + ";"});
+    Deliver(it->second.vm, PieceFrame{id, n, id + ":" + std::to_string(n) + ";"});
   }
 
   void Answer(const std::string& id) {
@@ -315,7 +315,7 @@
     if (it == attempts_.end()) return;
     const Attempt attempt = it->second;
     attempts_.erase(it);
-    Frame_(attempt.vm, EndFrame{id, attempt.sent, {ReplicaState::kLoaded, 0, 0, 0, false}});
+    Deliver(attempt.vm, EndFrame{id, attempt.sent, {ReplicaState::kLoaded, 0, 0, 0, false}});
   }
 
   // Frames of attempts that are over, and frames said twice.
@@ -323,9 +323,9 @@
     if (cancelled_.empty()) return;
     const std::string id = cancelled_[word.Take(static_cast<std::uint32_t>(cancelled_.size()))];
     const std::string vm = "vm-" + std::to_string(word.Take(kEngines));
-    Frame_(vm, HeadFrame{id, 200, "text/plain", {}});
-    Frame_(vm, PieceFrame{id, 0, id + ":0;"});
-    Frame_(vm, EndFrame{id, 1, {}});
+    Deliver(vm, HeadFrame{id, 200, "text/plain", {}});
+    Deliver(vm, PieceFrame{id, 0, id + ":0;"});
+    Deliver(vm, EndFrame{id, 1, {}});
   }
 
   void Offer(Word& word) {
@@ -337,7 +337,7 @@
     offer.fits = word.Take(4) != 0;
     offer.load_ms = word.Take(1000);
     offer.leaving = word.Take(8) == 0;
-    Frame_(ask.first, offer);
+    Deliver(ask.first, offer);
   }
 
   void SettleGrant(Word word) {
