Report service-level burn; let the random worlds show leaving and old configurations

Change: each call is judged by its objectives when it ends and counted over 5 min, 1 h, 6 h and 3 d; counts add up across entries without error. junctionrail report burn prints text, JSON or one HTML page. Agents say whether a call waited for a load: an entry that knew nothing of a replica had counted a warm call as cold. The worlds now stay in leaving and deliver stale reads. Measured: of 8 calls sent through two entries the report counts 0 good, 1 slow cold, 6 slow warm, 1 at its deadline, rate 20.0 for a 5% budget, as sent.

--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -124,7 +124,8 @@
       if (sent == nullptr || !std::holds_alternative<CallFrame>(sent->frame)) continue;
       const std::string attempt = std::get<CallFrame>(sent->frame).id;
       const UpstreamReport report{ReplicaState::kLoaded, 0, 0, 1, false, 15, 1000};
-      Handle(entry::FrameArrived{sent->vm, HeadFrame{attempt, 200, "text/event-stream", report}});
+      Handle(entry::FrameArrived{sent->vm,
+                                 HeadFrame{attempt, 200, "text/event-stream", false, report}});
       Handle(entry::FrameArrived{sent->vm, PieceFrame{attempt, 0, std::string(150, 'y')}});
       Handle(entry::FrameArrived{sent->vm, EndFrame{attempt, 1, report}});
     }
--- a/bench/bench_idle.cc
+++ b/bench/bench_idle.cc
@@ -80,9 +80,7 @@
   double cold_s = 0;
   int colds = 0;
 
-  double Cost(const Deployment& d) const {
-    return d.cold_weight * cold_s + d.idle_weight * idle_s;
-  }
+  double Cost(const Deployment& d) const { return d.cold_weight * cold_s + d.idle_weight * idle_s; }
 };
 
 // One model under one policy; models are independent without pressure.
@@ -269,18 +267,20 @@
   using namespace junctionrail::bench;
   absl::ParseCommandLine(argc, argv);
   std::ofstream svg(absl::GetFlag(FLAGS_svg));
-  svg << "<svg xmlns='http://www.w3.org/2000/svg' width='760' height='620' font-family='sans-serif' "
+  svg << "<svg xmlns='http://www.w3.org/2000/svg' width='760' height='620' "
+         "font-family='sans-serif' "
          "font-size='13'><rect width='760' height='620' fill='white'/>";
   int top = 50;
   for (const auto& d : kDeployments) {
     const auto rows = Compare(d);
     std::printf("\n### %s: cold weight %.3g, idle weight %.3g, %d traces of %.0f days\n\n", d.name,
                 d.cold_weight, d.idle_weight, absl::GetFlag(FLAGS_seeds), kDays);
-    std::printf("| policy | p95 cold, s | p99 cold, s | calls that met a cold start | idle hours a day | "
-                "weighted cost | over hindsight |\n|---|---|---|---|---|---|---|\n");
+    std::printf(
+        "| policy | p95 cold, s | p99 cold, s | calls that met a cold start | idle hours a day | "
+        "weighted cost | over hindsight |\n|---|---|---|---|---|---|---|\n");
     for (const auto& it : rows) {
-      std::printf("| %s | %.2f | %.2f | %.2f%% | %.1f | %.0f | %.2fx |\n", it.policy.c_str(), it.p95,
-                  it.p99, it.cold_share * 100, it.idle_hours, it.cost, it.over);
+      std::printf("| %s | %.2f | %.2f | %.2f%% | %.1f | %.0f | %.2fx |\n", it.policy.c_str(),
+                  it.p95, it.p99, it.cold_share * 100, it.idle_hours, it.cost, it.over);
     }
     Plot(svg, d, rows, top);
     top += 300;
--- /dev/null
+++ b/include/junctionrail/burn.h
@@ -0,0 +1,93 @@
+// Service-level burn: how fast each declared name uses its error budget up,
+// over several windows, and what used it.
+#ifndef JUNCTIONRAIL_BURN_H_
+#define JUNCTIONRAIL_BURN_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/declarations.h"
+
+namespace junctionrail {
+
+// What became of a call, as far as its objectives care. Each call is exactly
+// one of these.
+enum class BurnCause : std::uint8_t {
+  kGood,      // Answered, the first token in time.
+  kSlowCold,  // Answered late, having waited for a load.
+  kSlowWarm,  // Answered late by a loaded replica.
+  kCold,      // Refused: a load would be, or was, too late.
+  kQueue,     // Refused: the queue.
+  kCapacity,  // Refused: no replica, no memory, no slot.
+  kUpstream,  // Failed at the upstream or on the way.
+  kOther,     // Refused for any other reason.
+  kCount,
+};
+constexpr std::size_t kBurnCauses = static_cast<std::size_t>(BurnCause::kCount);
+std::string_view BurnCauseName(BurnCause cause);
+
+// Counts of one window of one key. They add up across entries without error,
+// since each call is judged when it ends.
+struct BurnCounts {
+  std::array<std::uint64_t, kBurnCauses> by_cause = {};
+  std::uint64_t cold_starts = 0;       // Calls that waited for a load.
+  std::uint64_t cold_starts_late = 0;  // Of those, past the cold-start objective.
+
+  std::uint64_t Total() const;
+  void Add(const BurnCounts& other);
+};
+
+struct BurnWindow {
+  std::string_view name;
+  DurationMs length_ms;
+  DurationMs bucket_ms;  // The window's end is known to within this.
+};
+constexpr std::array<BurnWindow, 4> kBurnWindows = {{{"5m", 300000, 10000},
+                                                     {"1h", 3600000, 60000},
+                                                     {"6h", 21600000, 300000},
+                                                     {"3d", 259200000, 3600000}}};
+
+// How fast a budget burns: 1 uses exactly the budget up over the window.
+struct BurnRates {
+  double first_token = 0;
+  double availability = 0;
+  double cold_start = 0;   // Judged against the first token's share.
+  double budget_left = 1;  // Of first token's, over this window; below 0 when overdrawn.
+};
+BurnRates RatesOf(const BurnCounts& counts, const Objectives& objectives);
+
+// Counts the calls of one process. Keys beyond `most_keys` are counted
+// together under "(others)".
+class BurnLedger {
+ public:
+  explicit BurnLedger(std::size_t most_keys = 5000) : most_keys_(most_keys) {}
+
+  void Add(TimeMs now, std::string_view key, const BurnCounts& one);
+
+  // The counts of each window, by key.
+  struct Entry {
+    std::string key;
+    std::array<BurnCounts, kBurnWindows.size()> windows;
+  };
+  std::vector<Entry> Report(TimeMs now, std::string_view only_key = {}) const;
+
+ private:
+  using Buckets = std::map<std::int64_t, BurnCounts>;  // By number; only those with calls.
+  using Series = std::array<Buckets, kBurnWindows.size()>;
+
+  std::map<std::string, Series, std::less<>> keys_;
+  std::size_t most_keys_;
+};
+
+// Judges one call by its objectives. `first_ms` is the time to the first byte.
+BurnCounts JudgeAnswer(const Objectives& objectives, DurationMs first_ms, bool was_cold);
+BurnCounts JudgeFailure(std::string_view refusal_name);
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_BURN_H_
--- a/include/junctionrail/declarations.h
+++ b/include/junctionrail/declarations.h
@@ -104,6 +104,9 @@
   std::map<std::string, ServiceDeclaration, std::less<>> services_;
 };
 
+// The objectives declared for a model's or a service's key; null for no key.
+const Objectives* FindObjectives(const Configuration& configuration, std::string_view key);
+
 // Adds one document's declarations to `configuration`. `source` is named in
 // errors; a key declared twice is one.
 std::optional<DocumentError> ReadDeclarations(const nlohmann::json& document,
--- a/include/junctionrail/entry_core.h
+++ b/include/junctionrail/entry_core.h
@@ -140,7 +140,17 @@
 // Versions are missing between the configuration in force and the log.
 struct ReadConfiguration {};
 
-using Command = std::variant<SendFrame, AnswerHead, AnswerPiece, AnswerEnd, AnswerWhole,
+// A call has ended, for the service-level counts. A call to a name that is not
+// declared is nobody's objective and has no such command.
+struct CallEnded {
+  std::string key;
+  bool is_answered = false;
+  DurationMs first_ms = 0;  // Until the upstream began to answer.
+  bool was_cold = false;    // It waited for a load.
+  RefusalCode code = RefusalCode::kNoUpstream;
+};
+
+using Command = std::variant<CallEnded, SendFrame, AnswerHead, AnswerPiece, AnswerEnd, AnswerWhole,
                              AnswerRefusal, AnswerBroken, WriteGrant, ReadGrant, ReadConfiguration>;
 
 }  // namespace entry
--- a/include/junctionrail/wire.h
+++ b/include/junctionrail/wire.h
@@ -136,6 +136,7 @@
   std::string id;
   std::uint32_t status = 0;
   std::string content_type;
+  bool was_cold = false;  // The call waited for a load.
   UpstreamReport report;
 };
 struct PieceFrame {
--- a/src/base/declarations.cc
+++ b/src/base/declarations.cc
@@ -183,6 +183,13 @@
   return it == services_.end() ? nullptr : &it->second;
 }
 
+const Objectives* FindObjectives(const Configuration& configuration, std::string_view key) {
+  const auto model = configuration.models().find(key);
+  if (model != configuration.models().end()) return &model->second.objectives;
+  const auto service = configuration.services().find(key);
+  return service == configuration.services().end() ? nullptr : &service->second.objectives;
+}
+
 std::optional<std::string> Configuration::Inconsistency() const {
   std::map<std::string, std::string> defaults;
   for (const auto& [key, model] : models_) {
--- a/src/base/wire.cc
+++ b/src/base/wire.cc
@@ -71,7 +71,7 @@
 }
 template <class V>
 void Fields(HeadFrame& f, V&& v) {
-  v(f.id, f.status, f.content_type, f.report);
+  v(f.id, f.status, f.content_type, f.was_cold, f.report);
 }
 template <class V>
 void Fields(PieceFrame& f, V&& v) {
--- a/src/cli/client.cc
+++ b/src/cli/client.cc
@@ -1,5 +1,6 @@
 #include "client.h"
 
+#include <google/protobuf/util/json_util.h>
 #include <grpcpp/grpcpp.h>
 
 #include <cstdio>
@@ -40,4 +41,14 @@
   }
 }
 
+void PrintJson(const google::protobuf::Message& message) {
+  google::protobuf::util::JsonPrintOptions options;
+  options.add_whitespace = true;
+  options.always_print_primitive_fields = true;
+  options.preserve_proto_field_names = true;
+  std::string text;
+  google::protobuf::util::MessageToJsonString(message, &text, options);
+  std::fputs(text.c_str(), stdout);
+}
+
 }  // namespace junctionrail::cli
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -41,6 +41,9 @@
   std::unique_ptr<rpc::Operator::Stub> stub_;
 };
 
+// Prints a reply as JSON, with the names of the schema file.
+void PrintJson(const google::protobuf::Message& message);
+
 // Prints what went wrong as one line and returns the exit code for it.
 ExitCode Report(const grpc::Status& status, const std::string& entry);
 
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -1,7 +1,5 @@
 #include "commands.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -15,16 +13,6 @@
 
 constexpr auto kPollPeriod = std::chrono::milliseconds(100);
 
-void PrintJson(const google::protobuf::Message& message) {
-  google::protobuf::util::JsonPrintOptions options;
-  options.add_whitespace = true;
-  options.always_print_primitive_fields = true;
-  options.preserve_proto_field_names = true;
-  std::string text;
-  google::protobuf::util::MessageToJsonString(message, &text, options);
-  std::fputs(text.c_str(), stdout);
-}
-
 template <class Keys>
 void PrintKeys(const char* mark, const Keys& keys) {
   for (const auto& it : keys) std::printf("%s %s\n", mark, it.c_str());
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -28,6 +28,8 @@
 ExitCode Get(const Options& options);
 ExitCode Status(const Options& options);
 ExitCode Drain(const Options& options, const std::string& vm);
+// `format` is text, json or html.
+ExitCode ReportBurn(const Options& options, const std::string& key, const std::string& format);
 ExitCode Why(const Options& options, const std::string& kind, const std::string& subject);
 
 }  // namespace junctionrail::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -11,7 +11,7 @@
 
 ABSL_FLAG(std::string, entry, "127.0.0.1:7000", "The RPC address of any entry.");
 ABSL_FLAG(std::string, f, "", "The directory of declarations (apply, diff, check).");
-ABSL_FLAG(std::string, output, "text", "How to print: text or json.");
+ABSL_FLAG(std::string, output, "text", "How to print: text or json; a report also as html.");
 ABSL_FLAG(std::string, author, "", "Who makes the change (apply).");
 ABSL_FLAG(std::string, change_id, "", "A name for the change; repeating one is harmless (apply).");
 ABSL_FLAG(std::string, reason, "", "Why the upstream is to leave (drain).");
@@ -32,6 +32,7 @@
     "  get                       print the declarations in force\n"
     "  status                    entries, upstreams and replica slots\n"
     "  drain VM                  ask an upstream to leave\n"
+    "  report burn [KEY]         service-level burn, of one name or all (--output=html too)\n"
     "  why request ID            why a request went where it went\n"
     "  why model NAME@VERSION    why a model is where it is\n"
     "  why upstream VM           what was decided about an upstream\n"
@@ -51,6 +52,13 @@
   return junctionrail::cli::Why(options, kind, words[2]);
 }
 
+ExitCode RunReport(const Options& options, const std::vector<std::string>& words) {
+  const bool is_burn = words.size() >= 2 && words.size() <= 3 && words[1] == "burn";
+  if (!is_burn) return BadUsage("report: expected burn, and at most one name@version");
+  return junctionrail::cli::ReportBurn(options, words.size() == 3 ? words[2] : "",
+                                       absl::GetFlag(FLAGS_output));
+}
+
 ExitCode Run(const Options& options, const std::vector<std::string>& words) {
   if (words.empty()) return BadUsage("expected a command, found nothing");
   const std::string& command = words[0];
@@ -59,6 +67,7 @@
     if (words.size() != 2) return BadUsage("drain: expected the name of one VM");
     return junctionrail::cli::Drain(options, words[1]);
   }
+  if (command == "report") return RunReport(options, words);
   if (words.size() != 1) return BadUsage(command + ": expected no further words");
   if (command == "check") return junctionrail::cli::Check(options);
   if (command == "diff") return junctionrail::cli::Diff(options);
@@ -75,8 +84,10 @@
   const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
   const std::vector<std::string> words(rest.begin() + 1, rest.end());
   const std::string output = absl::GetFlag(FLAGS_output);
-  if (output != "text" && output != "json") {
-    return BadUsage("--output: expected text or json, found \"" + output + "\"");
+  const bool is_report = !words.empty() && words[0] == "report";
+  if (output != "text" && output != "json" && !(is_report && output == "html")) {
+    return BadUsage("--output: expected text or json, or html for a report, found \"" + output +
+                    "\"");
   }
   Options options;
   options.entry = absl::GetFlag(FLAGS_entry);
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -30,6 +30,7 @@
   TimeMs deadline_at = 0;
   TimeMs dispatched_at = 0;
   std::uint64_t next_sequence = 0;
+  bool was_cold = false;   // Its replica was not loaded when it came.
   std::string answer_key;  // Row of the at-most-once table; empty when unkeyed.
   // Set when nobody waits any more but the call may not be cut off: it runs on,
   // and at its end counts as this.
--- a/src/core/agent_once.cc
+++ b/src/core/agent_once.cc
@@ -112,7 +112,7 @@
 void AgentImpl::Replay(const AgentRequest& request, const StoredAnswer& row) {
   const std::string& id = request.call.id;
   const UpstreamReport report = ReportOn(request.call.key);
-  Send(request.link, HeadFrame{id, row.status, row.content_type, report});
+  Send(request.link, HeadFrame{id, row.status, row.content_type, false, report});
   if (!row.body.empty()) Send(request.link, PieceFrame{id, 0, row.body});
   Send(request.link, EndFrame{id, row.body.empty() ? 0u : 1u, report});
   ++counters_.answered;
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -106,6 +106,7 @@
     Retire(replica, "it does not fit here");
     return refusal;
   }
+  request.was_cold = true;
   const DurationMs ready = UntilReady(replica);
   // The load goes on even when this caller cannot wait: it is told when to come back.
   replica.is_wanted = true;
@@ -196,7 +197,7 @@
   KeepHead(request, event);
   if (request.gone_as != nullptr) return;
   Send(request.link, HeadFrame{event.id, event.status, std::move(event.content_type),
-                               ReportOn(request.call.key)});
+                               request.was_cold, ReportOn(request.call.key)});
 }
 
 void AgentImpl::On(agent::UpstreamPiece event) {
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -32,6 +32,7 @@
   std::string vm;  // Of the attempt under way.
   std::uint64_t next_sequence = 0;
   TimeMs head_at = 0;
+  bool was_cold = false;      // It waited for a load.
   bool has_head = false;      // The upstream has begun to answer.
   bool is_delivered = false;  // The caller has been sent a head.
   std::uint32_t status = 0;
--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -145,6 +145,7 @@
   }
   call->has_head = true;
   call->head_at = now_;
+  call->was_cold = head.was_cold;
   call->status = head.status;
   call->content_type = std::move(head.content_type);
   deadlines_.erase({call->deadline_at, call->call.id});
@@ -187,6 +188,7 @@
   Note(id, call->key, vm, "answered by " + vm,
        "first_ms=" + std::to_string(call->head_at - call->arrived_at) + " whole_ms=" +
            std::to_string(now_ - call->arrived_at) + " attempts=" + std::to_string(call->attempts));
+  Emit(entry::CallEnded{call->key, true, call->head_at - call->arrived_at, call->was_cold, {}});
   if (call->is_delivered) {
     Emit(entry::AnswerEnd{id});
   } else {
@@ -269,6 +271,9 @@
        "attempts=" + std::to_string(call.attempts) +
            " deadline_left_ms=" + std::to_string(call.deadline_at - now_) +
            " ran=" + (told.ran == Ran::kNo ? "no" : "unknown"));
+  if (!call.key.empty()) {
+    Emit(entry::CallEnded{call.key, false, now_ - call.arrived_at, call.was_cold, told.code});
+  }
   if (call.is_delivered) {
     Emit(entry::AnswerBroken{id, std::move(told)});
   } else {
--- a/src/daemon/entry_daemon.cc
+++ b/src/daemon/entry_daemon.cc
@@ -12,6 +12,7 @@
 #include "caller_api.h"
 #include "config_keeper.h"
 #include "daemon.h"
+#include "junctionrail/burn.h"
 #include "junctionrail/entry_core.h"
 #include "junctionrail/platform.h"
 #include "junctionrail/telemetry.h"
@@ -43,6 +44,7 @@
   EntryOptions Options() const;
   OperatorHooks Hooks();
   void Handle(entry::Event event);
+  void Carry(const entry::CallEnded& command);
   void Carry(entry::SendFrame command);
   void Carry(const entry::AnswerHead& command);
   void Carry(entry::AnswerPiece command);
@@ -82,6 +84,7 @@
   std::unordered_map<std::string, Waiting> waiting_;
   std::map<std::string, std::function<void(AgentRecords)>> asked_;
   std::map<std::string, std::uint64_t> bad_frames_;
+  BurnLedger burn_;
   ValueSeries first_byte_ms_;
   ValueSeries whole_ms_;
   std::uint64_t calls_ = 0;
@@ -178,6 +181,15 @@
 
 // ---- Commands --------------------------------------------------------------
 
+void EntryDaemon::Impl::Carry(const entry::CallEnded& command) {
+  const Objectives* objectives = FindObjectives(core_.configuration(), command.key);
+  if (objectives == nullptr) return;
+  const BurnCounts one = command.is_answered
+                             ? JudgeAnswer(*objectives, command.first_ms, command.was_cold)
+                             : JudgeFailure(RefusalName(command.code));
+  burn_.Add(MonotonicMs(), command.key, one);
+}
+
 void EntryDaemon::Impl::Carry(entry::SendFrame command) {
   const VmInfo* info = FindUpstream(command.vm);
   if (info == nullptr) {
@@ -404,6 +416,7 @@
 OperatorHooks EntryDaemon::Impl::Hooks() {
   OperatorHooks hooks;
   hooks.core = [this]() -> const EntryCore& { return core_; };
+  hooks.burn = [this]() -> const BurnLedger& { return burn_; };
   hooks.is_kv_reachable = [this] { return keeper_->IsReachable(); };
   hooks.accept = [this](const ConfigChange& change, AcceptDone done) {
     AcceptChange(kv_, change, [this, change, done = std::move(done)](AcceptOutcome outcome) {
--- a/src/daemon/operator_service.cc
+++ b/src/daemon/operator_service.cc
@@ -3,17 +3,20 @@
 #include <grpcpp/grpcpp.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <future>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
 #include <utility>
 
 #include "junctionrail.grpc.pb.h"
+#include "junctionrail/burn.h"
 #include "junctionrail/entry_core.h"
 
 namespace junctionrail::internal {
@@ -100,6 +103,37 @@
       [](const rpc::Decision& a, const rpc::Decision& b) { return a.at_ms() < b.at_ms(); });
 }
 
+// Adds what another entry counted. Counts add up without error.
+void AddWindows(const rpc::KeyBurn& from, std::array<BurnCounts, kBurnWindows.size()>* sums) {
+  for (std::size_t n = 0; n < sums->size() && n < static_cast<std::size_t>(from.windows_size());
+       ++n) {
+    const rpc::BurnWindow& window = from.windows(static_cast<int>(n));
+    BurnCounts counts;
+    for (int cause = 0; cause < window.by_cause_size(); ++cause) {
+      if (cause < static_cast<int>(kBurnCauses)) {
+        counts.by_cause[static_cast<std::size_t>(cause)] = window.by_cause(cause);
+      }
+    }
+    counts.cold_starts = window.cold_starts();
+    counts.cold_starts_late = window.cold_starts_late();
+    (*sums)[n].Add(counts);
+  }
+}
+
+// A name that is no longer declared is judged by the default objectives.
+void FillWindow(std::string_view name, const BurnCounts& counts, const Objectives* objectives,
+                rpc::BurnWindow* out) {
+  const BurnRates rates = RatesOf(counts, objectives == nullptr ? Objectives() : *objectives);
+  out->set_name(std::string(name));
+  for (const auto it : counts.by_cause) out->add_by_cause(it);
+  out->set_cold_starts(counts.cold_starts);
+  out->set_cold_starts_late(counts.cold_starts_late);
+  out->set_first_token_rate(rates.first_token);
+  out->set_availability_rate(rates.availability);
+  out->set_cold_start_rate(rates.cold_start);
+  out->set_budget_left(rates.budget_left);
+}
+
 bool Overlaps(const ConfigDifference& a, const ConfigDifference& b) {
   std::set<std::string> touched(a.added.begin(), a.added.end());
   touched.insert(a.changed.begin(), a.changed.end());
@@ -147,6 +181,8 @@
                      rpc::DrainReply*) override;
   grpc::Status Why(grpc::ServerContext*, const rpc::WhyRequest* request,
                    rpc::WhyReply* reply) override;
+  grpc::Status Burn(grpc::ServerContext*, const rpc::BurnRequest* request,
+                    rpc::BurnReply* reply) override;
   grpc::Status Recall(grpc::ServerContext*, const rpc::RecallRequest*,
                       rpc::RecallReply* reply) override;
 
@@ -433,6 +469,50 @@
   return grpc::Status::OK;
 }
 
+grpc::Status OperatorServer::Impl::Burn(grpc::ServerContext*, const rpc::BurnRequest* request,
+                                        rpc::BurnReply* reply) {
+  struct Seen {
+    std::vector<BurnLedger::Entry> own;
+    std::vector<VmInfo> vms;
+    Configuration configuration;
+  };
+  const auto seen = OnEntry<Seen>([this, &request] {
+    return Seen{hooks_.burn().Report(MonotonicMs(), request->key()), hooks_.core().vms().vms,
+                hooks_.core().configuration()};
+  });
+  if (!seen) return Unavailable("the entry did not answer in time");
+  using Windows = std::array<BurnCounts, kBurnWindows.size()>;
+  std::map<std::string, Windows> sums;
+  for (const auto& it : seen->own) sums[it.key] = it.windows;
+  reply->set_entries(1);
+  for (const auto& it : seen->vms) {
+    if (request->local() || it.role != VmRole::kEntry || it.vm == vm_) continue;
+    rpc::BurnRequest local = *request;
+    local.set_local(true);
+    rpc::BurnReply answer;
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + kPeerWait);
+    if (!Dial(it.rpc)->Burn(&context, local, &answer).ok()) {
+      reply->add_unreachable(it.vm);
+      continue;
+    }
+    reply->set_entries(reply->entries() + 1);
+    for (const auto& key : answer.keys()) AddWindows(key, &sums[key.key()]);
+  }
+  for (std::size_t n = 0; n < kBurnCauses; ++n) {
+    reply->add_causes(std::string(BurnCauseName(static_cast<BurnCause>(n))));
+  }
+  for (const auto& [key, windows] : sums) {
+    const Objectives* objectives = FindObjectives(seen->configuration, key);
+    auto* out = reply->add_keys();
+    out->set_key(key);
+    for (std::size_t n = 0; n < windows.size(); ++n) {
+      FillWindow(kBurnWindows[n].name, windows[n], objectives, out->add_windows());
+    }
+  }
+  return grpc::Status::OK;
+}
+
 grpc::Status OperatorServer::Impl::Recall(grpc::ServerContext*, const rpc::RecallRequest*,
                                           rpc::RecallReply* reply) {
   const auto filled = OnEntry<rpc::RecallReply>([this] {
--- a/test/entry_core_test.cc
+++ b/test/entry_core_test.cc
@@ -134,7 +134,7 @@
 TEST(EntryRetries, NothingOnceTheCallerHasSeenAnAnswer) {
   entry.Call("1", true, true);
   const entry::SendFrame call = *entry.LastCall();
-  entry.Handle(entry::FrameArrived{call.vm, HeadFrame{"1.1", 200, "text/event-stream", {}}});
+  entry.Handle(entry::FrameArrived{call.vm, HeadFrame{"1.1", 200, "text/event-stream", false, {}}});
   entry.Handle(entry::FrameArrived{call.vm, PieceFrame{"1.1", 0, "data"}});
   entry.Handle(entry::LinkClosed{call.vm, true});
   EXPECT_TRUE(entry.Last<entry::AnswerBroken>() != nullptr, "the caller is told that it broke");
@@ -146,7 +146,7 @@
 TEST(EntryAnswers, NeverShort) {
   entry.Call("1");
   const std::string vm = entry.LastCall()->vm;
-  entry.Handle(entry::FrameArrived{vm, HeadFrame{"1.1", 200, "text/plain", {}}});
+  entry.Handle(entry::FrameArrived{vm, HeadFrame{"1.1", 200, "text/plain", false, {}}});
   entry.Handle(entry::FrameArrived{vm, PieceFrame{"1.1", 1, "second"}});
   EXPECT_TRUE(entry.Last<entry::AnswerWhole>() == nullptr, "piece 0 is missing");
   EXPECT_NUMBER(2, entry.core.counters().attempts, "the call is repeated instead");
@@ -163,7 +163,7 @@
   entry.Call("1");
   const std::string vm = entry.LastCall()->vm;
   entry.Handle(entry::CallerGone{"1"});
-  entry.Handle(entry::FrameArrived{vm, HeadFrame{"1.1", 200, "text/plain", {}}});
+  entry.Handle(entry::FrameArrived{vm, HeadFrame{"1.1", 200, "text/plain", false, {}}});
   EXPECT_NUMBER(1, entry.core.counters().stale_frames, "a late frame is counted and dropped");
 }
 
@@ -175,7 +175,7 @@
   UpstreamReport loaded;
   loaded.state = ReplicaState::kLoaded;
   loaded.free_places = 16;
-  entry.Handle(entry::FrameArrived{vm, HeadFrame{"1.1", 200, "text/plain", loaded}});
+  entry.Handle(entry::FrameArrived{vm, HeadFrame{"1.1", 200, "text/plain", false, loaded}});
   entry.Call("2");
   EXPECT_TEXT(vm, entry.LastCall()->vm, "the other is cold");
 }
--- a/test/policy_test.cc
+++ b/test/policy_test.cc
@@ -3,6 +3,7 @@
 #include "answer_table.h"
 #include "check.h"
 #include "junctionrail/base.h"
+#include "junctionrail/burn.h"
 #include "junctionrail/decision_log.h"
 #include "junctionrail/idle_policy.h"
 #include "memory_ledger.h"
@@ -79,6 +80,35 @@
               "a version 4 UUID carries no time");
 }
 
+TEST_GROUP(Burn) {
+  Objectives objectives;  // 1200 ms for 95 in 100.
+  BurnLedger ledger;
+};
+
+TEST(Burn, IsOneWhenExactlyTheBudgetIsUsed) {
+  for (int n = 0; n < 95; ++n) ledger.Add(1000000, "a@1", JudgeAnswer(objectives, 1200, false));
+  for (int n = 0; n < 5; ++n) ledger.Add(1000000, "a@1", JudgeAnswer(objectives, 1201, false));
+  const auto report = ledger.Report(1000000);
+  const BurnRates rates = RatesOf(report.at(0).windows[0], objectives);
+  DOUBLES_EQUAL(1.0, rates.first_token, 1e-9);
+  DOUBLES_EQUAL(0.0, rates.availability, 1e-9);
+}
+
+TEST(Burn, ForgetsWhatLeftTheWindow) {
+  ledger.Add(1000000, "a@1", JudgeFailure("queue_full"));
+  const TimeMs later = 1000000 + 310000;
+  const auto report = ledger.Report(later);
+  EXPECT_NUMBER(0, report.at(0).windows[0].Total(), "five minutes have passed");
+  EXPECT_NUMBER(1, report.at(0).windows[1].Total(), "an hour has not");
+}
+
+TEST(Burn, CountsKeysBeyondItsRoomTogether) {
+  BurnLedger small(1);
+  for (const char* it : {"a@1", "b@1", "c@1"})
+    small.Add(1000, it, JudgeAnswer(objectives, 1, false));
+  EXPECT_NUMBER(2, small.Report(1000).size(), "a@1 and the others");
+}
+
 TEST_GROUP(DecisionRecords){};
 
 TEST(DecisionRecords, SayHowManyWereLost) {
--- a/test/random_agent_test.cc
+++ b/test/random_agent_test.cc
@@ -47,6 +47,7 @@
   explicit AgentWorld(std::uint32_t seed) : checks_fencing_(Word(seed).Take(2) == 0) { Boot(); }
 
   void Step(Word word) {
+    if (has_exited_) Boot();
     switch (word.Take(16)) {
       case 0:
       case 1:
@@ -104,6 +105,8 @@
     ++process_;
     pending_.clear();
     dispatched_.clear();
+    is_leaving_ = false;
+    has_exited_ = false;
     std::vector<agent::Command> commands;
     core_->Start(now_, &commands);
     Take(std::move(commands));
@@ -239,12 +242,9 @@
       for (auto& [id, key] : std::map<std::string, std::string>(dispatched_)) Fail(id, true);
       return;
     }
-    if (kind == 2 && word.Take(4) == 0) {
+    if (kind == 2 && !is_leaving_) {  // Until it exits or dies, calls still come.
       is_leaving_ = true;
-      Handle(agent::LeaveRequested{word.Take(2) == 0, "the test says so"});
-      FinishDispatched();
-      is_leaving_ = false;
-      return Boot();
+      return Handle(agent::LeaveRequested{word.Take(2) == 0, "the test says so"});
     }
     Advance(1);
   }
--- a/test/random_entry_test.cc
+++ b/test/random_entry_test.cc
@@ -109,6 +109,8 @@
     }
   }
 
+  void Take(entry::CallEnded&) {}
+
   Caller& Open(const std::string& id) {
     Caller& caller = callers_.at(id);
     Require(!caller.is_over, "an answer ends once");
@@ -298,7 +300,8 @@
     if (attempt.has_head) return;
     attempt.has_head = true;
     callers_.at(id.substr(0, id.rfind('.'))).may_have_run = true;
-    Deliver(attempt.vm, HeadFrame{id, 200, "text/plain", {ReplicaState::kLoaded, 0, 0, 1, false}});
+    Deliver(attempt.vm,
+            HeadFrame{id, 200, "text/plain", false, {ReplicaState::kLoaded, 0, 0, 1, false}});
   }
 
   void Piece(const std::string& id) {
@@ -323,7 +326,7 @@
     if (cancelled_.empty()) return;
     const std::string id = cancelled_[word.Take(static_cast<std::uint32_t>(cancelled_.size()))];
     const std::string vm = "vm-" + std::to_string(word.Take(kEngines));
-    Deliver(vm, HeadFrame{id, 200, "text/plain", {}});
+    Deliver(vm, HeadFrame{id, 200, "text/plain", false, {}});
     Deliver(vm, PieceFrame{id, 0, id + ":0;"});
     Deliver(vm, EndFrame{id, 1, {}});
   }
@@ -427,6 +430,8 @@
         leaving_.erase(n);
         LoseAttempts("vm-" + std::to_string(n), true);
         return ListVms();
+      case 3:  // A peer or a slow read may be behind.
+        return Handle(entry::ConfigurationRead{old_configuration_});
       case 2:
         leaving_.insert(n);
         return ListVms();
--- a/test/system_test.cc
+++ b/test/system_test.cc
@@ -228,6 +228,32 @@
   EXPECT_TRUE(why.out.find("refused, not_declared") != std::string::npos, why.out + why.err);
 }
 
+TEST(Tool, ReportsABurnThatAgreesWithWhatWasSent) {
+  ClusterOptions options;
+  options.entries = 2;
+  options.engine_flags = {"--first_token_ms=60"};
+  json model = Model("a");
+  model["objectives"] = {{"first_token_ms", 30}};
+  options.declarations = Declared({model});
+  Cluster cluster(options);
+  for (int n = 0; n < 4; ++n) cluster.Call("entry-1", Chat("a", false, 1));
+  for (int n = 0; n < 3; ++n) cluster.Call("entry-2", Chat("a", false, 1));
+  CallSpec hopeless = Chat("a", false, 1);
+  hopeless.headers.push_back({"Junctionrail-Deadline-Ms", "20"});
+  cluster.Call("entry-2", hopeless);
+  const ToolResult report = cluster.Tool("entry-1", {"report", "burn", "a@1", "--output=json"});
+  const json window = json::parse(report.out)["keys"][0]["windows"][0];
+  const json causes = window["by_cause"];
+  EXPECT_TEXT("0", causes[0].get<std::string>(), "no first token within 30 ms: " + report.out);
+  EXPECT_TEXT("1", causes[1].get<std::string>(), "one call waited for the load: " + report.out);
+  EXPECT_TEXT("6", causes[2].get<std::string>(), "six were slow and warm: " + report.out);
+  EXPECT_TEXT("1", causes[6].get<std::string>(), "one met its deadline: " + report.out);
+  DOUBLES_EQUAL(20.0, window.value("first_token_rate", 0.0), 0.001);
+  EXPECT_TRUE(cluster.Tool("entry-1", {"report", "burn", "--output=html"}).out.find("<svg") !=
+                  std::string::npos,
+              "the page carries its plots");
+}
+
 TEST_GROUP(Stops){};
 
 TEST(Stops, OfAnEntryCutNoRequest) {
