--- a/bench/bench_path.cc
+++ b/bench/bench_path.cc
@@ -147,10 +147,41 @@
   }
 }
 
+// What a token costs on its way: each is one piece, one frame and one chunk.
+void Tokens() {
+  constexpr int kStreams = 64;
+  constexpr int kTokens = 500;
+  ClusterOptions options;
+  options.engine_flags = {"--first_token_ms=1", "--token_ms=10"};
+  options.agent_settings = {{"max_concurrent", kStreams}};
+  options.declarations = Declared(1, 1024);
+  Cluster cluster(options);
+  cluster.Call("entry-1", Chat("m0@1", false, 1));
+  const auto cpu = [&cluster](const std::string& name) {
+    return cluster.Metric(name, "process_cpu_seconds_total");
+  };
+  const double entry = cpu("entry-1");
+  const double agent = cpu("agent-1");
+  const auto replies = cluster.CallAll(std::vector<std::pair<std::string, CallSpec>>(
+      kStreams, {"entry-1", Chat("m0@1", true, kTokens)}));
+  const double tokens = kStreams * kTokens;
+  std::printf("\n### Processor time a token, %d streams of %d tokens\n\n", kStreams, kTokens);
+  std::printf("| entry, us | agent, us |\n|---|---|\n| %.1f | %.1f |\n",
+              (cpu("entry-1") - entry) / tokens * 1e6, (cpu("agent-1") - agent) / tokens * 1e6);
+}
+
 double ResidentMb(Cluster& cluster, const std::string& name) {
   return cluster.Metric(name, "process_resident_memory_bytes") / 1048576.0;
 }
 
+std::uint64_t ResidentBytes() {
+  std::ifstream in("/proc/self/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  in >> total >> resident;
+  return resident * 4096;
+}
+
 // Bytes the loopback interface has carried; each byte counts once.
 double LoopbackBytes() {
   std::ifstream in("/proc/net/dev");
@@ -163,6 +194,29 @@
   return 0;
 }
 
+// What an open link costs, both ends together, in this process.
+void Links() {
+  constexpr int kLinks = 1000;
+  boost::asio::io_context io(1);
+  int opened = 0;
+  LinkServer server(
+      io, LinkServerCallbacks{[&opened](std::uint64_t) { ++opened; },
+                              [](std::uint64_t, std::string_view) {}, [](std::uint64_t) {}});
+  const auto port = server.Listen(Endpoint{"127.0.0.1", 0});
+  LinkClient client(io, LinkClientCallbacks{[](const std::string&) {},
+                                            [](const std::string&, std::string_view) {},
+                                            [](const std::string&, bool) {}});
+  const std::uint64_t before = ResidentBytes();
+  for (int n = 0; n < kLinks; ++n) {
+    client.Send("peer-" + std::to_string(n), Endpoint{"127.0.0.1", port.value()}, "frame");
+    io.run_for(std::chrono::milliseconds(1));
+  }
+  for (int n = 0; n < 100 && opened < kLinks; ++n) io.run_for(std::chrono::milliseconds(20));
+  std::printf("\n### Open links\n\n| links | KB each, both ends together |\n|---|---|\n");
+  std::printf("| %d | %.1f |\n", opened,
+              static_cast<double>(ResidentBytes() - before) / 1024 / kLinks);
+}
+
 // What control costs when nobody calls: 1,000 declarations, one entry, one agent.
 void Idle() {
   ClusterOptions options;
@@ -233,6 +287,8 @@
     Added(cluster);
     Throughput(cluster);
   }
+  Tokens();
+  Links();
   Memory();
   Idle();
   return 0;
