Keep goodput past saturation: refuse the hopeless, send nothing too late

Goodput fell to 87.5/s at 1.5 times and 80.0/s at 2 times, and refused calls were told at their deadline (median 1,005 ms). Later calls of higher classes pushed admitted ones past their deadlines, and with nothing but the deadline itself to stop them, calls were sent with no time left for an answer (835 late at 1.5 times). Ruled out: the queue's length (bytes and count were far from their bounds). Change: each tick refuses those whom the queue before them keeps past the deadline; nothing is sent that most likely begins too late (mean plus twice the deviation of the time to a head); a call with a place free is always sent, so that a wrong estimate is corrected.

--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -75,7 +75,9 @@
   TimeMs last_work_at = 0;  // End of the last call; 0 before the first.
   DurationMs idle_limit_ms = kNeverUnload;
   ArrivalHistory history;
-  double service_ms = 0;  // Moving average; 0 before the first answer.
+  double service_ms = 0;         // Moving average; 0 before the first answer.
+  double head_ms = 0;            // The same from dispatch to the head of an answer,
+  double head_deviation_ms = 0;  // and how far it strays.
 };
 
 class AgentImpl {
@@ -125,6 +127,8 @@
   void CheckConservation() const;
   UpstreamReport ReportOn(const std::string& key) const;
   DurationMs QueueWait(const Replica& replica, Priority priority, TimeMs deadline) const;
+  DurationMs WaitBehind(const Replica& replica, std::size_t ahead) const;
+  void RefuseHopeless(Replica& replica);
 
   // agent_replicas.cc
   void On(agent::InventoryArrived event);
--- a/src/core/agent_replicas.cc
+++ b/src/core/agent_replicas.cc
@@ -571,6 +571,7 @@
   unix_ms_ = event.unix_ms;
   reconsider_ = true;
   ExpireRequests();
+  for (auto& [key, it] : replicas_) RefuseHopeless(it);
   answers_.DropExpired(now_);
   if (options_.kind == UpstreamKind::kService) return;
   UnloadIdle();
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -1,6 +1,7 @@
 // The requests of an agent: admission, the queue of each key, dispatch, the
 // frames of an answer, and the conservation of requests.
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <tuple>
 #include <utility>
@@ -16,6 +17,24 @@
 constexpr double kUsPerMs = 1000;
 constexpr DurationMs kLeavingRetryMs = 100;
 
+// How long before its deadline a call must be sent, so that its answer most
+// likely begins in time: the mean and twice the deviation, as TCP does for its
+// retransmission timer (RFC 6298). Nothing while no answer has begun yet.
+DurationMs NeedBeforeDeadline(const Replica& replica) {
+  return static_cast<DurationMs>(replica.head_ms + 2 * replica.head_deviation_ms);
+}
+
+void NoteHead(Replica& replica, double took) {
+  if (replica.head_ms <= 0) {
+    replica.head_ms = std::max(took, 1.0);
+    replica.head_deviation_ms = took / 2;
+    return;
+  }
+  const double off = took - replica.head_ms;
+  replica.head_deviation_ms += kServiceSmoothing * (std::abs(off) - replica.head_deviation_ms);
+  replica.head_ms += kServiceSmoothing * off;
+}
+
 double ServiceMs(const Replica& replica) {
   return replica.service_ms > 0 ? replica.service_ms : kFirstServiceMs;
 }
@@ -119,18 +138,52 @@
 DurationMs AgentImpl::QueueWait(const Replica& replica, Priority priority, TimeMs deadline) const {
   const QueuePlace place{priority, deadline, std::string()};
   const auto ahead = std::distance(replica.queue.begin(), replica.queue.lower_bound(place));
+  return WaitBehind(replica, static_cast<std::size_t>(ahead));
+}
+
+// Until a call with so many before it in the queue would be sent.
+DurationMs AgentImpl::WaitBehind(const Replica& replica, std::size_t ahead) const {
   const double at_once = options_.max_concurrent;
   const double excess = static_cast<double>(ahead) + replica.running + 1 - at_once;
   if (excess <= 0) return 0;
   return static_cast<DurationMs>(ServiceMs(replica) * excess / at_once);
 }
 
+// Tells those whose turn would come too late at once, rather than at their
+// deadline: higher classes may have come since they were admitted. Under load
+// this is also what keeps the upstream from answers nobody waits for.
+void AgentImpl::RefuseHopeless(Replica& replica) {
+  if (replica.state != ReplicaState::kLoaded || replica.queue.empty()) return;
+  const DurationMs need = NeedBeforeDeadline(replica);
+  std::size_t kept = 0;
+  std::vector<std::string> hopeless;
+  for (const auto& it : replica.queue) {
+    const DurationMs wait = WaitBehind(replica, kept);
+    if (wait > 0 && now_ + wait + need > it.deadline_at) {
+      hopeless.push_back(it.id);
+    } else {
+      ++kept;
+    }
+  }
+  const DurationMs retry_after = WaitBehind(replica, kept);
+  for (const auto& id : hopeless) {
+    const AgentRequest request = requests_.at(id);
+    Remove(id);
+    Refuse(request,
+           Refusal{RefusalCode::kQueueTooLate, "calls before it would keep it past the deadline",
+                   Ran::kNo, std::max(retry_after, kShortRetryMs)});
+  }
+}
+
 std::optional<Refusal> AgentImpl::QueueRefusal(const AgentRequest& request,
                                                const Replica& replica) {
   const CallFrame& call = request.call;
   const DurationMs ready = options_.kind == UpstreamKind::kEngine ? UntilReady(replica) : 0;
   const DurationMs wait = ready + QueueWait(replica, call.priority, request.deadline_at);
-  if (now_ + wait > request.deadline_at) {
+  // With a place free it is sent whatever the estimate: it keeps nobody out,
+  // and an estimate that was wrong would otherwise never be corrected.
+  const DurationMs need = wait > ready ? NeedBeforeDeadline(replica) : 0;
+  if (now_ + wait + need > request.deadline_at) {
     return Refusal{RefusalCode::kQueueTooLate, "the queue would end after the deadline", Ran::kNo,
                    wait};
   }
@@ -162,11 +215,13 @@
   if (replica.state != ReplicaState::kLoaded || leaving_) return;
   while (replica.running < options_.max_concurrent && !replica.queue.empty()) {
     AgentRequest& request = requests_.at(replica.queue.begin()->id);
-    if (request.deadline_at < now_) {
+    const bool others_wait = replica.queue.size() > 1;
+    const DurationMs need = others_wait ? NeedBeforeDeadline(replica) : 0;
+    if (request.deadline_at < now_ + need) {
       const AgentRequest late = request;
       Remove(late.call.id);
-      Refuse(late, Refusal{RefusalCode::kDeadlinePassed, "the deadline passed in the queue",
-                           Ran::kNo, 0});
+      Refuse(late, Refusal{RefusalCode::kQueueTooLate, "its turn came too late for its deadline",
+                           Ran::kNo, kShortRetryMs});
       continue;
     }
     SendToUpstream(request, replica);
@@ -194,6 +249,7 @@
   if (it == requests_.end()) return;
   AgentRequest& request = it->second;
   request.state = RequestState::kAnswering;
+  NoteHead(ReplicaOf(request.call.key), static_cast<double>(now_ - request.dispatched_at));
   KeepHead(request, event);
   if (request.gone_as != nullptr) return;
   Send(request.link, HeadFrame{event.id, event.status, std::move(event.content_type),
--- a/test/agent_core_test.cc
+++ b/test/agent_core_test.cc
@@ -175,6 +175,27 @@
   EXPECT_TEXT("queue_too_late", agent.RefusalOf("2"), "see QueueRefusal");
 }
 
+TEST(AgentQueues, TellsWhomHigherClassesPushPastTheirDeadlineAtOnce) {
+  agent.Call("low", "a@1", 450, Priority::kLow);
+  agent.Call("high-1", "a@1", 60000, Priority::kHigh);
+  agent.Call("high-2", "a@1", 60000, Priority::kHigh);
+  EXPECT_TEXT("", agent.RefusalOf("low"), "it could still be in time when it came");
+  agent.Tick(10);  // Now it would wait for three calls of an assumed 200 ms.
+  EXPECT_TEXT("queue_too_late", agent.RefusalOf("low"), "it must not be held until its deadline");
+}
+
+TEST(AgentQueues, SendsNothingThatWouldBeAnsweredTooLate) {
+  agent.now += 100;
+  agent.Handle(agent::UpstreamHead{"first", 200, "text/plain"});  // Heads take about 100 ms.
+  agent.Call("late", "a@1", 400);
+  agent.Call("other", "a@1", 60000);
+  agent.now += 250;
+  agent.Handle(agent::UpstreamEnd{"first"});
+  EXPECT_TEXT("queue_too_late", agent.RefusalOf("late"),
+              "150 ms are left and about 200 are needed");
+  EXPECT_TEXT("other", agent.Last<agent::Dispatch>()->id, "the place goes to one in time");
+}
+
 TEST(AgentQueues, ACancelledCallLeavesNothing) {
   agent.Handle(agent::FrameArrived{1, CancelFrame{"first"}});
   EXPECT_NUMBER(1, agent.Count<agent::CancelDispatch>(), "the upstream must not go on for nobody");
