--- /dev/null
+++ b/src/core/agent_grants.cc
@@ -0,0 +1,175 @@
+// What an agent may hold: the grants entries present and the ones it gives
+// back, its offers to entries that place, leaving, and the tick.
+#include <algorithm>
+#include <utility>
+
+#include "agent_impl.h"
+
+namespace junctionrail::internal {
+namespace {
+
+constexpr DurationMs kShortRetryMs = 200;
+constexpr DurationMs kReadRetryMs = 1000;
+constexpr DurationMs kAskTimeoutMs = 5000;
+
+}  // namespace
+
+// ---- Grants ----------------------------------------------------------------
+
+// Takes a grant an entry presents. A token above every one known when this
+// process started, and above every one it gave back, was written since, and
+// only this process or the loss of the VM could have taken it back.
+bool AgentImpl::AcceptGrant(const GrantView& grant) {
+  Replica& replica = ReplicaOf(grant.key);
+  replica.base = grant.base;
+  replica.memory_mb = grant.memory_mb;
+  if (replica.grant == GrantState::kHeld) {
+    replica.token = std::max(replica.token, grant.token);
+    return true;
+  }
+  if (!grants_known_) return false;
+  const auto seen = seen_tokens_.find(grant.key);
+  const std::int64_t known = seen == seen_tokens_.end() ? 0 : seen->second;
+  const std::int64_t newest = std::max({known, replica.released_token, replica.token});
+  if (grant.token <= newest) return false;
+  replica.grant = GrantState::kHeld;
+  replica.slot = grant.slot;
+  replica.token = grant.token;
+  Note({}, grant.key, "holds slot " + std::to_string(grant.slot) + " by a new grant",
+       "token=" + std::to_string(grant.token));
+  return true;
+}
+
+void AgentImpl::On(agent::GrantsRead event) {
+  if (grants_known_) return;
+  grants_known_ = true;
+  reconsider_ = true;
+  for (const auto& it : event.seen) seen_tokens_[it.key] = it.token;
+  for (const auto& it : event.held) {
+    Replica& replica = ReplicaOf(it.key);
+    replica.grant = GrantState::kHeld;
+    replica.slot = it.slot;
+    replica.token = it.token;
+  }
+}
+
+void AgentImpl::Retire(Replica& replica, std::string_view reason) {
+  if (replica.grant != GrantState::kHeld) return;
+  replica.grant = GrantState::kRetiring;
+  replica.is_wanted = false;
+  Note({}, replica.key, "gives its slot back: " + std::string(reason),
+       "slot=" + std::to_string(replica.slot) + " token=" + std::to_string(replica.token));
+  RefuseQueued(replica, Refusal{RefusalCode::kNotGranted, "this upstream gives its slot back",
+                                Ran::kNo, kShortRetryMs});
+  ContinueRetiring(replica);
+}
+
+void AgentImpl::OnFrame(LinkId, const RetireFrame& retire) {
+  last_config_version_ = std::max(last_config_version_, retire.config_version);
+  const auto it = replicas_.find(retire.key);
+  if (it == replicas_.end() || it->second.token != retire.token) return;
+  Retire(it->second, "the declared count fell");
+}
+
+void AgentImpl::ContinueRetiring(Replica& replica) {
+  if (replica.grant != GrantState::kRetiring) return;
+  // Before the engine has said what it holds, and while an order of an earlier
+  // process may still land there, nothing is known to be absent.
+  if (!engine_known_ || !engine_fenced_) return;
+  const bool is_quiet = replica.running == 0 && replica.order == 0 && !replica.is_unknown;
+  if (!is_quiet) return;
+  if (replica.state == ReplicaState::kLoaded) {
+    if (!HasAdapter(replica.key)) BeginUnload(replica, "its slot is given back");
+    return;
+  }
+  if (replica.state != ReplicaState::kAbsent) return;
+  CheckInvariant(!ledger_.Holds(replica.key), "a slot is freed only once its memory is");
+  replica.grant = GrantState::kFreeing;
+  Emit(agent::FreeGrant{replica.key, replica.slot, replica.token});
+}
+
+void AgentImpl::On(agent::GrantFreed event) {
+  const auto it = replicas_.find(event.key);
+  if (it == replicas_.end()) return;
+  Replica& replica = it->second;
+  reconsider_ = true;
+  replica.released_token = std::max(replica.released_token, event.token);
+  if (replica.grant != GrantState::kFreeing || replica.token != event.token) return;
+  // While the service cannot confirm, the slot still counts; it is asked again.
+  replica.grant = event.ok ? GrantState::kNone : GrantState::kRetiring;
+}
+
+// ---- Leaving and the tick --------------------------------------------------
+
+void AgentImpl::On(agent::LeaveRequested event) {
+  const bool is_first = !leaving_;
+  leaving_ = true;
+  vm_leaves_ = vm_leaves_ || event.vm_leaves;
+  reconsider_ = true;
+  if (!is_first) return;
+  Note({}, {}, "leaving: " + event.reason);
+  for (auto& [key, it] : replicas_) {
+    it.is_wanted = false;
+    RefuseQueued(
+        it, Refusal{RefusalCode::kLeaving, "this upstream is leaving", Ran::kNo, kShortRetryMs});
+  }
+}
+
+void AgentImpl::ContinueLeaving() {
+  if (!leaving_ || exited_ || !requests_.empty()) return;
+  if (vm_leaves_ && options_.kind == UpstreamKind::kEngine) {
+    bool is_empty = true;
+    for (auto& [key, it] : replicas_) {
+      if (it.grant == GrantState::kHeld) it.grant = GrantState::kRetiring;
+      ContinueRetiring(it);
+      const bool stays = it.grant != GrantState::kNone || it.state != ReplicaState::kAbsent;
+      is_empty = is_empty && !stays;
+    }
+    if (!is_empty) return;
+  }
+  exited_ = true;
+  Emit(agent::Exit{});
+}
+
+void AgentImpl::On(agent::Ticked event) {
+  unix_ms_ = event.unix_ms;
+  reconsider_ = true;
+  ExpireRequests();
+  for (auto& [key, it] : replicas_) RefuseHopeless(it);
+  answers_.DropExpired(now_);
+  if (options_.kind == UpstreamKind::kService) return;
+  UnloadIdle();
+  for (auto& [key, it] : replicas_) ContinueRetiring(it);
+  if (!grants_known_ && now_ >= next_read_at_) {
+    next_read_at_ = now_ + kReadRetryMs;
+    Emit(agent::ReadGrants{});
+  }
+  // An answer that never comes must not stop the asking.
+  if (ask_in_flight_ && now_ >= asked_at_ + kAskTimeoutMs) ask_in_flight_ = false;
+  if (now_ >= next_ask_at_) AskEngine();
+}
+
+// ---- Asked by an entry that places -----------------------------------------
+
+void AgentImpl::OnFrame(LinkId link, const AskFrame& ask) {
+  OfferFrame offer;
+  offer.id = ask.id;
+  offer.key = ask.key;
+  offer.leaving = leaving_;
+  offer.free_mb = ledger_.LargestFree();
+  Replica asked;
+  const auto it = replicas_.find(ask.key);
+  if (it != replicas_.end()) asked = it->second;
+  asked.key = ask.key;
+  asked.base = ask.base;
+  asked.memory_mb = ask.memory_mb;
+  const auto tier = tiers_.find(ask.key);
+  offer.tier = tier == tiers_.end() ? CacheTier::kRemote : tier->second;
+  const auto base = replicas_.find(ask.base);
+  offer.holds_base = base != replicas_.end() && base->second.grant == GrantState::kHeld;
+  offer.fits = MayOrder() && (ledger_.Holds(ask.key) || CouldFit(ask.memory_mb, ask.base));
+  offer.load_ms = UntilReady(asked);
+  Send(link, std::move(offer));
+}
+
+}  // namespace junctionrail::internal
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -1,6 +1,7 @@
 // The tables of an agent and the systems that run over them. The sources are
 // split by concern: agent_requests.cc (admission, queue, dispatch, answers),
-// agent_replicas.cc (grants, loads, memory, idleness, leaving), agent_once.cc
+// agent_replicas.cc (loads, memory, idleness), agent_grants.cc (grants, offers,
+// leaving, the tick), agent_once.cc
 // (calls that may not run twice).
 #ifndef JUNCTIONRAIL_CORE_AGENT_IMPL_H_
 #define JUNCTIONRAIL_CORE_AGENT_IMPL_H_
--- /dev/null
+++ b/src/core/entry_grants.cc
@@ -0,0 +1,155 @@
+// What an entry knows to be granted: the configuration in force, the grant
+// records, and the slots asked back when the declared count falls.
+#include <algorithm>
+#include <utility>
+
+#include "entry_impl.h"
+
+namespace junctionrail::internal {
+namespace {
+
+constexpr DurationMs kRetirePeriodMs = 1000;
+constexpr DurationMs kRetireTurnMs = 2000;     // Later entries step in after this, each.
+constexpr std::uint32_t kMostRetireTurns = 8;  // Turns after this one coincide.
+
+}  // namespace
+
+// ---- Configuration ---------------------------------------------------------
+
+void EntryImpl::On(entry::ConfigurationRead event) {
+  if (event.configuration.version() < configuration_.version()) return;
+  if (event.configuration.version() == configuration_.version() && configuration_.version() > 0) {
+    return;
+  }
+  CheckInvariant(event.configuration.version() >= configuration_.version(),
+                 "an applied configuration never falls");
+  configuration_ = std::move(event.configuration);
+  excess_ = true;
+  Note({}, {}, {}, "configuration " + std::to_string(configuration_.version()) + " is in force");
+}
+
+void EntryImpl::On(entry::ConfigurationLogged event) {
+  if (event.change.version <= configuration_.version()) return;
+  const std::uint64_t before = configuration_.version();
+  if (!configuration_.Apply(event.change)) return Emit(entry::ReadConfiguration{});
+  CheckInvariant(configuration_.version() > before, "an applied configuration never falls");
+  excess_ = true;
+  Note({}, {}, {}, "configuration " + std::to_string(configuration_.version()) + " is in force",
+       "change=" + event.change.change_id + " author=" + event.change.author);
+}
+
+std::uint32_t EntryImpl::DeclaredReplicas(std::string_view key) const {
+  const auto it = configuration_.models().find(key);
+  return it == configuration_.models().end() ? 0 : it->second.replicas;
+}
+
+// ---- Grants ----------------------------------------------------------------
+
+std::vector<GrantRecord> EntryImpl::Grants() const {
+  std::vector<GrantRecord> all;
+  for (const auto& [key, it] : grants_) all.push_back(it);
+  return all;
+}
+
+// Whether the VM that holds a slot is known to be gone. A list older than the
+// one the slot was placed by cannot tell.
+bool EntryImpl::IsGone(const GrantSlot& slot) const {
+  if (list_.revision < slot.list_revision) return false;
+  const auto it = upstreams_.find(slot.vm);
+  return it == upstreams_.end() || it->second.info.incarnation != slot.incarnation;
+}
+
+std::vector<GrantSlot> EntryImpl::StandingSlots(const std::string& key) const {
+  std::vector<GrantSlot> standing;
+  const auto record = grants_.find(key);
+  if (record == grants_.end()) return standing;
+  for (const auto& it : record->second.slots) {
+    if (!IsGone(it)) standing.push_back(it);
+  }
+  return standing;
+}
+
+bool EntryImpl::HasRoomForSlot(const std::string& key) const {
+  return StandingSlots(key).size() < DeclaredReplicas(key);
+}
+
+void EntryImpl::TakeGrant(GrantRecord record) {
+  GrantRecord& known = grants_[record.key];
+  if (record.revision < known.revision) return;
+  if (record.slots.size() > DeclaredReplicas(record.key)) excess_ = true;
+  known = std::move(record);
+}
+
+void EntryImpl::On(entry::GrantChanged event) {
+  const std::string key = event.record.key;
+  TakeGrant(std::move(event.record));
+  const auto placement = placements_.find(key);
+  // A write of this entry's own ends through its answer, not through the watch.
+  const bool is_writing =
+      placement != placements_.end() && (placement->second.state == PlacementState::kWriting ||
+                                         placement->second.state == PlacementState::kReading);
+  if (is_writing) return;
+  if (placement != placements_.end() && !HasRoomForSlot(key)) placements_.erase(placement);
+  RouteWaiters(key);
+}
+
+void EntryImpl::RouteWaiters(const std::string& key) {
+  const auto it = waiters_.find(key);
+  if (it == waiters_.end()) return;
+  const std::vector<std::string> ids = std::move(it->second);
+  waiters_.erase(it);
+  for (const auto& id : ids) {
+    const auto call = calls_.find(id);
+    if (call != calls_.end() && call->second.state == CallState::kWaiting) Route(call->second);
+  }
+}
+
+// ---- Slots above the declared count ----------------------------------------
+
+void EntryImpl::RetireExcess() {
+  if (!excess_ || now_ < next_retire_at_) return;
+  next_retire_at_ = now_ + kRetirePeriodMs;
+  excess_ = false;
+  for (const auto& [key, record] : grants_) RetireExcessOf(record);
+}
+
+void EntryImpl::RetireExcessOf(const GrantRecord& record) {
+  std::vector<GrantSlot> slots = StandingSlots(record.key);
+  const std::size_t declared = DeclaredReplicas(record.key);
+  std::sort(slots.begin(), slots.end(),
+            [](const GrantSlot& a, const GrantSlot& b) { return a.index < b.index; });
+  std::vector<GrantSlot> excess;
+  if (slots.size() > declared) {
+    excess.assign(slots.begin() + static_cast<std::ptrdiff_t>(declared), slots.end());
+    slots.resize(declared);
+  }
+  const ModelDeclaration* model = configuration_.Resolve(record.key);
+  if (model != nullptr && model->IsAdapter()) {
+    for (const auto& it : slots) {
+      const auto upstream = upstreams_.find(it.vm);
+      const bool is_orphan =
+          upstream != upstreams_.end() && SlotOn(model->base, upstream->second.info) == nullptr;
+      if (is_orphan) excess.push_back(it);
+    }
+  }
+  if (excess.empty()) {
+    excess_since_.erase(record.key);
+    return;
+  }
+  excess_ = true;
+  const TimeMs since = excess_since_.try_emplace(record.key, now_).first->second;
+  if (now_ < since + static_cast<DurationMs>(std::min(TurnOf(record.key), kMostRetireTurns)) *
+                         kRetireTurnMs)
+    return;
+  for (const auto& it : excess) {
+    ++counters_.retires_sent;
+    Note(
+        {}, record.key, it.vm,
+        it.vm + " is told to give slot " + std::to_string(it.index) + " back",
+        "declared=" + std::to_string(declared) + " granted=" + std::to_string(record.slots.size()));
+    Emit(entry::SendFrame{it.vm,
+                          RetireFrame{record.key, it.index, it.token, configuration_.version()}});
+  }
+}
+
+}  // namespace junctionrail::internal
--- a/src/core/entry_routing.cc
+++ b/src/core/entry_routing.cc
@@ -14,7 +14,7 @@
 constexpr DurationMs kUsPerMs = 1000;
 constexpr double kPerCallMs = 0.5;  // Breaks ties by own calls in flight.
 constexpr DurationMs kRetrySoonMs = 200;
-constexpr DurationMs kLeavingWordMs = 3000;
+constexpr DurationMs kLeavingWordMs = 500;
 constexpr std::uint32_t kMostEjectionDoublings = 10;
 
 std::string_view StateName(ReplicaState state) {
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "daemon.h"
+#include "daemon_metrics.h"
 #include "engine_client.h"
 #include "junctionrail/agent_core.h"
 #include "junctionrail/platform.h"
@@ -60,7 +61,7 @@
   Timer tick_;
   Timer stop_limit_;
   std::unordered_map<std::string, std::shared_ptr<HttpCallHandle>> dispatched_;
-  std::map<std::string, std::uint64_t> bad_frames_;
+  BadFrames bad_frames_;
   bool is_stopping_ = false;
   bool is_finished_ = false;
 };
@@ -282,22 +283,11 @@
 std::string AgentDaemon::Impl::Metrics() const {
   MetricsPage page;
   AddCounters(core_.counters(), &page);
-  page.Gauge("junctionrail_present", "Calls not answered yet.",
-             static_cast<double>(core_.present()));
-  page.Gauge("junctionrail_links", "Links from entries.", static_cast<double>(links_.open_links()));
   for (const auto& it : core_.Replicas()) {
     page.Gauge("junctionrail_replica_loaded", "Whether the upstream holds the replica.",
                it.state == ReplicaState::kLoaded ? 1 : 0, {{"key", it.key}});
   }
-  for (const auto& [reason, n] : bad_frames_) {
-    page.Counter("junctionrail_bad_frames_total", "Links closed for a frame, by reason.", n,
-                 {{"reason", reason}});
-  }
-  const KvCounters& kv = kv_.counters();
-  page.Counter("junctionrail_kv_reads_total", "Reads of the key-value service.", kv.reads);
-  page.Counter("junctionrail_kv_writes_total", "Writes to it.", kv.writes);
-  page.Counter("junctionrail_kv_failures_total", "Calls to it that failed.", kv.failures);
-  AddProcess(&page);
+  AddShared(core_.present(), links_.open_links(), bad_frames_, kv_.counters(), &page);
   return page.text();
 }
 
--- /dev/null
+++ b/src/daemon/daemon_metrics.cc
@@ -0,0 +1,20 @@
+#include "daemon_metrics.h"
+
+namespace junctionrail::internal {
+
+void AddShared(std::size_t present, std::size_t links, const BadFrames& bad_frames,
+               const KvCounters& kv, MetricsPage* page) {
+  page->Gauge("junctionrail_present", "Calls not answered yet.", static_cast<double>(present));
+  page->Gauge("junctionrail_links", "Open links.", static_cast<double>(links));
+  for (const auto& [reason, n] : bad_frames) {
+    page->Counter("junctionrail_bad_frames_total", "Links closed for a frame, by reason.", n,
+                  {{"reason", reason}});
+  }
+  page->Counter("junctionrail_kv_reads_total", "Reads of the key-value service.", kv.reads);
+  page->Counter("junctionrail_kv_writes_total", "Writes to it.", kv.writes);
+  page->Counter("junctionrail_kv_watches_total", "Watches begun.", kv.watches);
+  page->Counter("junctionrail_kv_failures_total", "Calls to it that failed.", kv.failures);
+  AddProcess(page);
+}
+
+}  // namespace junctionrail::internal
--- a/src/daemon/entry_daemon.cc
+++ b/src/daemon/entry_daemon.cc
@@ -12,6 +12,7 @@
 #include "caller_api.h"
 #include "config_keeper.h"
 #include "daemon.h"
+#include "daemon_metrics.h"
 #include "junctionrail/burn.h"
 #include "junctionrail/entry_core.h"
 #include "junctionrail/platform.h"
@@ -83,7 +84,7 @@
   Timer stop_check_;
   std::unordered_map<std::string, Waiting> waiting_;
   std::map<std::string, std::function<void(AgentRecords)>> asked_;
-  std::map<std::string, std::uint64_t> bad_frames_;
+  BadFrames bad_frames_;
   BurnLedger burn_;
   ValueSeries first_byte_ms_;
   ValueSeries whole_ms_;
@@ -447,23 +448,11 @@
   page.Summary("junctionrail_first_byte_ms", "Time to the first byte of an answer.",
                first_byte_ms_);
   page.Summary("junctionrail_whole_answer_ms", "Time to the end of an answer.", whole_ms_);
-  page.Gauge("junctionrail_present", "Calls not answered yet.",
-             static_cast<double>(core_.present()));
-  page.Gauge("junctionrail_links", "Links to agents.", static_cast<double>(links_.open_links()));
   page.Gauge("junctionrail_config_version", "Configuration in force.",
              static_cast<double>(core_.configuration().version()));
   page.Counter("junctionrail_bad_calls_total", "Calls that were wrong in themselves.",
                bad_calls_ + server_.bad_requests());
-  for (const auto& [reason, n] : bad_frames_) {
-    page.Counter("junctionrail_bad_frames_total", "Links closed for a frame, by reason.", n,
-                 {{"reason", reason}});
-  }
-  const KvCounters& kv = kv_.counters();
-  page.Counter("junctionrail_kv_reads_total", "Reads of the key-value service.", kv.reads);
-  page.Counter("junctionrail_kv_writes_total", "Writes to it.", kv.writes);
-  page.Counter("junctionrail_kv_watches_total", "Watches begun.", kv.watches);
-  page.Counter("junctionrail_kv_failures_total", "Calls to it that failed.", kv.failures);
-  AddProcess(&page);
+  AddShared(core_.present(), links_.open_links(), bad_frames_, kv_.counters(), &page);
   return page.text();
 }
 
