Give adapters back with their base

Cause: reading the placement code: when a base's slot moved off a VM, its adapter's slot there stayed, could never be used and counted against the declared replicas, so the adapter was refused for good. And a base told to go waited for adapters that nobody told. Change: an entry looks for orphans whenever a slot has gone; an agent that gives a base back gives its adapters back first.

--- a/src/core/agent_grants.cc
+++ b/src/core/agent_grants.cc
@@ -59,6 +59,9 @@
   replica.is_wanted = false;
   Note({}, replica.key, "gives its slot back: " + std::string(reason),
        "slot=" + std::to_string(replica.slot) + " token=" + std::to_string(replica.token));
+  for (auto& [key, it] : replicas_) {
+    if (it.base == replica.key) Retire(it, "its base gives its slot back");
+  }
   RefuseQueued(replica, Refusal{RefusalCode::kNotGranted, "this upstream gives its slot back",
                                 Ran::kNo, kShortRetryMs});
   ContinueRetiring(replica);
--- a/src/core/entry_grants.cc
+++ b/src/core/entry_grants.cc
@@ -77,6 +77,13 @@
   GrantRecord& known = grants_[record.key];
   if (record.revision < known.revision) return;
   if (record.slots.size() > DeclaredReplicas(record.key)) excess_ = true;
+  // A base that leaves a VM makes orphans of the adapters it has there.
+  const auto still_stands = [&record](const GrantSlot& old) {
+    return std::any_of(record.slots.begin(), record.slots.end(),
+                       [&old](const GrantSlot& it) { return it.token == old.token; });
+  };
+  const bool has_lost = !std::all_of(known.slots.begin(), known.slots.end(), still_stands);
+  excess_ = excess_ || has_lost;
   known = std::move(record);
 }
 
--- a/test/agent_core_test.cc
+++ b/test/agent_core_test.cc
@@ -248,6 +248,24 @@
   EXPECT_NUMBER(1, agent.Count<agent::OrderUnload>(), "the limit has passed");
 }
 
+TEST(AgentLetsGo, TheAdaptersOfABaseThatIsGivenBack) {
+  CallFrame call;
+  call.id = "1";
+  call.key = "x@1";
+  call.deadline_ms = 60000;
+  call.grants = {GrantView{"a@1", 0, 1, 600, "", 1}, GrantView{"x@1", 0, 1, 100, "a@1", 1}};
+  agent.Handle(agent::FrameArrived{1, call});
+  agent.FinishLoad();
+  agent.FinishLoad();
+  agent.Handle(agent::UpstreamEnd{"1"});
+  agent.Handle(agent::FrameArrived{1, RetireFrame{"a@1", 0, 1, 1}});
+  EXPECT_TEXT("x@1", agent.Last<agent::OrderUnload>()->key, "the adapter goes before its base");
+  const agent::OrderUnload adapter = *agent.Last<agent::OrderUnload>();
+  agent.Handle(agent::UnloadEnded{"x@1", adapter.order, OrderOutcome::kDone});
+  agent.Tick(10);
+  EXPECT_TEXT("a@1", agent.Last<agent::OrderUnload>()->key, "then the base");
+}
+
 TEST(AgentLetsGo, WhenItLeavesOnlyAfterWhatRuns) {
   agent.Call("1", "a@1");
   agent.FinishLoad();
--- a/test/entry_core_test.cc
+++ b/test/entry_core_test.cc
@@ -209,6 +209,35 @@
   EXPECT_NUMBER(3, write->record.last_token, "fencing tokens grow");
 }
 
+TEST(EntryChooses, ToTakeBackAnAdapterWhoseBaseHasMoved) {
+  ConfigChange change;
+  change.version = 2;
+  ModelDeclaration adapter;
+  adapter.name = "x";
+  adapter.version = "1";
+  adapter.base = "a@1";
+  adapter.replicas = 1;
+  adapter.memory_mb = 1;
+  change.models.push_back(adapter);
+  entry.Handle(entry::ConfigurationLogged{change});
+  GrantRecord orphan;
+  orphan.key = "x@1";
+  orphan.revision = 2;
+  orphan.last_token = 1;
+  orphan.slots = {{0, "vm-0", "1", 1, 1}};
+  entry.Handle(entry::GrantChanged{orphan});
+  entry.Handle(entry::Ticked{});
+  entry.record.revision = 3;
+  entry.record.slots.erase(entry.record.slots.begin());  // The base leaves vm-0.
+  entry.Handle(entry::GrantChanged{entry.record});
+  entry.now += 1000;
+  entry.Handle(entry::Ticked{});
+  const auto* sent = entry.Last<entry::SendFrame>();
+  EXPECT_TRUE(sent != nullptr && std::holds_alternative<RetireFrame>(sent->frame),
+              "x@1 can never be served on vm-0 again");
+  EXPECT_TEXT("x@1", std::get<RetireFrame>(sent->frame).key, "the base itself stands");
+}
+
 TEST(EntryChooses, ToTakeBackSlotsAboveTheDeclaredCount) {
   ConfigChange change;
   change.version = 2;
