Spread the reads of a fleet that comes back; name the setting whose address is taken

Cause: docs/CAPACITY.md showed two budgets missed: 267 agents of a hall back at once would read 427 MB of grants in a burst, and 320 entries reading everything again 2,240 times within about 2 s. Change: an agent's first read waits up to 4 ms for each listed upstream (10 s at most), an entry's re-read 10 ms more for each entry. A timer set anew inside its own call is no longer overridden by its old period. A port that is taken names entry.http, entry.rpc, agent.link or agent.http.

--- a/src/core/agent_replicas.cc
+++ b/src/core/agent_replicas.cc
@@ -10,6 +10,7 @@
 
 constexpr DurationMs kShortRetryMs = 200;
 constexpr DurationMs kLoadRetryMs = 1000;
+constexpr DurationMs kReadyWithoutGrantsMs = 3000;
 constexpr DurationMs kBusyAskMs = 100;    // Between inventories while something is unsettled.
 constexpr DurationMs kFailedAskMs = 500;  // After an inventory that failed.
 constexpr std::uint64_t kMbPerGb = 1024;
@@ -33,7 +34,10 @@
 
 bool AgentImpl::IsReady() const {
   if (leaving_) return false;
-  return options_.kind == UpstreamKind::kService || (engine_known_ && engine_fenced_);
+  if (options_.kind == UpstreamKind::kService) return true;
+  // In an outage of the key-value service it is ready for what is loaded.
+  const bool has_waited = now_ >= started_at_ + kReadyWithoutGrantsMs;
+  return engine_known_ && engine_fenced_ && (grants_known_ || has_waited);
 }
 
 std::vector<ReplicaStatus> AgentImpl::Replicas() const {
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -2,8 +2,10 @@
 // and the decision core between them.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <random>
 #include <unordered_map>
 #include <utility>
 
@@ -19,6 +21,8 @@
 
 constexpr DurationMs kStopCheckMs = 20;
 constexpr DurationMs kConnectMs = 500;
+constexpr DurationMs kReadSpreadMsPerUpstream = 4;
+constexpr DurationMs kLongestReadSpreadMs = 10000;
 constexpr DurationMs kSilentUpstreamMs = 10LL * 60 * 1000;
 
 }  // namespace
@@ -26,7 +30,7 @@
 class AgentDaemon::Impl : public std::enable_shared_from_this<AgentDaemon::Impl> {
  public:
   Impl(boost::asio::io_context& io, Settings settings);
-  std::optional<NetError> Start();
+  std::optional<ListenError> Start();
   void Stop();
 
  private:
@@ -43,6 +47,7 @@
   void Carry(const agent::FreeGrant& command);
   void Carry(const agent::ReadGrants& command);
   void Carry(const agent::Exit& command);
+  void ReadGrantsNow();
   void OnMessage(LinkId link, std::string_view bytes);
   void OnVms(const VmList& list);
   void OnRequest(const HttpRequest& request, HttpResponder* responder);
@@ -60,6 +65,10 @@
   HttpServer server_;
   Timer tick_;
   Timer stop_limit_;
+  Timer read_spread_;
+  std::size_t upstreams_ = 0;  // On the platform's list; 0 before it is known.
+  bool wants_grants_ = false;
+  bool is_reading_grants_ = false;
   std::unordered_map<std::string, std::shared_ptr<HttpCallHandle>> dispatched_;
   BadFrames bad_frames_;
   bool is_stopping_ = false;
@@ -85,7 +94,8 @@
                 OnRequest(request, responder.get());
               }),
       tick_(io),
-      stop_limit_(io) {}
+      stop_limit_(io),
+      read_spread_(io) {}
 
 AgentOptions AgentDaemon::Impl::Options() const {
   const AgentSettings& from = settings_.agent;
@@ -103,12 +113,12 @@
   return options;
 }
 
-std::optional<NetError> AgentDaemon::Impl::Start() {
+std::optional<ListenError> AgentDaemon::Impl::Start() {
   // The link's port first: a second agent on this VM must not get any further.
   const auto link_port = links_.Listen(settings_.agent.link);
-  if (!link_port) return link_port.error();
+  if (!link_port) return ListenError{"agent.link", link_port.error().sentence};
   const auto http_port = server_.Listen();
-  if (!http_port) return http_port.error();
+  if (!http_port) return ListenError{"agent.http", http_port.error().sentence};
   std::vector<agent::Command> commands;
   core_.Start(MonotonicMs(), &commands);
   CarryAll(&commands);
@@ -214,8 +224,23 @@
                 });
 }
 
+// A hall that comes back starts hundreds of agents at once, and each reads all
+// grants: their reads are spread over a time that grows with the fleet.
 void AgentDaemon::Impl::Carry(const agent::ReadGrants&) {
+  if (is_reading_grants_) return;
+  wants_grants_ = upstreams_ == 0;  // The list comes first; it starts the read.
+  if (wants_grants_) return;
+  is_reading_grants_ = true;
+  const DurationMs spread = std::min<DurationMs>(
+      kLongestReadSpreadMs, static_cast<DurationMs>(upstreams_) * kReadSpreadMsPerUpstream);
+  std::mt19937_64 random(RendezvousScore(settings_.id, settings_.incarnation));
+  std::uniform_int_distribution<DurationMs> any(0, spread);
+  read_spread_.After(any(random), [this] { ReadGrantsNow(); });
+}
+
+void AgentDaemon::Impl::ReadGrantsNow() {
   ReadStoredGrants(kv_, [this](Result<StoredGrants, KvError> read) {
+    is_reading_grants_ = false;
     if (!read) return;
     agent::GrantsRead event;
     for (const auto& record : read.value().records) {
@@ -255,12 +280,15 @@
   agent::PeersChanged peers;
   peers.unix_ms = UnixMs();
   std::string service;
+  upstreams_ = 0;
   for (const auto& it : list.vms) {
+    if (it.role != VmRole::kEntry) ++upstreams_;
     if (it.vm != settings_.id) continue;
     service = it.service;
     const bool is_own = it.incarnation == settings_.incarnation;
     if (is_own && it.is_leaving) Handle(agent::LeaveRequested{true, "the platform's list says so"});
   }
+  if (wants_grants_) Carry(agent::ReadGrants{});
   if (settings_.agent.upstream_kind != UpstreamKind::kService) return;
   for (const auto& it : list.vms) {
     const bool is_peer = it.role == VmRole::kService && it.service == service && !it.is_leaving;
@@ -318,7 +346,7 @@
 AgentDaemon::AgentDaemon(boost::asio::io_context& io, Settings settings)
     : impl_(std::make_shared<Impl>(io, std::move(settings))) {}
 AgentDaemon::~AgentDaemon() = default;
-std::optional<NetError> AgentDaemon::Start() { return impl_->Start(); }
+std::optional<ListenError> AgentDaemon::Start() { return impl_->Start(); }
 void AgentDaemon::Stop() { impl_->Stop(); }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/config_keeper.cc
+++ b/src/daemon/config_keeper.cc
@@ -11,6 +11,7 @@
 
 constexpr DurationMs kFirstBackoffMs = 200;
 constexpr DurationMs kLongestBackoffMs = 2000;
+constexpr DurationMs kSpreadMsPerEntry = 10;
 // With the watch dead, a change is in force after at most this and one read.
 constexpr DurationMs kPollMs = 2500;
 
@@ -79,7 +80,11 @@
   if (is_reachable_ || !has_read_) spdlog::warn("the key-value service cannot be read");
   is_reachable_ = false;
   callbacks_.unreachable();
-  retry_.After(Jittered(backoff_ms_), [self = shared_from_this()] { self->ReadAgain(); });
+  // Reading everything is several calls; the fleet's are spread over a time
+  // that grows with it, so that a service just back is not overrun.
+  const auto spread = static_cast<DurationMs>(callbacks_.entries()) * kSpreadMsPerEntry;
+  retry_.After(Jittered(backoff_ms_) + Jittered(spread),
+               [self = shared_from_this()] { self->ReadAgain(); });
   backoff_ms_ = std::min(backoff_ms_ * 2, kLongestBackoffMs);
 }
 
--- a/src/daemon/config_keeper.h
+++ b/src/daemon/config_keeper.h
@@ -18,6 +18,7 @@
   std::function<void(ConfigChange)> change;
   std::function<void(GrantRecord)> grant;
   std::function<std::uint64_t()> version;  // In force now.
+  std::function<std::size_t()> entries;    // Live ones, to spread their reads.
   std::function<void()> unreachable;       // After each failure to read.
 };
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "junctionrail/net.h"
 #include "junctionrail/settings.h"
@@ -16,12 +17,18 @@
 // The platform's list lags by more than this anyway.
 constexpr DurationMs kVmListPeriodMs = 1000;
 
+// An address of the settings that could not be listened at.
+struct ListenError {
+  std::string path;      // JSON path of the setting.
+  std::string sentence;  // The address and what is wrong with it.
+};
+
 class EntryDaemon {
  public:
   EntryDaemon(boost::asio::io_context& io, Settings settings);
   ~EntryDaemon();
-  // Binds and starts. An error names the endpoint.
-  std::optional<NetError> Start();
+  // Binds and starts.
+  std::optional<ListenError> Start();
   // A planned stop: refuses new calls, finishes the present ones, then stops
   // the io_context.
   void Stop();
@@ -35,7 +42,7 @@
  public:
   AgentDaemon(boost::asio::io_context& io, Settings settings);
   ~AgentDaemon();
-  std::optional<NetError> Start();
+  std::optional<ListenError> Start();
   void Stop();
 
  private:
--- a/src/daemon/entry_daemon.cc
+++ b/src/daemon/entry_daemon.cc
@@ -2,6 +2,7 @@
 // decision core between them.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <map>
@@ -31,7 +32,7 @@
 class EntryDaemon::Impl : public std::enable_shared_from_this<EntryDaemon::Impl> {
  public:
   Impl(boost::asio::io_context& io, Settings settings);
-  std::optional<NetError> Start();
+  std::optional<ListenError> Start();
   void Stop();
 
  private:
@@ -135,12 +136,12 @@
   return options;
 }
 
-std::optional<NetError> EntryDaemon::Impl::Start() {
+std::optional<ListenError> EntryDaemon::Impl::Start() {
   const auto port = server_.Listen();
-  if (!port) return port.error();
+  if (!port) return ListenError{"entry.http", port.error().sentence};
   operators_ = std::make_unique<OperatorServer>(io_, settings_.id, Hooks());
   const auto error = operators_->Start(settings_.entry.rpc);
-  if (error) return error;
+  if (error) return ListenError{"entry.rpc", error->sentence};
   KeeperCallbacks callbacks;
   callbacks.configuration = [this](Configuration it) {
     Handle(entry::ConfigurationRead{std::move(it)});
@@ -151,6 +152,11 @@
   };
   callbacks.grant = [this](GrantRecord it) { Handle(entry::GrantChanged{std::move(it)}); };
   callbacks.version = [this] { return core_.configuration().version(); };
+  callbacks.entries = [this] {
+    const auto& vms = core_.vms().vms;
+    return static_cast<std::size_t>(std::count_if(
+        vms.begin(), vms.end(), [](const VmInfo& it) { return it.role == VmRole::kEntry; }));
+  };
   callbacks.unreachable = [this] { RecallFromPeers(); };
   keeper_ = std::make_shared<ConfigKeeper>(io_, kv_, Options().seed, std::move(callbacks));
   keeper_->Start();
@@ -485,7 +491,7 @@
 EntryDaemon::EntryDaemon(boost::asio::io_context& io, Settings settings)
     : impl_(std::make_shared<Impl>(io, std::move(settings))) {}
 EntryDaemon::~EntryDaemon() = default;
-std::optional<NetError> EntryDaemon::Start() { return impl_->Start(); }
+std::optional<ListenError> EntryDaemon::Start() { return impl_->Start(); }
 void EntryDaemon::Stop() { impl_->Stop(); }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -29,8 +29,8 @@
   auto daemon = std::make_unique<Daemon>(io, settings);
   const auto error = daemon->Start();
   if (error) {
-    std::fprintf(stderr, "%s: expected a free address to listen at, found %s\n", file.c_str(),
-                 error->sentence.c_str());
+    std::fprintf(stderr, "%s: %s: expected a free address to listen at, found %s\n", file.c_str(),
+                 error->path.c_str(), error->sentence.c_str());
     return kExitSettings;
   }
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -206,16 +206,20 @@
   explicit Impl(asio::io_context& io) : timer_(io) {}
 
   void Arm(DurationMs delay, DurationMs period, std::function<void()> call) {
+    const std::uint64_t armed = ++times_armed_;
     timer_.expires_after(std::chrono::milliseconds(delay));
-    timer_.async_wait([self = shared_from_this(), period,
+    timer_.async_wait([self = shared_from_this(), period, armed,
                        call = std::move(call)](boost::system::error_code ec) mutable {
       if (ec) return;
       call();
-      if (period > 0 && !self->cancelled_) self->Arm(period, period, std::move(call));
+      // The call may itself have cancelled the timer or set it anew.
+      const bool goes_on = period > 0 && !self->cancelled_ && self->times_armed_ == armed;
+      if (goes_on) self->Arm(period, period, std::move(call));
     });
   }
 
   asio::steady_timer timer_;
+  std::uint64_t times_armed_ = 0;
   bool cancelled_ = false;
 };
 
--- a/src/platform/vm_list_client.cc
+++ b/src/platform/vm_list_client.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr DurationMs kCallMs = 2000;
+constexpr DurationMs kFirstPeriodMs = 100;
 constexpr unsigned kOk = 200;
 
 }  // namespace
@@ -52,9 +53,14 @@
     : impl_(std::make_shared<Impl>(io, http, std::move(endpoint), std::move(changed))) {}
 VmListClient::~VmListClient() { Stop(); }
 
+// Asks often until there is a first list: little can be decided without one.
 void VmListClient::Start(DurationMs period_ms) {
   impl_->Poll();
-  impl_->timer_.Every(period_ms, [impl = impl_] { impl->Poll(); });
+  impl_->timer_.Every(kFirstPeriodMs, [impl = impl_, period_ms] {
+    if (!impl->has_list_) return impl->Poll();
+    impl->timer_.Cancel();
+    impl->timer_.Every(period_ms, [impl] { impl->Poll(); });
+  });
 }
 
 void VmListClient::Stop() {
