--- a/src/cli/burn_report.cc
+++ b/src/cli/burn_report.cc
@@ -104,8 +104,8 @@
   rpc::BurnRequest request;
   request.set_key(key);
   rpc::BurnReply reply;
-  const auto status = client.Call(&rpc::Operator::Stub::Burn, request, &reply);
-  if (!status.ok()) return Report(status, options.entry);
+  const ExitCode code = client.Ask(&rpc::Operator::Stub::Burn, request, &reply);
+  if (code != kDone) return code;
   for (const auto& it : reply.unreachable()) {
     std::fprintf(stderr, "warning: %s could not be asked; its counts are missing\n", it.c_str());
   }
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -19,6 +19,9 @@
   kUnknown = 5,    // Whether it was done is not known.
 };
 
+// Prints what went wrong as one line and returns the exit code for it.
+ExitCode Report(const grpc::Status& status, const std::string& entry);
+
 // A connection to one entry. Calls wait at most `timeout_ms`.
 class Client {
  public:
@@ -33,7 +36,13 @@
     return (stub_.get()->*method)(&context, request, reply);
   }
 
-  const std::string& entry() const { return entry_; }
+  // Calls, and prints what went wrong when something did.
+  template <class Request, class Reply>
+  ExitCode Ask(grpc::Status (rpc::Operator::Stub::*method)(grpc::ClientContext*, const Request&,
+                                                           Reply*),
+               const Request& request, Reply* reply) {
+    return Report(Call(method, request, reply), entry_);
+  }
 
  private:
   std::string entry_;
@@ -44,9 +53,6 @@
 // Prints a reply as JSON, with the names of the schema file.
 void PrintJson(const google::protobuf::Message& message);
 
-// Prints what went wrong as one line and returns the exit code for it.
-ExitCode Report(const grpc::Status& status, const std::string& entry);
-
 }  // namespace junctionrail::cli
 
 #endif  // JUNCTIONRAIL_CLI_CLIENT_H_
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -62,7 +62,7 @@
   request.set_prune(options.prune);
   request.set_dry_run(dry_run);
   Client client(options.entry, options.timeout_ms);
-  return Report(client.Call(&rpc::Operator::Stub::Apply, request, reply), options.entry);
+  return client.Ask(&rpc::Operator::Stub::Apply, request, reply);
 }
 
 // The entries where `version` is not in force yet, by asking each of them.
@@ -208,8 +208,8 @@
 ExitCode Get(const Options& options) {
   Client client(options.entry, options.timeout_ms);
   rpc::GetReply reply;
-  const auto status = client.Call(&rpc::Operator::Stub::Get, rpc::GetRequest(), &reply);
-  if (!status.ok()) return Report(status, options.entry);
+  const ExitCode code = client.Ask(&rpc::Operator::Stub::Get, rpc::GetRequest(), &reply);
+  if (code != kDone) return code;
   const auto document = ParseJson(reply.declarations_json(), options.entry);
   if (!document) return kRefused;
   std::printf("%s\n", document.value().dump(2).c_str());
@@ -219,8 +219,8 @@
 ExitCode Status(const Options& options) {
   Client client(options.entry, options.timeout_ms);
   rpc::StatusReply reply;
-  const auto status = client.Call(&rpc::Operator::Stub::Status, rpc::StatusRequest(), &reply);
-  if (!status.ok()) return Report(status, options.entry);
+  const ExitCode code = client.Ask(&rpc::Operator::Stub::Status, rpc::StatusRequest(), &reply);
+  if (code != kDone) return code;
   if (options.is_json) {
     PrintJson(reply);
   } else {
@@ -235,8 +235,8 @@
   request.set_vm(vm);
   request.set_reason(options.reason.empty() ? "an operator asked" : options.reason);
   rpc::DrainReply reply;
-  const auto status = client.Call(&rpc::Operator::Stub::Drain, request, &reply);
-  if (!status.ok()) return Report(status, options.entry);
+  const ExitCode code = client.Ask(&rpc::Operator::Stub::Drain, request, &reply);
+  if (code != kDone) return code;
   if (!options.is_json) std::printf("%s is asked to leave\n", vm.c_str());
   return kDone;
 }
@@ -246,8 +246,8 @@
   rpc::WhyRequest request;
   request.set_subject(subject);
   rpc::WhyReply reply;
-  const auto status = client.Call(&rpc::Operator::Stub::Why, request, &reply);
-  if (!status.ok()) return Report(status, options.entry);
+  const ExitCode code = client.Ask(&rpc::Operator::Stub::Why, request, &reply);
+  if (code != kDone) return code;
   if (options.is_json) {
     PrintJson(reply);
   } else {
--- a/src/core/entry_grants.cc
+++ b/src/core/entry_grants.cc
@@ -100,17 +100,24 @@
   RouteWaiters(key);
 }
 
-void EntryImpl::RouteWaiters(const std::string& key) {
+// Takes the calls that wait for a slot of a key and acts on each that still
+// does. The action may end the call or make it wait again.
+void EntryImpl::ForEachWaiter(const std::string& key,
+                              const std::function<void(EntryCall&)>& action) {
   const auto it = waiters_.find(key);
   if (it == waiters_.end()) return;
   const std::vector<std::string> ids = std::move(it->second);
   waiters_.erase(it);
   for (const auto& id : ids) {
     const auto call = calls_.find(id);
-    if (call != calls_.end() && call->second.state == CallState::kWaiting) Route(call->second);
+    if (call != calls_.end() && call->second.state == CallState::kWaiting) action(call->second);
   }
 }
 
+void EntryImpl::RouteWaiters(const std::string& key) {
+  ForEachWaiter(key, [this](EntryCall& call) { Route(call); });
+}
+
 // ---- Slots above the declared count ----------------------------------------
 
 void EntryImpl::RetireExcess() {
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -1,10 +1,12 @@
 // The tables of an entry and the systems that run over them. The sources are
 // split by concern: entry_requests.cc (calls, attempts, answers, retries),
-// entry_routing.cc (candidates, reports, ejection), entry_placement.cc (grants,
-// asking, retiring, configuration).
+// entry_routing.cc (candidates, reports, ejection), entry_placement.cc (turns,
+// asking, writing a slot, the tick), entry_grants.cc (configuration, grants,
+// slots asked back).
 #ifndef JUNCTIONRAIL_CORE_ENTRY_IMPL_H_
 #define JUNCTIONRAIL_CORE_ENTRY_IMPL_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -163,6 +165,7 @@
   void OfferFailed(const std::string& vm);
   void WriteSlot(const std::string& key, Placement& placement, const std::string& vm);
   void EndPlacement(const std::string& key, const Refusal& refusal);
+  void ForEachWaiter(const std::string& key, const std::function<void(EntryCall&)>& action);
   void RouteWaiters(const std::string& key);
   void TakeGrant(GrantRecord record);
   void RetireExcess();
--- a/src/core/entry_placement.cc
+++ b/src/core/entry_placement.cc
@@ -316,16 +316,7 @@
 // Ends a placement without a slot. The calls that waited are told at once.
 void EntryImpl::EndPlacement(const std::string& key, const Refusal& refusal) {
   placements_.erase(key);
-  const auto it = waiters_.find(key);
-  if (it == waiters_.end()) return;
-  const std::vector<std::string> ids = std::move(it->second);
-  waiters_.erase(it);
-  for (const auto& id : ids) {
-    const auto call = calls_.find(id);
-    if (call != calls_.end() && call->second.state == CallState::kWaiting) {
-      Refuse(call->second, refusal);
-    }
-  }
+  ForEachWaiter(key, [&](EntryCall& call) { Refuse(call, refusal); });
 }
 
 // ---- The tick --------------------------------------------------------------
--- a/test/system_test.cc
+++ b/test/system_test.cc
@@ -254,38 +254,36 @@
               "the page carries its plots");
 }
 
-TEST_GROUP(Stops){};
+TEST_GROUP(Stops){// Stops a process while a stream passes through it; the stream must be whole.
+                  static void StopUnderAStream(Cluster & cluster, const std::string& name){
+                      cluster.Call("entry-1", Chat("a", false, 1));
+Reply reply;
+std::thread caller([&] { reply = cluster.Call("entry-1", Chat("a", true, 10)); });
+Cluster::WaitUntil([&] { return cluster.Metric("agent-1", "junctionrail_present") == 1; });
+const int code = cluster.Stop(name);
+caller.join();
+EXPECT_NUMBER(0, code, "a planned stop ends well");
+EXPECT_TRUE(reply.body.find("[DONE]") != std::string::npos,
+            "the stream must be whole: " + reply.body);
+}  // namespace junctionrail::test
 
-TEST(Stops, OfAnEntryCutNoRequest) {
+static ClusterOptions SlowTokens() {
   ClusterOptions options;
   options.engine_flags = {"--token_ms=100"};
   options.declarations = Declared({Model("a")});
-  Cluster cluster(options);
-  cluster.Call("entry-1", Chat("a", false, 1));
-  Reply reply;
-  std::thread caller([&] { reply = cluster.Call("entry-1", Chat("a", true, 10)); });
-  Cluster::WaitUntil([&] { return cluster.Metric("agent-1", "junctionrail_present") == 1; });
-  const int code = cluster.Stop("entry-1");
-  caller.join();
-  EXPECT_NUMBER(0, code, "a planned stop ends well");
-  EXPECT_TRUE(reply.body.find("[DONE]") != std::string::npos,
-              "the stream must be whole: " + reply.body);
+  return options;
+}
+}
+;
+
+TEST(Stops, OfAnEntryCutNoRequest) {
+  Cluster cluster(SlowTokens());
+  StopUnderAStream(cluster, "entry-1");
 }
 
 TEST(Stops, OfAnAgentCutNoRequestAndLeaveItsModelsForTheNext) {
-  ClusterOptions options;
-  options.engine_flags = {"--token_ms=100"};
-  options.declarations = Declared({Model("a")});
-  Cluster cluster(options);
-  cluster.Call("entry-1", Chat("a", false, 1));
-  Reply reply;
-  std::thread caller([&] { reply = cluster.Call("entry-1", Chat("a", true, 10)); });
-  Cluster::WaitUntil([&] { return cluster.Metric("agent-1", "junctionrail_present") == 1; });
-  const int code = cluster.Stop("agent-1");
-  caller.join();
-  EXPECT_NUMBER(0, code, "a planned stop ends well");
-  EXPECT_TRUE(reply.body.find("[DONE]") != std::string::npos,
-              "the stream must be whole: " + reply.body);
+  Cluster cluster(SlowTokens());
+  StopUnderAStream(cluster, "agent-1");
   cluster.Start("agent-1");
   cluster.WaitReady("agent-1");
   EXPECT_TRUE(Cluster::WaitUntil(
