Keep burn counts within an entry's memory

Cause: docs/CAPACITY.md had no figure for burn counts. Change: twelve buckets a window instead of 30 to 72, in a vector of 32-bit counts instead of a map. A window's beginning is now known to a twelfth of its length.

--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "junctionrail/agent_core.h"
+#include "junctionrail/burn.h"
 #include "junctionrail/entry_core.h"
 #include "junctionrail/platform_types.h"
 
@@ -414,6 +415,30 @@
               ticks / kTicks * 1e6, ticks / kTicks * 100 * 100);
 }
 
+// Three days of one call a key each three minutes: what an entry's share of the
+// peak gives each of 4,100 keys.
+void BurnMemory() {
+  constexpr int kKeys = 410;  // A tenth of the size.
+  constexpr DurationMs kBetweenMs = 180000;
+  constexpr DurationMs kThreeDaysMs = 3 * 86400000LL;
+  const std::size_t before = HeapBytes();
+  BurnLedger ledger;
+  std::uint64_t calls = 0;
+  const double seconds = Seconds([&] {
+    for (TimeMs now = kThreeDaysMs; now < 2 * kThreeDaysMs; now += kBetweenMs) {
+      for (int n = 0; n < kKeys; ++n) {
+        ledger.Add(now, Declared(n).Key(), JudgeAnswer(Objectives(), 100, false));
+        ++calls;
+      }
+    }
+  });
+  std::printf(
+      "| burn counts after three days, a key | %.2f KB | at 4,100: %.1f MB; %.2f us a call |\n",
+      static_cast<double>(HeapBytes() - before) / 1024 / kKeys,
+      static_cast<double>(HeapBytes() - before) / 1048576 / kKeys * 4100,
+      seconds / static_cast<double>(calls) * 1e6);
+}
+
 void Sizes() {
   const std::string snapshot = EncodeConfiguration(Declarations(4100));
   ConfigChange change;
@@ -440,6 +465,7 @@
   std::printf("| what | measured | note |\n|---|---|---|\n");
   EntryTimes();
   AgentTimes();
+  BurnMemory();
   Sizes();
   Burst();
   return 0;
--- a/include/junctionrail/burn.h
+++ b/include/junctionrail/burn.h
@@ -47,10 +47,12 @@
   DurationMs length_ms;
   DurationMs bucket_ms;  // The window's end is known to within this.
 };
-constexpr std::array<BurnWindow, 4> kBurnWindows = {{{"5m", 300000, 10000},
-                                                     {"1h", 3600000, 60000},
-                                                     {"6h", 21600000, 300000},
-                                                     {"3d", 259200000, 3600000}}};
+// Twelve buckets a window: at the designed size every key of an entry is in use,
+// and finer ones would take more memory than all its other tables.
+constexpr std::array<BurnWindow, 4> kBurnWindows = {{{"5m", 300000, 25000},
+                                                     {"1h", 3600000, 300000},
+                                                     {"6h", 21600000, 1800000},
+                                                     {"3d", 259200000, 21600000}}};
 
 // How fast a budget burns: 1 uses exactly the budget up over the window.
 struct BurnRates {
@@ -77,7 +79,17 @@
   std::vector<Entry> Report(TimeMs now, std::string_view only_key = {}) const;
 
  private:
-  using Buckets = std::map<std::int64_t, BurnCounts>;  // By number; only those with calls.
+  // One bucket of a window, in half the space of BurnCounts.
+  struct Bucket {
+    std::int64_t number = 0;
+    std::array<std::uint32_t, kBurnCauses> by_cause = {};
+    std::uint32_t cold_starts = 0;
+    std::uint32_t cold_starts_late = 0;
+
+    void Add(const BurnCounts& one);
+    void AddTo(BurnCounts* sum) const;
+  };
+  using Buckets = std::vector<Bucket>;  // Oldest first; only those with calls.
   using Series = std::array<Buckets, kBurnWindows.size()>;
 
   std::map<std::string, Series, std::less<>> keys_;
--- a/src/core/burn.cc
+++ b/src/core/burn.cc
@@ -81,6 +81,20 @@
   return One(BurnCause::kOther);
 }
 
+void BurnLedger::Bucket::Add(const BurnCounts& one) {
+  for (std::size_t n = 0; n < kBurnCauses; ++n) {
+    by_cause[n] += static_cast<std::uint32_t>(one.by_cause[n]);
+  }
+  cold_starts += static_cast<std::uint32_t>(one.cold_starts);
+  cold_starts_late += static_cast<std::uint32_t>(one.cold_starts_late);
+}
+
+void BurnLedger::Bucket::AddTo(BurnCounts* sum) const {
+  for (std::size_t n = 0; n < kBurnCauses; ++n) sum->by_cause[n] += by_cause[n];
+  sum->cold_starts += cold_starts;
+  sum->cold_starts_late += cold_starts_late;
+}
+
 void BurnLedger::Add(TimeMs now, std::string_view key, const BurnCounts& one) {
   auto it = keys_.find(key);
   if (it == keys_.end()) {
@@ -90,9 +104,14 @@
   for (std::size_t n = 0; n < kBurnWindows.size(); ++n) {
     const BurnWindow& window = kBurnWindows[n];
     Buckets& buckets = it->second[n];
-    buckets[now / window.bucket_ms].Add(one);
-    const std::int64_t oldest = (now - window.length_ms) / window.bucket_ms;
-    buckets.erase(buckets.begin(), buckets.lower_bound(oldest));
+    const std::int64_t number = now / window.bucket_ms;
+    if (buckets.empty() || buckets.back().number != number) {
+      const std::int64_t oldest = (now - window.length_ms) / window.bucket_ms;
+      const auto is_young = [oldest](const Bucket& bucket) { return bucket.number > oldest; };
+      buckets.erase(buckets.begin(), std::find_if(buckets.begin(), buckets.end(), is_young));
+      buckets.push_back(Bucket{number, {}, 0, 0});
+    }
+    buckets.back().Add(one);
   }
 }
 
@@ -104,8 +123,9 @@
     entry.key = key;
     for (std::size_t n = 0; n < kBurnWindows.size(); ++n) {
       const std::int64_t oldest = (now - kBurnWindows[n].length_ms) / kBurnWindows[n].bucket_ms;
-      const auto from = series[n].upper_bound(oldest);
-      for (auto it = from; it != series[n].end(); ++it) entry.windows[n].Add(it->second);
+      for (const auto& bucket : series[n]) {
+        if (bucket.number > oldest) bucket.AddTo(&entry.windows[n]);
+      }
     }
     all.push_back(std::move(entry));
   }
--- a/test/documents_test.cc
+++ b/test/documents_test.cc
@@ -1,5 +1,8 @@
 // What people write: settings and declarations, and the complaints they get.
+#include <unistd.h>
+
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
 #include "check.h"
@@ -18,7 +21,8 @@
 })";
   const std::size_t at = text.find(from);
   if (!from.empty()) text.replace(at, from.size(), to);
-  const std::string file = std::tmpnam(nullptr);
+  std::string file = "/tmp/junctionrail-settings-XXXXXX";
+  close(mkstemp(file.data()));
   std::ofstream(file) << text;
   const auto settings = ReadSettings(file);
   std::remove(file.c_str());
