Let no freeing of a dead agent process land after the next has read its grants

Cause: reading the agent as a newcomer: a process that dies right after it sent the freeing of a slot leaves a write that a slow key-value service may carry out later. The next process reads the slot as its own before that, loads under it, and the late write then gives the slot to another VM: one replica more than declared. Ruled out: waiting, as the service's delay has no bound. Change: at its start an agent writes each record that names its VM incarnation again as it stands, so that every write that depends on an older revision fails. Measured: the new test, in which such a write lands after the restart, fails before and passes after.

--- a/include/junctionrail/platform.h
+++ b/include/junctionrail/platform.h
@@ -133,6 +133,12 @@
 using GrantsDone = std::function<void(Result<StoredGrants, KvError>)>;
 void ReadStoredGrants(KvClient& kv, GrantsDone done);
 
+// Reads every grant as above, and first writes each that names this VM
+// incarnation again as it stands: whatever an earlier process on this VM wrote
+// about them and has not landed yet can then no longer land.
+void TakeOverGrants(KvClient& kv, const std::string& vm, const std::string& incarnation,
+                    GrantsDone done);
+
 // The record of one key; a key that does not exist is an empty record.
 using GrantDone = std::function<void(Result<GrantRecord, KvError>)>;
 void ReadGrantRecord(KvClient& kv, const std::string& key, GrantDone done);
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -239,7 +239,7 @@
 }
 
 void AgentDaemon::Impl::ReadGrantsNow() {
-  ReadStoredGrants(kv_, [this](Result<StoredGrants, KvError> read) {
+  const auto done = [this](Result<StoredGrants, KvError> read) {
     is_reading_grants_ = false;
     if (!read) return;
     agent::GrantsRead event;
@@ -251,7 +251,8 @@
       }
     }
     Handle(std::move(event));
-  });
+  };
+  TakeOverGrants(kv_, settings_.id, settings_.incarnation, done);
 }
 
 void AgentDaemon::Impl::Carry(const agent::Exit&) {
--- a/src/platform/stores.cc
+++ b/src/platform/stores.cc
@@ -2,6 +2,7 @@
 // snapshot, and the grants. Every write is one compare-and-swap of one key.
 #include <algorithm>
 #include <cstdio>
+#include <memory>
 #include <utility>
 
 #include "junctionrail/platform.h"
@@ -60,6 +61,27 @@
   });
 }
 
+bool NamesVm(const GrantRecord& record, const std::string& vm, const std::string& incarnation) {
+  return std::any_of(record.slots.begin(), record.slots.end(), [&](const GrantSlot& slot) {
+    return slot.vm == vm && slot.incarnation == incarnation;
+  });
+}
+
+// Writes the records from number `n` on that name the VM again, one by one. A
+// conflict means that somebody else has just written: what stands is taken.
+void TouchFrom(KvClient& kv, std::size_t n, const std::shared_ptr<StoredGrants>& stored,
+               const std::string& vm, const std::string& incarnation, const GrantsDone& done) {
+  while (n < stored->records.size() && !NamesVm(stored->records[n], vm, incarnation)) ++n;
+  if (n == stored->records.size()) return done(std::move(*stored));
+  WriteGrantRecord(kv, stored->records[n],
+                   [&kv, n, stored, vm, incarnation, done](Result<GrantWrite, KvError> write) {
+                     if (!write) return done(write.error());
+                     const bool is_own = write.value().is_written;
+                     stored->records[n] = std::move(write.value().record);
+                     TouchFrom(kv, is_own ? n + 1 : n, stored, vm, incarnation, done);
+                   });
+}
+
 }  // namespace
 
 GrantRecord ToGrantRecord(const KvPair& pair) {
@@ -153,6 +175,16 @@
           });
 }
 
+void TakeOverGrants(KvClient& kv, const std::string& vm, const std::string& incarnation,
+                    GrantsDone done) {
+  ReadStoredGrants(
+      kv, [&kv, vm, incarnation, done = std::move(done)](Result<StoredGrants, KvError> read) {
+        if (!read) return done(read.error());
+        auto stored = std::make_shared<StoredGrants>(std::move(read.value()));
+        TouchFrom(kv, 0, stored, vm, incarnation, done);
+      });
+}
+
 void ReadGrantRecord(KvClient& kv, const std::string& key, GrantDone done) {
   kv.Range(GrantKey(key), {}, 0, [key, done = std::move(done)](Result<KvRange, KvError> read) {
     if (!read) return done(read.error());
--- a/test/fault_test.cc
+++ b/test/fault_test.cc
@@ -9,6 +9,7 @@
 
 #include "check.h"
 #include "cluster.h"
+#include "junctionrail/platform.h"
 
 namespace junctionrail::test {
 namespace {
@@ -179,6 +180,31 @@
       "a model in accelerator memory needs no grant read again");
 }
 
+TEST(FaultsOfKv, AFreeingByADeadProcessCannotLandLate) {
+  ClusterOptions options;
+  options.declarations = Models({"a"});
+  Cluster cluster(options);
+  cluster.Call("entry-1", Chat("a", false));
+  boost::asio::io_context io(1);
+  HttpClient http(io);
+  KvClient kv(http, {cluster.HttpOf("kv")});
+  GrantRecord held;
+  ReadGrantRecord(kv, "a@1", [&](Result<GrantRecord, KvError> read) { held = read.value(); });
+  io.run();
+  EXPECT_NUMBER(1, held.slots.size(), "the model has its slot");
+  cluster.Kill("agent-1");
+  cluster.Start("agent-1");
+  cluster.WaitReady("agent-1");
+  // What the dead process read and would have written lands only now.
+  held.slots.clear();
+  bool is_written = true;
+  WriteGrantRecord(
+      kv, held, [&](Result<GrantWrite, KvError> write) { is_written = write.value().is_written; });
+  io.restart();
+  io.run();
+  EXPECT_TRUE(!is_written, "the new process holds the slot and may load under it");
+}
+
 TEST(FaultsOfKv, ALoweredCountTakesReplicasDown) {
   ClusterOptions options;
   options.engines = 2;
