Say once how a request leaves its queue

Cause: a last reading of the whole change: removing a request from its queue with its two counts stood twice, 'copy, remove, refuse' four times and the making of a queue place four times in the agent; the entry declared a function (Abandon) that nothing defines. Change: LeaveQueue, RefuseWaiting and PlaceOf; Abandon is gone. Behaviour and tests stay as they were. Ruled out: ExpireRequests keeps its own order, since its refusal is worked out after the removal.

--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -121,6 +121,8 @@
   void SendToUpstream(AgentRequest& request, Replica& replica);
   void Refuse(const AgentRequest& request, const Refusal& refusal);
   void Remove(const std::string& id);
+  void LeaveQueue(const AgentRequest& request, Replica& replica);
+  void RefuseWaiting(const std::string& id, const Refusal& refusal);
   void StopWaiting(AgentRequest& request, std::uint64_t AgentCounters::*counter);
   void NoteArrival(Replica& replica);
   void RefuseQueued(Replica& replica, const Refusal& refusal);
@@ -172,6 +174,7 @@
   DurationMs RemainingLoad(const Replica& replica) const;
   DurationMs UntilReady(const Replica& replica, const QueuePlace& place) const;
   DurationMs UntilReady(const Replica& replica) const;
+  static QueuePlace PlaceOf(const AgentRequest& request);
   static QueuePlace PlaceAt(const Replica& replica, const AgentRequest& request);
   std::uint32_t LoadsInFlight() const;
   std::int64_t NextOrder();
--- a/src/core/agent_replicas.cc
+++ b/src/core/agent_replicas.cc
@@ -235,10 +235,13 @@
   return UntilReady(replica, MostUrgent(replica));
 }
 
+QueuePlace AgentImpl::PlaceOf(const AgentRequest& request) {
+  return QueuePlace{request.call.priority, request.deadline_at, request.call.id};
+}
+
 // The place by which a replica would be loaded if this request waited for it.
 QueuePlace AgentImpl::PlaceAt(const Replica& replica, const AgentRequest& request) {
-  const QueuePlace own{request.call.priority, request.deadline_at, request.call.id};
-  return std::min(own, MostUrgent(replica));
+  return std::min(PlaceOf(request), MostUrgent(replica));
 }
 
 std::uint32_t AgentImpl::LoadsInFlight() const {
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -167,11 +167,9 @@
   }
   const DurationMs retry_after = WaitBehind(replica, kept);
   for (const auto& id : hopeless) {
-    const AgentRequest request = requests_.at(id);
-    Remove(id);
-    Refuse(request,
-           Refusal{RefusalCode::kQueueTooLate, "calls before it would keep it past the deadline",
-                   Ran::kNo, std::max(retry_after, kShortRetryMs)});
+    RefuseWaiting(
+        id, Refusal{RefusalCode::kQueueTooLate, "calls before it would keep it past the deadline",
+                    Ran::kNo, std::max(retry_after, kShortRetryMs)});
   }
 }
 
@@ -197,16 +195,14 @@
   if (replica.queue.empty() || replica.queue.rbegin()->priority >= call.priority) return refusal;
   const auto last = requests_.find(replica.queue.rbegin()->id);
   if (last->second.call.body.size() < call.body.size()) return refusal;
-  const AgentRequest shed = last->second;
-  Remove(shed.call.id);
-  Refuse(shed, refusal);
+  RefuseWaiting(last->first, refusal);
   return std::nullopt;
 }
 
 void AgentImpl::Enqueue(AgentRequest request) {
   const std::string id = request.call.id;
   Replica& replica = ReplicaOf(request.call.key);
-  replica.queue.insert(QueuePlace{request.call.priority, request.deadline_at, id});
+  replica.queue.insert(PlaceOf(request));
   ++queued_;
   queued_bytes_ += request.call.body.size();
   requests_.emplace(id, std::move(request));
@@ -219,10 +215,9 @@
     const bool others_wait = replica.queue.size() > 1;
     const DurationMs need = others_wait ? NeedBeforeDeadline(replica) : 0;
     if (request.deadline_at < now_ + need) {
-      const AgentRequest late = request;
-      Remove(late.call.id);
-      Refuse(late, Refusal{RefusalCode::kQueueTooLate, "its turn came too late for its deadline",
-                           Ran::kNo, kShortRetryMs});
+      RefuseWaiting(request.call.id,
+                    Refusal{RefusalCode::kQueueTooLate, "its turn came too late for its deadline",
+                            Ran::kNo, kShortRetryMs});
       continue;
     }
     SendToUpstream(request, replica);
@@ -232,9 +227,7 @@
 void AgentImpl::SendToUpstream(AgentRequest& request, Replica& replica) {
   CheckInvariant(!leaving_, "an agent that is leaving dispatches nothing");
   CheckInvariant(request.state == RequestState::kQueued, "an attempt is dispatched at most once");
-  replica.queue.erase(QueuePlace{request.call.priority, request.deadline_at, request.call.id});
-  --queued_;
-  queued_bytes_ -= request.call.body.size();
+  LeaveQueue(request, replica);
   request.state = RequestState::kDispatched;
   request.dispatched_at = now_;
   ++replica.running;
@@ -345,19 +338,29 @@
   const AgentRequest& request = it->second;
   if (request.state == RequestState::kQueued) {
     Replica& replica = ReplicaOf(request.call.key);
-    replica.queue.erase(QueuePlace{request.call.priority, request.deadline_at, request.call.id});
-    --queued_;
-    queued_bytes_ -= request.call.body.size();
+    LeaveQueue(request, replica);
     if (replica.running == 0 && replica.queue.empty()) BecomeIdle(replica);
   }
   requests_.erase(it);
 }
 
+void AgentImpl::LeaveQueue(const AgentRequest& request, Replica& replica) {
+  replica.queue.erase(PlaceOf(request));
+  --queued_;
+  queued_bytes_ -= request.call.body.size();
+}
+
+// Refuses one that is still in its queue. It leaves first, so that the report
+// that rides on the refusal no longer counts it.
+void AgentImpl::RefuseWaiting(const std::string& id, const Refusal& refusal) {
+  const AgentRequest request = requests_.at(id);
+  Remove(request.call.id);
+  Refuse(request, refusal);
+}
+
 void AgentImpl::RefuseQueued(Replica& replica, const Refusal& refusal) {
   while (!replica.queue.empty()) {
-    const AgentRequest request = requests_.at(replica.queue.begin()->id);
-    Remove(request.call.id);
-    Refuse(request, refusal);
+    RefuseWaiting(replica.queue.begin()->id, refusal);
   }
 }
 
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -124,7 +124,6 @@
   void EndAttempt(EntryCall& call);
   void AttemptRefused(EntryCall& call, Refusal refusal);
   void AttemptLost(EntryCall& call, Refusal refusal);
-  void Abandon(EntryCall& call, RefusalCode code, std::string_view why);
   bool TakeRetry();
   void Refuse(EntryCall& call, const Refusal& refusal);
   void Remove(const std::string& id);
