--- /dev/null
+++ b/include/junctionrail/gateway.h
@@ -0,0 +1,110 @@
+// The direct path: callers' HTTP/1.1 on one side, upstreams' on the other, in
+// one process. The gateway routes, retries within a budget, resumes streams,
+// holds requests for models that are being loaded, and refuses truthfully.
+#ifndef JUNCTIONRAIL_GATEWAY_H_
+#define JUNCTIONRAIL_GATEWAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "junctionrail/event_log.h"
+#include "junctionrail/net.h"
+#include "junctionrail/routing.h"
+
+namespace junctionrail {
+
+// The names of the headers that callers, entries and upstreams share.
+struct CallHeaderNames {
+  std::string request_id = "Junctionrail-Request-Id";
+  std::string deadline_ms = "Junctionrail-Deadline-Ms";
+  std::string priority = "Junctionrail-Priority";
+  std::string instance = "Junctionrail-Instance";                   // On an upstream's answer.
+  std::string expected_instance = "Junctionrail-Expected-Instance";  // On a request to it.
+  std::string not_run = "Junctionrail-Not-Run";
+  std::string proof = "Junctionrail-Proof";  // The upstream's seal on its answer.
+  std::string model = "Junctionrail-Model";
+  std::string prompt_parts = "Junctionrail-Prompt-Parts";
+  std::string last_event_id = "Last-Event-ID";
+  // Headers that only the system sets; dropped from what callers send.
+  std::vector<std::string> reserved;
+};
+
+struct GatewayOptions {
+  Endpoint callers;
+  std::string data_hall;
+  CallHeaderNames names;
+  RetryBudget::Options retries;
+  RoutingOptions routing;
+};
+
+struct GatewayCounters {
+  std::uint64_t connections = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t served = 0;
+  std::uint64_t passed_failures = 0;  // Failures of upstreams, passed on.
+  std::uint64_t refused = 0;          // Not run.
+  std::uint64_t unknown = 0;          // May have run.
+  std::uint64_t broken = 0;           // Cut after the answer began.
+  std::uint64_t cancelled = 0;        // By the caller.
+  std::uint64_t bad_requests = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resumes = 0;
+  std::uint64_t waited_for_model = 0;
+  std::uint64_t surplus_answers = 0;
+  std::uint64_t upstream_connections = 0;
+};
+
+// Upper bounds of the latency histogram in ms; the last bucket has none. The
+// same in every process, so that histograms add up.
+constexpr std::int64_t kLatencyBucketsMs[] = {5,    10,   25,   50,   100,  200,   300,  400,
+                                              600,  1000, 1500, 2500, 5000, 10000, 25000};
+constexpr std::size_t kLatencyBuckets = sizeof(kLatencyBucketsMs) / sizeof(std::int64_t) + 1;
+
+struct LatencyHistogram {
+  std::uint64_t buckets[kLatencyBuckets] = {};
+  std::uint64_t count = 0;
+  std::int64_t sum_ms = 0;
+
+  void Add(std::int64_t ms);
+};
+
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& io, GatewayOptions options, EventLog& log);
+  ~Gateway();
+
+  Result<std::uint16_t, NetError> Listen();
+  // Finishes what is under way, ends each connection with its next answer,
+  // then calls `done`; at the latest when `most_ms` are over.
+  void Stop(DurationMs most_ms, std::function<void()> done);
+
+  // Takes effect for the next request. An older version than the present one
+  // is not applied.
+  void ApplyConfiguration(RoutingConfiguration configuration);
+  void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage);
+  void ApplyView(const EngineView& view);
+  void ForgetView(const std::string& instance);
+
+  bool has_configuration() const;
+  const RoutingConfiguration& configuration() const;
+  UpstreamTable& upstreams();
+  // The present demand, by instance.
+  std::map<std::string, AgentDemand> Demands();
+  // Called when a request begins to wait for a model.
+  void OnNewDemand(std::function<void()> call);
+
+  const GatewayCounters& counters() const;
+  const LatencyHistogram& first_answer() const;
+
+  class Impl;
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_GATEWAY_H_
--- /dev/null
+++ b/include/junctionrail/placement.h
@@ -0,0 +1,135 @@
+// What one engine holds: the agent beside it is the only giver of its orders.
+// Decisions only; the time is handed in and nothing here opens a socket.
+#ifndef JUNCTIONRAIL_PLACEMENT_H_
+#define JUNCTIONRAIL_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/routing.h"
+
+namespace junctionrail {
+
+// The engine's own account of itself.
+struct EngineReport {
+  std::vector<LoadedModel> loaded;
+  std::vector<std::string> in_memory;  // Weights copied in host memory.
+  std::vector<std::string> on_disk;
+  std::vector<ModelRef> adapters_coming;
+  bool is_busy = false;       // Carries out an order on a model.
+  std::int64_t sequence = 0;  // Orders taken since the engine started.
+  int running = 0;
+  int waiting = 0;
+  double kv_share = 0;  // Of the memory for tokens, what is in use.
+};
+
+enum class OrderKind { kLoad, kUnload };
+
+// An order to the engine. It is carried out only while the engine's sequence
+// is `expected_sequence`, so that one which arrives late changes nothing.
+struct EngineOrder {
+  OrderKind kind = OrderKind::kLoad;
+  ModelRef target;
+  std::int64_t expected_sequence = 0;
+  std::string reason;  // For logs.
+};
+
+enum class OrderAnswer {
+  kAccepted,
+  kAlreadyHolds,
+  kConflict,    // Another order is under way, or the sequence has moved on.
+  kStaleFence,  // A higher fencing token was seen.
+  kOtherInstance,
+  kRejected,
+  kUnknown,  // No answer: it may yet be carried out.
+};
+
+class PlacementCore {
+ public:
+  // The engine is `instance`, which has just started or was just found.
+  void Reset(std::string instance);
+  const std::string& instance() const { return instance_; }
+
+  void SetSpec(EngineSpec spec) { spec_ = std::move(spec); }
+  bool has_spec() const { return spec_.accelerator_mb > 0; }
+
+  void OnReport(EngineReport report, TimeMs now);
+  // What the entry behind `link` asks for; replaces what it asked before.
+  void OnDemand(std::uint64_t link, AgentDemand demand, TimeMs now);
+  void OnEntryGone(std::uint64_t link);
+
+  // The order to give now. The caller gives it and reports the answer.
+  std::optional<EngineOrder> NextOrder(TimeMs now);
+  void OnAnswer(const EngineOrder& order, OrderAnswer answer, TimeMs now);
+
+  EngineView View(TimeMs now) const;
+  // Whether anything is under way that the next report may show finished.
+  bool IsActive() const;
+  bool HasDemand() const { return !demands_.empty(); }
+
+ private:
+  struct Demand {
+    AgentDemand demand;
+    TimeMs at = 0;
+  };
+  struct Want {
+    ModelRef ref;
+    int waiting = 0;
+    int priority = 0;
+    DurationMs age_ms = 0;
+  };
+  struct Use {
+    int in_flight = 0;
+    double per_s = 0;
+    int replicas = 1;
+    DurationMs idle_ms = -1;  // -1: never asked for.
+  };
+
+  void ExpireDemands(TimeMs now);
+  std::vector<Want> Wants() const;
+  Use UseOf(const std::string& model) const;
+  const LoadedModel* FindLoaded(std::string_view model) const;
+  bool IsNear(std::string_view model) const;
+  double UsedMb() const;
+  int UsedAdapterPlaces() const;
+  bool HasRoomFor(const ModelSpec& spec) const;
+  std::optional<EngineOrder> OrderAdapter(const Want& want, const std::vector<Want>& wants);
+  std::optional<EngineOrder> OrderModel(const Want& want, const std::vector<Want>& wants,
+                                        TimeMs now);
+  std::optional<EngineOrder> OrderStaging(const std::vector<Want>& wants, TimeMs now);
+  std::optional<std::string> Victim(const std::vector<Want>& wants, double most_value,
+                                    bool may_interrupt, TimeMs now) const;
+  EngineOrder Make(OrderKind kind, ModelRef target, std::string reason) const;
+  DurationMs LoadEstimate(const std::string& model) const;
+
+  std::string instance_;
+  EngineSpec spec_;
+  EngineReport report_;
+  bool has_report_ = false;
+  std::map<std::uint64_t, Demand> demands_;
+  std::optional<EngineOrder> open_;  // Given; its effect is not yet reported.
+  bool is_open_unknown_ = false;     // No answer came to it.
+  TimeMs open_since_ = 0;
+  std::string loading_;  // The model under load or unload.
+  bool is_unloading_ = false;
+  bool is_from_store_ = false;
+  TimeMs loading_since_ = 0;
+  std::map<std::string, TimeMs> loaded_at_;
+  std::map<std::string, TimeMs> adapter_used_at_;
+  TimeMs hold_until_ = 0;  // No order before; set after a conflict.
+};
+
+// The messages between entries and agents, as CBOR.
+std::string EncodeView(const EngineView& view);
+bool DecodeView(std::string_view bytes, EngineView* view);
+std::string EncodeDemand(const AgentDemand& demand);
+bool DecodeDemand(std::string_view bytes, AgentDemand* demand);
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_PLACEMENT_H_
--- /dev/null
+++ b/include/junctionrail/routing.h
@@ -0,0 +1,336 @@
+// Which upstream a request goes to when entries speak with upstreams
+// themselves: routes, the table of upstreams, the choice among them, the
+// retry budget, and what cold models are asked for. Decisions only; the time
+// is handed in and nothing here opens a socket.
+#ifndef JUNCTIONRAIL_ROUTING_H_
+#define JUNCTIONRAIL_ROUTING_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/settings.h"
+
+namespace junctionrail {
+
+// How often a request may run.
+enum class CallKind {
+  kRepeatable,  // Any number of times.
+  kOnce,        // At most once.
+  kStream,      // An answer in events; repeatable only where the route says so.
+};
+
+struct ServiceShare {
+  std::string service;
+  std::uint32_t weight = 1;
+};
+
+// One rule of the operators: which service takes the requests of a host and
+// path, and how they are held to time.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // Begins and ends with a slash.
+  CallKind kind = CallKind::kOnce;
+  bool is_resumable = false;       // Streams only: may go on at another upstream.
+  DurationMs timeout_ms = 0;       // The longest a request may be held.
+  DurationMs first_answer_ms = 0;  // The target for the first byte of the answer.
+  DurationMs pause_ms = 0;         // The target for the longest pause in a stream.
+  DurationMs patience_ms = 0;      // Callers leave after so much silence.
+  int max_attempts = 1;            // Upstreams that one request may be sent to.
+  int priority = 0;                // 0 is the most urgent.
+  std::vector<ServiceShare> shares;
+
+  bool MayRepeat() const { return kind == CallKind::kRepeatable || is_resumable; }
+};
+
+// A model that operators declare for an engine service.
+struct ModelSpec {
+  std::string name;
+  double size_mb = 0;
+  double adapter_mb = 0;
+  DurationMs store_load_ms = 0;   // From the weight store, undisturbed.
+  DurationMs disk_load_ms = 0;    // From the upstream's own disk.
+  DurationMs memory_load_ms = 0;  // From the upstream's host memory.
+};
+
+// What the engines of a service hold; alike on all its upstreams.
+struct EngineSpec {
+  double accelerator_mb = 0;  // Weights and adapters together.
+  int adapter_places = 0;
+  double disk_mb = 0;
+  std::vector<ModelSpec> models;
+
+  const ModelSpec* Find(std::string_view model) const;
+};
+
+struct ServiceSpec {
+  std::string name;
+  int max_connections = 0;  // Of all callers together, to one upstream.
+  std::optional<EngineSpec> engine;
+};
+
+// Bounds on what a caller may send.
+struct CallerLimits {
+  std::uint32_t max_header_bytes = 16 << 10;
+  std::uint64_t max_body_bytes = 4 << 20;
+  DurationMs header_timeout_ms = 5000;
+  DurationMs idle_timeout_ms = 15000;
+};
+
+struct RoutingConfiguration {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<ServiceSpec> services;
+  CallerLimits limits;
+
+  const ServiceSpec* FindService(std::string_view name) const;
+};
+
+// Finds the route of a request: the longest prefix of its host.
+class RouteTable {
+ public:
+  RouteTable() = default;
+  explicit RouteTable(RoutingConfiguration configuration);
+
+  // `path` is without its query. Null when no route matches.
+  const Route* Find(std::string_view host, std::string_view path) const;
+  const RoutingConfiguration& configuration() const { return configuration_; }
+
+ private:
+  RoutingConfiguration configuration_;
+  std::unordered_map<std::string, std::vector<std::size_t>> by_host_;  // Longest prefix first.
+};
+
+// The service that takes a request, by the route's weights. The same request
+// id always gives the same service.
+std::string_view PickService(const Route& route, std::string_view request_id);
+
+// A model, or an adapter of it.
+struct ModelRef {
+  std::string model;
+  std::string adapter;  // Empty for the model itself.
+
+  std::string ToString() const { return adapter.empty() ? model : model + "/" + adapter; }
+  bool operator<(const ModelRef& other) const {
+    return std::tie(model, adapter) < std::tie(other.model, other.adapter);
+  }
+  bool operator==(const ModelRef& other) const {
+    return model == other.model && adapter == other.adapter;
+  }
+};
+
+struct LoadedModel {
+  std::string name;
+  std::vector<std::string> adapters;
+};
+
+// One process behind the system as the platform lists it.
+struct UpstreamRecord {
+  std::string instance;  // Differs at each start of the upstream.
+  std::string service;
+  Endpoint endpoint;
+  std::string data_hall;
+  int slots = 0;
+  bool is_leaving = false;
+  std::vector<LoadedModel> loaded;  // Engines; lags.
+};
+
+// Where the weights of a load come from.
+enum class WeightSource { kStore, kDisk, kMemory };
+
+// What the agent beside an engine says of it.
+struct EngineView {
+  std::string instance;
+  std::vector<LoadedModel> loaded;   // Ready for requests.
+  std::string loading;               // The model under load; empty for none.
+  bool is_from_store = false;        // That load takes from the weight store.
+  DurationMs remaining_ms = 0;       // Until that load is done, as estimated.
+  std::vector<std::string> queue;    // Models to load next.
+  std::vector<std::string> at_hand;  // Models on its disk or in its host memory.
+  int running = 0;
+  int waiting = 0;
+  double kv_share = 0;  // Of the memory for tokens, what is in use; 0 to 1.
+  int entries = 1;      // Entries that have a link to this agent.
+};
+
+// What an entry asks of one agent.
+struct ModelDemand {
+  ModelRef ref;
+  int waiting = 0;        // Requests held for it here; 0: another replica is wanted.
+  int priority = 0;       // Of the most urgent of them.
+  DurationMs age_ms = 0;  // Of the oldest of them.
+};
+struct ModelUse {
+  std::string model;
+  int in_flight = 0;     // Of this entry, at this upstream.
+  double per_s = 0;      // Requests a second that this entry sees, anywhere.
+  int replicas = 0;      // Upstreams that hold it, as this entry knows.
+  DurationMs idle_ms = 0;  // Since this entry last saw a request for it.
+};
+struct AgentDemand {
+  std::string entry;
+  std::string instance;  // The upstream meant.
+  std::vector<ModelDemand> wanted;
+  std::vector<ModelUse> use;
+  std::vector<std::string> stage;  // To load when nothing else is to do.
+};
+
+struct RoutingOptions {
+  std::string data_hall;
+  // Weight store loads at once before they slow each other (site sheets).
+  int parallel_store_loads = 4;
+  bool stages_models = true;
+};
+
+// The times and weights of the choice; see routing.cc for where each is from.
+struct RoutingTimes {
+  static constexpr DurationMs kViewFreshMs = 1600;
+  static constexpr DurationMs kMissingMs = 2300;
+};
+
+// Whom a request may go to.
+struct PickRequest {
+  std::string_view service;
+  std::optional<ModelRef> model;
+  std::string_view affinity;             // Requests alike in this share prompts.
+  std::vector<std::string> tried;        // Instances not to choose again.
+  DurationMs patience_ms = 0;            // How long the caller still waits.
+};
+struct SendTo {
+  std::string instance;
+};
+struct WaitFor {
+  std::string instance;          // Whose agent is asked; empty when none can be.
+  DurationMs estimate_ms = 0;    // Until the model is up.
+};
+struct NoneLeft {
+  std::string reason;
+};
+using Pick = std::variant<SendTo, WaitFor, NoneLeft>;
+
+// How an attempt at an upstream ended, as far as it tells of its health.
+enum class AttemptEnd { kServed, kRefused, kFailed, kUnreachable, kSilent, kAbandoned };
+
+// All that an entry believes of upstreams.
+class UpstreamTable {
+ public:
+  explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {}
+
+  // A whole listing. `after_outage`: the store was away just before, so that
+  // records may be missing that are about to come back.
+  void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage, TimeMs now);
+  void ApplyServices(const std::vector<ServiceSpec>& services);
+  void ApplyView(const EngineView& view, TimeMs now);
+  void ForgetView(const std::string& instance);
+
+  Pick Choose(const PickRequest& request, TimeMs now);
+
+  void OnArrival(const std::optional<ModelRef>& model, TimeMs now);
+  void OnSent(const std::string& instance, const std::optional<ModelRef>& model);
+  void OnEnd(const std::string& instance, const std::optional<ModelRef>& model, AttemptEnd end,
+             TimeMs now);
+  // The upstream says that it is another instance, or does not hold the model.
+  void OnOtherInstance(const std::string& instance);
+  void OnNotLoaded(const std::string& instance, const ModelRef& model, TimeMs now);
+
+  // Which models waiting requests are for.
+  struct Waiting {
+    ModelRef ref;
+    std::string service;
+    int count = 0;
+    int priority = 0;
+    TimeMs since = 0;
+    std::string asked;  // The instance whose agent was asked.
+  };
+
+  // What to tell each agent now, by instance.
+  std::map<std::string, AgentDemand> Demands(const std::vector<Waiting>& waiting, TimeMs now);
+
+  // Engines with an agent: instance and address.
+  std::vector<const UpstreamRecord*> Engines() const;
+  const UpstreamRecord* Find(const std::string& instance) const;
+  std::size_t size() const { return rows_.size(); }
+  std::vector<UpstreamRecord> Records() const;
+  bool HasFreshView(const std::string& instance, TimeMs now) const;
+
+ private:
+  struct Row {
+    UpstreamRecord record;
+    TimeMs missing_since = 0;  // 0: listed.
+    bool was_replaced = false;
+    EngineView view;
+    TimeMs view_at = 0;  // 0: none.
+    int in_flight = 0;
+    int sent_since_view = 0;
+    std::map<std::string, int> in_flight_by_model;
+    std::map<ModelRef, TimeMs> not_loaded_until;
+    int failures = 0;  // In a row.
+    TimeMs ejected_until = 0;
+    int ejections = 0;
+  };
+  struct ModelRate {
+    double per_s = 0;
+    TimeMs at = 0;
+    TimeMs last_request = 0;
+  };
+
+  bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
+  bool IsFresh(const Row& row, TimeMs now) const;
+  bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
+  double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
+  Pick ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable, TimeMs now);
+  DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
+  const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
+  int StoreLoads(TimeMs now) const;
+  double RateOf(const std::string& model, TimeMs now) const;
+  int ReplicasOf(std::string_view service, const std::string& model, TimeMs now) const;
+  void AddUse(AgentDemand* demand, const Row& row, TimeMs now) const;
+  void AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now);
+  void AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now);
+
+  RoutingOptions options_;
+  std::map<std::string, ServiceSpec> services_;
+  std::map<std::string, Row> rows_;  // By instance.
+  std::map<std::string, ModelRate> rates_;
+  std::map<std::string, std::string> asked_;  // By model: whose agent was asked last.
+};
+
+// Limits attempts beyond the first to a share of the requests of a service.
+// Every entry spends only its own share, so that the fleet keeps the bound
+// without talk.
+class RetryBudget {
+ public:
+  struct Options {
+    double ratio = 0.15;           // Of this entry's requests in the window.
+    double extra = 4;              // Attempts in any window regardless of requests.
+    DurationMs window_ms = 10000;
+  };
+  explicit RetryBudget(Options options) : options_(options) {}
+
+  void OnRequest(const std::string& service, TimeMs now);
+  // Takes one attempt if the budget allows it.
+  bool TryTake(const std::string& service, TimeMs now);
+
+ private:
+  struct Window {
+    std::deque<TimeMs> requests;
+    std::deque<TimeMs> retries;
+  };
+  void Expire(Window* window, TimeMs now) const;
+
+  Options options_;
+  std::map<std::string, Window> windows_;
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_ROUTING_H_
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -3,6 +3,7 @@
 #define JUNCTIONRAIL_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,26 @@
   DurationMs clock_skew_ms = 5000;      // The most that callers' clocks may be off.
 };
 
+// For the direct path, where entries speak with upstreams themselves and the
+// platform's store lists them. Takes the place of `kv`, `vm_list`, `entry` and
+// `agent`.
+struct DirectSettings {
+  Endpoint store;
+  Endpoint metrics;
+  std::uint16_t link_port = 0;  // Of every agent, at its upstream's address.
+  // An entry's.
+  Endpoint callers;
+  Endpoint health;              // `/ready`, for the balancer.
+  Endpoint peer;                // What this entry knows, for others that start.
+  std::vector<Endpoint> peers;  // Entries to ask at the start.
+  double retry_ratio = 0.2;     // The fleet's attempts beyond the first, of its requests.
+  double retry_extra = 50;      // And so many more in a window.
+  DurationMs retry_window_ms = 10000;
+  // An agent's.
+  Endpoint link;
+  Endpoint upstream;
+};
+
 struct Settings {
   Role role = Role::kEntry;
   std::string id;           // The VM's name in the platform's list.
@@ -60,6 +81,7 @@
   DurationMs drain_ms = 30000;  // A planned stop waits at most this long.
   EntrySettings entry;
   AgentSettings agent;
+  std::optional<DirectSettings> direct;
 };
 
 // Reads and checks a settings file.
--- a/include/junctionrail/platform.h
+++ b/include/junctionrail/store.h
@@ -1,8 +1,8 @@
 // Clients of the platform: the key-value service (the JSON form of the etcd v3
 // API: POST /v3/kv/range, /v3/kv/txn, /v3/watch), what the system keeps in it,
 // and the list of VMs.
-#ifndef JUNCTIONRAIL_PLATFORM_H_
-#define JUNCTIONRAIL_PLATFORM_H_
+#ifndef JUNCTIONRAIL_STORE_H_
+#define JUNCTIONRAIL_STORE_H_
 
 #include <cstdint>
 #include <functional>
@@ -174,4 +174,4 @@
 
 }  // namespace junctionrail
 
-#endif  // JUNCTIONRAIL_PLATFORM_H_
+#endif  // JUNCTIONRAIL_STORE_H_
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -56,6 +56,51 @@
   return agent;
 }
 
+std::vector<Endpoint> ReadEndpoints(ObjectReader& r, const char* key) {
+  std::vector<Endpoint> endpoints;
+  for (const auto& it : r.Strings(key)) {
+    Endpoint endpoint;
+    if (!ParseEndpoint(it, &endpoint)) r.Complain(key, kEndpointForm, "\"" + it + "\"");
+    endpoints.push_back(endpoint);
+  }
+  return endpoints;
+}
+
+DirectSettings ReadDirect(ObjectReader& r, Role role) {
+  DirectSettings direct;
+  direct.store = ReadEndpoint(r, "store");
+  direct.metrics = ReadEndpoint(r, "metrics");
+  if (role == Role::kAgent) {
+    direct.link = ReadEndpoint(r, "link");
+    direct.upstream = ReadEndpoint(r, "upstream");
+    return direct;
+  }
+  direct.link_port = static_cast<std::uint16_t>(r.Integer("link_port", 1, 65535, std::nullopt));
+  direct.callers = ReadEndpoint(r, "callers");
+  direct.health = ReadEndpoint(r, "health");
+  direct.peer = ReadEndpoint(r, "peer");
+  direct.peers = ReadEndpoints(r, "peers");
+  direct.retry_ratio = r.Number("retry_ratio", 0, 10, direct.retry_ratio);
+  direct.retry_extra = r.Number("retry_extra", 0, 1e6, direct.retry_extra);
+  direct.retry_window_ms = r.Integer("retry_window_ms", 1, kLongestMs, direct.retry_window_ms);
+  return direct;
+}
+
+// What the path through agents needs and the direct one does not.
+void ReadAgentPath(ObjectReader& r, Settings* settings) {
+  settings->incarnation = r.String("incarnation", std::nullopt);
+  settings->kv = ReadEndpoints(r, "kv");
+  if (settings->kv.empty()) r.Complain("kv", "at least one endpoint", "none");
+  settings->vm_list = ReadEndpoint(r, "vm_list");
+  if (settings->role == Role::kEntry) {
+    if (!r.Has("entry")) r.Complain("entry", "an object, as the role is \"entry\"", "nothing");
+    r.Object("entry", [&](ObjectReader& it) { settings->entry = ReadEntry(it); });
+  } else {
+    if (!r.Has("agent")) r.Complain("agent", "an object, as the role is \"agent\"", "nothing");
+    r.Object("agent", [&](ObjectReader& it) { settings->agent = ReadAgent(it); });
+  }
+}
+
 }  // namespace
 
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
@@ -82,27 +127,19 @@
   settings.role =
       r.Word("role", {"entry", "agent"}, std::nullopt) == 0 ? Role::kEntry : Role::kAgent;
   settings.id = r.String("id", std::nullopt);
-  settings.incarnation = r.String("incarnation", std::nullopt);
   settings.data_hall = r.String("data_hall", std::nullopt);
   if (settings.id.empty()) r.Complain("id", "a name that is not empty", "\"\"");
-  for (const auto& it : r.Strings("kv")) {
-    Endpoint endpoint;
-    if (!ParseEndpoint(it, &endpoint)) r.Complain("kv", kEndpointForm, "\"" + it + "\"");
-    settings.kv.push_back(endpoint);
-  }
-  if (settings.kv.empty()) r.Complain("kv", "at least one endpoint", "none");
-  settings.vm_list = ReadEndpoint(r, "vm_list");
   settings.log_format =
       r.Word("log_format", {"text", "json"}, 0) == 0 ? LogFormat::kText : LogFormat::kJson;
   const std::vector<std::string> levels = {"debug", "info", "warning", "error"};
   settings.log_level = levels[r.Word("log_level", levels, 1)];
   settings.drain_ms = r.Integer("drain_ms", 0, kLongestMs, settings.drain_ms);
-  if (settings.role == Role::kEntry) {
-    if (!r.Has("entry")) r.Complain("entry", "an object, as the role is \"entry\"", "nothing");
-    r.Object("entry", [&](ObjectReader& it) { settings.entry = ReadEntry(it); });
+  if (r.Has("direct")) {
+    settings.direct.emplace();
+    r.Object("direct",
+             [&](ObjectReader& it) { settings.direct = ReadDirect(it, settings.role); });
   } else {
-    if (!r.Has("agent")) r.Complain("agent", "an object, as the role is \"agent\"", "nothing");
-    r.Object("agent", [&](ObjectReader& it) { settings.agent = ReadAgent(it); });
+    ReadAgentPath(r, &settings);
   }
   const auto error = r.Finish();
   if (error) return *error;
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -13,7 +13,7 @@
 #include "daemon_metrics.h"
 #include "engine_client.h"
 #include "junctionrail/agent_core.h"
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 #include "junctionrail/telemetry.h"
 
 namespace junctionrail::internal {
--- a/src/daemon/config_keeper.h
+++ b/src/daemon/config_keeper.h
@@ -9,7 +9,7 @@
 #include <random>
 #include <vector>
 
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 
 namespace junctionrail::internal {
 
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <string>
 
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 #include "junctionrail/telemetry.h"
 
 namespace junctionrail::internal {
--- /dev/null
+++ b/src/daemon/direct_daemon.h
@@ -0,0 +1,46 @@
+// The two roles on the direct path: an entry that speaks with upstreams
+// itself, and an agent that is the only giver of its engine's orders.
+#ifndef JUNCTIONRAIL_DAEMON_DIRECT_DAEMON_H_
+#define JUNCTIONRAIL_DAEMON_DIRECT_DAEMON_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "daemon.h"
+#include "junctionrail/settings.h"
+
+namespace junctionrail::internal {
+
+class DirectEntry {
+ public:
+  DirectEntry(boost::asio::io_context& io, Settings settings);
+  ~DirectEntry();
+  std::optional<ListenError> Start();
+  // Not ready at once; serves what comes until the balancer has noticed, and
+  // finishes what is under way.
+  void Stop();
+  // The settings file was read again.
+  void Reload(const Settings& settings);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+class DirectAgent {
+ public:
+  DirectAgent(boost::asio::io_context& io, Settings settings);
+  ~DirectAgent();
+  std::optional<ListenError> Start();
+  void Stop();
+  void Reload(const Settings& settings);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_DAEMON_DIRECT_DAEMON_H_
--- /dev/null
+++ b/src/daemon/direct_entry.cc
@@ -0,0 +1,269 @@
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "platform.h"
+#include "direct_daemon.h"
+#include "direct_metrics.h"
+#include "junctionrail/gateway.h"
+#include "junctionrail/net.h"
+
+namespace junctionrail::internal {
+namespace {
+
+// An upstream that leaves gets nothing new within two seconds; a reading of
+// all records costs one call of the store.
+constexpr DurationMs kListingMs = 800;
+// Agents are told of demand so often, and at once when a request begins to
+// wait for a model nobody was asked for.
+constexpr DurationMs kDemandMs = 250;
+constexpr DurationMs kUrgentDemandMs = 5;
+// Agents forget an entry they have not heard of for some seconds.
+constexpr DurationMs kRepeatDemandMs = 1000;
+// Entries to ask, while neither the store nor one of them has answered.
+constexpr DurationMs kAskPeerMs = 300;
+constexpr DurationMs kPeerAnswerMs = 500;
+// The fleet's retry budget is shared without talk: an entry spends its part
+// of the fixed allowance as if there were so many entries, and less than the
+// whole ratio, as its requests are not spread evenly over the window.
+constexpr double kEntriesAssumed = 8;
+constexpr double kRatioMargin = 0.8;
+
+GatewayOptions ToGatewayOptions(const Settings& settings) {
+  const DirectSettings& direct = *settings.direct;
+  GatewayOptions options;
+  options.callers = direct.callers;
+  options.data_hall = settings.data_hall;
+  options.names = platform::HeaderNames();
+  options.retries.ratio = direct.retry_ratio * kRatioMargin;
+  options.retries.extra = direct.retry_extra / kEntriesAssumed;
+  options.retries.window_ms = direct.retry_window_ms;
+  options.routing.data_hall = settings.data_hall;
+  return options;
+}
+
+}  // namespace
+
+class DirectEntry::Impl : public std::enable_shared_from_this<DirectEntry::Impl> {
+ public:
+  Impl(boost::asio::io_context& io, Settings settings)
+      : io_(io),
+        settings_(std::move(settings)),
+        log_(EventLogOptions{settings_.id, 1, 40}),
+        http_(io),
+        store_(http_, settings_.direct->store),
+        gateway_(io, ToGatewayOptions(settings_), log_),
+        links_(io, LinkCallbacks()),
+        configuration_(io, store_, log_,
+                       [this](RoutingConfiguration it) {
+                         gateway_.ApplyConfiguration(std::move(it));
+                       }),
+        upstreams_(io, store_, log_, kListingMs,
+                   [this](const auto& listing, bool after_outage) {
+                     gateway_.ApplyListing(listing, after_outage);
+                   }),
+        demand_timer_(io),
+        urgent_timer_(io),
+        peer_timer_(io) {}
+
+  std::optional<ListenError> Start() {
+    log_.Write(MonotonicMs(), "start",
+               {{"role", "entry"}, {"data_hall", settings_.data_hall}});
+    const auto callers = gateway_.Listen();
+    if (!callers) return ListenError{"direct.callers", callers.error().sentence};
+    auto error = Serve(settings_.direct->health, "direct.health");
+    if (!error) error = Serve(settings_.direct->peer, "direct.peer");
+    if (!error) error = Serve(settings_.direct->metrics, "direct.metrics");
+    if (error) return error;
+    gateway_.OnNewDemand([this] { TellSoon(); });
+    configuration_.Start();
+    upstreams_.Start();
+    demand_timer_.Every(kDemandMs, [this] { TellAgents(); });
+    peer_timer_.After(kAskPeerMs, [this] { AskPeer(0); });
+    return std::nullopt;
+  }
+
+  void Stop() {
+    log_.Write(MonotonicMs(), "stop", {{"drain_ms", settings_.drain_ms}});
+    is_stopping_ = true;
+    gateway_.Stop(settings_.drain_ms, [this] { io_.stop(); });
+  }
+
+  void Reload(const Settings& settings) {
+    log_.Write(MonotonicMs(), "reload", {{"data_hall", settings.data_hall}});
+  }
+
+ private:
+  LinkClientCallbacks LinkCallbacks() {
+    LinkClientCallbacks callbacks;
+    callbacks.opened = [](const std::string&) {};
+    callbacks.message = [this](const std::string& instance, std::string_view bytes) {
+      OnView(instance, bytes);
+    };
+    callbacks.closed = [this](const std::string& instance, bool) {
+      gateway_.ForgetView(instance);
+      sent_.erase(instance);
+    };
+    return callbacks;
+  }
+
+  void OnView(const std::string& instance, std::string_view bytes) {
+    EngineView view;
+    if (!DecodeView(bytes, &view)) {
+      log_.Write(MonotonicMs(), "view_malformed", {{"upstream", instance}});
+      return;
+    }
+    gateway_.ApplyView(view);
+  }
+
+  std::optional<ListenError> Serve(const Endpoint& endpoint, const char* path) {
+    HttpServerOptions options;
+    options.endpoint = endpoint;
+    auto server = std::make_unique<HttpServer>(
+        io_, options, [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+          Answer(request, *responder);
+        });
+    const auto port = server->Listen();
+    if (!port) return ListenError{path, port.error().sentence};
+    servers_.push_back(std::move(server));
+    return std::nullopt;
+  }
+
+  bool IsReady() const { return !is_stopping_ && gateway_.has_configuration(); }
+
+  void Answer(const HttpRequest& request, HttpResponder& responder) {
+    if (request.target == "/ready") return responder.Whole(IsReady() ? 200 : 503, {}, "");
+    if (request.target == "/metrics") {
+      return responder.Whole(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                             EntryMetrics(gateway_, store_, log_));
+    }
+    if (request.target == "/known/configuration") {
+      return responder.Whole(200, {}, configuration_.document());
+    }
+    if (request.target == "/known/upstreams") {
+      return responder.Whole(200, {}, upstreams_.Document());
+    }
+    responder.Whole(404, {}, "");
+  }
+
+  // Starting while the store is away: another entry knows what it last read,
+  // which may only be behind.
+  void AskPeer(std::size_t n) {
+    const auto& peers = settings_.direct->peers;
+    if (gateway_.has_configuration() || peers.empty()) return;
+    const Endpoint peer = peers[n % peers.size()];
+    Ask(peer, "/known/configuration", [this, peer](const std::string& document) {
+      if (!configuration_.Offer(document)) return;
+      log_.Write(MonotonicMs(), "configuration_from_peer", {{"peer", peer.ToString()}});
+      Ask(peer, "/known/upstreams", [this](const std::string& it) { upstreams_.Offer(it); });
+    });
+    peer_timer_.After(kAskPeerMs, [this, n] { AskPeer(n + 1); });
+  }
+
+  void Ask(const Endpoint& peer, std::string target, std::function<void(const std::string&)> take) {
+    HttpCall call;
+    call.endpoint = peer;
+    call.target = std::move(target);
+    call.connect_ms = kPeerAnswerMs;
+    call.quiet_ms = kPeerAnswerMs;
+    FetchWhole(http_, std::move(call), [take = std::move(take)](const HttpAnswer& answer) {
+      if (answer.status == 200 && !answer.body.empty()) take(answer.body);
+    });
+  }
+
+  void TellSoon() {
+    if (is_urgent_) return;
+    is_urgent_ = true;
+    urgent_timer_.After(kUrgentDemandMs, [this] {
+      is_urgent_ = false;
+      TellAgents();
+    });
+  }
+
+  void TellAgents() {
+    const TimeMs now = MonotonicMs();
+    auto demands = gateway_.Demands();
+    for (auto& [instance, demand] : demands) {
+      demand.entry = settings_.id;
+      const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
+      if (upstream == nullptr) continue;
+      Sent& sent = sent_[instance];
+      // Ages grow by themselves; what is wanted is compared without them.
+      const bool is_same = IsSame(sent.demand, demand);
+      if (is_same && now - sent.at < kRepeatDemandMs) continue;
+      sent.at = now;
+      const std::string bytes = EncodeDemand(demand);
+      sent.demand = std::move(demand);
+      links_.Send(instance, Endpoint{upstream->endpoint.address, settings_.direct->link_port},
+                  bytes);
+    }
+    CloseSilent(now);
+  }
+
+  static bool IsSame(const AgentDemand& a, const AgentDemand& b) {
+    if (a.stage != b.stage || a.wanted.size() != b.wanted.size()) return false;
+    for (std::size_t n = 0; n < a.wanted.size(); ++n) {
+      const bool is_same = a.wanted[n].ref == b.wanted[n].ref &&
+                           (a.wanted[n].waiting > 0) == (b.wanted[n].waiting > 0);
+      if (!is_same) return false;
+    }
+    if (a.use.size() != b.use.size()) return false;
+    for (std::size_t n = 0; n < a.use.size(); ++n) {
+      const bool is_same = a.use[n].model == b.use[n].model &&
+                           (a.use[n].in_flight > 0) == (b.use[n].in_flight > 0);
+      if (!is_same) return false;
+    }
+    return true;
+  }
+
+  // A link on which nothing came for long may be cut without either end
+  // knowing; it is opened again with the next demand.
+  void CloseSilent(TimeMs now) {
+    for (auto it = sent_.begin(); it != sent_.end();) {
+      const bool is_gone = gateway_.upstreams().Find(it->first) == nullptr;
+      const bool is_silent = !gateway_.upstreams().HasFreshView(it->first, now) &&
+                             now - it->second.opened_at > kSilentLinkMs;
+      if (is_gone || is_silent) {
+        it->second.opened_at = now;
+        links_.Close(it->first, "silent");
+      }
+      it = is_gone ? sent_.erase(it) : std::next(it);
+    }
+  }
+
+  // Above the time in which a view counts as fresh.
+  static constexpr DurationMs kSilentLinkMs = 2000;
+
+  struct Sent {
+    AgentDemand demand;
+    TimeMs at = 0;
+    TimeMs opened_at = MonotonicMs();
+  };
+
+  boost::asio::io_context& io_;
+  Settings settings_;
+  EventLog log_;
+  HttpClient http_;
+  platform::StoreClient store_;
+  Gateway gateway_;
+  LinkClient links_;
+  platform::ConfigurationFollower configuration_;
+  platform::UpstreamFollower upstreams_;
+  Timer demand_timer_;
+  Timer urgent_timer_;
+  Timer peer_timer_;
+  std::vector<std::unique_ptr<HttpServer>> servers_;
+  std::map<std::string, Sent> sent_;
+  bool is_urgent_ = false;
+  bool is_stopping_ = false;
+};
+
+DirectEntry::DirectEntry(boost::asio::io_context& io, Settings settings)
+    : impl_(std::make_shared<Impl>(io, std::move(settings))) {}
+DirectEntry::~DirectEntry() = default;
+std::optional<ListenError> DirectEntry::Start() { return impl_->Start(); }
+void DirectEntry::Stop() { impl_->Stop(); }
+void DirectEntry::Reload(const Settings& settings) { impl_->Reload(settings); }
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/daemon/direct_metrics.cc
@@ -0,0 +1,78 @@
+#include "direct_metrics.h"
+
+#include "junctionrail/telemetry.h"
+
+namespace junctionrail::internal {
+namespace {
+
+void AddStore(const platform::StoreClient& store, const EventLog& log, MetricsPage* page) {
+  const auto& counters = store.counters();
+  page->Counter("junctionrail_store_reads_total", "Readings of the store.", counters.reads);
+  page->Counter("junctionrail_store_waits_total", "Waiting calls to the store.", counters.waits);
+  page->Counter("junctionrail_store_failures_total", "Calls without a usable answer.",
+                counters.failures);
+  const auto& lines = log.counters();
+  page->Counter("junctionrail_log_lines_total", "Log lines written.", lines.written);
+  page->Counter("junctionrail_log_lines_left_out_total", "Left out by the bound a second.",
+                lines.over_bound);
+  page->Counter("junctionrail_log_lines_lost_total", "Lost as nobody read.", lines.reader_full);
+  AddProcess(page);
+}
+
+void AddLatency(const LatencyHistogram& histogram, MetricsPage* page) {
+  std::uint64_t n = 0;
+  for (std::size_t bucket = 0; bucket < kLatencyBuckets; ++bucket) {
+    n += histogram.buckets[bucket];
+    const bool is_last = bucket + 1 == kLatencyBuckets;
+    const std::string bound = is_last ? "+Inf" : std::to_string(kLatencyBucketsMs[bucket]);
+    page->Counter("junctionrail_first_answer_ms_bucket",
+                  "From a request's arrival to the first byte of its answer, by upper bound.", n,
+                  {{"le", bound}});
+  }
+  page->Counter("junctionrail_first_answer_ms_count", "Answers begun.", histogram.count);
+  page->Counter("junctionrail_first_answer_ms_sum", "Sum of the above.",
+                static_cast<std::uint64_t>(histogram.sum_ms));
+}
+
+}  // namespace
+
+std::string EntryMetrics(const Gateway& gateway, const platform::StoreClient& store,
+                         const EventLog& log) {
+  MetricsPage page;
+  const GatewayCounters& it = gateway.counters();
+  page.Counter("junctionrail_connections_total", "Connections of callers.", it.connections);
+  page.Counter("junctionrail_requests_total", "Requests read.", it.requests);
+  const auto outcome = [&page](std::string_view name, std::uint64_t n) {
+    page.Counter("junctionrail_outcomes_total", "Requests by their end.", n, {{"outcome", name}});
+  };
+  outcome("served", it.served);
+  outcome("passed_failure", it.passed_failures);
+  outcome("refused", it.refused);
+  outcome("unknown", it.unknown);
+  outcome("broken", it.broken);
+  outcome("cancelled", it.cancelled);
+  page.Counter("junctionrail_bad_requests_total", "Not understood.", it.bad_requests);
+  page.Counter("junctionrail_retries_total", "Attempts beyond the first.", it.retries);
+  page.Counter("junctionrail_resumes_total", "Streams that went on elsewhere.", it.resumes);
+  page.Counter("junctionrail_model_waits_total", "Requests that waited for a load.",
+               it.waited_for_model);
+  page.Counter("junctionrail_surplus_answers_total", "Answers nobody asked for.",
+               it.surplus_answers);
+  page.Counter("junctionrail_upstream_connections_total", "Connections opened to upstreams.",
+               it.upstream_connections);
+  AddLatency(gateway.first_answer(), &page);
+  AddStore(store, log, &page);
+  return page.text();
+}
+
+std::string AgentMetrics(const AgentOrderCounters& counters, const platform::StoreClient& store,
+                         const EventLog& log) {
+  MetricsPage page;
+  page.Counter("junctionrail_orders_total", "Orders given to the engine.", counters.orders);
+  page.Counter("junctionrail_orders_not_accepted_total", "Of these, not accepted.",
+               counters.orders_not_accepted);
+  AddStore(store, log, &page);
+  return page.text();
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/daemon/direct_metrics.h
@@ -0,0 +1,26 @@
+// The metrics pages of the direct path's two roles.
+#ifndef JUNCTIONRAIL_DAEMON_DIRECT_METRICS_H_
+#define JUNCTIONRAIL_DAEMON_DIRECT_METRICS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "platform.h"
+#include "junctionrail/event_log.h"
+#include "junctionrail/gateway.h"
+
+namespace junctionrail::internal {
+
+struct AgentOrderCounters {
+  std::uint64_t orders = 0;
+  std::uint64_t orders_not_accepted = 0;
+};
+
+std::string EntryMetrics(const Gateway& gateway, const platform::StoreClient& store,
+                         const EventLog& log);
+std::string AgentMetrics(const AgentOrderCounters& counters, const platform::StoreClient& store,
+                         const EventLog& log);
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_DAEMON_DIRECT_METRICS_H_
--- a/src/daemon/entry_daemon.cc
+++ b/src/daemon/entry_daemon.cc
@@ -16,7 +16,7 @@
 #include "daemon_metrics.h"
 #include "junctionrail/burn.h"
 #include "junctionrail/entry_core.h"
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 #include "junctionrail/telemetry.h"
 #include "operator_service.h"
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -8,9 +8,14 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <functional>
 #include <memory>
+#include <string>
+#include <type_traits>
 
 #include "daemon.h"
+#include "direct_daemon.h"
 #include "junctionrail/settings.h"
 #include "junctionrail/telemetry.h"
 
@@ -23,6 +28,34 @@
 constexpr int kExitDone = 0;
 constexpr int kExitSettings = 2;
 
+// Settings that were read again. What the path through agents takes from them
+// is read once; a changed file is checked and reported there.
+template <class Daemon>
+void Reload(Daemon& daemon, const junctionrail::Settings& settings) {
+  if constexpr (std::is_same_v<Daemon, junctionrail::internal::DirectEntry> ||
+                std::is_same_v<Daemon, junctionrail::internal::DirectAgent>) {
+    daemon.Reload(settings);
+  } else {
+    spdlog::info("the settings of {} were read again", settings.id);
+  }
+}
+
+// Reads the settings file again on each SIGHUP. One that is malformed is
+// reported, and the process goes on with what it has.
+void AwaitReload(boost::asio::signal_set& signals, const std::string& file,
+                 const std::function<void(const junctionrail::Settings&)>& reload) {
+  signals.async_wait([&signals, file, reload](const boost::system::error_code& ec, int) {
+    if (ec) return;
+    const auto settings = junctionrail::ReadSettings(file);
+    if (settings) {
+      reload(settings.value());
+    } else {
+      std::fprintf(stderr, "%s\n", settings.error().Sentence().c_str());
+    }
+    AwaitReload(signals, file, reload);
+  });
+}
+
 template <class Daemon>
 int Run(const junctionrail::Settings& settings, const std::string& file) {
   boost::asio::io_context io(1);
@@ -37,6 +70,10 @@
   signals.async_wait([&daemon](const boost::system::error_code& ec, int) {
     if (!ec) daemon->Stop();
   });
+  boost::asio::signal_set reloads(io, SIGHUP);
+  AwaitReload(reloads, file, [&daemon](const junctionrail::Settings& changed) {
+    Reload(*daemon, changed);
+  });
   io.run();
   spdlog::default_logger()->flush();
   return kExitDone;
@@ -47,7 +84,9 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("junctionraild --settings=FILE [--check_settings]");
   absl::ParseCommandLine(argc, argv);
-  const std::string file = absl::GetFlag(FLAGS_settings);
+  std::string file = absl::GetFlag(FLAGS_settings);
+  const char* from_environment = std::getenv("JUNCTIONRAIL_CONFIG");
+  if (file.empty() && from_environment != nullptr) file = from_environment;
   if (file.empty()) {
     std::fprintf(stderr, "--settings: expected a file, found nothing\n");
     return kExitSettings;
@@ -64,6 +103,11 @@
   const junctionrail::Settings& checked = settings.value();
   junctionrail::StartLogs(checked.log_format, checked.log_level, checked.id);
   std::signal(SIGPIPE, SIG_IGN);
+  if (checked.direct) {
+    return checked.role == junctionrail::Role::kEntry
+               ? Run<junctionrail::internal::DirectEntry>(checked, file)
+               : Run<junctionrail::internal::DirectAgent>(checked, file);
+  }
   if (checked.role == junctionrail::Role::kEntry) {
     return Run<junctionrail::internal::EntryDaemon>(checked, file);
   }
--- a/src/daemon/operator_service.h
+++ b/src/daemon/operator_service.h
@@ -13,7 +13,7 @@
 #include "junctionrail/decision_log.h"
 #include "junctionrail/declarations.h"
 #include "junctionrail/net.h"
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 
 namespace boost::asio {
 class io_context;
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,300 @@
+#include "caller_connection.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "http_text.h"
+
+namespace junctionrail::internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = 8 << 10;
+// What a caller may send ahead while its request is under way.
+constexpr std::size_t kMostAhead = 64 << 10;
+// A caller that does not read is left so far behind before its upstream is
+// paused.
+constexpr std::size_t kMostUnsent = 256 << 10;
+// Before the configuration is known; then its own limits hold.
+constexpr DurationMs kDefaultIdleMs = 15000;
+// After the last answer the caller's own close is awaited, as closing with
+// bytes unread would reset the connection under the answer.
+constexpr DurationMs kLingerMs = 1000;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeadTooLarge = 431;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+CallerConnection::CallerConnection(Gateway::Impl& gateway, asio::ip::tcp::socket socket)
+    : gateway_(gateway), socket_(std::move(socket)), timer_(gateway.io) {
+  error_code ec;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+}
+
+void CallerConnection::Start() {
+  active_at_ = MonotonicMs();
+  ArmTimer(gateway_.routes ? gateway_.routes->configuration().limits.idle_timeout_ms
+                           : kDefaultIdleMs);
+  Read();
+}
+
+void CallerConnection::Read() {
+  if (is_reading_ || is_closed_ || (exchange_ && buffer_.size() > kMostAhead)) return;
+  is_reading_ = true;
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](error_code ec, std::size_t n) {
+                            self->is_reading_ = false;
+                            if (!self->is_closed_) self->OnRead(ec, n);
+                          });
+}
+
+void CallerConnection::OnRead(error_code ec, std::size_t n) {
+  if (ec) return Close();
+  active_at_ = MonotonicMs();
+  if (is_lingering_) return Read();
+  buffer_.commit(n);
+  if (!exchange_) Parse();
+  Read();
+}
+
+void CallerConnection::Parse() {
+  while (!exchange_ && !is_closed_ && !is_last_answer_done_ && buffer_.size() > 0) {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->eager(true);
+      const CallerLimits limits =
+          gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits();
+      parser_->header_limit(limits.max_header_bytes);
+      parser_->body_limit(limits.max_body_bytes);
+      request_since_ = MonotonicMs();
+      ArmTimer(limits.header_timeout_ms);
+    }
+    const bool had_header = parser_->is_header_done();
+    error_code ec;
+    const std::size_t n = parser_->put(buffer_.data(), ec);
+    buffer_.consume(n);
+    if (ec && ec != http::error::need_more) return OnParseError(ec);
+    if (!had_header && parser_->is_header_done()) {
+      if (!IsFramingSound()) return Reject(kBadRequest, "bad_framing");
+      const auto expect = parser_->get().find(http::field::expect);
+      if (expect != parser_->get().end() && !parser_->is_done()) Write(kContinue);
+    }
+    if (parser_->is_done()) return Dispatch();
+    if (ec == http::error::need_more || n == 0) return;
+  }
+}
+
+// A message whose length two readers may understand differently could hide a
+// second request.
+bool CallerConnection::IsFramingSound() const {
+  const auto& fields = parser_->get().base();
+  const auto codings = fields.equal_range(http::field::transfer_encoding);
+  const auto n = std::distance(codings.first, codings.second);
+  if (n > 1) return false;
+  if (n == 1 && !EqualsNoCase(std::string_view(codings.first->value()), "chunked")) return false;
+  const auto hosts = fields.equal_range(http::field::host);
+  return std::distance(hosts.first, hosts.second) == 1;
+}
+
+void CallerConnection::OnParseError(error_code ec) {
+  if (ec == http::error::body_limit) return Reject(kTooLarge, "body_too_large");
+  if (ec == http::error::header_limit) return Reject(kHeadTooLarge, "head_too_large");
+  Reject(kBadRequest, "malformed_request");
+}
+
+// Answers what was not understood; nothing after it can be trusted.
+void CallerConnection::Reject(unsigned status, std::string_view code) {
+  ++gateway_.counters.bad_requests;
+  gateway_.log.Write(MonotonicMs(), "bad_request",
+                     {{"status", static_cast<std::int64_t>(status)}, {"code", code}});
+  is_keep_alive_ = false;
+  is_head_method_ = false;
+  SendWhole(status, {{"Content-Type", "application/json"}},
+            "{\"error\":{\"code\":\"" + std::string(code) + "\",\"ran\":\"no\"}}");
+}
+
+void CallerConnection::Dispatch() {
+  auto& message = parser_->get();
+  CallerRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& it : message.base()) {
+    request.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+  }
+  request.body = std::make_shared<const std::string>(std::move(message.body()));
+  request.arrived_at = MonotonicMs();
+  is_keep_alive_ = message.keep_alive() && !is_leaving_;
+  is_head_method_ = message.method() == http::verb::head;
+  parser_.reset();
+  request_since_ = 0;
+  timer_.cancel();
+  exchange_ = std::make_shared<Exchange>(gateway_, std::move(request),
+                                         std::weak_ptr<CallerSink>(shared_from_this()));
+  // The exchange may be over when Start returns.
+  const auto exchange = exchange_;
+  exchange->Start();
+}
+
+void CallerConnection::SendWhole(unsigned status, std::vector<HttpHeader> fields,
+                                 std::string body) {
+  const bool must_close = !is_keep_alive_ || is_leaving_;
+  std::string text;
+  text.reserve(body.size() + 512);
+  AppendStatusLine(status, &text);
+  AppendFields(fields, &text);
+  const bool has_length = status != kNoContent && status != kNotModified && !is_head_method_;
+  if (has_length) AppendField("Content-Length", std::to_string(body.size()), &text);
+  if (must_close) AppendField("Connection", "close", &text);
+  text += "\r\n";
+  if (has_length) text += body;
+  Write(text);
+  EndAnswer(must_close);
+}
+
+void CallerConnection::SendHead(unsigned status, std::vector<HttpHeader> fields) {
+  std::string text;
+  AppendStatusLine(status, &text);
+  AppendFields(fields, &text);
+  AppendField("Transfer-Encoding", "chunked", &text);
+  if (!is_keep_alive_ || is_leaving_) {
+    is_keep_alive_ = false;
+    AppendField("Connection", "close", &text);
+  }
+  text += "\r\n";
+  out_ += text;  // Leaves with the first event.
+}
+
+void CallerConnection::SendPiece(std::string_view data) {
+  AppendChunk(data, &out_);
+  Flush();
+}
+
+void CallerConnection::SendEnd() {
+  Write(kLastChunk);
+  EndAnswer(!is_keep_alive_);
+}
+
+void CallerConnection::Abort() {
+  exchange_.reset();
+  Close();
+}
+
+bool CallerConnection::IsBehind() const { return out_.size() + writing_.size() > kMostUnsent; }
+
+void CallerConnection::EndAnswer(bool must_close) {
+  exchange_.reset();
+  active_at_ = MonotonicMs();
+  if (must_close) {
+    is_last_answer_done_ = true;
+    if (writing_.empty() && out_.empty()) Linger();
+    return;
+  }
+  ArmTimer(gateway_.routes ? gateway_.routes->configuration().limits.idle_timeout_ms
+                           : kDefaultIdleMs);
+  // Not from within the exchange's own call.
+  asio::post(gateway_.io, [self = shared_from_this()] {
+    if (self->is_closed_ || self->exchange_) return;
+    self->Parse();
+    self->Read();
+  });
+}
+
+void CallerConnection::Write(std::string_view data) {
+  out_ += data;
+  Flush();
+}
+
+void CallerConnection::Flush() {
+  if (is_closed_ || out_.empty() || !writing_.empty()) return;
+  writing_ = std::exchange(out_, std::string());
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self = shared_from_this()](error_code ec, std::size_t) {
+                      self->writing_.clear();
+                      if (self->is_closed_) return;
+                      if (ec) return self->Close();
+                      self->Flush();
+                      if (!self->writing_.empty()) return;
+                      if (self->is_last_answer_done_) return self->Linger();
+                      if (self->exchange_) self->exchange_->OnCallerReady();
+                    });
+}
+
+void CallerConnection::Linger() {
+  if (is_lingering_ || is_closed_) return;
+  is_lingering_ = true;
+  error_code ec;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  buffer_.consume(buffer_.size());
+  ArmTimer(kLingerMs);
+  Read();
+}
+
+void CallerConnection::Close() {
+  if (is_closed_) return;
+  is_closed_ = true;
+  timer_.cancel();
+  error_code ec;
+  socket_.close(ec);
+  const auto exchange = std::exchange(exchange_, nullptr);
+  if (exchange) exchange->OnCallerGone();
+  gateway_.connections.erase(shared_from_this());
+}
+
+void CallerConnection::Leave(bool is_idle_over) {
+  is_leaving_ = true;
+  // A request that is being read is still served.
+  const bool is_between = IsIdle() && !parser_ && buffer_.size() == 0;
+  if (is_idle_over && is_between && !is_last_answer_done_) {
+    is_last_answer_done_ = true;
+    Linger();
+  }
+}
+
+void CallerConnection::Drop() {
+  if (exchange_) exchange_->OnStop();
+  // What OnStop wrote leaves with the kernel's buffer.
+  if (!writing_.empty() || !out_.empty()) {
+    error_code ec;
+    socket_.non_blocking(true, ec);
+    if (writing_.empty()) socket_.write_some(asio::buffer(out_), ec);
+  }
+  Close();
+}
+
+void CallerConnection::ArmTimer(DurationMs delay) {
+  timer_.expires_after(std::chrono::milliseconds(std::max<DurationMs>(delay, 1)));
+  timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec && !self->is_closed_) self->OnTimer();
+  });
+}
+
+void CallerConnection::OnTimer() {
+  if (exchange_) return;
+  if (is_lingering_) return Close();
+  if (is_last_answer_done_) return ArmTimer(kLingerMs);
+  if (parser_) {
+    const CallerLimits limits =
+        gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits();
+    if (!parser_->is_header_done()) return Reject(kRequestTimeout, "header_timeout");
+    // A body that still arrives has the idle limit between its pieces.
+    const DurationMs quiet = MonotonicMs() - active_at_;
+    if (quiet >= limits.idle_timeout_ms) return Reject(kRequestTimeout, "body_timeout");
+    return ArmTimer(limits.idle_timeout_ms - quiet);
+  }
+  is_last_answer_done_ = true;
+  Linger();
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/gateway/caller_connection.h
@@ -0,0 +1,79 @@
+// One connection of a caller: reads requests one after the other, hands each
+// to an exchange, and writes its answer.
+#ifndef JUNCTIONRAIL_GATEWAY_CALLER_CONNECTION_H_
+#define JUNCTIONRAIL_GATEWAY_CALLER_CONNECTION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "exchange.h"
+#include "gateway_impl.h"
+
+namespace junctionrail::internal {
+
+class CallerConnection : public CallerSink, public std::enable_shared_from_this<CallerConnection> {
+ public:
+  CallerConnection(Gateway::Impl& gateway, boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  // The process is to end: the next answer is the last. `is_idle_over`: closes
+  // at once when no request is under way.
+  void Leave(bool is_idle_over);
+  // The process ends now.
+  void Drop();
+  bool IsIdle() const { return exchange_ == nullptr && out_.empty() && writing_.empty(); }
+
+  void SendWhole(unsigned status, std::vector<HttpHeader> fields, std::string body) override;
+  void SendHead(unsigned status, std::vector<HttpHeader> fields) override;
+  void SendPiece(std::string_view data) override;
+  void SendEnd() override;
+  void Abort() override;
+  bool IsBehind() const override;
+
+ private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(boost::system::error_code ec, std::size_t n);
+  void Parse();
+  void OnParseError(boost::system::error_code ec);
+  bool IsFramingSound() const;
+  void Dispatch();
+  void Reject(unsigned status, std::string_view code);
+  void EndAnswer(bool must_close);
+  void Write(std::string_view data);
+  void Flush();
+  void Linger();
+  void Close();
+  void ArmTimer(DurationMs delay);
+  void OnTimer();
+
+  Gateway::Impl& gateway_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::shared_ptr<Exchange> exchange_;
+  std::string out_;      // To be written next.
+  std::string writing_;  // Under way.
+  TimeMs request_since_ = 0;  // First byte of the request being read; 0: none.
+  TimeMs active_at_ = 0;
+  bool is_reading_ = false;
+  bool is_keep_alive_ = true;
+  bool is_head_method_ = false;
+  bool is_leaving_ = false;
+  bool is_last_answer_done_ = false;  // Closes once all is written.
+  bool is_lingering_ = false;
+  bool is_closed_ = false;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_GATEWAY_CALLER_CONNECTION_H_
--- /dev/null
+++ b/src/gateway/event_stream.cc
@@ -0,0 +1,59 @@
+#include "event_stream.h"
+
+#include <algorithm>
+
+#include "http_text.h"
+
+namespace junctionrail::internal {
+namespace {
+
+// The position after the blank line that ends the first event; npos if none.
+std::size_t EndOfEvent(std::string_view text) {
+  const std::size_t lf = text.find("\n\n");
+  const std::size_t crlf = text.find("\n\r\n");
+  if (lf == std::string_view::npos && crlf == std::string_view::npos) return lf;
+  return lf < crlf ? lf + 2 : crlf + 3;
+}
+
+std::string_view FindId(std::string_view event) {
+  std::string_view id;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.substr(0, 3) == "id:") {
+      id = line.substr(3);
+      if (!id.empty() && id.front() == ' ') id.remove_prefix(1);
+    }
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return id;
+}
+
+}  // namespace
+
+std::string EventStream::Take(std::string_view data) {
+  tail_ += data;
+  std::string whole;
+  std::size_t at = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(tail_).substr(at);
+    const std::size_t end = EndOfEvent(rest);
+    if (end == std::string_view::npos) break;
+    const std::string_view event = rest.substr(0, end);
+    at += end;
+    const std::string_view id = FindId(event);
+    std::int64_t number = 0;
+    const bool has_number = ParseWhole(id, &number);
+    if (has_number && last_number_ && number <= *last_number_) continue;
+    if (has_number) last_number_ = number;
+    if (!id.empty()) last_id_.assign(id);
+    ++events_;
+    whole.append(event);
+  }
+  tail_.erase(0, at);
+  return whole;
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,548 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "http_text.h"
+
+namespace junctionrail::internal {
+namespace {
+
+// Attempts that did not run at all may be followed by so many others: enough
+// to get past restarted and full upstreams, few enough to end soon.
+constexpr int kMostUnrun = 5;
+// An upstream that is silent for so many times the target for the first byte
+// has most likely lost the request; one that may be repeated goes elsewhere.
+constexpr double kSilentTargets = 0.75;
+constexpr double kSilentStreamTargets = 2.0;
+constexpr DurationMs kLeastSilenceMs = 150;
+// A silent stream that may be resumed goes on elsewhere after so many times
+// the target for its pauses.
+constexpr double kSilentPauses = 2.5;
+// The upstream gives up this much before us, so that its own word arrives.
+constexpr DurationMs kDeadlineMarginMs = 20;
+// Without an agent to ask, a request waits this long for one to be heard of.
+constexpr DurationMs kNoAgentMs = 1200;
+constexpr DurationMs kLeastRetryAfterMs = 200;
+constexpr DurationMs kDefaultRetryAfterMs = 500;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+// Requests that share all parts of their prompt but the last read the same
+// memory.
+std::string_view SharedParts(std::string_view parts) {
+  const std::size_t last = parts.rfind(',');
+  return last == std::string_view::npos ? std::string_view() : parts.substr(0, last);
+}
+
+std::string Seconds(DurationMs ms) {
+  const DurationMs rounded = std::max(ms, kLeastRetryAfterMs);
+  std::string text = std::to_string(rounded / 1000) + ".";
+  const std::string part = std::to_string(rounded % 1000);
+  return text + std::string(3 - part.size(), '0') + part;
+}
+
+}  // namespace
+
+Exchange::Exchange(Gateway::Impl& gateway, CallerRequest request, std::weak_ptr<CallerSink> sink)
+    : gateway_(gateway),
+      request_(std::move(request)),
+      sink_(std::move(sink)),
+      routes_(gateway.routes),
+      timer_(gateway.io) {}
+
+void Exchange::Start() {
+  ++gateway_.counters.requests;
+  const std::string* id = FindField(request_.fields, gateway_.options.names.request_id);
+  if (id != nullptr) request_id_ = *id;
+  if (!routes_) {
+    return Refuse(kUnavailable, "no_configuration", "no configuration is known yet", Ran::kNo,
+                  kDefaultRetryAfterMs);
+  }
+  if (!FindRoute()) {
+    return Refuse(kNotFound, "no_route", "no route matches this host and path", Ran::kNo, 0);
+  }
+  if (!ReadFields()) return;
+  gateway_.retries.OnRequest(service_, request_.arrived_at);
+  gateway_.upstreams.OnArrival(model_, request_.arrived_at);
+  Attempt();
+}
+
+bool Exchange::FindRoute() {
+  const std::string* host = FindField(request_.fields, "Host");
+  if (host == nullptr) return false;
+  route_ = routes_->Find(*host, PathOf(request_.target));
+  return route_ != nullptr;
+}
+
+// Reads what the choice and the time limits need. False when it answered.
+bool Exchange::ReadFields() {
+  const CallHeaderNames& names = gateway_.options.names;
+  if (request_id_.empty()) {
+    Refuse(kBadRequest, "no_request_id", "expected a header " + names.request_id + ", found none",
+           Ran::kNo, 0);
+    return false;
+  }
+  service_ = std::string(PickService(*route_, request_id_));
+  std::int64_t deadline_ms = route_->timeout_ms;
+  const std::string* deadline = FindField(request_.fields, names.deadline_ms);
+  if (deadline != nullptr && !ParseWhole(*deadline, &deadline_ms)) {
+    Refuse(kBadRequest, "bad_deadline",
+           "expected whole milliseconds in " + names.deadline_ms + ", found " + *deadline,
+           Ran::kNo, 0);
+    return false;
+  }
+  end_at_ = request_.arrived_at + std::min<std::int64_t>(deadline_ms, route_->timeout_ms);
+  patience_at_ = route_->patience_ms > 0
+                     ? std::min(end_at_, request_.arrived_at + route_->patience_ms)
+                     : end_at_;
+  const ServiceSpec* service = routes_->configuration().FindService(service_);
+  const std::string* model = FindField(request_.fields, names.model);
+  if (service != nullptr && service->engine && model != nullptr) {
+    const std::size_t slash = model->find('/');
+    model_ = ModelRef{model->substr(0, slash),
+                      slash == std::string::npos ? std::string() : model->substr(slash + 1)};
+  }
+  const std::string* parts = FindField(request_.fields, names.prompt_parts);
+  if (parts != nullptr) affinity_ = std::string(SharedParts(*parts));
+  return true;
+}
+
+void Exchange::Attempt() {
+  const TimeMs now = MonotonicMs();
+  if (now >= end_at_) return GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, "deadline");
+  PickRequest pick;
+  pick.service = service_;
+  pick.model = model_;
+  pick.affinity = affinity_;
+  pick.tried = tried_;
+  pick.patience_ms = patience_at_ - now;
+  const Pick choice = gateway_.upstreams.Choose(pick, now);
+  if (const auto* to = std::get_if<junctionrail::SendTo>(&choice)) return SendTo(to->instance);
+  if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
+  GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, std::get<NoneLeft>(choice).reason);
+}
+
+void Exchange::WaitForModel(const WaitFor& wait) {
+  const TimeMs now = MonotonicMs();
+  if (!is_parked_) {
+    ++gateway_.counters.waited_for_model;
+    parked_since_ = now;
+  }
+  const DurationMs patience = patience_at_ - now;
+  const bool has_agent = !wait.instance.empty();
+  const bool is_hopeless =
+      has_agent ? wait.estimate_ms > patience : now - parked_since_ > kNoAgentMs;
+  const bool is_new_ask = asked_ != wait.instance;
+  asked_ = wait.instance;
+  if (!is_parked_ && has_agent) {
+    gateway_.log.Write(now, "wait_for_model",
+                       {{"request", request_id_},
+                        {"model", model_->ToString()},
+                        {"asked", wait.instance},
+                        {"estimate_ms", wait.estimate_ms},
+                        {"patience_ms", patience}});
+  }
+  if (is_begun_) return GiveUp(Ran::kMaybe, "no upstream holds the model any more");
+  is_parked_ = true;
+  gateway_.Park(shared_from_this());
+  // The load is asked for even when this request cannot wait for it: the
+  // caller is told to come back when it is up.
+  if (is_new_ask && gateway_.on_new_demand) gateway_.on_new_demand();
+  if (is_hopeless) {
+    return Refuse(kUnavailable, "model_not_loaded", "the model is not up in time", Ran::kNo,
+                  std::max(wait.estimate_ms, kDefaultRetryAfterMs));
+  }
+  Arm();
+}
+
+void Exchange::Retry() {
+  if (is_finished_ || !is_parked_) return;
+  Attempt();
+}
+
+void Exchange::SendTo(const std::string& instance) {
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance);
+  if (upstream == nullptr) return GiveUp(Ran::kNo, "no_upstream");
+  if (is_parked_) {
+    is_parked_ = false;
+    gateway_.Unpark(shared_from_this());
+  }
+  instance_ = instance;
+  tried_.push_back(instance);
+  head_.reset();
+  body_.clear();
+  attempt_at_ = MonotonicMs();
+  heard_at_ = attempt_at_;
+  ++sent_attempts_;
+  ++ran_attempts_;
+  gateway_.upstreams.OnSent(instance, model_);
+  UpstreamMessage message;
+  message.head = HeadFor(*upstream);
+  message.body = request_.body;
+  message.request_id = request_id_;
+  message.is_head_method = request_.method == "HEAD";
+  call_ = gateway_.pool.Start(*upstream, gateway_.MostConnections(*upstream), std::move(message),
+                              shared_from_this());
+  Arm();
+}
+
+std::string Exchange::HeadFor(const UpstreamRecord& upstream) const {
+  const CallHeaderNames& names = gateway_.options.names;
+  std::string head = request_.method + " " + request_.target + " HTTP/1.1\r\n";
+  for (const auto& it : EndToEndFields(request_.fields)) {
+    bool is_ours = EqualsNoCase(it.name, names.deadline_ms) ||
+                   EqualsNoCase(it.name, names.priority) ||
+                   EqualsNoCase(it.name, names.expected_instance) ||
+                   EqualsNoCase(it.name, "Expect");
+    for (const auto& reserved : names.reserved) is_ours |= EqualsNoCase(it.name, reserved);
+    const bool is_replaced = !events_.last_id().empty() &&
+                             EqualsNoCase(it.name, names.last_event_id);
+    if (!is_ours && !is_replaced) AppendField(it.name, it.value, &head);
+  }
+  const DurationMs left = std::max<DurationMs>(1, Left() - kDeadlineMarginMs);
+  AppendField(names.deadline_ms, std::to_string(left), &head);
+  AppendField(names.expected_instance, upstream.instance, &head);
+  AppendField(names.priority, std::to_string(std::clamp(route_->priority, 0, 9)), &head);
+  if (!events_.last_id().empty()) AppendField(names.last_event_id, events_.last_id(), &head);
+  const bool has_body = !request_.body->empty() || request_.method == "POST" ||
+                        request_.method == "PUT" || request_.method == "PATCH";
+  if (has_body) AppendField("Content-Length", std::to_string(request_.body->size()), &head);
+  head += "\r\n";
+  return head;
+}
+
+void Exchange::OnHead(UpstreamHead head) {
+  heard_at_ = MonotonicMs();
+  const CallHeaderNames& names = gateway_.options.names;
+  const bool is_success = head.status / 100 == 2;
+  const std::string* type = FindField(head.fields, "Content-Type");
+  is_event_answer_ = is_success && route_->kind == CallKind::kStream &&
+                     (type == nullptr || type->find("event-stream") != std::string::npos);
+  const bool is_not_run = FindField(head.fields, names.not_run) != nullptr ||
+                          head.status == kMisdirected;
+  head_ = std::move(head);
+  if (is_not_run) return OnRefusal(*head_);
+  const bool is_sealed = FindField(head_->fields, names.proof) != nullptr;
+  if (is_success && !is_sealed) {
+    call_->Cancel();
+    EndAttempt(AttemptEnd::kFailed);
+    return AfterAttempt(Ran::kMaybe, true, "the answer has no seal");
+  }
+  Arm();
+}
+
+// The upstream says that it did not run the request.
+void Exchange::OnRefusal(const UpstreamHead& head) {
+  const CallHeaderNames& names = gateway_.options.names;
+  const TimeMs now = MonotonicMs();
+  std::string reason = "status " + std::to_string(head.status);
+  if (head.status == kMisdirected) {
+    const std::string* other = FindField(head.fields, names.instance);
+    if (other != nullptr && *other != instance_) {
+      gateway_.upstreams.OnOtherInstance(instance_);
+      reason = "another instance has the address";
+    } else if (model_) {
+      gateway_.upstreams.OnNotLoaded(instance_, *model_, now);
+      reason = "the model is not loaded there";
+      // It may be the right one again once the model is loaded.
+      tried_.pop_back();
+    }
+  } else if (model_ && head.status == kUnavailable) {
+    reason = "full, or an order on the model is under way";
+  }
+  call_->Cancel();
+  EndAttempt(AttemptEnd::kRefused);
+  --ran_attempts_;
+  AfterAttempt(Ran::kNo, true, reason);
+}
+
+void Exchange::OnBody(std::string_view data) {
+  heard_at_ = MonotonicMs();
+  if (is_event_answer_) {
+    const std::string whole = events_.Take(data);
+    if (whole.empty()) return;
+    const auto sink = sink_.lock();
+    if (!sink) return;
+    if (!is_begun_) {
+      RelayEvents();
+      if (is_finished_) return;
+    }
+    sink->SendPiece(whole);
+    if (sink->IsBehind() && call_) call_->Pause(true);
+    return;
+  }
+  body_ += data;
+}
+
+// Begins the caller's answer with the head of the upstream's.
+void Exchange::RelayEvents() {
+  const auto sink = sink_.lock();
+  if (!sink) return;
+  is_begun_ = true;
+  first_at_ = MonotonicMs();
+  gateway_.first_answer.Add(first_at_ - request_.arrived_at);
+  sink->SendHead(head_->status, EndToEndFields(head_->fields));
+  Arm();
+}
+
+void Exchange::OnEnd() {
+  call_ = nullptr;
+  if (!is_event_answer_) return RelayWhole();
+  if (!events_.tail().empty()) {
+    EndAttempt(AttemptEnd::kFailed);
+    return AfterAttempt(Ran::kMaybe, true, "the stream ended within an event");
+  }
+  EndAttempt(AttemptEnd::kServed);
+  const auto sink = sink_.lock();
+  if (!sink) return;
+  if (!is_begun_) RelayEvents();
+  sink->SendEnd();
+  Finish("served", head_->status);
+}
+
+void Exchange::RelayWhole() {
+  const unsigned status = head_->status;
+  const bool is_success = status / 100 == 2;
+  // Such a status would promise that the request did not run; without the
+  // upstream's own word nobody knows that.
+  const bool is_false_promise =
+      status == kUnavailable || status == kTooMany || status == kRequestTimeout;
+  EndAttempt(status >= 500 ? AttemptEnd::kFailed : AttemptEnd::kServed);
+  if (is_false_promise) {
+    return AfterAttempt(Ran::kMaybe, true, "status " + std::to_string(status));
+  }
+  if (is_begun_ && !is_success) {
+    return AfterAttempt(Ran::kMaybe, true, "status " + std::to_string(status));
+  }
+  const bool may_retry = status >= 500 && status != kGatewayTimeout;
+  if (may_retry && TryAnother(Ran::kMaybe, true)) return;
+  const auto sink = sink_.lock();
+  if (!sink) return;
+  gateway_.first_answer.Add(MonotonicMs() - request_.arrived_at);
+  sink->SendWhole(status, EndToEndFields(head_->fields), std::move(body_));
+  Finish(is_success ? "served" : "passed_failure", status);
+}
+
+void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
+  call_ = nullptr;
+  const bool was_sent = failure != UpstreamFailure::kNoConnection;
+  EndAttempt(was_sent ? AttemptEnd::kFailed : AttemptEnd::kUnreachable);
+  if (!was_sent) {
+    --ran_attempts_;
+    --sent_attempts_;
+    ++unsent_attempts_;
+  }
+  AfterAttempt(was_sent ? Ran::kMaybe : Ran::kNo, was_sent, reason);
+}
+
+void Exchange::EndAttempt(AttemptEnd end) {
+  gateway_.upstreams.OnEnd(instance_, model_, end, MonotonicMs());
+  call_ = nullptr;
+}
+
+void Exchange::AfterAttempt(Ran ran, bool was_sent, std::string_view reason) {
+  const TimeMs now = MonotonicMs();
+  gateway_.log.Write(now, "attempt_ended",
+                     {{"request", request_id_},
+                      {"upstream", instance_},
+                      {"reason", reason},
+                      {"may_have_run", ran == Ran::kMaybe},
+                      {"attempt", static_cast<std::int64_t>(tried_.size())},
+                      {"attempt_ms", now - attempt_at_},
+                      {"last_event", events_.last_id()},
+                      {"left_ms", end_at_ - now}});
+  if (TryAnother(ran, was_sent)) return;
+  GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, reason);
+}
+
+// Sends the request to another upstream where that is safe and paid for.
+bool Exchange::TryAnother(Ran ran, bool was_sent) {
+  const TimeMs now = MonotonicMs();
+  if (now >= end_at_ || sink_.expired()) return false;
+  const bool may_have_run = ran == Ran::kMaybe || ran_attempts_ > 0;
+  if (may_have_run && (!route_->MayRepeat() || ran_attempts_ >= route_->max_attempts)) {
+    return false;
+  }
+  const int unrun = sent_attempts_ - ran_attempts_ + unsent_attempts_;
+  if (unrun > kMostUnrun) return false;
+  if (may_have_run || was_sent) {
+    PickRequest pick;
+    pick.service = service_;
+    pick.model = model_;
+    pick.tried = tried_;
+    const Pick choice = gateway_.upstreams.Choose(pick, now);
+    if (std::holds_alternative<NoneLeft>(choice)) return false;
+    // Events were delivered: no load can be waited for.
+    if (is_begun_ && !std::holds_alternative<junctionrail::SendTo>(choice)) return false;
+    if (!gateway_.retries.TryTake(service_, now)) {
+      gateway_.log.Write(now, "retry_budget_spent",
+                         {{"request", request_id_}, {"service", service_}});
+      return false;
+    }
+    ++gateway_.counters.retries;
+  }
+  if (is_begun_) ++gateway_.counters.resumes;
+  events_.DropTail();
+  Attempt();
+  return true;
+}
+
+void Exchange::GiveUp(Ran ran, std::string_view reason) {
+  if (is_finished_) return;
+  if (is_begun_) {
+    const auto sink = sink_.lock();
+    if (sink) sink->Abort();
+    return Finish("broken", 0);
+  }
+  const bool is_late = MonotonicMs() >= end_at_;
+  if (ran == Ran::kNo) {
+    return Refuse(kUnavailable, "not_run", reason, Ran::kNo, kDefaultRetryAfterMs);
+  }
+  Refuse(is_late ? kGatewayTimeout : kBadGateway, "outcome_unknown", reason, Ran::kMaybe, 0);
+}
+
+void Exchange::Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
+                      DurationMs retry_after_ms) {
+  const auto sink = sink_.lock();
+  std::vector<HttpHeader> fields;
+  if (!request_id_.empty()) fields.push_back({gateway_.options.names.request_id, request_id_});
+  fields.push_back({"Content-Type", "application/json"});
+  if (retry_after_ms > 0) fields.push_back({"Retry-After", Seconds(retry_after_ms)});
+  std::string body = "{\"error\":{\"code\":\"" + std::string(code) + "\",\"message\":\"";
+  for (const char c : sentence) body.push_back(c == '"' || c == '\\' || c < ' ' ? '\'' : c);
+  body += "\",\"ran\":\"";
+  body += ran == Ran::kNo ? "no" : "unknown";
+  body += "\",\"retry_after_ms\":" + std::to_string(retry_after_ms) + "}}";
+  if (sink) sink->SendWhole(status, std::move(fields), std::move(body));
+  Finish(code, status);
+}
+
+void Exchange::Finish(std::string_view outcome, unsigned status) {
+  if (is_finished_) return;
+  is_finished_ = true;
+  timer_.cancel();
+  if (is_parked_) {
+    is_parked_ = false;
+    gateway_.Unpark(shared_from_this());
+  }
+  GatewayCounters& counters = gateway_.counters;
+  if (outcome == "served") {
+    ++counters.served;
+  } else if (outcome == "passed_failure") {
+    ++counters.passed_failures;
+  } else if (outcome == "broken") {
+    ++counters.broken;
+  } else if (outcome == "cancelled") {
+    ++counters.cancelled;
+  } else if (status == kBadGateway || status == kGatewayTimeout) {
+    ++counters.unknown;
+  } else {
+    ++counters.refused;
+  }
+  const TimeMs now = MonotonicMs();
+  const std::int64_t version =
+      routes_ ? static_cast<std::int64_t>(routes_->configuration().version) : 0;
+  gateway_.log.Write(
+      now, outcome == "served" ? "request_served" : "request_failed",
+      {{"request", request_id_},
+       {"outcome", outcome},
+       {"status", static_cast<std::int64_t>(status)},
+       {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view()},
+       {"model", model_ ? std::string_view(model_->model) : std::string_view()},
+       {"upstream", instance_},
+       {"attempts", static_cast<std::int64_t>(sent_attempts_)},
+       {"events", static_cast<std::int64_t>(events_.events())},
+       {"waited_ms", parked_since_ > 0 ? now - parked_since_ : 0},
+       {"first_ms", first_at_ > 0 ? first_at_ - request_.arrived_at : -1},
+       {"total_ms", now - request_.arrived_at},
+       {"configuration", version}});
+}
+
+void Exchange::OnCallerGone() {
+  if (is_finished_) return;
+  if (call_) {
+    call_->Cancel();
+    EndAttempt(AttemptEnd::kAbandoned);
+  }
+  Finish("cancelled", 0);
+}
+
+void Exchange::OnCallerReady() {
+  if (call_) call_->Pause(false);
+}
+
+void Exchange::OnStop() {
+  if (is_finished_) return;
+  if (call_) {
+    call_->Cancel();
+    EndAttempt(AttemptEnd::kAbandoned);
+  }
+  GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, "this process ends");
+}
+
+// How long this attempt may be silent before the request goes elsewhere; 0 for
+// as long as it has.
+DurationMs Exchange::SilenceLimit() const {
+  if (!call_ || !route_->MayRepeat() || ran_attempts_ >= route_->max_attempts) return 0;
+  const bool is_stream = route_->kind == CallKind::kStream;
+  if (is_begun_) return static_cast<DurationMs>(kSilentPauses * static_cast<double>(route_->pause_ms));
+  const double targets = is_stream ? kSilentStreamTargets : kSilentTargets;
+  const auto limit =
+      static_cast<DurationMs>(targets * static_cast<double>(route_->first_answer_ms));
+  return std::max(kLeastSilenceMs, limit);
+}
+
+void Exchange::Arm() {
+  TimeMs due = end_at_;
+  if (is_parked_) due = std::min(due, patience_at_);
+  const DurationMs silence = SilenceLimit();
+  if (silence > 0) due = std::min(due, heard_at_ + silence);
+  timer_.expires_after(std::chrono::milliseconds(std::max<DurationMs>(0, due - MonotonicMs())));
+  timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    if (!ec && !self->is_finished_) self->OnTimer();
+  });
+}
+
+void Exchange::OnTimer() {
+  const TimeMs now = MonotonicMs();
+  if (now >= end_at_) {
+    if (call_) {
+      call_->Cancel();
+      EndAttempt(AttemptEnd::kSilent);
+    }
+    return GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, "no answer within its time");
+  }
+  if (is_parked_ && now >= patience_at_) {
+    return Refuse(kUnavailable, "model_not_loaded", "the model was not up in time", Ran::kNo,
+                  kDefaultRetryAfterMs);
+  }
+  const DurationMs silence = SilenceLimit();
+  if (silence > 0 && now - heard_at_ >= silence) {
+    // Only where another upstream can take it; else the wait goes on.
+    PickRequest pick;
+    pick.service = service_;
+    pick.model = model_;
+    pick.tried = tried_;
+    const Pick choice = gateway_.upstreams.Choose(pick, now);
+    if (std::holds_alternative<junctionrail::SendTo>(choice)) {
+      call_->Cancel();
+      EndAttempt(AttemptEnd::kSilent);
+      return AfterAttempt(Ran::kMaybe, true, "silent");
+    }
+    heard_at_ = now;
+  }
+  Arm();
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,129 @@
+// One request from its arrival to its last byte: its route, its attempts at
+// upstreams, and what the caller is told.
+#ifndef JUNCTIONRAIL_GATEWAY_EXCHANGE_H_
+#define JUNCTIONRAIL_GATEWAY_EXCHANGE_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "event_stream.h"
+#include "gateway_impl.h"
+#include "upstream_pool.h"
+
+namespace junctionrail::internal {
+
+// A request as the caller sent it.
+struct CallerRequest {
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> fields;
+  std::shared_ptr<const std::string> body;
+  TimeMs arrived_at = 0;
+};
+
+// The caller's side of an exchange.
+class CallerSink {
+ public:
+  virtual ~CallerSink() = default;
+  virtual void SendWhole(unsigned status, std::vector<HttpHeader> fields, std::string body) = 0;
+  virtual void SendHead(unsigned status, std::vector<HttpHeader> fields) = 0;
+  virtual void SendPiece(std::string_view data) = 0;
+  virtual void SendEnd() = 0;
+  // Closes without the end of the answer, so that it does not look complete.
+  virtual void Abort() = 0;
+  // Whether more is queued than a slow caller should have.
+  virtual bool IsBehind() const = 0;
+};
+
+class Exchange : public UpstreamListener, public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(Gateway::Impl& gateway, CallerRequest request, std::weak_ptr<CallerSink> sink);
+
+  void Start();
+  // The caller has gone; the upstream is told by closing.
+  void OnCallerGone();
+  // The caller's queue has drained.
+  void OnCallerReady();
+  // Looks again for an upstream; called when what is loaded may have changed.
+  void Retry();
+  // Gives up at once, as the process ends.
+  void OnStop();
+
+  const std::optional<ModelRef>& model() const { return model_; }
+  const std::string& service() const { return service_; }
+  const std::string& asked() const { return asked_; }
+  int priority() const { return route_->priority; }
+  TimeMs parked_since() const { return parked_since_; }
+
+  void OnHead(UpstreamHead head) override;
+  void OnBody(std::string_view data) override;
+  void OnEnd() override;
+  void OnFailed(UpstreamFailure failure, std::string_view reason) override;
+
+ private:
+  // Whether an attempt that ended without a whole answer may have run.
+  enum class Ran { kNo, kMaybe };
+
+  bool FindRoute();
+  bool ReadFields();
+  void Attempt();
+  void SendTo(const std::string& instance);
+  void WaitForModel(const WaitFor& wait);
+  std::string HeadFor(const UpstreamRecord& upstream) const;
+  void OnRefusal(const UpstreamHead& head);
+  void AfterAttempt(Ran ran, bool was_sent, std::string_view reason);
+  bool TryAnother(Ran ran, bool was_sent);
+  void EndAttempt(AttemptEnd end);
+  void RelayEvents();
+  void RelayWhole();
+  void Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
+              DurationMs retry_after_ms);
+  void GiveUp(Ran ran, std::string_view reason);
+  void Finish(std::string_view outcome, unsigned status);
+  void Arm();
+  void OnTimer();
+  DurationMs SilenceLimit() const;
+  DurationMs Left() const { return end_at_ - MonotonicMs(); }
+
+  Gateway::Impl& gateway_;
+  CallerRequest request_;
+  std::weak_ptr<CallerSink> sink_;
+  std::shared_ptr<const RouteTable> routes_;  // Of the configuration it began with.
+  const Route* route_ = nullptr;
+  std::string request_id_;
+  std::string service_;
+  std::optional<ModelRef> model_;
+  std::string affinity_;
+  TimeMs end_at_ = 0;       // When the caller or the route gives it up.
+  TimeMs patience_at_ = 0;  // When the caller leaves for want of a first byte.
+  boost::asio::steady_timer timer_;
+
+  std::shared_ptr<UpstreamCall> call_;
+  std::string instance_;  // Of the attempt under way.
+  std::vector<std::string> tried_;
+  int ran_attempts_ = 0;   // Sent, and not known to have not run.
+  int sent_attempts_ = 0;  // Sent at all.
+  int unsent_attempts_ = 0;
+  TimeMs attempt_at_ = 0;
+  TimeMs heard_at_ = 0;  // Last byte from the upstream in this attempt.
+
+  std::string asked_;  // Whose agent was asked for the model.
+  TimeMs parked_since_ = 0;
+  bool is_parked_ = false;
+
+  std::optional<UpstreamHead> head_;  // Of the attempt under way.
+  std::string body_;
+  EventStream events_;
+  bool is_event_answer_ = false;
+  bool is_begun_ = false;  // The caller has the head of its answer.
+  bool is_finished_ = false;
+  TimeMs first_at_ = 0;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,229 @@
+#include "junctionrail/gateway.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include "caller_connection.h"
+#include "exchange.h"
+#include "gateway_impl.h"
+
+namespace junctionrail {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int kBacklog = 1024;
+// Idle connections and parked requests are looked at so often.
+constexpr DurationMs kTickMs = 250;
+constexpr DurationMs kStopTickMs = 50;
+// After a stop the balancer may send new connections for so long: it notices
+// after two checks, a second apart.
+constexpr DurationMs kBalancerMs = 2500;
+// Of what a plain upstream takes from all callers, one entry's part: four
+// entries stand before today's sites.
+constexpr int kEntriesAssumed = 4;
+constexpr int kLeastConnections = 8;
+
+}  // namespace
+
+void LatencyHistogram::Add(std::int64_t ms) {
+  std::size_t n = 0;
+  while (n + 1 < kLatencyBuckets && ms > kLatencyBucketsMs[n]) ++n;
+  ++buckets[n];
+  ++count;
+  sum_ms += ms;
+}
+
+Gateway::Impl::Impl(boost::asio::io_context& io_context, GatewayOptions gateway_options,
+                    EventLog& event_log)
+    : io(io_context),
+      options(std::move(gateway_options)),
+      log(event_log),
+      upstreams(options.routing),
+      retries(options.retries),
+      pool(io, options.names.request_id),
+      acceptor(io),
+      tick(io) {}
+
+Result<std::uint16_t, NetError> Gateway::Impl::Listen() {
+  error_code ec;
+  const auto address = boost::asio::ip::make_address(options.callers.address, ec);
+  const tcp::endpoint endpoint(address, options.callers.port);
+  if (!ec) acceptor.open(endpoint.protocol(), ec);
+  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor.bind(endpoint, ec);
+  if (!ec) acceptor.listen(kBacklog, ec);
+  if (ec) return NetError{options.callers.ToString() + ": " + ec.message()};
+  Accept();
+  Tick();
+  return acceptor.local_endpoint().port();
+}
+
+void Gateway::Impl::Accept() {
+  acceptor.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted) return;
+    if (ec) {
+      // Out of descriptors, or the connection went away before it was taken.
+      self->log.Write(MonotonicMs(), "accept_failed", {{"reason", ec.message()}});
+    } else {
+      ++self->counters.connections;
+      auto connection =
+          std::make_shared<internal::CallerConnection>(*self, std::move(socket));
+      self->connections.insert(connection);
+      connection->Start();
+      if (self->is_stopping) connection->Leave(false);
+    }
+    self->Accept();
+  });
+}
+
+void Gateway::Impl::Tick() {
+  tick.expires_after(std::chrono::milliseconds(is_stopping ? kStopTickMs : kTickMs));
+  tick.async_wait([self = shared_from_this()](error_code ec) {
+    if (ec) return;
+    const TimeMs now = MonotonicMs();
+    self->pool.CloseIdle(now, [&](const std::string& instance) {
+      return self->upstreams.Find(instance) != nullptr;
+    });
+    self->WakeParked();
+    if (self->is_stopping) {
+      self->FinishStop();
+      if (!self->on_stopped) return;
+    }
+    self->Tick();
+  });
+}
+
+void Gateway::Impl::Stop(DurationMs most_ms, std::function<void()> done) {
+  if (is_stopping) return;
+  is_stopping = true;
+  stop_since = MonotonicMs();
+  stop_by = stop_since + most_ms;
+  on_stopped = std::move(done);
+  const auto all = connections;
+  for (const auto& it : all) it->Leave(false);
+  Tick();
+}
+
+void Gateway::Impl::FinishStop() {
+  const TimeMs now = MonotonicMs();
+  const bool is_late = now >= stop_by;
+  if (now - stop_since >= kBalancerMs) {
+    const auto all = connections;
+    for (const auto& it : all) {
+      if (is_late) {
+        it->Drop();
+      } else {
+        it->Leave(true);
+      }
+    }
+  }
+  const bool is_done = is_late || (now - stop_since >= kBalancerMs && connections.empty());
+  if (!is_done || !on_stopped) return;
+  error_code ec;
+  acceptor.close(ec);
+  pool.CloseAll();
+  std::exchange(on_stopped, nullptr)();
+}
+
+void Gateway::Impl::Park(const std::shared_ptr<internal::Exchange>& exchange) {
+  parked.insert(exchange);
+}
+
+void Gateway::Impl::Unpark(const std::shared_ptr<internal::Exchange>& exchange) {
+  parked.erase(exchange);
+}
+
+void Gateway::Impl::WakeParked() {
+  if (parked.empty()) return;
+  // Most urgent first, then longest waiting.
+  std::vector<std::shared_ptr<internal::Exchange>> all(parked.begin(), parked.end());
+  std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+    if (a->priority() != b->priority()) return a->priority() < b->priority();
+    return a->parked_since() < b->parked_since();
+  });
+  for (const auto& it : all) it->Retry();
+}
+
+std::vector<UpstreamTable::Waiting> Gateway::Impl::WaitingModels() const {
+  std::map<ModelRef, UpstreamTable::Waiting> by_model;
+  for (const auto& it : parked) {
+    UpstreamTable::Waiting& waiting = by_model[*it->model()];
+    const bool is_first = waiting.count == 0;
+    waiting.ref = *it->model();
+    waiting.service = it->service();
+    waiting.asked = it->asked();
+    waiting.priority = is_first ? it->priority() : std::min(waiting.priority, it->priority());
+    waiting.since = is_first ? it->parked_since() : std::min(waiting.since, it->parked_since());
+    ++waiting.count;
+  }
+  std::vector<UpstreamTable::Waiting> all;
+  for (auto& [ref, waiting] : by_model) all.push_back(std::move(waiting));
+  return all;
+}
+
+int Gateway::Impl::MostConnections(const UpstreamRecord& upstream) const {
+  if (!routes) return kLeastConnections;
+  const ServiceSpec* service = routes->configuration().FindService(upstream.service);
+  if (service == nullptr || service->max_connections <= 0) return 0;
+  return std::max(kLeastConnections, service->max_connections / kEntriesAssumed);
+}
+
+Gateway::Gateway(boost::asio::io_context& io, GatewayOptions options, EventLog& log)
+    : impl_(std::make_shared<Impl>(io, std::move(options), log)) {}
+Gateway::~Gateway() = default;
+
+Result<std::uint16_t, NetError> Gateway::Listen() { return impl_->Listen(); }
+
+void Gateway::Stop(DurationMs most_ms, std::function<void()> done) {
+  impl_->Stop(most_ms, std::move(done));
+}
+
+void Gateway::ApplyConfiguration(RoutingConfiguration configuration) {
+  const bool is_old =
+      impl_->routes && configuration.version <= impl_->routes->configuration().version;
+  if (is_old) return;
+  impl_->upstreams.ApplyServices(configuration.services);
+  impl_->routes = std::make_shared<const RouteTable>(std::move(configuration));
+}
+
+void Gateway::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage) {
+  impl_->upstreams.ApplyListing(listing, after_outage, MonotonicMs());
+}
+
+void Gateway::ApplyView(const EngineView& view) {
+  impl_->upstreams.ApplyView(view, MonotonicMs());
+  if (impl_->parked.empty() || impl_->is_waking) return;
+  impl_->is_waking = true;
+  boost::asio::post(impl_->io, [impl = impl_] {
+    impl->is_waking = false;
+    impl->WakeParked();
+  });
+}
+
+void Gateway::ForgetView(const std::string& instance) { impl_->upstreams.ForgetView(instance); }
+
+bool Gateway::has_configuration() const { return impl_->routes != nullptr; }
+const RoutingConfiguration& Gateway::configuration() const {
+  return impl_->routes->configuration();
+}
+UpstreamTable& Gateway::upstreams() { return impl_->upstreams; }
+
+std::map<std::string, AgentDemand> Gateway::Demands() {
+  return impl_->upstreams.Demands(impl_->WaitingModels(), MonotonicMs());
+}
+
+void Gateway::OnNewDemand(std::function<void()> call) { impl_->on_new_demand = std::move(call); }
+
+const GatewayCounters& Gateway::counters() const {
+  impl_->counters.surplus_answers = impl_->pool.counters().surplus_answers;
+  impl_->counters.upstream_connections = impl_->pool.counters().opened;
+  return impl_->counters;
+}
+const LatencyHistogram& Gateway::first_answer() const { return impl_->first_answer; }
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/gateway/gateway_impl.h
@@ -0,0 +1,65 @@
+// What the parts of the gateway share.
+#ifndef JUNCTIONRAIL_GATEWAY_GATEWAY_IMPL_H_
+#define JUNCTIONRAIL_GATEWAY_GATEWAY_IMPL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "junctionrail/gateway.h"
+#include "upstream_pool.h"
+
+namespace junctionrail::internal {
+class CallerConnection;
+class Exchange;
+}  // namespace junctionrail::internal
+
+namespace junctionrail {
+
+class Gateway::Impl : public std::enable_shared_from_this<Gateway::Impl> {
+ public:
+  Impl(boost::asio::io_context& io, GatewayOptions options, EventLog& log);
+
+  Result<std::uint16_t, NetError> Listen();
+  void Stop(DurationMs most_ms, std::function<void()> done);
+  void Accept();
+  void Tick();
+  void FinishStop();
+
+  // Requests that wait for a model.
+  void Park(const std::shared_ptr<internal::Exchange>& exchange);
+  void Unpark(const std::shared_ptr<internal::Exchange>& exchange);
+  void WakeParked();
+  std::vector<UpstreamTable::Waiting> WaitingModels() const;
+
+  // Connections of ours that one upstream may have.
+  int MostConnections(const UpstreamRecord& upstream) const;
+
+  boost::asio::io_context& io;
+  GatewayOptions options;
+  EventLog& log;
+  std::shared_ptr<const RouteTable> routes;
+  UpstreamTable upstreams;
+  RetryBudget retries;
+  internal::UpstreamPool pool;
+  GatewayCounters counters;
+  LatencyHistogram first_answer;
+  std::set<std::shared_ptr<internal::Exchange>> parked;
+  std::set<std::shared_ptr<internal::CallerConnection>> connections;
+  std::function<void()> on_new_demand;
+  bool is_stopping = false;
+  TimeMs stop_since = 0;
+  TimeMs stop_by = 0;
+  std::function<void()> on_stopped;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer tick;
+  bool is_waking = false;
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_GATEWAY_GATEWAY_IMPL_H_
--- /dev/null
+++ b/src/gateway/upstream_pool.cc
@@ -0,0 +1,379 @@
+#include "upstream_pool.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include "http_text.h"
+
+namespace junctionrail::internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// A connection within a region stands within some ms; after one lost packet it
+// would take a second, and another upstream is sooner.
+constexpr DurationMs kConnectMs = 500;
+// The kernel gives an upstream up that acknowledges nothing for so long.
+constexpr unsigned kUserTimeoutMs = 4000;
+// Kept without word of the upstream's own limit.
+constexpr DurationMs kDefaultIdleMs = 4000;
+// Before the upstream's own limit, so that it never closes under a request.
+constexpr DurationMs kIdleMarginMs = 700;
+constexpr std::size_t kMostIdle = 16;
+constexpr std::size_t kReadBytes = 8 << 10;
+constexpr std::uint64_t kMostAnswerBytes = 1ULL << 40;
+constexpr std::uint32_t kMostHeadBytes = 64 << 10;
+
+using Parser = http::response_parser<http::string_body>;
+
+std::vector<HttpHeader> FieldsOf(const Parser& parser) {
+  std::vector<HttpHeader> fields;
+  for (const auto& it : parser.get().base()) {
+    fields.push_back({std::string(it.name_string()), std::string(it.value())});
+  }
+  return fields;
+}
+
+}  // namespace
+
+class UpstreamPool::Impl : public std::enable_shared_from_this<UpstreamPool::Impl> {
+ public:
+  Impl(asio::io_context& io, std::string request_id_field)
+      : io_(io), request_id_field_(std::move(request_id_field)) {}
+
+  struct Upstream {
+    std::deque<std::shared_ptr<Connection>> idle;  // The last used at the back.
+    int open = 0;
+  };
+
+  std::shared_ptr<Connection> TakeIdle(const std::string& instance, TimeMs now);
+
+  asio::io_context& io_;
+  std::string request_id_field_;
+  std::map<std::string, Upstream> upstreams_;
+  UpstreamPoolCounters counters_;
+};
+
+class UpstreamPool::Connection : public UpstreamCall,
+                                 public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> pool, std::string instance, Endpoint endpoint)
+      : pool_(std::move(pool)),
+        instance_(std::move(instance)),
+        endpoint_(std::move(endpoint)),
+        socket_(pool_->io_),
+        timer_(pool_->io_) {
+    ++pool_->upstreams_[instance_].open;
+  }
+
+  ~Connection() override {
+    const auto it = pool_->upstreams_.find(instance_);
+    if (it != pool_->upstreams_.end()) --it->second.open;
+  }
+
+  void Begin(UpstreamMessage message, std::shared_ptr<UpstreamListener> listener) {
+    message_ = std::move(message);
+    listener_ = std::move(listener);
+    is_paused_ = false;
+    has_sent_all_ = false;
+    ++use_;
+    if (is_connected_) {
+      asio::post(pool_->io_, [self = shared_from_this(), use = use_] {
+        if (self->IsCurrent(use)) self->Send();
+      });
+    } else {
+      Connect();
+    }
+  }
+
+  void Cancel() override {
+    listener_ = nullptr;
+    Close();
+  }
+
+  void Pause(bool is_paused) override {
+    is_paused_ = is_paused;
+    if (!is_paused && !is_reading_ && listener_ != nullptr && is_connected_) Read();
+  }
+
+  // Whether the far end has neither closed nor sent what nobody asked for.
+  bool IsQuiet() {
+    error_code ec;
+    char byte = 0;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+  }
+
+  void Close() {
+    is_connected_ = false;
+    timer_.cancel();
+    error_code ec;
+    socket_.close(ec);
+  }
+
+  TimeMs idle_until() const { return idle_until_; }
+
+ private:
+  bool IsCurrent(std::uint64_t use) const { return use == use_ && listener_ != nullptr; }
+
+  void Connect() {
+    ++pool_->counters_.opened;
+    error_code ec;
+    const auto address = asio::ip::make_address(endpoint_.address, ec);
+    timer_.expires_after(std::chrono::milliseconds(kConnectMs));
+    timer_.async_wait([self = shared_from_this(), use = use_](error_code timer_ec) {
+      if (timer_ec || !self->IsCurrent(use) || self->is_connected_) return;
+      self->Fail(UpstreamFailure::kNoConnection, "no connection in time");
+    });
+    socket_.async_connect(tcp::endpoint(address, endpoint_.port),
+                          [self = shared_from_this(), use = use_](error_code connect_ec) {
+                            if (!self->IsCurrent(use)) return;
+                            self->OnConnected(connect_ec);
+                          });
+  }
+
+  void OnConnected(error_code ec) {
+    timer_.cancel();
+    if (ec) return Fail(UpstreamFailure::kNoConnection, ec.message());
+    is_connected_ = true;
+    error_code option_ec;
+    socket_.set_option(tcp::no_delay(true), option_ec);
+    socket_.non_blocking(true, option_ec);
+    setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+               sizeof(kUserTimeoutMs));
+    Send();
+  }
+
+  void Send() {
+    parser_.reset();
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(message_.head),
+                                                     asio::buffer(*message_.body)};
+    asio::async_write(socket_, parts,
+                      [self = shared_from_this(), use = use_, body = message_.body](
+                          error_code ec, std::size_t) {
+                        if (!self->IsCurrent(use)) return;
+                        if (ec) return self->Fail(UpstreamFailure::kBroken, ec.message());
+                        self->has_sent_all_ = true;
+                      });
+    Read();
+  }
+
+  void Read() {
+    if (is_reading_ || is_paused_) return;
+    is_reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadBytes),
+                            [self = shared_from_this(), use = use_](error_code ec, std::size_t n) {
+                              self->is_reading_ = false;
+                              if (!self->IsCurrent(use)) return;
+                              self->OnRead(ec, n);
+                            });
+  }
+
+  void OnRead(error_code ec, std::size_t n) {
+    buffer_.commit(n);
+    if (ec == asio::error::eof) return OnEof();
+    if (ec) return Fail(UpstreamFailure::kBroken, ec.message());
+    Parse();
+  }
+
+  void OnEof() {
+    const bool ends_by_close = parser_ && parser_->is_header_done() && parser_->need_eof();
+    if (!ends_by_close) return Fail(UpstreamFailure::kBroken, "closed before the answer's end");
+    error_code ec;
+    parser_->put_eof(ec);
+    if (ec) return Fail(UpstreamFailure::kBroken, ec.message());
+    Finish(false);
+  }
+
+  void NewParser() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(kMostAnswerBytes);
+    parser_->header_limit(kMostHeadBytes);
+    if (message_.is_head_method) parser_->skip(true);
+    is_mine_ = false;
+    is_head_told_ = false;
+  }
+
+  void Parse() {
+    const std::uint64_t use = use_;
+    while (buffer_.size() > 0) {
+      if (!parser_) NewParser();
+      error_code ec;
+      const std::size_t n = parser_->put(buffer_.data(), ec);
+      buffer_.consume(n);
+      if (ec && ec != http::error::need_more) {
+        return Fail(UpstreamFailure::kBroken, "not an answer: " + ec.message());
+      }
+      if (parser_->is_header_done()) TellProgress();
+      if (!IsCurrent(use)) return;
+      if (parser_->is_done()) {
+        if (is_mine_) return Finish(true);
+        // Ours comes next: this was an interim answer, or a late one to the
+        // request before.
+        if (parser_->get().result_int() >= 200) {
+          ++pool_->counters_.surplus_answers;
+          is_spoiled_ = true;
+        }
+        parser_.reset();
+        continue;
+      }
+      if (ec == http::error::need_more || n == 0) break;
+    }
+    Read();
+  }
+
+  // Tells the listener of the head, and of the body as far as it has come.
+  void TellProgress() {
+    const std::uint64_t use = use_;
+    if (!is_head_told_) {
+      is_head_told_ = true;
+      UpstreamHead head{parser_->get().result_int(), FieldsOf(*parser_)};
+      // 1xx heads announce another one.
+      const std::string* id = FindField(head.fields, pool_->request_id_field_);
+      is_mine_ = head.status >= 200 && id != nullptr && *id == message_.request_id;
+      NoteIdleLimit(head);
+      if (is_mine_) listener_->OnHead(std::move(head));
+    }
+    if (!IsCurrent(use)) return;
+    std::string& body = parser_->get().body();
+    if (body.empty()) return;
+    const std::string data = std::exchange(body, std::string());
+    if (is_mine_) listener_->OnBody(data);
+  }
+
+  void NoteIdleLimit(const UpstreamHead& head) {
+    idle_ms_ = kDefaultIdleMs;
+    const std::string* field = FindField(head.fields, "Keep-Alive");
+    if (field == nullptr) return;
+    const std::size_t at = field->find("timeout=");
+    if (at == std::string::npos) return;
+    std::int64_t seconds = 0;
+    const std::string digits = field->substr(at + 8, field->find_first_of(", ;", at) - at - 8);
+    if (!ParseWhole(digits, &seconds)) return;
+    idle_ms_ = std::min(kDefaultIdleMs, seconds * 1000 - kIdleMarginMs);
+  }
+
+  void Finish(bool has_length) {
+    const bool may_keep = has_length && parser_->keep_alive() && has_sent_all_ &&
+                          buffer_.size() == 0 && !is_spoiled_ && idle_ms_ > 0;
+    if (buffer_.size() > 0) ++pool_->counters_.surplus_answers;
+    const auto listener = std::exchange(listener_, nullptr);
+    if (may_keep) {
+      Rest();
+    } else {
+      Close();
+    }
+    listener->OnEnd();
+  }
+
+  void Rest() {
+    auto& upstream = pool_->upstreams_[instance_];
+    if (upstream.idle.size() >= kMostIdle) return Close();
+    idle_until_ = MonotonicMs() + idle_ms_;
+    upstream.idle.push_back(shared_from_this());
+  }
+
+  void Fail(UpstreamFailure failure, std::string_view reason) {
+    const auto listener = std::exchange(listener_, nullptr);
+    const std::string text(reason);
+    Close();
+    listener->OnFailed(failure, text);
+  }
+
+  std::shared_ptr<Impl> pool_;
+  std::string instance_;
+  Endpoint endpoint_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  UpstreamMessage message_;
+  std::shared_ptr<UpstreamListener> listener_;
+  std::uint64_t use_ = 0;  // Requests begun; handlers of an earlier one do nothing.
+  DurationMs idle_ms_ = kDefaultIdleMs;
+  TimeMs idle_until_ = 0;
+  bool is_connected_ = false;
+  bool is_reading_ = false;
+  bool is_paused_ = false;
+  bool has_sent_all_ = false;
+  bool is_mine_ = false;       // The answer that is being read is to our request.
+  bool is_head_told_ = false;
+  bool is_spoiled_ = false;    // Surplus bytes were seen; never used again.
+};
+
+std::shared_ptr<UpstreamPool::Connection> UpstreamPool::Impl::TakeIdle(const std::string& instance,
+                                                                       TimeMs now) {
+  auto& idle = upstreams_[instance].idle;
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->idle_until() > now && connection->IsQuiet()) return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+UpstreamPool::UpstreamPool(asio::io_context& io, std::string request_id_field)
+    : impl_(std::make_shared<Impl>(io, std::move(request_id_field))) {}
+UpstreamPool::~UpstreamPool() = default;
+
+std::shared_ptr<UpstreamCall> UpstreamPool::Start(const UpstreamRecord& upstream,
+                                                  int max_connections, UpstreamMessage message,
+                                                  std::shared_ptr<UpstreamListener> listener) {
+  auto connection = impl_->TakeIdle(upstream.instance, MonotonicMs());
+  if (!connection) {
+    const bool is_full =
+        max_connections > 0 && impl_->upstreams_[upstream.instance].open >= max_connections;
+    if (is_full) {
+      asio::post(impl_->io_, [listener = std::move(listener)] {
+        listener->OnFailed(UpstreamFailure::kNoConnection, "as many connections as allowed");
+      });
+      return nullptr;
+    }
+    connection = std::make_shared<Connection>(impl_, upstream.instance, upstream.endpoint);
+  }
+  connection->Begin(std::move(message), std::move(listener));
+  return connection;
+}
+
+void UpstreamPool::CloseIdle(TimeMs now, const std::function<bool(const std::string&)>& is_known) {
+  for (auto it = impl_->upstreams_.begin(); it != impl_->upstreams_.end();) {
+    auto& idle = it->second.idle;
+    const bool is_gone = !is_known(it->first);
+    for (auto connection = idle.begin(); connection != idle.end();) {
+      const bool is_over = is_gone || (*connection)->idle_until() <= now ||
+                           !(*connection)->IsQuiet();
+      if (is_over) (*connection)->Close();
+      connection = is_over ? idle.erase(connection) : std::next(connection);
+    }
+    it = is_gone && it->second.open == 0 ? impl_->upstreams_.erase(it) : std::next(it);
+  }
+}
+
+void UpstreamPool::CloseAll() {
+  for (auto& [instance, upstream] : impl_->upstreams_) {
+    for (const auto& it : upstream.idle) it->Close();
+    upstream.idle.clear();
+  }
+}
+
+const UpstreamPoolCounters& UpstreamPool::counters() const { return impl_->counters_; }
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/placement/placement_core.cc
@@ -0,0 +1,347 @@
+// Which model an engine loads next and what makes room for it.
+#include "junctionrail/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace junctionrail {
+namespace {
+
+// Entries repeat their demand each second; one that was silent for longer has
+// gone, or will not be heard before its requests are lost.
+constexpr DurationMs kDemandMs = 2500;
+// A model just loaded is kept so long for the requests that waited for it.
+constexpr DurationMs kSettleMs = 800;
+// An engine answers an order within milliseconds; after this the order counts
+// as lost and is given again under the same sequence, of which only one can
+// be carried out.
+constexpr DurationMs kOrderLostMs = 400;
+// An accepted order shows in the next report, unless the engine lost it.
+constexpr DurationMs kReportLostMs = 2000;
+// After a conflict the report is read again before the next order.
+constexpr DurationMs kAfterConflictMs = 60;
+// A waiting request may interrupt a model in use only after so long.
+constexpr DurationMs kInterruptAfterMs = 1200;
+// Staging must not take a model that was asked for as lately as this.
+constexpr DurationMs kStageIdleMs = 1500;
+// What a model without a copy on disk is worth more, in requests a second:
+// bringing it back costs a load from the weight store.
+constexpr double kNoCopyValue = 0.5;
+// Adapters that an engine fetches at the same time.
+constexpr std::size_t kAdaptersAtOnce = 4;
+constexpr double kAnyValue = 1e9;
+
+bool Contains(const std::vector<std::string>& list, std::string_view value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+}  // namespace
+
+void PlacementCore::Reset(std::string instance) {
+  instance_ = std::move(instance);
+  report_ = {};
+  has_report_ = false;
+  open_.reset();
+  loading_.clear();
+  is_unloading_ = false;
+  loaded_at_.clear();
+  adapter_used_at_.clear();
+}
+
+const LoadedModel* PlacementCore::FindLoaded(std::string_view model) const {
+  for (const auto& it : report_.loaded) {
+    if (it.name == model) return &it;
+  }
+  return nullptr;
+}
+
+bool PlacementCore::IsNear(std::string_view model) const {
+  return Contains(report_.on_disk, model) || Contains(report_.in_memory, model);
+}
+
+void PlacementCore::OnReport(EngineReport report, TimeMs now) {
+  for (const auto& it : report.loaded) {
+    const bool is_new = has_report_ && FindLoaded(it.name) == nullptr;
+    if (is_new) loaded_at_[it.name] = now;
+  }
+  report_ = std::move(report);
+  has_report_ = true;
+  // The engine took an order since: this one, or it can no longer be taken.
+  if (open_ && report_.sequence != open_->expected_sequence) open_.reset();
+  if (!report_.is_busy && !open_) {
+    loading_.clear();
+    is_unloading_ = false;
+  }
+  if (report_.is_busy && loading_.empty()) {
+    // An order of the process before this one; which is not reported.
+    loading_ = "unknown";
+    loading_since_ = now;
+    is_from_store_ = false;
+  }
+}
+
+void PlacementCore::OnDemand(std::uint64_t link, AgentDemand demand, TimeMs now) {
+  if (demand.instance != instance_) return;
+  for (const auto& it : demand.wanted) {
+    if (!it.ref.adapter.empty()) adapter_used_at_[it.ref.ToString()] = now;
+  }
+  demands_[link] = Demand{std::move(demand), now};
+}
+
+void PlacementCore::OnEntryGone(std::uint64_t link) { demands_.erase(link); }
+
+void PlacementCore::ExpireDemands(TimeMs now) {
+  for (auto it = demands_.begin(); it != demands_.end();) {
+    it = now - it->second.at > kDemandMs ? demands_.erase(it) : std::next(it);
+  }
+}
+
+std::vector<PlacementCore::Want> PlacementCore::Wants() const {
+  std::map<ModelRef, Want> by_ref;
+  for (const auto& [link, it] : demands_) {
+    for (const auto& wanted : it.demand.wanted) {
+      Want& want = by_ref[wanted.ref];
+      const bool is_first = want.ref.model.empty();
+      want.ref = wanted.ref;
+      want.waiting += wanted.waiting;
+      want.priority = is_first ? wanted.priority : std::min(want.priority, wanted.priority);
+      want.age_ms = std::max(want.age_ms, wanted.age_ms);
+    }
+  }
+  std::vector<Want> wants;
+  for (auto& [ref, want] : by_ref) wants.push_back(std::move(want));
+  // Waiting requests before further replicas, then class, then age.
+  std::sort(wants.begin(), wants.end(), [](const Want& a, const Want& b) {
+    if ((a.waiting > 0) != (b.waiting > 0)) return a.waiting > 0;
+    if (a.priority != b.priority) return a.priority < b.priority;
+    return a.age_ms > b.age_ms;
+  });
+  return wants;
+}
+
+PlacementCore::Use PlacementCore::UseOf(const std::string& model) const {
+  Use use;
+  for (const auto& [link, it] : demands_) {
+    for (const auto& entry : it.demand.use) {
+      if (entry.model != model) continue;
+      use.in_flight += entry.in_flight;
+      use.per_s += entry.per_s;
+      use.replicas = std::max(use.replicas, entry.replicas);
+      if (entry.idle_ms < 0) continue;
+      use.idle_ms = use.idle_ms < 0 ? entry.idle_ms : std::min(use.idle_ms, entry.idle_ms);
+    }
+  }
+  return use;
+}
+
+double PlacementCore::UsedMb() const {
+  double mb = 0;
+  for (const auto& it : report_.loaded) {
+    const ModelSpec* spec = spec_.Find(it.name);
+    if (spec == nullptr) continue;
+    mb += spec->size_mb + spec->adapter_mb * static_cast<double>(it.adapters.size());
+  }
+  for (const auto& it : report_.adapters_coming) {
+    const ModelSpec* spec = spec_.Find(it.model);
+    if (spec != nullptr) mb += spec->adapter_mb;
+  }
+  return mb;
+}
+
+int PlacementCore::UsedAdapterPlaces() const {
+  std::size_t n = report_.adapters_coming.size();
+  for (const auto& it : report_.loaded) n += it.adapters.size();
+  return static_cast<int>(n);
+}
+
+bool PlacementCore::HasRoomFor(const ModelSpec& spec) const {
+  return UsedMb() + spec.size_mb <= spec_.accelerator_mb;
+}
+
+EngineOrder PlacementCore::Make(OrderKind kind, ModelRef target, std::string reason) const {
+  return EngineOrder{kind, std::move(target), report_.sequence, std::move(reason)};
+}
+
+DurationMs PlacementCore::LoadEstimate(const std::string& model) const {
+  const ModelSpec* spec = spec_.Find(model);
+  if (spec == nullptr) return kOrderLostMs;
+  if (Contains(report_.in_memory, model)) return spec->memory_load_ms;
+  if (Contains(report_.on_disk, model)) return spec->disk_load_ms;
+  return spec->store_load_ms;
+}
+
+// Of the models that may go, the one whose absence costs least: requests a
+// second over the replicas that share them. None when all are worth more than
+// `most_value`.
+std::optional<std::string> PlacementCore::Victim(const std::vector<Want>& wants, double most_value,
+                                                 bool may_interrupt, TimeMs now) const {
+  const LoadedModel* best = nullptr;
+  std::pair<double, DurationMs> best_rank;
+  for (const auto& it : report_.loaded) {
+    const bool is_wanted = std::any_of(wants.begin(), wants.end(), [&](const Want& want) {
+      return want.waiting > 0 && want.ref.model == it.name;
+    });
+    const auto loaded = loaded_at_.find(it.name);
+    const bool is_settling = loaded != loaded_at_.end() && now - loaded->second < kSettleMs;
+    if (is_wanted || is_settling) continue;
+    const Use use = UseOf(it.name);
+    if (use.in_flight > 0 && !may_interrupt) continue;
+    double value = use.per_s / std::max(1, use.replicas) + use.in_flight;
+    // Many replicas and no request yet: operators expect it to be busy.
+    if (use.idle_ms < 0 && use.replicas > 1) value += 0.1 * use.replicas;
+    if (!Contains(report_.on_disk, it.name)) value += kNoCopyValue;
+    if (value > most_value) continue;
+    const std::pair<double, DurationMs> rank(value, -use.idle_ms);
+    if (best != nullptr && rank >= best_rank) continue;
+    best = &it;
+    best_rank = rank;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->name;
+}
+
+std::optional<EngineOrder> PlacementCore::OrderAdapter(const Want& want,
+                                                       const std::vector<Want>& wants) {
+  const LoadedModel* base = FindLoaded(want.ref.model);
+  if (base == nullptr || Contains(base->adapters, want.ref.adapter)) return std::nullopt;
+  const auto& coming = report_.adapters_coming;
+  if (std::find(coming.begin(), coming.end(), want.ref) != coming.end()) return std::nullopt;
+  const ModelSpec* spec = spec_.Find(want.ref.model);
+  if (spec == nullptr || coming.size() >= kAdaptersAtOnce) return std::nullopt;
+  const bool fits = UsedAdapterPlaces() < spec_.adapter_places &&
+                    UsedMb() + spec->adapter_mb <= spec_.accelerator_mb;
+  if (fits) return Make(OrderKind::kLoad, want.ref, "requests wait for the adapter");
+  // Least recently asked for first.
+  std::optional<ModelRef> oldest;
+  TimeMs oldest_at = 0;
+  for (const auto& model : report_.loaded) {
+    for (const auto& it : model.adapters) {
+      const ModelRef ref{model.name, it};
+      const bool is_wanted = std::any_of(wants.begin(), wants.end(),
+                                         [&](const Want& other) { return other.ref == ref; });
+      if (is_wanted) continue;
+      const auto used = adapter_used_at_.find(ref.ToString());
+      const TimeMs at = used == adapter_used_at_.end() ? 0 : used->second;
+      if (oldest && at >= oldest_at) continue;
+      oldest = ref;
+      oldest_at = at;
+    }
+  }
+  if (!oldest) return std::nullopt;
+  return Make(OrderKind::kUnload, *oldest, "its place is needed for another adapter");
+}
+
+std::optional<EngineOrder> PlacementCore::OrderModel(const Want& want,
+                                                     const std::vector<Want>& wants, TimeMs now) {
+  const ModelSpec* spec = spec_.Find(want.ref.model);
+  if (spec == nullptr || FindLoaded(want.ref.model) != nullptr) return std::nullopt;
+  if (HasRoomFor(*spec)) {
+    return Make(OrderKind::kLoad, ModelRef{want.ref.model, {}},
+                want.waiting > 0 ? "requests wait for it" : "another replica is needed");
+  }
+  const bool is_waited_for = want.waiting > 0;
+  const bool may_interrupt = is_waited_for && want.age_ms > kInterruptAfterMs;
+  const double most_value = is_waited_for ? kAnyValue : UseOf(want.ref.model).per_s + 0.3;
+  const auto victim = Victim(wants, most_value, may_interrupt, now);
+  if (!victim) return std::nullopt;
+  return Make(OrderKind::kUnload, ModelRef{*victim, {}}, "makes room for " + want.ref.model);
+}
+
+std::optional<EngineOrder> PlacementCore::OrderStaging(const std::vector<Want>& wants,
+                                                       TimeMs now) {
+  for (const auto& [link, it] : demands_) {
+    for (const auto& model : it.demand.stage) {
+      const ModelSpec* spec = spec_.Find(model);
+      if (spec == nullptr || FindLoaded(model) != nullptr || IsNear(model)) continue;
+      if (HasRoomFor(*spec)) return Make(OrderKind::kLoad, ModelRef{model, {}}, "staged to disk");
+      const auto victim = Victim(wants, kNoCopyValue, false, now);
+      if (!victim) return std::nullopt;
+      const DurationMs idle_ms = UseOf(*victim).idle_ms;
+      if (idle_ms >= 0 && idle_ms < kStageIdleMs) return std::nullopt;
+      return Make(OrderKind::kUnload, ModelRef{*victim, {}}, "makes room to stage " + model);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<EngineOrder> PlacementCore::NextOrder(TimeMs now) {
+  ExpireDemands(now);
+  if (!has_report_ || !has_spec() || now < hold_until_) return std::nullopt;
+  if (open_) {
+    // Whichever order is given now has the same sequence, so only one is taken.
+    const DurationMs patience = is_open_unknown_ ? kOrderLostMs : kReportLostMs;
+    if (now - open_since_ < patience) return std::nullopt;
+    open_.reset();
+  }
+  const std::vector<Want> wants = Wants();
+  for (const auto& it : wants) {
+    if (it.ref.adapter.empty()) continue;
+    auto order = OrderAdapter(it, wants);
+    if (order) return order;
+  }
+  if (report_.is_busy) return std::nullopt;
+  for (const auto& it : wants) {
+    auto order = OrderModel(it, wants, now);
+    if (order) return order;
+  }
+  if (std::any_of(wants.begin(), wants.end(), [](const Want& it) { return it.waiting > 0; })) {
+    return std::nullopt;
+  }
+  return OrderStaging(wants, now);
+}
+
+void PlacementCore::OnAnswer(const EngineOrder& order, OrderAnswer answer, TimeMs now) {
+  const bool was_given = answer == OrderAnswer::kAccepted || answer == OrderAnswer::kUnknown;
+  if (!was_given) {
+    hold_until_ = now + kAfterConflictMs;
+    return;
+  }
+  open_ = order;
+  is_open_unknown_ = answer == OrderAnswer::kUnknown;
+  open_since_ = now;
+  if (!order.target.adapter.empty()) return;
+  loading_ = order.target.model;
+  is_unloading_ = order.kind == OrderKind::kUnload;
+  is_from_store_ = !is_unloading_ && !IsNear(loading_);
+  loading_since_ = now;
+}
+
+EngineView PlacementCore::View(TimeMs now) const {
+  EngineView view;
+  view.instance = instance_;
+  for (const auto& it : report_.loaded) {
+    if (it.name == loading_) continue;
+    view.loaded.push_back(it);
+  }
+  const bool is_changing = report_.is_busy || (open_ && open_->target.adapter.empty());
+  if (is_changing) {
+    view.loading = is_unloading_ ? "unloading" : loading_;
+    view.is_from_store = is_from_store_;
+    const DurationMs whole = is_unloading_ ? kOrderLostMs : LoadEstimate(loading_);
+    view.remaining_ms = std::max<DurationMs>(kAfterConflictMs, whole - (now - loading_since_));
+  }
+  for (const auto& it : Wants()) {
+    const bool is_queued = it.waiting > 0 && FindLoaded(it.ref.model) == nullptr &&
+                           it.ref.model != loading_ && !Contains(view.queue, it.ref.model);
+    if (is_queued) view.queue.push_back(it.ref.model);
+  }
+  view.at_hand = report_.on_disk;
+  for (const auto& it : report_.in_memory) {
+    if (!Contains(view.at_hand, it)) view.at_hand.push_back(it);
+  }
+  view.running = report_.running;
+  view.waiting = report_.waiting;
+  view.kv_share = report_.kv_share;
+  view.entries = std::max<int>(1, static_cast<int>(demands_.size()));
+  return view;
+}
+
+bool PlacementCore::IsActive() const {
+  if (report_.is_busy || open_ || !report_.adapters_coming.empty()) return true;
+  for (const auto& [link, it] : demands_) {
+    if (!it.demand.wanted.empty() || !it.demand.stage.empty()) return true;
+  }
+  return false;
+}
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/routing/cold_models.cc
@@ -0,0 +1,245 @@
+// Models that no upstream holds: whose agent is asked to load them, how long
+// that will take, further replicas of busy models, and weights staged onto
+// disks ahead of demand.
+#include <algorithm>
+#include <cmath>
+
+#include "junctionrail/routing.h"
+
+namespace junctionrail {
+namespace {
+
+// An unload before the load, and the reports around both.
+constexpr DurationMs kSwapOverheadMs = 150;
+// An adapter comes within some milliseconds once its base is there.
+constexpr DurationMs kAdapterLoadMs = 30;
+// Kept with the agent asked before unless another is this much sooner, so
+// that the requests of a model do not start two loads.
+constexpr DurationMs kStayWithAskedMs = 1500;
+// Requests of one model that an upstream serves at once without its pauses
+// growing noticeably; more make another replica worth its memory.
+constexpr double kInFlightPerReplica = 20;
+// A request holds its place for about two seconds on the sheets.
+constexpr double kServiceS = 2.0;
+// From this many requests a second on, a model keeps a second replica, so that
+// the loss of one upstream interrupts no stream of new requests.
+constexpr double kSecondReplicaPerS = 1.5;
+
+bool Contains(const std::vector<std::string>& list, std::string_view value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+bool HoldsModel(const std::vector<LoadedModel>& loaded, std::string_view model) {
+  return std::any_of(loaded.begin(), loaded.end(),
+                     [&](const LoadedModel& it) { return it.name == model; });
+}
+
+}  // namespace
+
+const ModelSpec* UpstreamTable::SpecOf(const Row& row, std::string_view model) const {
+  const auto it = services_.find(row.record.service);
+  if (it == services_.end() || !it->second.engine) return nullptr;
+  return it->second.engine->Find(model);
+}
+
+int UpstreamTable::StoreLoads(TimeMs now) const {
+  int n = 0;
+  for (const auto& [instance, row] : rows_) {
+    if (IsFresh(row, now) && !row.view.loading.empty() && row.view.is_from_store) ++n;
+  }
+  return n;
+}
+
+DurationMs UpstreamTable::EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const {
+  const ModelSpec* spec = SpecOf(row, model.model);
+  if (spec == nullptr) return RoutingTimes::kViewFreshMs;
+  const EngineView& view = row.view;
+  if (HoldsModel(view.loaded, model.model)) return kAdapterLoadMs;
+  const DurationMs since_view = now - row.view_at;
+  const DurationMs busy =
+      view.loading.empty() ? 0 : std::max<DurationMs>(100, view.remaining_ms - since_view);
+  if (view.loading == model.model) return busy;
+  const auto cost = [&](const std::string& name) {
+    const ModelSpec* it = SpecOf(row, name);
+    if (it == nullptr) return DurationMs{0};
+    if (Contains(view.at_hand, name)) return it->disk_load_ms + kSwapOverheadMs;
+    const double slowed =
+        std::max(1.0, (StoreLoads(now) + 1.0) / options_.parallel_store_loads);
+    return static_cast<DurationMs>(static_cast<double>(it->store_load_ms) * slowed) +
+           kSwapOverheadMs;
+  };
+  DurationMs estimate = busy;
+  for (const auto& it : view.queue) {
+    if (it == model.model) break;
+    estimate += cost(it);
+  }
+  return estimate + cost(model.model);
+}
+
+Pick UpstreamTable::ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable,
+                               TimeMs now) {
+  const Row* best = nullptr;
+  DurationMs best_ms = 0;
+  std::uint64_t best_score = 0;
+  const std::string key = request.model->ToString();
+  const auto asked = asked_.find(key);
+  const bool wants_adapter = !request.model->adapter.empty();
+  for (const Row* row : usable) {
+    if (!IsFresh(*row, now)) continue;
+    DurationMs estimate = EstimateLoad(*row, *request.model, now);
+    const bool was_asked = asked != asked_.end() && asked->second == row->record.instance;
+    if (was_asked) estimate -= kStayWithAskedMs;
+    // Among upstreams that hold the base, the adapters share out by rendezvous.
+    if (wants_adapter && estimate <= kAdapterLoadMs) estimate = 0;
+    const std::uint64_t score = RendezvousScore(key, row->record.instance);
+    const bool is_better =
+        best == nullptr || estimate < best_ms || (estimate == best_ms && score > best_score);
+    if (!is_better) continue;
+    best = row;
+    best_ms = estimate;
+    best_score = score;
+  }
+  if (best == nullptr) return WaitFor{{}, 0};
+  asked_[key] = best->record.instance;
+  return WaitFor{best->record.instance, EstimateLoad(*best, *request.model, now)};
+}
+
+int UpstreamTable::ReplicasOf(std::string_view service, const std::string& model,
+                              TimeMs now) const {
+  int n = 0;
+  for (const auto& [instance, row] : rows_) {
+    if (IsUsable(row, service, now) && Holds(row, ModelRef{model, {}}, now)) ++n;
+  }
+  return n;
+}
+
+void UpstreamTable::AddUse(AgentDemand* demand, const Row& row, TimeMs now) const {
+  const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
+  for (const auto& it : loaded) {
+    ModelUse use;
+    use.model = it.name;
+    const auto n = row.in_flight_by_model.find(it.name);
+    if (n != row.in_flight_by_model.end()) use.in_flight = n->second;
+    use.per_s = RateOf(it.name, now);
+    use.replicas = ReplicasOf(row.record.service, it.name, now);
+    const auto rate = rates_.find(it.name);
+    use.idle_ms = rate == rates_.end() ? -1 : now - rate->second.last_request;
+    demand->use.push_back(std::move(use));
+  }
+}
+
+std::map<std::string, AgentDemand> UpstreamTable::Demands(const std::vector<Waiting>& waiting,
+                                                          TimeMs now) {
+  std::map<std::string, AgentDemand> demands;
+  for (const auto& [instance, row] : rows_) {
+    const auto service = services_.find(row.record.service);
+    if (service == services_.end() || !service->second.engine) continue;
+    if (row.record.is_leaving || row.was_replaced) continue;
+    AgentDemand& demand = demands[instance];
+    demand.instance = instance;
+    AddUse(&demand, row, now);
+  }
+  for (const auto& it : waiting) {
+    const auto demand = demands.find(it.asked);
+    if (demand == demands.end()) continue;
+    demand->second.wanted.push_back(
+        ModelDemand{it.ref, it.count, it.priority, now - it.since});
+  }
+  AddReplicas(&demands, now);
+  if (options_.stages_models) AddStaging(&demands, now);
+  return demands;
+}
+
+// A busy model gets as many replicas as its requests need, and one to spare.
+void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now) {
+  for (const auto& [name, service] : services_) {
+    if (!service.engine) continue;
+    int engines = 0;
+    int entries = 1;
+    for (const auto& [instance, row] : rows_) {
+      if (!IsUsable(row, name, now)) continue;
+      ++engines;
+      if (IsFresh(row, now)) entries = std::max(entries, row.view.entries);
+    }
+    for (const auto& [model, rate] : rates_) {
+      if (service.engine->Find(model) == nullptr) continue;
+      const double per_s = RateOf(model, now) * entries;
+      if (per_s < kSecondReplicaPerS) continue;
+      const int needed = 1 + static_cast<int>(std::ceil(per_s * kServiceS / kInFlightPerReplica));
+      const int wanted = std::min(needed, std::max(1, engines / 2));
+      int have = ReplicasOf(name, model, now);
+      const Row* best = nullptr;
+      std::uint64_t best_score = 0;
+      for (const auto& [instance, row] : rows_) {
+        if (!IsUsable(row, name, now) || !IsFresh(row, now)) continue;
+        if (row.view.loading == model || Contains(row.view.queue, model)) ++have;
+        if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
+        const bool is_near = Contains(row.view.at_hand, model);
+        const std::uint64_t score =
+            (RendezvousScore(model, instance) >> 1) | (is_near ? 1ULL << 63 : 0);
+        if (best == nullptr || score > best_score) {
+          best = &row;
+          best_score = score;
+        }
+      }
+      if (have >= wanted || have == 0 || best == nullptr) continue;
+      const auto demand = demands->find(best->record.instance);
+      if (demand == demands->end()) continue;
+      demand->second.wanted.push_back(ModelDemand{ModelRef{model, {}}, 0, 9, 0});
+    }
+  }
+}
+
+// Names, for agents with nothing to do, models that are on no disk yet. All
+// entries that see the same views name the same ones.
+void UpstreamTable::AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now) {
+  for (const auto& [name, service] : services_) {
+    if (!service.engine) continue;
+    std::set<std::string> near;
+    std::vector<const Row*> idle;
+    int engines = 0;
+    int fresh = 0;
+    int budget = options_.parallel_store_loads - StoreLoads(now);
+    for (const auto& [instance, row] : rows_) {
+      if (!IsUsable(row, name, now)) continue;
+      ++engines;
+      if (!IsFresh(row, now)) continue;
+      ++fresh;
+      near.insert(row.view.at_hand.begin(), row.view.at_hand.end());
+      for (const auto& it : row.view.loaded) near.insert(it.name);
+      near.insert(row.view.loading);
+      near.insert(row.view.queue.begin(), row.view.queue.end());
+      if (row.view.loading.empty() && row.view.queue.empty()) idle.push_back(&row);
+    }
+    // With views missing, what seems to be nowhere may be there.
+    if (fresh * 4 < engines * 3) continue;
+    std::vector<std::pair<std::uint64_t, std::string>> missing;
+    for (const auto& it : service.engine->models) {
+      if (near.count(it.name) > 0) continue;
+      missing.emplace_back(RendezvousScore(it.name, "stage"), it.name);
+    }
+    std::sort(missing.begin(), missing.end());
+    for (const auto& [score, model] : missing) {
+      if (budget <= 0 || idle.empty()) break;
+      // The fullest disk last; then by rendezvous.
+      auto best = idle.end();
+      for (auto it = idle.begin(); it != idle.end(); ++it) {
+        if (best == idle.end()) {
+          best = it;
+          continue;
+        }
+        const auto mine = std::make_pair((*it)->view.at_hand.size(),
+                                         ~RendezvousScore(model, (*it)->record.instance));
+        const auto theirs = std::make_pair((*best)->view.at_hand.size(),
+                                           ~RendezvousScore(model, (*best)->record.instance));
+        if (mine < theirs) best = it;
+      }
+      const auto demand = demands->find((*best)->record.instance);
+      if (demand != demands->end()) demand->second.stage.push_back(model);
+      idle.erase(best);
+      --budget;
+    }
+  }
+}
+
+}  // namespace junctionrail
--- /dev/null
+++ b/src/routing/upstream_table.cc
@@ -0,0 +1,241 @@
+// What an entry believes of each upstream, and the choice among them.
+#include <algorithm>
+#include <cmath>
+
+#include "junctionrail/routing.h"
+
+namespace junctionrail {
+namespace {
+
+// After this many failures in a row an upstream gets no new requests for a
+// while; one failure is within what healthy upstreams show.
+constexpr int kFailuresToEject = 3;
+// First ejection; doubles with each further one. Long enough for a process to
+// start again, short against the quarter hour an outage may take.
+constexpr DurationMs kEjectMs = 1000;
+constexpr DurationMs kLongestEjectMs = 8000;
+// An upstream said it does not hold a model that its agent listed: the agent
+// is asked about it again well within this.
+constexpr DurationMs kNotLoadedMs = 400;
+// What a request sent to another data hall costs against one more request in
+// the queue: bytes between halls are priced, a place in a batch hardly slows.
+constexpr double kOtherHallLoad = 6;
+// A request with a known prompt prefers the upstream that read it before by as
+// much.
+constexpr double kAffinityLoad = 8;
+// Share of tokens' memory from which an engine preempts before long.
+constexpr double kFullKvShare = 0.9;
+constexpr double kFullKvLoad = 64;
+
+}  // namespace
+
+void UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage,
+                                 TimeMs now) {
+  std::set<std::string> listed;
+  for (const auto& it : listing) {
+    listed.insert(it.instance);
+    Row& row = rows_[it.instance];
+    const bool was_leaving = row.record.is_leaving;
+    row.record = it;
+    row.record.is_leaving = it.is_leaving || was_leaving;
+    row.missing_since = 0;
+  }
+  for (auto it = rows_.begin(); it != rows_.end();) {
+    Row& row = it->second;
+    if (listed.count(it->first) == 0 && row.missing_since == 0) {
+      // A record that is missing right after an outage may only have lapsed.
+      row.missing_since = after_outage ? now : now - RoutingTimes::kMissingMs;
+    }
+    const bool is_gone =
+        row.missing_since != 0 && now - row.missing_since >= RoutingTimes::kMissingMs;
+    if (is_gone) row.record.is_leaving = true;
+    // Requests under way still refer to the row.
+    it = is_gone && row.in_flight == 0 ? rows_.erase(it) : std::next(it);
+  }
+}
+
+void UpstreamTable::ApplyServices(const std::vector<ServiceSpec>& services) {
+  services_.clear();
+  for (const auto& it : services) services_[it.name] = it;
+}
+
+void UpstreamTable::ApplyView(const EngineView& view, TimeMs now) {
+  const auto it = rows_.find(view.instance);
+  if (it == rows_.end()) return;
+  it->second.view = view;
+  it->second.view_at = now;
+  it->second.sent_since_view = 0;
+}
+
+void UpstreamTable::ForgetView(const std::string& instance) {
+  const auto it = rows_.find(instance);
+  if (it != rows_.end()) it->second.view_at = 0;
+}
+
+bool UpstreamTable::IsFresh(const Row& row, TimeMs now) const {
+  return row.view_at != 0 && now - row.view_at <= RoutingTimes::kViewFreshMs;
+}
+
+bool UpstreamTable::HasFreshView(const std::string& instance, TimeMs now) const {
+  const auto it = rows_.find(instance);
+  return it != rows_.end() && IsFresh(it->second, now);
+}
+
+bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
+  return row.record.service == service && !row.record.is_leaving && !row.was_replaced &&
+         row.ejected_until <= now;
+}
+
+bool UpstreamTable::Holds(const Row& row, const ModelRef& model, TimeMs now) const {
+  const auto denied = row.not_loaded_until.find(model);
+  if (denied != row.not_loaded_until.end() && denied->second > now) return false;
+  const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
+  for (const auto& it : loaded) {
+    if (it.name != model.model) continue;
+    if (model.adapter.empty()) return true;
+    return std::find(it.adapters.begin(), it.adapters.end(), model.adapter) != it.adapters.end();
+  }
+  return false;
+}
+
+double UpstreamTable::LoadOf(const Row& row, const PickRequest& request, TimeMs now) const {
+  double load = row.in_flight;
+  if (IsFresh(row, now)) {
+    load = row.view.running + row.view.waiting + row.sent_since_view;
+    if (row.view.kv_share > kFullKvShare) load += kFullKvLoad;
+  }
+  load = load * 64 / std::max(1, row.record.slots);
+  if (row.record.data_hall != options_.data_hall) load += kOtherHallLoad;
+  // A failure not yet followed by a success makes others the better choice.
+  load += 16.0 * row.failures;
+  if (!request.affinity.empty()) {
+    const auto score = RendezvousScore(request.affinity, row.record.instance);
+    load -= kAffinityLoad * (static_cast<double>(score >> 11) / static_cast<double>(1ULL << 53));
+  }
+  return load;
+}
+
+Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
+  std::vector<const Row*> usable;
+  std::vector<const Row*> untried;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsUsable(row, request.service, now)) continue;
+    usable.push_back(&row);
+    const bool was_tried = std::find(request.tried.begin(), request.tried.end(), instance) !=
+                           request.tried.end();
+    if (!was_tried) untried.push_back(&row);
+  }
+  if (usable.empty()) {
+    // All ejected: any that is listed is better than a refusal.
+    for (const auto& [instance, row] : rows_) {
+      if (row.record.service != request.service || row.record.is_leaving || row.was_replaced) {
+        continue;
+      }
+      usable.push_back(&row);
+      if (std::find(request.tried.begin(), request.tried.end(), instance) ==
+          request.tried.end()) {
+        untried.push_back(&row);
+      }
+    }
+  }
+  const Row* best = nullptr;
+  double best_load = 0;
+  for (const Row* it : untried) {
+    if (request.model && !Holds(*it, *request.model, now)) continue;
+    const double load = LoadOf(*it, request, now);
+    if (best != nullptr && load >= best_load) continue;
+    best = it;
+    best_load = load;
+  }
+  if (best != nullptr) return SendTo{best->record.instance};
+  if (!request.model) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
+  if (untried.empty()) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
+  return ChooseLoad(request, untried, now);
+}
+
+void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, TimeMs now) {
+  if (!model) return;
+  // Exponential average over about five seconds: demand moves within seconds.
+  constexpr double kMemoryMs = 5000;
+  ModelRate& rate = rates_[model->model];
+  const double passed = static_cast<double>(now - rate.at);
+  rate.per_s = rate.per_s * std::exp(-passed / kMemoryMs) + 1000.0 / kMemoryMs;
+  rate.at = now;
+  rate.last_request = now;
+}
+
+double UpstreamTable::RateOf(const std::string& model, TimeMs now) const {
+  const auto it = rates_.find(model);
+  if (it == rates_.end()) return 0;
+  return it->second.per_s * std::exp(-static_cast<double>(now - it->second.at) / 5000.0);
+}
+
+void UpstreamTable::OnSent(const std::string& instance, const std::optional<ModelRef>& model) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end()) return;
+  ++it->second.in_flight;
+  ++it->second.sent_since_view;
+  if (model) ++it->second.in_flight_by_model[model->model];
+}
+
+void UpstreamTable::OnEnd(const std::string& instance, const std::optional<ModelRef>& model,
+                          AttemptEnd end, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end()) return;
+  Row& row = it->second;
+  row.in_flight = std::max(0, row.in_flight - 1);
+  if (model) {
+    int& n = row.in_flight_by_model[model->model];
+    if (--n <= 0) row.in_flight_by_model.erase(model->model);
+  }
+  if (end == AttemptEnd::kServed) {
+    row.failures = 0;
+    row.ejections = 0;
+    return;
+  }
+  const bool is_fault = end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable ||
+                        end == AttemptEnd::kSilent;
+  if (!is_fault) return;
+  ++row.failures;
+  // Nobody listens there: certain at once, unlike a failed answer.
+  const bool is_out = row.failures >= kFailuresToEject || end == AttemptEnd::kUnreachable;
+  if (!is_out) return;
+  const DurationMs out =
+      std::min(kLongestEjectMs, kEjectMs << std::min(row.ejections, 6));
+  row.ejected_until = now + out;
+  ++row.ejections;
+  row.failures = kFailuresToEject - 1;
+}
+
+void UpstreamTable::OnOtherInstance(const std::string& instance) {
+  const auto it = rows_.find(instance);
+  if (it != rows_.end()) it->second.was_replaced = true;
+}
+
+void UpstreamTable::OnNotLoaded(const std::string& instance, const ModelRef& model, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it != rows_.end()) it->second.not_loaded_until[model] = now + kNotLoadedMs;
+}
+
+std::vector<const UpstreamRecord*> UpstreamTable::Engines() const {
+  std::vector<const UpstreamRecord*> engines;
+  for (const auto& [instance, row] : rows_) {
+    const auto service = services_.find(row.record.service);
+    if (service == services_.end() || !service->second.engine) continue;
+    if (!row.record.is_leaving && !row.was_replaced) engines.push_back(&row.record);
+  }
+  return engines;
+}
+
+const UpstreamRecord* UpstreamTable::Find(const std::string& instance) const {
+  const auto it = rows_.find(instance);
+  return it == rows_.end() ? nullptr : &it->second.record;
+}
+
+std::vector<UpstreamRecord> UpstreamTable::Records() const {
+  std::vector<UpstreamRecord> records;
+  for (const auto& [instance, row] : rows_) records.push_back(row.record);
+  return records;
+}
+
+}  // namespace junctionrail
--- a/src/platform/kv_client.cc
+++ b/src/store/kv_client.cc
@@ -1,7 +1,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 
 namespace junctionrail {
 namespace {
--- a/src/platform/stores.cc
+++ b/src/store/stores.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <utility>
 
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 
 namespace junctionrail {
 namespace {
--- a/src/platform/vm_list_client.cc
+++ b/src/store/vm_list_client.cc
@@ -1,7 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <utility>
 
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 
 namespace junctionrail {
 namespace {
--- a/test/fault_test.cc
+++ b/test/fault_test.cc
@@ -9,7 +9,7 @@
 
 #include "check.h"
 #include "cluster.h"
-#include "junctionrail/platform.h"
+#include "junctionrail/store.h"
 
 namespace junctionrail::test {
 namespace {
