--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -21,7 +21,7 @@
   std::string request_id = "Junctionrail-Request-Id";
   std::string deadline_ms = "Junctionrail-Deadline-Ms";
   std::string priority = "Junctionrail-Priority";
-  std::string instance = "Junctionrail-Instance";                   // On an upstream's answer.
+  std::string instance = "Junctionrail-Instance";                    // On an upstream's answer.
   std::string expected_instance = "Junctionrail-Expected-Instance";  // On a request to it.
   std::string not_run = "Junctionrail-Not-Run";
   std::string proof = "Junctionrail-Proof";  // The upstream's seal on its answer.
@@ -62,8 +62,8 @@
 
 // Upper bounds of the latency histogram in ms; the last bucket has none. The
 // same in every process, so that histograms add up.
-constexpr std::int64_t kLatencyBucketsMs[] = {5,    10,   25,   50,   100,  200,   300,  400,
-                                              600,  1000, 1500, 2500, 5000, 10000, 25000};
+constexpr std::int64_t kLatencyBucketsMs[] = {5,   10,   25,   50,   100,  200,   300,  400,
+                                              600, 1000, 1500, 2500, 5000, 10000, 25000};
 constexpr std::size_t kLatencyBuckets = sizeof(kLatencyBucketsMs) / sizeof(std::int64_t) + 1;
 
 struct LatencyHistogram {
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -171,9 +171,9 @@
 };
 struct ModelUse {
   std::string model;
-  int in_flight = 0;     // Of this entry, at this upstream.
-  double per_s = 0;      // Requests a second that this entry sees, anywhere.
-  int replicas = 0;      // Upstreams that hold it, as this entry knows.
+  int in_flight = 0;       // Of this entry, at this upstream.
+  double per_s = 0;        // Requests a second that this entry sees, anywhere.
+  int replicas = 0;        // Upstreams that hold it, as this entry knows.
   DurationMs idle_ms = 0;  // Since this entry last saw a request for it.
 };
 struct AgentDemand {
@@ -201,16 +201,16 @@
 struct PickRequest {
   std::string_view service;
   std::optional<ModelRef> model;
-  std::string_view affinity;             // Requests alike in this share prompts.
-  std::vector<std::string> tried;        // Instances not to choose again.
-  DurationMs patience_ms = 0;            // How long the caller still waits.
+  std::string_view affinity;       // Requests alike in this share prompts.
+  std::vector<std::string> tried;  // Instances not to choose again.
+  DurationMs patience_ms = 0;      // How long the caller still waits.
 };
 struct SendTo {
   std::string instance;
 };
 struct WaitFor {
-  std::string instance;          // Whose agent is asked; empty when none can be.
-  DurationMs estimate_ms = 0;    // Until the model is up.
+  std::string instance;        // Whose agent is asked; empty when none can be.
+  DurationMs estimate_ms = 0;  // Until the model is up.
 };
 struct NoneLeft {
   std::string reason;
@@ -310,8 +310,8 @@
 class RetryBudget {
  public:
   struct Options {
-    double ratio = 0.15;           // Of this entry's requests in the window.
-    double extra = 4;              // Attempts in any window regardless of requests.
+    double ratio = 0.15;  // Of this entry's requests in the window.
+    double extra = 4;     // Attempts in any window regardless of requests.
     DurationMs window_ms = 10000;
   };
   explicit RetryBudget(Options options) : options_(options) {}
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -65,8 +65,7 @@
     bound.second = now;
     bound.written = 0;
     if (left_out > 0) {
-      Emit(now, "lines_left_out",
-           {{"of", event}, {"count", static_cast<std::int64_t>(left_out)}});
+      Emit(now, "lines_left_out", {{"of", event}, {"count", static_cast<std::int64_t>(left_out)}});
     }
   }
   if (bound.written >= options_.lines_per_second) {
@@ -84,8 +83,8 @@
     ++counters_.reader_full;
     return;
   }
-  std::string line = "{\"t\":" + std::to_string(WallMs()) + ",\"mono\":" + std::to_string(now) +
-                     ",\"process\":";
+  std::string line =
+      "{\"t\":" + std::to_string(WallMs()) + ",\"mono\":" + std::to_string(now) + ",\"process\":";
   AppendText(options_.process, &line);
   line += ",\"event\":";
   AppendText(event, &line);
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -136,8 +136,7 @@
   settings.drain_ms = r.Integer("drain_ms", 0, kLongestMs, settings.drain_ms);
   if (r.Has("direct")) {
     settings.direct.emplace();
-    r.Object("direct",
-             [&](ObjectReader& it) { settings.direct = ReadDirect(it, settings.role); });
+    r.Object("direct", [&](ObjectReader& it) { settings.direct = ReadDirect(it, settings.role); });
   } else {
     ReadAgentPath(r, &settings);
   }
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -3,11 +3,11 @@
 #include <set>
 #include <utility>
 
-#include "platform.h"
 #include "direct_daemon.h"
 #include "direct_metrics.h"
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
+#include "platform.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -147,9 +147,9 @@
         GiveOrder();
         SendViews();
       }
-      const DurationMs delay = core_.IsActive()       ? kActiveReportMs
-                               : core_.HasDemand()    ? kQuietReportMs
-                                                      : kUnusedReportMs;
+      const DurationMs delay = core_.IsActive()    ? kActiveReportMs
+                               : core_.HasDemand() ? kQuietReportMs
+                                                   : kUnusedReportMs;
       if (!is_asking_) report_timer_.After(delay, [this] { AskReport(); });
     });
   }
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -3,11 +3,11 @@
 #include <set>
 #include <utility>
 
-#include "platform.h"
 #include "direct_daemon.h"
 #include "direct_metrics.h"
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
+#include "platform.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -55,10 +55,9 @@
         store_(http_, settings_.direct->store),
         gateway_(io, ToGatewayOptions(settings_), log_),
         links_(io, LinkCallbacks()),
-        configuration_(io, store_, log_,
-                       [this](RoutingConfiguration it) {
-                         gateway_.ApplyConfiguration(std::move(it));
-                       }),
+        configuration_(
+            io, store_, log_,
+            [this](RoutingConfiguration it) { gateway_.ApplyConfiguration(std::move(it)); }),
         upstreams_(io, store_, log_, kListingMs,
                    [this](const auto& listing, bool after_outage) {
                      gateway_.ApplyListing(listing, after_outage);
@@ -68,8 +67,7 @@
         peer_timer_(io) {}
 
   std::optional<ListenError> Start() {
-    log_.Write(MonotonicMs(), "start",
-               {{"role", "entry"}, {"data_hall", settings_.data_hall}});
+    log_.Write(MonotonicMs(), "start", {{"role", "entry"}, {"data_hall", settings_.data_hall}});
     const auto callers = gateway_.Listen();
     if (!callers) return ListenError{"direct.callers", callers.error().sentence};
     auto error = Serve(settings_.direct->health, "direct.health");
@@ -210,8 +208,8 @@
     }
     if (a.use.size() != b.use.size()) return false;
     for (std::size_t n = 0; n < a.use.size(); ++n) {
-      const bool is_same = a.use[n].model == b.use[n].model &&
-                           (a.use[n].in_flight > 0) == (b.use[n].in_flight > 0);
+      const bool is_same =
+          a.use[n].model == b.use[n].model && (a.use[n].in_flight > 0) == (b.use[n].in_flight > 0);
       if (!is_same) return false;
     }
     return true;
--- a/src/daemon/direct_metrics.h
+++ b/src/daemon/direct_metrics.h
@@ -5,9 +5,9 @@
 #include <cstdint>
 #include <string>
 
-#include "platform.h"
 #include "junctionrail/event_log.h"
 #include "junctionrail/gateway.h"
+#include "platform.h"
 
 namespace junctionrail::internal {
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -71,9 +71,8 @@
     if (!ec) daemon->Stop();
   });
   boost::asio::signal_set reloads(io, SIGHUP);
-  AwaitReload(reloads, file, [&daemon](const junctionrail::Settings& changed) {
-    Reload(*daemon, changed);
-  });
+  AwaitReload(reloads, file,
+              [&daemon](const junctionrail::Settings& changed) { Reload(*daemon, changed); });
   io.run();
   spdlog::default_logger()->flush();
   return kExitDone;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -103,7 +103,7 @@
   const auto codings = fields.equal_range(http::field::transfer_encoding);
   const auto n = std::distance(codings.first, codings.second);
   if (n > 1) return false;
-  if (n == 1 && !EqualsNoCase(std::string_view(codings.first->value()), "chunked")) return false;
+  if (n == 1 && !EqualsNoCase(codings.first->value(), "chunked")) return false;
   const auto hosts = fields.equal_range(http::field::host);
   return std::distance(hosts.first, hosts.second) == 1;
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -61,15 +61,15 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<Exchange> exchange_;
-  std::string out_;      // To be written next.
-  std::string writing_;  // Under way.
+  std::string out_;           // To be written next.
+  std::string writing_;       // Under way.
   TimeMs request_since_ = 0;  // First byte of the request being read; 0: none.
   TimeMs active_at_ = 0;
   bool is_reading_ = false;
   bool is_keep_alive_ = true;
   bool is_head_method_ = false;
   bool is_leaving_ = false;
-  bool is_idle_over_ = false;  // Closes after any answer, announced or not.
+  bool is_idle_over_ = false;         // Closes after any answer, announced or not.
   bool is_last_answer_done_ = false;  // Closes once all is written.
   bool is_lingering_ = false;
   bool is_closed_ = false;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -98,8 +98,8 @@
   const std::string* deadline = FindField(request_.fields, names.deadline_ms);
   if (deadline != nullptr && !ParseWhole(*deadline, &deadline_ms)) {
     Refuse(kBadRequest, "bad_deadline",
-           "expected whole milliseconds in " + names.deadline_ms + ", found " + *deadline,
-           Ran::kNo, 0);
+           "expected whole milliseconds in " + names.deadline_ms + ", found " + *deadline, Ran::kNo,
+           0);
     return false;
   }
   end_at_ = request_.arrived_at + std::min<std::int64_t>(deadline_ms, route_->timeout_ms);
@@ -201,13 +201,12 @@
   const CallHeaderNames& names = gateway_.options.names;
   std::string head = request_.method + " " + request_.target + " HTTP/1.1\r\n";
   for (const auto& it : EndToEndFields(request_.fields)) {
-    bool is_ours = EqualsNoCase(it.name, names.deadline_ms) ||
-                   EqualsNoCase(it.name, names.priority) ||
-                   EqualsNoCase(it.name, names.expected_instance) ||
-                   EqualsNoCase(it.name, "Expect");
+    bool is_ours =
+        EqualsNoCase(it.name, names.deadline_ms) || EqualsNoCase(it.name, names.priority) ||
+        EqualsNoCase(it.name, names.expected_instance) || EqualsNoCase(it.name, "Expect");
     for (const auto& reserved : names.reserved) is_ours |= EqualsNoCase(it.name, reserved);
-    const bool is_replaced = !events_.last_id().empty() &&
-                             EqualsNoCase(it.name, names.last_event_id);
+    const bool is_replaced =
+        !events_.last_id().empty() && EqualsNoCase(it.name, names.last_event_id);
     if (!is_ours && !is_replaced) AppendField(it.name, it.value, &head);
   }
   const DurationMs left = std::max<DurationMs>(1, Left() - kDeadlineMarginMs);
@@ -229,8 +228,8 @@
   const std::string* type = FindField(head.fields, "Content-Type");
   is_event_answer_ = is_success && route_->kind == CallKind::kStream &&
                      (type == nullptr || type->find("event-stream") != std::string::npos);
-  const bool is_not_run = FindField(head.fields, names.not_run) != nullptr ||
-                          head.status == kMisdirected;
+  const bool is_not_run =
+      FindField(head.fields, names.not_run) != nullptr || head.status == kMisdirected;
   head_ = std::move(head);
   if (is_not_run) return OnRefusal(*head_);
   const bool is_sealed = FindField(head_->fields, names.proof) != nullptr;
@@ -496,7 +495,8 @@
 DurationMs Exchange::SilenceLimit() const {
   if (!call_ || !route_->MayRepeat() || ran_attempts_ >= route_->max_attempts) return 0;
   const bool is_stream = route_->kind == CallKind::kStream;
-  if (is_begun_) return static_cast<DurationMs>(kSilentPauses * static_cast<double>(route_->pause_ms));
+  if (is_begun_)
+    return static_cast<DurationMs>(kSilentPauses * static_cast<double>(route_->pause_ms));
   const double targets = is_stream ? kSilentStreamTargets : kSilentTargets;
   const auto limit =
       static_cast<DurationMs>(targets * static_cast<double>(route_->first_answer_ms));
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -68,8 +68,7 @@
       self->log.Write(MonotonicMs(), "accept_failed", {{"reason", ec.message()}});
     } else {
       ++self->counters.connections;
-      auto connection =
-          std::make_shared<internal::CallerConnection>(*self, std::move(socket));
+      auto connection = std::make_shared<internal::CallerConnection>(*self, std::move(socket));
       self->connections.insert(connection);
       connection->Start();
       if (self->is_stopping) connection->Leave(false);
--- a/src/gateway/http_text.cc
+++ b/src/gateway/http_text.cc
@@ -8,9 +8,16 @@
 namespace junctionrail::internal {
 namespace {
 
-constexpr std::array<std::string_view, 10> kConnectionFields = {
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade",           "content-length"};
+constexpr std::array<std::string_view, 10> kConnectionFields = {"connection",
+                                                                "keep-alive",
+                                                                "proxy-connection",
+                                                                "proxy-authenticate",
+                                                                "proxy-authorization",
+                                                                "te",
+                                                                "trailer",
+                                                                "transfer-encoding",
+                                                                "upgrade",
+                                                                "content-length"};
 constexpr std::size_t kMostDigits = 15;
 
 std::string_view Trim(std::string_view text) {
@@ -71,7 +78,8 @@
 }
 
 void AppendStatusLine(unsigned status, std::string* text) {
-  const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+  const auto reason =
+      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
   text->append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
   text->append(reason.data(), reason.size()).append("\r\n");
 }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -164,13 +164,13 @@
     parser_.reset();
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(message_.head),
                                                      asio::buffer(*message_.body)};
-    asio::async_write(socket_, parts,
-                      [self = shared_from_this(), use = use_, body = message_.body](
-                          error_code ec, std::size_t) {
-                        if (!self->IsCurrent(use)) return;
-                        if (ec) return self->Fail(UpstreamFailure::kBroken, ec.message());
-                        self->has_sent_all_ = true;
-                      });
+    asio::async_write(
+        socket_, parts,
+        [self = shared_from_this(), use = use_, body = message_.body](error_code ec, std::size_t) {
+          if (!self->IsCurrent(use)) return;
+          if (ec) return self->Fail(UpstreamFailure::kBroken, ec.message());
+          self->has_sent_all_ = true;
+        });
     Read();
   }
 
@@ -313,9 +313,9 @@
   bool is_reading_ = false;
   bool is_paused_ = false;
   bool has_sent_all_ = false;
-  bool is_mine_ = false;       // The answer that is being read is to our request.
+  bool is_mine_ = false;  // The answer that is being read is to our request.
   bool is_head_told_ = false;
-  bool is_spoiled_ = false;    // Surplus bytes were seen; never used again.
+  bool is_spoiled_ = false;  // Surplus bytes were seen; never used again.
 };
 
 std::shared_ptr<UpstreamPool::Connection> UpstreamPool::Impl::TakeIdle(const std::string& instance,
@@ -358,8 +358,8 @@
     auto& idle = it->second.idle;
     const bool is_gone = !is_known(it->first);
     for (auto connection = idle.begin(); connection != idle.end();) {
-      const bool is_over = is_gone || (*connection)->idle_until() <= now ||
-                           !(*connection)->IsQuiet();
+      const bool is_over =
+          is_gone || (*connection)->idle_until() <= now || !(*connection)->IsQuiet();
       if (is_over) (*connection)->Close();
       connection = is_over ? idle.erase(connection) : std::next(connection);
     }
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -96,10 +96,11 @@
     demand->entry = message.at("n").get<std::string>();
     demand->instance = message.at("i").get<std::string>();
     for (const auto& it : message.at("w")) {
-      demand->wanted.push_back(ModelDemand{{it.at(0).get<std::string>(), it.at(1).get<std::string>()},
-                                           it.at(2).get<int>(),
-                                           it.at(3).get<int>(),
-                                           it.at(4).get<DurationMs>()});
+      demand->wanted.push_back(
+          ModelDemand{{it.at(0).get<std::string>(), it.at(1).get<std::string>()},
+                      it.at(2).get<int>(),
+                      it.at(3).get<int>(),
+                      it.at(4).get<DurationMs>()});
     }
     for (const auto& it : message.at("u")) {
       demand->use.push_back(ModelUse{it.at(0).get<std::string>(), it.at(1).get<int>(),
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -1,9 +1,9 @@
 // Which model an engine loads next and what makes room for it.
-#include "junctionrail/placement.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "junctionrail/placement.h"
+
 namespace junctionrail {
 namespace {
 
@@ -247,8 +247,7 @@
   return Make(OrderKind::kUnload, ModelRef{*victim, {}}, "makes room for " + want.ref.model);
 }
 
-std::optional<EngineOrder> PlacementCore::OrderStaging(const std::vector<Want>& wants,
-                                                       TimeMs now) {
+std::optional<EngineOrder> PlacementCore::OrderStaging(const std::vector<Want>& wants, TimeMs now) {
   for (const auto& [link, it] : demands_) {
     for (const auto& model : it.demand.stage) {
       const ModelSpec* spec = spec_.Find(model);
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -63,8 +63,7 @@
     const ModelSpec* it = SpecOf(row, name);
     if (it == nullptr) return DurationMs{0};
     if (Contains(view.at_hand, name)) return it->disk_load_ms + kSwapOverheadMs;
-    const double slowed =
-        std::max(1.0, (StoreLoads(now) + 1.0) / options_.parallel_store_loads);
+    const double slowed = std::max(1.0, (StoreLoads(now) + 1.0) / options_.parallel_store_loads);
     return static_cast<DurationMs>(static_cast<double>(it->store_load_ms) * slowed) +
            kSwapOverheadMs;
   };
@@ -142,8 +141,7 @@
   for (const auto& it : waiting) {
     const auto demand = demands.find(it.asked);
     if (demand == demands.end()) continue;
-    demand->second.wanted.push_back(
-        ModelDemand{it.ref, it.count, it.priority, now - it.since});
+    demand->second.wanted.push_back(ModelDemand{it.ref, it.count, it.priority, now - it.since});
   }
   AddReplicas(&demands, now);
   if (options_.stages_models) AddStaging(&demands, now);
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -121,8 +121,8 @@
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, request.service, now)) continue;
     usable.push_back(&row);
-    const bool was_tried = std::find(request.tried.begin(), request.tried.end(), instance) !=
-                           request.tried.end();
+    const bool was_tried =
+        std::find(request.tried.begin(), request.tried.end(), instance) != request.tried.end();
     if (!was_tried) untried.push_back(&row);
   }
   if (usable.empty()) {
@@ -132,8 +132,7 @@
         continue;
       }
       usable.push_back(&row);
-      if (std::find(request.tried.begin(), request.tried.end(), instance) ==
-          request.tried.end()) {
+      if (std::find(request.tried.begin(), request.tried.end(), instance) == request.tried.end()) {
         untried.push_back(&row);
       }
     }
@@ -193,15 +192,14 @@
     row.ejections = 0;
     return;
   }
-  const bool is_fault = end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable ||
-                        end == AttemptEnd::kSilent;
+  const bool is_fault =
+      end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable || end == AttemptEnd::kSilent;
   if (!is_fault) return;
   ++row.failures;
   // Nobody listens there: certain at once, unlike a failed answer.
   const bool is_out = row.failures >= kFailuresToEject || end == AttemptEnd::kUnreachable;
   if (!is_out) return;
-  const DurationMs out =
-      std::min(kLongestEjectMs, kEjectMs << std::min(row.ejections, 6));
+  const DurationMs out = std::min(kLongestEjectMs, kEjectMs << std::min(row.ejections, 6));
   row.ejected_until = now + out;
   ++row.ejections;
   row.failures = kFailuresToEject - 1;
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -99,8 +99,7 @@
 }
 
 std::string KeptRequest(const std::string& line, const std::string& id) {
-  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: " + id +
-         "\r\n\r\n";
+  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: " + id + "\r\n\r\n";
 }
 
 std::string Answer(const std::string& body, const std::string& id = "r1") {
@@ -132,9 +131,8 @@
 
 TEST(GatewayServes, PassesARequestAndItsAnswerOnUnchanged) {
   World world;
-  world.AddUpstream("u1", "plain", [](const SeenRequest&, const Peer& peer) {
-    peer->Write(Answer("hello"));
-  });
+  world.AddUpstream("u1", "plain",
+                    [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("hello")); });
   world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
   const std::string answer = world.Ask(Request("POST /a/b?q=1", "X-Own: v\r\n", "body"));
   EXPECT_TRUE(Holds(answer, "200 OK") && Holds(answer, "hello"), answer);
@@ -157,9 +155,8 @@
   GatewayOptions options;
   options.names.reserved = {"Junctionrail-Hold"};
   World world(options);
-  world.AddUpstream("u1", "plain", [](const SeenRequest&, const Peer& peer) {
-    peer->Write(Answer(""));
-  });
+  world.AddUpstream("u1", "plain",
+                    [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("")); });
   world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
   world.Ask(Request("GET /a/", "Junctionrail-Hold: 7\r\nJunctionrail-Expected-Instance: u9\r\n"));
   const SeenRequest& seen = world.upstreams[0]->seen().at(0);
@@ -330,15 +327,15 @@
 
 TEST(GatewayRejects, RequestsWhoseLengthTwoReadersMayUnderstandDifferently) {
   World world;
-  world.AddUpstream("u1", "plain", [](const SeenRequest&, const Peer& peer) {
-    peer->Write(Answer(""));
-  });
+  world.AddUpstream("u1", "plain",
+                    [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("")); });
   world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
   for (const std::string fields :
        {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: xchunked\r\n",
         "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
         "Content-Length: 3\r\nContent-Length: 4\r\n", "Host: other.example\r\n"}) {
-    const std::string answer = world.Ask(Request("POST /a/", fields) + "0\r\n\r\nGET /a/ HTTP/1.1\r\n");
+    const std::string answer =
+        world.Ask(Request("POST /a/", fields) + "0\r\n\r\nGET /a/ HTTP/1.1\r\n");
     EXPECT_TRUE(Holds(answer, "400 "), fields + " got " + answer);
   }
   EXPECT_NUMBER(0, world.upstreams[0]->seen().size(), "nothing reached the upstream");
