--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -35,9 +35,9 @@
         store_(http_, settings_.direct->store),
         engine_(http_, settings_.direct->upstream),
         links_(io, LinkCallbacks()),
-        configuration_(io, store_, log_,
+        configuration_(io, store_, log_, platform::Freshness::kMayLag,
                        [this](const RoutingConfiguration& it) { OnConfiguration(it); }),
-        upstreams_(io, store_, log_, kListingMs,
+        upstreams_(io, store_, log_, platform::Freshness::kMayLag, kListingMs,
                    [this](const auto& listing, bool) { OnListing(listing); }),
         report_timer_(io) {}
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -13,8 +13,8 @@
 namespace {
 
 // An upstream that leaves gets nothing new within two seconds; a reading of
-// all records costs one call of the store.
-constexpr DurationMs kListingMs = 800;
+// all records costs one call of the store. A fifth is left for a slow store.
+constexpr DurationMs kListingMs = 1500;
 // Agents are told of demand so often, and at once when a request begins to
 // wait for a model nobody was asked for.
 constexpr DurationMs kDemandMs = 250;
@@ -56,9 +56,9 @@
         gateway_(io, ToGatewayOptions(settings_), log_),
         links_(io, LinkCallbacks()),
         configuration_(
-            io, store_, log_,
+            io, store_, log_, platform::Freshness::kNewest,
             [this](RoutingConfiguration it) { gateway_.ApplyConfiguration(std::move(it)); }),
-        upstreams_(io, store_, log_, kListingMs,
+        upstreams_(io, store_, log_, platform::Freshness::kNewest, kListingMs,
                    [this](const auto& listing, bool after_outage) {
                      gateway_.ApplyListing(listing, after_outage);
                    }),
@@ -75,6 +75,7 @@
     if (!error) error = Serve(settings_.direct->metrics, "direct.metrics");
     if (error) return error;
     gateway_.OnNewDemand([this] { TellSoon(); });
+    upstreams_.OnRegained([this] { configuration_.Reread(); });
     configuration_.Start();
     upstreams_.Start();
     demand_timer_.Every(kDemandMs, [this] { TellAgents(); });
