Tell a restarted engine from its old record; find it sooner

At the start of the system agents knew their engine only after up to 6 s, as the first listing came before its record.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -142,8 +142,13 @@
   int slots = 0;
   bool is_leaving = false;
   std::vector<LoadedModel> loaded;  // Engines; lags.
+  std::int64_t generation = 0;      // Higher for a record made later.
 };
 
+// Leaves out records whose address a later one has: the upstream behind them
+// has ended, and its record only has not lapsed yet.
+std::vector<UpstreamRecord> KeepLatestAtEachAddress(std::vector<UpstreamRecord> records);
+
 // Where the weights of a load come from.
 enum class WeightSource { kStore, kDisk, kMemory };
 
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -103,10 +103,12 @@
 
   void OnListing(const std::vector<UpstreamRecord>& listing) {
     if (fence_ == 0) fence_ = upstreams_.revision();
-    for (const auto& it : listing) {
+    bool is_listed = false;
+    for (const auto& it : KeepLatestAtEachAddress(listing)) {
       const bool is_ours = it.endpoint.address == settings_.direct->upstream.address &&
                            it.endpoint.port == settings_.direct->upstream.port;
       if (!is_ours || (it.is_leaving && it.instance != core_.instance())) continue;
+      is_listed = true;
       is_leaving_ = it.is_leaving;
       service_ = it.service;
       ApplySpec();
@@ -115,6 +117,7 @@
       core_.Reset(it.instance);
       AskReportSoon();
     }
+    if (!is_listed && has_engine_) upstreams_.ReadSoon();
   }
 
   void OnDemand(std::uint64_t link, std::string_view bytes) {
@@ -157,6 +160,8 @@
   void Note(bool is_in_touch, const std::string& reason) {
     if (is_in_touch == has_engine_) return;
     has_engine_ = is_in_touch;
+    // It may have started anew, as another instance.
+    if (is_in_touch) upstreams_.ReadSoon();
     log_.Write(MonotonicMs(), is_in_touch ? "engine_regained" : "engine_lost",
                {{"reason", reason}});
   }
@@ -190,6 +195,7 @@
                 {"reason", order.reason},
                 {"answer", AnswerName(answer)},
                 {"took_ms", now - since}});
+    if (answer == OrderAnswer::kOtherInstance) upstreams_.ReadSoon();
     if (answer == OrderAnswer::kStaleFence) fence_ = std::max(fence_ + 1, upstreams_.revision());
     core_.OnAnswer(order, answer, now);
     SendViews();
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -29,10 +29,23 @@
 
 }  // namespace
 
+std::vector<UpstreamRecord> KeepLatestAtEachAddress(std::vector<UpstreamRecord> records) {
+  std::map<std::string, std::int64_t> latest;
+  for (const auto& it : records) {
+    std::int64_t& generation = latest[it.endpoint.ToString()];
+    generation = std::max(generation, it.generation);
+  }
+  const auto is_outdated = [&latest](const UpstreamRecord& it) {
+    return it.generation < latest[it.endpoint.ToString()];
+  };
+  records.erase(std::remove_if(records.begin(), records.end(), is_outdated), records.end());
+  return records;
+}
+
 void UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage,
                                  TimeMs now) {
   std::set<std::string> listed;
-  for (const auto& it : listing) {
+  for (const auto& it : KeepLatestAtEachAddress(listing)) {
     listed.insert(it.instance);
     Row& row = rows_[it.instance];
     const bool was_leaving = row.record.is_leaving;
--- /dev/null
+++ b/test/platform_test.cc
@@ -0,0 +1,292 @@
+// The adapter to the users' platform: its documents, and its store over real
+// sockets against the stand-in.
+#include "platform.h"
+
+#include <fcntl.h>
+
+#include "check.h"
+#include "loopback.h"
+#include "platform_standin.h"
+
+namespace junctionrail::platform {
+namespace {
+
+using testing::RunFor;
+using testing::RunUntil;
+using testing::ScriptedUpstream;
+using testing::SeenRequest;
+using testing::StandinStore;
+
+constexpr char kConfiguration[] = R"({"version":7,
+  "routes":[
+    {"name":"r1","hostname":"shop.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":15000,
+     "targetLatencyMs":400,"priority":1,"trafficSplit":[{"service":"s1","weight":90},
+     {"service":"s2","weight":10}],"maxAttempts":2,"sticky":true,"resumable":true,"gapAimMs":300},
+    {"name":"r2","hostname":"shop.example","pathPrefix":"/b/","kind":"non_idempotent",
+     "timeoutMs":800,"targetLatencyMs":300,"priority":2,"service":"s2","maxAttempts":1}],
+  "services":[
+    {"name":"s1","healthPath":"/health","maxConns":360,"engine":{"weightsMb":230000.0,
+     "adapterSlots":8,"diskMb":1300000.0,"models":[{"name":"m1","weightsMb":72700.0,
+     "loadTimeS":6.0,"adapters":28,"adapterMb":66.0,"warmS":0.47,"diskS":0.84}]}},
+    {"name":"s2","healthPath":"/health","maxConns":96}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+   "idleTimeoutMs":15000}, "new_field":1})";
+
+std::string Configuration(int version) {
+  std::string text = kConfiguration;
+  return text.replace(text.find("7"), 1, std::to_string(version));
+}
+
+constexpr char kUpstream[] =
+    R"({"service":"s1","address":"10.1.0.40:8145","zone":"hall-1","version":"v1","slots":64,
+        "state":"ready","coldRemainingMs":0,"models":[{"name":"m1","version":1,
+        "adapters":["a1","a2"]}],"sequence":4})";
+
+}  // namespace
+
+TEST_GROUP(Documents){};
+
+TEST(Documents, BecomeRoutesServicesAndLimits) {
+  const auto decoded = DecodeConfiguration(kConfiguration);
+  EXPECT_TRUE(decoded.has_value(), decoded ? "" : decoded.error().sentence);
+  const RoutingConfiguration& configuration = decoded.value();
+  EXPECT_NUMBER(7, configuration.version, "");
+  const Route& stream = configuration.routes.at(0);
+  EXPECT_TRUE(stream.kind == CallKind::kStream && stream.is_resumable, "a stream that may go on");
+  EXPECT_NUMBER(2300, stream.patience_ms, "eight pauses of 300 ms, less a margin");
+  EXPECT_NUMBER(10, stream.shares.at(1).weight, "");
+  const Route& once = configuration.routes.at(1);
+  EXPECT_TRUE(once.kind == CallKind::kOnce && !once.MayRepeat(), "at most once");
+  EXPECT_TEXT("s2", once.shares.at(0).service, "a route without a split");
+  const ModelSpec& model = configuration.services.at(0).engine->models.at(0);
+  EXPECT_NUMBER(72700, model.size_mb, "the model's weights");
+  EXPECT_NUMBER(230000, configuration.services.at(0).engine->accelerator_mb, "the engine's room");
+  EXPECT_NUMBER(840, model.disk_load_ms, "seconds become milliseconds");
+  EXPECT_NUMBER(3000, configuration.limits.header_timeout_ms, "");
+}
+
+TEST(Documents, ThatAreMalformedNameTheField) {
+  const auto missing =
+      DecodeConfiguration(R"({"version":1,"routes":[{"name":"r"}],"services":[]})");
+  EXPECT_TEXT("hostname: expected a text", missing.error().sentence, "");
+  std::string kind = kConfiguration;
+  kind.replace(kind.find("streaming"), 9, "something");
+  EXPECT_TEXT("kind: expected idempotent, non_idempotent or streaming",
+              DecodeConfiguration(kind).error().sentence, "");
+  EXPECT_TEXT("expected a JSON object", DecodeConfiguration("[").error().sentence, "");
+  EXPECT_TEXT("address: expected an IP number and a port",
+              DecodeUpstream("i", R"({"service":"s","address":"x"})", 1).error().sentence, "");
+}
+
+TEST(Documents, BecomeUpstreamsAndReports) {
+  const auto upstream = DecodeUpstream("i-1", kUpstream, 42);
+  EXPECT_TRUE(upstream.has_value(), "");
+  EXPECT_TEXT("10.1.0.40:8145", upstream.value().endpoint.ToString(), "");
+  EXPECT_NUMBER(42, upstream.value().generation, "");
+  EXPECT_TEXT("a2", upstream.value().loaded.at(0).adapters.at(1), "");
+  const auto report = DecodeReport(
+      R"({"stage":"both","models":[{"name":"m1","version":1,"adapters":[]}],"busyCount":true,
+          "sequence":2,"waiting":1,"running":12,"kvUsed":45000,"kvTotal":90000,"handles":0,
+          "coming":["m1/a3@2"],"atHand":{"inMemory":["m1"],"onDisk":["m1","m2"]}})");
+  EXPECT_TRUE(report.has_value() && report.value().is_busy, "an order is under way");
+  EXPECT_TEXT("m1/a3", report.value().adapters_coming.at(0).ToString(), "without its version");
+  EXPECT_TEXT("m2", report.value().on_disk.at(1), "");
+  EXPECT_TRUE(report.value().kv_share == 0.5, "a share of the memory for tokens");
+}
+
+namespace {
+
+EventLogOptions QuietLog() {
+  EventLogOptions options;
+  options.file_descriptor = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  return options;
+}
+
+struct World {
+  void FollowConfiguration() {
+    configuration = std::make_unique<ConfigurationFollower>(
+        io, client, log, Freshness::kNewest, [this](const RoutingConfiguration& it) {
+          versions.push_back(static_cast<int>(it.version));
+        });
+    configuration->Start();
+  }
+
+  void FollowUpstreams(DurationMs period_ms) {
+    upstreams = std::make_unique<UpstreamFollower>(
+        io, client, log, Freshness::kNewest, period_ms,
+        [this](const std::vector<UpstreamRecord>& it, bool is_after_outage) {
+          listings.push_back(it);
+          after_outage = is_after_outage;
+        });
+    upstreams->Start();
+  }
+
+  bool AwaitVersion(int version) {
+    return RunUntil(io, [&] { return !versions.empty() && versions.back() == version; });
+  }
+
+  boost::asio::io_context io;
+  EventLog log{QuietLog()};
+  StandinStore store{io};
+  HttpClient http{io};
+  StoreClient client{http, store.endpoint()};
+  std::unique_ptr<ConfigurationFollower> configuration;
+  std::unique_ptr<UpstreamFollower> upstreams;
+  std::vector<int> versions;
+  std::vector<std::vector<UpstreamRecord>> listings;
+  bool after_outage = false;
+};
+
+}  // namespace
+
+TEST_GROUP(FollowsConfiguration){};
+
+TEST(FollowsConfiguration, FromItsFirstWritingThroughEachChange) {
+  World world;
+  world.FollowConfiguration();
+  RunFor(world.io, 50);
+  world.store.Put("op/config", Configuration(3));
+  EXPECT_TRUE(world.AwaitVersion(3), "it did not exist at the start");
+  world.store.Put("op/config", Configuration(8));
+  EXPECT_TRUE(world.AwaitVersion(8), "a watch sees the change");
+}
+
+TEST(FollowsConfiguration, WhenTheStoreForgetsItsHistory) {
+  World world;
+  world.store.Put("op/config", Configuration(3));
+  world.FollowConfiguration();
+  EXPECT_TRUE(world.AwaitVersion(3), "");
+  world.store.SilenceWatches();
+  world.store.Put("op/config", Configuration(4));
+  world.store.ForgetHistory();
+  world.store.CutWatches();
+  EXPECT_TRUE(world.AwaitVersion(4), "the watch was told of nothing and cut");
+}
+
+TEST(FollowsConfiguration, PastAMalformedOneAndNeverBack) {
+  World world;
+  world.store.Put("op/config", Configuration(5));
+  world.FollowConfiguration();
+  EXPECT_TRUE(world.AwaitVersion(5), "");
+  world.store.Put("op/config", "{");
+  RunFor(world.io, 50);
+  world.store.Put("op/config", Configuration(4));
+  RunFor(world.io, 50);
+  EXPECT_NUMBER(1, world.versions.size(), "neither is applied");
+  world.store.Put("op/config", Configuration(6));
+  EXPECT_TRUE(world.AwaitVersion(6), "the next good one is");
+}
+
+TEST(FollowsConfiguration, ThroughAnOutage) {
+  World world;
+  world.store.mood = StandinStore::Mood::kBusy;
+  world.store.Put("op/config", Configuration(5));
+  world.FollowConfiguration();
+  RunFor(world.io, 100);
+  EXPECT_NUMBER(0, world.versions.size(), "the store refuses");
+  EXPECT_TRUE(world.configuration->Offer(Configuration(4)), "another entry knows an older one");
+  EXPECT_NUMBER(4, world.versions.back(), "");
+  world.store.mood = StandinStore::Mood::kFine;
+  EXPECT_TRUE(world.AwaitVersion(5), "the store is back");
+  EXPECT_TRUE(!world.configuration->Offer(Configuration(4)), "never back");
+}
+
+TEST(FollowsConfiguration, WhenItsWatchDiedUnseen) {
+  World world;
+  world.store.Put("op/config", Configuration(5));
+  world.FollowConfiguration();
+  EXPECT_TRUE(world.AwaitVersion(5), "");
+  RunFor(world.io, 50);
+  world.store.SilenceWatches();
+  world.store.Put("op/config", Configuration(6));
+  world.configuration->Reread();
+  EXPECT_TRUE(world.AwaitVersion(6), "it is read again once the store is back");
+}
+
+TEST_GROUP(FollowsUpstreams){};
+
+TEST(FollowsUpstreams, OverAllPages) {
+  World world;
+  world.store.page = 2;
+  for (int n = 0; n < 5; ++n) world.store.Put("servers/i-" + std::to_string(n), kUpstream);
+  world.FollowUpstreams(20);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return !world.listings.empty(); }), "");
+  EXPECT_NUMBER(5, world.listings[0].size(), "three pages");
+  EXPECT_TEXT("i-4", world.listings[0].back().instance, "");
+}
+
+TEST(FollowsUpstreams, AndSaysWhenTheStoreWasAwayJustBefore) {
+  World world;
+  world.store.Put("servers/i-1", kUpstream);
+  bool is_regained = false;
+  world.FollowUpstreams(20);
+  world.upstreams->OnRegained([&] { is_regained = true; });
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.size() >= 2; }), "");
+  EXPECT_TRUE(!world.after_outage && !is_regained, "all is well");
+  world.store.mood = StandinStore::Mood::kBusy;
+  RunFor(world.io, 60);
+  world.store.Remove("servers/i-1");
+  world.store.mood = StandinStore::Mood::kFine;
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.back().empty(); }), "");
+  EXPECT_TRUE(world.after_outage && is_regained, "what is missing may only have lapsed");
+}
+
+TEST(FollowsUpstreams, PassingOverAMalformedRecord) {
+  World world;
+  world.store.Put("servers/i-1", kUpstream);
+  world.store.Put("servers/i-2", R"({"service":7})");
+  world.FollowUpstreams(20);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return !world.listings.empty(); }), "");
+  EXPECT_NUMBER(1, world.listings[0].size(), "the other one stands");
+}
+
+TEST(FollowsUpstreams, WithTheLaterOfTwoAtOneAddressHavingTheHigherGeneration) {
+  // Found in a recorded day: a restarted engine's old record had not lapsed, and
+  // its agent took either for the engine in turn.
+  World world;
+  world.store.Put("servers/i-2", kUpstream);
+  world.store.Put("servers/i-1", kUpstream);
+  world.store.Put("servers/i-2", kUpstream);
+  world.FollowUpstreams(20);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return !world.listings.empty(); }), "");
+  const auto kept = KeepLatestAtEachAddress(world.listings[0]);
+  EXPECT_NUMBER(1, kept.size(), "the address is one process's");
+  EXPECT_TEXT("i-1", kept.at(0).instance, "i-2 was written later but made earlier");
+}
+
+TEST_GROUP(Engines){};
+
+TEST(Engines, AreGivenOrdersInThePlatformsWords) {
+  boost::asio::io_context io;
+  int status = 202;
+  ScriptedUpstream engine(io, [&](const SeenRequest&, const auto& peer) {
+    if (status == 0) return peer->Reset();
+    peer->Write("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpClient http(io);
+  EngineCalls calls(http, engine.endpoint());
+  const auto give = [&](const EngineOrder& order) {
+    std::optional<OrderAnswer> answer;
+    calls.Give(order, "i-1", {"vm-1", 41}, [&](OrderAnswer it) { answer = it; });
+    RunUntil(io, [&] { return answer.has_value(); });
+    return answer.value_or(OrderAnswer::kRejected);
+  };
+  const EngineOrder order{OrderKind::kLoad, {"m1", "a1"}, 7, ""};
+  EXPECT_TRUE(give(order) == OrderAnswer::kAccepted, "");
+  const SeenRequest& seen = engine.seen().at(0);
+  EXPECT_TEXT("POST /order HTTP/1.1", seen.Line(), "");
+  EXPECT_TEXT("i-1", seen.Field("Expect-Instance"), "");
+  EXPECT_TEXT(R"({"adapter":"a1","expected":7,"fence":41,"holder":"vm-1","model":"m1",)"
+              R"("operation":"load"})",
+              seen.body, "");
+  status = 409;
+  EXPECT_TRUE(give(order) == OrderAnswer::kConflict, "");
+  status = 412;
+  EXPECT_TRUE(give(order) == OrderAnswer::kStaleFence, "");
+  status = 421;
+  EXPECT_TRUE(give(order) == OrderAnswer::kOtherInstance, "");
+  status = 0;
+  EXPECT_TRUE(give(order) == OrderAnswer::kUnknown, "it was sent and not answered");
+}
+
+}  // namespace junctionrail::platform
--- /dev/null
+++ b/test/support/platform_standin.cc
@@ -0,0 +1,151 @@
+#include "platform_standin.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace junctionrail::testing {
+namespace {
+
+using nlohmann::json;
+
+// One field of a query, with %2F and the like decoded.
+std::string Query(const std::string& target, const std::string& name) {
+  std::size_t at = target.find("?" + name + "=");
+  if (at == std::string::npos) at = target.find("&" + name + "=");
+  if (at == std::string::npos) return "";
+  at += name.size() + 2;
+  const std::string raw = target.substr(at, target.find('&', at) - at);
+  std::string text;
+  for (std::size_t n = 0; n < raw.size(); ++n) {
+    if (raw[n] != '%') {
+      text.push_back(raw[n]);
+      continue;
+    }
+    text.push_back(static_cast<char>(std::strtol(raw.substr(n + 1, 2).c_str(), nullptr, 16)));
+    n += 2;
+  }
+  return text;
+}
+
+bool IsBelow(const std::string& key, const std::string& prefix) {
+  return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+StandinStore::StandinStore(boost::asio::io_context& io) : io_(io) {
+  HttpServerOptions options;
+  options.endpoint = {"127.0.0.1", 0};
+  server_ = std::make_unique<HttpServer>(
+      io_, options, [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+        Handle(request, std::move(responder));
+      });
+  port_ = server_->Listen().value();
+}
+
+void StandinStore::Put(const std::string& key, const std::string& value) {
+  ++revision_;
+  Item& item = items_[key];
+  if (item.created == 0) item.created = revision_;
+  item.value = value;
+  item.revision = revision_;
+  history_.push_back({key, revision_});
+  AnswerWatches();
+}
+
+void StandinStore::Remove(const std::string& key) {
+  ++revision_;
+  items_.erase(key);
+  history_.push_back({key, revision_});
+  AnswerWatches();
+}
+
+void StandinStore::ForgetHistory() { forgotten_ = ++revision_; }
+
+void StandinStore::SilenceWatches() {
+  for (auto& it : watches_) it.prefix = "(none)";
+}
+
+void StandinStore::CutWatches() {
+  for (const auto& it : watches_) it.responder->Break();
+  watches_.clear();
+}
+
+void StandinStore::Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+  calls.push_back(request.method + " " + request.target);
+  if (mood == Mood::kSilent) return;
+  if (mood == Mood::kBusy) return responder->Whole(503, {}, "");
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const std::string prefix = Query(request.target, "pathPrefix");
+  const std::string after = Query(request.target, "after");
+  if (path == "/kv-range") return AnswerRange(prefix, after, *responder);
+  if (path == "/kv-watch") {
+    Watch watch{prefix, std::strtoll(after.c_str(), nullptr, 10), std::move(responder)};
+    if (!TryAnswer(watch)) watches_.push_back(std::move(watch));
+    return;
+  }
+  const auto it = items_.find(Query(request.target, "tlsKey"));
+  if (path != "/kv-key" || it == items_.end()) return responder->Whole(404, {}, "");
+  const json answer = {{"tlsKey", it->first},
+                       {"value", EncodeBase64(it->second.value)},
+                       {"revision", it->second.revision},
+                       {"createRevision", it->second.created},
+                       {"lease", 0},
+                       {"asOf", revision_}};
+  responder->Whole(200, {{"Content-Type", "application/json"}}, answer.dump());
+}
+
+void StandinStore::AnswerRange(const std::string& prefix, const std::string& after,
+                               HttpResponder& responder) {
+  json items = json::array();
+  bool is_cut = false;
+  for (const auto& [key, item] : items_) {
+    if (!IsBelow(key, prefix) || (!after.empty() && key <= after)) continue;
+    if (items.size() == page) {
+      is_cut = true;
+      break;
+    }
+    items.push_back({{"tlsKey", key},
+                     {"value", EncodeBase64(item.value)},
+                     {"revision", item.revision},
+                     {"createRevision", item.created},
+                     {"lease", 0}});
+  }
+  const json answer = {{"items", items}, {"truncated", is_cut}, {"asOf", revision_}};
+  responder.Whole(200, {{"Content-Type", "application/json"}}, answer.dump());
+}
+
+bool StandinStore::TryAnswer(const Watch& watch) {
+  if (watch.after < forgotten_) {
+    watch.responder->Whole(410, {}, "");
+    return true;
+  }
+  json events = json::array();
+  for (const auto& it : history_) {
+    if (it.revision <= watch.after || !IsBelow(it.key, watch.prefix)) continue;
+    const auto item = items_.find(it.key);
+    if (item == items_.end()) {
+      events.push_back({{"tlsKey", it.key}, {"revision", it.revision}, {"tombstone", true}});
+    } else {
+      events.push_back({{"tlsKey", it.key},
+                        {"value", EncodeBase64(item->second.value)},
+                        {"revision", it.revision},
+                        {"createRevision", item->second.created},
+                        {"lease", 0}});
+    }
+  }
+  if (events.empty()) return false;
+  watch.responder->Whole(200, {{"Content-Type", "application/json"}},
+                         json{{"events", events}, {"asOf", revision_}}.dump());
+  return true;
+}
+
+void StandinStore::AnswerWatches() {
+  auto waiting = std::exchange(watches_, {});
+  for (auto& it : waiting) {
+    if (!TryAnswer(it)) watches_.push_back(std::move(it));
+  }
+}
+
+}  // namespace junctionrail::testing
--- /dev/null
+++ b/test/support/platform_standin.h
@@ -0,0 +1,67 @@
+// A small stand-in for the users' platform: its store over HTTP, as their
+// pages describe it, with the faults that tests need.
+#ifndef JUNCTIONRAIL_TEST_SUPPORT_PLATFORM_STANDIN_H_
+#define JUNCTIONRAIL_TEST_SUPPORT_PLATFORM_STANDIN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "junctionrail/net.h"
+
+namespace junctionrail::testing {
+
+class StandinStore {
+ public:
+  explicit StandinStore(boost::asio::io_context& io);
+
+  Endpoint endpoint() const { return {"127.0.0.1", port_}; }
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  // Watches from before now get 410.
+  void ForgetHistory();
+  // Watches that wait hear nothing any more.
+  void SilenceWatches();
+  void CutWatches();
+
+  enum class Mood { kFine, kBusy, kSilent };
+  Mood mood = Mood::kFine;
+  std::size_t page = 500;  // Items in one answer.
+  std::vector<std::string> calls;
+
+ private:
+  struct Item {
+    std::string value;
+    std::int64_t revision = 0;
+    std::int64_t created = 0;
+  };
+  struct Change {
+    std::string key;
+    std::int64_t revision = 0;
+  };
+  struct Watch {
+    std::string prefix;
+    std::int64_t after = 0;
+    std::shared_ptr<HttpResponder> responder;
+  };
+
+  void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder);
+  void AnswerRange(const std::string& prefix, const std::string& after, HttpResponder& responder);
+  bool TryAnswer(const Watch& watch);
+  void AnswerWatches();
+
+  boost::asio::io_context& io_;
+  std::unique_ptr<HttpServer> server_;
+  std::uint16_t port_ = 0;
+  std::map<std::string, Item> items_;
+  std::vector<Change> history_;
+  std::int64_t revision_ = 100;
+  std::int64_t forgotten_ = 0;  // The history up to this revision is gone.
+  std::vector<Watch> watches_;
+};
+
+}  // namespace junctionrail::testing
+
+#endif  // JUNCTIONRAIL_TEST_SUPPORT_PLATFORM_STANDIN_H_
