--- a/include/junctionrail/telemetry.h
+++ b/include/junctionrail/telemetry.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "junctionrail/agent_core.h"
@@ -49,6 +50,11 @@
                const std::vector<MetricLabel>& labels = {});
   void Gauge(std::string_view name, std::string_view help, double value,
              const std::vector<MetricLabel>& labels = {});
+  // Cumulative counts by upper bound; the last bound is infinity. Histograms of
+  // several processes with the same bounds add up.
+  void Histogram(std::string_view name, std::string_view help,
+                 const std::vector<std::pair<std::string, std::uint64_t>>& cumulative,
+                 std::uint64_t count, std::int64_t sum);
   void Summary(std::string_view name, std::string_view help, const ValueSeries& series);
   const std::string& text() const { return text_; }
 
--- a/src/base/telemetry.cc
+++ b/src/base/telemetry.cc
@@ -106,6 +106,17 @@
   Line(name, labels, value);
 }
 
+void MetricsPage::Histogram(std::string_view name, std::string_view help,
+                            const std::vector<std::pair<std::string, std::uint64_t>>& cumulative,
+                            std::uint64_t count, std::int64_t sum) {
+  Head(name, help, "histogram");
+  for (const auto& [bound, n] : cumulative) {
+    Line(std::string(name) + "_bucket", {{"le", bound}}, static_cast<double>(n));
+  }
+  Line(std::string(name) + "_sum", {}, static_cast<double>(sum));
+  Line(std::string(name) + "_count", {}, static_cast<double>(count));
+}
+
 void MetricsPage::Summary(std::string_view name, std::string_view help, const ValueSeries& series) {
   Head(name, help, "summary");
   for (const double it : kProbabilities) {
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <thread>
 
 #include "junctionrail/declarations.h"
+#include "story.h"
 
 namespace junctionrail::cli {
 namespace {
@@ -171,6 +174,37 @@
 
 }  // namespace
 
+ExitCode TellStory(const Options& options, const std::string& request,
+                   const std::vector<std::string>& files) {
+  Story story(request);
+  for (const auto& file : files) {
+    std::ifstream log(file);
+    if (!log) {
+      std::fprintf(stderr, "error: %s: expected a log file that can be read\n", file.c_str());
+      return kBadInput;
+    }
+    story.Read(log);
+  }
+  const std::vector<StoryLine> lines = story.Lines();
+  if (lines.empty()) {
+    std::fprintf(stderr, "error: no line names the request %s (%zu lines are no events)\n",
+                 request.c_str(), story.lines_passed_over());
+    return kRefused;
+  }
+  for (const auto& it : lines) {
+    if (options.is_json) {
+      const nlohmann::json line = {
+          {"t", it.wall_ms}, {"process", it.process}, {"event", it.event}, {"details", it.details}};
+      std::printf("%s\n", line.dump().c_str());
+    } else {
+      std::printf("%+8lld ms  %-20s %-18s %s\n",
+                  static_cast<long long>(it.wall_ms - lines.front().wall_ms), it.process.c_str(),
+                  it.event.c_str(), it.details.c_str());
+    }
+  }
+  return kDone;
+}
+
 ExitCode Check(const Options& options) {
   std::string declarations;
   if (!ReadDirectory(options, &declarations)) return kBadInput;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -30,6 +30,9 @@
 ExitCode Drain(const Options& options, const std::string& vm);
 // `format` is text, json or html.
 ExitCode ReportBurn(const Options& options, const std::string& key, const std::string& format);
+// Prints what the log files say of a request, in order.
+ExitCode TellStory(const Options& options, const std::string& request,
+                   const std::vector<std::string>& files);
 ExitCode Why(const Options& options, const std::string& kind, const std::string& subject);
 
 }  // namespace junctionrail::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -36,6 +36,7 @@
     "  why request ID            why a request went where it went\n"
     "  why model NAME@VERSION    why a model is where it is\n"
     "  why upstream VM           what was decided about an upstream\n"
+    "  story ID FILE...          what the logs of all processes say of a request\n"
     "Exit codes: 0 done, 1 refused, 2 bad input, 3 entry away, 4 not in force yet, 5 unknown";
 
 ExitCode BadUsage(const std::string& sentence) {
@@ -68,6 +69,10 @@
     return junctionrail::cli::Drain(options, words[1]);
   }
   if (command == "report") return RunReport(options, words);
+  if (command == "story") {
+    if (words.size() < 3) return BadUsage("story: expected a request's id and log files");
+    return junctionrail::cli::TellStory(options, words[1], {words.begin() + 2, words.end()});
+  }
   if (words.size() != 1) return BadUsage(command + ": expected no further words");
   if (command == "check") return junctionrail::cli::Check(options);
   if (command == "diff") return junctionrail::cli::Diff(options);
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -20,18 +20,16 @@
 }
 
 void AddLatency(const LatencyHistogram& histogram, MetricsPage* page) {
+  std::vector<std::pair<std::string, std::uint64_t>> cumulative;
   std::uint64_t n = 0;
   for (std::size_t bucket = 0; bucket < kLatencyBuckets; ++bucket) {
     n += histogram.buckets[bucket];
     const bool is_last = bucket + 1 == kLatencyBuckets;
-    const std::string bound = is_last ? "+Inf" : std::to_string(kLatencyBucketsMs[bucket]);
-    page->Counter("junctionrail_first_answer_ms_bucket",
-                  "From a request's arrival to the first byte of its answer, by upper bound.", n,
-                  {{"le", bound}});
+    cumulative.emplace_back(is_last ? "+Inf" : std::to_string(kLatencyBucketsMs[bucket]), n);
   }
-  page->Counter("junctionrail_first_answer_ms_count", "Answers begun.", histogram.count);
-  page->Counter("junctionrail_first_answer_ms_sum", "Sum of the above.",
-                static_cast<std::uint64_t>(histogram.sum_ms));
+  page->Histogram("junctionrail_first_answer_ms",
+                  "From a request's arrival to the first byte of its answer.", cumulative,
+                  histogram.count, histogram.sum_ms);
 }
 
 }  // namespace
