Never say that a request did not run after an attempt that may have

Cause (found by reading): a repeatable request whose first attempt was cut and whose model was then on no upstream was refused with 503 and ran: no. The refusal did not look at earlier attempts. Change: every refusal asks what became of earlier attempts; three invariants are asserted in the program (no false did-not-run, no second sending of an at-most-once request, no order beyond memory or places). Test: GatewayWaits.NeverSaysThatItDidNotRunAfterAnAttemptThatMayHave, failed first.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -120,7 +120,7 @@
 
 void Exchange::Attempt() {
   const TimeMs now = MonotonicMs();
-  if (now >= end_at_) return GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, "deadline");
+  if (now >= end_at_) return GiveUp(SoFar(), "deadline");
   PickRequest pick;
   pick.service = service_;
   pick.model = model_;
@@ -130,7 +130,7 @@
   const Pick choice = gateway_.upstreams.Choose(pick, now);
   if (const auto* to = std::get_if<junctionrail::SendTo>(&choice)) return SendTo(to->instance);
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
-  GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, std::get<NoneLeft>(choice).reason);
+  GiveUp(SoFar(), std::get<NoneLeft>(choice).reason);
 }
 
 void Exchange::WaitForModel(const WaitFor& wait) {
@@ -155,6 +155,8 @@
   }
   if (is_begun_) return GiveUp(Ran::kMaybe, "no upstream holds the model any more");
   if (is_new_ask && gateway_.on_new_demand) gateway_.on_new_demand();
+  if (is_hopeless && SoFar() == Ran::kMaybe)
+    return GiveUp(Ran::kMaybe, "no upstream holds the model");
   if (is_hopeless) {
     // The load is asked for all the same: the caller is told to come back when
     // it is up.
@@ -174,7 +176,9 @@
 
 void Exchange::SendTo(const std::string& instance) {
   const UpstreamRecord* upstream = gateway_.upstreams.Find(instance);
-  if (upstream == nullptr) return GiveUp(Ran::kNo, "no_upstream");
+  if (upstream == nullptr) return GiveUp(SoFar(), "no_upstream");
+  CheckInvariant(route_->MayRepeat() || ran_attempts_ == 0,
+                 "a request that may not be repeated is sent on only if it has not run");
   if (is_parked_) {
     is_parked_ = false;
     gateway_.Unpark(shared_from_this());
@@ -363,7 +367,7 @@
                       {"last_event", events_.last_id()},
                       {"left_ms", end_at_ - now}});
   if (TryAnother(ran, was_sent)) return;
-  GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, reason);
+  GiveUp(SoFar(), reason);
 }
 
 // Sends the request to another upstream where that is safe and paid for.
@@ -412,8 +416,11 @@
   Refuse(is_late ? kGatewayTimeout : kBadGateway, "outcome_unknown", reason, Ran::kMaybe, 0);
 }
 
+// An answer of our own.
 void Exchange::Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
                       DurationMs retry_after_ms) {
+  CheckInvariant(ran == Ran::kMaybe || ran_attempts_ == 0,
+                 "a request said not to have run was sent to no upstream that may have run it");
   const auto sink = sink_.lock();
   std::vector<HttpHeader> fields;
   if (!request_id_.empty()) fields.push_back({gateway_.options.names.request_id, request_id_});
@@ -488,7 +495,7 @@
     call_->Cancel();
     EndAttempt(AttemptEnd::kAbandoned);
   }
-  GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, "this process ends");
+  GiveUp(SoFar(), "this process ends");
 }
 
 // How long this attempt may be silent before the request goes elsewhere; 0 for
@@ -522,7 +529,10 @@
       call_->Cancel();
       EndAttempt(AttemptEnd::kSilent);
     }
-    return GiveUp(ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo, "no answer within its time");
+    return GiveUp(SoFar(), "no answer within its time");
+  }
+  if (is_parked_ && now >= patience_at_ && SoFar() == Ran::kMaybe) {
+    return GiveUp(Ran::kMaybe, "no upstream held the model in time");
   }
   if (is_parked_ && now >= patience_at_) {
     return Refuse(kUnavailable, "model_not_loaded", "the model was not up in time", Ran::kNo,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -87,6 +87,7 @@
   void Arm();
   void OnTimer();
   DurationMs SilenceLimit() const;
+  Ran SoFar() const { return ran_attempts_ > 0 ? Ran::kMaybe : Ran::kNo; }
   DurationMs Left() const { return end_at_ - MonotonicMs(); }
 
   Gateway::Impl& gateway_;
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -180,6 +180,16 @@
 }
 
 EngineOrder PlacementCore::Make(OrderKind kind, ModelRef target, std::string reason) const {
+  if (kind == OrderKind::kLoad) {
+    const ModelSpec* spec = spec_.Find(target.model);
+    const double mb = spec == nullptr          ? 0
+                      : target.adapter.empty() ? spec->size_mb
+                                               : spec->adapter_mb;
+    CheckInvariant(spec != nullptr && UsedMb() + mb <= spec_.accelerator_mb,
+                   "an order to load fits the accelerator's memory");
+    CheckInvariant(target.adapter.empty() || UsedAdapterPlaces() < spec_.adapter_places,
+                   "an order to load an adapter finds a free place");
+  }
   return EngineOrder{kind, std::move(target), report_.sequence, std::move(reason)};
 }
 
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -421,6 +421,28 @@
   EXPECT_NUMBER(1, world.Wanted().size(), "the load is still wanted");
 }
 
+TEST(GatewayWaits, NeverSaysThatItDidNotRunAfterAnAttemptThatMayHave) {
+  // Found by reading: the refusal of a request that waits for a model did not
+  // ask whether an earlier attempt had been sent.
+  EngineWorld world;
+  world.AddUpstream("u1", "engine", [&](const SeenRequest&, const Peer& peer) {
+    world.Show({});
+    peer->Reset();
+  });
+  world.AddUpstream("u2", "engine", [](const SeenRequest&, const Peer&) {});
+  RoutingConfiguration configuration = world.gateway->configuration();
+  configuration.version = 2;
+  configuration.routes[0].is_resumable = true;
+  configuration.routes[0].patience_ms = 300;
+  world.gateway->ApplyConfiguration(configuration);
+  world.Show({{"b", {}}});
+  EngineView other;
+  other.instance = "u2";
+  world.gateway->ApplyView(other);
+  const std::string answer = world.Ask(ModelRequest("b"));
+  EXPECT_TRUE(Holds(answer, "502 ") && Holds(answer, "\"ran\":\"unknown\""), answer);
+}
+
 TEST_GROUP(GatewayEnds){};
 
 TEST(GatewayEnds, TellsTheUpstreamWhenTheCallerHasGone) {
