A randomized soak of the real programs with faults from outside

Entries and agents as processes, stand-ins of the store and of upstreams that cut, lose and double answers, loopback proxies that slow, silence, cut one way or reset, signals that kill, stop, pause and reload, all in series and overlapping. It checks from what callers and upstreams see: each answer is the request's own, streams are whole and in order, an at-most-once request runs once, what was said not to have run did not, engines have one giver of orders, a token that never falls and are never overfilled, no process ends by itself, and every caller is served again after the faults.

--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,62 @@
+// Callers of a soak: each keeps its connection while it is good, sends one
+// request after the other, and tells the judge what came back.
+#ifndef JUNCTIONRAIL_SOAK_CALLERS_H_
+#define JUNCTIONRAIL_SOAK_CALLERS_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "judge.h"
+#include "junctionrail/net.h"
+#include "upstreams.h"
+
+namespace junctionrail::soak {
+
+class Caller : public std::enable_shared_from_this<Caller> {
+ public:
+  Caller(boost::asio::io_context& io, Judge& judge, Random& random, std::string name,
+         std::vector<Endpoint> entries);
+
+  void Start();
+  void Stop();
+  // Requests served since the last call, for progress after trouble.
+  int TakeServed();
+
+ private:
+  void Next();
+  void Connect();
+  void Send();
+  void Read();
+  void OnText();
+  void CheckPlain(const std::string& body);
+  void CheckStream(const std::string& body);
+  void Served();
+  void Broken(const std::string& why);
+  void Again(DurationMs delay);
+
+  boost::asio::io_context& io_;
+  Judge& judge_;
+  Random& random_;
+  std::string name_;
+  std::vector<Endpoint> entries_;
+  std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
+  std::array<char, 8192> chunk_;
+  Timer pace_;
+  Timer patience_;
+  std::string text_;
+  std::string id_;
+  std::string kind_;
+  std::string head_;
+  std::uint64_t round_ = 0;
+  int requests_ = 0;
+  int served_ = 0;
+  bool is_stopped_ = false;
+  bool is_connected_ = false;
+};
+
+}  // namespace junctionrail::soak
+
+#endif  // JUNCTIONRAIL_SOAK_CALLERS_H_
--- /dev/null
+++ b/soak/fleet.cc
@@ -0,0 +1,79 @@
+#include "fleet.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <utility>
+
+namespace junctionrail::soak {
+
+Process::Process(std::string name, std::string program, std::string settings_file,
+                 std::string log_file)
+    : name_(std::move(name)),
+      program_(std::move(program)),
+      settings_file_(std::move(settings_file)),
+      log_file_(std::move(log_file)) {}
+
+Process::~Process() {
+  if (pid_ <= 0) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+void Process::Start() {
+  const std::string settings = "--settings=" + settings_file_;
+  char* const argv[] = {program_.data(), const_cast<char*>(settings.c_str()), nullptr};
+  is_to_end_ = false;
+  is_paused_ = false;
+  const pid_t pid = fork();
+  if (pid != 0) {
+    pid_ = pid;
+    return;
+  }
+  const int log = open(log_file_.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  // What the driver has open is not the program's.
+  for (int fd = 3; fd < 1024; ++fd) close(fd);
+  execv(argv[0], argv);
+  _exit(127);
+}
+
+void Process::Signal(int signal) {
+  if (pid_ <= 0) return;
+  const bool ends = signal == SIGKILL || signal == SIGTERM;
+  is_to_end_ = is_to_end_ || ends;
+  kill(pid_, signal);
+  // A paused process sees SIGTERM only when it goes on.
+  if (ends && is_paused_) Resume();
+}
+
+void Process::Pause() {
+  if (pid_ <= 0) return;
+  is_paused_ = true;
+  kill(pid_, SIGSTOP);
+}
+
+void Process::Resume() {
+  is_paused_ = false;
+  if (pid_ > 0) kill(pid_, SIGCONT);
+}
+
+std::string Process::Poll(TimeMs now) {
+  std::string sentence;
+  int status = 0;
+  if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+    pid_ = 0;
+    if (!is_to_end_) {
+      sentence = name_ + " ended by itself, " +
+                 (WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
+                                      : "with " + std::to_string(WEXITSTATUS(status)));
+    }
+  }
+  if (pid_ == 0 && now >= down_until_) Start();
+  return sentence;
+}
+
+}  // namespace junctionrail::soak
--- /dev/null
+++ b/soak/judge.cc
@@ -0,0 +1,48 @@
+#include "judge.h"
+
+namespace junctionrail::soak {
+
+void Judge::OnRun(const std::string& request, const std::string& instance, bool may_repeat) {
+  const int n = ++runs_[request];
+  if (may_repeat) return;
+  at_most_once_.insert(request);
+  if (n > 1) Complain("request " + request + " ran again, at " + instance);
+}
+
+void Judge::OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence) {
+  const auto [it, is_first] = holders_.emplace(engine, holder);
+  if (!is_first && it->second != holder) {
+    Complain("engine " + engine + " had orders from " + it->second + " and " + holder);
+  }
+  std::int64_t& highest = fences_[engine];
+  if (fence < highest) Complain("engine " + engine + " had a fencing token that fell");
+  highest = fence;
+}
+
+void Judge::OnOverfilled(const std::string& engine) {
+  Complain("engine " + engine + " was told to hold more than it can");
+}
+
+void Judge::OnServed(const std::string& kind) { ++served_[kind]; }
+void Judge::OnFailed(const std::string& kind) { ++failed_[kind]; }
+
+void Judge::OnRefused(const std::string& request) { refused_.insert(request); }
+
+void Judge::Complain(const std::string& sentence) { complaints_.push_back(sentence); }
+
+std::vector<std::string> Judge::Finish() {
+  for (const auto& it : refused_) {
+    const bool has_run = at_most_once_.count(it) > 0 && runs_[it] > 0;
+    if (has_run) Complain("request " + it + " was said not to have run, and ran");
+  }
+  return complaints_;
+}
+
+std::string Judge::Summary() const {
+  std::string text;
+  for (const auto& [kind, n] : served_) text += " " + kind + " served " + std::to_string(n);
+  for (const auto& [kind, n] : failed_) text += " " + kind + " failed " + std::to_string(n);
+  return text + ", refused " + std::to_string(refused_.size());
+}
+
+}  // namespace junctionrail::soak
--- /dev/null
+++ b/soak/judge.h
@@ -0,0 +1,46 @@
+// What callers and upstreams saw, and the promises it is held against.
+#ifndef JUNCTIONRAIL_SOAK_JUDGE_H_
+#define JUNCTIONRAIL_SOAK_JUDGE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "junctionrail/base.h"
+
+namespace junctionrail::soak {
+
+class Judge {
+ public:
+  // --- What upstreams see ---
+  // `may_repeat` is what the request's route says.
+  void OnRun(const std::string& request, const std::string& instance, bool may_repeat);
+  void OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence);
+  void OnOverfilled(const std::string& engine);
+
+  // --- What callers see ---
+  void OnServed(const std::string& kind);
+  void OnRefused(const std::string& request);  // Said not to have run.
+  void OnFailed(const std::string& kind);      // Ended in any other way.
+  void Complain(const std::string& sentence);
+
+  // Checks what only the end of a run shows. Returns all that was broken.
+  std::vector<std::string> Finish();
+  std::string Summary() const;
+
+ private:
+  std::map<std::string, int> runs_;
+  std::set<std::string> at_most_once_;
+  std::set<std::string> refused_;
+  std::map<std::string, std::string> holders_;
+  std::map<std::string, std::int64_t> fences_;
+  std::map<std::string, int> served_;
+  std::map<std::string, int> failed_;
+  std::vector<std::string> complaints_;
+};
+
+}  // namespace junctionrail::soak
+
+#endif  // JUNCTIONRAIL_SOAK_JUDGE_H_
--- /dev/null
+++ b/soak/proxy.cc
@@ -0,0 +1,149 @@
+#include "proxy.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace junctionrail::soak {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kSlow(120);
+constexpr std::chrono::milliseconds kHeldCheck(20);
+
+}  // namespace
+
+class Proxy::Impl : public std::enable_shared_from_this<Proxy::Impl> {
+ public:
+  Impl(asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target)
+      : io_(io),
+        target_(std::move(target)),
+        acceptor_(io, tcp::endpoint(asio::ip::make_address(listen.address), listen.port)) {}
+
+  // One direction of one connection: read, hold as the path says, write.
+  class Pump : public std::enable_shared_from_this<Pump> {
+   public:
+    Pump(std::shared_ptr<Impl> owner, std::shared_ptr<tcp::socket> from,
+         std::shared_ptr<tcp::socket> to, bool is_back)
+        : owner_(std::move(owner)),
+          from_(std::move(from)),
+          to_(std::move(to)),
+          timer_(owner_->io_),
+          is_back_(is_back) {}
+
+    void Read() {
+      from_->async_read_some(asio::buffer(chunk_),
+                             [self = shared_from_this()](error_code ec, std::size_t n) {
+                               self->length_ = n;
+                               self->ends_ = static_cast<bool>(ec);
+                               self->Pass();
+                             });
+    }
+
+   private:
+    bool IsHeld() const {
+      const PathState state = owner_->state_;
+      return state == PathState::kSilent || (state == PathState::kOneWay && is_back_);
+    }
+
+    void Pass() {
+      const bool is_slow = owner_->state_ == PathState::kSlow && !was_slowed_;
+      if (IsHeld() || is_slow) {
+        was_slowed_ = is_slow;
+        timer_.expires_after(is_slow ? kSlow : kHeldCheck);
+        timer_.async_wait([self = shared_from_this()](error_code ec) {
+          if (!ec) self->Pass();
+        });
+        return;
+      }
+      was_slowed_ = false;
+      error_code ec;
+      if (ends_) {
+        to_->shutdown(tcp::socket::shutdown_send, ec);
+        return;
+      }
+      asio::async_write(*to_, asio::buffer(chunk_.data(), length_),
+                        [self = shared_from_this()](error_code write_ec, std::size_t) {
+                          if (!write_ec) return self->Read();
+                          error_code close_ec;
+                          self->from_->close(close_ec);
+                        });
+    }
+
+    std::shared_ptr<Impl> owner_;
+    std::shared_ptr<tcp::socket> from_;
+    std::shared_ptr<tcp::socket> to_;
+    asio::steady_timer timer_;
+    std::array<char, 8192> chunk_;
+    std::size_t length_ = 0;
+    bool ends_ = false;
+    bool is_back_;
+    bool was_slowed_ = false;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
+      if (ec) return;
+      self->Connect(std::make_shared<tcp::socket>(std::move(socket)));
+      self->Accept();
+    });
+  }
+
+  void Connect(const std::shared_ptr<tcp::socket>& near) {
+    const auto far = std::make_shared<tcp::socket>(io_);
+    const Endpoint target = target_();
+    far->async_connect(tcp::endpoint(asio::ip::make_address(target.address), target.port),
+                       [self = shared_from_this(), near, far](error_code ec) {
+                         if (ec) return ResetSocket(*near);
+                         self->sockets_.push_back(near);
+                         self->sockets_.push_back(far);
+                         std::make_shared<Pump>(self, near, far, false)->Read();
+                         std::make_shared<Pump>(self, far, near, true)->Read();
+                       });
+  }
+
+  static void ResetSocket(tcp::socket& socket) {
+    error_code ec;
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+  }
+
+  void Reset() {
+    for (const auto& it : sockets_) {
+      const auto socket = it.lock();
+      if (socket) ResetSocket(*socket);
+    }
+    sockets_.clear();
+  }
+
+  asio::io_context& io_;
+  std::function<Endpoint()> target_;
+  tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<tcp::socket>> sockets_;
+  PathState state_ = PathState::kOpen;
+};
+
+Proxy::Proxy(asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target)
+    : impl_(std::make_shared<Impl>(io, listen, std::move(target))) {
+  impl_->Accept();
+}
+Proxy::~Proxy() {
+  error_code ec;
+  impl_->acceptor_.close(ec);
+  impl_->Reset();
+}
+Endpoint Proxy::endpoint() const {
+  const auto local = impl_->acceptor_.local_endpoint();
+  return {local.address().to_string(), local.port()};
+}
+void Proxy::Set(PathState state) { impl_->state_ = state; }
+void Proxy::Reset() { impl_->Reset(); }
+
+}  // namespace junctionrail::soak
--- /dev/null
+++ b/soak/upstreams.cc
@@ -0,0 +1,237 @@
+#include "upstreams.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace junctionrail::soak {
+namespace {
+
+using nlohmann::json;
+using testing::SeenRequest;
+
+constexpr DurationMs kStoreLoadMs = 500;
+constexpr DurationMs kDiskLoadMs = 120;
+constexpr DurationMs kEventMs = 15;
+constexpr DurationMs kPlainMs = 10;
+// How long an upstream serves on after it said that it leaves; then it ends.
+constexpr DurationMs kLeavingMs = 4000;
+// No new request may come so long after that, to entries that reach the store.
+constexpr int kLeastEvents = 5;
+constexpr int kMoreEvents = 25;
+
+std::string Head(const std::string& id, int status, const std::string& fields) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
+         (id.empty() ? "" : "Attempt-Id: " + id + "\r\n") + fields + "\r\n";
+}
+
+std::string Whole(const std::string& id, int status, const std::string& fields,
+                  const std::string& body) {
+  return Head(id, status, fields + "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         body;
+}
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+}  // namespace
+
+Upstream::Upstream(boost::asio::io_context& io, testing::StandinStore& store, Judge& judge,
+                   Random& random, std::string name, bool is_engine, Endpoint inner)
+    : io_(io),
+      store_(store),
+      judge_(judge),
+      random_(random),
+      name_(std::move(name)),
+      is_engine_(is_engine),
+      inner_(std::move(inner)),
+      address_(inner_) {}
+
+bool Upstream::Happens(int percent) { return static_cast<int>(random_() % 100) < percent; }
+
+void Upstream::After(DurationMs delay, std::function<void()> call) {
+  auto timer = std::make_shared<Timer>(io_);
+  timer->After(delay, [timer, call = std::move(call), life = std::weak_ptr<int>(life_)] {
+    if (life.lock()) call();
+  });
+}
+
+void Upstream::Start() {
+  Crash();
+  life_ = std::make_shared<int>(0);
+  instance_ = name_ + "-" + std::to_string(++starts_);
+  drained_at_ = 0;
+  loaded_.clear();
+  loading_.reset();
+  sequence_ = 0;
+  listener_ = std::make_unique<testing::ScriptedUpstream>(
+      io_, [this](const SeenRequest& request, const Peer& peer) { OnRequest(request, peer); },
+      inner_);
+  Record();
+}
+
+void Upstream::Crash() {
+  if (!listener_) return;
+  life_.reset();
+  listener_->Crash();
+  listener_.reset();
+  store_.Remove("servers/" + instance_);
+}
+
+void Upstream::Drain() {
+  if (!listener_ || drained_at_ != 0) return;
+  drained_at_ = MonotonicMs();
+  Record();
+  After(kLeavingMs, [this] { boost::asio::post(io_, [this] { Start(); }); });
+}
+
+void Upstream::Record() {
+  json models = json::array();
+  for (const auto& [model, adapters] : loaded_) {
+    models.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
+  }
+  const json record = {{"service", is_engine_ ? kEngineService : kPlainService},
+                       {"address", address_.ToString()},
+                       {"zone", "hall-1"},
+                       {"slots", 16},
+                       {"state", drained_at_ != 0 ? "draining" : "ready"},
+                       {"models", models},
+                       {"sequence", sequence_}};
+  store_.Put("servers/" + instance_, record.dump());
+}
+
+void Upstream::OnRequest(const SeenRequest& request, const Peer& peer) {
+  const std::string line = request.Line();
+  if (line.rfind("GET /report", 0) == 0) return Report(peer);
+  if (line.rfind("POST /order", 0) == 0) return Order(request, peer);
+  const std::string id = request.Field("Attempt-Id");
+  if (request.Field("Expect-Instance") != instance_) {
+    return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
+  }
+  is_engine_ ? Run(request, peer) : RunPlain(request, peer);
+}
+
+bool Upstream::Holds(const std::string& model) const {
+  const std::size_t slash = model.find('/');
+  const auto it = loaded_.find(model.substr(0, slash));
+  if (it == loaded_.end()) return false;
+  if (slash == std::string::npos) return true;
+  const auto& adapters = it->second;
+  return std::find(adapters.begin(), adapters.end(), model.substr(slash + 1)) != adapters.end();
+}
+
+void Upstream::Report(const Peer& peer) {
+  json models = json::array();
+  for (const auto& [model, adapters] : loaded_) {
+    models.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
+  }
+  const json report = {
+      {"models", models},      {"busyCount", loading_.has_value()},
+      {"sequence", sequence_}, {"waiting", 0},
+      {"running", 0},          {"kvUsed", 0},
+      {"kvTotal", 1000},       {"atHand", {{"inMemory", json::array()}, {"onDisk", on_disk_}}}};
+  peer->Write(Whole("", 200, "", report.dump()));
+}
+
+void Upstream::Order(const SeenRequest& request, const Peer& peer) {
+  const json order = json::parse(request.body, nullptr, false);
+  if (request.Field("Expect-Instance") != instance_ || !order.is_object()) {
+    return peer->Write(Whole("", 421, "Instance-Id: " + instance_ + "\r\n", ""));
+  }
+  judge_.OnOrder(instance_, order.value("holder", ""), order.value("fence", std::int64_t{0}));
+  const auto apply = [this, order] {
+    return Apply(order.value("operation", ""), order.value("model", ""), order.value("adapter", ""),
+                 order.value("expected", std::int64_t{-1}));
+  };
+  if (Happens(misbehaviour.late_orders)) {
+    // No answer; it may be carried out after newer ones.
+    After(static_cast<DurationMs>(500 + random_() % 3000), apply);
+    return;
+  }
+  peer->Write(Whole("", apply(), "", ""));
+}
+
+// Carries an order out and returns the status of its answer.
+int Upstream::Apply(const std::string& operation, const std::string& model,
+                    const std::string& adapter, std::int64_t expected) {
+  if (loading_ || expected != sequence_) return 409;
+  ++sequence_;
+  if (operation == "unload" && adapter.empty()) {
+    loaded_.erase(model);
+  } else if (operation == "unload") {
+    auto& adapters = loaded_[model];
+    adapters.erase(std::remove(adapters.begin(), adapters.end(), adapter), adapters.end());
+  } else if (adapter.empty()) {
+    if (loaded_.size() >= kEngineModels) judge_.OnOverfilled(instance_);
+    const bool is_near = std::find(on_disk_.begin(), on_disk_.end(), model) != on_disk_.end();
+    if (!is_near) on_disk_.push_back(model);
+    loading_ = model;
+    After(is_near ? kDiskLoadMs : kStoreLoadMs, [this, model] {
+      loading_.reset();
+      loaded_[model];
+      Record();
+    });
+  } else {
+    std::size_t places = 0;
+    for (const auto& [name, adapters] : loaded_) places += adapters.size();
+    if (places >= kEnginePlaces) judge_.OnOverfilled(instance_);
+    loaded_[model].push_back(adapter);
+  }
+  Record();
+  return 202;
+}
+
+void Upstream::Run(const SeenRequest& request, const Peer& peer) {
+  const std::string id = request.Field("Attempt-Id");
+  if (!Holds(request.Field("Model"))) {
+    return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
+  }
+  const bool may_repeat = request.Line().rfind("POST /resumable/", 0) == 0;
+  judge_.OnRun(id, instance_, may_repeat);
+  if (Happens(misbehaviour.losses)) return peer->Reset();
+  // The same request always has the same number of events, wherever it runs.
+  const int count = kLeastEvents + static_cast<int>(RendezvousScore(id, "events") % kMoreEvents);
+  const std::string last = request.Field("Last-Event-Id");
+  const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
+  peer->Write(Head(id, 200,
+                   "Response-Seal: seal-" + id +
+                       "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+  Stream(id, next, count, peer, Happens(misbehaviour.cuts));
+}
+
+void Upstream::Stream(const std::string& id, int next, int count, const Peer& peer, bool is_cut) {
+  if (peer->IsEnded()) return;
+  if (next > count) return peer->Write("0\r\n\r\n");
+  const std::string event = "id: " + std::to_string(next) + "\ndata: " + id + " " +
+                            std::to_string(next) + " of " + std::to_string(count) + "\n\n";
+  if (is_cut && next > count / 2) {
+    peer->Write(Chunk(event.substr(0, event.size() / 2)));
+    return peer->Reset();
+  }
+  peer->Write(Chunk(event));
+  After(kEventMs,
+        [this, id, next, count, peer, is_cut] { Stream(id, next + 1, count, peer, is_cut); });
+}
+
+void Upstream::RunPlain(const SeenRequest& request, const Peer& peer) {
+  const std::string id = request.Field("Attempt-Id");
+  judge_.OnRun(id, instance_, request.Line().rfind("GET /repeatable/", 0) == 0);
+  if (Happens(misbehaviour.losses)) return peer->Reset();
+  const std::string answer =
+      Whole(id, 200, "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
+  const bool is_cut = Happens(misbehaviour.cuts);
+  const bool is_double = Happens(misbehaviour.surplus);
+  After(kPlainMs, [peer, answer, is_cut, is_double] {
+    if (is_cut) {
+      peer->Write(answer.substr(0, answer.size() - 3));
+      return peer->Close();
+    }
+    peer->Write(answer);
+    if (is_double) peer->Write(answer);
+  });
+}
+
+}  // namespace junctionrail::soak
--- /dev/null
+++ b/soak/upstreams.h
@@ -0,0 +1,92 @@
+// Stand-ins for the upstreams of a soak: model engines and plain services that
+// lose, cut and double answers, and record themselves in the stand-in store.
+#ifndef JUNCTIONRAIL_SOAK_UPSTREAMS_H_
+#define JUNCTIONRAIL_SOAK_UPSTREAMS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "judge.h"
+#include "junctionrail/net.h"
+#include "loopback.h"
+#include "platform_standin.h"
+
+namespace junctionrail::soak {
+
+// What the engines hold at most, and the models that the configuration names.
+constexpr int kEngineModels = 2;
+constexpr int kEnginePlaces = 2;
+constexpr char kModels[][3] = {"m1", "m2", "m3", "m4", "m5"};
+constexpr char kEngineService[] = "engines";
+constexpr char kPlainService[] = "plain";
+
+using Random = std::mt19937_64;
+
+// Chances of misbehaviour, in a hundred requests.
+struct Misbehaviour {
+  int cuts = 0;     // Closes within the answer.
+  int losses = 0;   // Runs the request and resets.
+  int surplus = 0;  // Sends the answer twice.
+  int late_orders = 0;
+};
+
+class Upstream {
+ public:
+  Upstream(boost::asio::io_context& io, testing::StandinStore& store, Judge& judge, Random& random,
+           std::string name, bool is_engine, Endpoint inner);
+
+  // Starts as a new instance; one that runs is crashed before.
+  void Start();
+  void Crash();
+  // Records that it leaves; it ends after some time.
+  void Drain();
+  bool is_running() const { return listener_ != nullptr; }
+  // The address that others know, which a proxy may stand at.
+  void SetAddress(const Endpoint& address) { address_ = address; }
+  Endpoint inner() const { return inner_; }
+  void Record();
+
+  Misbehaviour misbehaviour;
+
+ private:
+  using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+  void OnRequest(const testing::SeenRequest& request, const Peer& peer);
+  void Report(const Peer& peer);
+  void Order(const testing::SeenRequest& request, const Peer& peer);
+  int Apply(const std::string& operation, const std::string& model, const std::string& adapter,
+            std::int64_t expected);
+  void Run(const testing::SeenRequest& request, const Peer& peer);
+  void RunPlain(const testing::SeenRequest& request, const Peer& peer);
+  void Stream(const std::string& id, int next, int count, const Peer& peer, bool is_cut);
+  bool Holds(const std::string& model) const;
+  bool Happens(int percent);
+  void After(DurationMs delay, std::function<void()> call);
+
+  boost::asio::io_context& io_;
+  testing::StandinStore& store_;
+  Judge& judge_;
+  Random& random_;
+  std::string name_;
+  bool is_engine_;
+  Endpoint inner_;
+  Endpoint address_;
+  std::string instance_;
+  int starts_ = 0;
+  TimeMs drained_at_ = 0;  // 0: not leaving.
+  std::unique_ptr<testing::ScriptedUpstream> listener_;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);  // Timers of an earlier one do nothing.
+  std::map<std::string, std::vector<std::string>> loaded_;
+  std::vector<std::string> on_disk_;
+  std::optional<std::string> loading_;
+  std::int64_t sequence_ = 0;
+};
+
+}  // namespace junctionrail::soak
+
+#endif  // JUNCTIONRAIL_SOAK_UPSTREAMS_H_
--- a/test/support/loopback.cc
+++ b/test/support/loopback.cc
@@ -44,9 +44,9 @@
 
 class ScriptedUpstream::Impl : public std::enable_shared_from_this<ScriptedUpstream::Impl> {
  public:
-  Impl(asio::io_context& io, Script script)
+  Impl(asio::io_context& io, Script script, const Endpoint& endpoint)
       : script_(std::move(script)),
-        acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
+        acceptor_(io, tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port)) {}
 
   class Peer : public UpstreamPeer, public std::enable_shared_from_this<Peer> {
    public:
@@ -54,9 +54,11 @@
         : owner_(std::move(owner)), socket_(std::move(socket)) {}
 
     void Write(const std::string& bytes) override {
+      if (is_ended_) return;
       error_code ec;
       asio::write(socket_, asio::buffer(bytes), ec);
     }
+    bool IsEnded() const override { return is_ended_; }
     void Close() override {
       is_ended_ = true;
       error_code ec;
@@ -110,20 +112,33 @@
     acceptor_.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
       if (ec) return;
       ++self->connections_;
-      std::make_shared<Peer>(self, std::move(socket))->Read();
+      const auto peer = std::make_shared<Peer>(self, std::move(socket));
+      self->peers_.push_back(peer);
+      peer->Read();
       self->Accept();
     });
   }
 
+  void Crash() {
+    error_code ec;
+    acceptor_.close(ec);
+    for (const auto& it : peers_) {
+      const auto peer = it.lock();
+      if (peer && !peer->IsEnded()) peer->Reset();
+    }
+    peers_.clear();
+  }
+
   Script script_;
   tcp::acceptor acceptor_;
   std::vector<SeenRequest> seen_;
+  std::vector<std::weak_ptr<Peer>> peers_;
   int connections_ = 0;
   int closed_by_peer_ = 0;
 };
 
-ScriptedUpstream::ScriptedUpstream(asio::io_context& io, Script script)
-    : impl_(std::make_shared<Impl>(io, std::move(script))) {
+ScriptedUpstream::ScriptedUpstream(asio::io_context& io, Script script, const Endpoint& endpoint)
+    : impl_(std::make_shared<Impl>(io, std::move(script), endpoint)) {
   impl_->Accept();
 }
 ScriptedUpstream::~ScriptedUpstream() {
@@ -131,10 +146,12 @@
   impl_->acceptor_.close(ec);
 }
 Endpoint ScriptedUpstream::endpoint() const {
-  return {"127.0.0.1", impl_->acceptor_.local_endpoint().port()};
+  const auto local = impl_->acceptor_.local_endpoint();
+  return {local.address().to_string(), local.port()};
 }
 const std::vector<SeenRequest>& ScriptedUpstream::seen() const { return impl_->seen_; }
 int ScriptedUpstream::connections() const { return impl_->connections_; }
+void ScriptedUpstream::Crash() { impl_->Crash(); }
 int ScriptedUpstream::closed_by_peer() const { return impl_->closed_by_peer_; }
 
 TestCaller::TestCaller(asio::io_context& io, std::uint16_t port)
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -37,13 +37,16 @@
   virtual void Write(const std::string& bytes) = 0;
   virtual void Close() = 0;
   virtual void Reset() = 0;
+  // Whether either end has ended the connection.
+  virtual bool IsEnded() const = 0;
 };
 
 class ScriptedUpstream {
  public:
   using Script = std::function<void(const SeenRequest&, const std::shared_ptr<UpstreamPeer>&)>;
 
-  ScriptedUpstream(boost::asio::io_context& io, Script script);
+  ScriptedUpstream(boost::asio::io_context& io, Script script,
+                   const Endpoint& endpoint = {"127.0.0.1", 0});
   ~ScriptedUpstream();
 
   Endpoint endpoint() const;
@@ -51,6 +54,8 @@
   int connections() const;
   // Connections that the far end closed or reset.
   int closed_by_peer() const;
+  // Resets all connections and stops listening.
+  void Crash();
 
  private:
   class Impl;
