--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -195,7 +195,12 @@
                 {"reason", order.reason},
                 {"answer", AnswerName(answer)},
                 {"took_ms", now - since}});
-    if (answer == OrderAnswer::kOtherInstance) upstreams_.ReadSoon();
+    if (answer == OrderAnswer::kOtherInstance) {
+      // Until its record is read nothing is known of the one that answered.
+      core_.Reset({});
+      upstreams_.ReadSoon();
+      return;
+    }
     if (answer == OrderAnswer::kStaleFence) fence_ = std::max(fence_ + 1, upstreams_.revision());
     core_.OnAnswer(order, answer, now);
     SendViews();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -181,6 +181,7 @@
                  "a request that may not be repeated is sent on only if it has not run");
   if (is_parked_) {
     is_parked_ = false;
+    waited_ms_ += MonotonicMs() - parked_since_;
     gateway_.Unpark(shared_from_this());
   }
   instance_ = instance;
@@ -441,6 +442,7 @@
   timer_.cancel();
   if (is_parked_) {
     is_parked_ = false;
+    waited_ms_ += MonotonicMs() - parked_since_;
     gateway_.Unpark(shared_from_this());
   }
   GatewayCounters& counters = gateway_.counters;
@@ -470,7 +472,7 @@
        {"upstream", instance_},
        {"attempts", static_cast<std::int64_t>(sent_attempts_)},
        {"events", static_cast<std::int64_t>(events_.events())},
-       {"waited_ms", parked_since_ > 0 ? now - parked_since_ : 0},
+       {"waited_ms", waited_ms_},
        {"first_ms", first_at_ > 0 ? first_at_ - request_.arrived_at : -1},
        {"total_ms", now - request_.arrived_at},
        {"configuration", version}});
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -114,6 +114,7 @@
 
   std::string asked_;  // Whose agent was asked for the model.
   TimeMs parked_since_ = 0;
+  DurationMs waited_ms_ = 0;  // For models, before it was sent.
   bool is_parked_ = false;
 
   std::optional<UpstreamHead> head_;  // Of the attempt under way.
