Close the model that is to go at once when all are in use; count replicas once a round

Change: after 150 ms the one with the least in use is closed. Replicas of all models are counted once for each round of demand, not once for each model on each upstream; quiet engines are asked for a report as often as views go out; listings follow a setting for how soon a leaving upstream must get nothing new.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -300,9 +300,12 @@
   const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
   int StoreLoads(TimeMs now) const;
   double RateOf(const std::string& model, TimeMs now) const;
-  int ReplicasOf(std::string_view service, const std::string& model, TimeMs now) const;
-  void AddUse(AgentDemand* demand, const Row& row, TimeMs now) const;
-  void AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now);
+  // Usable upstreams that hold each model.
+  std::map<std::string, int> CountReplicas(TimeMs now) const;
+  void AddUse(AgentDemand* demand, const Row& row, const std::map<std::string, int>& replicas,
+              TimeMs now) const;
+  void AddReplicas(std::map<std::string, AgentDemand>* demands,
+                   const std::map<std::string, int>& replicas, TimeMs now);
   void AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now);
 
   RoutingOptions options_;
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -64,6 +64,7 @@
   double retry_ratio = 0.2;     // The fleet's attempts beyond the first, of its requests.
   double retry_extra = 50;      // And so many more in a window.
   DurationMs retry_window_ms = 10000;
+  DurationMs leaving_ms = 2000;  // An upstream that leaves gets nothing new after it.
   // An agent's.
   Endpoint link;
   Endpoint upstream;
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -12,10 +12,10 @@
 namespace junctionrail::internal {
 namespace {
 
-// The engine is asked so often while something is under way, else less often:
-// each asking costs processor time here, and nothing else.
+// The engine is asked so often while something is under way, else as often as
+// views go out: each asking costs processor time here, and nothing else.
 constexpr DurationMs kActiveReportMs = 50;
-constexpr DurationMs kQuietReportMs = 250;
+constexpr DurationMs kQuietReportMs = 500;
 constexpr DurationMs kUnusedReportMs = 1000;
 // Entries take a view for fresh a little over three times as long.
 constexpr DurationMs kRepeatViewMs = 500;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -12,9 +12,10 @@
 namespace junctionrail::internal {
 namespace {
 
-// An upstream that leaves gets nothing new within two seconds; a reading of
-// all records costs one call of the store. A fifth is left for a slow store.
-constexpr DurationMs kListingMs = 1500;
+// Upstreams are listed so often, as a part of the time within which one that
+// leaves may get something new. The rest is for a slow store and a slow VM;
+// more listings would cost more calls.
+constexpr double kListingPart = 0.75;
 // Agents are told of demand so often, and at once when a request begins to
 // wait for a model nobody was asked for.
 constexpr DurationMs kDemandMs = 250;
@@ -56,7 +57,9 @@
         configuration_(
             io, store_, log_, platform::Freshness::kNewest,
             [this](RoutingConfiguration it) { gateway_.ApplyConfiguration(std::move(it)); }),
-        upstreams_(io, store_, log_, platform::Freshness::kNewest, kListingMs,
+        upstreams_(io, store_, log_, platform::Freshness::kNewest,
+                   static_cast<DurationMs>(kListingPart *
+                                           static_cast<double>(settings_.direct->leaving_ms)),
                    [this](const auto& listing, bool after_outage) {
                      gateway_.ApplyListing(listing, after_outage);
                    }),
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -21,8 +21,10 @@
 constexpr DurationMs kReportLostMs = 2000;
 // After a conflict the report is read again before the next order.
 constexpr DurationMs kAfterConflictMs = 60;
-// A waiting request may interrupt a model in use only after so long.
-constexpr DurationMs kInterruptAfterMs = 1200;
+// When all models are in use, the one that is to go is closed to new requests
+// after so long: its runs take as long to end whether it is closed or not, and
+// new ones would keep it for ever. The wait lets a newer report show an idle one.
+constexpr DurationMs kInterruptAfterMs = 150;
 // Staging must not take a model that was asked for as lately as this.
 constexpr DurationMs kStageIdleMs = 1500;
 // What a model without a copy on disk is worth more, in requests a second:
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -104,16 +104,20 @@
   return WaitFor{best->record.instance, EstimateLoad(*best, *request.model, now)};
 }
 
-int UpstreamTable::ReplicasOf(std::string_view service, const std::string& model,
-                              TimeMs now) const {
-  int n = 0;
+std::map<std::string, int> UpstreamTable::CountReplicas(TimeMs now) const {
+  std::map<std::string, int> replicas;
   for (const auto& [instance, row] : rows_) {
-    if (IsUsable(row, service, now) && Holds(row, ModelRef{model, {}}, now)) ++n;
+    if (!IsUsable(row, row.record.service, now)) continue;
+    const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
+    for (const auto& it : loaded) {
+      if (Holds(row, ModelRef{it.name, {}}, now)) ++replicas[it.name];
+    }
   }
-  return n;
+  return replicas;
 }
 
-void UpstreamTable::AddUse(AgentDemand* demand, const Row& row, TimeMs now) const {
+void UpstreamTable::AddUse(AgentDemand* demand, const Row& row,
+                           const std::map<std::string, int>& replicas, TimeMs now) const {
   const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
   for (const auto& it : loaded) {
     ModelUse use;
@@ -124,7 +128,8 @@
       if (!ref.adapter.empty()) use.adapters_in_use.push_back(ref.adapter);
     }
     use.per_s = RateOf(it.name, now);
-    use.replicas = ReplicasOf(row.record.service, it.name, now);
+    const auto count = replicas.find(it.name);
+    if (count != replicas.end()) use.replicas = count->second;
     const auto rate = rates_.find(it.name);
     use.idle_ms = rate == rates_.end() ? -1 : now - rate->second.last_request;
     demand->use.push_back(std::move(use));
@@ -134,26 +139,28 @@
 std::map<std::string, AgentDemand> UpstreamTable::Demands(const std::vector<Waiting>& waiting,
                                                           TimeMs now) {
   std::map<std::string, AgentDemand> demands;
+  const std::map<std::string, int> replicas = CountReplicas(now);
   for (const auto& [instance, row] : rows_) {
     const auto service = services_.find(row.record.service);
     if (service == services_.end() || !service->second.engine) continue;
     if (row.record.is_leaving || row.was_replaced) continue;
     AgentDemand& demand = demands[instance];
     demand.instance = instance;
-    AddUse(&demand, row, now);
+    AddUse(&demand, row, replicas, now);
   }
   for (const auto& it : waiting) {
     const auto demand = demands.find(it.asked);
     if (demand == demands.end()) continue;
     demand->second.wanted.push_back(ModelDemand{it.ref, it.count, it.priority, now - it.since});
   }
-  AddReplicas(&demands, now);
+  AddReplicas(&demands, replicas, now);
   if (options_.stages_models) AddStaging(&demands, now);
   return demands;
 }
 
 // A busy model gets as many replicas as its requests need, and one to spare.
-void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now) {
+void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands,
+                                const std::map<std::string, int>& replicas, TimeMs now) {
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
     int engines = 0;
@@ -165,7 +172,8 @@
       if (per_s < kSecondReplicaPerS) continue;
       const int needed = 1 + static_cast<int>(std::ceil(per_s * kServiceS / kInFlightPerReplica));
       const int wanted = std::min(needed, std::max(1, engines / 2));
-      int have = ReplicasOf(name, model, now);
+      const auto count = replicas.find(model);
+      int have = count == replicas.end() ? 0 : count->second;
       const Row* best = nullptr;
       std::uint64_t best_score = 0;
       for (const auto& [instance, row] : rows_) {
