--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -306,6 +306,10 @@
               TimeMs now) const;
   void AddReplicas(std::map<std::string, AgentDemand>* demands,
                    const std::map<std::string, int>& replicas, TimeMs now);
+  int ComingReplicas(std::string_view service, const std::string& model, TimeMs now) const;
+  const Row* PlaceForReplica(std::string_view service, const std::string& model, TimeMs now) const;
+  struct StagingSurvey;
+  StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
   void AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now);
 
   RoutingOptions options_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -312,7 +312,7 @@
   std::string summary;
   {
     Run run(seed, directory);
-    broken = run.Play(absl::GetFlag(FLAGS_seconds) * 1000);
+    broken = run.Play(DurationMs{1000} * absl::GetFlag(FLAGS_seconds));
     summary = run.Summary();
   }
   std::printf("seed %llu: %s;%s\n", static_cast<unsigned long long>(seed),
--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -38,7 +38,8 @@
   std::string whole;
   std::size_t at = 0;
   while (true) {
-    const std::string_view rest = std::string_view(tail_).substr(at);
+    std::string_view rest(tail_);
+    rest.remove_prefix(at);
     const std::size_t end = EndOfEvent(rest);
     if (end == std::string_view::npos) break;
     const std::string_view event = rest.substr(0, end);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -24,14 +24,10 @@
 constexpr DurationMs kDeadlineMarginMs = 20;
 // Without an agent to ask, a request waits this long for one to be heard of.
 constexpr DurationMs kNoAgentMs = 1200;
-constexpr DurationMs kLeastRetryAfterMs = 200;
 constexpr DurationMs kDefaultRetryAfterMs = 500;
 
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kMisdirected = 421;
-constexpr unsigned kTooMany = 429;
-constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
@@ -45,13 +41,6 @@
   return last == std::string_view::npos ? std::string_view() : parts.substr(0, last);
 }
 
-std::string Seconds(DurationMs ms) {
-  const DurationMs rounded = std::max(ms, kLeastRetryAfterMs);
-  std::string text = std::to_string(rounded / 1000) + ".";
-  const std::string part = std::to_string(rounded % 1000);
-  return text + std::string(3 - part.size(), '0') + part;
-}
-
 }  // namespace
 
 Exchange::Exchange(Gateway::Impl& gateway, CallerRequest request, std::weak_ptr<CallerSink> sink)
@@ -227,118 +216,6 @@
   return head;
 }
 
-void Exchange::OnHead(UpstreamHead head) {
-  heard_at_ = MonotonicMs();
-  const CallHeaderNames& names = gateway_.options.names;
-  const bool is_success = head.status / 100 == 2;
-  const std::string* type = FindField(head.fields, "Content-Type");
-  is_event_answer_ = is_success && route_->kind == CallKind::kStream &&
-                     (type == nullptr || type->find("event-stream") != std::string::npos);
-  const bool is_not_run =
-      FindField(head.fields, names.not_run) != nullptr || head.status == kMisdirected;
-  head_ = std::move(head);
-  if (is_not_run) return OnRefusal(*head_);
-  const bool is_sealed = FindField(head_->fields, names.proof) != nullptr;
-  if (is_success && !is_sealed) {
-    call_->Cancel();
-    EndAttempt(AttemptEnd::kFailed);
-    return AfterAttempt(Ran::kMaybe, true, "the answer has no seal");
-  }
-  Arm();
-}
-
-// The upstream says that it did not run the request.
-void Exchange::OnRefusal(const UpstreamHead& head) {
-  const CallHeaderNames& names = gateway_.options.names;
-  const TimeMs now = MonotonicMs();
-  std::string reason = "status " + std::to_string(head.status);
-  if (head.status == kMisdirected) {
-    const std::string* other = FindField(head.fields, names.instance);
-    if (other != nullptr && *other != instance_) {
-      gateway_.upstreams.OnOtherInstance(instance_);
-      reason = "another instance has the address";
-    } else if (model_) {
-      gateway_.upstreams.OnNotLoaded(instance_, *model_, now);
-      reason = "the model is not loaded there";
-      // It may be the right one again once the model is loaded.
-      tried_.pop_back();
-    }
-  } else if (model_ && head.status == kUnavailable) {
-    reason = "full, or an order on the model is under way";
-  }
-  call_->Cancel();
-  EndAttempt(AttemptEnd::kRefused);
-  --ran_attempts_;
-  AfterAttempt(Ran::kNo, true, reason);
-}
-
-void Exchange::OnBody(std::string_view data) {
-  heard_at_ = MonotonicMs();
-  if (is_event_answer_) {
-    const std::string whole = events_.Take(data);
-    if (whole.empty()) return;
-    const auto sink = sink_.lock();
-    if (!sink) return;
-    if (!is_begun_) {
-      RelayEvents();
-      if (is_finished_) return;
-    }
-    sink->SendPiece(whole);
-    if (sink->IsBehind() && call_) call_->Pause(true);
-    return;
-  }
-  body_ += data;
-}
-
-// Begins the caller's answer with the head of the upstream's.
-void Exchange::RelayEvents() {
-  const auto sink = sink_.lock();
-  if (!sink) return;
-  is_begun_ = true;
-  first_at_ = MonotonicMs();
-  gateway_.first_answer.Add(first_at_ - request_.arrived_at);
-  sink->SendHead(head_->status, EndToEndFields(head_->fields));
-  Arm();
-}
-
-void Exchange::OnEnd() {
-  call_ = nullptr;
-  if (!is_event_answer_) return RelayWhole();
-  if (!events_.tail().empty()) {
-    EndAttempt(AttemptEnd::kFailed);
-    return AfterAttempt(Ran::kMaybe, true, "the stream ended within an event");
-  }
-  EndAttempt(AttemptEnd::kServed);
-  const auto sink = sink_.lock();
-  if (!sink) return;
-  if (!is_begun_) RelayEvents();
-  sink->SendEnd();
-  Finish("served", head_->status);
-}
-
-void Exchange::RelayWhole() {
-  const unsigned status = head_->status;
-  const bool is_success = status / 100 == 2;
-  // Such a status would promise that the request did not run; without the
-  // upstream's own word nobody knows that.
-  const bool is_false_promise =
-      status == kUnavailable || status == kTooMany || status == kRequestTimeout;
-  EndAttempt(status >= 500 ? AttemptEnd::kFailed : AttemptEnd::kServed);
-  if (is_false_promise) {
-    return AfterAttempt(Ran::kMaybe, true, "status " + std::to_string(status));
-  }
-  if (is_begun_ && !is_success) {
-    return AfterAttempt(Ran::kMaybe, true, "status " + std::to_string(status));
-  }
-  const bool may_retry = status >= 500 && status != kGatewayTimeout;
-  if (may_retry && TryAnother(Ran::kMaybe, true)) return;
-  const auto sink = sink_.lock();
-  if (!sink) return;
-  gateway_.first_answer.Add(MonotonicMs() - request_.arrived_at);
-  sink->SendWhole(status, EndToEndFields(head_->fields), std::move(body_));
-  Finish(is_success ? "served" : "passed_failure", status);
-}
-
 void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
   call_ = nullptr;
   const bool was_sent = failure != UpstreamFailure::kNoConnection;
@@ -417,67 +294,6 @@
   Refuse(is_late ? kGatewayTimeout : kBadGateway, "outcome_unknown", reason, Ran::kMaybe, 0);
 }
 
-// An answer of our own.
-void Exchange::Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
-                      DurationMs retry_after_ms) {
-  CheckInvariant(ran == Ran::kMaybe || ran_attempts_ == 0,
-                 "a request said not to have run was sent to no upstream that may have run it");
-  const auto sink = sink_.lock();
-  std::vector<HttpHeader> fields;
-  if (!request_id_.empty()) fields.push_back({gateway_.options.names.request_id, request_id_});
-  fields.push_back({"Content-Type", "application/json"});
-  if (retry_after_ms > 0) fields.push_back({"Retry-After", Seconds(retry_after_ms)});
-  std::string body = "{\"error\":{\"code\":\"" + std::string(code) + "\",\"message\":\"";
-  for (const char c : sentence) body.push_back(c == '"' || c == '\\' || c < ' ' ? '\'' : c);
-  body += "\",\"ran\":\"";
-  body += ran == Ran::kNo ? "no" : "unknown";
-  body += "\",\"retry_after_ms\":" + std::to_string(retry_after_ms) + "}}";
-  if (sink) sink->SendWhole(status, std::move(fields), std::move(body));
-  Finish(code, status);
-}
-
-void Exchange::Finish(std::string_view outcome, unsigned status) {
-  if (is_finished_) return;
-  is_finished_ = true;
-  timer_.cancel();
-  if (is_parked_) {
-    is_parked_ = false;
-    waited_ms_ += MonotonicMs() - parked_since_;
-    gateway_.Unpark(shared_from_this());
-  }
-  GatewayCounters& counters = gateway_.counters;
-  if (outcome == "served") {
-    ++counters.served;
-  } else if (outcome == "passed_failure") {
-    ++counters.passed_failures;
-  } else if (outcome == "broken") {
-    ++counters.broken;
-  } else if (outcome == "cancelled") {
-    ++counters.cancelled;
-  } else if (status == kBadGateway || status == kGatewayTimeout) {
-    ++counters.unknown;
-  } else {
-    ++counters.refused;
-  }
-  const TimeMs now = MonotonicMs();
-  const std::int64_t version =
-      routes_ ? static_cast<std::int64_t>(routes_->configuration().version) : 0;
-  gateway_.log.Write(
-      now, outcome == "served" ? "request_served" : "request_failed",
-      {{"request", request_id_},
-       {"outcome", outcome},
-       {"status", static_cast<std::int64_t>(status)},
-       {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view()},
-       {"model", model_ ? std::string_view(model_->model) : std::string_view()},
-       {"upstream", instance_},
-       {"attempts", static_cast<std::int64_t>(sent_attempts_)},
-       {"events", static_cast<std::int64_t>(events_.events())},
-       {"waited_ms", waited_ms_},
-       {"first_ms", first_at_ > 0 ? first_at_ - request_.arrived_at : -1},
-       {"total_ms", now - request_.arrived_at},
-       {"configuration", version}});
-}
-
 void Exchange::OnCallerGone() {
   if (is_finished_) return;
   if (call_) {
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -24,6 +24,8 @@
 // From this many requests a second on, a model keeps a second replica, so that
 // the loss of one upstream interrupts no stream of new requests.
 constexpr double kSecondReplicaPerS = 1.5;
+// Of a replica that no request waits for: the least urgent class there is.
+constexpr int kReplicaPriority = 9;
 
 bool Contains(const std::vector<std::string>& list, std::string_view value) {
   return std::find(list.begin(), list.end(), value) != list.end();
@@ -161,11 +163,11 @@
 // A busy model gets as many replicas as its requests need, and one to spare.
 void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands,
                                 const std::map<std::string, int>& replicas, TimeMs now) {
+  const int entries = Entries(now);
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
     int engines = 0;
     for (const auto& [instance, row] : rows_) engines += IsUsable(row, name, now) ? 1 : 0;
-    const int entries = Entries(now);
     for (const auto& [model, rate] : rates_) {
       if (service.engine->Find(model) == nullptr) continue;
       const double per_s = RateOf(model, now) * entries;
@@ -173,77 +175,99 @@
       const int needed = 1 + static_cast<int>(std::ceil(per_s * kServiceS / kInFlightPerReplica));
       const int wanted = std::min(needed, std::max(1, engines / 2));
       const auto count = replicas.find(model);
-      int have = count == replicas.end() ? 0 : count->second;
-      const Row* best = nullptr;
-      std::uint64_t best_score = 0;
-      for (const auto& [instance, row] : rows_) {
-        if (!IsUsable(row, name, now) || !IsFresh(row, now)) continue;
-        if (row.view.loading == model || Contains(row.view.queue, model)) ++have;
-        if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
-        const bool is_near = Contains(row.view.at_hand, model);
-        const std::uint64_t score =
-            (RendezvousScore(model, instance) >> 1) | (is_near ? 1ULL << 63 : 0);
-        if (best == nullptr || score > best_score) {
-          best = &row;
-          best_score = score;
-        }
-      }
-      if (have >= wanted || have == 0 || best == nullptr) continue;
-      const auto demand = demands->find(best->record.instance);
+      const int have = count == replicas.end() ? 0 : count->second;
+      // With none at all the requests that wait for it bring the first.
+      if (have == 0 || have + ComingReplicas(name, model, now) >= wanted) continue;
+      const Row* place = PlaceForReplica(name, model, now);
+      const auto demand = place == nullptr ? demands->end() : demands->find(place->record.instance);
       if (demand == demands->end()) continue;
-      demand->second.wanted.push_back(ModelDemand{ModelRef{model, {}}, 0, 9, 0});
+      demand->second.wanted.push_back(ModelDemand{ModelRef{model, {}}, 0, kReplicaPriority, 0});
     }
   }
 }
 
-// Names, for agents with nothing to do, models that are on no disk yet. All
+int UpstreamTable::ComingReplicas(std::string_view service, const std::string& model,
+                                  TimeMs now) const {
+  int n = 0;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
+    if (row.view.loading == model || Contains(row.view.queue, model)) ++n;
+  }
+  return n;
+}
+
+// Where the weights are at hand, then by rendezvous; the same for all entries.
+const UpstreamTable::Row* UpstreamTable::PlaceForReplica(std::string_view service,
+                                                         const std::string& model,
+                                                         TimeMs now) const {
+  const Row* best = nullptr;
+  std::pair<bool, std::uint64_t> best_rank;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
+    if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
+    const std::pair<bool, std::uint64_t> rank(Contains(row.view.at_hand, model),
+                                              RendezvousScore(model, instance));
+    if (best != nullptr && rank <= best_rank) continue;
+    best = &row;
+    best_rank = rank;
+  }
+  return best;
+}
+
+// What staging must know of a service's engines.
+struct UpstreamTable::StagingSurvey {
+  std::set<std::string> at_hand;  // Models that are somewhere, or soon will be.
+  std::vector<const Row*> idle;   // Engines with nothing to load.
+  int engines = 0;
+  int fresh = 0;  // Engines whose view is.
+};
+
+UpstreamTable::StagingSurvey UpstreamTable::SurveyForStaging(std::string_view service,
+                                                             TimeMs now) const {
+  StagingSurvey survey;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsUsable(row, service, now)) continue;
+    ++survey.engines;
+    if (!IsFresh(row, now)) continue;
+    ++survey.fresh;
+    const EngineView& view = row.view;
+    survey.at_hand.insert(view.at_hand.begin(), view.at_hand.end());
+    for (const auto& it : view.loaded) survey.at_hand.insert(it.name);
+    survey.at_hand.insert(view.loading);
+    survey.at_hand.insert(view.queue.begin(), view.queue.end());
+    if (view.loading.empty() && view.queue.empty()) survey.idle.push_back(&row);
+  }
+  return survey;
+}
+
+// Names, for engines with nothing to do, models that are at hand nowhere. All
 // entries that see the same views name the same ones.
 void UpstreamTable::AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now) {
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
-    std::set<std::string> near;
-    std::vector<const Row*> idle;
-    int engines = 0;
-    int fresh = 0;
-    int budget = options_.parallel_store_loads - StoreLoads(now);
-    for (const auto& [instance, row] : rows_) {
-      if (!IsUsable(row, name, now)) continue;
-      ++engines;
-      if (!IsFresh(row, now)) continue;
-      ++fresh;
-      near.insert(row.view.at_hand.begin(), row.view.at_hand.end());
-      for (const auto& it : row.view.loaded) near.insert(it.name);
-      near.insert(row.view.loading);
-      near.insert(row.view.queue.begin(), row.view.queue.end());
-      if (row.view.loading.empty() && row.view.queue.empty()) idle.push_back(&row);
-    }
+    StagingSurvey survey = SurveyForStaging(name, now);
     // With views missing, what seems to be nowhere may be there.
-    if (fresh * 4 < engines * 3) continue;
+    if (survey.fresh * 4 < survey.engines * 3) continue;
     std::vector<std::pair<std::uint64_t, std::string>> missing;
     for (const auto& it : service.engine->models) {
-      if (near.count(it.name) > 0) continue;
+      if (survey.at_hand.count(it.name) > 0) continue;
       missing.emplace_back(RendezvousScore(it.name, "stage"), it.name);
     }
     std::sort(missing.begin(), missing.end());
+    int free_loads = options_.parallel_store_loads - StoreLoads(now);
     for (const auto& [score, model] : missing) {
-      if (budget <= 0 || idle.empty()) break;
-      // The fullest disk last; then by rendezvous.
-      auto best = idle.end();
-      for (auto it = idle.begin(); it != idle.end(); ++it) {
-        if (best == idle.end()) {
-          best = it;
-          continue;
-        }
-        const auto mine = std::make_pair((*it)->view.at_hand.size(),
-                                         ~RendezvousScore(model, (*it)->record.instance));
-        const auto theirs = std::make_pair((*best)->view.at_hand.size(),
-                                           ~RendezvousScore(model, (*best)->record.instance));
-        if (mine < theirs) best = it;
-      }
+      if (free_loads-- <= 0 || survey.idle.empty()) break;
+      // The emptiest disk, then by rendezvous.
+      const auto rank = [model = std::string_view(model)](const Row* row) {
+        return std::make_pair(row->view.at_hand.size(),
+                              ~RendezvousScore(model, row->record.instance));
+      };
+      const auto best =
+          std::min_element(survey.idle.begin(), survey.idle.end(),
+                           [&](const Row* a, const Row* b) { return rank(a) < rank(b); });
       const auto demand = demands->find((*best)->record.instance);
       if (demand != demands->end()) demand->second.stage.push_back(model);
-      idle.erase(best);
-      --budget;
+      survey.idle.erase(best);
     }
   }
 }
