--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -13,10 +13,11 @@
 constexpr DurationMs kDemandMs = 2500;
 // A model just loaded is kept so long for the requests that waited for it.
 constexpr DurationMs kSettleMs = 800;
-// An engine answers an order within milliseconds; after this the order counts
-// as lost and is given again under the same sequence, of which only one can
-// be carried out.
-constexpr DurationMs kOrderLostMs = 400;
+// After an order whose answer was waited for in vain another is given so soon,
+// under the same sequence, of which only one can be carried out.
+constexpr DurationMs kOrderLostMs = 60;
+// An unload takes about so long once no request uses the model.
+constexpr DurationMs kUnloadMs = 400;
 // An accepted order shows in the next report, unless the engine lost it.
 constexpr DurationMs kReportLostMs = 2000;
 // After a conflict the report is read again before the next order.
@@ -197,7 +198,7 @@
 
 DurationMs PlacementCore::LoadEstimate(const std::string& model) const {
   const ModelSpec* spec = spec_.Find(model);
-  if (spec == nullptr) return kOrderLostMs;
+  if (spec == nullptr) return kUnloadMs;
   if (Contains(report_.in_memory, model)) return spec->memory_load_ms;
   if (Contains(report_.on_disk, model)) return spec->disk_load_ms;
   return spec->store_load_ms;
@@ -356,7 +357,7 @@
   if (is_changing) {
     view.loading = is_unloading_ ? "unloading" : loading_;
     view.is_from_store = is_from_store_;
-    const DurationMs whole = is_unloading_ ? kOrderLostMs : LoadEstimate(loading_);
+    const DurationMs whole = is_unloading_ ? kUnloadMs : LoadEstimate(loading_);
     view.remaining_ms = std::max<DurationMs>(kAfterConflictMs, whole - (now - loading_since_));
   }
   for (const auto& it : Wants()) {
