Do not send all that waited for a model to the first engine that holds it

Change: an entry sends an engine, between two views, its part of one and a half times its free places; more wait for the next view. Test: ColdModels.ThatComeUpAtOneEngineDoNotGetAllThatWaitedAtOnce.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -294,6 +294,7 @@
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
   bool IsFresh(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
+  bool IsFull(const Row& row, TimeMs now) const;
   double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
   Pick ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable, TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -258,9 +258,10 @@
     for (const auto& [score, model] : missing) {
       if (free_loads-- <= 0 || survey.idle.empty()) break;
       // The emptiest disk, then by rendezvous.
-      const auto rank = [model = std::string_view(model)](const Row* row) {
+      const std::string_view wanted = model;
+      const auto rank = [wanted](const Row* row) {
         return std::make_pair(row->view.at_hand.size(),
-                              ~RendezvousScore(model, row->record.instance));
+                              ~RendezvousScore(wanted, row->record.instance));
       };
       const auto best =
           std::min_element(survey.idle.begin(), survey.idle.end(),
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -23,6 +23,13 @@
 // A request with a known prompt prefers the upstream that read it before by as
 // much.
 constexpr double kAffinityLoad = 8;
+// An engine serves as many requests at once as it has places; half as many may
+// queue there, so that none of them stands empty between two views.
+constexpr double kPlacesPart = 1.5;
+// The least that an entry may send between two views, of an engine not full.
+constexpr double kLeastPart = 3;
+// The next view of a full engine comes within this.
+constexpr DurationMs kFullMs = 500;
 // Share of tokens' memory from which an engine preempts before long.
 constexpr double kFullKvShare = 0.9;
 constexpr double kFullKvLoad = 64;
@@ -136,6 +143,17 @@
   return load;
 }
 
+// Whether an engine has as many requests as it can serve soon. Each entry sees
+// the others' requests only with the next view, so it takes its part of the
+// places that were free then.
+bool UpstreamTable::IsFull(const Row& row, TimeMs now) const {
+  if (!IsFresh(row, now) || row.record.slots <= 0) return false;
+  const double places = kPlacesPart * row.record.slots;
+  const double free = places - row.view.running - row.view.waiting;
+  const double mine = std::max(kLeastPart, free / std::max(1, row.view.entries));
+  return free <= 0 ? row.sent_since_view >= 1 : row.sent_since_view >= mine;
+}
+
 Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
   std::vector<const Row*> usable;
   std::vector<const Row*> untried;
@@ -159,15 +177,21 @@
     }
   }
   const Row* best = nullptr;
+  const Row* full = nullptr;
   double best_load = 0;
   for (const Row* it : untried) {
     if (request.model && !Holds(*it, *request.model, now)) continue;
+    if (request.model && IsFull(*it, now)) {
+      full = it;
+      continue;
+    }
     const double load = LoadOf(*it, request, now);
     if (best != nullptr && load >= best_load) continue;
     best = it;
     best_load = load;
   }
   if (best != nullptr) return SendTo{best->record.instance};
+  if (full != nullptr) return WaitFor{full->record.instance, kFullMs};
   if (!request.model) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
   if (untried.empty()) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
   return ChooseLoad(request, untried, now);
--- a/test/random_placement_test.cc
+++ b/test/random_placement_test.cc
@@ -195,7 +195,7 @@
       demand.use.push_back({ModelName(i), static_cast<int>(word->Take(2)), 0.5, 1, 100, {}});
     }
     if (static_cast<int>(word->Take(2)) == 0) demand.stage.push_back(ModelName(kModels - 1));
-    core_.OnDemand(static_cast<std::uint64_t>(1 + static_cast<int>(word->Take(3))), demand, now_);
+    core_.OnDemand(1 + word->Take(3), demand, now_);
   }
 
   void Give(const EngineOrder& order, Word* word) {
@@ -203,12 +203,13 @@
     if (fate < 6) return core_.OnAnswer(order, engine_.Take(order, now_), now_);
     if (fate == 6) return core_.OnAnswer(order, OrderAnswer::kRejected, now_);  // Never sent.
     if (fate == 7) engine_.Take(order, now_);  // Taken; its answer is lost.
-    if (fate >= 8) {
+    if (fate == 9) {
       const TimeMs delay = 200 + static_cast<int>(word->Take(8800));
       engine_.flying.push_back({order, now_ + delay});
       std::sort(engine_.flying.begin(), engine_.flying.end(),
                 [](const auto& a, const auto& b) { return a.lands_at < b.lands_at; });
     }
+    // Else it was lost on its way and never lands.
     core_.OnAnswer(order, OrderAnswer::kUnknown, now_);
   }
 
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -180,6 +180,25 @@
   EXPECT_TEXT("send u2", t.Choose("engine", ModelRef{"a", "x"}), "with the adapter");
 }
 
+TEST(ColdModels, ThatComeUpAtOneEngineDoNotGetAllThatWaitedAtOnce) {
+  // Found on a day of the grown site: after all engines had restarted, hundreds
+  // of requests from 28 entries went to the first that held the model.
+  Table t;
+  t.table.ApplyListing({Record("u1")}, false, t.now);
+  EngineView view = View("u1", {{"a", {}}});
+  view.entries = 10;
+  t.table.ApplyView(view, t.now);
+  int sent = 0;
+  while (sent < 100 && t.Choose("engine", ModelRef{"a", ""}) == "send u1") {
+    t.table.OnSent("u1", ModelRef{"a", ""});
+    ++sent;
+  }
+  EXPECT_NUMBER(10, sent, "a tenth of one and a half times its 64 places");
+  EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "until the next view");
+  t.table.ApplyView(view, t.now);
+  EXPECT_TEXT("send u1", t.Choose("engine", ModelRef{"a", ""}), "which shows free places");
+}
+
 TEST(ColdModels, AreAskedForWhereTheWeightsAreClosest) {
   Table t;
   t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
