--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -209,7 +209,6 @@
   std::optional<ModelRef> model;
   std::string_view affinity;       // Requests alike in this share prompts.
   std::vector<std::string> tried;  // Instances not to choose again.
-  DurationMs patience_ms = 0;      // How long the caller still waits.
 };
 struct SendTo {
   std::string instance;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -116,18 +116,21 @@
 void Exchange::Attempt() {
   const TimeMs now = MonotonicMs();
   if (now >= end_at_) return GiveUp(SoFar(), "deadline");
-  PickRequest pick;
-  pick.service = service_;
-  pick.model = model_;
-  pick.affinity = affinity_;
-  pick.tried = tried_;
-  pick.patience_ms = patience_at_ - now;
-  const Pick choice = gateway_.upstreams.Choose(pick, now);
-  if (const auto* to = std::get_if<junctionrail::SendTo>(&choice)) return SendTo(to->instance);
+  const Pick choice = Choose(now);
+  if (const auto* to = std::get_if<SendTo>(&choice)) return Send(to->instance);
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
   GiveUp(SoFar(), std::get<NoneLeft>(choice).reason);
 }
 
+Pick Exchange::Choose(TimeMs now) const {
+  PickRequest request;
+  request.service = service_;
+  request.model = model_;
+  request.affinity = affinity_;
+  request.tried = tried_;
+  return gateway_.upstreams.Choose(request, now);
+}
+
 void Exchange::WaitForModel(const WaitFor& wait) {
   const TimeMs now = MonotonicMs();
   if (!is_parked_) {
@@ -169,7 +172,7 @@
   Attempt();
 }
 
-void Exchange::SendTo(const std::string& instance) {
+void Exchange::Send(const std::string& instance) {
   const UpstreamRecord* upstream = gateway_.upstreams.Find(instance);
   if (upstream == nullptr) return GiveUp(SoFar(), "no_upstream");
   CheckInvariant(route_->MayRepeat() || ran_attempts_ == 0,
@@ -265,14 +268,10 @@
   const int unrun = sent_attempts_ - ran_attempts_ + unsent_attempts_;
   if (unrun > kMostUnrun) return false;
   if (may_have_run || was_sent) {
-    PickRequest pick;
-    pick.service = service_;
-    pick.model = model_;
-    pick.tried = tried_;
-    const Pick choice = gateway_.upstreams.Choose(pick, now);
+    const Pick choice = Choose(now);
     if (std::holds_alternative<NoneLeft>(choice)) return false;
     // Events were delivered: no load can be waited for.
-    if (is_begun_ && !std::holds_alternative<junctionrail::SendTo>(choice)) return false;
+    if (is_begun_ && !std::holds_alternative<SendTo>(choice)) return false;
     if (!gateway_.retries.TryTake(service_, now)) {
       gateway_.log.Write(now, "retry_budget_spent",
                          {{"request", request_id_}, {"service", service_}});
@@ -365,12 +364,8 @@
   const DurationMs silence = SilenceLimit();
   if (silence > 0 && now - heard_at_ >= silence) {
     // Only where another upstream can take it; else the wait goes on.
-    PickRequest pick;
-    pick.service = service_;
-    pick.model = model_;
-    pick.tried = tried_;
-    const Pick choice = gateway_.upstreams.Choose(pick, now);
-    if (std::holds_alternative<junctionrail::SendTo>(choice)) {
+    const Pick choice = Choose(now);
+    if (std::holds_alternative<SendTo>(choice)) {
       call_->Cancel();
       EndAttempt(AttemptEnd::kSilent);
       return AfterAttempt(Ran::kMaybe, true, "silent");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,7 +71,8 @@
   bool FindRoute();
   bool ReadFields();
   void Attempt();
-  void SendTo(const std::string& instance);
+  Pick Choose(TimeMs now) const;
+  void Send(const std::string& instance);
   void WaitForModel(const WaitFor& wait);
   std::string HeadFor(const UpstreamRecord& upstream) const;
   void OnRefusal(const UpstreamHead& head);
