Take an upstream again whose record comes back while a request is under way

Cause (found by reading): a record that lapsed was noted as leaving, which is never taken back, and the note lasted as long as a request kept the row; an upstream whose record lapsed under a long stream and came back was then unused for good. Change: absence is told from leaving. Test: Choices.TakeAnUpstreamAgainWhoseRecordComesBackWhileA..., failed first. Two functions nobody called are gone.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -260,11 +260,7 @@
   // What to tell each agent now, by instance.
   std::map<std::string, AgentDemand> Demands(const std::vector<Waiting>& waiting, TimeMs now);
 
-  // Engines with an agent: instance and address.
-  std::vector<const UpstreamRecord*> Engines() const;
   const UpstreamRecord* Find(const std::string& instance) const;
-  std::size_t size() const { return rows_.size(); }
-  std::vector<UpstreamRecord> Records() const;
   bool HasFreshView(const std::string& instance, TimeMs now) const;
   // How many entries there are, as the agents count their links; at least 1.
   int Entries(TimeMs now) const;
@@ -290,6 +286,8 @@
     TimeMs last_request = 0;
   };
 
+  static bool IsGone(const Row& row, TimeMs now);
+  static bool IsPresent(const Row& row, std::string_view service, TimeMs now);
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
   bool IsFresh(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -66,11 +66,8 @@
       // A record that is missing right after an outage may only have lapsed.
       row.missing_since = after_outage ? now : now - RoutingTimes::kMissingMs;
     }
-    const bool is_gone =
-        row.missing_since != 0 && now - row.missing_since >= RoutingTimes::kMissingMs;
-    if (is_gone) row.record.is_leaving = true;
     // Requests under way still refer to the row.
-    it = is_gone && row.in_flight == 0 ? rows_.erase(it) : std::next(it);
+    it = IsGone(row, now) && row.in_flight == 0 ? rows_.erase(it) : std::next(it);
   }
 }
 
@@ -109,9 +106,18 @@
   return entries;
 }
 
-bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
+bool UpstreamTable::IsGone(const Row& row, TimeMs now) {
+  return row.missing_since != 0 && now - row.missing_since >= RoutingTimes::kMissingMs;
+}
+
+// Whether the upstream is there for new requests, healthy or not.
+bool UpstreamTable::IsPresent(const Row& row, std::string_view service, TimeMs now) {
   return row.record.service == service && !row.record.is_leaving && !row.was_replaced &&
-         row.ejected_until <= now;
+         !IsGone(row, now);
+}
+
+bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
+  return IsPresent(row, service, now) && row.ejected_until <= now;
 }
 
 bool UpstreamTable::Holds(const Row& row, const ModelRef& model, TimeMs now) const {
@@ -167,9 +173,7 @@
   if (usable.empty()) {
     // All ejected: any that is listed is better than a refusal.
     for (const auto& [instance, row] : rows_) {
-      if (row.record.service != request.service || row.record.is_leaving || row.was_replaced) {
-        continue;
-      }
+      if (!IsPresent(row, request.service, now)) continue;
       usable.push_back(&row);
       if (std::find(request.tried.begin(), request.tried.end(), instance) == request.tried.end()) {
         untried.push_back(&row);
@@ -260,25 +264,9 @@
   if (it != rows_.end()) it->second.not_loaded_until[model] = now + kNotLoadedMs;
 }
 
-std::vector<const UpstreamRecord*> UpstreamTable::Engines() const {
-  std::vector<const UpstreamRecord*> engines;
-  for (const auto& [instance, row] : rows_) {
-    const auto service = services_.find(row.record.service);
-    if (service == services_.end() || !service->second.engine) continue;
-    if (!row.record.is_leaving && !row.was_replaced) engines.push_back(&row.record);
-  }
-  return engines;
-}
-
 const UpstreamRecord* UpstreamTable::Find(const std::string& instance) const {
   const auto it = rows_.find(instance);
   return it == rows_.end() ? nullptr : &it->second.record;
 }
 
-std::vector<UpstreamRecord> UpstreamTable::Records() const {
-  std::vector<UpstreamRecord> records;
-  for (const auto& [instance, row] : rows_) records.push_back(row.record);
-  return records;
-}
-
 }  // namespace junctionrail
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -156,6 +156,20 @@
   EXPECT_TEXT("no_upstream", t.Choose("plain"), "no outage explains that it is missing");
 }
 
+TEST(Choices, TakeAnUpstreamAgainWhoseRecordComesBackWhileARequestIsUnderWay) {
+  // Found by reading: a record that lapsed under a long stream and came back
+  // left its upstream unused for good.
+  Table t;
+  auto record = Record("u1");
+  record.service = "plain";
+  t.table.ApplyListing({record}, false, t.now);
+  t.table.OnSent("u1", std::nullopt);
+  t.table.ApplyListing({}, false, t.now);
+  EXPECT_TEXT("no_upstream", t.Choose("plain"), "it is not listed");
+  t.table.ApplyListing({record}, false, t.now);
+  EXPECT_TEXT("send u1", t.Choose("plain"), "it is listed as ready again");
+}
+
 TEST(Choices, SetAnUpstreamAsideAfterFailuresButNotTheLastOne) {
   Table t;
   auto a = Record("u1");
