--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -27,10 +27,10 @@
 
 class DirectAgent::Impl : public std::enable_shared_from_this<DirectAgent::Impl> {
  public:
-  Impl(boost::asio::io_context& io, Settings settings)
+  Impl(boost::asio::io_context& io, Settings settings, int log_descriptor)
       : io_(io),
         settings_(std::move(settings)),
-        log_(EventLogOptions{settings_.id, 1, 40}),
+        log_(EventLogOptions{settings_.id, log_descriptor}),
         http_(io),
         store_(http_, settings_.direct->store),
         engine_(http_, settings_.direct->upstream),
@@ -274,8 +274,8 @@
   bool has_engine_ = false;
 };
 
-DirectAgent::DirectAgent(boost::asio::io_context& io, Settings settings)
-    : impl_(std::make_shared<Impl>(io, std::move(settings))) {}
+DirectAgent::DirectAgent(boost::asio::io_context& io, Settings settings, int log_descriptor)
+    : impl_(std::make_shared<Impl>(io, std::move(settings), log_descriptor)) {}
 DirectAgent::~DirectAgent() = default;
 std::optional<ListenError> DirectAgent::Start() { return impl_->Start(); }
 void DirectAgent::Stop() { impl_->Stop(); }
--- a/src/daemon/direct_daemon.h
+++ b/src/daemon/direct_daemon.h
@@ -3,6 +3,8 @@
 #ifndef JUNCTIONRAIL_DAEMON_DIRECT_DAEMON_H_
 #define JUNCTIONRAIL_DAEMON_DIRECT_DAEMON_H_
 
+#include <unistd.h>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,7 +16,8 @@
 
 class DirectEntry {
  public:
-  DirectEntry(boost::asio::io_context& io, Settings settings);
+  // Event lines go to `log_descriptor`.
+  DirectEntry(boost::asio::io_context& io, Settings settings, int log_descriptor = STDOUT_FILENO);
   ~DirectEntry();
   std::optional<ListenError> Start();
   // Not ready at once; serves what comes until the balancer has noticed, and
@@ -30,7 +33,7 @@
 
 class DirectAgent {
  public:
-  DirectAgent(boost::asio::io_context& io, Settings settings);
+  DirectAgent(boost::asio::io_context& io, Settings settings, int log_descriptor = STDOUT_FILENO);
   ~DirectAgent();
   std::optional<ListenError> Start();
   void Stop();
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -46,10 +46,10 @@
 
 class DirectEntry::Impl : public std::enable_shared_from_this<DirectEntry::Impl> {
  public:
-  Impl(boost::asio::io_context& io, Settings settings)
+  Impl(boost::asio::io_context& io, Settings settings, int log_descriptor)
       : io_(io),
         settings_(std::move(settings)),
-        log_(EventLogOptions{settings_.id, 1, 40}),
+        log_(EventLogOptions{settings_.id, log_descriptor}),
         http_(io),
         store_(http_, settings_.direct->store),
         gateway_(io, ToGatewayOptions(settings_), log_),
@@ -259,8 +259,8 @@
   bool is_stopping_ = false;
 };
 
-DirectEntry::DirectEntry(boost::asio::io_context& io, Settings settings)
-    : impl_(std::make_shared<Impl>(io, std::move(settings))) {}
+DirectEntry::DirectEntry(boost::asio::io_context& io, Settings settings, int log_descriptor)
+    : impl_(std::make_shared<Impl>(io, std::move(settings), log_descriptor)) {}
 DirectEntry::~DirectEntry() = default;
 std::optional<ListenError> DirectEntry::Start() { return impl_->Start(); }
 void DirectEntry::Stop() { impl_->Stop(); }
