Let loads from the weight store take turns

Change: an agent says in its view that it would load from the store, for whom and since when; entries give the store's free places to those for whom requests wait, longest first, with their demand. Staging and further replicas take the same way. The estimate counts the turns ahead, so a request that cannot be served is refused at once.

Tests: PlacementLoads.FromTheWeightStoreOnlyWhen..., ColdModels.ShareThe..., ColdModels.FromAStoreThatIsInFullUse... The random runs now withhold the permission at times.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -101,9 +101,13 @@
   double UsedMb() const;
   int UsedAdapterPlaces() const;
   bool HasRoomFor(const ModelSpec& spec) const;
+  bool MayLoadFromStore() const;
+  // Whether the load is to wait for the weight store; notes that it is wanted.
+  bool AwaitsStore(const std::string& model, bool is_waited_for, TimeMs now);
   std::optional<EngineOrder> OrderAdapter(const Want& want, const std::vector<Want>& wants);
   std::optional<EngineOrder> OrderModel(const Want& want, const std::vector<Want>& wants,
                                         TimeMs now);
+  std::optional<EngineOrder> ChooseOrder(TimeMs now);
   std::optional<EngineOrder> OrderStaging(const std::vector<Want>& wants, TimeMs now);
   std::optional<std::string> Victim(const std::vector<Want>& wants, double most_value,
                                     bool may_interrupt, TimeMs now) const;
@@ -125,6 +129,8 @@
   std::map<std::string, TimeMs> loaded_at_;
   std::map<ModelRef, TimeMs> adapter_used_at_;
   TimeMs hold_until_ = 0;  // No order before; set after a conflict.
+  std::optional<StoreWant> store_want_;
+  TimeMs store_want_since_ = 0;  // 0: none is wanted.
 };
 
 // The messages between entries and agents, as CBOR.
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -152,6 +152,12 @@
 // Where the weights of a load come from.
 enum class WeightSource { kStore, kDisk, kMemory };
 
+// A load from the weight store that an agent would order if it might.
+struct StoreWant {
+  bool is_waited_for = false;  // Requests wait for it; else it is staged or a replica.
+  DurationMs age_ms = 0;       // Since the agent first wanted one.
+};
+
 // What the agent beside an engine says of it.
 struct EngineView {
   std::string instance;
@@ -165,6 +171,7 @@
   int waiting = 0;
   double kv_share = 0;  // Of the memory for tokens, what is in use; 0 to 1.
   int entries = 1;      // Entries that have a link to this agent.
+  std::optional<StoreWant> store_want;
 };
 
 // What an entry asks of one agent.
@@ -188,6 +195,8 @@
   std::vector<ModelDemand> wanted;
   std::vector<ModelUse> use;
   std::vector<std::string> stage;  // To load when nothing else is to do.
+  // The weight store has room for a load by this agent: see Demands.
+  bool may_load_from_store = true;
 };
 
 struct RoutingOptions {
@@ -297,6 +306,8 @@
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
   const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
   int StoreLoads(TimeMs now) const;
+  int StoreWants(TimeMs now) const;
+  void ShareWeightStore(std::map<std::string, AgentDemand>* demands, TimeMs now) const;
   double RateOf(const std::string& model, TimeMs now) const;
   // Usable upstreams that hold each model.
   std::map<std::string, int> CountReplicas(TimeMs now) const;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -203,6 +203,7 @@
 
   static bool IsSame(const AgentDemand& a, const AgentDemand& b) {
     if (a.stage != b.stage || a.wanted.size() != b.wanted.size()) return false;
+    if (a.may_load_from_store != b.may_load_from_store) return false;
     for (std::size_t n = 0; n < a.wanted.size(); ++n) {
       const bool is_same = a.wanted[n].ref == b.wanted[n].ref &&
                            (a.wanted[n].waiting > 0) == (b.wanted[n].waiting > 0);
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -46,17 +46,14 @@
 }  // namespace
 
 std::string EncodeView(const EngineView& view) {
-  return Pack({{"i", view.instance},
-               {"m", ToJson(view.loaded)},
-               {"l", view.loading},
-               {"s", view.is_from_store},
-               {"ms", view.remaining_ms},
-               {"q", view.queue},
-               {"h", view.at_hand},
-               {"r", view.running},
-               {"w", view.waiting},
-               {"kv", view.kv_share},
-               {"e", view.entries}});
+  json message = {{"i", view.instance},      {"m", ToJson(view.loaded)}, {"l", view.loading},
+                  {"s", view.is_from_store}, {"ms", view.remaining_ms},  {"q", view.queue},
+                  {"h", view.at_hand},       {"r", view.running},        {"w", view.waiting},
+                  {"kv", view.kv_share},     {"e", view.entries}};
+  if (view.store_want) {
+    message["sw"] = {view.store_want->is_waited_for, view.store_want->age_ms};
+  }
+  return Pack(message);
 }
 
 bool DecodeView(std::string_view bytes, EngineView* view) {
@@ -72,6 +69,10 @@
     view->waiting = it.at("w").get<int>();
     view->kv_share = it.at("kv").get<double>();
     view->entries = it.at("e").get<int>();
+    const auto want = it.find("sw");
+    if (want != it.end()) {
+      view->store_want = StoreWant{want->at(0).get<bool>(), want->at(1).get<DurationMs>()};
+    }
   });
 }
 
@@ -88,7 +89,8 @@
                {"i", demand.instance},
                {"w", wanted},
                {"u", use},
-               {"s", demand.stage}});
+               {"s", demand.stage},
+               {"f", demand.may_load_from_store}});
 }
 
 bool DecodeDemand(std::string_view bytes, AgentDemand* demand) {
@@ -109,6 +111,8 @@
                                      it.at(5).get<std::vector<std::string>>()});
     }
     demand->stage = message.at("s").get<std::vector<std::string>>();
+    // An entry from before there was such a field sets no bound.
+    demand->may_load_from_store = message.value("f", true);
   });
 }
 
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -53,6 +53,8 @@
   is_unloading_ = false;
   loaded_at_.clear();
   adapter_used_at_.clear();
+  store_want_.reset();
+  store_want_since_ = 0;
 }
 
 const LoadedModel* PlacementCore::FindLoaded(std::string_view model) const {
@@ -234,6 +236,20 @@
   return best->name;
 }
 
+bool PlacementCore::MayLoadFromStore() const {
+  return std::any_of(demands_.begin(), demands_.end(),
+                     [](const auto& it) { return it.second.demand.may_load_from_store; });
+}
+
+bool PlacementCore::AwaitsStore(const std::string& model, bool is_waited_for, TimeMs now) {
+  if (IsNear(model) || MayLoadFromStore()) return false;
+  if (store_want_since_ == 0) store_want_since_ = now;
+  if (!store_want_) store_want_.emplace();
+  store_want_->is_waited_for |= is_waited_for;
+  store_want_->age_ms = now - store_want_since_;
+  return true;
+}
+
 std::optional<EngineOrder> PlacementCore::OrderAdapter(const Want& want,
                                                        const std::vector<Want>& wants) {
   const LoadedModel* base = FindLoaded(want.ref.model);
@@ -270,11 +286,12 @@
                                                      const std::vector<Want>& wants, TimeMs now) {
   const ModelSpec* spec = spec_.Find(want.ref.model);
   if (spec == nullptr || FindLoaded(want.ref.model) != nullptr) return std::nullopt;
+  const bool is_waited_for = want.waiting > 0;
+  if (AwaitsStore(want.ref.model, is_waited_for, now)) return std::nullopt;
   if (HasRoomFor(*spec)) {
     return Make(OrderKind::kLoad, ModelRef{want.ref.model, {}},
-                want.waiting > 0 ? "requests wait for it" : "another replica is needed");
+                is_waited_for ? "requests wait for it" : "another replica is needed");
   }
-  const bool is_waited_for = want.waiting > 0;
   const bool may_interrupt = is_waited_for && want.age_ms > kInterruptAfterMs;
   const double most_value = is_waited_for ? kAnyValue : UseOf(want.ref.model).per_s + 0.3;
   const auto victim = Victim(wants, most_value, may_interrupt, now);
@@ -287,6 +304,7 @@
     for (const auto& model : it.demand.stage) {
       const ModelSpec* spec = spec_.Find(model);
       if (spec == nullptr || FindLoaded(model) != nullptr || IsNear(model)) continue;
+      if (AwaitsStore(model, false, now)) return std::nullopt;
       if (HasRoomFor(*spec)) return Make(OrderKind::kLoad, ModelRef{model, {}}, "staged to disk");
       const auto victim = Victim(wants, kNoCopyValue, false, now);
       if (!victim) return std::nullopt;
@@ -308,6 +326,13 @@
     open_.reset();
   }
   if (report_.is_busy) return std::nullopt;
+  store_want_.reset();
+  auto order = ChooseOrder(now);
+  if (!store_want_) store_want_since_ = 0;
+  return order;
+}
+
+std::optional<EngineOrder> PlacementCore::ChooseOrder(TimeMs now) {
   const std::vector<Want> wants = Wants();
   for (const auto& it : wants) {
     if (it.ref.adapter.empty()) continue;
@@ -373,6 +398,7 @@
   view.waiting = report_.waiting;
   view.kv_share = report_.kv_share;
   view.entries = std::max<int>(1, static_cast<int>(demands_.size()));
+  if (!is_changing) view.store_want = store_want_;
   return view;
 }
 
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -3,6 +3,7 @@
 // disks ahead of demand.
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "junctionrail/routing.h"
 
@@ -52,6 +53,40 @@
   return n;
 }
 
+// Requests wait for so many of them.
+int UpstreamTable::StoreWants(TimeMs now) const {
+  int n = 0;
+  for (const auto& [instance, row] : rows_) {
+    const auto& want = row.view.store_want;
+    if (IsFresh(row, now) && want && want->is_waited_for) ++n;
+  }
+  return n;
+}
+
+// More loads at once than the weight store serves at full speed end later all
+// together, and each keeps its engine from other orders until then. So the free
+// places go to the agents that ask: those first for whom requests wait, then the
+// one that has asked longest. All entries see the same views and mostly name the
+// same agents; one load too many only costs speed.
+void UpstreamTable::ShareWeightStore(std::map<std::string, AgentDemand>* demands,
+                                     TimeMs now) const {
+  using Rank = std::tuple<bool, DurationMs, std::string>;
+  std::vector<Rank> asking;
+  for (const auto& [instance, row] : rows_) {
+    const auto& want = row.view.store_want;
+    if (!IsFresh(row, now) || !want) continue;
+    asking.emplace_back(!want->is_waited_for, -(want->age_ms + now - row.view_at), instance);
+  }
+  std::sort(asking.begin(), asking.end());
+  const int free = std::max(0, options_.parallel_store_loads - StoreLoads(now));
+  if (asking.size() > static_cast<std::size_t>(free)) asking.resize(free);
+  for (auto& [instance, demand] : *demands) demand.may_load_from_store = false;
+  for (const auto& [is_unwaited, age, instance] : asking) {
+    const auto demand = demands->find(instance);
+    if (demand != demands->end()) demand->second.may_load_from_store = true;
+  }
+}
+
 DurationMs UpstreamTable::EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const {
   const ModelSpec* spec = SpecOf(row, model.model);
   if (spec == nullptr) return RoutingTimes::kViewFreshMs;
@@ -66,7 +101,9 @@
     const ModelSpec* it = SpecOf(row, name);
     if (it == nullptr) return DurationMs{0};
     if (Contains(view.at_hand, name)) return it->disk_load_ms + kSwapOverheadMs;
-    const double slowed = std::max(1.0, (StoreLoads(now) + 1.0) / options_.parallel_store_loads);
+    // Beyond as many as it serves at once, each waits for its turn.
+    const int ahead = StoreLoads(now) + StoreWants(now);
+    const double slowed = std::max(1.0, (ahead + 1.0) / options_.parallel_store_loads);
     return static_cast<DurationMs>(static_cast<double>(it->store_load_ms) * slowed) +
            kSwapOverheadMs;
   };
@@ -157,6 +194,7 @@
   }
   AddReplicas(&demands, replicas, now);
   if (options_.stages_models) AddStaging(&demands, now);
+  ShareWeightStore(&demands, now);
   return demands;
 }
 
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -31,9 +31,11 @@
   void Report() { core.OnReport(report, now); }
 
   void Ask(std::vector<ModelDemand> wanted, std::vector<ModelUse> use = {},
-           std::vector<std::string> stage = {}) {
-    core.OnDemand(
-        1, AgentDemand{"entry", "u1", std::move(wanted), std::move(use), std::move(stage)}, now);
+           std::vector<std::string> stage = {}, bool may_load_from_store = true) {
+    core.OnDemand(1,
+                  AgentDemand{"entry", "u1", std::move(wanted), std::move(use), std::move(stage),
+                              may_load_from_store},
+                  now);
   }
 
   // What is ordered now, as "load a/x", or "nothing".
@@ -105,6 +107,30 @@
   EXPECT_TEXT("load a", engine.Order(), "three do not");
 }
 
+TEST(PlacementLoads, FromTheWeightStoreOnlyWhenAnEntrySaysThatItHasRoom) {
+  // Found on a bench day: after engines had crashed, twenty loads from the
+  // store at once took 20 s each in place of 6 s, and kept their engines from
+  // every other order until then.
+  Engine engine;
+  engine.report.on_disk = {"a"};
+  engine.Load("c");
+  engine.Load("d");
+  engine.Load("e");
+  engine.Report();
+  engine.Ask({Wanted("b", 1)}, {}, {}, false);
+  EXPECT_TEXT("nothing", engine.Order(), "not even room is made yet");
+  engine.now += 300;
+  EXPECT_TEXT("nothing", engine.Order(), "");
+  const auto want = engine.core.View(engine.now).store_want;
+  EXPECT_TRUE(want && want->is_waited_for, "entries hear of it");
+  EXPECT_NUMBER(300, want->age_ms, "");
+  engine.Ask({Wanted("b", 1), Wanted("a", 1)}, {}, {}, false);
+  EXPECT_TRUE(engine.Order().substr(0, 7) == "unload ", "a load from disk does not wait for it");
+  engine.Ask({Wanted("b", 1)}, {}, {}, true);
+  EXPECT_TRUE(engine.Order().substr(0, 7) == "unload ", "now it makes room");
+  EXPECT_TRUE(!engine.core.View(engine.now).store_want, "and asks no more");
+}
+
 TEST_GROUP(PlacementMakesRoom){};
 
 TEST(PlacementMakesRoom, ByTheModelLeastAskedFor) {
@@ -253,18 +279,22 @@
   view.queue = {"c"};
   view.at_hand = {"a", "b"};
   view.kv_share = 0.5;
+  view.store_want = StoreWant{true, 40};
   EngineView read;
   EXPECT_TRUE(DecodeView(EncodeView(view), &read), "it decodes");
   EXPECT_TEXT("x", read.loaded.at(0).adapters.at(0), "");
   EXPECT_TEXT("b", read.loading, "");
   EXPECT_NUMBER(700, read.remaining_ms, "");
-  AgentDemand demand{"e", "u1", {Wanted("a", 2, 0, "x", 9)}, {Used("a", 1, 0.5, 2)}, {"d"}};
+  EXPECT_TRUE(read.store_want && read.store_want->is_waited_for, "");
+  EXPECT_NUMBER(40, read.store_want->age_ms, "");
+  AgentDemand demand{"e", "u1", {Wanted("a", 2, 0, "x", 9)}, {Used("a", 1, 0.5, 2)}, {"d"}, false};
   demand.use[0].adapters_in_use = {"x"};
   AgentDemand read_demand;
   EXPECT_TRUE(DecodeDemand(EncodeDemand(demand), &read_demand), "it decodes");
   EXPECT_TEXT("a/x", read_demand.wanted.at(0).ref.ToString(), "");
   EXPECT_TEXT("x", read_demand.use.at(0).adapters_in_use.at(0), "");
   EXPECT_TEXT("d", read_demand.stage.at(0), "");
+  EXPECT_TRUE(!read_demand.may_load_from_store, "");
 }
 
 TEST(PlacementMessages, ThatAreDamagedAreRefusedWhole) {
--- a/test/random_placement_test.cc
+++ b/test/random_placement_test.cc
@@ -195,6 +195,7 @@
       demand.use.push_back({ModelName(i), static_cast<int>(word->Take(2)), 0.5, 1, 100, {}});
     }
     if (static_cast<int>(word->Take(2)) == 0) demand.stage.push_back(ModelName(kModels - 1));
+    demand.may_load_from_store = word->Take(4) != 0;
     core_.OnDemand(1 + word->Take(3), demand, now_);
   }
 
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -258,6 +258,44 @@
   EXPECT_NUMBER(1, wanted, "one more, at one of the others");
 }
 
+TEST(ColdModels, ShareTheWeightStoreAmongTheAgentsThatAsk) {
+  Table t;
+  std::vector<UpstreamRecord> listing;
+  for (int n = 0; n < 8; ++n) listing.push_back(Record("u" + std::to_string(n)));
+  t.table.ApplyListing(listing, false, t.now);
+  for (int n = 0; n < 8; ++n) {
+    EngineView view = View("u" + std::to_string(n));
+    // u0 loads from the store; u1 would stage; u2 to u7 ask for waiting
+    // requests, u7 for longest.
+    view.is_from_store = n == 0;
+    if (n == 0) view.loading = "c";
+    if (n > 0) view.store_want = StoreWant{n > 1, n == 1 ? 9000 : 100 * n};
+    t.table.ApplyView(view, t.now);
+  }
+  std::string may;
+  for (const auto& [instance, demand] : t.table.Demands({}, t.now)) {
+    if (demand.may_load_from_store) may += instance + " ";
+  }
+  EXPECT_TEXT("u5 u6 u7 ", may, "three of the store's four places are free");
+}
+
+TEST(ColdModels, FromAStoreThatIsInFullUseAreExpectedLater) {
+  Table t;
+  std::vector<UpstreamRecord> listing;
+  for (int n = 0; n < 8; ++n) listing.push_back(Record("u" + std::to_string(n)));
+  t.table.ApplyListing(listing, false, t.now);
+  for (int n = 0; n < 8; ++n) {
+    EngineView view = View("u" + std::to_string(n));
+    view.is_from_store = n < 4;
+    if (n < 4) view.loading = "c";
+    if (n >= 4 && n < 7) view.store_want = StoreWant{true, 100};
+    t.table.ApplyView(view, t.now);
+  }
+  t.Choose("engine", ModelRef{"a", ""});
+  EXPECT_TRUE(t.estimate_ms >= 12000,
+              "eighth in turn, expected 12 s or more, got " + std::to_string(t.estimate_ms));
+}
+
 TEST(ColdModels, AreStagedWhereNoneOfThemIsAndNoMoreThanTheStoreBears) {
   Table t(true);
   std::vector<UpstreamRecord> listing;
