Avoid agents that do not deliver, and keep a silent upstream when nothing else is paid for

Changes: an instance in whose place another one answered is not taken again, and what is looked for is read at its newest; an agent that is late by a second or half its estimate counts as 10 s later for 5 s; a silent upstream is left only when another attempt is paid for.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -285,7 +285,8 @@
     int sent_since_view = 0;
     std::map<ModelRef, int> in_flight_by_model;
     std::map<ModelRef, TimeMs> not_loaded_until;
-    int failures = 0;  // In a row.
+    std::map<ModelRef, TimeMs> overdue_until;  // Asked for it in vain.
+    int failures = 0;                          // In a row.
     TimeMs ejected_until = 0;
     int ejections = 0;
   };
@@ -303,6 +304,9 @@
   bool IsFull(const Row& row, TimeMs now) const;
   double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
   Pick ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable, TimeMs now);
+  const std::string& StillAsked(const ModelRef& model, TimeMs now);
+  void NoteAsked(const ModelRef& model, const std::string& instance, DurationMs estimate,
+                 TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
   const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
   int StoreLoads(TimeMs now) const;
@@ -325,7 +329,13 @@
   std::map<std::string, ServiceSpec> services_;
   std::map<std::string, Row> rows_;  // By instance.
   std::map<std::string, ModelRate> rates_;
-  std::map<std::string, std::string> asked_;  // By model: whose agent was asked last.
+  // Whose agent was asked last for a model.
+  struct Asked {
+    std::string instance;
+    TimeMs late_at = 0;  // It should have had it long before.
+    TimeMs last_at = 0;  // When a request last waited for it.
+  };
+  std::map<std::string, Asked> asked_;  // By model.
 };
 
 // Limits attempts beyond the first to a share of the requests of a service.
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -108,6 +108,8 @@
       const bool is_ours = it.endpoint.address == settings_.direct->upstream.address &&
                            it.endpoint.port == settings_.direct->upstream.port;
       if (!is_ours || (it.is_leaving && it.instance != core_.instance())) continue;
+      // Its record only has not lapsed yet.
+      if (it.instance == replaced_) continue;
       is_listed = true;
       is_leaving_ = it.is_leaving;
       service_ = it.service;
@@ -197,6 +199,7 @@
                 {"took_ms", now - since}});
     if (answer == OrderAnswer::kOtherInstance) {
       // Until its record is read nothing is known of the one that answered.
+      replaced_ = core_.instance();
       core_.Reset({});
       upstreams_.ReadSoon();
       return;
@@ -265,6 +268,7 @@
   AgentOrderCounters counters_;
   std::vector<ServiceSpec> services_;
   std::string service_;
+  std::string replaced_;  // The last instance in whose place another one answered.
   std::set<std::uint64_t> open_links_;
   std::string sent_key_;
   TimeMs sent_at_ = 0;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -242,7 +242,7 @@
   call_ = nullptr;
 }
 
-void Exchange::AfterAttempt(Ran ran, bool was_sent, std::string_view reason) {
+void Exchange::LogAttempt(Ran ran, std::string_view reason) const {
   const TimeMs now = MonotonicMs();
   gateway_.log.Write(now, "attempt_ended",
                      {{"request", request_id_},
@@ -253,10 +253,30 @@
                       {"attempt_ms", now - attempt_at_},
                       {"last_event", events_.last_id()},
                       {"left_ms", end_at_ - now}});
+}
+
+void Exchange::AfterAttempt(Ran ran, bool was_sent, std::string_view reason) {
+  LogAttempt(ran, reason);
   if (TryAnother(ran, was_sent)) return;
   GiveUp(SoFar(), reason);
 }
 
+// Takes one attempt from the retry budget.
+bool Exchange::PayForAnother(TimeMs now) {
+  if (gateway_.retries.TryTake(service_, now)) {
+    ++gateway_.counters.retries;
+    return true;
+  }
+  gateway_.log.Write(now, "retry_budget_spent", {{"request", request_id_}, {"service", service_}});
+  return false;
+}
+
+void Exchange::SendElsewhere() {
+  if (is_begun_) ++gateway_.counters.resumes;
+  events_.DropTail();
+  Attempt();
+}
+
 // Sends the request to another upstream where that is safe and paid for.
 bool Exchange::TryAnother(Ran ran, bool was_sent) {
   const TimeMs now = MonotonicMs();
@@ -272,16 +292,9 @@
     if (std::holds_alternative<NoneLeft>(choice)) return false;
     // Events were delivered: no load can be waited for.
     if (is_begun_ && !std::holds_alternative<SendTo>(choice)) return false;
-    if (!gateway_.retries.TryTake(service_, now)) {
-      gateway_.log.Write(now, "retry_budget_spent",
-                         {{"request", request_id_}, {"service", service_}});
-      return false;
-    }
-    ++gateway_.counters.retries;
+    if (!PayForAnother(now)) return false;
   }
-  if (is_begun_) ++gateway_.counters.resumes;
-  events_.DropTail();
-  Attempt();
+  SendElsewhere();
   return true;
 }
 
@@ -363,12 +376,14 @@
   }
   const DurationMs silence = SilenceLimit();
   if (silence > 0 && now - heard_at_ >= silence) {
-    // Only where another upstream can take it; else the wait goes on.
+    // Only where another upstream can take it and the budget has an attempt
+    // left; else the wait goes on.
     const Pick choice = Choose(now);
-    if (std::holds_alternative<SendTo>(choice)) {
+    if (std::holds_alternative<SendTo>(choice) && PayForAnother(now)) {
       call_->Cancel();
       EndAttempt(AttemptEnd::kSilent);
-      return AfterAttempt(Ran::kMaybe, true, "silent");
+      LogAttempt(Ran::kMaybe, "silent");
+      return SendElsewhere();
     }
     heard_at_ = now;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,9 @@
   void OnRefusal(const UpstreamHead& head);
   void AfterAttempt(Ran ran, bool was_sent, std::string_view reason);
   bool TryAnother(Ran ran, bool was_sent);
+  bool PayForAnother(TimeMs now);
+  void LogAttempt(Ran ran, std::string_view reason) const;
+  void SendElsewhere();
   void EndAttempt(AttemptEnd end);
   void RelayEvents();
   void RelayWhole();
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -17,6 +17,17 @@
 // Kept with the agent asked before unless another is this much sooner, so
 // that the requests of a model do not start two loads.
 constexpr DurationMs kStayWithAskedMs = 1500;
+// An agent that has not brought a model up so long after its estimate, or half
+// the estimate again if that is longer, most likely cannot, and for so long
+// others are asked first.
+constexpr DurationMs kOverdueMs = 1000;
+constexpr double kOverduePart = 0.5;
+constexpr DurationMs kAvoidMs = 5000;
+// What it counts for then: more than a load from the weight store elsewhere.
+constexpr DurationMs kAvoidedCostMs = 10000;
+// Waiting requests look again four times a second; after so long without one a
+// model is asked for anew.
+constexpr DurationMs kAskedAnewMs = 1000;
 // Requests of one model that an upstream serves at once without its pauses
 // growing noticeably; more make another replica worth its memory.
 constexpr double kInFlightPerReplica = 20;
@@ -115,19 +126,44 @@
   return estimate + cost(model.model);
 }
 
+// Whose agent is still asked for the model; empty for none. One that is late is
+// noted, so that others are asked before it for a while.
+const std::string& UpstreamTable::StillAsked(const ModelRef& model, TimeMs now) {
+  static const std::string kNobody;
+  const auto asked = asked_.find(model.ToString());
+  if (asked == asked_.end() || now - asked->second.last_at > kAskedAnewMs) return kNobody;
+  if (now < asked->second.late_at) return asked->second.instance;
+  const auto row = rows_.find(asked->second.instance);
+  if (row != rows_.end()) row->second.overdue_until[model] = now + kAvoidMs;
+  return kNobody;
+}
+
+void UpstreamTable::NoteAsked(const ModelRef& model, const std::string& instance,
+                              DurationMs estimate, TimeMs now) {
+  Asked& asked = asked_[model.ToString()];
+  const bool is_anew =
+      asked.instance != instance || now - asked.last_at > kAskedAnewMs || now >= asked.late_at;
+  if (is_anew) {
+    const auto part = static_cast<DurationMs>(kOverduePart * static_cast<double>(estimate));
+    asked = Asked{instance, now + estimate + std::max(kOverdueMs, part), now};
+  }
+  asked.last_at = now;
+}
+
 Pick UpstreamTable::ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable,
                                TimeMs now) {
   const Row* best = nullptr;
   DurationMs best_ms = 0;
   std::uint64_t best_score = 0;
   const std::string key = request.model->ToString();
-  const auto asked = asked_.find(key);
+  const std::string& asked = StillAsked(*request.model, now);
   const bool wants_adapter = !request.model->adapter.empty();
   for (const Row* row : usable) {
     if (!IsFresh(*row, now)) continue;
     DurationMs estimate = EstimateLoad(*row, *request.model, now);
-    const bool was_asked = asked != asked_.end() && asked->second == row->record.instance;
-    if (was_asked) estimate -= kStayWithAskedMs;
+    if (row->record.instance == asked) estimate -= kStayWithAskedMs;
+    const auto overdue = row->overdue_until.find(*request.model);
+    if (overdue != row->overdue_until.end() && overdue->second > now) estimate += kAvoidedCostMs;
     // Among upstreams that hold the base, the adapters share out by rendezvous.
     if (wants_adapter && estimate <= kAdapterLoadMs) estimate = 0;
     const std::uint64_t score = RendezvousScore(key, row->record.instance);
@@ -139,8 +175,9 @@
     best_score = score;
   }
   if (best == nullptr) return WaitFor{{}, 0};
-  asked_[key] = best->record.instance;
-  return WaitFor{best->record.instance, EstimateLoad(*best, *request.model, now)};
+  const DurationMs estimate = EstimateLoad(*best, *request.model, now);
+  NoteAsked(*request.model, best->record.instance, estimate, now);
+  return WaitFor{best->record.instance, estimate};
 }
 
 std::map<std::string, int> UpstreamTable::CountReplicas(TimeMs now) const {
--- a/test/direct_agent_test.cc
+++ b/test/direct_agent_test.cc
@@ -122,9 +122,16 @@
   EXPECT_TRUE(world.AwaitReports(2), "the agent finds its engine");
   world.Ask("i-1");
   EXPECT_TRUE(RunUntil(world.io, [&] { return !world.ordered.empty(); }), "the model is ordered");
-  world.Ask("i-1");
+  const int listings = world.Listings();
+  const bool is_listed_again = RunUntil(world.io, [&] {
+    world.Ask("i-1");
+    return world.Listings() >= listings + 3;
+  });
+  EXPECT_TRUE(is_listed_again, "its record is looked for");
   world.AwaitReports(4);
   EXPECT_NUMBER(1, world.ordered.size(), "the answer named another instance");
+  EXPECT_TRUE(world.store.calls.back().find("staleOk") == std::string::npos,
+              "the store's newest is read, got " + world.store.calls.back());
   world.store.Remove("servers/i-1");
   world.List("i-2");
   const bool is_found = RunUntil(world.io, [&] {
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -44,11 +44,12 @@
 
 // A gateway before scripted upstreams.
 struct World {
-  explicit World(GatewayOptions given = {}) : options(std::move(given)) {
+  explicit World(GatewayOptions given = {}, RetryBudget::Options retries = {1.0, 100, 10000})
+      : options(std::move(given)) {
     options.callers = {"127.0.0.1", 0};
     options.data_hall = "hall-1";
     options.routing.data_hall = "hall-1";
-    options.retries = {1.0, 100, 10000};
+    options.retries = retries;
     gateway = std::make_unique<Gateway>(io, options, log);
     port = gateway->Listen().value();
   }
@@ -239,6 +240,26 @@
   EXPECT_TRUE(Holds(answer, "502 ") && !Holds(answer, "Junctionrail-Proof"), answer);
 }
 
+TEST(GatewayRetries, LeaveASilentUpstreamItsTimeWhenTheBudgetIsSpent) {
+  // Found on a bench day: with the budget spent, 100 requests were taken from
+  // slow engines and answered 502 in place of being left there.
+  World world({}, {0, 0, 10000});
+  Timer timer(world.io);
+  int calls = 0;
+  const auto script = [&](const SeenRequest&, const Peer& peer) {
+    ++calls;
+    timer.After(600, [peer] { peer->Write(Answer("late")); });
+  };
+  world.AddUpstream("u1", "plain", script);
+  world.AddUpstream("u2", "plain", script);
+  Route route = MakeRoute("/a/", CallKind::kRepeatable, "plain");
+  route.first_answer_ms = 100;
+  world.Configure({route});
+  const std::string answer = world.Ask(Request("GET /a/"));
+  EXPECT_TRUE(Holds(answer, "200 OK") && Holds(answer, "late"), answer);
+  EXPECT_NUMBER(1, calls, "the one attempt");
+}
+
 TEST(GatewayRetries, ResumesAStreamAfterItsLastWholeEvent) {
   World world;
   int calls = 0;
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -233,6 +233,25 @@
   EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "six seconds beat twenty");
 }
 
+TEST(ColdModels, AreAskedForElsewhereWhenTheAgentAskedDoesNotBringThemUp) {
+  // Found on a bench day: an agent ordered from an engine that had been replaced
+  // for two seconds, and a busy model's requests went on asking it for eight.
+  Table t;
+  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyView(View("u1", {}, {"a"}), t.now);
+  t.table.ApplyView(View("u2"), t.now);
+  EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "on its disk");
+  for (int n = 0; n < 12; ++n) {
+    t.now += 200;
+    t.table.ApplyView(View("u1", {}, {"a"}), t.now);
+    t.table.ApplyView(View("u2"), t.now);
+    t.Choose("engine", ModelRef{"a", ""});
+  }
+  EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}), "2.4 s in place of 1 s");
+  t.now += 200;
+  EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}), "and not back at once");
+}
+
 TEST(ColdModels, CountAnAdaptersWaitForTheOrderUnderWay) {
   // Engines load no adapter while an order on a model is under way.
   Table t;
