Weigh replicas of overloaded models for the weight store's places; log a stream's longest pause

Change: a want for a further replica carries the requests a second at each replica there is, and is ranked with the requests that wait when the store's places are given out.

request_served and request_failed now tell the longest pause between events: nothing else in the logs showed why a stream with a fast start was late.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -82,6 +82,7 @@
     int waiting = 0;
     int priority = 0;
     DurationMs age_ms = 0;
+    double replica_per_s = 0;
   };
   struct Use {
     int in_flight = 0;
@@ -92,6 +93,7 @@
   // What an adapter's use is known by.
   bool IsInUse(const ModelRef& adapter) const;
   static double WeightOf(const Want& want);
+  static double StoreWeightOf(const Want& want);
 
   void ExpireDemands(TimeMs now);
   std::vector<Want> Wants() const;
@@ -103,7 +105,7 @@
   bool HasRoomFor(const ModelSpec& spec) const;
   bool MayLoadFromStore() const;
   // Whether the load is to wait for the weight store; notes that it is wanted.
-  bool AwaitsStore(const std::string& model, bool is_waited_for, TimeMs now);
+  bool AwaitsStore(const std::string& model, bool is_waited_for, double weight, TimeMs now);
   std::optional<EngineOrder> OrderAdapter(const Want& want, const std::vector<Want>& wants);
   std::optional<EngineOrder> OrderModel(const Want& want, const std::vector<Want>& wants,
                                         TimeMs now);
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -155,6 +155,7 @@
 // A load from the weight store that an agent would order if it might.
 struct StoreWant {
   bool is_waited_for = false;  // Requests wait for it; else it is staged or a replica.
+  double weight = 0;           // Of who wants it, as PlacementCore weighs; 0: staged.
   DurationMs age_ms = 0;       // Since the agent first wanted one.
 };
 
@@ -177,9 +178,10 @@
 // What an entry asks of one agent.
 struct ModelDemand {
   ModelRef ref;
-  int waiting = 0;        // Requests held for it here; 0: another replica is wanted.
-  int priority = 0;       // Of the most urgent of them.
-  DurationMs age_ms = 0;  // Of the oldest of them.
+  int waiting = 0;           // Requests held for it here; 0: another replica is wanted.
+  int priority = 0;          // Of the most urgent of them.
+  DurationMs age_ms = 0;     // Of the oldest of them.
+  double replica_per_s = 0;  // Requests a second at each replica that there is.
 };
 struct ModelUse {
   std::string model;
@@ -248,7 +250,8 @@
 
   Pick Choose(const PickRequest& request, TimeMs now);
 
-  void OnArrival(const std::optional<ModelRef>& model, TimeMs now);
+  // `priority` is that of the request's route.
+  void OnArrival(const std::optional<ModelRef>& model, int priority, TimeMs now);
   void OnSent(const std::string& instance, const std::optional<ModelRef>& model);
   void OnEnd(const std::string& instance, const std::optional<ModelRef>& model, AttemptEnd end,
              TimeMs now);
@@ -294,6 +297,7 @@
     double per_s = 0;
     TimeMs at = 0;
     TimeMs last_request = 0;
+    int priority = 0;  // Of the last request.
   };
 
   static bool IsGone(const Row& row, TimeMs now);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -66,7 +66,7 @@
   }
   if (!ReadFields()) return;
   gateway_.retries.OnRequest(service_, request_.arrived_at);
-  gateway_.upstreams.OnArrival(model_, request_.arrived_at);
+  gateway_.upstreams.OnArrival(model_, route_->priority, request_.arrived_at);
   Attempt();
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -83,6 +83,7 @@
   void SendElsewhere();
   void EndAttempt(AttemptEnd end);
   void RelayEvents();
+  void NotePause();
   void RelayWhole();
   void Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
               DurationMs retry_after_ms);
@@ -128,6 +129,8 @@
   bool is_begun_ = false;  // The caller has the head of its answer.
   bool is_finished_ = false;
   TimeMs first_at_ = 0;
+  TimeMs event_at_ = 0;              // When the last whole event came.
+  DurationMs longest_pause_ms_ = 0;  // Between two events, over all attempts.
 };
 
 }  // namespace junctionrail::internal
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -79,6 +79,7 @@
     if (whole.empty()) return;
     const auto sink = sink_.lock();
     if (!sink) return;
+    NotePause();
     if (!is_begun_) {
       RelayEvents();
       if (is_finished_) return;
@@ -90,6 +91,12 @@
   body_ += data;
 }
 
+void Exchange::NotePause() {
+  const TimeMs now = MonotonicMs();
+  if (event_at_ != 0) longest_pause_ms_ = std::max(longest_pause_ms_, now - event_at_);
+  event_at_ = now;
+}
+
 // Begins the caller's answer with the head of the upstream's.
 void Exchange::RelayEvents() {
   const auto sink = sink_.lock();
@@ -197,6 +204,7 @@
                       {"events", static_cast<std::int64_t>(events_.events())},
                       {"waited_ms", waited_ms_},
                       {"first_ms", first_at_ > 0 ? first_at_ - request_.arrived_at : -1},
+                      {"pause_ms", longest_pause_ms_},
                       {"total_ms", now - request_.arrived_at},
                       {"configuration", version}});
 }
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -51,7 +51,8 @@
                   {"h", view.at_hand},       {"r", view.running},        {"w", view.waiting},
                   {"kv", view.kv_share},     {"e", view.entries}};
   if (view.store_want) {
-    message["sw"] = {view.store_want->is_waited_for, view.store_want->age_ms};
+    const StoreWant& want = *view.store_want;
+    message["sw"] = {want.is_waited_for, want.age_ms, want.weight};
   }
   return Pack(message);
 }
@@ -71,7 +72,8 @@
     view->entries = it.at("e").get<int>();
     const auto want = it.find("sw");
     if (want != it.end()) {
-      view->store_want = StoreWant{want->at(0).get<bool>(), want->at(1).get<DurationMs>()};
+      view->store_want = StoreWant{want->at(0).get<bool>(), want->at(2).get<double>(),
+                                   want->at(1).get<DurationMs>()};
     }
   });
 }
@@ -79,7 +81,8 @@
 std::string EncodeDemand(const AgentDemand& demand) {
   json wanted = json::array();
   for (const auto& it : demand.wanted) {
-    wanted.push_back({it.ref.model, it.ref.adapter, it.waiting, it.priority, it.age_ms});
+    wanted.push_back(
+        {it.ref.model, it.ref.adapter, it.waiting, it.priority, it.age_ms, it.replica_per_s});
   }
   json use = json::array();
   for (const auto& it : demand.use) {
@@ -102,7 +105,8 @@
           ModelDemand{{it.at(0).get<std::string>(), it.at(1).get<std::string>()},
                       it.at(2).get<int>(),
                       it.at(3).get<int>(),
-                      it.at(4).get<DurationMs>()});
+                      it.at(4).get<DurationMs>(),
+                      it.at(5).get<double>()});
     }
     for (const auto& it : message.at("u")) {
       demand->use.push_back(ModelUse{it.at(0).get<std::string>(), it.at(1).get<int>(),
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -118,6 +118,7 @@
       want.waiting += wanted.waiting;
       want.priority = is_first ? wanted.priority : std::min(want.priority, wanted.priority);
       want.age_ms = std::max(want.age_ms, wanted.age_ms);
+      want.replica_per_s = std::max(want.replica_per_s, wanted.replica_per_s);
     }
   }
   std::vector<Want> wants;
@@ -136,6 +137,13 @@
   return want.waiting * std::pow(kClassWeight, -want.priority);
 }
 
+// For a place at the weight store a further replica weighs as many requests as
+// each one that there is gets in a second. Here it goes last all the same: tried
+// the other way, busy models took the engines' time from rare ones on disk.
+double PlacementCore::StoreWeightOf(const Want& want) {
+  return (want.waiting + want.replica_per_s) * std::pow(kClassWeight, -want.priority);
+}
+
 bool PlacementCore::IsInUse(const ModelRef& adapter) const {
   for (const auto& [link, it] : demands_) {
     for (const auto& use : it.demand.use) {
@@ -241,11 +249,13 @@
                      [](const auto& it) { return it.second.demand.may_load_from_store; });
 }
 
-bool PlacementCore::AwaitsStore(const std::string& model, bool is_waited_for, TimeMs now) {
+bool PlacementCore::AwaitsStore(const std::string& model, bool is_waited_for, double weight,
+                                TimeMs now) {
   if (IsNear(model) || MayLoadFromStore()) return false;
   if (store_want_since_ == 0) store_want_since_ = now;
   if (!store_want_) store_want_.emplace();
   store_want_->is_waited_for |= is_waited_for;
+  store_want_->weight = std::max(store_want_->weight, weight);
   store_want_->age_ms = now - store_want_since_;
   return true;
 }
@@ -287,7 +297,7 @@
   const ModelSpec* spec = spec_.Find(want.ref.model);
   if (spec == nullptr || FindLoaded(want.ref.model) != nullptr) return std::nullopt;
   const bool is_waited_for = want.waiting > 0;
-  if (AwaitsStore(want.ref.model, is_waited_for, now)) return std::nullopt;
+  if (AwaitsStore(want.ref.model, is_waited_for, StoreWeightOf(want), now)) return std::nullopt;
   if (HasRoomFor(*spec)) {
     return Make(OrderKind::kLoad, ModelRef{want.ref.model, {}},
                 is_waited_for ? "requests wait for it" : "another replica is needed");
@@ -304,7 +314,7 @@
     for (const auto& model : it.demand.stage) {
       const ModelSpec* spec = spec_.Find(model);
       if (spec == nullptr || FindLoaded(model) != nullptr || IsNear(model)) continue;
-      if (AwaitsStore(model, false, now)) return std::nullopt;
+      if (AwaitsStore(model, false, 0, now)) return std::nullopt;
       if (HasRoomFor(*spec)) return Make(OrderKind::kLoad, ModelRef{model, {}}, "staged to disk");
       const auto victim = Victim(wants, kNoCopyValue, false, now);
       if (!victim) return std::nullopt;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -201,7 +201,7 @@
   return ChooseLoad(request, untried, now);
 }
 
-void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, TimeMs now) {
+void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority, TimeMs now) {
   if (!model) return;
   // Exponential average over about five seconds: demand moves within seconds.
   constexpr double kMemoryMs = 5000;
@@ -210,6 +210,7 @@
   rate.per_s = rate.per_s * std::exp(-passed / kMemoryMs) + 1000.0 / kMemoryMs;
   rate.at = now;
   rate.last_request = now;
+  rate.priority = priority;
 }
 
 double UpstreamTable::RateOf(const std::string& model, TimeMs now) const {
