Read a changed settings file while running and take over what can change

Cause: a SIGHUP wrote a log line and changed nothing, and a file that changed without a signal was not noticed; the users' platform does both.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -87,6 +87,7 @@
   // Takes effect for the next request. An older version than the present one
   // is not applied.
   void ApplyConfiguration(RoutingConfiguration configuration);
+  void SetRetries(RetryBudget::Options options);
   void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage);
   void ApplyView(const EngineView& view);
   void ForgetView(const std::string& instance);
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -354,6 +354,7 @@
   };
   explicit RetryBudget(Options options) : options_(options) {}
 
+  void SetOptions(Options options) { options_ = options; }
   void OnRequest(const std::string& service, TimeMs now);
   // How many entries share the fixed allowance.
   void SetEntries(int entries) { entries_ = entries; }
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -18,6 +18,9 @@
   std::uint16_t port = 0;
 
   std::string ToString() const { return address + ":" + std::to_string(port); }
+  bool operator==(const Endpoint& other) const {
+    return address == other.address && port == other.port;
+  }
 };
 
 enum class Role { kEntry, kAgent };
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -70,7 +70,17 @@
   }
 
   void Reload(const Settings& settings) {
-    log_.Write(MonotonicMs(), "reload", {{"data_hall", settings.data_hall}});
+    const DirectSettings& direct = *settings_.direct;
+    const bool must_restart = !settings.direct || settings.id != settings_.id ||
+                              !(settings.direct->store == direct.store) ||
+                              !(settings.direct->metrics == direct.metrics) ||
+                              !(settings.direct->link == direct.link) ||
+                              !(settings.direct->upstream == direct.upstream);
+    log_.Write(MonotonicMs(), "reload", {{"waits_for_restart", must_restart}});
+  }
+
+  void KeepSettings(const std::string& reason) {
+    log_.Write(MonotonicMs(), "settings_malformed", {{"reason", reason}});
   }
 
  private:
@@ -285,5 +295,6 @@
 std::optional<ListenError> DirectAgent::Start() { return impl_->Start(); }
 void DirectAgent::Stop() { impl_->Stop(); }
 void DirectAgent::Reload(const Settings& settings) { impl_->Reload(settings); }
+void DirectAgent::KeepSettings(const std::string& reason) { impl_->KeepSettings(reason); }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/direct_daemon.h
+++ b/src/daemon/direct_daemon.h
@@ -23,8 +23,11 @@
   // Not ready at once; serves what comes until the balancer has noticed, and
   // finishes what is under way.
   void Stop();
-  // The settings file was read again.
+  // The settings file was read again. Takes over the retry budget, the peers,
+  // and the bounds of leaving and draining; the rest waits for the next start.
   void Reload(const Settings& settings);
+  // It was read again and is malformed.
+  void KeepSettings(const std::string& reason);
 
  private:
   class Impl;
@@ -37,7 +40,9 @@
   ~DirectAgent();
   std::optional<ListenError> Start();
   void Stop();
+  // Nothing of an agent's settings can change before the next start.
   void Reload(const Settings& settings);
+  void KeepSettings(const std::string& reason);
 
  private:
   class Impl;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -29,15 +29,30 @@
 // spread evenly over the window, and entries may be one more than counted.
 constexpr double kBudgetMargin = 0.8;
 
+RetryBudget::Options RetriesOf(const DirectSettings& direct) {
+  return {direct.retry_ratio * kBudgetMargin, direct.retry_extra * kBudgetMargin,
+          direct.retry_window_ms};
+}
+
+DurationMs ListingPeriod(const DirectSettings& direct) {
+  return static_cast<DurationMs>(kListingPart * static_cast<double>(direct.leaving_ms));
+}
+
+// Whether what an entry reads only at its start is alike.
+bool IsSamePlace(const Settings& a, const Settings& b) {
+  return a.id == b.id && a.data_hall == b.data_hall && a.direct->store == b.direct->store &&
+         a.direct->metrics == b.direct->metrics && a.direct->callers == b.direct->callers &&
+         a.direct->health == b.direct->health && a.direct->peer == b.direct->peer &&
+         a.direct->link_port == b.direct->link_port;
+}
+
 GatewayOptions ToGatewayOptions(const Settings& settings) {
   const DirectSettings& direct = *settings.direct;
   GatewayOptions options;
   options.callers = direct.callers;
   options.data_hall = settings.data_hall;
   options.names = platform::HeaderNames();
-  options.retries.ratio = direct.retry_ratio * kBudgetMargin;
-  options.retries.extra = direct.retry_extra * kBudgetMargin;
-  options.retries.window_ms = direct.retry_window_ms;
+  options.retries = RetriesOf(direct);
   options.routing.data_hall = settings.data_hall;
   return options;
 }
@@ -57,9 +72,7 @@
         configuration_(
             io, store_, log_, platform::Freshness::kNewest,
             [this](RoutingConfiguration it) { gateway_.ApplyConfiguration(std::move(it)); }),
-        upstreams_(io, store_, log_, platform::Freshness::kNewest,
-                   static_cast<DurationMs>(kListingPart *
-                                           static_cast<double>(settings_.direct->leaving_ms)),
+        upstreams_(io, store_, log_, platform::Freshness::kNewest, ListingPeriod(*settings_.direct),
                    [this](const auto& listing, bool after_outage) {
                      gateway_.ApplyListing(listing, after_outage);
                    }),
@@ -91,7 +104,28 @@
   }
 
   void Reload(const Settings& settings) {
-    log_.Write(MonotonicMs(), "reload", {{"data_hall", settings.data_hall}});
+    const bool must_restart = !settings.direct || !IsSamePlace(settings, settings_);
+    if (settings.direct) {
+      settings_.drain_ms = settings.drain_ms;
+      DirectSettings& direct = *settings_.direct;
+      direct.peers = settings.direct->peers;
+      direct.retry_ratio = settings.direct->retry_ratio;
+      direct.retry_extra = settings.direct->retry_extra;
+      direct.retry_window_ms = settings.direct->retry_window_ms;
+      direct.leaving_ms = settings.direct->leaving_ms;
+      gateway_.SetRetries(RetriesOf(direct));
+      upstreams_.SetPeriod(ListingPeriod(direct));
+    }
+    log_.Write(MonotonicMs(), "reload",
+               {{"waits_for_restart", must_restart},
+                {"drain_ms", settings_.drain_ms},
+                {"leaving_ms", settings_.direct->leaving_ms},
+                {"retry_ratio", settings_.direct->retry_ratio},
+                {"peers", static_cast<std::int64_t>(settings_.direct->peers.size())}});
+  }
+
+  void KeepSettings(const std::string& reason) {
+    log_.Write(MonotonicMs(), "settings_malformed", {{"reason", reason}});
   }
 
  private:
@@ -266,5 +300,6 @@
 std::optional<ListenError> DirectEntry::Start() { return impl_->Start(); }
 void DirectEntry::Stop() { impl_->Stop(); }
 void DirectEntry::Reload(const Settings& settings) { impl_->Reload(settings); }
+void DirectEntry::KeepSettings(const std::string& reason) { impl_->KeepSettings(reason); }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -9,7 +9,6 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <functional>
 #include <memory>
 #include <string>
 #include <type_traits>
@@ -18,6 +17,7 @@
 #include "direct_daemon.h"
 #include "junctionrail/settings.h"
 #include "junctionrail/telemetry.h"
+#include "settings_file.h"
 
 ABSL_FLAG(std::string, settings, "", "The JSON file with this process's settings.");
 ABSL_FLAG(bool, check_settings, false, "Check the settings file and exit.");
@@ -28,34 +28,24 @@
 constexpr int kExitDone = 0;
 constexpr int kExitSettings = 2;
 
-// Settings that were read again. What the path through agents takes from them
-// is read once; a changed file is checked and reported there.
+using ReadAgain = junctionrail::Result<junctionrail::Settings, junctionrail::DocumentError>;
+
+// The settings were read again. What the path through agents takes from them is
+// read once; a changed file is checked and reported there. With a malformed one
+// the process goes on with what it has.
 template <class Daemon>
-void Reload(Daemon& daemon, const junctionrail::Settings& settings) {
+void Reload(Daemon& daemon, const ReadAgain& settings) {
   if constexpr (std::is_same_v<Daemon, junctionrail::internal::DirectEntry> ||
                 std::is_same_v<Daemon, junctionrail::internal::DirectAgent>) {
-    daemon.Reload(settings);
+    if (settings) return daemon.Reload(settings.value());
+    daemon.KeepSettings(settings.error().Sentence());
+  } else if (settings) {
+    spdlog::info("the settings of {} were read again", settings.value().id);
   } else {
-    spdlog::info("the settings of {} were read again", settings.id);
+    spdlog::error("{}", settings.error().Sentence());
   }
 }
 
-// Reads the settings file again on each SIGHUP. One that is malformed is
-// reported, and the process goes on with what it has.
-void AwaitReload(boost::asio::signal_set& signals, const std::string& file,
-                 const std::function<void(const junctionrail::Settings&)>& reload) {
-  signals.async_wait([&signals, file, reload](const boost::system::error_code& ec, int) {
-    if (ec) return;
-    const auto settings = junctionrail::ReadSettings(file);
-    if (settings) {
-      reload(settings.value());
-    } else {
-      std::fprintf(stderr, "%s\n", settings.error().Sentence().c_str());
-    }
-    AwaitReload(signals, file, reload);
-  });
-}
-
 template <class Daemon>
 int Run(const junctionrail::Settings& settings, const std::string& file) {
   boost::asio::io_context io(1);
@@ -70,9 +60,8 @@
   signals.async_wait([&daemon](const boost::system::error_code& ec, int) {
     if (!ec) daemon->Stop();
   });
-  boost::asio::signal_set reloads(io, SIGHUP);
-  AwaitReload(reloads, file,
-              [&daemon](const junctionrail::Settings& changed) { Reload(*daemon, changed); });
+  junctionrail::internal::SettingsFile settings_file(io, file);
+  settings_file.Watch([&daemon](const ReadAgain& changed) { Reload(*daemon, changed); });
   io.run();
   spdlog::default_logger()->flush();
   return kExitDone;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -212,6 +212,8 @@
   impl_->routes = std::make_shared<const RouteTable>(std::move(configuration));
 }
 
+void Gateway::SetRetries(RetryBudget::Options options) { impl_->retries.SetOptions(options); }
+
 void Gateway::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage) {
   impl_->upstreams.ApplyListing(listing, after_outage, MonotonicMs());
 }
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -106,6 +106,15 @@
   EXPECT_TRUE(budget.TryTake("s", 1500), "the window has passed");
 }
 
+TEST(Budgets, TakeOtherBoundsAtOnce) {
+  RetryBudget budget({0, 1, 10000});
+  EXPECT_TRUE(budget.TryTake("s", 100), "one attempt");
+  EXPECT_TRUE(!budget.TryTake("s", 100), "and no more");
+  budget.SetOptions({0, 2, 10000});
+  EXPECT_TRUE(budget.TryTake("s", 100), "two, of which one is spent");
+  EXPECT_TRUE(!budget.TryTake("s", 100), "");
+}
+
 TEST(Budgets, DivideTheFixedAllowanceAmongTheEntriesThereAre) {
   RetryBudget budget({0, 40, 1000});
   budget.SetEntries(20);
