--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -173,6 +173,7 @@
   double kv_share = 0;  // Of the memory for tokens, what is in use; 0 to 1.
   int entries = 1;      // Entries that have a link to this agent.
   std::optional<StoreWant> store_want;
+  std::map<std::string, double> per_s;  // Of what is loaded: requests at all entries.
 };
 
 // What an entry asks of one agent.
@@ -318,6 +319,8 @@
   int StoreWants(TimeMs now) const;
   void ShareWeightStore(std::map<std::string, AgentDemand>* demands, TimeMs now) const;
   double RateOf(const std::string& model, TimeMs now) const;
+  // Requests a second of each loaded model over all entries, as agents add up.
+  std::map<std::string, double> FleetRates(std::string_view service, TimeMs now) const;
   // Usable upstreams that hold each model.
   std::map<std::string, int> CountReplicas(TimeMs now) const;
   void AddUse(AgentDemand* demand, const Row& row, const std::map<std::string, int>& replicas,
@@ -334,6 +337,7 @@
   std::map<std::string, ServiceSpec> services_;
   std::map<std::string, Row> rows_;  // By instance.
   std::map<std::string, ModelRate> rates_;
+  TimeMs first_arrival_ = 0;  // Of any request for a model; 0: none yet.
   // Whose agent was asked last for a model.
   struct Asked {
     std::string instance;
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -49,7 +49,7 @@
   json message = {{"i", view.instance},      {"m", ToJson(view.loaded)}, {"l", view.loading},
                   {"s", view.is_from_store}, {"ms", view.remaining_ms},  {"q", view.queue},
                   {"h", view.at_hand},       {"r", view.running},        {"w", view.waiting},
-                  {"kv", view.kv_share},     {"e", view.entries}};
+                  {"kv", view.kv_share},     {"e", view.entries},        {"u", view.per_s}};
   if (view.store_want) {
     const StoreWant& want = *view.store_want;
     message["sw"] = {want.is_waited_for, want.age_ms, want.weight};
@@ -70,6 +70,7 @@
     view->waiting = it.at("w").get<int>();
     view->kv_share = it.at("kv").get<double>();
     view->entries = it.at("e").get<int>();
+    if (it.contains("u")) view->per_s = it.at("u").get<std::map<std::string, double>>();
     const auto want = it.find("sw");
     if (want != it.end()) {
       view->store_want = StoreWant{want->at(0).get<bool>(), want->at(2).get<double>(),
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -381,6 +381,7 @@
   for (const auto& it : report_.loaded) {
     if (it.name == loading_) continue;
     view.loaded.push_back(it);
+    view.per_s[it.name] = UseOf(it.name).per_s;
     const bool has_leaving = open_ && open_->kind == OrderKind::kUnload &&
                              open_->target.model == it.name && !open_->target.adapter.empty();
     if (!has_leaving) continue;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -39,6 +39,11 @@
 constexpr double kFullKvShare = 0.9;
 constexpr double kFullKvLoad = 64;
 
+// A model's rate is an exponential average over about so long, as demand moves
+// within seconds; a younger one is taken to have seen at least such a part of it.
+constexpr double kRateMemoryMs = 5000;
+constexpr double kLeastSeen = 0.2;
+
 // The same for all processes; between 0 and 1.
 double Chance(std::string_view key, std::string_view instance) {
   return static_cast<double>(RendezvousScore(key, instance) >> 11) /
@@ -214,11 +219,10 @@
 
 void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority, TimeMs now) {
   if (!model) return;
-  // Exponential average over about five seconds: demand moves within seconds.
-  constexpr double kMemoryMs = 5000;
+  if (first_arrival_ == 0) first_arrival_ = now;
   ModelRate& rate = rates_[model->model];
   const double passed = static_cast<double>(now - rate.at);
-  rate.per_s = rate.per_s * std::exp(-passed / kMemoryMs) + 1000.0 / kMemoryMs;
+  rate.per_s = rate.per_s * std::exp(-passed / kRateMemoryMs) + 1000.0 / kRateMemoryMs;
   rate.at = now;
   rate.last_request = now;
   rate.priority = priority;
@@ -227,7 +231,11 @@
 double UpstreamTable::RateOf(const std::string& model, TimeMs now) const {
   const auto it = rates_.find(model);
   if (it == rates_.end()) return 0;
-  return it->second.per_s * std::exp(-static_cast<double>(now - it->second.at) / 5000.0);
+  const double average =
+      it->second.per_s * std::exp(-static_cast<double>(now - it->second.at) / kRateMemoryMs);
+  // An entry that has just started has seen only a part of what it averages over.
+  const double seen = 1 - std::exp(-static_cast<double>(now - first_arrival_) / kRateMemoryMs);
+  return average / std::max(seen, kLeastSeen);
 }
 
 void UpstreamTable::OnSent(const std::string& instance, const std::optional<ModelRef>& model) {
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -305,6 +305,7 @@
   view.at_hand = {"a", "b"};
   view.kv_share = 0.5;
   view.store_want = StoreWant{true, 2.5, 40};
+  view.per_s = {{"a", 1.5}};
   EngineView read;
   EXPECT_TRUE(DecodeView(EncodeView(view), &read), "it decodes");
   EXPECT_TEXT("x", read.loaded.at(0).adapters.at(0), "");
@@ -313,6 +314,7 @@
   EXPECT_TRUE(read.store_want && read.store_want->is_waited_for, "");
   EXPECT_NUMBER(40, read.store_want->age_ms, "");
   EXPECT_TRUE(read.store_want->weight == 2.5, "");
+  EXPECT_TRUE(read.per_s.at("a") == 1.5, "");
   AgentDemand demand{"e", "u1", {Wanted("a", 2, 0, "x", 9)}, {Used("a", 1, 0.5, 2)}, {"d"}, false};
   demand.use[0].adapters_in_use = {"x"};
   AgentDemand read_demand;
