--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -114,12 +115,14 @@
   void OnListing(const std::vector<UpstreamRecord>& listing) {
     if (fence_ == 0) fence_ = upstreams_.revision();
     bool is_listed = false;
-    for (const auto& it : KeepLatestAtEachAddress(listing)) {
+    // A record whose instance has ended may lapse late, or even be written again.
+    std::vector<UpstreamRecord> present;
+    std::copy_if(listing.begin(), listing.end(), std::back_inserter(present),
+                 [this](const UpstreamRecord& it) { return it.instance != replaced_; });
+    for (const auto& it : KeepLatestAtEachAddress(std::move(present))) {
       const bool is_ours = it.endpoint.address == settings_.direct->upstream.address &&
                            it.endpoint.port == settings_.direct->upstream.port;
       if (!is_ours || (it.is_leaving && it.instance != core_.instance())) continue;
-      // Its record only has not lapsed yet.
-      if (it.instance == replaced_) continue;
       is_listed = true;
       is_leaving_ = it.is_leaving;
       service_ = it.service;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -68,7 +68,19 @@
 void UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage,
                                  TimeMs now) {
   std::set<std::string> listed;
-  for (const auto& it : KeepLatestAtEachAddress(listing)) {
+  // An instance in whose place another one answered has ended, whatever its
+  // record says: it may lapse late, or even be written again.
+  std::vector<UpstreamRecord> present;
+  for (const auto& it : listing) {
+    const auto row = rows_.find(it.instance);
+    const bool was_replaced = row != rows_.end() && row->second.was_replaced;
+    if (was_replaced) {
+      listed.insert(it.instance);  // Remembered for as long as it is recorded.
+    } else {
+      present.push_back(it);
+    }
+  }
+  for (const auto& it : KeepLatestAtEachAddress(std::move(present))) {
     listed.insert(it.instance);
     Row& row = rows_[it.instance];
     const bool was_leaving = row.record.is_leaving;
--- a/test/direct_agent_test.cc
+++ b/test/direct_agent_test.cc
@@ -141,6 +141,21 @@
   EXPECT_TRUE(is_found, "orders go on once the new instance is listed");
 }
 
+TEST(DirectAgent, FindsItsEngineThoughARecordMadeLaterNamesAnEndedInstance) {
+  World world;
+  world.List("i-2");
+  world.List("i-1");
+  world.present = "i-2";
+  world.Start();
+  EXPECT_TRUE(world.AwaitReports(2), "i-1 is taken for the engine, as its record is the later");
+  const bool is_found = RunUntil(world.io, [&] {
+    world.Ask("i-1");
+    world.Ask("i-2");
+    return !world.ordered.empty() && world.ordered.back() == "i-2";
+  });
+  EXPECT_TRUE(is_found, "i-1 refused the first order and is passed over from then on");
+}
+
 TEST(DirectAgent, ListsOftenWhileItsEngineAnswersAndIsNotListed) {
   // Found in the same day: engines came back within a second of the power and
   // were found up to 2.5 s later.
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -205,6 +205,22 @@
   EXPECT_TEXT("send u1", t.Choose("plain"), "it is listed as ready again");
 }
 
+TEST(Choices, TakeTheInstanceThatAnswersThoughARecordMadeLaterNamesAnother) {
+  // The last write of an instance that ended may land after its successor's.
+  Table t;
+  UpstreamRecord present = Record("u1");
+  present.generation = 5;
+  UpstreamRecord ended = Record("u2");
+  ended.generation = 9;
+  t.table.ApplyListing({present, ended}, false, t.now);
+  EXPECT_TEXT("send u2", t.Choose("engine"), "it seems to be the later one");
+  t.table.OnOtherInstance("u2");
+  t.table.ApplyListing({present, ended}, false, t.now);
+  EXPECT_TEXT("send u1", t.Choose("engine"), "it answered in u2's place");
+  t.table.ApplyListing({present, ended}, false, t.now);
+  EXPECT_TEXT("send u1", t.Choose("engine"), "and not forgotten with the next listing");
+}
+
 TEST(Choices, SetAnUpstreamAsideAfterFailuresButNotTheLastOne) {
   Table t;
   auto a = Record("u1");
