--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -1,13 +1,14 @@
-// Models that no upstream holds: whose agent is asked to load them, how long
-// that will take, further replicas of busy models, and weights staged onto
-// disks ahead of demand.
+// Models that no upstream holds: whose agent is asked to load them and how long
+// that will take; and what agents are told of demand.
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 
-#include "junctionrail/routing.h"
+#include "routing_impl.h"
 
 namespace junctionrail {
+
+using internal::Contains;
+using internal::HoldsModel;
+
 namespace {
 
 // An unload before the load, and the reports around both.
@@ -28,23 +29,6 @@
 // Waiting requests look again four times a second; after so long without one a
 // model is asked for anew.
 constexpr DurationMs kAskedAnewMs = 1000;
-// Requests of one model that an upstream serves at once without its pauses
-// growing noticeably; more make another replica worth its memory.
-constexpr double kInFlightPerReplica = 20;
-// A request holds its place for about two seconds on the sheets.
-constexpr double kServiceS = 2.0;
-// From this many requests a second on, a model keeps a second replica, so that
-// the loss of one upstream interrupts no stream of new requests.
-constexpr double kSecondReplicaPerS = 1.5;
-
-bool Contains(const std::vector<std::string>& list, std::string_view value) {
-  return std::find(list.begin(), list.end(), value) != list.end();
-}
-
-bool HoldsModel(const std::vector<LoadedModel>& loaded, std::string_view model) {
-  return std::any_of(loaded.begin(), loaded.end(),
-                     [&](const LoadedModel& it) { return it.name == model; });
-}
 
 }  // namespace
 
@@ -54,48 +38,6 @@
   return it->second.engine->Find(model);
 }
 
-int UpstreamTable::StoreLoads(TimeMs now) const {
-  int n = 0;
-  for (const auto& [instance, row] : rows_) {
-    if (IsFresh(row, now) && !row.view.loading.empty() && row.view.is_from_store) ++n;
-  }
-  return n;
-}
-
-// Requests wait for so many of them.
-int UpstreamTable::StoreWants(TimeMs now) const {
-  int n = 0;
-  for (const auto& [instance, row] : rows_) {
-    const auto& want = row.view.store_want;
-    if (IsFresh(row, now) && want && want->is_waited_for) ++n;
-  }
-  return n;
-}
-
-// More loads at once than the weight store serves at full speed end later all
-// together, and each keeps its engine from other orders until then. So the free
-// places go to the agents that ask: by the weight of who wants the load, then to
-// the one that has asked longest. All entries see the same views and mostly name the
-// same agents; one load too many only costs speed.
-void UpstreamTable::ShareWeightStore(std::map<std::string, AgentDemand>* demands,
-                                     TimeMs now) const {
-  using Rank = std::tuple<double, DurationMs, std::string>;
-  std::vector<Rank> asking;
-  for (const auto& [instance, row] : rows_) {
-    const auto& want = row.view.store_want;
-    if (!IsFresh(row, now) || !want) continue;
-    asking.emplace_back(-want->weight, -(want->age_ms + now - row.view_at), instance);
-  }
-  std::sort(asking.begin(), asking.end());
-  const int free = std::max(0, options_.parallel_store_loads - StoreLoads(now));
-  if (asking.size() > static_cast<std::size_t>(free)) asking.resize(free);
-  for (auto& [instance, demand] : *demands) demand.may_load_from_store = false;
-  for (const auto& [weight, age, instance] : asking) {
-    const auto demand = demands->find(instance);
-    if (demand != demands->end()) demand->second.may_load_from_store = true;
-  }
-}
-
 DurationMs UpstreamTable::EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const {
   const ModelSpec* spec = SpecOf(row, model.model);
   if (spec == nullptr) return RoutingTimes::kViewFreshMs;
@@ -178,18 +120,6 @@
   return WaitFor{best->record.instance, estimate};
 }
 
-std::map<std::string, int> UpstreamTable::CountReplicas(TimeMs now) const {
-  std::map<std::string, int> replicas;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, row.record.service, now)) continue;
-    const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
-    for (const auto& it : loaded) {
-      if (Holds(row, ModelRef{it.name, {}}, now)) ++replicas[it.name];
-    }
-  }
-  return replicas;
-}
-
 void UpstreamTable::AddUse(AgentDemand* demand, const Row& row,
                            const std::map<std::string, int>& replicas, TimeMs now) const {
   const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
@@ -233,134 +163,4 @@
   return demands;
 }
 
-// Each entry tells every agent that holds a model how many requests for it come
-// here, so each of those agents knows the sum. One entry's own requests say too
-// little: with 28 entries a single one would look like six a second.
-std::map<std::string, double> UpstreamTable::FleetRates(std::string_view service,
-                                                        TimeMs now) const {
-  std::map<std::string, double> rates;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
-    for (const auto& [model, per_s] : row.view.per_s) {
-      rates[model] = std::max(rates[model], per_s);
-    }
-  }
-  return rates;
-}
-
-// A busy model gets as many replicas as its requests need, and one to spare.
-void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands,
-                                const std::map<std::string, int>& replicas, TimeMs now) {
-  for (const auto& [name, service] : services_) {
-    if (!service.engine) continue;
-    int engines = 0;
-    for (const auto& [instance, row] : rows_) engines += IsUsable(row, name, now) ? 1 : 0;
-    for (const auto& [model, per_s] : FleetRates(name, now)) {
-      if (per_s < kSecondReplicaPerS || service.engine->Find(model) == nullptr) continue;
-      const auto rate = rates_.find(model);
-      if (rate == rates_.end()) continue;  // Entries that see its requests ask.
-      const int needed = 1 + static_cast<int>(std::ceil(per_s * kServiceS / kInFlightPerReplica));
-      const int wanted = std::min(needed, std::max(1, engines / 2));
-      const auto count = replicas.find(model);
-      const int have = count == replicas.end() ? 0 : count->second;
-      // With none at all the requests that wait for it bring the first.
-      if (have == 0 || have + ComingReplicas(name, model, now) >= wanted) continue;
-      const Row* place = PlaceForReplica(name, model, now);
-      const auto demand = place == nullptr ? demands->end() : demands->find(place->record.instance);
-      if (demand == demands->end()) continue;
-      demand->second.wanted.push_back(
-          ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0, per_s / have});
-    }
-  }
-}
-
-int UpstreamTable::ComingReplicas(std::string_view service, const std::string& model,
-                                  TimeMs now) const {
-  int n = 0;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
-    if (row.view.loading == model || Contains(row.view.queue, model)) ++n;
-  }
-  return n;
-}
-
-// Where the weights are at hand, then where no order is under way, then by
-// rendezvous; the same for all entries.
-const UpstreamTable::Row* UpstreamTable::PlaceForReplica(std::string_view service,
-                                                         const std::string& model,
-                                                         TimeMs now) const {
-  const Row* best = nullptr;
-  std::tuple<bool, bool, std::uint64_t> best_rank;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
-    if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
-    const std::tuple<bool, bool, std::uint64_t> rank(Contains(row.view.at_hand, model),
-                                                     row.view.loading.empty(),
-                                                     RendezvousScore(model, instance));
-    if (best != nullptr && rank <= best_rank) continue;
-    best = &row;
-    best_rank = rank;
-  }
-  return best;
-}
-
-// What staging must know of a service's engines.
-struct UpstreamTable::StagingSurvey {
-  std::set<std::string> at_hand;  // Models that are somewhere, or soon will be.
-  std::vector<const Row*> idle;   // Engines with nothing to load.
-  int engines = 0;
-  int fresh = 0;  // Engines whose view is.
-};
-
-UpstreamTable::StagingSurvey UpstreamTable::SurveyForStaging(std::string_view service,
-                                                             TimeMs now) const {
-  StagingSurvey survey;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, service, now)) continue;
-    ++survey.engines;
-    if (!IsFresh(row, now)) continue;
-    ++survey.fresh;
-    const EngineView& view = row.view;
-    survey.at_hand.insert(view.at_hand.begin(), view.at_hand.end());
-    for (const auto& it : view.loaded) survey.at_hand.insert(it.name);
-    survey.at_hand.insert(view.loading);
-    survey.at_hand.insert(view.queue.begin(), view.queue.end());
-    if (view.loading.empty() && view.queue.empty()) survey.idle.push_back(&row);
-  }
-  return survey;
-}
-
-// Names, for engines with nothing to do, models that are at hand nowhere. All
-// entries that see the same views name the same ones.
-void UpstreamTable::AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now) {
-  for (const auto& [name, service] : services_) {
-    if (!service.engine) continue;
-    StagingSurvey survey = SurveyForStaging(name, now);
-    // With views missing, what seems to be nowhere may be there.
-    if (survey.fresh * 4 < survey.engines * 3) continue;
-    std::vector<std::pair<std::uint64_t, std::string>> missing;
-    for (const auto& it : service.engine->models) {
-      if (survey.at_hand.count(it.name) > 0) continue;
-      missing.emplace_back(RendezvousScore(it.name, "stage"), it.name);
-    }
-    std::sort(missing.begin(), missing.end());
-    int free_loads = options_.parallel_store_loads - StoreLoads(now);
-    for (const auto& [score, model] : missing) {
-      if (free_loads-- <= 0 || survey.idle.empty()) break;
-      // The emptiest disk, then by rendezvous.
-      const std::string_view wanted = model;
-      const auto rank = [wanted](const Row* row) {
-        return std::make_pair(row->view.at_hand.size(),
-                              ~RendezvousScore(wanted, row->record.instance));
-      };
-      const auto best =
-          std::min_element(survey.idle.begin(), survey.idle.end(),
-                           [&](const Row* a, const Row* b) { return rank(a) < rank(b); });
-      const auto demand = demands->find((*best)->record.instance);
-      if (demand != demands->end()) demand->second.stage.push_back(model);
-      survey.idle.erase(best);
-    }
-  }
-}
-
 }  // namespace junctionrail
--- /dev/null
+++ b/src/routing/routing_impl.h
@@ -0,0 +1,25 @@
+// What the parts of the table of upstreams share.
+#ifndef JUNCTIONRAIL_ROUTING_ROUTING_IMPL_H_
+#define JUNCTIONRAIL_ROUTING_ROUTING_IMPL_H_
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "junctionrail/routing.h"
+
+namespace junctionrail::internal {
+
+inline bool Contains(const std::vector<std::string>& list, std::string_view value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+inline bool HoldsModel(const std::vector<LoadedModel>& loaded, std::string_view model) {
+  return std::any_of(loaded.begin(), loaded.end(),
+                     [&](const LoadedModel& it) { return it.name == model; });
+}
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_ROUTING_ROUTING_IMPL_H_
