--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -310,7 +310,7 @@
   bool IsFull(const Row& row, TimeMs now) const;
   double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
   Pick ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable, TimeMs now);
-  const std::string& StillAsked(const ModelRef& model, TimeMs now);
+  std::string StillAsked(const ModelRef& model, TimeMs now);
   void NoteAsked(const ModelRef& model, const std::string& instance, DurationMs estimate,
                  TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -68,14 +68,13 @@
 
 // Whose agent is still asked for the model; empty for none. One that is late is
 // noted, so that others are asked before it for a while.
-const std::string& UpstreamTable::StillAsked(const ModelRef& model, TimeMs now) {
-  static const std::string kNobody;
+std::string UpstreamTable::StillAsked(const ModelRef& model, TimeMs now) {
   const auto asked = asked_.find(model.ToString());
-  if (asked == asked_.end() || now - asked->second.last_at > kAskedAnewMs) return kNobody;
+  if (asked == asked_.end() || now - asked->second.last_at > kAskedAnewMs) return {};
   if (now < asked->second.late_at) return asked->second.instance;
   const auto row = rows_.find(asked->second.instance);
   if (row != rows_.end()) row->second.overdue_until[model] = now + kAvoidMs;
-  return kNobody;
+  return {};
 }
 
 void UpstreamTable::NoteAsked(const ModelRef& model, const std::string& instance,
@@ -96,7 +95,7 @@
   DurationMs best_ms = 0;
   std::uint64_t best_score = 0;
   const std::string key = request.model->ToString();
-  const std::string& asked = StillAsked(*request.model, now);
+  const std::string asked = StillAsked(*request.model, now);
   const bool wants_adapter = !request.model->adapter.empty();
   for (const Row* row : usable) {
     if (!IsFresh(*row, now)) continue;
