--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -149,9 +149,6 @@
 // has ended, and its record only has not lapsed yet.
 std::vector<UpstreamRecord> KeepLatestAtEachAddress(std::vector<UpstreamRecord> records);
 
-// Where the weights of a load come from.
-enum class WeightSource { kStore, kDisk, kMemory };
-
 // A load from the weight store that an agent would order if it might.
 struct StoreWant {
   bool is_waited_for = false;  // Requests wait for it; else it is staged or a replica.
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -72,11 +72,11 @@
 
   void Reload(const Settings& settings) {
     const DirectSettings& direct = *settings_.direct;
-    const bool must_restart = !settings.direct || settings.id != settings_.id ||
-                              !(settings.direct->store == direct.store) ||
-                              !(settings.direct->metrics == direct.metrics) ||
-                              !(settings.direct->link == direct.link) ||
-                              !(settings.direct->upstream == direct.upstream);
+    const bool must_restart =
+        !settings.direct || settings.role != settings_.role || settings.id != settings_.id ||
+        !(settings.direct->store == direct.store) ||
+        !(settings.direct->metrics == direct.metrics) || !(settings.direct->link == direct.link) ||
+        !(settings.direct->upstream == direct.upstream);
     log_.Write(MonotonicMs(), "reload", {{"waits_for_restart", must_restart}});
   }
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -104,8 +104,9 @@
   }
 
   void Reload(const Settings& settings) {
-    const bool must_restart = !settings.direct || !IsSamePlace(settings, settings_);
-    if (settings.direct) {
+    const bool is_ours = settings.direct && settings.role == settings_.role;
+    const bool must_restart = !is_ours || !IsSamePlace(settings, settings_);
+    if (is_ours) {
       settings_.drain_ms = settings.drain_ms;
       DirectSettings& direct = *settings_.direct;
       direct.peers = settings.direct->peers;
