Never call a timer back that was cancelled or set anew after its time was over

Asio calls back without an error a wait whose time was over before it was cancelled, and Timer did not look whether it had been set anew; the soak's caller so sent two requests on one connection. The product's agents and entries use the same Timer. Change: the callback is passed over unless it is of the last setting. Timers.* failed before: 2 calls in place of 1, a call after Cancel.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -210,7 +210,9 @@
     timer_.expires_after(std::chrono::milliseconds(delay));
     timer_.async_wait([self = shared_from_this(), period, armed,
                        call = std::move(call)](boost::system::error_code ec) mutable {
-      if (ec) return;
+      // One whose time was over when it was cancelled or set anew is called
+      // back without an error.
+      if (ec || self->cancelled_ || self->times_armed_ != armed) return;
       call();
       // The call may itself have cancelled the timer or set it anew.
       const bool goes_on = period > 0 && !self->cancelled_ && self->times_armed_ == armed;
