Weigh in callers' time which models stay, which comes next and how many there are

Cause: on the new customer any waiting request closed any model after 150 ms.

Tests: new fields cannot be built against the old code, so they were not seen to fail there.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -77,22 +77,31 @@
     AgentDemand demand;
     TimeMs at = 0;
   };
+  static constexpr DurationMs kNever = 1LL << 40;
   struct Want {
     ModelRef ref;
     int waiting = 0;
     int priority = 0;
     DurationMs age_ms = 0;
     double replica_per_s = 0;
+    double callers_late = 0;
+    DurationMs target_ms = 0;
+    int late = 0;
+    DurationMs left_ms = kNever;
+    double per_s = 0;
+    double weight = 0;  // Callers late if another model goes first; see WeightOf.
   };
   struct Use {
     int in_flight = 0;
     double per_s = 0;
     int replicas = 1;
-    DurationMs idle_ms = -1;  // -1: never asked for.
+    DurationMs idle_ms = -1;   // -1: never asked for.
+    int priority = 0;          // Of the last request of an entry; the most urgent.
+    DurationMs target_ms = 0;  // The shortest that an entry names; 0: none does.
   };
   // What an adapter's use is known by.
   bool IsInUse(const ModelRef& adapter) const;
-  static double WeightOf(const Want& want);
+  double WeightOf(const Want& want) const;
   static double StoreWeightOf(const Want& want);
 
   void ExpireDemands(TimeMs now);
@@ -111,10 +120,11 @@
                                         TimeMs now);
   std::optional<EngineOrder> ChooseOrder(TimeMs now);
   std::optional<EngineOrder> OrderStaging(const std::vector<Want>& wants, TimeMs now);
-  std::optional<std::string> Victim(const std::vector<Want>& wants, double most_value,
-                                    bool may_interrupt, TimeMs now) const;
+  std::optional<std::string> Victim(const std::vector<Want>& wants, double missing_mb,
+                                    double most_ms, bool may_interrupt, TimeMs now) const;
   EngineOrder Make(OrderKind kind, ModelRef target, std::string reason) const;
   DurationMs LoadEstimate(const std::string& model) const;
+  double ClosingCost(const std::string& model) const;
 
   std::string instance_;
   EngineSpec spec_;
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -171,6 +171,9 @@
   int entries = 1;      // Entries that have a link to this agent.
   std::optional<StoreWant> store_want;
   std::map<std::string, double> per_s;  // Of what is loaded: requests at all entries.
+  // Of what is loaded: what its callers lose, in milliseconds beyond their
+  // targets over all of them, if it makes room for another model.
+  std::map<std::string, double> closing_ms;
 };
 
 // What an entry asks of one agent.
@@ -180,6 +183,13 @@
   int priority = 0;          // Of the most urgent of them.
   DurationMs age_ms = 0;     // Of the oldest of them.
   double replica_per_s = 0;  // Requests a second at each replica that there is.
+  // Callers beyond their target at any moment, as they queue at the replicas
+  // that there are.
+  double callers_late = 0;
+  DurationMs target_ms = 0;  // For the first event, of the requests held; 0: unknown.
+  int late = 0;              // Of those waiting, beyond their targets already.
+  DurationMs left_ms = 0;    // Of the others, until the first is late.
+  double per_s = 0;          // Requests a second for the model that this entry sees.
 };
 struct ModelUse {
   std::string model;
@@ -188,6 +198,8 @@
   int replicas = 0;        // Upstreams that hold it, as this entry knows.
   DurationMs idle_ms = 0;  // Since this entry last saw a request for it.
   std::vector<std::string> adapters_in_use;
+  DurationMs target_ms = 0;  // For the first event, of its last request; 0: unknown.
+  int priority = 0;          // Of its last request.
 };
 struct AgentDemand {
   std::string entry;
@@ -226,6 +238,8 @@
 struct WaitFor {
   std::string instance;        // Whose agent is asked; empty when none can be.
   DurationMs estimate_ms = 0;  // Until the model is up.
+  std::string_view source;     // Where it comes from, for logs.
+  double closing_ms = 0;       // What others lose by the room that is made, of all callers.
 };
 struct NoneLeft {
   std::string reason;
@@ -249,9 +263,17 @@
 
   Pick Choose(const PickRequest& request, TimeMs now);
 
-  // `priority` is that of the request's route.
-  void OnArrival(const std::optional<ModelRef>& model, int priority, TimeMs now);
-  void OnSent(const std::string& instance, const std::optional<ModelRef>& model);
+  // `priority` and `target_ms`, for the first event, are those of the request's
+  // route.
+  void OnArrival(const std::optional<ModelRef>& model, int priority, DurationMs target_ms,
+                 TimeMs now);
+  void OnSent(const std::string& instance, const std::optional<ModelRef>& model, TimeMs now);
+  // The upstream answered something.
+  void OnHeard(const std::string& instance, TimeMs now);
+  // A request waited so long at an upstream for its first event, or in vain.
+  void OnFirstEvent(const ModelRef& model, DurationMs waited_ms);
+  // Average wait at upstreams for the first event; 0 while unknown.
+  DurationMs FirstEventMs(const ModelRef& model) const;
   void OnEnd(const std::string& instance, const std::optional<ModelRef>& model, AttemptEnd end,
              TimeMs now);
   // The upstream says that it is another instance, or does not hold the model.
@@ -265,7 +287,10 @@
     int count = 0;
     int priority = 0;
     TimeMs since = 0;
-    std::string asked;  // The instance whose agent was asked.
+    std::string asked;         // The instance whose agent was asked.
+    DurationMs target_ms = 0;  // For the first event.
+    int late = 0;              // Beyond their targets.
+    TimeMs late_at = 0;        // When the first of the others will be.
   };
 
   // What to tell each agent now, by instance.
@@ -285,6 +310,7 @@
     TimeMs view_at = 0;  // 0: none.
     int in_flight = 0;
     int sent_since_view = 0;
+    TimeMs unheard_since = 0;  // Of requests under way; 0: none, or all was answered.
     std::map<ModelRef, int> in_flight_by_model;
     std::map<ModelRef, TimeMs> not_loaded_until;
     std::map<ModelRef, TimeMs> overdue_until;  // Asked for it in vain.
@@ -296,13 +322,19 @@
     double per_s = 0;
     TimeMs at = 0;
     TimeMs last_request = 0;
-    int priority = 0;  // Of the last request.
+    int priority = 0;           // Of the last request.
+    DurationMs target_ms = 0;   // Of the last request.
+    double first_event_ms = 0;  // Average wait at upstreams for the first event.
+
+    double LateShare() const;
+    double CallersLate(double fleet_per_s) const;
   };
 
   static bool IsGone(const Row& row, TimeMs now);
   static bool IsPresent(const Row& row, std::string_view service, TimeMs now);
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
   bool IsFresh(const Row& row, TimeMs now) const;
+  bool IsMute(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
   bool IsFull(const Row& row, TimeMs now) const;
   double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
@@ -311,6 +343,7 @@
   void NoteAsked(const ModelRef& model, const std::string& instance, DurationMs estimate,
                  TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
+  double ClosingCost(const Row& row, const ModelRef& model) const;
   const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
   int StoreLoads(TimeMs now) const;
   int StoreWants(TimeMs now) const;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -25,9 +25,6 @@
 // Without an agent to ask, a request waits this long for one to be heard of.
 constexpr DurationMs kNoAgentMs = 1200;
 constexpr DurationMs kDefaultRetryAfterMs = 500;
-// A request waits for a model at most so much of its time: refused then, its
-// caller can still do something else.
-constexpr double kWaitPart = 0.5;
 
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
@@ -66,7 +63,8 @@
   }
   if (!ReadFields()) return;
   gateway_.retries.OnRequest(service_, request_.arrived_at);
-  gateway_.upstreams.OnArrival(model_, route_->priority, request_.arrived_at);
+  gateway_.upstreams.OnArrival(model_, route_->priority, route_->first_answer_ms,
+                               request_.arrived_at);
   Attempt();
 }
 
@@ -95,9 +93,7 @@
     return false;
   }
   end_at_ = request_.arrived_at + std::min<std::int64_t>(deadline_ms, route_->timeout_ms);
-  const DurationMs most_wait =
-      static_cast<DurationMs>(kWaitPart * static_cast<double>(end_at_ - request_.arrived_at));
-  patience_at_ = request_.arrived_at + most_wait;
+  patience_at_ = end_at_;
   if (route_->patience_ms > 0) {
     patience_at_ = std::min(patience_at_, request_.arrived_at + route_->patience_ms);
   }
@@ -138,7 +134,9 @@
     ++gateway_.counters.waited_for_model;
     parked_since_ = now;
   }
-  const DurationMs patience = patience_at_ - now;
+  // Once the model is up, the engine needs its time for the first event too.
+  const DurationMs patience =
+      patience_at_ - now - (model_ ? gateway_.upstreams.FirstEventMs(*model_) : 0);
   const bool has_agent = !wait.instance.empty();
   const bool is_hopeless =
       has_agent ? wait.estimate_ms > patience : now - parked_since_ > kNoAgentMs;
@@ -149,7 +147,9 @@
                        {{"request", request_id_},
                         {"model", model_->ToString()},
                         {"asked", wait.instance},
+                        {"source", wait.source},
                         {"estimate_ms", wait.estimate_ms},
+                        {"closing_ms", static_cast<std::int64_t>(wait.closing_ms)},
                         {"patience_ms", patience}});
   }
   if (is_begun_) return GiveUp(Ran::kMaybe, "no upstream holds the model any more");
@@ -191,7 +191,7 @@
   heard_at_ = attempt_at_;
   ++sent_attempts_;
   ++ran_attempts_;
-  gateway_.upstreams.OnSent(instance, model_);
+  gateway_.upstreams.OnSent(instance, model_, attempt_at_);
   UpstreamMessage message;
   message.head = HeadFor(*upstream);
   message.body = request_.body;
@@ -239,7 +239,12 @@
 }
 
 void Exchange::EndAttempt(AttemptEnd end) {
-  gateway_.upstreams.OnEnd(instance_, model_, end, MonotonicMs());
+  const TimeMs now = MonotonicMs();
+  const bool is_in_vain = end == AttemptEnd::kSilent || end == AttemptEnd::kAbandoned;
+  if (model_ && is_in_vain && !is_begun_) {
+    gateway_.upstreams.OnFirstEvent(*model_, now - attempt_at_);
+  }
+  gateway_.upstreams.OnEnd(instance_, model_, end, now);
   call_ = nullptr;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,6 +57,8 @@
   const std::string& service() const { return service_; }
   const std::string& asked() const { return asked_; }
   int priority() const { return route_->priority; }
+  DurationMs target_ms() const { return route_->first_answer_ms; }
+  TimeMs late_at() const { return request_.arrived_at + route_->first_answer_ms; }
   TimeMs parked_since() const { return parked_since_; }
 
   void OnHead(UpstreamHead head) override;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -29,6 +29,7 @@
 
 void Exchange::OnHead(UpstreamHead head) {
   heard_at_ = MonotonicMs();
+  gateway_.upstreams.OnHeard(instance_, heard_at_);
   const CallHeaderNames& names = gateway_.options.names;
   const bool is_success = head.status / 100 == 2;
   const std::string* type = FindField(head.fields, "Content-Type");
@@ -104,6 +105,7 @@
   is_begun_ = true;
   first_at_ = MonotonicMs();
   gateway_.first_answer.Add(first_at_ - request_.arrived_at);
+  if (model_) gateway_.upstreams.OnFirstEvent(*model_, first_at_ - attempt_at_);
   sink->SendHead(head_->status, EndToEndFields(head_->fields));
   Arm();
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,6 +27,8 @@
 // A caller that was told to come back does so within seconds; until then the
 // load it needs stays wanted.
 constexpr DurationMs kTurnedAwayMs = 3000;
+// Later than any moment of a process.
+constexpr TimeMs kNeverLate = 1LL << 60;
 
 }  // namespace
 
@@ -149,15 +151,21 @@
   for (const auto& it : all) it->Retry();
 }
 
-void Gateway::Impl::NoteTurnedAway(const internal::Exchange& exchange) {
+UpstreamTable::Waiting Gateway::Impl::WaitingOf(const internal::Exchange& exchange, TimeMs since) {
   UpstreamTable::Waiting waiting;
   waiting.ref = *exchange.model();
   waiting.service = exchange.service();
   waiting.asked = exchange.asked();
   waiting.priority = exchange.priority();
-  waiting.since = MonotonicMs();
+  waiting.since = since;
+  waiting.target_ms = exchange.target_ms();
+  waiting.late_at = exchange.late_at();
   waiting.count = 1;
-  turned_away.push_back(std::move(waiting));
+  return waiting;
+}
+
+void Gateway::Impl::NoteTurnedAway(const internal::Exchange& exchange) {
+  turned_away.push_back(WaitingOf(exchange, MonotonicMs()));
 }
 
 std::vector<UpstreamTable::Waiting> Gateway::Impl::WaitingModels() {
@@ -167,18 +175,21 @@
                      [now](const auto& it) { return now - it.since > kTurnedAwayMs; }),
       turned_away.end());
   std::vector<UpstreamTable::Waiting> each = turned_away;
-  for (const auto& it : parked) {
-    each.push_back(
-        {*it->model(), it->service(), 1, it->priority(), it->parked_since(), it->asked()});
-  }
+  for (const auto& it : parked) each.push_back(WaitingOf(*it, it->parked_since()));
   std::map<ModelRef, UpstreamTable::Waiting> by_model;
   for (auto& it : each) {
+    const bool is_late = it.late_at <= now;
+    if (is_late) it.late_at = kNeverLate;
+    it.late = is_late ? it.count : 0;
     const auto [found, is_first] = by_model.emplace(it.ref, it);
     if (is_first) continue;
     UpstreamTable::Waiting& waiting = found->second;
-    ++waiting.count;
+    waiting.count += it.count;
+    waiting.late += it.late;
+    waiting.late_at = std::min(waiting.late_at, it.late_at);
     waiting.priority = std::min(waiting.priority, it.priority);
     waiting.since = std::min(waiting.since, it.since);
+    waiting.target_ms = std::min(waiting.target_ms, it.target_ms);
     waiting.asked = it.asked;
   }
   std::vector<UpstreamTable::Waiting> all;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -35,6 +35,7 @@
   void Unpark(const std::shared_ptr<internal::Exchange>& exchange);
   void WakeParked();
   std::vector<UpstreamTable::Waiting> WaitingModels();
+  static UpstreamTable::Waiting WaitingOf(const internal::Exchange& exchange, TimeMs since);
   // A request could not wait for its model; others will ask for it.
   void NoteTurnedAway(const internal::Exchange& exchange);
 
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -102,8 +102,12 @@
     }
   }
 
+  // By a reset, as an upstream that has not read the request yet then never
+  // does: one that was paused would begin on it long after its caller has left.
   void Cancel() override {
     listener_ = nullptr;
+    error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
     Close();
   }
 
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -43,13 +43,21 @@
   return true;
 }
 
+// Element `n` of a list; a sender from before there was such an element left it
+// out.
+template <class Value>
+Value ElementOr(const json& list, std::size_t n, Value absent) {
+  return n < list.size() ? list.at(n).get<Value>() : absent;
+}
+
 }  // namespace
 
 std::string EncodeView(const EngineView& view) {
   json message = {{"i", view.instance},      {"m", ToJson(view.loaded)}, {"l", view.loading},
                   {"s", view.is_from_store}, {"ms", view.remaining_ms},  {"q", view.queue},
                   {"h", view.at_hand},       {"r", view.running},        {"w", view.waiting},
-                  {"kv", view.kv_share},     {"e", view.entries},        {"u", view.per_s}};
+                  {"kv", view.kv_share},     {"e", view.entries},        {"u", view.per_s},
+                  {"c", view.closing_ms}};
   if (view.store_want) {
     const StoreWant& want = *view.store_want;
     message["sw"] = {want.is_waited_for, want.age_ms, want.weight};
@@ -71,6 +79,7 @@
     view->kv_share = it.at("kv").get<double>();
     view->entries = it.at("e").get<int>();
     if (it.contains("u")) view->per_s = it.at("u").get<std::map<std::string, double>>();
+    if (it.contains("c")) view->closing_ms = it.at("c").get<std::map<std::string, double>>();
     const auto want = it.find("sw");
     if (want != it.end()) {
       view->store_want = StoreWant{want->at(0).get<bool>(), want->at(2).get<double>(),
@@ -82,12 +91,14 @@
 std::string EncodeDemand(const AgentDemand& demand) {
   json wanted = json::array();
   for (const auto& it : demand.wanted) {
-    wanted.push_back(
-        {it.ref.model, it.ref.adapter, it.waiting, it.priority, it.age_ms, it.replica_per_s});
+    wanted.push_back({it.ref.model, it.ref.adapter, it.waiting, it.priority, it.age_ms,
+                      it.replica_per_s, it.callers_late, it.target_ms, it.late, it.left_ms,
+                      it.per_s});
   }
   json use = json::array();
   for (const auto& it : demand.use) {
-    use.push_back({it.model, it.in_flight, it.per_s, it.replicas, it.idle_ms, it.adapters_in_use});
+    use.push_back({it.model, it.in_flight, it.per_s, it.replicas, it.idle_ms, it.adapters_in_use,
+                   it.target_ms, it.priority});
   }
   return Pack({{"n", demand.entry},
                {"i", demand.instance},
@@ -107,13 +118,18 @@
                       it.at(2).get<int>(),
                       it.at(3).get<int>(),
                       it.at(4).get<DurationMs>(),
-                      it.at(5).get<double>()});
+                      ElementOr<double>(it, 5, 0),
+                      ElementOr<double>(it, 6, 0),
+                      ElementOr<DurationMs>(it, 7, 0),
+                      ElementOr<int>(it, 8, 0),
+                      ElementOr<DurationMs>(it, 9, 0),
+                      ElementOr<double>(it, 10, 0)});
     }
     for (const auto& it : message.at("u")) {
-      demand->use.push_back(ModelUse{it.at(0).get<std::string>(), it.at(1).get<int>(),
-                                     it.at(2).get<double>(), it.at(3).get<int>(),
-                                     it.at(4).get<DurationMs>(),
-                                     it.at(5).get<std::vector<std::string>>()});
+      demand->use.push_back(ModelUse{
+          it.at(0).get<std::string>(), it.at(1).get<int>(), it.at(2).get<double>(),
+          it.at(3).get<int>(), it.at(4).get<DurationMs>(), it.at(5).get<std::vector<std::string>>(),
+          ElementOr<DurationMs>(it, 6, 0), ElementOr<int>(it, 7, 0)});
     }
     demand->stage = message.at("s").get<std::vector<std::string>>();
     // An entry from before there was such a field sets no bound.
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -1,6 +1,7 @@
 // Which model an engine loads next and what makes room for it.
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "junctionrail/placement.h"
@@ -26,18 +27,43 @@
 // after so long: its runs take as long to end whether it is closed or not, and
 // new ones would keep it for ever. The wait lets a newer report show an idle one.
 constexpr DurationMs kInterruptAfterMs = 150;
+// An answer beyond the target is worth less to its caller than one within it, and
+// hardly less when it comes still later: those that can be in time go first.
+constexpr double kLatePart = 0.25;
+// Staging closes only what hardly anybody asks for: milliseconds of callers.
+constexpr double kStageMost = 100;
 // Staging must not take a model that was asked for as lately as this.
 constexpr DurationMs kStageIdleMs = 1500;
-// What a model without a copy on disk is worth more, in requests a second:
-// bringing it back costs a load from the weight store.
-constexpr double kNoCopyValue = 0.5;
+// Demand moves within seconds: what a model is worth to its callers is counted
+// over so long.
+constexpr double kHorizonMs = 1000;
+// Between a request for a model that was closed and its return lie, besides the
+// load, the demand, two reports and the unload of another model.
+constexpr DurationMs kSwapOverheadMs = 300;
 // Adapters that an engine fetches at the same time.
 constexpr std::size_t kAdaptersAtOnce = 4;
-constexpr double kAnyValue = 1e9;
 // What a waiting request weighs against one of the class below: on the sites'
 // sheets a rare model's request is worth eight to nine frequent ones.
 constexpr double kClassWeight = 8;
 
+// What a caller loses by a wait, in milliseconds: all of it beyond the target, and
+// less the shorter it is within, as it uses up the time for what else may delay.
+double LossOfOne(DurationMs wait_ms, DurationMs target_ms) {
+  const auto wait = static_cast<double>(wait_ms);
+  return wait * std::min(1.0, wait / static_cast<double>(std::max<DurationMs>(1, target_ms)));
+}
+
+// What callers lose that arrive at one a millisecond in so long and all wait for
+// its end: the integral of the above.
+double LossOfArrivals(DurationMs time_ms, DurationMs target_ms) {
+  const auto time = static_cast<double>(time_ms);
+  const auto target = static_cast<double>(target_ms);
+  if (time <= target) return time * time * time / (3 * target);
+  return target * target / 3 + (time * time - target * target) / 2;
+}
+
+double ClassWeight(int priority) { return std::pow(kClassWeight, -priority); }
+
 bool Contains(const std::vector<std::string>& list, std::string_view value) {
   return std::find(list.begin(), list.end(), value) != list.end();
 }
@@ -119,29 +145,51 @@
       want.priority = is_first ? wanted.priority : std::min(want.priority, wanted.priority);
       want.age_ms = std::max(want.age_ms, wanted.age_ms);
       want.replica_per_s = std::max(want.replica_per_s, wanted.replica_per_s);
+      want.callers_late = std::max(want.callers_late, wanted.callers_late);
+      want.late += wanted.late;
+      if (wanted.waiting > wanted.late) want.left_ms = std::min(want.left_ms, wanted.left_ms);
+      want.per_s += wanted.per_s;
+      if (wanted.target_ms > 0) {
+        want.target_ms =
+            want.target_ms == 0 ? wanted.target_ms : std::min(want.target_ms, wanted.target_ms);
+      }
     }
   }
   std::vector<Want> wants;
-  for (auto& [ref, want] : by_ref) wants.push_back(std::move(want));
-  // The most wanted first, then the one wanted longest.
+  for (auto& [ref, want] : by_ref) {
+    want.weight = WeightOf(want);
+    wants.push_back(std::move(want));
+  }
+  // Where most callers would be late first, then the one with the least time left.
   std::sort(wants.begin(), wants.end(), [](const Want& a, const Want& b) {
-    const double x = WeightOf(a);
-    const double y = WeightOf(b);
-    return x != y ? x > y : a.age_ms > b.age_ms;
+    if (a.weight != b.weight) return a.weight > b.weight;
+    if ((a.waiting > 0) != (b.waiting > 0)) return a.waiting > 0;
+    return a.left_ms < b.left_ms;
   });
   return wants;
 }
 
-// A further replica, for which nobody waits, weighs nothing.
-double PlacementCore::WeightOf(const Want& want) {
-  return want.waiting * std::pow(kClassWeight, -want.priority);
+// How many callers are in time if this model is the next and are not if another
+// is: those that wait and have just enough time left, those that come within the
+// horizon, and those in the queue of too few replicas. One that is late in any
+// case counts for a part. Over the time that the engine would spend on it, as
+// that keeps all others waiting.
+double PlacementCore::WeightOf(const Want& want) const {
+  const DurationMs swap = LoadEstimate(want.ref.model) + kSwapOverheadMs;
+  const DurationMs slack = want.left_ms - swap;
+  double part = kLatePart;
+  if (slack >= 0) part = static_cast<double>(swap) / static_cast<double>(swap + slack);
+  const double coming = want.waiting > 0 ? want.per_s * kHorizonMs / 1000 : 0;
+  const double callers =
+      (want.waiting - want.late) * part + want.late * kLatePart + coming + want.callers_late;
+  return callers * ClassWeight(want.priority) / static_cast<double>(swap);
 }
 
 // For a place at the weight store a further replica weighs as many requests as
 // each one that there is gets in a second. Here it goes last all the same: tried
 // the other way, busy models took the engines' time from rare ones on disk.
 double PlacementCore::StoreWeightOf(const Want& want) {
-  return (want.waiting + want.replica_per_s) * std::pow(kClassWeight, -want.priority);
+  return (want.waiting + want.replica_per_s) * ClassWeight(want.priority);
 }
 
 bool PlacementCore::IsInUse(const ModelRef& adapter) const {
@@ -162,6 +210,8 @@
       use.per_s += entry.per_s;
       use.replicas = std::max(use.replicas, entry.replicas);
       if (entry.idle_ms < 0) continue;
+      use.priority = use.idle_ms < 0 ? entry.priority : std::min(use.priority, entry.priority);
+      use.target_ms = use.idle_ms < 0 ? entry.target_ms : std::min(use.target_ms, entry.target_ms);
       use.idle_ms = use.idle_ms < 0 ? entry.idle_ms : std::min(use.idle_ms, entry.idle_ms);
     }
   }
@@ -214,13 +264,31 @@
   return spec->store_load_ms;
 }
 
-// Of the models that may go, the one whose absence costs least: requests a
-// second over the replicas that share them. None when all are worth more than
-// `most_value`.
-std::optional<std::string> PlacementCore::Victim(const std::vector<Want>& wants, double most_value,
-                                                 bool may_interrupt, TimeMs now) const {
+// What closing a model costs its callers. It comes back with the next request,
+// if one comes soon; that one waits for all of the time it takes, and those that
+// arrive until then for the rest. Where there are other replicas they take its
+// share of the requests, and the cost is what that share would have waited.
+double PlacementCore::ClosingCost(const std::string& model) const {
+  const Use use = UseOf(model);
+  DurationMs away = LoadEstimate(model) + kSwapOverheadMs;
+  if (use.in_flight > 0) away += kUnloadMs;
+  const double per_ms = use.per_s / std::max(1, use.replicas) / 1000;
+  double cost = per_ms * LossOfArrivals(away, use.target_ms);
+  if (use.replicas <= 1) {
+    cost += (1 - std::exp(-per_ms * kHorizonMs)) * LossOfOne(away, use.target_ms);
+  }
+  return cost * ClassWeight(use.priority);
+}
+
+// Of the models that may go, the one whose absence costs least. Among those that
+// cost the same: one that makes room alone, then the least asked for, then the
+// one asked for longest ago. None when all cost more than `most_ms`.
+std::optional<std::string> PlacementCore::Victim(const std::vector<Want>& wants, double missing_mb,
+                                                 double most_ms, bool may_interrupt,
+                                                 TimeMs now) const {
+  using Rank = std::tuple<double, bool, double, DurationMs>;
   const LoadedModel* best = nullptr;
-  std::pair<double, DurationMs> best_rank;
+  Rank best_rank;
   for (const auto& it : report_.loaded) {
     const bool is_wanted = std::any_of(wants.begin(), wants.end(), [&](const Want& want) {
       return want.waiting > 0 && want.ref.model == it.name;
@@ -230,12 +298,14 @@
     if (is_wanted || is_settling) continue;
     const Use use = UseOf(it.name);
     if (use.in_flight > 0 && !may_interrupt) continue;
+    const double cost = ClosingCost(it.name);
+    if (cost > most_ms) continue;
     double value = use.per_s / std::max(1, use.replicas) + use.in_flight;
     // Many replicas and no request yet: operators expect it to be busy.
     if (use.idle_ms < 0 && use.replicas > 1) value += 0.1 * use.replicas;
-    if (!Contains(report_.on_disk, it.name)) value += kNoCopyValue;
-    if (value > most_value) continue;
-    const std::pair<double, DurationMs> rank(value, -use.idle_ms);
+    const ModelSpec* spec = spec_.Find(it.name);
+    const bool is_small = spec == nullptr || spec->size_mb < missing_mb;
+    const Rank rank(cost, is_small, value, -use.idle_ms);
     if (best != nullptr && rank >= best_rank) continue;
     best = &it;
     best_rank = rank;
@@ -302,9 +372,16 @@
     return Make(OrderKind::kLoad, ModelRef{want.ref.model, {}},
                 is_waited_for ? "requests wait for it" : "another replica is needed");
   }
-  const bool may_interrupt = is_waited_for && want.age_ms > kInterruptAfterMs;
-  const double most_value = is_waited_for ? kAnyValue : UseOf(want.ref.model).per_s + 0.3;
-  const auto victim = Victim(wants, most_value, may_interrupt, now);
+  const bool may_interrupt =
+      is_waited_for ? want.age_ms > kInterruptAfterMs : want.callers_late > 0;
+  // Room is made when those who wait will have lost as much by the time it is up
+  // as those who would then.
+  const DurationMs waited = want.age_ms + LoadEstimate(want.ref.model) + kSwapOverheadMs;
+  const auto lost_ms = static_cast<double>(want.waiting * waited);
+  const double most_ms =
+      (is_waited_for ? lost_ms : want.callers_late * kHorizonMs) * ClassWeight(want.priority);
+  const double missing_mb = UsedMb() + spec->size_mb - spec_.accelerator_mb;
+  const auto victim = Victim(wants, missing_mb, most_ms, may_interrupt, now);
   if (!victim) return std::nullopt;
   return Make(OrderKind::kUnload, ModelRef{*victim, {}}, "makes room for " + want.ref.model);
 }
@@ -316,7 +393,8 @@
       if (spec == nullptr || FindLoaded(model) != nullptr || IsNear(model)) continue;
       if (AwaitsStore(model, false, 0, now)) return std::nullopt;
       if (HasRoomFor(*spec)) return Make(OrderKind::kLoad, ModelRef{model, {}}, "staged to disk");
-      const auto victim = Victim(wants, kNoCopyValue, false, now);
+      const double missing_mb = UsedMb() + spec->size_mb - spec_.accelerator_mb;
+      const auto victim = Victim(wants, missing_mb, kStageMost, false, now);
       if (!victim) return std::nullopt;
       const DurationMs idle_ms = UseOf(*victim).idle_ms;
       if (idle_ms >= 0 && idle_ms < kStageIdleMs) return std::nullopt;
@@ -382,6 +460,7 @@
     if (it.name == loading_) continue;
     view.loaded.push_back(it);
     view.per_s[it.name] = UseOf(it.name).per_s;
+    view.closing_ms[it.name] = ClosingCost(it.name);
     const bool has_leaving = open_ && open_->kind == OrderKind::kUnload &&
                              open_->target.model == it.name && !open_->target.adapter.empty();
     if (!has_leaving) continue;
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -12,14 +12,14 @@
 
 namespace {
 
-// Requests of one model that an upstream serves at once without its pauses
-// growing noticeably; more make another replica worth its memory.
-constexpr double kInFlightPerReplica = 20;
-// A request holds its place for about two seconds on the sheets.
-constexpr double kServiceS = 2.0;
+// Another replica is asked for when more than this share of the callers is late
+// because of the queue at the present ones: the first event is owed in time to
+// 95 in 100.
+constexpr double kMostLate = 0.05;
 // From this many requests a second on, a model keeps a second replica, so that
 // the loss of one upstream interrupts no stream of new requests.
 constexpr double kSecondReplicaPerS = 1.5;
+constexpr int kLeastReplicas = 2;
 
 }  // namespace
 
@@ -50,7 +50,20 @@
   return rates;
 }
 
-// A busy model gets as many replicas as its requests need, and one to spare.
+// The share of requests whose first event comes after the target, from the
+// average wait: waits behind a queue are spread about exponentially.
+double UpstreamTable::ModelRate::LateShare() const {
+  if (first_event_ms <= 0 || target_ms <= 0) return 0;
+  return std::exp(-static_cast<double>(target_ms) / first_event_ms);
+}
+
+// By Little's law: arrivals times what each waits beyond the target.
+double UpstreamTable::ModelRate::CallersLate(double fleet_per_s) const {
+  return fleet_per_s / 1000 * first_event_ms * LateShare();
+}
+
+// A model whose callers are late at the present replicas gets another, one at a
+// time, and a busy one keeps a second in any case.
 void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands,
                                 const std::map<std::string, int>& replicas, TimeMs now) {
   for (const auto& [name, service] : services_) {
@@ -61,17 +74,19 @@
       if (per_s < kSecondReplicaPerS || service.engine->Find(model) == nullptr) continue;
       const auto rate = rates_.find(model);
       if (rate == rates_.end()) continue;  // Entries that see its requests ask.
-      const int needed = 1 + static_cast<int>(std::ceil(per_s * kServiceS / kInFlightPerReplica));
-      const int wanted = std::min(needed, std::max(1, engines / 2));
       const auto count = replicas.find(model);
       const int have = count == replicas.end() ? 0 : count->second;
+      const bool is_late = rate->second.LateShare() > kMostLate;
+      const int needed = is_late ? std::max(kLeastReplicas, have + 1) : kLeastReplicas;
+      const int wanted = std::min(needed, engines);
       // With none at all the requests that wait for it bring the first.
       if (have == 0 || have + ComingReplicas(name, model, now) >= wanted) continue;
       const Row* place = PlaceForReplica(name, model, now);
       const auto demand = place == nullptr ? demands->end() : demands->find(place->record.instance);
       if (demand == demands->end()) continue;
       demand->second.wanted.push_back(
-          ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0, per_s / have});
+          ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0, per_s / have,
+                      is_late ? rate->second.CallersLate(per_s) : 0, rate->second.target_ms});
     }
   }
 }
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -14,6 +14,10 @@
 // start again, short against the quarter hour an outage may take.
 constexpr DurationMs kEjectMs = 1000;
 constexpr DurationMs kLongestEjectMs = 8000;
+// An upstream that answers nothing for so long while its agent is silent too is
+// paused, cut off or gone. Upstreams begin to answer within some hundred
+// milliseconds, and views come twice a second.
+constexpr DurationMs kMuteMs = 1000;
 // An upstream said it does not hold a model that its agent listed: the agent
 // is asked about it again well within this.
 constexpr DurationMs kNotLoadedMs = 400;
@@ -44,6 +48,10 @@
 constexpr double kRateMemoryMs = 5000;
 constexpr double kLeastSeen = 0.2;
 
+// How much the newest request counts in the average wait for the first event: it
+// follows a queue that builds up within ten requests.
+constexpr double kFirstEventPart = 0.15;
+
 // The same for all processes; between 0 and 1.
 double Chance(std::string_view key, std::string_view instance) {
   return static_cast<double>(RendezvousScore(key, instance) >> 11) /
@@ -121,6 +129,10 @@
   return row.view_at != 0 && now - row.view_at <= RoutingTimes::kViewFreshMs;
 }
 
+bool UpstreamTable::IsMute(const Row& row, TimeMs now) const {
+  return row.unheard_since != 0 && now - row.unheard_since > kMuteMs && !IsFresh(row, now);
+}
+
 bool UpstreamTable::HasFreshView(const std::string& instance, TimeMs now) const {
   const auto it = rows_.find(instance);
   return it != rows_.end() && IsFresh(it->second, now);
@@ -145,7 +157,7 @@
 }
 
 bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
-  return IsPresent(row, service, now) && row.ejected_until <= now;
+  return IsPresent(row, service, now) && row.ejected_until <= now && !IsMute(row, now);
 }
 
 bool UpstreamTable::Holds(const Row& row, const ModelRef& model, TimeMs now) const {
@@ -229,7 +241,8 @@
   return ChooseLoad(request, untried, now);
 }
 
-void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority, TimeMs now) {
+void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority,
+                              DurationMs target_ms, TimeMs now) {
   if (!model) return;
   if (first_arrival_ == 0) first_arrival_ = now;
   ModelRate& rate = rates_[model->model];
@@ -238,6 +251,7 @@
   rate.at = now;
   rate.last_request = now;
   rate.priority = priority;
+  rate.target_ms = target_ms;
 }
 
 double UpstreamTable::RateOf(const std::string& model, TimeMs now) const {
@@ -250,14 +264,33 @@
   return average / std::max(seen, kLeastSeen);
 }
 
-void UpstreamTable::OnSent(const std::string& instance, const std::optional<ModelRef>& model) {
+void UpstreamTable::OnFirstEvent(const ModelRef& model, DurationMs waited_ms) {
+  double& average = rates_[model.model].first_event_ms;
+  const auto waited = static_cast<double>(waited_ms);
+  average = average == 0 ? waited : average + kFirstEventPart * (waited - average);
+}
+
+DurationMs UpstreamTable::FirstEventMs(const ModelRef& model) const {
+  const auto it = rates_.find(model.model);
+  return it == rates_.end() ? 0 : static_cast<DurationMs>(it->second.first_event_ms);
+}
+
+void UpstreamTable::OnSent(const std::string& instance, const std::optional<ModelRef>& model,
+                           TimeMs now) {
   const auto it = rows_.find(instance);
   if (it == rows_.end()) return;
+  if (it->second.unheard_since == 0) it->second.unheard_since = now;
   ++it->second.in_flight;
   ++it->second.sent_since_view;
   if (model) ++it->second.in_flight_by_model[*model];
 }
 
+void UpstreamTable::OnHeard(const std::string& instance, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end()) return;
+  it->second.unheard_since = it->second.in_flight > 1 ? now : 0;
+}
+
 void UpstreamTable::OnEnd(const std::string& instance, const std::optional<ModelRef>& model,
                           AttemptEnd end, TimeMs now) {
   const auto it = rows_.find(instance);
@@ -268,17 +301,21 @@
     int& n = row.in_flight_by_model[*model];
     if (--n <= 0) row.in_flight_by_model.erase(*model);
   }
+  // A caller that leaves says nothing of the upstream, unless that is mute.
+  const bool was_mute = end == AttemptEnd::kAbandoned && IsMute(row, now);
+  if (row.in_flight == 0) row.unheard_since = 0;
   if (end == AttemptEnd::kServed) {
     row.failures = 0;
     row.ejections = 0;
     return;
   }
-  const bool is_fault =
-      end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable || end == AttemptEnd::kSilent;
+  const bool is_fault = end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable ||
+                        end == AttemptEnd::kSilent || was_mute;
   if (!is_fault) return;
   ++row.failures;
   // Nobody listens there: certain at once, unlike a failed answer.
-  const bool is_out = row.failures >= kFailuresToEject || end == AttemptEnd::kUnreachable;
+  const bool is_out =
+      row.failures >= kFailuresToEject || end == AttemptEnd::kUnreachable || was_mute;
   if (!is_out) return;
   const DurationMs out = std::min(kLongestEjectMs, kEjectMs << std::min(row.ejections, 6));
   row.ejected_until = now + out;
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -163,7 +163,7 @@
 TEST_GROUP(Fleets){};
 
 TEST(Fleets, ThatLostAllWeightsBringTheFirstModelsUpAsSoonAsTheStoreCan) {
-  // Found on a bench day: after all VMs had lost power each engine loaded from
+  // after all VMs had lost power each engine loaded from
   // the store at once, and nothing was up for twenty seconds.
   Fleet fleet;
   for (DurationMs ms = 0; ms < kStoreLoadMs + 1000; ms += kStepMs) fleet.Step();
