Count what a load keeps waiting at its engine; keep to the place asked for a replica

And a replica's place moved on as soon as the engine made room for it: two replicas of the busiest model were closed for a third one that was never loaded.

Change: agents tell how often requests begin to wait for a further model; an entry counts for each engine what those would wait, which keeps the store's loads at engines that few wait for, and swaps apart. A replica stays with the place that was asked for it for 2.5 s.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,6 +106,7 @@
   static double StoreWeightOf(const Want& want);
 
   void ExpireDemands(TimeMs now);
+  void CountWants(TimeMs now);
   std::vector<Want> Wants() const;
   Use UseOf(const std::string& model) const;
   const LoadedModel* FindLoaded(std::string_view model) const;
@@ -139,6 +141,9 @@
   bool is_from_store_ = false;
   TimeMs loading_since_ = 0;
   std::map<std::string, TimeMs> loaded_at_;
+  std::set<std::string> waited_for_;  // Models that requests wait for.
+  double wants_per_s_ = 0;            // How often one is added to them.
+  TimeMs wants_at_ = 0;
   std::map<ModelRef, TimeMs> adapter_used_at_;
   TimeMs hold_until_ = 0;  // No order before; set after a conflict.
   std::optional<StoreWant> store_want_;
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -174,6 +174,7 @@
   // Of what is loaded: what its callers lose, in milliseconds beyond their
   // targets over all of them, if it makes room for another model.
   std::map<std::string, double> closing_ms;
+  double wants_per_s = 0;  // Models that requests begin to wait for here.
 };
 
 // What an entry asks of one agent.
@@ -239,7 +240,7 @@
   std::string instance;        // Whose agent is asked; empty when none can be.
   DurationMs estimate_ms = 0;  // Until the model is up.
   std::string_view source;     // Where it comes from, for logs.
-  double closing_ms = 0;       // What others lose by the room that is made, of all callers.
+  double cost_ms = 0;          // What callers of other models lose by it, all together.
 };
 struct NoneLeft {
   std::string reason;
@@ -344,6 +345,8 @@
                  TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
   double ClosingCost(const Row& row, const ModelRef& model) const;
+  double OccupationCost(const Row& row, const ModelRef& model) const;
+  double CostToOthers(const Row& row, const ModelRef& model) const;
   const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
   int StoreLoads(TimeMs now) const;
   int StoreWants(TimeMs now) const;
@@ -358,7 +361,7 @@
   void AddReplicas(std::map<std::string, AgentDemand>* demands,
                    const std::map<std::string, int>& replicas, TimeMs now);
   int ComingReplicas(std::string_view service, const std::string& model, TimeMs now) const;
-  const Row* PlaceForReplica(std::string_view service, const std::string& model, TimeMs now) const;
+  const Row* PlaceForReplica(std::string_view service, const std::string& model, TimeMs now);
   struct StagingSurvey;
   StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
   void AddStaging(std::map<std::string, AgentDemand>* demands, TimeMs now);
@@ -375,6 +378,12 @@
     TimeMs last_at = 0;  // When a request last waited for it.
   };
   std::map<std::string, Asked> asked_;  // By model.
+  // Where a further replica was asked for.
+  struct ReplicaAsk {
+    std::string instance;
+    TimeMs at = 0;
+  };
+  std::map<std::string, ReplicaAsk> replica_asked_;  // By model.
 };
 
 // Limits attempts beyond the first to a share of the requests of a service.
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -254,6 +254,7 @@
     plain.remaining_ms = 0;
     plain.per_s.clear();
     plain.closing_ms.clear();
+    plain.wants_per_s = 0;
     if (plain.store_want) plain.store_want = StoreWant();
     const std::string key = EncodeView(plain);
     if (key == sent_key_ && now - sent_at_ < kRepeatViewMs) return;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -149,7 +149,7 @@
                         {"asked", wait.instance},
                         {"source", wait.source},
                         {"estimate_ms", wait.estimate_ms},
-                        {"closing_ms", static_cast<std::int64_t>(wait.closing_ms)},
+                        {"others_lose_ms", static_cast<std::int64_t>(wait.cost_ms)},
                         {"patience_ms", patience}});
   }
   if (is_begun_) return GiveUp(Ran::kMaybe, "no upstream holds the model any more");
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -57,7 +57,7 @@
                   {"s", view.is_from_store}, {"ms", view.remaining_ms},  {"q", view.queue},
                   {"h", view.at_hand},       {"r", view.running},        {"w", view.waiting},
                   {"kv", view.kv_share},     {"e", view.entries},        {"u", view.per_s},
-                  {"c", view.closing_ms}};
+                  {"c", view.closing_ms},    {"wr", view.wants_per_s}};
   if (view.store_want) {
     const StoreWant& want = *view.store_want;
     message["sw"] = {want.is_waited_for, want.age_ms, want.weight};
@@ -80,6 +80,7 @@
     view->entries = it.at("e").get<int>();
     if (it.contains("u")) view->per_s = it.at("u").get<std::map<std::string, double>>();
     if (it.contains("c")) view->closing_ms = it.at("c").get<std::map<std::string, double>>();
+    view->wants_per_s = it.value("wr", 0.0);
     const auto want = it.find("sw");
     if (want != it.end()) {
       view->store_want = StoreWant{want->at(0).get<bool>(), want->at(2).get<double>(),
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -34,6 +34,8 @@
 constexpr double kStageMost = 100;
 // Staging must not take a model that was asked for as lately as this.
 constexpr DurationMs kStageIdleMs = 1500;
+// The rate of wants is an average over about so long.
+constexpr double kWantsMemoryMs = 5000;
 // Demand moves within seconds: what a model is worth to its callers is counted
 // over so long.
 constexpr double kHorizonMs = 1000;
@@ -124,6 +126,23 @@
     for (const auto& adapter : it.adapters_in_use) adapter_used_at_[{it.model, adapter}] = now;
   }
   demands_[link] = Demand{std::move(demand), now};
+  CountWants(now);
+}
+
+// The average rate at which requests begin to wait for a further model.
+void PlacementCore::CountWants(TimeMs now) {
+  std::set<std::string> waited_for;
+  for (const auto& [link, it] : demands_) {
+    for (const auto& wanted : it.demand.wanted) {
+      if (wanted.waiting > 0 && wanted.ref.adapter.empty()) waited_for.insert(wanted.ref.model);
+    }
+  }
+  wants_per_s_ *= std::exp(-static_cast<double>(now - wants_at_) / kWantsMemoryMs);
+  wants_at_ = now;
+  for (const auto& it : waited_for) {
+    if (waited_for_.count(it) == 0) wants_per_s_ += 1000.0 / kWantsMemoryMs;
+  }
+  waited_for_ = std::move(waited_for);
 }
 
 void PlacementCore::OnEntryGone(std::uint64_t link) { demands_.erase(link); }
@@ -484,6 +503,8 @@
   for (const auto& it : report_.in_memory) {
     if (!Contains(view.at_hand, it)) view.at_hand.push_back(it);
   }
+  view.wants_per_s =
+      wants_per_s_ * std::exp(-static_cast<double>(now - wants_at_) / kWantsMemoryMs);
   view.running = report_.running;
   view.waiting = report_.waiting;
   view.kv_share = report_.kv_share;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -109,6 +109,23 @@
   return total;
 }
 
+// What callers of other models wait, in milliseconds over all of them, as the
+// engine carries out one order at a time: of those that begin to wait there until
+// the load is done, each waits half of it on average.
+double UpstreamTable::OccupationCost(const Row& row, const ModelRef& model) const {
+  const EngineView& view = row.view;
+  if (HoldsModel(view.loaded, model.model) || view.loading == model.model) return 0;
+  const ModelSpec* spec = SpecOf(row, model.model);
+  if (spec == nullptr) return 0;
+  const auto load = static_cast<double>(Contains(view.at_hand, model.model) ? spec->disk_load_ms
+                                                                            : spec->store_load_ms);
+  return view.wants_per_s / 1000 * load * load / 2;
+}
+
+double UpstreamTable::CostToOthers(const Row& row, const ModelRef& model) const {
+  return ClosingCost(row, model) + OccupationCost(row, model);
+}
+
 // Whose agent is still asked for the model; empty for none. One that is late is
 // noted, so that others are asked before it for a while.
 std::string UpstreamTable::StillAsked(const ModelRef& model, TimeMs now) {
@@ -142,11 +159,16 @@
   const bool wants_adapter = !request.model->adapter.empty();
   for (const Row* row : usable) {
     if (!IsFresh(*row, now)) continue;
-    // The agent makes room when those who wait have lost as much as those who
-    // would: the cost to others is also a wait.
-    DurationMs estimate = EstimateLoad(*row, *request.model, now) +
-                          static_cast<DurationMs>(ClosingCost(*row, *request.model));
-    if (row->record.instance == asked) estimate -= kStayWithAskedMs;
+    DurationMs estimate = EstimateLoad(*row, *request.model, now);
+    if (row->record.instance == asked) {
+      // What others lose there was weighed when it was asked, and counts the wait
+      // for this model too.
+      estimate -= kStayWithAskedMs;
+    } else {
+      // The agent makes room when those who wait have lost as much as those who
+      // would: the cost to others is also a wait.
+      estimate += static_cast<DurationMs>(CostToOthers(*row, *request.model));
+    }
     const auto overdue = row->overdue_until.find(*request.model);
     if (overdue != row->overdue_until.end() && overdue->second > now) estimate += kAvoidedCostMs;
     // Among upstreams that hold the base, the adapters share out by rendezvous.
@@ -163,7 +185,7 @@
   const DurationMs estimate = EstimateLoad(*best, *request.model, now);
   NoteAsked(*request.model, best->record.instance, estimate, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
-                 ClosingCost(*best, *request.model)};
+                 CostToOthers(*best, *request.model)};
 }
 
 void UpstreamTable::AddUse(AgentDemand* demand, const Row& row,
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -1,7 +1,7 @@
 // Further replicas of busy models.
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <utility>
 
 #include "routing_impl.h"
 
@@ -20,6 +20,9 @@
 // the loss of one upstream interrupts no stream of new requests.
 constexpr double kSecondReplicaPerS = 1.5;
 constexpr int kLeastReplicas = 2;
+// A swap, with the end of requests under way before it, is over in such a time;
+// then the place is chosen anew.
+constexpr DurationMs kStayWithPlaceMs = 2500;
 
 }  // namespace
 
@@ -101,23 +104,28 @@
   return n;
 }
 
-// Where the weights are at hand, then where no order is under way, then by
-// rendezvous; the same for all entries.
+// Where the model is up soonest and its room costs others least; the same for
+// all entries, as they see the same views. It is kept until the model is up
+// there: an engine that makes room for it has an order under way, and another
+// one would be asked in its place.
 const UpstreamTable::Row* UpstreamTable::PlaceForReplica(std::string_view service,
-                                                         const std::string& model,
-                                                         TimeMs now) const {
+                                                         const std::string& model, TimeMs now) {
+  const auto asked = replica_asked_.find(model);
+  const bool is_asked = asked != replica_asked_.end() && now - asked->second.at < kStayWithPlaceMs;
+  const ModelRef ref{model, {}};
   const Row* best = nullptr;
-  std::tuple<bool, bool, std::uint64_t> best_rank;
+  std::pair<double, std::uint64_t> best_rank;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
     if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
-    const std::tuple<bool, bool, std::uint64_t> rank(Contains(row.view.at_hand, model),
-                                                     row.view.loading.empty(),
-                                                     RendezvousScore(model, instance));
-    if (best != nullptr && rank <= best_rank) continue;
+    if (is_asked && asked->second.instance == instance) return &row;
+    const double cost = static_cast<double>(EstimateLoad(row, ref, now)) + CostToOthers(row, ref);
+    const std::pair<double, std::uint64_t> rank(cost, ~RendezvousScore(model, instance));
+    if (best != nullptr && rank >= best_rank) continue;
     best = &row;
     best_rank = rank;
   }
+  if (best != nullptr) replica_asked_[model] = ReplicaAsk{best->record.instance, now};
   return best;
 }
 
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -361,6 +361,35 @@
   EXPECT_TEXT("load c", engine.Order(), "a waiting request comes first");
 }
 
+TEST_GROUP(PlacementViews){};
+
+TEST(PlacementViews, TellHowOftenAFurtherModelIsWaitedFor) {
+  Engine engine;
+  engine.Report();
+  for (int n = 0; n < 40; ++n) {
+    // Each half second requests begin to wait for another model.
+    engine.Ask({Wanted(n % 2 == 0 ? "a" : "b", 1)});
+    engine.now += 250;
+    engine.Ask({Wanted(n % 2 == 0 ? "a" : "b", 3)});
+    engine.now += 250;
+  }
+  const double per_s = engine.core.View(engine.now).wants_per_s;
+  EXPECT_TRUE(per_s > 1.5 && per_s < 2.2, "two a second, got " + std::to_string(per_s));
+}
+
+TEST(PlacementViews, TellWhatTheClosingOfEachModelWouldCost) {
+  Engine engine;
+  engine.Load("a");
+  engine.Load("b");
+  engine.Report();
+  ModelUse busy = Used("a", 0, 10);
+  busy.target_ms = 300;
+  engine.Ask({}, {busy, Used("b", 0, 0.1)});
+  const auto cost = engine.core.View(engine.now).closing_ms;
+  EXPECT_TRUE(cost.at("a") > 10 * cost.at("b"),
+              "got " + std::to_string(cost.at("a")) + " and " + std::to_string(cost.at("b")));
+}
+
 TEST_GROUP(PlacementMessages){};
 
 TEST(PlacementMessages, SurviveTheirEncoding) {
@@ -376,6 +405,7 @@
   view.store_want = StoreWant{true, 2.5, 40};
   view.per_s = {{"a", 1.5}};
   view.closing_ms = {{"a", 250}};
+  view.wants_per_s = 1.25;
   EngineView read;
   EXPECT_TRUE(DecodeView(EncodeView(view), &read), "it decodes");
   EXPECT_TEXT("x", read.loaded.at(0).adapters.at(0), "");
@@ -386,6 +416,7 @@
   EXPECT_TRUE(read.store_want->weight == 2.5, "");
   EXPECT_TRUE(read.per_s.at("a") == 1.5, "");
   EXPECT_TRUE(read.closing_ms.at("a") == 250, "");
+  EXPECT_TRUE(read.wants_per_s == 1.25, "");
   AgentDemand demand{"e", "u1", {Wanted("a", 2, 0, "x", 9)}, {Used("a", 1, 0.5, 2)}, {"d"}, false};
   demand.use[0].adapters_in_use = {"x"};
   demand.use[0].target_ms = 300;
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -417,6 +417,62 @@
               "0.9 s later, for 3.9 s less of others");
 }
 
+TEST(ColdModels, AreBroughtFromTheStoreToTheEngineThatFewestOthersWaitFor) {
+  // A load from the store keeps its engine from all other orders for 6 s. Where
+  // three engines of six were lost, a third of the others' time went that way,
+  // while fresh engines with empty disks had nothing to do.
+  Table t;
+  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  EngineView busy = View("u1");
+  busy.wants_per_s = 1;
+  t.table.ApplyView(busy, t.now);
+  EngineView fresh = View("u2");
+  fresh.loading = "b";  // Half a second later there.
+  fresh.remaining_ms = 500;
+  t.table.ApplyView(fresh, t.now);
+  EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}),
+              "at u1 six models would begin to wait, 3 s each");
+  EngineView near = View("u1", {}, {"a"});
+  near.wants_per_s = 1;
+  t.table.ApplyView(near, t.now);
+  EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "from its disk in 0.8 s");
+}
+
+TEST(ColdModels, AskForAReplicaAtOneEngineUntilItIsUpThere) {
+  // An engine that makes room for it looks busier than the others meanwhile. Two
+  // of a busy model's replicas were closed for a third that was never loaded.
+  Table t;
+  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, false, t.now);
+  EngineView holder = View("u1", {{"a", {}}});
+  holder.per_s["a"] = 20;
+  t.table.ApplyView(holder, t.now);
+  for (const char* it : {"u2", "u3", "u4"}) t.table.ApplyView(View(it, {}, {"a"}), t.now);
+  t.table.OnArrival(ModelRef{"a", ""}, 1, 300, t.now);
+  const auto place = [&t] {
+    std::string places;
+    for (const auto& [instance, demand] : t.table.Demands({}, t.now)) {
+      for (const auto& it : demand.wanted) places += it.ref.model == "a" ? instance : "";
+    }
+    return places;
+  };
+  const std::string first = place();
+  EngineView changing = View(first, {}, {"a"});
+  changing.loading = "unloading";
+  changing.remaining_ms = 400;
+  t.now += 500;
+  t.table.ApplyView(changing, t.now);
+  EXPECT_TEXT(first, place(), "it makes room");
+  t.now += 1000;
+  t.table.ApplyView(changing, t.now);
+  for (const char* it : {"u1", "u2", "u3", "u4"}) {
+    if (it != first)
+      t.table.ApplyView(it == std::string("u1") ? holder : View(it, {}, {"a"}), t.now);
+  }
+  t.now += 1100;
+  t.table.ApplyView(changing, t.now);
+  EXPECT_TRUE(place() != first, "after 2.6 s another is asked, got " + place());
+}
+
 TEST(ColdModels, ShareTheWeightStoreAmongTheAgentsThatAsk) {
   Table t;
   std::vector<UpstreamRecord> listing;
