--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -88,6 +88,7 @@
   // is not applied.
   void ApplyConfiguration(RoutingConfiguration configuration);
   void SetRetries(RetryBudget::Options options);
+  void SetPolicy(const PolicySettings& policy);
   void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage);
   void ApplyView(const EngineView& view);
   void ForgetView(const std::string& instance);
--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -57,6 +57,7 @@
   const std::string& instance() const { return instance_; }
 
   void SetSpec(EngineSpec spec) { spec_ = std::move(spec); }
+  void SetPolicy(const PolicySettings& policy) { policy_ = policy; }
   bool has_spec() const { return spec_.accelerator_mb > 0; }
 
   void OnReport(EngineReport report, TimeMs now);
@@ -103,7 +104,7 @@
   // What an adapter's use is known by.
   bool IsInUse(const ModelRef& adapter) const;
   double WeightOf(const Want& want) const;
-  static double StoreWeightOf(const Want& want);
+  double StoreWeightOf(const Want& want) const;
 
   void ExpireDemands(TimeMs now);
   void CountWants(TimeMs now);
@@ -127,9 +128,11 @@
   EngineOrder Make(OrderKind kind, ModelRef target, std::string reason) const;
   DurationMs LoadEstimate(const std::string& model) const;
   double ClosingCost(const std::string& model) const;
+  double ClassWeight(int priority) const;
 
   std::string instance_;
   EngineSpec spec_;
+  PolicySettings policy_;
   EngineReport report_;
   bool has_report_ = false;
   std::map<std::uint64_t, Demand> demands_;
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -216,7 +216,7 @@
   std::string data_hall;
   // Weight store loads at once before they slow each other (site sheets).
   int parallel_store_loads = 4;
-  bool stages_models = true;
+  PolicySettings policy;
 };
 
 // The times and weights of the choice; see routing.cc for where each is from.
@@ -255,6 +255,9 @@
  public:
   explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {}
 
+  void SetPolicy(const PolicySettings& policy) { options_.policy = policy; }
+  const PolicySettings& policy() const { return options_.policy; }
+
   // A whole listing. `after_outage`: the store was away just before, so that
   // records may be missing that are about to come back.
   void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage, TimeMs now);
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -52,6 +52,38 @@
   DurationMs clock_skew_ms = 5000;      // The most that callers' clocks may be off.
 };
 
+// The mechanisms of the direct path's decisions. Each can be switched off, to
+// measure what it is worth or when it does harm.
+struct PolicySettings {
+  // Of agents.
+  bool weighs_closing = true;  // Closes a model only for more than its callers lose.
+  bool weighs_classes = true;  // Routes of a higher rank count more.
+  bool in_time_first = true;   // Who can still be in time goes before who is late.
+  bool interrupts = true;      // Models in use make room too.
+  bool settles = true;         // A model just loaded stays for a moment.
+  // Of entries.
+  bool weighs_occupation = true;   // Counts what a load keeps waiting at its engine.
+  bool adds_replicas = true;       // Busy models get further replicas.
+  bool stages = true;              // Idle engines bring models onto their disks.
+  bool shares_store = true;        // Loads from the weight store take turns.
+  bool spreads = true;             // Requests go by chance among engines alike in load.
+  bool prefers_prompts = true;     // Requests alike go where their prompts were read.
+  bool prefers_hall = true;        // The own data hall goes before others.
+  bool avoids_late_agents = true;  // Agents that are late with a model are passed over.
+  bool avoids_mute = true;         // Upstreams silent with their agents get nothing.
+  bool ejects = true;              // Upstreams that fail get nothing for a while.
+  bool leaves_silent = true;       // A silent upstream is left for another one.
+
+  bool operator==(const PolicySettings& other) const;
+};
+
+// The switches by the names that they have in a settings file.
+struct PolicySwitch {
+  const char* name;
+  bool PolicySettings::*value;
+};
+extern const std::vector<PolicySwitch> kPolicySwitches;
+
 // For the direct path, where entries speak with upstreams themselves and the
 // platform's store lists them. Takes the place of `kv`, `vm_list`, `entry` and
 // `agent`.
@@ -71,6 +103,8 @@
   // An agent's.
   Endpoint link;
   Endpoint upstream;
+  // Of both.
+  PolicySettings policy;
 };
 
 struct Settings {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace junctionrail {
@@ -66,8 +67,15 @@
   return endpoints;
 }
 
+PolicySettings ReadPolicy(ObjectReader& r) {
+  PolicySettings policy;
+  for (const auto& it : kPolicySwitches) policy.*it.value = r.Boolean(it.name, true);
+  return policy;
+}
+
 DirectSettings ReadDirect(ObjectReader& r, Role role) {
   DirectSettings direct;
+  r.Object("policy", [&](ObjectReader& it) { direct.policy = ReadPolicy(it); });
   direct.store = ReadEndpoint(r, "store");
   direct.metrics = ReadEndpoint(r, "metrics");
   if (role == Role::kAgent) {
@@ -104,6 +112,30 @@
 
 }  // namespace
 
+const std::vector<PolicySwitch> kPolicySwitches = {
+    {"weighs_closing", &PolicySettings::weighs_closing},
+    {"weighs_classes", &PolicySettings::weighs_classes},
+    {"in_time_first", &PolicySettings::in_time_first},
+    {"interrupts", &PolicySettings::interrupts},
+    {"settles", &PolicySettings::settles},
+    {"weighs_occupation", &PolicySettings::weighs_occupation},
+    {"adds_replicas", &PolicySettings::adds_replicas},
+    {"stages", &PolicySettings::stages},
+    {"shares_store", &PolicySettings::shares_store},
+    {"spreads", &PolicySettings::spreads},
+    {"prefers_prompts", &PolicySettings::prefers_prompts},
+    {"prefers_hall", &PolicySettings::prefers_hall},
+    {"avoids_late_agents", &PolicySettings::avoids_late_agents},
+    {"avoids_mute", &PolicySettings::avoids_mute},
+    {"ejects", &PolicySettings::ejects},
+    {"leaves_silent", &PolicySettings::leaves_silent},
+};
+
+bool PolicySettings::operator==(const PolicySettings& other) const {
+  return std::all_of(kPolicySwitches.begin(), kPolicySwitches.end(),
+                     [&](const PolicySwitch& it) { return this->*it.value == other.*it.value; });
+}
+
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return false;
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -57,6 +57,7 @@
         });
     const auto metrics = metrics_->Listen();
     if (!metrics) return ListenError{"direct.metrics", metrics.error().sentence};
+    core_.SetPolicy(settings_.direct->policy);
     configuration_.Start();
     upstreams_.Start();
     AskReport();
@@ -77,6 +78,7 @@
         !(settings.direct->store == direct.store) ||
         !(settings.direct->metrics == direct.metrics) || !(settings.direct->link == direct.link) ||
         !(settings.direct->upstream == direct.upstream);
+    if (settings.direct) core_.SetPolicy(settings.direct->policy);
     log_.Write(MonotonicMs(), "reload", {{"waits_for_restart", must_restart}});
   }
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -54,6 +54,7 @@
   options.names = platform::HeaderNames();
   options.retries = RetriesOf(direct);
   options.routing.data_hall = settings.data_hall;
+  options.routing.policy = direct.policy;
   return options;
 }
 
@@ -114,6 +115,8 @@
       direct.retry_extra = settings.direct->retry_extra;
       direct.retry_window_ms = settings.direct->retry_window_ms;
       direct.leaving_ms = settings.direct->leaving_ms;
+      direct.policy = settings.direct->policy;
+      gateway_.SetPolicy(direct.policy);
       gateway_.SetRetries(RetriesOf(direct));
       upstreams_.SetPeriod(ListingPeriod(direct));
     }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -343,6 +343,7 @@
 // How long this attempt may be silent before the request goes elsewhere; 0 for
 // as long as it has.
 DurationMs Exchange::SilenceLimit() const {
+  if (!gateway_.upstreams.policy().leaves_silent) return 0;
   if (!call_ || !route_->MayRepeat() || ran_attempts_ >= route_->max_attempts) return 0;
   const bool is_stream = route_->kind == CallKind::kStream;
   if (is_begun_)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -225,6 +225,8 @@
 
 void Gateway::SetRetries(RetryBudget::Options options) { impl_->retries.SetOptions(options); }
 
+void Gateway::SetPolicy(const PolicySettings& policy) { impl_->upstreams.SetPolicy(policy); }
+
 void Gateway::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage) {
   impl_->upstreams.ApplyListing(listing, after_outage, MonotonicMs());
 }
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -64,14 +64,16 @@
   return target * target / 3 + (time * time - target * target) / 2;
 }
 
-double ClassWeight(int priority) { return std::pow(kClassWeight, -priority); }
-
 bool Contains(const std::vector<std::string>& list, std::string_view value) {
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
 }  // namespace
 
+double PlacementCore::ClassWeight(int priority) const {
+  return policy_.weighs_classes ? std::pow(kClassWeight, -priority) : 1;
+}
+
 void PlacementCore::Reset(std::string instance) {
   instance_ = std::move(instance);
   report_ = {};
@@ -195,6 +197,7 @@
 // that keeps all others waiting.
 double PlacementCore::WeightOf(const Want& want) const {
   const DurationMs swap = LoadEstimate(want.ref.model) + kSwapOverheadMs;
+  if (!policy_.in_time_first) return want.waiting * ClassWeight(want.priority);
   const DurationMs slack = want.left_ms - swap;
   double part = kLatePart;
   if (slack >= 0) part = static_cast<double>(swap) / static_cast<double>(swap + slack);
@@ -207,7 +210,7 @@
 // For a place at the weight store a further replica weighs as many requests as
 // each one that there is gets in a second. Here it goes last all the same: tried
 // the other way, busy models took the engines' time from rare ones on disk.
-double PlacementCore::StoreWeightOf(const Want& want) {
+double PlacementCore::StoreWeightOf(const Want& want) const {
   return (want.waiting + want.replica_per_s) * ClassWeight(want.priority);
 }
 
@@ -288,6 +291,7 @@
 // arrive until then for the rest. Where there are other replicas they take its
 // share of the requests, and the cost is what that share would have waited.
 double PlacementCore::ClosingCost(const std::string& model) const {
+  if (!policy_.weighs_closing) return 0;
   const Use use = UseOf(model);
   DurationMs away = LoadEstimate(model) + kSwapOverheadMs;
   if (use.in_flight > 0) away += kUnloadMs;
@@ -313,10 +317,11 @@
       return want.waiting > 0 && want.ref.model == it.name;
     });
     const auto loaded = loaded_at_.find(it.name);
-    const bool is_settling = loaded != loaded_at_.end() && now - loaded->second < kSettleMs;
+    const bool is_settling =
+        policy_.settles && loaded != loaded_at_.end() && now - loaded->second < kSettleMs;
     if (is_wanted || is_settling) continue;
     const Use use = UseOf(it.name);
-    if (use.in_flight > 0 && !may_interrupt) continue;
+    if (use.in_flight > 0 && !(may_interrupt && policy_.interrupts)) continue;
     const double cost = ClosingCost(it.name);
     if (cost > most_ms) continue;
     double value = use.per_s / std::max(1, use.replicas) + use.in_flight;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -113,6 +113,7 @@
 // engine carries out one order at a time: of those that begin to wait there until
 // the load is done, each waits half of it on average.
 double UpstreamTable::OccupationCost(const Row& row, const ModelRef& model) const {
+  if (!options_.policy.weighs_occupation) return 0;
   const EngineView& view = row.view;
   if (HoldsModel(view.loaded, model.model) || view.loading == model.model) return 0;
   const ModelSpec* spec = SpecOf(row, model.model);
@@ -133,7 +134,9 @@
   if (asked == asked_.end() || now - asked->second.last_at > kAskedAnewMs) return {};
   if (now < asked->second.late_at) return asked->second.instance;
   const auto row = rows_.find(asked->second.instance);
-  if (row != rows_.end()) row->second.overdue_until[model] = now + kAvoidMs;
+  if (row != rows_.end() && options_.policy.avoids_late_agents) {
+    row->second.overdue_until[model] = now + kAvoidMs;
+  }
   return {};
 }
 
@@ -233,9 +236,9 @@
     wanted.per_s = RateOf(it.ref.model, now);
     demand->second.wanted.push_back(std::move(wanted));
   }
-  AddReplicas(&demands, replicas, now);
-  if (options_.stages_models) AddStaging(&demands, now);
-  ShareWeightStore(&demands, now);
+  if (options_.policy.adds_replicas) AddReplicas(&demands, replicas, now);
+  if (options_.policy.stages) AddStaging(&demands, now);
+  if (options_.policy.shares_store) ShareWeightStore(&demands, now);
   return demands;
 }
 
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -130,6 +130,7 @@
 }
 
 bool UpstreamTable::IsMute(const Row& row, TimeMs now) const {
+  if (!options_.policy.avoids_mute) return false;
   return row.unheard_since != 0 && now - row.unheard_since > kMuteMs && !IsFresh(row, now);
 }
 
@@ -177,13 +178,16 @@
   if (IsFresh(row, now)) {
     load = row.view.running + row.view.waiting + row.sent_since_view;
     if (row.view.kv_share > kFullKvShare) load += kFullKvLoad;
-    load += kSpreadLoad * Chance(request.request_id, row.record.instance);
+    if (options_.policy.spreads) {
+      load += kSpreadLoad * Chance(request.request_id, row.record.instance);
+    }
   }
   load = load * 64 / std::max(1, row.record.slots);
-  if (row.record.data_hall != options_.data_hall) load += kOtherHallLoad;
+  const bool is_far = row.record.data_hall != options_.data_hall;
+  if (is_far && options_.policy.prefers_hall) load += kOtherHallLoad;
   // A failure not yet followed by a success makes others the better choice.
   load += 16.0 * row.failures;
-  if (!request.affinity.empty()) {
+  if (!request.affinity.empty() && options_.policy.prefers_prompts) {
     load -= kAffinityLoad * Chance(request.affinity, row.record.instance);
   }
   return load;
@@ -316,7 +320,7 @@
   // Nobody listens there: certain at once, unlike a failed answer.
   const bool is_out =
       row.failures >= kFailuresToEject || end == AttemptEnd::kUnreachable || was_mute;
-  if (!is_out) return;
+  if (!is_out || !options_.policy.ejects) return;
   const DurationMs out = std::min(kLongestEjectMs, kEjectMs << std::min(row.ejections, 6));
   row.ejected_until = now + out;
   ++row.ejections;
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -68,7 +68,7 @@
   Fleet() {
     RoutingOptions options;
     options.data_hall = "hall-1";
-    options.stages_models = false;
+    options.policy.stages = false;
     std::vector<UpstreamRecord> listing;
     for (int n = 0; n < kEngines; ++n) {
       engines_.emplace_back();
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -34,7 +34,7 @@
   static RoutingOptions Options(bool stages) {
     RoutingOptions options;
     options.data_hall = "hall-1";
-    options.stages_models = stages;
+    options.policy.stages = stages;
     return options;
   }
 
--- a/test/settings_file_test.cc
+++ b/test/settings_file_test.cc
@@ -78,4 +78,25 @@
   EXPECT_TEXT("vm-3", world.seen[1], "");
 }
 
+TEST(SettingsFiles, SwitchMechanismsOffByName) {
+  World world;
+  const std::string plain = SettingsWith("vm-1");
+  const std::string end = "}}";
+  const std::string head = plain.substr(0, plain.size() - end.size());
+  const auto read = [&](const std::string& policy) {
+    world.Write(head + ",\"policy\":" + policy + end);
+    const auto settings = ReadSettings(world.path);
+    if (!settings) return settings.error().Sentence();
+    const PolicySettings& read = settings.value().direct->policy;
+    return std::string(read.settles ? "settles" : "") + (read.interrupts ? " interrupts" : "");
+  };
+  EXPECT_TEXT("settles interrupts", read("{}"), "all are on where none is named");
+  EXPECT_TEXT(" interrupts", read(R"({"settles": false})"), "the others stay on");
+  const std::string unknown = read(R"({"settle": false})");
+  EXPECT_TRUE(unknown.find("direct.policy.settle") != std::string::npos, unknown);
+  const std::string wrong = read(R"({"settles": 1})");
+  EXPECT_TRUE(wrong.find("direct.policy.settles: expected true or false") != std::string::npos,
+              wrong);
+}
+
 }  // namespace junctionrail::internal
