Explain where callers' time went, out of the logs of a fleet

junctionrail explain LOG... prints per route the time to the first event and at the upstream, how many were late and how many of them by the wait for a model alone; per source of loads the wait and the error of its estimate; loads and unloads by model and reason; requests by upstream. The reader of log lines serves story too.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -4,10 +4,12 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <thread>
 
+#include "explain.h"
 #include "junctionrail/declarations.h"
 #include "story.h"
 
@@ -174,17 +176,42 @@
 
 }  // namespace
 
-ExitCode TellStory(const Options& options, const std::string& request,
-                   const std::vector<std::string>& files) {
-  Story story(request);
+namespace {
+
+// Hands each file to `read`; false, and says which, when one cannot be read.
+bool ReadLogs(const std::vector<std::string>& files,
+              const std::function<void(std::istream&)>& read) {
   for (const auto& file : files) {
     std::ifstream log(file);
     if (!log) {
       std::fprintf(stderr, "error: %s: expected a log file that can be read\n", file.c_str());
-      return kBadInput;
+      return false;
     }
-    story.Read(log);
+    read(log);
   }
+  return true;
+}
+
+}  // namespace
+
+ExitCode Explain(const Options& options, const std::vector<std::string>& files) {
+  if (options.is_json) {
+    std::fprintf(stderr, "error: explain: expected --output=text, found json\n");
+    return kBadInput;
+  }
+  Explanation explanation;
+  if (!ReadLogs(files, [&](std::istream& log) { explanation.Read(log); })) return kBadInput;
+  std::printf("%s", explanation.ToText().c_str());
+  if (explanation.lines_passed_over() > 0) {
+    std::fprintf(stderr, "%zu lines are no events\n", explanation.lines_passed_over());
+  }
+  return kDone;
+}
+
+ExitCode TellStory(const Options& options, const std::string& request,
+                   const std::vector<std::string>& files) {
+  Story story(request);
+  if (!ReadLogs(files, [&](std::istream& log) { story.Read(log); })) return kBadInput;
   const std::vector<StoryLine> lines = story.Lines();
   if (lines.empty()) {
     std::fprintf(stderr, "error: no line names the request %s (%zu lines are no events)\n",
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -33,6 +33,8 @@
 // Prints what the log files say of a request, in order.
 ExitCode TellStory(const Options& options, const std::string& request,
                    const std::vector<std::string>& files);
+// Prints what the log files say of where callers' time went.
+ExitCode Explain(const Options& options, const std::vector<std::string>& files);
 ExitCode Why(const Options& options, const std::string& kind, const std::string& subject);
 
 }  // namespace junctionrail::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -37,6 +37,7 @@
     "  why model NAME@VERSION    why a model is where it is\n"
     "  why upstream VM           what was decided about an upstream\n"
     "  story ID FILE...          what the logs of all processes say of a request\n"
+    "  explain FILE...           where callers' time went, out of the logs of all processes\n"
     "Exit codes: 0 done, 1 refused, 2 bad input, 3 entry away, 4 not in force yet, 5 unknown";
 
 ExitCode BadUsage(const std::string& sentence) {
@@ -73,6 +74,10 @@
     if (words.size() < 3) return BadUsage("story: expected a request's id and log files");
     return junctionrail::cli::TellStory(options, words[1], {words.begin() + 2, words.end()});
   }
+  if (command == "explain") {
+    if (words.size() < 2) return BadUsage("explain: expected log files");
+    return junctionrail::cli::Explain(options, {words.begin() + 1, words.end()});
+  }
   if (words.size() != 1) return BadUsage(command + ": expected no further words");
   if (command == "check") return junctionrail::cli::Check(options);
   if (command == "diff") return junctionrail::cli::Diff(options);
--- a/src/cli/story.cc
+++ b/src/cli/story.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "log_line.h"
+
 namespace junctionrail::cli {
 namespace {
 
@@ -28,16 +30,12 @@
 }
 
 void Story::Take(std::string_view text) {
-  // Collectors put their own words before the line.
-  const std::size_t begin = text.find('{');
-  const json line =
-      begin == std::string_view::npos ? json() : json::parse(text.substr(begin), nullptr, false);
-  const bool is_event = line.is_object() && line.contains("t") && line.contains("event") &&
-                        line.contains("process") && line["t"].is_number_integer();
-  if (!is_event) {
+  const std::optional<json> parsed = ParseLogLine(text);
+  if (!parsed) {
     if (!text.empty()) ++passed_over_;
     return;
   }
+  const json& line = *parsed;
   Entry entry;
   entry.line.wall_ms = line["t"].get<std::int64_t>();
   entry.line.process = Plain(line["process"]);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -205,6 +205,7 @@
                       {"attempts", static_cast<std::int64_t>(sent_attempts_)},
                       {"events", static_cast<std::int64_t>(events_.events())},
                       {"waited_ms", waited_ms_},
+                      {"target_ms", route_ != nullptr ? route_->first_answer_ms : 0},
                       {"first_ms", first_at_ > 0 ? first_at_ - request_.arrived_at : -1},
                       {"pause_ms", longest_pause_ms_},
                       {"total_ms", now - request_.arrived_at},
