Keep room for whom it was made; wake only requests that a view concerns

A view now wakes only those that it concerns, the others look again with the next tick, and others' losses are worked out only where they can decide.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -37,7 +37,8 @@
   OrderKind kind = OrderKind::kLoad;
   ModelRef target;
   std::int64_t expected_sequence = 0;
-  std::string reason;  // For logs.
+  std::string reason;    // For logs.
+  std::string room_for;  // The model that an unload makes room for.
 };
 
 enum class OrderAnswer {
@@ -143,6 +144,9 @@
   bool is_unloading_ = false;
   bool is_from_store_ = false;
   TimeMs loading_since_ = 0;
+  // The model that room was made for, until it is loaded.
+  std::string room_for_;
+  TimeMs room_at_ = 0;
   std::map<std::string, TimeMs> loaded_at_;
   std::set<std::string> waited_for_;  // Models that requests wait for.
   double wants_per_s_ = 0;            // How often one is added to them.
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -301,6 +301,8 @@
   std::map<std::string, AgentDemand> Demands(const std::vector<Waiting>& waiting, TimeMs now);
 
   const UpstreamRecord* Find(const std::string& instance) const;
+  // Whether the upstream can take requests for the model, as far as is known.
+  bool HoldsNow(const std::string& instance, const ModelRef& model, TimeMs now) const;
   bool HasFreshView(const std::string& instance, TimeMs now) const;
   // How many entries there are, as the agents count their links; at least 1.
   int Entries(TimeMs now) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -140,10 +140,27 @@
   parked.erase(exchange);
 }
 
-void Gateway::Impl::WakeParked() {
-  if (parked.empty()) return;
+void Gateway::Impl::WakeParked() { Wake({parked.begin(), parked.end()}); }
+
+// Those whose model is up at one of the engines that changed, or that asked one of
+// them. The others look again at the next tick: with each of 49 engines' views
+// they would cost an entry a tenth of a core.
+void Gateway::Impl::WakeConcerned() {
+  const std::set<std::string> instances = std::exchange(changed, {});
+  std::vector<std::shared_ptr<internal::Exchange>> concerned;
+  for (const auto& it : parked) {
+    const bool is_concerned =
+        instances.count(it->asked()) > 0 ||
+        std::any_of(instances.begin(), instances.end(), [&](const std::string& instance) {
+          return upstreams.HoldsNow(instance, *it->model(), MonotonicMs());
+        });
+    if (is_concerned) concerned.push_back(it);
+  }
+  Wake(std::move(concerned));
+}
+
+void Gateway::Impl::Wake(std::vector<std::shared_ptr<internal::Exchange>> all) {
   // Most urgent first, then longest waiting.
-  std::vector<std::shared_ptr<internal::Exchange>> all(parked.begin(), parked.end());
   std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
     if (a->priority() != b->priority()) return a->priority() < b->priority();
     return a->parked_since() < b->parked_since();
@@ -233,12 +250,11 @@
 
 void Gateway::ApplyView(const EngineView& view) {
   impl_->upstreams.ApplyView(view, MonotonicMs());
-  if (impl_->parked.empty() || impl_->is_waking) return;
-  impl_->is_waking = true;
-  boost::asio::post(impl_->io, [impl = impl_] {
-    impl->is_waking = false;
-    impl->WakeParked();
-  });
+  if (impl_->parked.empty()) return;
+  const bool is_waking = !impl_->changed.empty();
+  impl_->changed.insert(view.instance);
+  if (is_waking) return;
+  boost::asio::post(impl_->io, [impl = impl_] { impl->WakeConcerned(); });
 }
 
 void Gateway::ForgetView(const std::string& instance) { impl_->upstreams.ForgetView(instance); }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -34,6 +34,8 @@
   void Park(const std::shared_ptr<internal::Exchange>& exchange);
   void Unpark(const std::shared_ptr<internal::Exchange>& exchange);
   void WakeParked();
+  void WakeConcerned();
+  static void Wake(std::vector<std::shared_ptr<internal::Exchange>> all);
   std::vector<UpstreamTable::Waiting> WaitingModels();
   static UpstreamTable::Waiting WaitingOf(const internal::Exchange& exchange, TimeMs since);
   // A request could not wait for its model; others will ask for it.
@@ -61,7 +63,7 @@
   std::function<void()> on_stopped;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer tick;
-  bool is_waking = false;
+  std::set<std::string> changed;  // Instances whose views came since the last wake.
 };
 
 }  // namespace junctionrail
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -36,6 +36,9 @@
 constexpr DurationMs kStageIdleMs = 1500;
 // The rate of wants is an average over about so long.
 constexpr double kWantsMemoryMs = 5000;
+// The end of the requests on a model that makes room, and another unload where
+// one was not enough, are over in so long.
+constexpr DurationMs kRoomKeptMs = 2500;
 // Demand moves within seconds: what a model is worth to its callers is counted
 // over so long.
 constexpr double kHorizonMs = 1000;
@@ -82,6 +85,7 @@
   loading_.clear();
   is_unloading_ = false;
   loaded_at_.clear();
+  room_for_.clear();
   adapter_used_at_.clear();
   store_want_.reset();
   store_want_since_ = 0;
@@ -407,7 +411,10 @@
   const double missing_mb = UsedMb() + spec->size_mb - spec_.accelerator_mb;
   const auto victim = Victim(wants, missing_mb, most_ms, may_interrupt, now);
   if (!victim) return std::nullopt;
-  return Make(OrderKind::kUnload, ModelRef{*victim, {}}, "makes room for " + want.ref.model);
+  EngineOrder order =
+      Make(OrderKind::kUnload, ModelRef{*victim, {}}, "makes room for " + want.ref.model);
+  order.room_for = want.ref.model;
+  return order;
 }
 
 std::optional<EngineOrder> PlacementCore::OrderStaging(const std::vector<Want>& wants, TimeMs now) {
@@ -451,6 +458,14 @@
     auto order = OrderAdapter(it, wants);
     if (order) return order;
   }
+  // Room that others lost a model for goes to the one that was weighed against it.
+  if (!room_for_.empty() && now - room_at_ < kRoomKeptMs) {
+    for (const auto& it : wants) {
+      if (it.ref.model != room_for_) continue;
+      auto order = OrderModel(it, wants, now);
+      if (order) return order;
+    }
+  }
   for (const auto& it : wants) {
     auto order = OrderModel(it, wants, now);
     if (order) return order;
@@ -471,6 +486,11 @@
   is_open_unknown_ = answer == OrderAnswer::kUnknown;
   open_since_ = now;
   if (!order.target.adapter.empty()) return;
+  if (order.kind == OrderKind::kLoad && order.target.model == room_for_) room_for_.clear();
+  if (!order.room_for.empty()) {
+    room_for_ = order.room_for;
+    room_at_ = now;
+  }
   loading_ = order.target.model;
   is_unloading_ = order.kind == OrderKind::kUnload;
   is_from_store_ = !is_unloading_ && !IsNear(loading_);
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -167,7 +167,7 @@
       // What others lose there was weighed when it was asked, and counts the wait
       // for this model too.
       estimate -= kStayWithAskedMs;
-    } else {
+    } else if (best == nullptr || estimate <= best_ms) {
       // The agent makes room when those who wait have lost as much as those who
       // would: the cost to others is also a wait.
       estimate += static_cast<DurationMs>(CostToOthers(*row, *request.model));
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -23,6 +23,8 @@
 // A swap, with the end of requests under way before it, is over in such a time;
 // then the place is chosen anew.
 constexpr DurationMs kStayWithPlaceMs = 2500;
+// A load from disk and the swap before it take about so long.
+constexpr DurationMs kSoonMs = 1500;
 
 }  // namespace
 
@@ -99,7 +101,10 @@
   int n = 0;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
-    if (row.view.loading == model || Contains(row.view.queue, model)) ++n;
+    // One that takes longer than a load from disk is no reason to wait for it.
+    const bool is_slow = row.view.is_from_store && row.view.remaining_ms > kSoonMs;
+    const bool is_loading = row.view.loading == model && !is_slow;
+    if (is_loading || Contains(row.view.queue, model)) ++n;
   }
   return n;
 }
@@ -119,7 +124,9 @@
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
     if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
     if (is_asked && asked->second.instance == instance) return &row;
-    const double cost = static_cast<double>(EstimateLoad(row, ref, now)) + CostToOthers(row, ref);
+    double cost = static_cast<double>(EstimateLoad(row, ref, now));
+    if (best != nullptr && cost > best_rank.first) continue;
+    cost += CostToOthers(row, ref);
     const std::pair<double, std::uint64_t> rank(cost, ~RendezvousScore(model, instance));
     if (best != nullptr && rank >= best_rank) continue;
     best = &row;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -173,6 +173,11 @@
   return false;
 }
 
+bool UpstreamTable::HoldsNow(const std::string& instance, const ModelRef& model, TimeMs now) const {
+  const auto it = rows_.find(instance);
+  return it != rows_.end() && Holds(it->second, model, now);
+}
+
 double UpstreamTable::LoadOf(const Row& row, const PickRequest& request, TimeMs now) const {
   double load = row.in_flight;
   if (IsFresh(row, now)) {
