--- a/include/junctionrail/base.h
+++ b/include/junctionrail/base.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace junctionrail {
 
@@ -30,6 +31,9 @@
 using InvariantHandler = std::function<void(std::string_view)>;
 InvariantHandler SetInvariantHandler(InvariantHandler handler);
 
+// Whether a list of names holds one.
+bool Contains(const std::vector<std::string>& list, std::string_view value);
+
 // Highest-random-weight score of `node` for `key` (Thaler and Ravishankar,
 // 1998). The same in every process and on every build.
 std::uint64_t RendezvousScore(std::string_view key, std::string_view node);
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -214,7 +214,8 @@
 
 struct RoutingOptions {
   std::string data_hall;
-  // Weight store loads at once before they slow each other (site sheets).
+  // Loads that the weight store serves at once before they slow each other. It
+  // says so nowhere; too few delays loads, too many slows each.
   int parallel_store_loads = 4;
   PolicySettings policy;
 };
--- a/src/base/base.cc
+++ b/src/base/base.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/escaping.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -31,6 +33,10 @@
   return std::exchange(Handler(), std::move(handler));
 }
 
+bool Contains(const std::vector<std::string>& list, std::string_view value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
 std::uint64_t RendezvousScore(std::string_view key, std::string_view node) {
   // Seeding the node's hash with the key's keeps "ab"+"c" apart from "a"+"bc".
   const XXH64_hash_t seed = XXH3_64bits(key.data(), key.size());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -143,8 +143,8 @@
 void Gateway::Impl::WakeParked() { Wake({parked.begin(), parked.end()}); }
 
 // Those whose model is up at one of the engines that changed, or that asked one of
-// them. The others look again at the next tick: with each of 49 engines' views
-// they would cost an entry a tenth of a core.
+// them. The others look again at the next tick: to look with every view took more
+// than half of an entry's processor time, measured with 49 engines.
 void Gateway::Impl::WakeConcerned() {
   const std::set<std::string> instances = std::exchange(changed, {});
   std::vector<std::shared_ptr<internal::Exchange>> concerned;
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -47,8 +47,8 @@
 constexpr DurationMs kSwapOverheadMs = 300;
 // Adapters that an engine fetches at the same time.
 constexpr std::size_t kAdaptersAtOnce = 4;
-// What a waiting request weighs against one of the class below: on the sites'
-// sheets a rare model's request is worth eight to nine frequent ones.
+// Operators rank their routes: one caller of a rank counts as so many of the next
+// below. Thirty callers still outweigh one of the rank above, none is starved.
 constexpr double kClassWeight = 8;
 
 // What a caller loses by a wait, in milliseconds: all of it beyond the target, and
@@ -67,10 +67,6 @@
   return target * target / 3 + (time * time - target * target) / 2;
 }
 
-bool Contains(const std::vector<std::string>& list, std::string_view value) {
-  return std::find(list.begin(), list.end(), value) != list.end();
-}
-
 }  // namespace
 
 double PlacementCore::ClassWeight(int priority) const {
@@ -279,7 +275,7 @@
     CheckInvariant(target.adapter.empty() || UsedAdapterPlaces() < spec_.adapter_places,
                    "an order to load an adapter finds a free place");
   }
-  return EngineOrder{kind, std::move(target), report_.sequence, std::move(reason)};
+  return EngineOrder{kind, std::move(target), report_.sequence, std::move(reason), {}};
 }
 
 DurationMs PlacementCore::LoadEstimate(const std::string& model) const {
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -6,7 +6,6 @@
 
 namespace junctionrail {
 
-using internal::Contains;
 using internal::HoldsModel;
 
 namespace {
@@ -184,7 +183,7 @@
     best_ms = estimate;
     best_score = score;
   }
-  if (best == nullptr) return WaitFor{{}, 0};
+  if (best == nullptr) return WaitFor{{}, 0, {}, 0};
   const DurationMs estimate = EstimateLoad(*best, *request.model, now);
   NoteAsked(*request.model, best->record.instance, estimate, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -7,7 +7,6 @@
 
 namespace junctionrail {
 
-using internal::Contains;
 using internal::HoldsModel;
 
 namespace {
--- a/src/routing/routing_impl.h
+++ b/src/routing/routing_impl.h
@@ -11,10 +11,6 @@
 
 namespace junctionrail::internal {
 
-inline bool Contains(const std::vector<std::string>& list, std::string_view value) {
-  return std::find(list.begin(), list.end(), value) != list.end();
-}
-
 inline bool HoldsModel(const std::vector<LoadedModel>& loaded, std::string_view model) {
   return std::any_of(loaded.begin(), loaded.end(),
                      [&](const LoadedModel& it) { return it.name == model; });
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -244,7 +244,7 @@
     best_load = load;
   }
   if (best != nullptr) return SendTo{best->record.instance};
-  if (full != nullptr) return WaitFor{full->record.instance, kFullMs};
+  if (full != nullptr) return WaitFor{full->record.instance, kFullMs, "place", 0};
   if (!request.model) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
   if (untried.empty()) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
   return ChooseLoad(request, untried, now);
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -264,6 +264,24 @@
   EXPECT_TEXT("unload a", engine.Order(), "four callers late at any moment");
 }
 
+TEST(PlacementMakesRoom, ForTheOneThatWasWeighedAgainstIt) {
+  // Room made by a busy model's replica went to whichever model came next.
+  Engine engine;
+  for (const char* it : {"a", "b", "c"}) engine.Load(it);
+  engine.Report();
+  const std::vector<ModelUse> use = {Used("a", 0, 0.1), Used("b", 0, 3), Used("c", 0, 3)};
+  ModelDemand replica = Wanted("d", 0, 0);
+  replica.callers_late = 9;
+  engine.Ask({replica}, use);
+  EXPECT_TEXT("unload a", engine.Order(), "the least asked for");
+  engine.Answer(OrderAnswer::kAccepted);
+  engine.CarryOut();
+  engine.now += 100;
+  engine.Report();
+  engine.Ask({replica, Wanted("e", 40, 0)}, use);
+  EXPECT_TEXT("load d", engine.Order(), "forty wait for e now, but room was made for d");
+}
+
 TEST_GROUP(PlacementAdapters){};
 
 TEST(PlacementAdapters, TakeThePlaceOfOneThatNoRequestUses) {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -291,7 +291,7 @@
     RunUntil(io, [&] { return answer.has_value(); });
     return answer.value_or(OrderAnswer::kRejected);
   };
-  const EngineOrder order{OrderKind::kLoad, {"m1", "a1"}, 7, ""};
+  const EngineOrder order{OrderKind::kLoad, {"m1", "a1"}, 7, "", ""};
   EXPECT_TRUE(give(order) == OrderAnswer::kAccepted, "");
   const SeenRequest& seen = engine.seen().at(0);
   EXPECT_TEXT("POST /order HTTP/1.1", seen.Line(), "");
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -396,6 +396,29 @@
               "20 a second, 150 ms, exp(-2) of them late: 0.406, got " + std::to_string(late));
 }
 
+TEST(ColdModels, GetAReplicaFromDiskWhileOneIsUnderWayFromTheStore) {
+  // A load from the store takes 6 s; for so long one engine had all requests.
+  Table t;
+  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3")}, false, t.now);
+  EngineView holder = View("u1", {{"a", {}}});
+  holder.per_s["a"] = 20;
+  t.table.ApplyView(holder, t.now);
+  t.table.ApplyView(View("u3", {}, {"a"}), t.now);
+  t.table.OnArrival(ModelRef{"a", ""}, 1, 300, t.now);
+  const auto wanted = [&t](bool is_from_store, DurationMs remaining_ms) {
+    EngineView coming = View("u2");
+    coming.loading = "a";
+    coming.is_from_store = is_from_store;
+    coming.remaining_ms = remaining_ms;
+    t.table.ApplyView(coming, t.now);
+    const auto demands = t.table.Demands({}, t.now);
+    return demands.at("u3").wanted.size();
+  };
+  EXPECT_NUMBER(0, wanted(false, 600), "the second one is up soon");
+  EXPECT_NUMBER(1, wanted(true, 5500), "not from the store");
+  EXPECT_NUMBER(0, wanted(true, 900), "unless most of the time has passed");
+}
+
 TEST(ColdModels, AreAskedForWhereTheRoomCostsOthersLeast) {
   Table t;
   t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
