Views in parts: tell entries what has changed, at once only whom it concerns; find models by hash

Cause: before 180 engines an entry read some 700 whole views a second, of 0.5 to 1 KB each, and looked each model up among 965 from the front; demand was worked out by walking all engines once for each model. Change: a link begins with a whole view, then come updates of the parts that changed, where the entry says that it reads them; changes go at once to the entries they concern and to the others with the next view that is due; demand that has not changed is repeated each 10 ms times the engines, a second at least; models are found by a hash; counts over the fleet are made once a round.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -71,6 +71,10 @@
   void OnAnswer(const EngineOrder& order, OrderAnswer answer, TimeMs now);
 
   EngineView View(TimeMs now) const;
+  // Whether the entry behind `link` acts on it now that something changes here:
+  // it waits for something, or has lately sent requests for one of `gone`.
+  bool IsConcerned(std::uint64_t link, const std::vector<std::string>& gone) const;
+  bool TakesUpdates(std::uint64_t link) const;
   // Whether anything is under way that the next report may show finished.
   bool IsActive() const;
   bool HasDemand() const { return !demands_.empty(); }
@@ -80,6 +84,7 @@
     AgentDemand demand;
     TimeMs at = 0;
   };
+  const AgentDemand* DemandOf(std::uint64_t link) const;
   static constexpr DurationMs kNever = 1LL << 40;
   struct Want {
     ModelRef ref;
@@ -157,8 +162,28 @@
   TimeMs store_want_since_ = 0;  // 0: none is wanted.
 };
 
-// The messages between entries and agents, as CBOR.
+// The parts of a view that stay as they are for seconds, and are most of its bytes.
+struct ViewParts {
+  bool has_loaded = false;   // `loaded`.
+  bool has_orders = false;   // `loading`, `is_from_store` and `queue`.
+  bool has_at_hand = false;  // `at_hand`.
+
+  bool IsEmpty() const { return !has_loaded && !has_orders && !has_at_hand; }
+  void Add(const ViewParts& other);
+};
+// In which parts two views of one instance differ.
+ViewParts ChangedParts(const EngineView& before, const EngineView& after);
+// What was loaded before and is not now, or has lost an adapter.
+std::vector<std::string> GoneModels(const EngineView& before, const EngineView& after);
+
+// The messages between entries and agents, as CBOR. A view is sent whole first on
+// a link and with each new instance, then as updates that hold these parts and the
+// engine's load.
 std::string EncodeView(const EngineView& view);
+std::string EncodeViewUpdate(const EngineView& view, const ViewParts& parts);
+// Reads a whole view, or brings `view`, the one before on the same link, up to date.
+// False, with `view` in part changed, when the bytes are neither, or `view` is empty
+// and they are an update.
 bool DecodeView(std::string_view bytes, EngineView* view);
 std::string EncodeDemand(const AgentDemand& demand);
 bool DecodeDemand(std::string_view bytes, AgentDemand* demand);
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <set>
@@ -62,14 +63,35 @@
   DurationMs memory_load_ms = 0;  // From the upstream's host memory.
 };
 
+// The models of a service. Found by name in constant time: each estimate of a
+// load looks some of them up, and there may be thousands.
+class ModelCatalog {
+ public:
+  ModelCatalog() = default;
+  ModelCatalog(std::initializer_list<ModelSpec> models);
+
+  // The first of two models with one name is the one that is found.
+  void push_back(ModelSpec spec);  // NOLINT(readability-identifier-naming): as in containers.
+  // Null when there is none of that name.
+  const ModelSpec* Find(std::string_view model) const;
+  std::vector<ModelSpec>::const_iterator begin() const { return models_.begin(); }  // NOLINT
+  std::vector<ModelSpec>::const_iterator end() const { return models_.end(); }      // NOLINT
+  const ModelSpec& at(std::size_t n) const { return models_.at(n); }                // NOLINT
+  std::size_t size() const { return models_.size(); }                               // NOLINT
+
+ private:
+  std::vector<ModelSpec> models_;
+  std::unordered_map<std::string, std::size_t> index_;  // By name.
+};
+
 // What the engines of a service hold; alike on all its upstreams.
 struct EngineSpec {
   double accelerator_mb = 0;  // Weights and adapters together.
   int adapter_places = 0;
   double disk_mb = 0;
-  std::vector<ModelSpec> models;
+  ModelCatalog models;
 
-  const ModelSpec* Find(std::string_view model) const;
+  const ModelSpec* Find(std::string_view model) const { return models.Find(model); }
 };
 
 struct ServiceSpec {
@@ -131,6 +153,11 @@
 struct LoadedModel {
   std::string name;
   std::vector<std::string> adapters;
+
+  bool operator==(const LoadedModel& other) const {
+    return name == other.name && adapters == other.adapters;
+  }
+  bool operator!=(const LoadedModel& other) const { return !(*this == other); }
 };
 
 // One process behind the system as the platform lists it.
@@ -210,6 +237,10 @@
   std::vector<std::string> stage;  // To load when nothing else is to do.
   // The weight store has room for a load by this agent: see Demands.
   bool may_load_from_store = true;
+  // The entry says the same again after so long, if nothing has changed.
+  DurationMs repeat_ms = 1000;
+  // The entry understands views that hold only what has changed.
+  bool takes_updates = false;
 };
 
 struct RoutingOptions {
@@ -337,6 +368,12 @@
     double CallersLate(double fleet_per_s) const;
   };
 
+  // The weight store's use, by the views of the fleet.
+  struct StoreUse {
+    int loads = 0;  // Under way.
+    int wants = 0;  // Requests wait for so many more.
+  };
+
   static bool IsGone(const Row& row, TimeMs now);
   static bool IsPresent(const Row& row, std::string_view service, TimeMs now);
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
@@ -349,24 +386,27 @@
   std::string StillAsked(const ModelRef& model, TimeMs now);
   void NoteAsked(const ModelRef& model, const std::string& instance, DurationMs estimate,
                  TimeMs now);
-  DurationMs EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const;
+  DurationMs EstimateLoad(const Row& row, const ModelRef& model, const StoreUse& store,
+                          TimeMs now) const;
   double ClosingCost(const Row& row, const ModelRef& model) const;
   double OccupationCost(const Row& row, const ModelRef& model) const;
   double CostToOthers(const Row& row, const ModelRef& model) const;
   const ModelSpec* SpecOf(const Row& row, std::string_view model) const;
-  int StoreLoads(TimeMs now) const;
-  int StoreWants(TimeMs now) const;
+  StoreUse StoreUseNow(TimeMs now) const;
   void ShareWeightStore(std::map<std::string, AgentDemand>* demands, TimeMs now) const;
   double RateOf(const std::string& model, TimeMs now) const;
-  // Requests a second of each loaded model over all entries, as agents add up.
-  std::map<std::string, double> FleetRates(std::string_view service, TimeMs now) const;
-  // Usable upstreams that hold each model.
-  std::map<std::string, int> CountReplicas(TimeMs now) const;
-  void AddUse(AgentDemand* demand, const Row& row, const std::map<std::string, int>& replicas,
-              TimeMs now) const;
-  void AddReplicas(std::map<std::string, AgentDemand>* demands,
-                   const std::map<std::string, int>& replicas, TimeMs now);
-  int ComingReplicas(std::string_view service, const std::string& model, TimeMs now) const;
+  // Requests a second of each loaded model over all entries, as agents add up; in
+  // the order of names, so that two rounds of demand say the same in the same order.
+  using RateByModel = std::map<std::string_view, double>;
+  RateByModel FleetRates(std::string_view service, TimeMs now) const;
+  // Of each model, how many usable upstreams hold it, or load it soon. The names
+  // are those in the rows: for use until one of them changes.
+  using CountByModel = std::unordered_map<std::string_view, int>;
+  CountByModel CountReplicas(TimeMs now) const;
+  CountByModel CountComing(std::string_view service, TimeMs now) const;
+  void AddUse(AgentDemand* demand, const Row& row, const CountByModel& replicas, TimeMs now) const;
+  void AddReplicas(std::map<std::string, AgentDemand>* demands, const CountByModel& replicas,
+                   TimeMs now);
   const Row* PlaceForReplica(std::string_view service, const std::string& model, TimeMs now);
   struct StagingSurvey;
   StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -1,7 +1,8 @@
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <iterator>
-#include <set>
+#include <map>
 #include <utility>
 
 #include "direct_daemon.h"
@@ -90,14 +91,14 @@
   LinkServerCallbacks LinkCallbacks() {
     LinkServerCallbacks callbacks;
     callbacks.opened = [this](std::uint64_t link) {
-      open_links_.insert(link);
+      links_open_[link] = OpenLink();
       SendView(link);
     };
     callbacks.message = [this](std::uint64_t link, std::string_view bytes) {
       OnDemand(link, bytes);
     };
     callbacks.closed = [this](std::uint64_t link) {
-      open_links_.erase(link);
+      links_open_.erase(link);
       core_.OnEntryGone(link);
     };
     return callbacks;
@@ -245,30 +246,68 @@
     return "unknown";
   }
 
-  // Views that differ go out at once, others as a sign of life.
+  // A change goes at once to the entries that it concerns and to the others with the
+  // next view that is due. With 103 entries and 180 engines each carried out some two
+  // changes a second, and most entries had no request for most of them.
   void SendViews() {
     if (core_.instance().empty()) return;
-    EngineView view = core_.View(MonotonicMs());
     const TimeMs now = MonotonicMs();
-    EngineView plain = view;
-    plain.running = plain.waiting = 0;
-    plain.kv_share = 0;
-    plain.remaining_ms = 0;
-    plain.per_s.clear();
-    plain.closing_ms.clear();
-    plain.wants_per_s = 0;
-    if (plain.store_want) plain.store_want = StoreWant();
-    const std::string key = EncodeView(plain);
-    if (key == sent_key_ && now - sent_at_ < kRepeatViewMs) return;
-    sent_key_ = key;
-    sent_at_ = now;
-    const std::string bytes = EncodeView(view);
-    for (const auto link : open_links_) links_.Send(link, bytes);
+    const EngineView view = core_.View(now);
+    const bool is_new = view.instance != sent_view_.instance;
+    const ViewParts changed = ChangedParts(sent_view_, view);
+    const bool is_due = is_new || now - repeated_at_ >= kRepeatViewMs;
+    const bool has_news =
+        !changed.IsEmpty() || view.store_want.has_value() != sent_view_.store_want.has_value();
+    if (!has_news && !is_due) return;
+    const std::vector<std::string> gone = GoneModels(sent_view_, view);
+    if (is_due) repeated_at_ = now;
+    EncodedViews encoded(view);
+    for (auto& [link, it] : links_open_) {
+      it.owed.Add(changed);
+      it.is_whole_owed |= is_new;
+      if (is_due || core_.IsConcerned(link, gone)) SendOwed(link, &it, &encoded);
+    }
+    sent_view_ = view;
   }
 
   void SendView(std::uint64_t link) {
     if (core_.instance().empty()) return;
-    links_.Send(link, EncodeView(core_.View(MonotonicMs())));
+    EncodedViews encoded(core_.View(MonotonicMs()));
+    SendOwed(link, &links_open_[link], &encoded);
+  }
+
+  // What an entry has not been told yet.
+  struct OpenLink {
+    ViewParts owed;
+    bool is_whole_owed = true;
+  };
+
+  // The messages for one view, each made once however many links it goes to.
+  class EncodedViews {
+   public:
+    explicit EncodedViews(EngineView view) : view_(std::move(view)) {}
+
+    const std::string& Whole() {
+      if (whole_.empty()) whole_ = EncodeView(view_);
+      return whole_;
+    }
+    const std::string& Update(const ViewParts& parts) {
+      std::string& bytes = updates_[(parts.has_loaded ? 1 : 0) + (parts.has_orders ? 2 : 0) +
+                                    (parts.has_at_hand ? 4 : 0)];
+      if (bytes.empty()) bytes = EncodeViewUpdate(view_, parts);
+      return bytes;
+    }
+
+   private:
+    EngineView view_;
+    std::string whole_;
+    std::array<std::string, 8> updates_;  // By which of the three parts they hold.
+  };
+
+  void SendOwed(std::uint64_t link, OpenLink* open, EncodedViews* encoded) {
+    const bool is_whole = open->is_whole_owed || !core_.TakesUpdates(link);
+    links_.Send(link, is_whole ? encoded->Whole() : encoded->Update(open->owed));
+    *open = OpenLink{{}, false};
   }
 
   boost::asio::io_context& io_;
@@ -287,9 +326,9 @@
   std::vector<ServiceSpec> services_;
   std::string service_;
   std::string replaced_;  // The last instance in whose place another one answered.
-  std::set<std::uint64_t> open_links_;
-  std::string sent_key_;
-  TimeMs sent_at_ = 0;
+  std::map<std::uint64_t, OpenLink> links_open_;
+  EngineView sent_view_;  // The last that changes were told of.
+  TimeMs repeated_at_ = 0;
   std::int64_t fence_ = 0;
   bool is_asking_ = false;
   bool is_ordering_ = false;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <set>
@@ -20,8 +21,10 @@
 // wait for a model nobody was asked for.
 constexpr DurationMs kDemandMs = 250;
 constexpr DurationMs kUrgentDemandMs = 5;
-// Agents forget an entry they have not heard of for some seconds.
+// What has not changed is said again after a second, or, before many engines, so
+// that these messages stay within a hundred a second.
 constexpr DurationMs kRepeatDemandMs = 1000;
+constexpr DurationMs kRepeatDemandEachMs = 10;
 // Entries to ask, while neither the store nor one of them has answered.
 constexpr DurationMs kAskPeerMs = 300;
 constexpr DurationMs kPeerAnswerMs = 500;
@@ -141,15 +144,19 @@
     };
     callbacks.closed = [this](const std::string& instance, bool) {
       gateway_.ForgetView(instance);
+      views_.erase(instance);
       sent_.erase(instance);
     };
     return callbacks;
   }
 
   void OnView(const std::string& instance, std::string_view bytes) {
-    EngineView view;
+    EngineView& view = views_[instance];
     if (!DecodeView(bytes, &view)) {
       log_.Write(MonotonicMs(), "view_malformed", {{"upstream", instance}});
+      // What follows builds on it; a new link begins with a whole view.
+      views_.erase(instance);
+      links_.Close(instance, "view_malformed");
       return;
     }
     gateway_.ApplyView(view);
@@ -222,14 +229,18 @@
   void TellAgents() {
     const TimeMs now = MonotonicMs();
     auto demands = gateway_.Demands();
+    const DurationMs repeat_ms =
+        std::max(kRepeatDemandMs, kRepeatDemandEachMs * static_cast<DurationMs>(demands.size()));
     for (auto& [instance, demand] : demands) {
       demand.entry = settings_.id;
+      demand.takes_updates = true;
+      demand.repeat_ms = repeat_ms;
       const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
       if (upstream == nullptr) continue;
       Sent& sent = sent_[instance];
       // Ages grow by themselves; what is wanted is compared without them.
       const bool is_same = IsSame(sent.demand, demand);
-      if (is_same && now - sent.at < kRepeatDemandMs) continue;
+      if (is_same && now - sent.at < repeat_ms) continue;
       sent.at = now;
       const std::string bytes = EncodeDemand(demand);
       sent.demand = std::move(demand);
@@ -294,6 +305,7 @@
   Timer peer_timer_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::map<std::string, Sent> sent_;
+  std::map<std::string, EngineView> views_;  // The last of each link, which updates change.
   bool is_urgent_ = false;
   bool is_stopping_ = false;
 };
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -1,5 +1,6 @@
 // CBOR maps with short keys. A reader passes over keys it does not know, so
 // that processes of two versions understand each other.
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "junctionrail/placement.h"
@@ -29,18 +30,87 @@
   return bytes;
 }
 
-// Calls `read` with the message; false when it is not one, or a field is of
-// another type than the reader takes.
+// What changes from one view to the next, without the rates of what is loaded.
+json LoadToJson(const EngineView& view) {
+  json message = {{"ms", view.remaining_ms}, {"r", view.running}, {"w", view.waiting},
+                  {"kv", view.kv_share},     {"e", view.entries}, {"wr", view.wants_per_s}};
+  if (view.store_want) {
+    const StoreWant& want = *view.store_want;
+    message["sw"] = {want.is_waited_for, want.age_ms, want.weight};
+  }
+  return message;
+}
+
+constexpr ViewParts kAllParts{true, true, true};
+
+void AddParts(const EngineView& view, const ViewParts& parts, json* message) {
+  if (parts.has_loaded) (*message)["m"] = ToJson(view.loaded);
+  if (parts.has_orders) {
+    (*message)["l"] = view.loading;
+    (*message)["s"] = view.is_from_store;
+    (*message)["q"] = view.queue;
+  }
+  if (parts.has_at_hand) (*message)["h"] = view.at_hand;
+}
+
+json InOrderLoaded(const EngineView& view, const std::map<std::string, double>& values) {
+  json list = json::array();
+  for (const auto& it : view.loaded) {
+    const auto value = values.find(it.name);
+    list.push_back(value == values.end() ? 0.0 : value->second);
+  }
+  return list;
+}
+
+// A map by model, or a list in the order of what is loaded.
+std::map<std::string, double> ReadByModel(const json& it, const EngineView& view) {
+  if (it.is_object()) return it.get<std::map<std::string, double>>();
+  std::map<std::string, double> values;
+  for (std::size_t n = 0; n < view.loaded.size(); ++n) {
+    values[view.loaded[n].name] = it.at(n).get<double>();
+  }
+  return values;
+}
+
+// A whole view must have all parts.
+void ReadParts(const json& it, bool is_whole, EngineView* view) {
+  if (is_whole || it.contains("m")) view->loaded = ReadLoaded(it.at("m"));
+  if (is_whole || it.contains("l")) {
+    view->loading = it.at("l").get<std::string>();
+    view->is_from_store = it.at("s").get<bool>();
+    view->queue = it.at("q").get<std::vector<std::string>>();
+  }
+  if (is_whole || it.contains("h")) view->at_hand = it.at("h").get<std::vector<std::string>>();
+}
+
+void ReadLoad(const json& it, EngineView* view) {
+  view->remaining_ms = it.at("ms").get<DurationMs>();
+  view->running = it.at("r").get<int>();
+  view->waiting = it.at("w").get<int>();
+  view->kv_share = it.at("kv").get<double>();
+  view->entries = it.at("e").get<int>();
+  if (it.contains("u")) view->per_s = ReadByModel(it.at("u"), *view);
+  if (it.contains("c")) view->closing_ms = ReadByModel(it.at("c"), *view);
+  view->wants_per_s = it.value("wr", 0.0);
+  view->store_want.reset();
+  const auto want = it.find("sw");
+  if (want != it.end()) {
+    view->store_want = StoreWant{want->at(0).get<bool>(), want->at(2).get<double>(),
+                                 want->at(1).get<DurationMs>()};
+  }
+}
+
+// Calls `read` with the message and returns what it does; false when it is not one,
+// or a field is of another type than the reader takes.
 template <class Read>
 bool Unpack(std::string_view bytes, Read read) {
   const json message = json::from_cbor(bytes, true, false);
   if (!message.is_object()) return false;
   try {
-    read(message);
+    return read(message);
   } catch (const json::exception&) {
     return false;
   }
-  return true;
 }
 
 // Element `n` of a list; a sender from before there was such an element left it
@@ -52,40 +122,65 @@
 
 }  // namespace
 
-std::string EncodeView(const EngineView& view) {
-  json message = {{"i", view.instance},      {"m", ToJson(view.loaded)}, {"l", view.loading},
-                  {"s", view.is_from_store}, {"ms", view.remaining_ms},  {"q", view.queue},
-                  {"h", view.at_hand},       {"r", view.running},        {"w", view.waiting},
-                  {"kv", view.kv_share},     {"e", view.entries},        {"u", view.per_s},
-                  {"c", view.closing_ms},    {"wr", view.wants_per_s}};
-  if (view.store_want) {
-    const StoreWant& want = *view.store_want;
-    message["sw"] = {want.is_waited_for, want.age_ms, want.weight};
+void ViewParts::Add(const ViewParts& other) {
+  has_loaded |= other.has_loaded;
+  has_orders |= other.has_orders;
+  has_at_hand |= other.has_at_hand;
+}
+
+ViewParts ChangedParts(const EngineView& before, const EngineView& after) {
+  ViewParts parts;
+  parts.has_loaded = before.loaded != after.loaded;
+  parts.has_orders = before.loading != after.loading || before.queue != after.queue ||
+                     before.is_from_store != after.is_from_store;
+  parts.has_at_hand = before.at_hand != after.at_hand;
+  return parts;
+}
+
+std::vector<std::string> GoneModels(const EngineView& before, const EngineView& after) {
+  std::vector<std::string> gone;
+  for (const auto& it : before.loaded) {
+    const auto now = std::find_if(after.loaded.begin(), after.loaded.end(),
+                                  [&](const LoadedModel& other) { return other.name == it.name; });
+    const bool is_whole =
+        now != after.loaded.end() &&
+        std::all_of(it.adapters.begin(), it.adapters.end(),
+                    [&](const auto& name) { return Contains(now->adapters, name); });
+    if (!is_whole) gone.push_back(it.name);
   }
+  return gone;
+}
+
+std::string EncodeView(const EngineView& view) {
+  json message = LoadToJson(view);
+  message["i"] = view.instance;
+  AddParts(view, kAllParts, &message);
+  message["u"] = view.per_s;
+  message["c"] = view.closing_ms;
+  return Pack(message);
+}
+
+std::string EncodeViewUpdate(const EngineView& view, const ViewParts& parts) {
+  json message = LoadToJson(view);
+  AddParts(view, parts, &message);
+  // In the order of what is loaded, which the reader knows: names are half the bytes.
+  message["u"] = InOrderLoaded(view, view.per_s);
+  message["c"] = InOrderLoaded(view, view.closing_ms);
   return Pack(message);
 }
 
 bool DecodeView(std::string_view bytes, EngineView* view) {
   return Unpack(bytes, [view](const json& it) {
-    view->instance = it.at("i").get<std::string>();
-    view->loaded = ReadLoaded(it.at("m"));
-    view->loading = it.at("l").get<std::string>();
-    view->is_from_store = it.at("s").get<bool>();
-    view->remaining_ms = it.at("ms").get<DurationMs>();
-    view->queue = it.at("q").get<std::vector<std::string>>();
-    view->at_hand = it.at("h").get<std::vector<std::string>>();
-    view->running = it.at("r").get<int>();
-    view->waiting = it.at("w").get<int>();
-    view->kv_share = it.at("kv").get<double>();
-    view->entries = it.at("e").get<int>();
-    if (it.contains("u")) view->per_s = it.at("u").get<std::map<std::string, double>>();
-    if (it.contains("c")) view->closing_ms = it.at("c").get<std::map<std::string, double>>();
-    view->wants_per_s = it.value("wr", 0.0);
-    const auto want = it.find("sw");
-    if (want != it.end()) {
-      view->store_want = StoreWant{want->at(0).get<bool>(), want->at(2).get<double>(),
-                                   want->at(1).get<DurationMs>()};
+    const auto instance = it.find("i");
+    if (instance != it.end()) {
+      *view = EngineView();
+      view->instance = instance->get<std::string>();
+    } else if (view->instance.empty()) {
+      return false;
     }
+    ReadParts(it, instance != it.end(), view);
+    ReadLoad(it, view);
+    return true;
   });
 }
 
@@ -106,7 +201,9 @@
                {"w", wanted},
                {"u", use},
                {"s", demand.stage},
-               {"f", demand.may_load_from_store}});
+               {"f", demand.may_load_from_store},
+               {"p", demand.repeat_ms},
+               {"d", demand.takes_updates}});
 }
 
 bool DecodeDemand(std::string_view bytes, AgentDemand* demand) {
@@ -135,6 +232,9 @@
     demand->stage = message.at("s").get<std::vector<std::string>>();
     // An entry from before there was such a field sets no bound.
     demand->may_load_from_store = message.value("f", true);
+    demand->repeat_ms = message.value("p", demand->repeat_ms);
+    demand->takes_updates = message.value("d", false);
+    return true;
   });
 }
 
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -9,9 +9,12 @@
 namespace junctionrail {
 namespace {
 
-// Entries repeat their demand each second; one that was silent for longer has
+// An entry that was silent for so many times as long as it repeats its demand has
 // gone, or will not be heard before its requests are lost.
-constexpr DurationMs kDemandMs = 2500;
+constexpr double kSilentRepeats = 2.5;
+// An entry that has sent a request for a model within this may send the next one
+// before it hears that the model is gone.
+constexpr DurationMs kRecentUseMs = 5000;
 // A model just loaded is kept so long for the requests that waited for it.
 constexpr DurationMs kSettleMs = 800;
 // After an order whose answer was waited for in vain another is given so soon,
@@ -151,10 +154,32 @@
 
 void PlacementCore::ExpireDemands(TimeMs now) {
   for (auto it = demands_.begin(); it != demands_.end();) {
-    it = now - it->second.at > kDemandMs ? demands_.erase(it) : std::next(it);
+    const auto most = kSilentRepeats * static_cast<double>(it->second.demand.repeat_ms);
+    const bool is_silent = static_cast<double>(now - it->second.at) > most;
+    it = is_silent ? demands_.erase(it) : std::next(it);
   }
 }
 
+const AgentDemand* PlacementCore::DemandOf(std::uint64_t link) const {
+  const auto it = demands_.find(link);
+  return it == demands_.end() ? nullptr : &it->second.demand;
+}
+
+bool PlacementCore::TakesUpdates(std::uint64_t link) const {
+  const AgentDemand* demand = DemandOf(link);
+  return demand != nullptr && demand->takes_updates;
+}
+
+bool PlacementCore::IsConcerned(std::uint64_t link, const std::vector<std::string>& gone) const {
+  const AgentDemand* demand = DemandOf(link);
+  if (demand == nullptr) return false;
+  if (!demand->wanted.empty()) return true;
+  return std::any_of(demand->use.begin(), demand->use.end(), [&](const ModelUse& it) {
+    const bool is_recent = it.in_flight > 0 || (it.idle_ms >= 0 && it.idle_ms < kRecentUseMs);
+    return is_recent && Contains(gone, it.model);
+  });
+}
+
 std::vector<PlacementCore::Want> PlacementCore::Wants() const {
   std::map<ModelRef, Want> by_ref;
   for (const auto& [link, it] : demands_) {
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -43,7 +43,8 @@
   return it->second.engine->Find(model);
 }
 
-DurationMs UpstreamTable::EstimateLoad(const Row& row, const ModelRef& model, TimeMs now) const {
+DurationMs UpstreamTable::EstimateLoad(const Row& row, const ModelRef& model, const StoreUse& store,
+                                       TimeMs now) const {
   const ModelSpec* spec = SpecOf(row, model.model);
   if (spec == nullptr) return RoutingTimes::kViewFreshMs;
   const EngineView& view = row.view;
@@ -58,7 +59,7 @@
     if (it == nullptr) return DurationMs{0};
     if (Contains(view.at_hand, name)) return it->disk_load_ms + kSwapOverheadMs;
     // Beyond as many as it serves at once, each waits for its turn.
-    const int ahead = StoreLoads(now) + StoreWants(now);
+    const int ahead = store.loads + store.wants;
     const double slowed = std::max(1.0, (ahead + 1.0) / options_.parallel_store_loads);
     return static_cast<DurationMs>(static_cast<double>(it->store_load_ms) * slowed) +
            kSwapOverheadMs;
@@ -159,9 +160,10 @@
   const std::string key = request.model->ToString();
   const std::string asked = StillAsked(*request.model, now);
   const bool wants_adapter = !request.model->adapter.empty();
+  const StoreUse store = StoreUseNow(now);
   for (const Row* row : usable) {
     if (!IsFresh(*row, now)) continue;
-    DurationMs estimate = EstimateLoad(*row, *request.model, now);
+    DurationMs estimate = EstimateLoad(*row, *request.model, store, now);
     if (row->record.instance == asked) {
       // What others lose there was weighed when it was asked, and counts the wait
       // for this model too.
@@ -184,14 +186,14 @@
     best_score = score;
   }
   if (best == nullptr) return WaitFor{{}, 0, {}, 0};
-  const DurationMs estimate = EstimateLoad(*best, *request.model, now);
+  const DurationMs estimate = EstimateLoad(*best, *request.model, store, now);
   NoteAsked(*request.model, best->record.instance, estimate, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
                  CostToOthers(*best, *request.model)};
 }
 
-void UpstreamTable::AddUse(AgentDemand* demand, const Row& row,
-                           const std::map<std::string, int>& replicas, TimeMs now) const {
+void UpstreamTable::AddUse(AgentDemand* demand, const Row& row, const CountByModel& replicas,
+                           TimeMs now) const {
   const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
   for (const auto& it : loaded) {
     ModelUse use;
@@ -217,7 +219,7 @@
 std::map<std::string, AgentDemand> UpstreamTable::Demands(const std::vector<Waiting>& waiting,
                                                           TimeMs now) {
   std::map<std::string, AgentDemand> demands;
-  const std::map<std::string, int> replicas = CountReplicas(now);
+  const CountByModel replicas = CountReplicas(now);
   for (const auto& [instance, row] : rows_) {
     const auto service = services_.find(row.record.service);
     if (service == services_.end() || !service->second.engine) continue;
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-std::map<std::string, int> UpstreamTable::CountReplicas(TimeMs now) const {
-  std::map<std::string, int> replicas;
+UpstreamTable::CountByModel UpstreamTable::CountReplicas(TimeMs now) const {
+  CountByModel replicas;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, row.record.service, now)) continue;
     const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
@@ -42,13 +42,13 @@
 // Each entry tells every agent that holds a model how many requests for it come
 // here, so each of those agents knows the sum. One entry's own requests say too
 // little: with 28 entries a single one would look like six a second.
-std::map<std::string, double> UpstreamTable::FleetRates(std::string_view service,
-                                                        TimeMs now) const {
-  std::map<std::string, double> rates;
+UpstreamTable::RateByModel UpstreamTable::FleetRates(std::string_view service, TimeMs now) const {
+  RateByModel rates;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
     for (const auto& [model, per_s] : row.view.per_s) {
-      rates[model] = std::max(rates[model], per_s);
+      double& rate = rates[model];
+      rate = std::max(rate, per_s);
     }
   }
   return rates;
@@ -69,13 +69,15 @@
 // A model whose callers are late at the present replicas gets another, one at a
 // time, and a busy one keeps a second in any case.
 void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands,
-                                const std::map<std::string, int>& replicas, TimeMs now) {
+                                const CountByModel& replicas, TimeMs now) {
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
     int engines = 0;
     for (const auto& [instance, row] : rows_) engines += IsUsable(row, name, now) ? 1 : 0;
-    for (const auto& [model, per_s] : FleetRates(name, now)) {
-      if (per_s < kSecondReplicaPerS || service.engine->Find(model) == nullptr) continue;
+    const CountByModel coming = CountComing(name, now);
+    for (const auto& [model_name, per_s] : FleetRates(name, now)) {
+      if (per_s < kSecondReplicaPerS || service.engine->Find(model_name) == nullptr) continue;
+      const std::string model(model_name);
       const auto rate = rates_.find(model);
       if (rate == rates_.end()) continue;  // Entries that see its requests ask.
       const auto count = replicas.find(model);
@@ -84,7 +86,8 @@
       const int needed = is_late ? std::max(kLeastReplicas, have + 1) : kLeastReplicas;
       const int wanted = std::min(needed, engines);
       // With none at all the requests that wait for it bring the first.
-      if (have == 0 || have + ComingReplicas(name, model, now) >= wanted) continue;
+      const auto soon = coming.find(model);
+      if (have == 0 || have + (soon == coming.end() ? 0 : soon->second) >= wanted) continue;
       const Row* place = PlaceForReplica(name, model, now);
       const auto demand = place == nullptr ? demands->end() : demands->find(place->record.instance);
       if (demand == demands->end()) continue;
@@ -95,17 +98,20 @@
   }
 }
 
-int UpstreamTable::ComingReplicas(std::string_view service, const std::string& model,
-                                  TimeMs now) const {
-  int n = 0;
+UpstreamTable::CountByModel UpstreamTable::CountComing(std::string_view service, TimeMs now) const {
+  CountByModel coming;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
     // One that takes longer than a load from disk is no reason to wait for it.
     const bool is_slow = row.view.is_from_store && row.view.remaining_ms > kSoonMs;
-    const bool is_loading = row.view.loading == model && !is_slow;
-    if (is_loading || Contains(row.view.queue, model)) ++n;
+    const bool is_coming = !row.view.loading.empty() && !is_slow;
+    if (is_coming) ++coming[row.view.loading];
+    for (const auto& it : row.view.queue) {
+      const bool is_counted = is_coming && it == row.view.loading;
+      if (!is_counted) ++coming[it];
+    }
   }
-  return n;
+  return coming;
 }
 
 // Where the model is up soonest and its room costs others least; the same for
@@ -117,13 +123,14 @@
   const auto asked = replica_asked_.find(model);
   const bool is_asked = asked != replica_asked_.end() && now - asked->second.at < kStayWithPlaceMs;
   const ModelRef ref{model, {}};
+  const StoreUse store = StoreUseNow(now);
   const Row* best = nullptr;
   std::pair<double, std::uint64_t> best_rank;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
     if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
     if (is_asked && asked->second.instance == instance) return &row;
-    double cost = static_cast<double>(EstimateLoad(row, ref, now));
+    double cost = static_cast<double>(EstimateLoad(row, ref, store, now));
     if (best != nullptr && cost > best_rank.first) continue;
     cost += CostToOthers(row, ref);
     const std::pair<double, std::uint64_t> rank(cost, ~RendezvousScore(model, instance));
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -14,11 +14,18 @@
 
 }  // namespace
 
-const ModelSpec* EngineSpec::Find(std::string_view model) const {
-  for (const auto& it : models) {
-    if (it.name == model) return &it;
-  }
-  return nullptr;
+ModelCatalog::ModelCatalog(std::initializer_list<ModelSpec> models) {
+  for (const auto& it : models) push_back(it);
+}
+
+void ModelCatalog::push_back(ModelSpec spec) {
+  index_.emplace(spec.name, models_.size());
+  models_.push_back(std::move(spec));
+}
+
+const ModelSpec* ModelCatalog::Find(std::string_view model) const {
+  const auto it = index_.find(std::string(model));
+  return it == index_.end() ? nullptr : &models_[it->second];
 }
 
 const ServiceSpec* RoutingConfiguration::FindService(std::string_view name) const {
--- a/src/routing/weight_store.cc
+++ b/src/routing/weight_store.cc
@@ -1,29 +1,22 @@
 // The weight store: who may load from it now, and what is staged onto disks
 // ahead of demand.
 #include <algorithm>
-#include <set>
 #include <tuple>
+#include <unordered_set>
 
 #include "routing_impl.h"
 
 namespace junctionrail {
 
-int UpstreamTable::StoreLoads(TimeMs now) const {
-  int n = 0;
-  for (const auto& [instance, row] : rows_) {
-    if (IsFresh(row, now) && !row.view.loading.empty() && row.view.is_from_store) ++n;
-  }
-  return n;
-}
-
-// Requests wait for so many of them.
-int UpstreamTable::StoreWants(TimeMs now) const {
-  int n = 0;
+UpstreamTable::StoreUse UpstreamTable::StoreUseNow(TimeMs now) const {
+  StoreUse use;
   for (const auto& [instance, row] : rows_) {
+    if (!IsFresh(row, now)) continue;
+    if (!row.view.loading.empty() && row.view.is_from_store) ++use.loads;
     const auto& want = row.view.store_want;
-    if (IsFresh(row, now) && want && want->is_waited_for) ++n;
+    if (want && want->is_waited_for) ++use.wants;
   }
-  return n;
+  return use;
 }
 
 // More loads at once than the weight store serves at full speed end later all
@@ -41,7 +34,7 @@
     asking.emplace_back(-want->weight, -(want->age_ms + now - row.view_at), instance);
   }
   std::sort(asking.begin(), asking.end());
-  const int free = std::max(0, options_.parallel_store_loads - StoreLoads(now));
+  const int free = std::max(0, options_.parallel_store_loads - StoreUseNow(now).loads);
   if (asking.size() > static_cast<std::size_t>(free)) asking.resize(free);
   for (auto& [instance, demand] : *demands) demand.may_load_from_store = false;
   for (const auto& [weight, age, instance] : asking) {
@@ -52,8 +45,9 @@
 
 // What staging must know of a service's engines.
 struct UpstreamTable::StagingSurvey {
-  std::set<std::string> at_hand;  // Models that are somewhere, or soon will be.
-  std::vector<const Row*> idle;   // Engines with nothing to load.
+  // Models that are somewhere, or soon will be; names in the rows.
+  std::unordered_set<std::string_view> at_hand;
+  std::vector<const Row*> idle;  // Engines with nothing to load.
   int engines = 0;
   int fresh = 0;  // Engines whose view is.
 };
@@ -90,7 +84,7 @@
       missing.emplace_back(RendezvousScore(it.name, "stage"), it.name);
     }
     std::sort(missing.begin(), missing.end());
-    int free_loads = options_.parallel_store_loads - StoreLoads(now);
+    int free_loads = options_.parallel_store_loads - StoreUseNow(now).loads;
     for (const auto& [score, model] : missing) {
       if (free_loads-- <= 0 || survey.idle.empty()) break;
       // The emptiest disk, then by rendezvous.
--- a/test/direct_agent_test.cc
+++ b/test/direct_agent_test.cc
@@ -37,7 +37,9 @@
   World()
       : engine(io, [this](const SeenRequest& request, const Peer& peer) { Handle(request, peer); }),
         entry(io, LinkClientCallbacks{[](const std::string&) {},
-                                      [](const std::string&, std::string_view) {},
+                                      [this](const std::string&, std::string_view bytes) {
+                                        views.emplace_back(bytes);
+                                      },
                                       [](const std::string&, bool) {}}) {
     // A loopback address of this process's own, so that its fixed port is free.
     link.address = "127." + std::to_string(10 + getpid() % 200) + "." +
@@ -77,10 +79,11 @@
   }
 
   // An entry's demand for a model, meant for the engine's `instance`.
-  void Ask(const std::string& instance) {
+  void Ask(const std::string& instance, bool takes_updates = false) {
     AgentDemand demand;
     demand.entry = "entry-1";
     demand.instance = instance;
+    demand.takes_updates = takes_updates;
     demand.wanted.push_back(ModelDemand{{"m1", {}}, 1, 0, 0});
     entry.Send("agent", link, EncodeDemand(demand));
   }
@@ -103,6 +106,7 @@
   int reports = 0;
   std::string present = "i-1";       // The instance that the engine now is.
   std::vector<std::string> ordered;  // The instances that orders were meant for.
+  std::vector<std::string> views;    // What the entry was sent.
   ScriptedUpstream engine;
   LinkClient entry;
   std::unique_ptr<DirectAgent> agent;
@@ -167,4 +171,21 @@
               "expected 5 listings or more, got " + std::to_string(world.Listings()));
 }
 
+TEST(DirectAgent, SendsOnlyWhatHasChangedToAnEntryThatCanReadIt) {
+  World world;
+  world.List("i-1");
+  world.Start();
+  EXPECT_TRUE(world.AwaitReports(2), "the agent finds its engine");
+  const auto is_whole = [](const std::string& bytes) {
+    EngineView view;
+    return DecodeView(bytes, &view);
+  };
+  world.Ask("i-1");
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.views.size() >= 4; }), "views come");
+  for (const auto& it : world.views) EXPECT_TRUE(is_whole(it), "to an entry of an earlier version");
+  world.Ask("i-1", true);
+  const bool has_update = RunUntil(world.io, [&] { return !is_whole(world.views.back()); });
+  EXPECT_TRUE(has_update, "once the entry has said that it reads updates");
+}
+
 }  // namespace junctionrail::internal
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -408,8 +408,97 @@
               "got " + std::to_string(cost.at("a")) + " and " + std::to_string(cost.at("b")));
 }
 
+TEST(PlacementViews, ConcernAtOnceWhoWaitsAndWhoUsedWhatIsGone) {
+  Engine engine;
+  engine.Load("a");
+  engine.Report();
+  const auto ask = [&](std::uint64_t link, std::vector<ModelDemand> wanted,
+                       std::vector<ModelUse> use) {
+    AgentDemand demand{"entry", "u1", std::move(wanted), std::move(use), {}, true};
+    engine.core.OnDemand(link, std::move(demand), engine.now);
+  };
+  ModelUse never = Used("a", 0);
+  never.idle_ms = -1;
+  ModelUse long_ago = Used("a", 0);
+  long_ago.idle_ms = 60000;
+  ask(1, {Wanted("b", 1)}, {});
+  ask(2, {}, {Used("a", 0)});
+  ask(3, {}, {never});
+  ask(4, {}, {long_ago});
+  EXPECT_TRUE(engine.core.IsConcerned(1, {}), "an entry whose request waits");
+  EXPECT_TRUE(engine.core.IsConcerned(2, {"a"}), "an entry that has just sent one for it");
+  EXPECT_TRUE(!engine.core.IsConcerned(2, {"b"}), "another model is gone");
+  EXPECT_TRUE(!engine.core.IsConcerned(3, {"a"}), "an entry that never had a request for it");
+  EXPECT_TRUE(!engine.core.IsConcerned(4, {"a"}), "an entry that had one a minute ago");
+  EXPECT_TRUE(!engine.core.IsConcerned(5, {"a"}), "an entry that has said nothing");
+}
+
+TEST(PlacementViews, NameTheModelsThatAreGoneAndThoseThatLostAnAdapter) {
+  EngineView before;
+  before.loaded = {{"a", {}}, {"b", {"x", "y"}}, {"c", {"z"}}};
+  EngineView after;
+  after.loaded = {{"b", {"y"}}, {"c", {"z", "w"}}, {"d", {}}};
+  const auto gone = GoneModels(before, after);
+  EXPECT_NUMBER(2, gone.size(), "a as a whole, and b's x");
+  EXPECT_TEXT("a", gone.at(0), "");
+  EXPECT_TEXT("b", gone.at(1), "");
+}
+
 TEST_GROUP(PlacementMessages){};
 
+TEST(PlacementMessages, BringAViewUpToDateByWhatHasChanged) {
+  EngineView view;
+  view.instance = "u1";
+  view.loaded = {{"a", {"x"}}, {"b", {}}};
+  view.per_s = {{"a", 1.5}, {"b", 0.5}};
+  view.closing_ms = {{"a", 250}, {"b", 0}};
+  view.store_want = StoreWant{true, 2.5, 40};
+  for (int n = 0; n < 18; ++n) view.at_hand.push_back("model-number-" + std::to_string(n));
+  const std::string whole = EncodeView(view);
+  EngineView read;
+  EXPECT_TRUE(DecodeView(whole, &read), "the first on a link is whole");
+
+  EngineView next = view;
+  next.running = 7;
+  next.per_s["b"] = 2.5;
+  next.store_want.reset();
+  EXPECT_TRUE(ChangedParts(view, next).IsEmpty(), "only the engine's load differs");
+  const std::string update = EncodeViewUpdate(next, ChangedParts(view, next));
+  EXPECT_TRUE(update.size() * 3 < whole.size(), "expected less than a third of " +
+                                                    std::to_string(whole.size()) + " bytes, got " +
+                                                    std::to_string(update.size()));
+  EXPECT_TRUE(DecodeView(update, &read), "it decodes");
+  EXPECT_NUMBER(7, read.running, "");
+  EXPECT_TRUE(read.per_s.at("b") == 2.5 && read.closing_ms.at("a") == 250, "by model again");
+  EXPECT_NUMBER(18, read.at_hand.size(), "what is not said is as before");
+  EXPECT_TRUE(!read.store_want, "a want that is over is gone");
+
+  EngineView later = next;
+  later.loaded = {{"b", {}}};
+  later.per_s = {{"b", 3}};
+  later.closing_ms = {{"b", 9}};
+  later.loading = "c";
+  later.at_hand = {"c"};
+  EXPECT_TRUE(DecodeView(EncodeViewUpdate(later, ChangedParts(next, later)), &read), "");
+  EXPECT_TRUE(read.loaded == later.loaded && read.loading == "c", "");
+  EXPECT_TRUE(read.per_s.size() == 1 && read.per_s.at("b") == 3, "");
+  EXPECT_NUMBER(1, read.at_hand.size(), "");
+}
+
+TEST(PlacementMessages, ThatUpdateAViewNobodySentAreRefused) {
+  EngineView view;
+  view.instance = "u1";
+  EngineView read;
+  EXPECT_TRUE(!DecodeView(EncodeViewUpdate(view, {}), &read),
+              "there is nothing to bring up to date");
+  EngineView with_model = view;
+  with_model.loaded = {{"a", {}}};
+  with_model.per_s = {{"a", 1}};
+  EXPECT_TRUE(DecodeView(EncodeView(with_model), &read), "");
+  EXPECT_TRUE(!DecodeView(EncodeViewUpdate(view, {}), &read),
+              "rates of fewer models than are loaded");
+}
+
 TEST(PlacementMessages, SurviveTheirEncoding) {
   EngineView view;
   view.instance = "u1";
@@ -442,6 +531,8 @@
   demand.wanted[0].late = 1;
   demand.wanted[0].left_ms = 700;
   demand.wanted[0].per_s = 0.25;
+  demand.repeat_ms = 1800;
+  demand.takes_updates = true;
   AgentDemand read_demand;
   EXPECT_TRUE(DecodeDemand(EncodeDemand(demand), &read_demand), "it decodes");
   EXPECT_TEXT("a/x", read_demand.wanted.at(0).ref.ToString(), "");
@@ -453,6 +544,8 @@
   EXPECT_TRUE(read_demand.wanted.at(0).per_s == 0.25, "");
   EXPECT_TEXT("d", read_demand.stage.at(0), "");
   EXPECT_TRUE(!read_demand.may_load_from_store, "");
+  EXPECT_NUMBER(1800, read_demand.repeat_ms, "");
+  EXPECT_TRUE(read_demand.takes_updates, "");
 }
 
 TEST(PlacementMessages, OfAVersionWithFewerFieldsAreReadWithDefaults) {
@@ -471,6 +564,8 @@
   EXPECT_TRUE(demand.wanted.at(0).replica_per_s == 0, "");
   EXPECT_NUMBER(0, demand.use.at(0).target_ms, "");
   EXPECT_TRUE(demand.may_load_from_store, "the sender sets no bound");
+  EXPECT_NUMBER(1000, demand.repeat_ms, "the sender repeats each second");
+  EXPECT_TRUE(!demand.takes_updates, "the sender reads whole views only");
 }
 
 TEST(PlacementMessages, OfAVersionWithMoreFieldsAreReadWithoutThem) {
