--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -193,6 +193,18 @@
 
 bool CallerConnection::IsBehind() const { return out_.size() + writing_.size() > kMostUnsent; }
 
+// Looks at the socket itself: while this process has no processor time a close
+// waits there, behind the request that it takes back.
+bool CallerConnection::HasLeft() {
+  if (is_closed_) return true;
+  error_code ec;
+  socket_.non_blocking(true, ec);
+  if (ec) return true;
+  char next = 0;
+  socket_.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, ec);
+  return ec && ec != asio::error::would_block && ec != asio::error::try_again;
+}
+
 void CallerConnection::EndAnswer(bool must_close) {
   exchange_.reset();
   active_at_ = MonotonicMs();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -36,6 +36,7 @@
   void SendEnd() override;
   void Abort() override;
   bool IsBehind() const override;
+  bool HasLeft() override;
 
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -176,6 +176,10 @@
 void Exchange::Send(const std::string& instance) {
   const UpstreamRecord* upstream = gateway_.upstreams.Find(instance);
   if (upstream == nullptr) return GiveUp(SoFar(), "no_upstream");
+  // One read of the socket an attempt buys that no upstream works for a caller that
+  // has left, however late this process comes to its request.
+  const auto sink = sink_.lock();
+  if (!sink || sink->HasLeft()) return Finish("cancelled", 0);
   CheckInvariant(route_->MayRepeat() || ran_attempts_ == 0,
                  "a request that may not be repeated is sent on only if it has not run");
   if (is_parked_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -37,6 +37,8 @@
   virtual void Abort() = 0;
   // Whether more is queued than a slow caller should have.
   virtual bool IsBehind() const = 0;
+  // Whether the caller has closed its connection, read of it or not.
+  virtual bool HasLeft() = 0;
 };
 
 class Exchange : public UpstreamListener, public std::enable_shared_from_this<Exchange> {
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -527,6 +527,22 @@
 
 TEST_GROUP(GatewayEnds){};
 
+TEST(GatewayEnds, SendsNothingForACallerThatLeftBeforeItsRequestWasRead) {
+  // A process without processor time comes to a request and its caller's close at
+  // the same moment.
+  World world;
+  world.AddUpstream("u1", "plain",
+                    [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("late")); });
+  world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
+  world.Ask(Request("GET /a/1"));
+  TestCaller caller(world.io, world.port);
+  caller.Send(Request("GET /a/2"));
+  caller.Close();
+  RunFor(world.io, 200);
+  EXPECT_NUMBER(1, world.upstreams[0]->seen().size(), "a connection stood open to send it on");
+  EXPECT_NUMBER(1, world.gateway->counters().cancelled, "");
+}
+
 TEST(GatewayEnds, TellsTheUpstreamWhenTheCallerHasGone) {
   World world;
   world.AddUpstream("u1", "engine", [](const SeenRequest&, const Peer& peer) {
