Choose among the holders of a model, found by an index

Change: the table keeps, by model, the rows whose record or last view has it loaded; all rows are looked at only when none of these can take the request.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -286,6 +286,9 @@
 class UpstreamTable {
  public:
   explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {}
+  // Rows point to each other's places by address.
+  UpstreamTable(const UpstreamTable&) = delete;
+  UpstreamTable(UpstreamTable&&) = default;
 
   void SetPolicy(const PolicySettings& policy) { options_.policy = policy; }
   const PolicySettings& policy() const { return options_.policy; }
@@ -352,6 +355,7 @@
     std::map<ModelRef, int> in_flight_by_model;
     std::map<ModelRef, TimeMs> not_loaded_until;
     std::map<ModelRef, TimeMs> overdue_until;  // Asked for it in vain.
+    std::vector<std::string> indexed;          // Models under which `holders_` has the row.
     int failures = 0;                          // In a row.
     TimeMs ejected_until = 0;
     int ejections = 0;
@@ -381,8 +385,11 @@
   bool IsMute(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
   bool IsFull(const Row& row, TimeMs now) const;
+  void Index(Row* row);
+  void Unindex(Row* row);
+  Pick ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders, TimeMs now) const;
   double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
-  Pick ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable, TimeMs now);
+  Pick ChooseLoad(const PickRequest& request, const std::vector<Row*>& usable, TimeMs now);
   std::string StillAsked(const ModelRef& model, TimeMs now);
   void NoteAsked(const ModelRef& model, const std::string& instance, DurationMs estimate,
                  TimeMs now);
@@ -415,6 +422,9 @@
   RoutingOptions options_;
   std::map<std::string, ServiceSpec> services_;
   std::map<std::string, Row> rows_;  // By instance.
+  // By model, the rows whose record or last view has it loaded: a choice looks at
+  // these alone while one of them can take the request.
+  std::unordered_map<std::string, std::vector<Row*>> holders_;
   std::map<std::string, ModelRate> rates_;
   TimeMs first_arrival_ = 0;  // Of any request for a model; 0: none yet.
   // Whose agent was asked last for a model.
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -152,7 +152,7 @@
   asked.last_at = now;
 }
 
-Pick UpstreamTable::ChooseLoad(const PickRequest& request, const std::vector<const Row*>& usable,
+Pick UpstreamTable::ChooseLoad(const PickRequest& request, const std::vector<Row*>& usable,
                                TimeMs now) {
   const Row* best = nullptr;
   DurationMs best_ms = 0;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -1,6 +1,7 @@
 // What an entry believes of each upstream, and the choice among them.
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "junctionrail/routing.h"
 
@@ -95,6 +96,7 @@
     row.record = it;
     row.record.is_leaving = it.is_leaving || was_leaving;
     row.missing_since = 0;
+    Index(&row);
   }
   for (auto it = rows_.begin(); it != rows_.end();) {
     Row& row = it->second;
@@ -103,10 +105,34 @@
       row.missing_since = after_outage ? now : now - RoutingTimes::kMissingMs;
     }
     // Requests under way still refer to the row.
-    it = IsGone(row, now) && row.in_flight == 0 ? rows_.erase(it) : std::next(it);
+    const bool is_over = IsGone(row, now) && row.in_flight == 0;
+    if (is_over) Unindex(&row);
+    it = is_over ? rows_.erase(it) : std::next(it);
   }
 }
 
+void UpstreamTable::Index(Row* row) {
+  std::vector<std::string> models;
+  for (const auto* loaded : {&row->record.loaded, &row->view.loaded}) {
+    for (const auto& it : *loaded) {
+      if (!Contains(models, it.name)) models.push_back(it.name);
+    }
+  }
+  if (models == row->indexed) return;
+  Unindex(row);
+  for (const auto& it : models) holders_[it].push_back(row);
+  row->indexed = std::move(models);
+}
+
+void UpstreamTable::Unindex(Row* row) {
+  for (const auto& it : row->indexed) {
+    auto& rows = holders_[it];
+    rows.erase(std::remove(rows.begin(), rows.end(), row), rows.end());
+    if (rows.empty()) holders_.erase(it);
+  }
+  row->indexed.clear();
+}
+
 void UpstreamTable::ApplyServices(const std::vector<ServiceSpec>& services) {
   services_.clear();
   for (const auto& it : services) services_[it.name] = it;
@@ -118,6 +144,7 @@
   it->second.view = view;
   it->second.view_at = now;
   it->second.sent_since_view = 0;
+  Index(&it->second);
 }
 
 void UpstreamTable::ForgetView(const std::string& instance) {
@@ -209,44 +236,63 @@
   return free <= 0 ? row.sent_since_view >= 1 : row.sent_since_view >= mine;
 }
 
-Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
-  std::vector<const Row*> usable;
-  std::vector<const Row*> untried;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, request.service, now)) continue;
-    usable.push_back(&row);
-    const bool was_tried =
-        std::find(request.tried.begin(), request.tried.end(), instance) != request.tried.end();
-    if (!was_tried) untried.push_back(&row);
-  }
-  if (usable.empty()) {
-    // All ejected: any that is listed is better than a refusal.
-    for (const auto& [instance, row] : rows_) {
-      if (!IsPresent(row, request.service, now)) continue;
-      usable.push_back(&row);
-      if (std::find(request.tried.begin(), request.tried.end(), instance) == request.tried.end()) {
-        untried.push_back(&row);
-      }
-    }
-  }
+// The least loaded of those that hold the model. A place to wait for when all of
+// them are full; none when no usable one holds it.
+Pick UpstreamTable::ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders,
+                                 TimeMs now) const {
   const Row* best = nullptr;
   const Row* full = nullptr;
   double best_load = 0;
-  for (const Row* it : untried) {
+  for (const Row* it : holders) {
     if (request.model && !Holds(*it, *request.model, now)) continue;
     if (request.model && IsFull(*it, now)) {
       full = it;
       continue;
     }
     const double load = LoadOf(*it, request, now);
-    if (best != nullptr && load >= best_load) continue;
+    const bool is_better = best == nullptr || load < best_load ||
+                           (load == best_load && it->record.instance < best->record.instance);
+    if (!is_better) continue;
     best = it;
     best_load = load;
   }
   if (best != nullptr) return SendTo{best->record.instance};
   if (full != nullptr) return WaitFor{full->record.instance, kFullMs, "place", 0};
-  if (!request.model) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
-  if (untried.empty()) return NoneLeft{usable.empty() ? "no_upstream" : "all_tried"};
+  return NoneLeft{"all_tried"};
+}
+
+Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
+  const auto is_untried = [&request](const Row& row) {
+    return !Contains(request.tried, row.record.instance);
+  };
+  if (request.model) {
+    std::vector<Row*> holders;
+    const auto known = holders_.find(request.model->model);
+    if (known != holders_.end()) {
+      std::copy_if(
+          known->second.begin(), known->second.end(), std::back_inserter(holders),
+          [&](const Row* it) { return IsUsable(*it, request.service, now) && is_untried(*it); });
+    }
+    const Pick pick = ChooseHolder(request, holders, now);
+    if (!std::holds_alternative<NoneLeft>(pick)) return pick;
+  }
+  std::vector<Row*> usable;
+  for (auto& [instance, row] : rows_) {
+    if (IsUsable(row, request.service, now)) usable.push_back(&row);
+  }
+  if (usable.empty()) {
+    // All ejected: any that is listed is better than a refusal.
+    for (auto& [instance, row] : rows_) {
+      if (IsPresent(row, request.service, now)) usable.push_back(&row);
+    }
+  }
+  if (usable.empty()) return NoneLeft{"no_upstream"};
+  std::vector<Row*> untried;
+  std::copy_if(usable.begin(), usable.end(), std::back_inserter(untried),
+               [&](const Row* it) { return is_untried(*it); });
+  const Pick pick = ChooseHolder(request, untried, now);
+  const bool is_cold = std::holds_alternative<NoneLeft>(pick) && request.model && !untried.empty();
+  if (!is_cold) return pick;
   return ChooseLoad(request, untried, now);
 }
 
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -285,6 +285,23 @@
   EXPECT_TEXT("send u1", t.Choose("engine", ModelRef{"a", ""}), "which shows free places");
 }
 
+TEST(ColdModels, AreFoundByWhatTheLastViewSaysAndByTheRecordWithoutOne) {
+  Table it;
+  UpstreamRecord first = Record("u1");
+  first.loaded = {{"a", {}}};
+  it.table.ApplyListing({first, Record("u2")}, false, it.now);
+  EXPECT_TEXT("send u1", it.Choose("engine", ModelRef{"a", {}}), "by its record");
+  it.table.ApplyView(View("u1", {{"b", {}}}), it.now);
+  it.table.ApplyView(View("u2", {{"a", {}}}), it.now);
+  EXPECT_TEXT("send u2", it.Choose("engine", ModelRef{"a", {}}), "a view goes before a record");
+  EXPECT_TEXT("send u1", it.Choose("engine", ModelRef{"b", {}}), "");
+  it.table.ForgetView("u1");
+  EXPECT_TEXT("send u1", it.Choose("engine", ModelRef{"a", {}}, {"u2"}), "its record again");
+  it.table.ApplyListing({Record("u2")}, false, it.now);
+  EXPECT_TEXT("all_tried", it.Choose("engine", ModelRef{"a", {}}, {"u2"}), "u1 has gone");
+  EXPECT_TEXT("send u2", it.Choose("engine", ModelRef{"a", {}}), "");
+}
+
 TEST(ColdModels, AreAskedForWhereTheWeightsAreClosest) {
   Table t;
   t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
