Entries give orders to engines that have no agent

Change: an entry that finds nothing listening where the agent would, for six seconds, claims the engine by one conditional write under a lease, waits until an earlier holder can have given no order for three seconds, and keeps the engine with the same EngineKeeper as an agent does; other entries find it by the claim. It stops when an agent listens, when its claim is gone, and half a second before its lease ends.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -162,6 +162,82 @@
   TimeMs store_want_since_ = 0;  // 0: none is wanted.
 };
 
+// An entry's claim to give an engine its orders, as it stands in the store: created
+// under a condition, so that there is one at the most, and gone with the entry's lease.
+struct HostClaim {
+  std::string engine;  // Its address.
+  std::string entry;
+  Endpoint link;              // Where the entry takes demand for the engine.
+  std::int64_t revision = 0;  // Of its creation: the fencing token.
+};
+
+// In milliseconds; where each is from stands with the decisions.
+struct HostTimes {
+  DurationMs refused_ms = 6000;    // So long nothing has listened before a claim.
+  DurationMs spread_ms = 20000;    // Entries claim at a time by chance within this.
+  DurationMs take_over_ms = 3500;  // From a claim to the first order.
+  DurationMs look_ms = 2500;       // Between two looks at a port,
+  DurationMs host_look_ms = 1000;  // and at that of an engine which is held.
+};
+
+// Which engines without an agent this entry gives orders to. Decisions only: the
+// caller looks at ports, reads and writes claims, and keeps the lease.
+class HostElection {
+ public:
+  // What is found at an agent's port.
+  enum class Port {
+    kOpen,     // Something listens.
+    kRefused,  // The VM lives and nothing listens.
+    kSilent,   // No answer: nothing can be told.
+  };
+
+  explicit HostElection(std::string entry, HostTimes times = {})
+      : entry_(std::move(entry)), times_(times) {}
+
+  // All engines of which no view comes.
+  void SetUnseen(const std::vector<std::string>& engines, TimeMs now);
+  // Those whose ports to look at now; each is named once a period.
+  std::vector<std::string> PortsToLookAt(TimeMs now);
+  void OnPort(const std::string& engine, Port port, TimeMs now);
+
+  // Whether claims are of use now: an engine is held, or nothing listens for one.
+  bool WantsClaims() const;
+  // All claims of all entries, as the store's newest at `asked_at`.
+  void OnClaims(std::vector<HostClaim> claims, TimeMs asked_at);
+  const HostClaim* ClaimOf(const std::string& engine) const;
+
+  // The lease under which claims are written holds for `ttl_ms` from `asked_at`.
+  void OnLeaseKept(TimeMs asked_at, DurationMs ttl_ms) { lease_until_ = asked_at + ttl_ms; }
+  void OnLeaseEnded();
+
+  // Those to claim now, and to give up as an agent is there.
+  std::vector<std::string> EnginesToClaim(TimeMs now) const;
+  std::vector<std::string> EnginesToRelease() const;
+  void OnClaimed(const HostClaim& claim, TimeMs now);
+  void OnReleased(const std::string& engine);
+
+  std::vector<std::string> Hosted() const;
+  // The fencing token for orders to the engine; 0 while none may be given.
+  std::int64_t FenceFor(const std::string& engine, TimeMs now) const;
+
+ private:
+  struct Row {
+    bool is_unseen = false;
+    TimeMs looked_at = 0;
+    TimeMs refused_since = 0;  // Without anything else in between; 0: not refused last.
+    TimeMs refused_at = 0;     // The last time.
+    bool is_open = false;
+    std::int64_t revision = 0;  // Of the claim held; 0: none is.
+    TimeMs claimed_at = 0;
+  };
+
+  std::string entry_;
+  HostTimes times_;
+  std::map<std::string, Row> rows_;          // By engine.
+  std::map<std::string, HostClaim> claims_;  // By engine.
+  TimeMs lease_until_ = 0;
+};
+
 // The parts of a view that stay as they are for seconds, and are most of its bytes.
 struct ViewParts {
   bool has_loaded = false;   // `loaded`.
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -339,12 +339,15 @@
   // Whether the upstream can take requests for the model, as far as is known.
   bool HoldsNow(const std::string& instance, const ModelRef& model, TimeMs now) const;
   bool HasFreshView(const std::string& instance, TimeMs now) const;
+  // Engines that are listed, and of which no view has come for `ms`.
+  std::vector<Endpoint> EnginesWithoutView(DurationMs ms, TimeMs now) const;
   // How many entries there are, as the agents count their links; at least 1.
   int Entries(TimeMs now) const;
 
  private:
   struct Row {
     UpstreamRecord record;
+    TimeMs listed_at = 0;      // For the first time.
     TimeMs missing_since = 0;  // 0: listed.
     bool was_replaced = false;
     EngineView view;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -6,6 +6,7 @@
 
 #include "direct_daemon.h"
 #include "direct_metrics.h"
+#include "entry_hosting.h"
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
 #include "platform.h"
@@ -61,6 +62,11 @@
   return options;
 }
 
+EntryHosting::Options ToHostingOptions(const Settings& settings) {
+  const DirectSettings& direct = *settings.direct;
+  return {settings.id, Endpoint{direct.callers.address, direct.link_port}, direct.policy, {}};
+}
+
 }  // namespace
 
 class DirectEntry::Impl : public std::enable_shared_from_this<DirectEntry::Impl> {
@@ -73,12 +79,17 @@
         store_(http_, settings_.direct->store),
         gateway_(io, ToGatewayOptions(settings_), log_),
         links_(io, LinkCallbacks()),
-        configuration_(
-            io, store_, log_, platform::Freshness::kNewest,
-            [this](RoutingConfiguration it) { gateway_.ApplyConfiguration(std::move(it)); }),
+        hosting_(std::make_shared<EntryHosting>(io, http_, store_, log_,
+                                                ToHostingOptions(settings_), HostingCallbacks())),
+        configuration_(io, store_, log_, platform::Freshness::kNewest,
+                       [this](RoutingConfiguration it) {
+                         hosting_->SetServices(it.services);
+                         gateway_.ApplyConfiguration(std::move(it));
+                       }),
         upstreams_(io, store_, log_, platform::Freshness::kNewest, ListingPeriod(*settings_.direct),
                    [this](const auto& listing, bool after_outage) {
                      gateway_.ApplyListing(listing, after_outage);
+                     hosting_->SetListing(listing);
                    }),
         demand_timer_(io),
         urgent_timer_(io),
@@ -104,6 +115,7 @@
   void Stop() {
     log_.Write(MonotonicMs(), "stop", {{"drain_ms", settings_.drain_ms}});
     is_stopping_ = true;
+    hosting_->Stop();
     gateway_.Stop(settings_.drain_ms, [this] { io_.stop(); });
   }
 
@@ -120,6 +132,7 @@
       direct.leaving_ms = settings.direct->leaving_ms;
       direct.policy = settings.direct->policy;
       gateway_.SetPolicy(direct.policy);
+      hosting_->SetPolicy(direct.policy);
       gateway_.SetRetries(RetriesOf(direct));
       upstreams_.SetPeriod(ListingPeriod(direct));
     }
@@ -142,21 +155,38 @@
     callbacks.message = [this](const std::string& instance, std::string_view bytes) {
       OnView(instance, bytes);
     };
-    callbacks.closed = [this](const std::string& instance, bool) {
+    callbacks.closed = [this](const std::string& instance, bool was_open) {
       gateway_.ForgetView(instance);
       views_.erase(instance);
       sent_.erase(instance);
+      if (!was_open) reopen_at_[instance] = MonotonicMs() + kReopenMs;
     };
     return callbacks;
   }
 
-  void OnView(const std::string& instance, std::string_view bytes) {
-    EngineView& view = views_[instance];
+  EntryHosting::Callbacks HostingCallbacks() {
+    EntryHosting::Callbacks callbacks;
+    callbacks.view = [this](const Endpoint& engine, std::string_view bytes) {
+      OnView(engine.ToString(), bytes);
+    };
+    callbacks.released = [this](const Endpoint& engine) {
+      const auto view = views_.find(engine.ToString());
+      if (view == views_.end()) return;
+      gateway_.ForgetView(view->second.instance);
+      views_.erase(view);
+    };
+    callbacks.list_soon = [this] { upstreams_.ReadSoon(); };
+    return callbacks;
+  }
+
+  // `source` is the link's instance, or the address of an engine kept here.
+  void OnView(const std::string& source, std::string_view bytes) {
+    EngineView& view = views_[source];
     if (!DecodeView(bytes, &view)) {
-      log_.Write(MonotonicMs(), "view_malformed", {{"upstream", instance}});
+      log_.Write(MonotonicMs(), "view_malformed", {{"upstream", source}});
       // What follows builds on it; a new link begins with a whole view.
-      views_.erase(instance);
-      links_.Close(instance, "view_malformed");
+      views_.erase(source);
+      links_.Close(source, "view_malformed");
       return;
     }
     gateway_.ApplyView(view);
@@ -226,6 +256,13 @@
     });
   }
 
+  struct Sent {
+    AgentDemand demand;
+    Endpoint to;
+    TimeMs at = 0;
+    TimeMs opened_at = MonotonicMs();
+  };
+
   void TellAgents() {
     const TimeMs now = MonotonicMs();
     auto demands = gateway_.Demands();
@@ -236,18 +273,33 @@
       demand.takes_updates = true;
       demand.repeat_ms = repeat_ms;
       const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
-      if (upstream == nullptr) continue;
+      if (upstream == nullptr || reopen_at_.count(instance) > 0) continue;
       Sent& sent = sent_[instance];
       // Ages grow by themselves; what is wanted is compared without them.
       const bool is_same = IsSame(sent.demand, demand);
       if (is_same && now - sent.at < repeat_ms) continue;
       sent.at = now;
-      const std::string bytes = EncodeDemand(demand);
+      Tell(*upstream, demand, &sent);
       sent.demand = std::move(demand);
-      links_.Send(instance, Endpoint{upstream->endpoint.address, settings_.direct->link_port},
-                  bytes);
     }
     CloseSilent(now);
+    for (auto it = reopen_at_.begin(); it != reopen_at_.end();) {
+      it = it->second <= now ? reopen_at_.erase(it) : std::next(it);
+    }
+    hosting_->Tick(gateway_.upstreams().EnginesWithoutView(kUnseenMs, now));
+  }
+
+  // To the engine's agent, or to the entry that gives orders in its place.
+  void Tell(const UpstreamRecord& upstream, const AgentDemand& demand, Sent* sent) {
+    if (hosting_->IsHosting(upstream.endpoint)) {
+      links_.Close(upstream.instance, "hosted_here");
+      return hosting_->OnDemand(upstream.endpoint, demand);
+    }
+    const Endpoint agent{upstream.endpoint.address, settings_.direct->link_port};
+    const Endpoint to = hosting_->LinkOf(upstream.endpoint).value_or(agent);
+    if (!(sent->to == to) && sent->to.port != 0) links_.Close(upstream.instance, "moved");
+    sent->to = to;
+    links_.Send(upstream.instance, to, EncodeDemand(demand));
   }
 
   static bool IsSame(const AgentDemand& a, const AgentDemand& b) {
@@ -284,12 +336,10 @@
 
   // Above the time in which a view counts as fresh.
   static constexpr DurationMs kSilentLinkMs = 2000;
-
-  struct Sent {
-    AgentDemand demand;
-    TimeMs at = 0;
-    TimeMs opened_at = MonotonicMs();
-  };
+  // A link that could not be opened is tried again so much later.
+  static constexpr DurationMs kReopenMs = 500;
+  // Twice as long as a view counts as fresh: then it is found out why none comes.
+  static constexpr DurationMs kUnseenMs = 3000;
 
   boost::asio::io_context& io_;
   Settings settings_;
@@ -298,6 +348,7 @@
   platform::StoreClient store_;
   Gateway gateway_;
   LinkClient links_;
+  std::shared_ptr<EntryHosting> hosting_;
   platform::ConfigurationFollower configuration_;
   platform::UpstreamFollower upstreams_;
   Timer demand_timer_;
@@ -305,6 +356,7 @@
   Timer peer_timer_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::map<std::string, Sent> sent_;
+  std::map<std::string, TimeMs> reopen_at_;  // Of links that could not be opened.
   std::map<std::string, EngineView> views_;  // The last of each link, which updates change.
   bool is_urgent_ = false;
   bool is_stopping_ = false;
--- /dev/null
+++ b/src/daemon/engine_keeper.cc
@@ -0,0 +1,221 @@
+#include "engine_keeper.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace junctionrail::internal {
+namespace {
+
+// Entries take a view for fresh a little over three times as long.
+constexpr DurationMs kRepeatViewMs = 500;
+
+std::string_view AnswerName(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      return "accepted";
+    case OrderAnswer::kAlreadyHolds:
+      return "already_holds";
+    case OrderAnswer::kConflict:
+      return "conflict";
+    case OrderAnswer::kStaleFence:
+      return "stale_fence";
+    case OrderAnswer::kOtherInstance:
+      return "other_instance";
+    case OrderAnswer::kRejected:
+      return "rejected";
+    case OrderAnswer::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+const std::string& EngineKeeper::EncodedViews::Whole() {
+  if (whole_.empty()) whole_ = EncodeView(view_);
+  return whole_;
+}
+
+const std::string& EngineKeeper::EncodedViews::Update(const ViewParts& parts) {
+  std::string& bytes = updates_[(parts.has_loaded ? 1 : 0) + (parts.has_orders ? 2 : 0) +
+                                (parts.has_at_hand ? 4 : 0)];
+  if (bytes.empty()) bytes = EncodeViewUpdate(view_, parts);
+  return bytes;
+}
+
+EngineKeeper::EngineKeeper(boost::asio::io_context& io, HttpClient& http, EventLog& log,
+                           KeeperOptions options, KeeperCallbacks callbacks)
+    : log_(log),
+      options_(std::move(options)),
+      callbacks_(std::move(callbacks)),
+      engine_(http, options_.engine),
+      report_timer_(io) {}
+
+void EngineKeeper::Start() { AskReport(); }
+
+void EngineKeeper::Stop() {
+  is_stopped_ = true;
+  report_timer_.Cancel();
+}
+
+void EngineKeeper::SetServices(std::vector<ServiceSpec> services) {
+  services_ = std::move(services);
+  ApplySpec();
+}
+
+void EngineKeeper::ApplySpec() {
+  for (const auto& it : services_) {
+    if (it.name == service_ && it.engine) core_.SetSpec(*it.engine);
+  }
+}
+
+void EngineKeeper::SetListing(const std::vector<UpstreamRecord>& listing) {
+  bool is_listed = false;
+  // A record whose instance has ended may lapse late, or even be written again.
+  std::vector<UpstreamRecord> present;
+  std::copy_if(listing.begin(), listing.end(), std::back_inserter(present),
+               [this](const UpstreamRecord& it) { return it.instance != replaced_; });
+  for (const auto& it : KeepLatestAtEachAddress(std::move(present))) {
+    const bool is_ours = it.endpoint == options_.engine;
+    if (!is_ours || (it.is_leaving && it.instance != core_.instance())) continue;
+    is_listed = true;
+    is_leaving_ = it.is_leaving;
+    service_ = it.service;
+    ApplySpec();
+    if (it.instance == core_.instance()) continue;
+    log_.Write(MonotonicMs(), "engine_found", {{"instance", it.instance}});
+    core_.Reset(it.instance);
+    AskReportSoon();
+  }
+  if (!is_listed && has_engine_) callbacks_.list_soon();
+}
+
+void EngineKeeper::OnLinkOpened(std::uint64_t link) {
+  OpenLink& open = links_[link];
+  if (core_.instance().empty()) return;
+  EncodedViews encoded(core_.View(MonotonicMs()));
+  SendOwed(link, &open, &encoded);
+}
+
+void EngineKeeper::OnLinkClosed(std::uint64_t link) {
+  links_.erase(link);
+  core_.OnEntryGone(link);
+}
+
+void EngineKeeper::OnDemand(std::uint64_t link, AgentDemand demand) {
+  // An entry that reads the store sooner knows of a new instance first.
+  const bool has_work = !demand.wanted.empty() || !demand.stage.empty();
+  core_.OnDemand(link, std::move(demand), MonotonicMs());
+  if (has_work) AskReportSoon();
+}
+
+void EngineKeeper::AskReportSoon() {
+  if (!is_asking_) AskReport();
+}
+
+void EngineKeeper::AskReport() {
+  if (is_stopped_) return;
+  is_asking_ = true;
+  report_timer_.Cancel();
+  engine_.Report([self = shared_from_this()](Result<EngineReport, platform::DecodeError> report) {
+    self->is_asking_ = false;
+    if (self->is_stopped_) return;
+    const TimeMs now = MonotonicMs();
+    self->Note(report.has_value(), report ? std::string() : report.error().sentence);
+    if (report) {
+      self->core_.OnReport(std::move(report.value()), now);
+      self->GiveOrder();
+      self->SendViews();
+    }
+    const KeeperOptions& options = self->options_;
+    const DurationMs delay = self->core_.IsActive()    ? options.active_report_ms
+                             : self->core_.HasDemand() ? options.quiet_report_ms
+                                                       : options.unused_report_ms;
+    if (!self->is_asking_) self->report_timer_.After(delay, [self] { self->AskReport(); });
+  });
+}
+
+void EngineKeeper::Note(bool is_in_touch, const std::string& reason) {
+  if (is_in_touch == has_engine_) return;
+  has_engine_ = is_in_touch;
+  // It may have started anew, as another instance.
+  if (is_in_touch) callbacks_.list_soon();
+  log_.Write(MonotonicMs(), is_in_touch ? "engine_regained" : "engine_lost",
+             {{"engine", options_.engine.ToString()}, {"reason", reason}});
+}
+
+void EngineKeeper::GiveOrder() {
+  // Without a token no order is given: it could be older than one given before.
+  const std::int64_t fence = callbacks_.fence();
+  if (is_ordering_ || fence == 0 || core_.instance().empty() || is_leaving_) return;
+  const auto order = core_.NextOrder(MonotonicMs());
+  if (!order) return;
+  is_ordering_ = true;
+  ++counters_.orders;
+  engine_.Give(*order, core_.instance(), {options_.holder, fence},
+               [self = shared_from_this(), order = *order, fence,
+                since = MonotonicMs()](OrderAnswer answer) {
+                 self->is_ordering_ = false;
+                 self->OnAnswer(order, fence, answer, since);
+               });
+}
+
+void EngineKeeper::OnAnswer(const EngineOrder& order, std::int64_t fence, OrderAnswer answer,
+                            TimeMs since) {
+  const TimeMs now = MonotonicMs();
+  const bool is_accepted = answer == OrderAnswer::kAccepted;
+  if (!is_accepted) ++counters_.orders_not_accepted;
+  log_.Write(now, "order",
+             {{"operation", order.kind == OrderKind::kLoad ? "load" : "unload"},
+              {"target", order.target.ToString()},
+              {"instance", core_.instance()},
+              {"sequence", order.expected_sequence},
+              {"fence", fence},
+              {"reason", order.reason},
+              {"answer", AnswerName(answer)},
+              {"took_ms", now - since}});
+  if (answer == OrderAnswer::kOtherInstance) {
+    // Until its record is read nothing is known of the one that answered.
+    replaced_ = core_.instance();
+    core_.Reset({});
+    callbacks_.list_soon();
+    return;
+  }
+  if (answer == OrderAnswer::kStaleFence) callbacks_.raise_fence();
+  core_.OnAnswer(order, answer, now);
+  SendViews();
+  AskReportSoon();
+}
+
+// A change goes at once to the entries that it concerns and to the others with the
+// next view that is due. With 103 entries and 180 engines each carried out some two
+// changes a second, and most entries had no request for most of them.
+void EngineKeeper::SendViews() {
+  if (core_.instance().empty()) return;
+  const TimeMs now = MonotonicMs();
+  const EngineView view = core_.View(now);
+  const bool is_new = view.instance != sent_view_.instance;
+  const ViewParts changed = ChangedParts(sent_view_, view);
+  const bool is_due = is_new || now - repeated_at_ >= kRepeatViewMs;
+  const bool has_news =
+      !changed.IsEmpty() || view.store_want.has_value() != sent_view_.store_want.has_value();
+  if (!has_news && !is_due) return;
+  const std::vector<std::string> gone = GoneModels(sent_view_, view);
+  if (is_due) repeated_at_ = now;
+  EncodedViews encoded(view);
+  for (auto& [link, it] : links_) {
+    it.owed.Add(changed);
+    it.is_whole_owed |= is_new;
+    if (is_due || core_.IsConcerned(link, gone)) SendOwed(link, &it, &encoded);
+  }
+  sent_view_ = view;
+}
+
+void EngineKeeper::SendOwed(std::uint64_t link, OpenLink* open, EncodedViews* encoded) {
+  const bool is_whole = open->is_whole_owed || !core_.TakesUpdates(link);
+  callbacks_.send(link, is_whole ? encoded->Whole() : encoded->Update(open->owed));
+  *open = OpenLink{{}, false};
+}
+
+}  // namespace junctionrail::internal
--- /dev/null
+++ b/src/daemon/entry_hosting.cc
@@ -0,0 +1,344 @@
+#include "entry_hosting.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace junctionrail::internal {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::string_view kClaims = "hosts/";
+// Short, so that another entry takes over soon; kept three times within it.
+constexpr DurationMs kLeaseMs = 3000;
+constexpr DurationMs kKeepLeaseMs = 1000;
+// While engines have no agent claims are read so often: a tenth of a call each, or a
+// whole one for an entry that hosts, as it must not miss that its claim was removed.
+constexpr DurationMs kReadClaimsMs = 1000;
+constexpr DurationMs kHostReadClaimsMs = 2000;
+constexpr DurationMs kLookTimeoutMs = 800;
+// An engine on another VM is asked less often than by an agent beside it, as each
+// asking is a call over the network.
+constexpr DurationMs kActiveReportMs = 150;
+constexpr DurationMs kQuietReportMs = 1000;
+// The link of this entry to itself; a LinkServer counts from 1.
+constexpr std::uint64_t kOwnLink = 0;
+
+std::string ToValue(const HostClaim& claim) {
+  return nlohmann::json{{"entry", claim.entry}, {"link", claim.link.ToString()}}.dump();
+}
+
+std::optional<HostClaim> ReadClaim(const platform::StoreItem& item) {
+  const auto value = nlohmann::json::parse(item.value, nullptr, false);
+  HostClaim claim;
+  const bool is_whole = value.is_object() && value.contains("entry") && value.contains("link") &&
+                        value["entry"].is_string() && value["link"].is_string() &&
+                        ParseEndpoint(value["link"].get<std::string>(), &claim.link);
+  if (!is_whole) return std::nullopt;
+  claim.engine = item.key.substr(kClaims.size());
+  claim.entry = value["entry"].get<std::string>();
+  claim.revision = item.created_revision;
+  return claim;
+}
+
+// One attempt to connect, given up after a time.
+struct PortLook : std::enable_shared_from_this<PortLook> {
+  explicit PortLook(boost::asio::io_context& io) : socket(io), timer(io) {}
+
+  void Start(const Endpoint& endpoint, std::function<void(HostElection::Port)> call) {
+    done = std::move(call);
+    error_code ec;
+    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+    if (ec) return End(HostElection::Port::kSilent);
+    timer.expires_after(std::chrono::milliseconds(kLookTimeoutMs));
+    timer.async_wait([self = shared_from_this()](error_code timer_ec) {
+      if (!timer_ec) self->End(HostElection::Port::kSilent);
+    });
+    socket.async_connect({address, endpoint.port}, [self = shared_from_this()](error_code result) {
+      const bool is_refused = result == boost::asio::error::connection_refused ||
+                              result == boost::asio::error::connection_reset;
+      self->End(!result      ? HostElection::Port::kOpen
+                : is_refused ? HostElection::Port::kRefused
+                             : HostElection::Port::kSilent);
+    });
+  }
+
+  void End(HostElection::Port port) {
+    if (!done) return;
+    timer.cancel();
+    error_code ec;
+    socket.close(ec);
+    std::exchange(done, nullptr)(port);
+  }
+
+  tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::function<void(HostElection::Port)> done;
+};
+
+}  // namespace
+
+std::string HostKey(const Endpoint& engine) { return std::string(kClaims) + engine.ToString(); }
+
+EntryHosting::EntryHosting(boost::asio::io_context& io, HttpClient& http,
+                           platform::StoreClient& store, EventLog& log, Options options,
+                           Callbacks callbacks)
+    : io_(io),
+      http_(http),
+      store_(store),
+      log_(log),
+      options_(std::move(options)),
+      callbacks_(std::move(callbacks)),
+      election_(options_.entry, options_.times),
+      links_(io, LinkCallbacks()) {}
+
+LinkServerCallbacks EntryHosting::LinkCallbacks() {
+  LinkServerCallbacks callbacks;
+  // Which engine a link is for is known with its first demand.
+  callbacks.opened = [](std::uint64_t) {};
+  callbacks.message = [this](std::uint64_t link, std::string_view bytes) {
+    OnLinkDemand(link, bytes);
+  };
+  callbacks.closed = [this](std::uint64_t link) {
+    const auto engine = link_engine_.find(link);
+    if (engine == link_engine_.end()) return;
+    const auto hosted = hosted_.find(engine->second);
+    if (hosted != hosted_.end()) hosted->second.keeper->OnLinkClosed(link);
+    link_engine_.erase(engine);
+  };
+  return callbacks;
+}
+
+void EntryHosting::OnLinkDemand(std::uint64_t link, std::string_view bytes) {
+  AgentDemand demand;
+  if (!DecodeDemand(bytes, &demand)) {
+    log_.Write(MonotonicMs(), "demand_malformed", {});
+    return;
+  }
+  std::string engine;
+  for (const auto& it : listing_) {
+    if (it.instance == demand.instance) engine = it.endpoint.ToString();
+  }
+  const auto hosted = hosted_.find(engine);
+  // The sender's claims are older than this entry's; it finds the new ones soon.
+  if (hosted == hosted_.end()) return links_.Close(link, "not_hosted");
+  const bool is_new = link_engine_.emplace(link, engine).second;
+  hosted->second.keeper->OnDemand(link, std::move(demand));
+  if (is_new) hosted->second.keeper->OnLinkOpened(link);
+}
+
+void EntryHosting::Stop() {
+  is_stopped_ = true;
+  const auto all = hosted_;
+  for (const auto& [engine, it] : all) Release(engine);
+  links_.Stop();
+}
+
+void EntryHosting::SetPolicy(const PolicySettings& policy) {
+  options_.policy = policy;
+  for (auto& [engine, it] : hosted_) it.keeper->SetPolicy(policy);
+}
+
+void EntryHosting::SetServices(const std::vector<ServiceSpec>& services) {
+  services_ = services;
+  for (auto& [engine, it] : hosted_) it.keeper->SetServices(services);
+}
+
+void EntryHosting::SetListing(const std::vector<UpstreamRecord>& listing) {
+  listing_ = listing;
+  for (auto& [engine, it] : hosted_) it.keeper->SetListing(listing);
+}
+
+void EntryHosting::Tick(const std::vector<Endpoint>& unseen) {
+  if (is_stopped_) return;
+  const TimeMs now = MonotonicMs();
+  std::vector<std::string> engines;
+  for (const auto& it : unseen) {
+    engines.push_back(it.ToString());
+    endpoints_[engines.back()] = it;
+  }
+  election_.SetUnseen(engines, now);
+  DropLost();
+  for (const auto& it : election_.PortsToLookAt(now)) Look(it);
+  if (!election_.WantsClaims()) return;
+  ReadClaims(now);
+  if (lease_ != 0) KeepLease(now);
+  for (const auto& it : election_.EnginesToRelease()) Release(it);
+  const auto to_claim = election_.EnginesToClaim(now);
+  if (to_claim.empty() || is_claiming_) return;
+  if (lease_ == 0) return OpenLease(now);
+  Claim(to_claim.front());
+}
+
+void EntryHosting::Look(const std::string& engine) {
+  const Endpoint port{endpoints_[engine].address, options_.link.port};
+  std::make_shared<PortLook>(io_)->Start(
+      port, [self = shared_from_this(), engine](HostElection::Port found) {
+        self->election_.OnPort(engine, found, MonotonicMs());
+      });
+}
+
+void EntryHosting::ReadClaims(TimeMs now) {
+  const DurationMs period = hosted_.empty() ? kReadClaimsMs : kHostReadClaimsMs;
+  if (is_reading_claims_ || now - claims_asked_at_ < period) return;
+  is_reading_claims_ = true;
+  claims_asked_at_ = now;
+  const auto freshness =
+      hosted_.empty() ? platform::Freshness::kMayLag : platform::Freshness::kNewest;
+  store_.ReadBelow(std::string(kClaims), freshness, [self = shared_from_this(), now](auto read) {
+    self->is_reading_claims_ = false;
+    if (!read) return;
+    std::vector<HostClaim> claims;
+    for (const auto& it : read.value().items) {
+      auto claim = ReadClaim(it);
+      if (claim) {
+        claims.push_back(std::move(*claim));
+      } else {
+        self->log_.Write(MonotonicMs(), "claim_malformed", {{"key", it.key}});
+      }
+    }
+    self->election_.OnClaims(std::move(claims), now);
+    self->DropLost();
+  });
+}
+
+void EntryHosting::OpenLease(TimeMs now) {
+  if (is_calling_lease_ || now - lease_asked_at_ < kKeepLeaseMs) return;
+  is_calling_lease_ = true;
+  lease_asked_at_ = now;
+  store_.OpenLease(kLeaseMs, [self = shared_from_this(), now](auto lease) {
+    self->is_calling_lease_ = false;
+    if (!lease) {
+      self->log_.Write(MonotonicMs(), "lease_not_opened", {{"reason", lease.error().sentence}});
+      return;
+    }
+    self->lease_ = lease.value();
+    self->election_.OnLeaseKept(now, kLeaseMs);
+  });
+}
+
+void EntryHosting::KeepLease(TimeMs now) {
+  if (is_calling_lease_ || now - lease_asked_at_ < kKeepLeaseMs) return;
+  is_calling_lease_ = true;
+  lease_asked_at_ = now;
+  store_.KeepLease(lease_, [self = shared_from_this(), now](platform::LeaseState state) {
+    self->is_calling_lease_ = false;
+    if (state == platform::LeaseState::kKept) return self->election_.OnLeaseKept(now, kLeaseMs);
+    if (state == platform::LeaseState::kUnknown) return;  // It may still hold; see FenceFor.
+    self->LeaveLease();
+  });
+}
+
+// It is no longer kept, and ends in the store with all claims under it.
+void EntryHosting::LeaveLease() {
+  log_.Write(MonotonicMs(), "lease_left", {{"engines", static_cast<std::int64_t>(hosted_.size())}});
+  lease_ = 0;
+  election_.OnLeaseEnded();
+  DropLost();
+}
+
+void EntryHosting::Claim(const std::string& engine) {
+  if (!Listen()) return;
+  HostClaim claim{engine, options_.entry, options_.link, 0};
+  platform::StoreCommit commit;
+  const std::string key = HostKey(endpoints_[engine]);
+  commit.conditions.push_back({key, 0});
+  commit.writes.push_back({key, ToValue(claim), lease_});
+  is_claiming_ = true;
+  store_.Commit(commit, [self = shared_from_this(), claim](platform::CommitAnswer answer) mutable {
+    self->is_claiming_ = false;
+    if (answer.outcome == platform::CommitOutcome::kConflict) {
+      self->claims_asked_at_ = 0;  // Another was first.
+      return;
+    }
+    // One without an answer may have been done: it must end with the lease, or nobody
+    // would give the engine orders.
+    if (answer.outcome != platform::CommitOutcome::kDone) return self->LeaveLease();
+    claim.revision = answer.revision;
+    self->election_.OnClaimed(claim, MonotonicMs());
+    self->Host(claim);
+  });
+}
+
+bool EntryHosting::Listen() {
+  if (is_listening_) return true;
+  const auto port = links_.Listen(options_.link);
+  is_listening_ = port.has_value();
+  if (!port) log_.Write(MonotonicMs(), "link_not_open", {{"reason", port.error().sentence}});
+  return is_listening_;
+}
+
+void EntryHosting::Host(const HostClaim& claim) {
+  const Endpoint engine = endpoints_[claim.engine];
+  log_.Write(MonotonicMs(), "engine_claimed",
+             {{"engine", claim.engine}, {"fence", claim.revision}});
+  KeeperCallbacks callbacks;
+  callbacks.send = [this, engine](std::uint64_t link, const std::string& bytes) {
+    if (link == kOwnLink) return callbacks_.view(engine, bytes);
+    links_.Send(link, bytes);
+  };
+  callbacks.fence = [this, name = claim.engine] { return election_.FenceFor(name, MonotonicMs()); };
+  // The claim's revision is the highest there is for this engine.
+  callbacks.raise_fence = [this, name = claim.engine] { Release(name); };
+  callbacks.list_soon = callbacks_.list_soon;
+  KeeperOptions options{options_.entry, engine, kActiveReportMs, kQuietReportMs, kQuietReportMs};
+  auto keeper = std::make_shared<EngineKeeper>(io_, http_, log_, options, std::move(callbacks));
+  keeper->SetPolicy(options_.policy);
+  keeper->SetServices(services_);
+  keeper->SetListing(listing_);
+  keeper->OnLinkOpened(kOwnLink);
+  hosted_[claim.engine] = Hosted{engine, keeper};
+  keeper->Start();
+}
+
+// Those whose claim is no longer held.
+void EntryHosting::DropLost() {
+  const auto held = election_.Hosted();
+  for (auto it = hosted_.begin(); it != hosted_.end();) {
+    if (Contains(held, it->first)) {
+      ++it;
+      continue;
+    }
+    log_.Write(MonotonicMs(), "engine_released", {{"engine", it->first}});
+    it->second.keeper->Stop();
+    const Endpoint engine = it->second.engine;
+    for (const auto& [link, name] : link_engine_) {
+      if (name == it->first) links_.Close(link, "released");
+    }
+    it = hosted_.erase(it);
+    callbacks_.released(engine);
+  }
+}
+
+void EntryHosting::Release(const std::string& engine) {
+  platform::StoreCommit commit;
+  const HostClaim* claim = election_.ClaimOf(engine);
+  const std::string key = HostKey(endpoints_[engine]);
+  if (claim != nullptr) commit.conditions.push_back({key, claim->revision});
+  commit.removals.push_back(key);
+  // Without an answer it goes with the lease.
+  store_.Commit(commit, [](platform::CommitAnswer) {});
+  election_.OnReleased(engine);
+  DropLost();
+}
+
+bool EntryHosting::IsHosting(const Endpoint& engine) const {
+  return hosted_.count(engine.ToString()) > 0;
+}
+
+void EntryHosting::OnDemand(const Endpoint& engine, const AgentDemand& demand) {
+  const auto it = hosted_.find(engine.ToString());
+  if (it != hosted_.end()) it->second.keeper->OnDemand(kOwnLink, demand);
+}
+
+std::optional<Endpoint> EntryHosting::LinkOf(const Endpoint& engine) const {
+  const HostClaim* claim = election_.ClaimOf(engine.ToString());
+  if (claim == nullptr) return std::nullopt;
+  return claim->link;
+}
+
+}  // namespace junctionrail::internal
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -92,6 +92,7 @@
   for (const auto& it : KeepLatestAtEachAddress(std::move(present))) {
     listed.insert(it.instance);
     Row& row = rows_[it.instance];
+    if (row.listed_at == 0) row.listed_at = now;
     const bool was_leaving = row.record.is_leaving;
     row.record = it;
     row.record.is_leaving = it.is_leaving || was_leaving;
@@ -166,6 +167,17 @@
   return it != rows_.end() && IsFresh(it->second, now);
 }
 
+std::vector<Endpoint> UpstreamTable::EnginesWithoutView(DurationMs ms, TimeMs now) const {
+  std::vector<Endpoint> engines;
+  for (const auto& [instance, row] : rows_) {
+    const auto service = services_.find(row.record.service);
+    const bool is_engine = service != services_.end() && service->second.engine.has_value();
+    if (!is_engine || !IsPresent(row, row.record.service, now)) continue;
+    if (now - std::max(row.view_at, row.listed_at) >= ms) engines.push_back(row.record.endpoint);
+  }
+  return engines;
+}
+
 int UpstreamTable::Entries(TimeMs now) const {
   int entries = 1;
   for (const auto& [instance, row] : rows_) {
--- a/test/support/platform_standin.cc
+++ b/test/support/platform_standin.cc
@@ -85,6 +85,16 @@
     if (!TryAnswer(watch)) watches_.push_back(std::move(watch));
     return;
   }
+  constexpr std::string_view kKeep = "/kv-keep/";
+  if (path == "/kv-txn") return AnswerCommit(request.body, *responder);
+  if (path == "/kv-lease") {
+    leases_.insert(++revision_);
+    return responder->Whole(200, {}, json{{"lease", revision_}, {"ttlMs", 3000}}.dump());
+  }
+  if (IsBelow(path, std::string(kKeep))) {
+    const auto lease = std::strtoll(path.substr(kKeep.size()).c_str(), nullptr, 10);
+    return responder->Whole(leases_.count(lease) > 0 ? 200 : 404, {}, R"({"ttlMs":3000})");
+  }
   const auto it = items_.find(Query(request.target, "tlsKey"));
   if (path != "/kv-key" || it == items_.end()) return responder->Whole(404, {}, "");
   const json answer = {{"tlsKey", it->first},
@@ -96,6 +106,39 @@
   responder->Whole(200, {{"Content-Type", "application/json"}}, answer.dump());
 }
 
+void StandinStore::EndLease(std::int64_t lease) {
+  leases_.erase(lease);
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : items_) {
+    if (item.lease == lease) gone.push_back(key);
+  }
+  for (const auto& it : gone) Remove(it);
+}
+
+void StandinStore::AnswerCommit(const std::string& body, HttpResponder& responder) {
+  const json commit = json::parse(body);
+  for (const auto& it : commit.at("expected")) {
+    const auto item = items_.find(it.at("tlsKey").get<std::string>());
+    const std::int64_t revision = item == items_.end() ? 0 : item->second.revision;
+    if (revision != it.at("revision").get<std::int64_t>()) {
+      return responder.Whole(412, {}, R"({"items":[]})");
+    }
+  }
+  for (const auto& it : commit.at("writes")) {
+    const auto lease = it.at("lease").get<std::int64_t>();
+    if (lease != 0 && leases_.count(lease) == 0) return responder.Whole(404, {}, "");
+  }
+  for (const auto& it : commit.at("writes")) {
+    std::string value;
+    DecodeBase64(it.at("value").get<std::string>(), &value);
+    const auto key = it.at("tlsKey").get<std::string>();
+    Put(key, value);
+    items_[key].lease = it.at("lease").get<std::int64_t>();
+  }
+  for (const auto& it : commit.at("remove")) Remove(it.get<std::string>());
+  responder.Whole(200, {}, json{{"revision", revision_}}.dump());
+}
+
 void StandinStore::AnswerRange(const std::string& prefix, const std::string& after,
                                HttpResponder& responder) {
   json items = json::array();
--- a/test/support/platform_standin.h
+++ b/test/support/platform_standin.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
   // Watches that wait hear nothing any more.
   void SilenceWatches();
   void CutWatches();
+  // The lease ends, and its keys go.
+  void EndLease(std::int64_t lease);
+  bool Has(const std::string& key) const { return items_.count(key) > 0; }
 
   enum class Mood { kFine, kBusy, kSilent };
   Mood mood = Mood::kFine;
@@ -36,6 +40,7 @@
     std::string value;
     std::int64_t revision = 0;
     std::int64_t created = 0;
+    std::int64_t lease = 0;
   };
   struct Change {
     std::string key;
@@ -48,6 +53,7 @@
   };
 
   void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder);
+  void AnswerCommit(const std::string& body, HttpResponder& responder);
   void AnswerRange(const std::string& prefix, const std::string& after, HttpResponder& responder);
   bool TryAnswer(const Watch& watch);
   void AnswerWatches();
@@ -60,6 +66,7 @@
   std::int64_t revision_ = 100;
   std::int64_t forgotten_ = 0;  // The history up to this revision is gone.
   std::vector<Watch> watches_;
+  std::set<std::int64_t> leases_;
 };
 
 }  // namespace junctionrail::testing
