Load from the weight store only when most entries give the agent a place

Cause: entries see the same views at different moments, and an agent began a load when any one of them gave it a place. Change: a place counts when half of the entries that speak with the agent give it. Test: PlacementLoads.FromTheWeightStoreOnlyWhenMostEntriesSayThatItHasRoom (fails on any one entry's word).

--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -363,9 +363,13 @@
   return best->name;
 }
 
+// Entries see the same views at different moments and give the weight store's places
+// out by them. What most of them say is what the fleet means; any one of them alone
+// let ten loads begin where four were meant.
 bool PlacementCore::MayLoadFromStore() const {
-  return std::any_of(demands_.begin(), demands_.end(),
-                     [](const auto& it) { return it.second.demand.may_load_from_store; });
+  const auto n = std::count_if(demands_.begin(), demands_.end(),
+                               [](const auto& it) { return it.second.demand.may_load_from_store; });
+  return n > 0 && static_cast<std::size_t>(n) * 2 >= demands_.size();
 }
 
 bool PlacementCore::AwaitsStore(const std::string& model, bool is_waited_for, double weight,
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -133,6 +133,25 @@
   EXPECT_TRUE(!engine.core.View(engine.now).store_want, "and asks no more");
 }
 
+TEST(PlacementLoads, FromTheWeightStoreOnlyWhenMostEntriesSayThatItHasRoom) {
+  // Views reach entries at different moments: each may take another agent for the one
+  // whose turn it is.
+  Engine engine;
+  engine.report.on_disk.clear();
+  engine.Report();
+  const auto say = [&](std::uint64_t link, bool may_load) {
+    AgentDemand demand{"entry", "u1", {}, {}, {}, may_load};
+    if (link == 1) demand.wanted = {Wanted("a", 1)};
+    engine.core.OnDemand(link, std::move(demand), engine.now);
+  };
+  say(1, true);
+  say(2, false);
+  say(3, false);
+  EXPECT_TEXT("nothing", engine.Order(), "one of three");
+  say(3, true);
+  EXPECT_TEXT("load a", engine.Order(), "two of three");
+}
+
 TEST(PlacementLoads, AReplicaOfAnOverloadedModelFromTheStoreBeforeOneForARareRequest) {
   // after all VMs had lost power a busy model's one engine
   // queued its requests for 15 s, while the weight store's places went to rare
