--- /dev/null
+++ b/test/model_fleet_test.cc
@@ -0,0 +1,88 @@
+// Whole fleets under load in model time: who is in time, who waits, what is loaded.
+#include "model_fleet.h"
+
+#include "check.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::ModelFleet;
+using testing::ModelledFleet;
+
+constexpr int kBusyModels = 6;
+constexpr int kModels = 190;
+
+// A fifth of the large deployment: requests in the same proportion to its engines, most
+// of them for a few busy models, the others each for one of many that are asked for once
+// in some seconds and wait for two seconds without loss.
+ModelledFleet MakeFleet() {
+  ModelledFleet fleet;
+  fleet.engines = 36;
+  fleet.entries = 8;
+  fleet.models = kModels;
+  fleet.busy_models = kBusyModels;
+  fleet.busy_replicas = 5;
+  fleet.loads = {{"busy", 64, 0, kBusyModels, 500, 3200, 1700, 2},
+                 {"rare", 28, kBusyModels, kModels, 2000, 8000, 1700, 1},
+                 {"short", 24, 0, kBusyModels, 600, 3000, 200, 0}};
+  return fleet;
+}
+
+std::string Told(const testing::ModelledOutcome& it) {
+  return "of " + std::to_string(it.requests) + ": in time " + std::to_string(it.in_target) +
+         ", late " + std::to_string(it.late) + ", refused " + std::to_string(it.refused) +
+         ", abandoned " + std::to_string(it.abandoned);
+}
+
+}  // namespace
+
+TEST_GROUP(LargeFleets){};
+
+TEST(LargeFleets, ServeRareModelsFromDiskInTimeAndBusyOnesUndisturbed) {
+  ModelledFleet shape = MakeFleet();
+  shape.disk_copies = 3;
+  ModelFleet fleet(shape);
+  fleet.Run(20000);
+  const auto& rare = fleet.Outcome("rare");
+  EXPECT_TRUE(rare.InTargetPercent() >= 90, "rare models, each on three disks: " + Told(rare));
+  for (const char* name : {"busy", "short"}) {
+    const auto& busy = fleet.Outcome(name);
+    EXPECT_TRUE(busy.InTargetPercent() >= 97, std::string(name) + ": " + Told(busy));
+  }
+}
+
+TEST(LargeFleets, BeginNoMoreLoadsFromTheStoreThanItServesAndAFew) {
+  // Requests for 150 models that are on no disk come to 40 entries in a few seconds, and
+  // wait as long as it takes. A store that is asked for many at once has none up for long.
+  ModelledFleet shape = MakeFleet();
+  shape.entries = 40;
+  shape.models = kModels + 150;
+  shape.loads = {shape.loads[0], {"rare", 56, kBusyModels, shape.models, 2000, 40000, 1700, 1}};
+  shape.disk_models = 3;  // What stands loaded, no more.
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    shape.seed = seed;
+    ModelFleet fleet(shape);
+    fleet.Run(5000);
+    EXPECT_TRUE(fleet.loads_from_store() <= 5, "expected four and at most one more, got " +
+                                                   std::to_string(fleet.loads_from_store()));
+  }
+}
+
+TEST(LargeFleets, GiveBusyModelsOfLostEnginesNewReplicas) {
+  ModelledFleet shape = MakeFleet();
+  shape.disk_copies = 6;
+  ModelFleet fleet(shape);
+  fleet.Run(4000);
+  for (int n = 0; n < 12; ++n) fleet.Replace(35 - n);
+  fleet.Run(6000);
+  const int before = fleet.Outcome("busy").in_target;
+  const int asked = fleet.Outcome("busy").requests;
+  fleet.Run(6000);
+  const int in_time = fleet.Outcome("busy").in_target - before;
+  const int came = fleet.Outcome("busy").requests - asked;
+  EXPECT_TRUE(in_time * 100 >= came * 95,
+              "six seconds after a third of the engines was lost: " + std::to_string(in_time) +
+                  " of " + std::to_string(came) + " in time");
+}
+
+}  // namespace junctionrail
--- a/test/support/model_fleet.cc
+++ b/test/support/model_fleet.cc
@@ -53,9 +53,11 @@
       PutOnDisk(engine, ModelName(model));
     }
   }
-  while (next < fleet_.models) {
-    PutOnDisk(engines_[static_cast<std::size_t>(next % fleet_.engines)], ModelName(next));
-    ++next;
+  // Copies of a model are spread over the engines.
+  for (int copy = 0; copy < fleet_.disk_copies; ++copy) {
+    for (int n = copy == 0 ? next : 0; n < fleet_.models; ++n) {
+      PutOnDisk(engines_[static_cast<std::size_t>((n + copy * 53) % fleet_.engines)], ModelName(n));
+    }
   }
   RoutingOptions options;
   options.data_hall = "hall-1";
@@ -144,13 +146,9 @@
   const Pick choice = entry.table.Choose(pick, now_);
   if (const auto* to = std::get_if<SendTo>(&choice)) return Send(to->instance, std::move(request));
   const auto* wait = std::get_if<WaitFor>(&choice);
-  const bool is_for_place = wait != nullptr && wait->source == "place";
-  if (is_for_place && request.sent_at == 0) request.sent_at = now_;
-  if (!is_for_place) request.sent_at = 0;
   const DurationMs patience =
       request.came_at + request.load->patience_ms - now_ - entry.table.FirstEventMs(request.model);
   if (wait == nullptr || wait->estimate_ms > patience) {
-    if (is_for_place) entry.table.OnFirstEvent(request.model, now_ - request.sent_at);
     return End(request, &ModelledOutcome::refused);
   }
   if (is_new) request.parked_at = now_;
@@ -229,7 +227,7 @@
     return Offer(std::move(request), false);
   }
   entry.table.OnSent(instance, request.model, now_);
-  if (request.sent_at == 0) request.sent_at = now_;
+  request.sent_at = now_;
   engine.queue.push_back(std::move(request));
   StartRuns(engine);
 }
--- a/test/support/model_fleet.h
+++ b/test/support/model_fleet.h
@@ -40,6 +40,7 @@
   DurationMs disk_load_ms = 640;
   DurationMs store_load_ms = 13200;
   int store_loads = 2;  // That the weight store serves at full speed at once.
+  int disk_copies = 1;  // Engines that have each model on disk at the start.
   int busy_models = 0;  // The first of them, which stand on several engines at the start.
   int busy_replicas = 1;
   std::vector<ModelledLoad> loads;
@@ -80,7 +81,7 @@
     ModelRef model;
     TimeMs came_at = 0;
     TimeMs parked_at = 0;
-    TimeMs sent_at = 0;  // Or when it began to wait for a place where its model is up.
+    TimeMs sent_at = 0;
     TimeMs ends_at = 0;  // 0: waits in the engine's queue.
     int entry = 0;
     std::string asked;
