--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -93,7 +93,6 @@
     DurationMs age_ms = 0;
     double replica_per_s = 0;
     double callers_late = 0;
-    DurationMs target_ms = 0;
     int late = 0;
     DurationMs left_ms = kNever;
     double per_s = 0;
@@ -120,7 +119,8 @@
   bool IsNear(std::string_view model) const;
   double UsedMb() const;
   int UsedAdapterPlaces() const;
-  bool HasRoomFor(const ModelSpec& spec) const;
+  // What the model is larger than the free memory; 0 or less: it fits.
+  double MissingMb(const ModelSpec& spec) const;
   bool MayLoadFromStore() const;
   // Whether the load is to wait for the weight store; notes that it is wanted.
   bool AwaitsStore(const std::string& model, bool is_waited_for, double weight, TimeMs now);
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -214,10 +214,9 @@
   // Callers beyond their target at any moment, as they queue at the replicas
   // that there are.
   double callers_late = 0;
-  DurationMs target_ms = 0;  // For the first event, of the requests held; 0: unknown.
-  int late = 0;              // Of those waiting, beyond their targets already.
-  DurationMs left_ms = 0;    // Of the others, until the first is late.
-  double per_s = 0;          // Requests a second for the model that this entry sees.
+  int late = 0;            // Of those waiting, beyond their targets already.
+  DurationMs left_ms = 0;  // Of the others, until the first is late.
+  double per_s = 0;        // Requests a second for the model that this entry sees.
 };
 struct ModelUse {
   std::string model;
@@ -326,10 +325,9 @@
     int count = 0;
     int priority = 0;
     TimeMs since = 0;
-    std::string asked;         // The instance whose agent was asked.
-    DurationMs target_ms = 0;  // For the first event.
-    int late = 0;              // Beyond their targets.
-    TimeMs late_at = 0;        // When the first of the others will be.
+    std::string asked;   // The instance whose agent was asked.
+    int late = 0;        // Beyond their targets.
+    TimeMs late_at = 0;  // When the first of the others will be.
   };
 
   // What to tell each agent now, by instance.
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -73,8 +73,6 @@
   bool avoids_mute = true;         // Upstreams silent with their agents get nothing.
   bool ejects = true;              // Upstreams that fail get nothing for a while.
   bool leaves_silent = true;       // A silent upstream is left for another one.
-
-  bool operator==(const PolicySettings& other) const;
 };
 
 // The switches by the names that they have in a settings file.
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -131,11 +131,6 @@
     {"leaves_silent", &PolicySettings::leaves_silent},
 };
 
-bool PolicySettings::operator==(const PolicySettings& other) const {
-  return std::all_of(kPolicySwitches.begin(), kPolicySwitches.end(),
-                     [&](const PolicySwitch& it) { return this->*it.value == other.*it.value; });
-}
-
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -175,7 +175,6 @@
   waiting.asked = exchange.asked();
   waiting.priority = exchange.priority();
   waiting.since = since;
-  waiting.target_ms = exchange.target_ms();
   waiting.late_at = exchange.late_at();
   waiting.count = 1;
   return waiting;
@@ -206,7 +205,6 @@
     waiting.late_at = std::min(waiting.late_at, it.late_at);
     waiting.priority = std::min(waiting.priority, it.priority);
     waiting.since = std::min(waiting.since, it.since);
-    waiting.target_ms = std::min(waiting.target_ms, it.target_ms);
     waiting.asked = it.asked;
   }
   std::vector<UpstreamTable::Waiting> all;
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -120,6 +120,9 @@
   return n < list.size() ? list.at(n).get<Value>() : absent;
 }
 
+// Element 7 of a wanted model held a target that no version reads any more.
+constexpr int kUnusedPlace = 0;
+
 }  // namespace
 
 void ViewParts::Add(const ViewParts& other) {
@@ -188,7 +191,7 @@
   json wanted = json::array();
   for (const auto& it : demand.wanted) {
     wanted.push_back({it.ref.model, it.ref.adapter, it.waiting, it.priority, it.age_ms,
-                      it.replica_per_s, it.callers_late, it.target_ms, it.late, it.left_ms,
+                      it.replica_per_s, it.callers_late, kUnusedPlace, it.late, it.left_ms,
                       it.per_s});
   }
   json use = json::array();
@@ -218,7 +221,6 @@
                       it.at(4).get<DurationMs>(),
                       ElementOr<double>(it, 5, 0),
                       ElementOr<double>(it, 6, 0),
-                      ElementOr<DurationMs>(it, 7, 0),
                       ElementOr<int>(it, 8, 0),
                       ElementOr<DurationMs>(it, 9, 0),
                       ElementOr<double>(it, 10, 0)});
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -195,10 +195,6 @@
       want.late += wanted.late;
       if (wanted.waiting > wanted.late) want.left_ms = std::min(want.left_ms, wanted.left_ms);
       want.per_s += wanted.per_s;
-      if (wanted.target_ms > 0) {
-        want.target_ms =
-            want.target_ms == 0 ? wanted.target_ms : std::min(want.target_ms, wanted.target_ms);
-      }
     }
   }
   std::vector<Want> wants;
@@ -285,8 +281,8 @@
   return static_cast<int>(n);
 }
 
-bool PlacementCore::HasRoomFor(const ModelSpec& spec) const {
-  return UsedMb() + spec.size_mb <= spec_.accelerator_mb;
+double PlacementCore::MissingMb(const ModelSpec& spec) const {
+  return UsedMb() + spec.size_mb - spec_.accelerator_mb;
 }
 
 EngineOrder PlacementCore::Make(OrderKind kind, ModelRef target, std::string reason) const {
@@ -421,7 +417,8 @@
   if (spec == nullptr || FindLoaded(want.ref.model) != nullptr) return std::nullopt;
   const bool is_waited_for = want.waiting > 0;
   if (AwaitsStore(want.ref.model, is_waited_for, StoreWeightOf(want), now)) return std::nullopt;
-  if (HasRoomFor(*spec)) {
+  const double missing_mb = MissingMb(*spec);
+  if (missing_mb <= 0) {
     return Make(OrderKind::kLoad, ModelRef{want.ref.model, {}},
                 is_waited_for ? "requests wait for it" : "another replica is needed");
   }
@@ -433,7 +430,6 @@
   const auto lost_ms = static_cast<double>(want.waiting * waited);
   const double most_ms =
       (is_waited_for ? lost_ms : want.callers_late * kHorizonMs) * ClassWeight(want.priority);
-  const double missing_mb = UsedMb() + spec->size_mb - spec_.accelerator_mb;
   const auto victim = Victim(wants, missing_mb, most_ms, may_interrupt, now);
   if (!victim) return std::nullopt;
   EngineOrder order =
@@ -448,8 +444,8 @@
       const ModelSpec* spec = spec_.Find(model);
       if (spec == nullptr || FindLoaded(model) != nullptr || IsNear(model)) continue;
       if (AwaitsStore(model, false, 0, now)) return std::nullopt;
-      if (HasRoomFor(*spec)) return Make(OrderKind::kLoad, ModelRef{model, {}}, "staged to disk");
-      const double missing_mb = UsedMb() + spec->size_mb - spec_.accelerator_mb;
+      const double missing_mb = MissingMb(*spec);
+      if (missing_mb <= 0) return Make(OrderKind::kLoad, ModelRef{model, {}}, "staged to disk");
       const auto victim = Victim(wants, missing_mb, kStageMost, false, now);
       if (!victim) return std::nullopt;
       const DurationMs idle_ms = UseOf(*victim).idle_ms;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -29,6 +29,12 @@
 // model is asked for anew.
 constexpr DurationMs kAskedAnewMs = 1000;
 
+// Whether the engine has the model, or will when the order under way is done: nothing
+// else has to make room or to wait for it.
+bool IsThereOrComing(const EngineView& view, const std::string& model) {
+  return HoldsModel(view.loaded, model) || view.loading == model;
+}
+
 std::string_view SourceOf(const EngineView& view, const ModelRef& model) {
   if (HoldsModel(view.loaded, model.model)) return "adapter";
   if (view.loading == model.model) return "under_load";
@@ -77,7 +83,7 @@
 // the model and those queued before it fit. 0 for an agent that does not say.
 double UpstreamTable::ClosingCost(const Row& row, const ModelRef& model) const {
   const EngineView& view = row.view;
-  if (HoldsModel(view.loaded, model.model) || view.loading == model.model) return 0;
+  if (IsThereOrComing(view, model.model)) return 0;
   const auto size = [&](const std::string& name) {
     const ModelSpec* spec = SpecOf(row, name);
     return spec == nullptr ? 0.0 : spec->size_mb;
@@ -115,7 +121,7 @@
 double UpstreamTable::OccupationCost(const Row& row, const ModelRef& model) const {
   if (!options_.policy.weighs_occupation) return 0;
   const EngineView& view = row.view;
-  if (HoldsModel(view.loaded, model.model) || view.loading == model.model) return 0;
+  if (IsThereOrComing(view, model.model)) return 0;
   const ModelSpec* spec = SpecOf(row, model.model);
   if (spec == nullptr) return 0;
   const auto load = static_cast<double>(Contains(view.at_hand, model.model) ? spec->disk_load_ms
@@ -231,7 +237,7 @@
   for (const auto& it : waiting) {
     const auto demand = demands.find(it.asked);
     if (demand == demands.end()) continue;
-    ModelDemand wanted{it.ref, it.count, it.priority, now - it.since, 0, 0, it.target_ms};
+    ModelDemand wanted{it.ref, it.count, it.priority, now - it.since};
     wanted.late = it.late;
     wanted.left_ms = it.late_at - now;
     wanted.per_s = RateOf(it.ref.model, now);
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -91,9 +91,9 @@
       const Row* place = PlaceForReplica(name, model, now);
       const auto demand = place == nullptr ? demands->end() : demands->find(place->record.instance);
       if (demand == demands->end()) continue;
-      demand->second.wanted.push_back(
-          ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0, per_s / have,
-                      is_late ? rate->second.CallersLate(per_s) : 0, rate->second.target_ms});
+      demand->second.wanted.push_back(ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0,
+                                                  per_s / have,
+                                                  is_late ? rate->second.CallersLate(per_s) : 0});
     }
   }
 }
--- a/test/support/model_fleet.cc
+++ b/test/support/model_fleet.cc
@@ -195,7 +195,6 @@
     wait.priority = is_first ? it.load->priority : std::min(wait.priority, it.load->priority);
     wait.since = is_first ? it.parked_at : std::min(wait.since, it.parked_at);
     wait.asked = it.asked;
-    wait.target_ms = it.load->target_ms;
     if (late_at <= now_) {
       ++wait.late;
     } else {
