--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
-#include <chrono>
 #include <utility>
 
 #include "http_text.h"
@@ -139,7 +138,7 @@
   is_head_method_ = message.method() == http::verb::head;
   parser_.reset();
   request_since_ = 0;
-  timer_.cancel();
+  timer_.Cancel();
   exchange_ = std::make_shared<Exchange>(gateway_, std::move(request),
                                          std::weak_ptr<CallerSink>(shared_from_this()));
   // The exchange may be over when Start returns.
@@ -256,7 +255,7 @@
 void CallerConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
-  timer_.cancel();
+  timer_.Cancel();
   error_code ec;
   socket_.close(ec);
   const auto exchange = std::exchange(exchange_, nullptr);
@@ -287,9 +286,8 @@
 }
 
 void CallerConnection::ArmTimer(DurationMs delay) {
-  timer_.expires_after(std::chrono::milliseconds(std::max<DurationMs>(delay, 1)));
-  timer_.async_wait([self = shared_from_this()](error_code ec) {
-    if (!ec && !self->is_closed_) self->OnTimer();
+  timer_.After(std::max<DurationMs>(delay, 1), [self = shared_from_this()] {
+    if (!self->is_closed_) self->OnTimer();
   });
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -4,7 +4,6 @@
 #define JUNCTIONRAIL_GATEWAY_CALLER_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -58,7 +57,7 @@
 
   Gateway::Impl& gateway_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<Exchange> exchange_;
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -527,6 +527,24 @@
 
 TEST_GROUP(GatewayEnds){};
 
+TEST(GatewayEnds, ServesARequestWhoseFirstBytesComeAsTheIdleTimeEnds) {
+  // Both are ready at once when the process gets to them: the bytes come first, and the
+  // idle time that was over is set anew.
+  World world;
+  world.limits.idle_timeout_ms = 100;
+  world.AddUpstream("u1", "plain",
+                    [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("hello")); });
+  world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
+  TestCaller caller(world.io, world.port);
+  RunFor(world.io, 20);
+  const std::string request = Request("GET /a/1");
+  caller.Send(request.substr(0, 10));
+  usleep(200 * 1000);
+  RunFor(world.io, 20);
+  caller.Send(request.substr(10));
+  EXPECT_TRUE(caller.AwaitText("hello"), "got " + caller.received());
+}
+
 TEST(GatewayEnds, SendsNothingForACallerThatLeftBeforeItsRequestWasRead) {
   // A process without processor time comes to a request and its caller's close at
   // the same moment.
