Tell at once only the agents that something new is asked of

Cause: each time a request began to wait for another model the entry made a whole round of demand, 0.7 ms before 300 engines and 5.7 ms before 2,400 (bench_direct).

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -98,8 +98,10 @@
   UpstreamTable& upstreams();
   // The present demand, by instance.
   std::map<std::string, AgentDemand> Demands();
-  // Called when a request begins to wait for a model.
-  void OnNewDemand(std::function<void()> call);
+  // Of it, what requests that wait ask of one agent.
+  std::vector<ModelDemand> WantedFrom(const std::string& instance);
+  // Called when a request begins to wait for a model, with whose agent is asked.
+  void OnNewDemand(std::function<void(const std::string& instance)> call);
 
   const GatewayCounters& counters() const;
   const LatencyHistogram& first_answer() const;
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -332,6 +332,9 @@
 
   // What to tell each agent now, by instance.
   std::map<std::string, AgentDemand> Demands(const std::vector<Waiting>& waiting, TimeMs now);
+  // Of that, what the waiting requests ask of one of them.
+  std::vector<ModelDemand> WantedFrom(const std::string& instance,
+                                      const std::vector<Waiting>& waiting, TimeMs now) const;
 
   const UpstreamRecord* Find(const std::string& instance) const;
   // Whether the upstream can take requests for the model, as far as is known.
@@ -412,6 +415,7 @@
   using CountByModel = std::unordered_map<std::string_view, int>;
   CountByModel CountReplicas(TimeMs now) const;
   CountByModel CountComing(std::string_view service, TimeMs now) const;
+  ModelDemand ToWanted(const Waiting& waiting, TimeMs now) const;
   void AddUse(AgentDemand* demand, const Row& row, const CountByModel& replicas, TimeMs now) const;
   void AddReplicas(std::map<std::string, AgentDemand>* demands, const CountByModel& replicas,
                    TimeMs now);
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -103,7 +103,7 @@
     if (!error) error = Serve(settings_.direct->peer, "direct.peer");
     if (!error) error = Serve(settings_.direct->metrics, "direct.metrics");
     if (error) return error;
-    gateway_.OnNewDemand([this] { TellSoon(); });
+    gateway_.OnNewDemand([this](const std::string& instance) { TellSoon(instance); });
     upstreams_.OnRegained([this] { configuration_.Reread(); });
     configuration_.Start();
     upstreams_.Start();
@@ -247,15 +247,34 @@
     });
   }
 
-  void TellSoon() {
-    if (is_urgent_) return;
-    is_urgent_ = true;
+  void TellSoon(const std::string& instance) {
+    const bool is_armed = !urgent_.empty();
+    urgent_.insert(instance);
+    if (is_armed) return;
     urgent_timer_.After(kUrgentDemandMs, [this] {
-      is_urgent_ = false;
-      TellAgents();
+      const auto all = std::exchange(urgent_, {});
+      for (const auto& it : all) TellUrgent(it);
     });
   }
 
+  // Only what requests wait for there has changed. A round of demand to all agents in
+  // its place took 0.7 ms before 300 engines, 5.7 ms before 2,400, each time a request
+  // began to wait.
+  void TellUrgent(const std::string& instance) {
+    const auto sent = sent_.find(instance);
+    const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
+    if (sent == sent_.end() || upstream == nullptr) return;
+    AgentDemand& demand = sent->second.demand;
+    auto& wanted = demand.wanted;
+    wanted.erase(std::remove_if(wanted.begin(), wanted.end(),
+                                [](const ModelDemand& it) { return it.waiting > 0; }),
+                 wanted.end());
+    auto waiting = gateway_.WantedFrom(instance);
+    wanted.insert(wanted.begin(), waiting.begin(), waiting.end());
+    sent->second.at = MonotonicMs();
+    Tell(*upstream, demand, &sent->second);
+  }
+
   struct Sent {
     AgentDemand demand;
     Endpoint to;
@@ -358,7 +377,7 @@
   std::map<std::string, Sent> sent_;
   std::map<std::string, TimeMs> reopen_at_;  // Of links that could not be opened.
   std::map<std::string, EngineView> views_;  // The last of each link, which updates change.
-  bool is_urgent_ = false;
+  std::set<std::string> urgent_;             // Agents to tell soon.
   bool is_stopping_ = false;
 };
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -153,7 +153,7 @@
                         {"patience_ms", patience}});
   }
   if (is_begun_) return GiveUp(Ran::kMaybe, "no upstream holds the model any more");
-  if (is_new_ask && gateway_.on_new_demand) gateway_.on_new_demand();
+  if (is_new_ask && gateway_.on_new_demand) gateway_.on_new_demand(asked_);
   if (is_hopeless && SoFar() == Ran::kMaybe)
     return GiveUp(Ran::kMaybe, "no upstream holds the model");
   if (is_hopeless) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -267,7 +267,13 @@
   return impl_->upstreams.Demands(impl_->WaitingModels(), MonotonicMs());
 }
 
-void Gateway::OnNewDemand(std::function<void()> call) { impl_->on_new_demand = std::move(call); }
+std::vector<ModelDemand> Gateway::WantedFrom(const std::string& instance) {
+  return impl_->upstreams.WantedFrom(instance, impl_->WaitingModels(), MonotonicMs());
+}
+
+void Gateway::OnNewDemand(std::function<void(const std::string& instance)> call) {
+  impl_->on_new_demand = std::move(call);
+}
 
 const GatewayCounters& Gateway::counters() const {
   impl_->counters.surplus_answers = impl_->pool.counters().surplus_answers;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -56,7 +56,7 @@
   std::set<std::shared_ptr<internal::Exchange>> parked;
   std::vector<UpstreamTable::Waiting> turned_away;  // Of the last seconds; `since` is when.
   std::set<std::shared_ptr<internal::CallerConnection>> connections;
-  std::function<void()> on_new_demand;
+  std::function<void(const std::string& instance)> on_new_demand;
   bool is_stopping = false;
   TimeMs stop_since = 0;
   TimeMs stop_by = 0;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -222,6 +222,24 @@
   }
 }
 
+ModelDemand UpstreamTable::ToWanted(const Waiting& waiting, TimeMs now) const {
+  ModelDemand wanted{waiting.ref, waiting.count, waiting.priority, now - waiting.since};
+  wanted.late = waiting.late;
+  wanted.left_ms = waiting.late_at - now;
+  wanted.per_s = RateOf(waiting.ref.model, now);
+  return wanted;
+}
+
+std::vector<ModelDemand> UpstreamTable::WantedFrom(const std::string& instance,
+                                                   const std::vector<Waiting>& waiting,
+                                                   TimeMs now) const {
+  std::vector<ModelDemand> wanted;
+  for (const auto& it : waiting) {
+    if (it.asked == instance) wanted.push_back(ToWanted(it, now));
+  }
+  return wanted;
+}
+
 std::map<std::string, AgentDemand> UpstreamTable::Demands(const std::vector<Waiting>& waiting,
                                                           TimeMs now) {
   std::map<std::string, AgentDemand> demands;
@@ -236,12 +254,7 @@
   }
   for (const auto& it : waiting) {
     const auto demand = demands.find(it.asked);
-    if (demand == demands.end()) continue;
-    ModelDemand wanted{it.ref, it.count, it.priority, now - it.since};
-    wanted.late = it.late;
-    wanted.left_ms = it.late_at - now;
-    wanted.per_s = RateOf(it.ref.model, now);
-    demand->second.wanted.push_back(std::move(wanted));
+    if (demand != demands.end()) demand->second.wanted.push_back(ToWanted(it, now));
   }
   if (options_.policy.adds_replicas) AddReplicas(&demands, replicas, now);
   if (options_.policy.stages) AddStaging(&demands, now);
