Ask for a replica before a model's engines are full

Change: a replica is also asked for when three quarters of the places of the engines that hold a model are taken. Test: ColdModels.GetAReplicaBeforeTheirEnginesAreFull.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -419,6 +419,8 @@
   void AddUse(AgentDemand* demand, const Row& row, const CountByModel& replicas, TimeMs now) const;
   void AddReplicas(std::map<std::string, AgentDemand>* demands, const CountByModel& replicas,
                    TimeMs now);
+  // Whether the engines that hold the model are nearly full.
+  bool IsCrowded(const std::string& model, TimeMs now) const;
   const Row* PlaceForReplica(std::string_view service, const std::string& model, TimeMs now);
   struct StagingSurvey;
   StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -19,6 +19,10 @@
 // the loss of one upstream interrupts no stream of new requests.
 constexpr double kSecondReplicaPerS = 1.5;
 constexpr int kLeastReplicas = 2;
+// Another replica is also asked for when the engines that hold the model have more than
+// this share of their places taken: waits grow steeply from there on, and a load from
+// the weight store is over only long after they have.
+constexpr double kCrowdedPart = 0.75;
 // A swap, with the end of requests under way before it, is over in such a time;
 // then the place is chosen anew.
 constexpr DurationMs kStayWithPlaceMs = 2500;
@@ -83,7 +87,8 @@
       const auto count = replicas.find(model);
       const int have = count == replicas.end() ? 0 : count->second;
       const bool is_late = rate->second.LateShare() > kMostLate;
-      const int needed = is_late ? std::max(kLeastReplicas, have + 1) : kLeastReplicas;
+      const bool is_short = is_late || IsCrowded(model, now);
+      const int needed = is_short ? std::max(kLeastReplicas, have + 1) : kLeastReplicas;
       const int wanted = std::min(needed, engines);
       // With none at all the requests that wait for it bring the first.
       const auto soon = coming.find(model);
@@ -98,6 +103,19 @@
   }
 }
 
+bool UpstreamTable::IsCrowded(const std::string& model, TimeMs now) const {
+  const auto holders = holders_.find(model);
+  if (holders == holders_.end()) return false;
+  double taken = 0;
+  double places = 0;
+  for (const Row* row : holders->second) {
+    if (!IsUsable(*row, row->record.service, now) || !IsFresh(*row, now)) continue;
+    taken += row->view.running + row->view.waiting;
+    places += row->record.slots;
+  }
+  return taken > kCrowdedPart * places;
+}
+
 UpstreamTable::CountByModel UpstreamTable::CountComing(std::string_view service, TimeMs now) const {
   CountByModel coming;
   for (const auto& [instance, row] : rows_) {
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -513,6 +513,29 @@
   EXPECT_TRUE(place() != first, "after 2.6 s another is asked, got " + place());
 }
 
+TEST(ColdModels, GetAReplicaBeforeTheirEnginesAreFull) {
+  // A busy model's engines had 55 requests a second of room, and the 56th made all wait:
+  // a further replica from the weight store came half a minute later.
+  Table it;
+  it.table.ApplyListing({Record("u1"), Record("u2"), Record("u3")}, false, it.now);
+  const auto asks_with = [&it](int running) {
+    it.now += 5000;
+    for (const char* instance : {"u1", "u2", "u3"}) {
+      EngineView view = View(instance, {}, {"a"});
+      if (std::string(instance) != "u3") {
+        view.loaded = {{"a", {}}};
+        view.per_s = {{"a", 20}};
+        view.running = running;
+      }
+      it.table.ApplyView(view, it.now);
+    }
+    it.table.OnArrival(ModelRef{"a", {}}, 1, 300, it.now);
+    return !it.table.Demands({}, it.now).at("u3").wanted.empty();
+  };
+  EXPECT_TRUE(!asks_with(40), "five in eight of 64 places are taken, and nobody is late");
+  EXPECT_TRUE(asks_with(52), "four in five are");
+}
+
 TEST(ColdModels, ShareTheWeightStoreAmongTheAgentsThatAsk) {
   Table t;
   std::vector<UpstreamRecord> listing;
@@ -521,10 +544,10 @@
   for (int n = 0; n < 8; ++n) {
     EngineView view = View("u" + std::to_string(n));
     // u0 loads from the store; u1 would stage; u2 asks for a busy model; u3 to u7
-    // for one waiting request each, u7 for longest.
+    // for about as many requests each, u7 for longest.
     view.is_from_store = n == 0;
     if (n == 0) view.loading = "c";
-    const double weight = n == 1 ? 0 : n == 2 ? 1.5 : 1;
+    const double weight = n == 1 ? 0 : n == 2 ? 9 : n % 2 == 0 ? 1.1 : 1;
     if (n > 0) view.store_want = StoreWant{n > 2, weight, n == 1 ? 9000 : 100 * n};
     t.table.ApplyView(view, t.now);
   }
