Give the weight store's places by the callers a load will serve

Cause: a place went by the requests that wait now, which leave before a load of 13 s is over: 48 rare models, asked for once in some seconds each, kept the store from the busiest one. Change: weights are rates of callers to come; those within a rank of each other count alike and go by age.

--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -228,11 +228,13 @@
   return callers * ClassWeight(want.priority) / static_cast<double>(swap);
 }
 
-// For a place at the weight store a further replica weighs as many requests as
-// each one that there is gets in a second. Here it goes last all the same: tried
-// the other way, busy models took the engines' time from rare ones on disk.
+// Callers a second that a load from the weight store will serve. It takes longer than
+// most of those who wait now stay, so they count by the rate at which more like them
+// come; a further replica counts by what each one that there is gets. By waiting
+// requests alone, 48 rare models asked for once in some seconds kept the store from a
+// busy one whose callers came 60 a second to engines for 55.
 double PlacementCore::StoreWeightOf(const Want& want) const {
-  return (want.waiting + want.replica_per_s) * ClassWeight(want.priority);
+  return (want.per_s + want.replica_per_s) * ClassWeight(want.priority);
 }
 
 bool PlacementCore::IsInUse(const ModelRef& adapter) const {
--- a/src/routing/weight_store.cc
+++ b/src/routing/weight_store.cc
@@ -1,12 +1,23 @@
 // The weight store: who may load from it now, and what is staged onto disks
 // ahead of demand.
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <unordered_set>
 
 #include "routing_impl.h"
 
 namespace junctionrail {
+namespace {
+
+// Below it a want is as good as none: one caller in an hour, six ranks down.
+constexpr double kLeastWeight = 1e-9;
+// What one request adds to a rate, which is an average over five seconds.
+constexpr double kOneCallerPerS = 0.2;
+// A caller of one rank counts as eight of the next below: three doublings.
+constexpr double kRankOctaves = 3;
+
+}  // namespace
 
 UpstreamTable::StoreUse UpstreamTable::StoreUseNow(TimeMs now) const {
   StoreUse use;
@@ -26,12 +37,17 @@
 // same agents; one load too many only costs speed.
 void UpstreamTable::ShareWeightStore(std::map<std::string, AgentDemand>* demands,
                                      TimeMs now) const {
-  using Rank = std::tuple<double, DurationMs, std::string>;
+  using Rank = std::tuple<int, DurationMs, std::string>;
   std::vector<Rank> asking;
   for (const auto& [instance, row] : rows_) {
     const auto& want = row.view.store_want;
     if (!IsFresh(row, now) || !want) continue;
-    asking.emplace_back(-want->weight, -(want->age_ms + now - row.view_at), instance);
+    // Weights within a rank of each other count alike: they move with each request, and a
+    // place that moves with them is taken by two agents.
+    const double ranks =
+        std::log2(std::max(want->weight, kLeastWeight) / kOneCallerPerS) / kRankOctaves;
+    const int weight = static_cast<int>(std::lround(ranks));
+    asking.emplace_back(-weight, -(want->age_ms + now - row.view_at), instance);
   }
   std::sort(asking.begin(), asking.end());
   const int free = std::max(0, options_.parallel_store_loads - StoreUseNow(now).loads);
