--- a/test/support/model_fleet.cc
+++ b/test/support/model_fleet.cc
@@ -62,7 +62,8 @@
   RoutingOptions options;
   options.data_hall = "hall-1";
   for (int n = 0; n < fleet_.entries; ++n) {
-    entries_.push_back(Entry{UpstreamTable(options), {}, now_ + n * 17 % kDemandMs, false, {}});
+    entries_.push_back(
+        Entry{UpstreamTable(options), {}, now_ + DurationMs{n} * 17 % kDemandMs, false, {}});
     entries_.back().table.ApplyServices({{kService, 100, SpecOf(fleet_)}});
   }
   List();
@@ -75,8 +76,8 @@
   by_instance_.erase(engine.instance);
   engine = Engine();
   engine.instance = "e" + std::to_string(n) + "-" + std::to_string(++generation_);
-  engine.report_at = now_ + n * 13 % kQuietReportMs;
-  engine.repeated_at = now_ - n * 29 % kRepeatViewMs;
+  engine.report_at = now_ + DurationMs{n} * 13 % kQuietReportMs;
+  engine.repeated_at = now_ - DurationMs{n} * 29 % kRepeatViewMs;
   engine.core.Reset(engine.instance);
   engine.core.SetSpec(SpecOf(fleet_));
   by_instance_[engine.instance] = n;
