--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -263,10 +263,6 @@
   std::string_view affinity;       // Requests alike in this share prompts.
   std::string_view request_id;     // Spreads requests over upstreams alike in load.
   std::vector<std::string> tried;  // Instances not to choose again.
-  // For the first event: where the queues are longer than that the request is refused at
-  // once. 0: it is sent all the same, as it has waited or run before.
-  DurationMs target_ms = 0;
-  int priority = 0;
 };
 struct SendTo {
   std::string instance;
@@ -280,11 +276,7 @@
 struct NoneLeft {
   std::string reason;
 };
-// Those that hold the model have queues in which it would be late.
-struct AllCrowded {
-  DurationMs again_ms = 0;  // Until what runs there now has ended.
-};
-using Pick = std::variant<SendTo, WaitFor, NoneLeft, AllCrowded>;
+using Pick = std::variant<SendTo, WaitFor, NoneLeft>;
 
 // How an attempt at an upstream ended, as far as it tells of its health.
 enum class AttemptEnd { kServed, kRefused, kFailed, kUnreachable, kSilent, kAbandoned };
@@ -318,8 +310,6 @@
   void OnHeard(const std::string& instance, TimeMs now);
   // A request waited so long at an upstream for its first event, or in vain.
   void OnFirstEvent(const ModelRef& model, DurationMs waited_ms);
-  // A request was served so long after its first event.
-  void OnRun(const ModelRef& model, DurationMs run_ms);
   // Average wait at upstreams for the first event; 0 while unknown.
   DurationMs FirstEventMs(const ModelRef& model) const;
   void OnEnd(const std::string& instance, const std::optional<ModelRef>& model, AttemptEnd end,
@@ -381,7 +371,6 @@
     int priority = 0;           // Of the last request.
     DurationMs target_ms = 0;   // Of the last request.
     double first_event_ms = 0;  // Average wait at upstreams for the first event.
-    double run_ms = 0;          // And time from then to the end.
 
     double LateShare() const;
     double CallersLate(double fleet_per_s) const;
@@ -400,7 +389,6 @@
   bool IsMute(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
   bool IsFull(const Row& row, TimeMs now) const;
-  bool IsQueueTooLong(const Row& row, const PickRequest& request, TimeMs now) const;
   void Index(Row* row);
   void Unindex(Row* row);
   Pick ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders, TimeMs now) const;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -115,10 +115,6 @@
   const Pick choice = Choose(now);
   if (const auto* to = std::get_if<SendTo>(&choice)) return Send(to->instance);
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
-  if (const auto* crowded = std::get_if<AllCrowded>(&choice)) {
-    return Refuse(kUnavailable, "crowded", "its model's queues are longer than its target",
-                  Ran::kNo, std::max(crowded->again_ms, kDefaultRetryAfterMs));
-  }
   GiveUp(SoFar(), std::get<NoneLeft>(choice).reason);
 }
 
@@ -129,9 +125,6 @@
   request.affinity = affinity_;
   request.request_id = request_id_;
   request.tried = tried_;
-  const bool is_new = tried_.empty() && !is_parked_;
-  request.target_ms = is_new ? route_->first_answer_ms : 0;
-  request.priority = route_->priority;
   return gateway_.upstreams.Choose(request, now);
 }
 
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -179,7 +179,6 @@
   GatewayCounters& counters = gateway_.counters;
   if (outcome == "served") {
     ++counters.served;
-    if (model_ && first_at_ > 0) gateway_.upstreams.OnRun(*model_, MonotonicMs() - first_at_);
   } else if (outcome == "passed_failure") {
     ++counters.passed_failures;
   } else if (outcome == "broken") {
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -53,14 +53,6 @@
 // follows a queue that builds up within ten requests.
 constexpr double kFirstEventPart = 0.15;
 
-// How much the newest counts in the average length of runs, which change less.
-constexpr double kRunPart = 0.05;
-// A request that would be late by more than this part of its target is refused with
-// certainty, one in time by as much never.
-constexpr double kCertainPart = 0.0;
-// Routes of rank 0 find a quarter of the queue ahead of them, of rank 1 half.
-constexpr int kRanksOfQueue = 2;
-
 // The same for all processes; between 0 and 1.
 double Chance(std::string_view key, std::string_view instance) {
   return static_cast<double>(RendezvousScore(key, instance) >> 11) /
@@ -256,38 +248,15 @@
   return free <= 0 ? row.sent_since_view >= 1 : row.sent_since_view >= mine;
 }
 
-// Whether a request would be late by the queue at the engine: those that wait there, in
-// the time that the engine needs for them. From half of such a queue on more and more
-// are turned away, so that entries which see the same view do not all send or all
-// refuse. Requests of a higher rank are taken first, so less of the queue is ahead.
-// At a tenth more than engines can serve all were late otherwise, in the end by as long
-// as their callers stay.
-bool UpstreamTable::IsQueueTooLong(const Row& row, const PickRequest& request, TimeMs now) const {
-  if (!request.model || request.target_ms <= 0 || row.record.slots <= 0) return false;
-  const auto rate = rates_.find(request.model->model);
-  if (rate == rates_.end() || rate->second.run_ms <= 0 || !IsFresh(row, now)) return false;
-  const double queue = row.view.waiting + row.sent_since_view;
-  const double in_time =
-      static_cast<double>(request.target_ms) * row.record.slots / rate->second.run_ms;
-  const double rank = std::exp2(std::max(0, kRanksOfQueue - request.priority));
-  const double chance = queue / (in_time * rank) - kCertainPart;
-  return chance > Chance(request.request_id, row.record.instance);
-}
-
 // The least loaded of those that hold the model. A place to wait for when all of
 // them are full; none when no usable one holds it.
 Pick UpstreamTable::ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders,
                                  TimeMs now) const {
   const Row* best = nullptr;
   const Row* full = nullptr;
-  bool is_crowded = false;
   double best_load = 0;
   for (const Row* it : holders) {
     if (request.model && !Holds(*it, *request.model, now)) continue;
-    if (IsQueueTooLong(*it, request, now)) {
-      is_crowded = true;
-      continue;
-    }
     if (request.model && IsFull(*it, now)) {
       full = it;
       continue;
@@ -301,8 +270,7 @@
   }
   if (best != nullptr) return SendTo{best->record.instance};
   if (full != nullptr) return WaitFor{full->record.instance, kFullMs, "place", 0};
-  if (!is_crowded) return NoneLeft{"all_tried"};
-  return AllCrowded{static_cast<DurationMs>(rates_.at(request.model->model).run_ms)};
+  return NoneLeft{"all_tried"};
 }
 
 Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
@@ -369,12 +337,6 @@
   average = average == 0 ? waited : average + kFirstEventPart * (waited - average);
 }
 
-void UpstreamTable::OnRun(const ModelRef& model, DurationMs run_ms) {
-  double& average = rates_[model.model].run_ms;
-  const auto run = static_cast<double>(run_ms);
-  average = average == 0 ? run : average + kRunPart * (run - average);
-}
-
 DurationMs UpstreamTable::FirstEventMs(const ModelRef& model) const {
   const auto it = rates_.find(model.model);
   return it == rates_.end() ? 0 : static_cast<DurationMs>(it->second.first_event_ms);
--- a/test/support/model_fleet.cc
+++ b/test/support/model_fleet.cc
@@ -144,8 +144,6 @@
   pick.service = kService;
   pick.model = request.model;
   pick.request_id = request.id;
-  pick.target_ms = is_new ? request.load->target_ms : 0;
-  pick.priority = request.load->priority;
   const Pick choice = entry.table.Choose(pick, now_);
   if (const auto* to = std::get_if<SendTo>(&choice)) return Send(to->instance, std::move(request));
   const auto* wait = std::get_if<WaitFor>(&choice);
@@ -228,12 +226,6 @@
     entry.table.OnNotLoaded(instance, request.model, now_);
     return Offer(std::move(request), false);
   }
-  if (static_cast<int>(engine.queue.size()) >= fleet_.queue) {
-    ++refused_by_engines_;
-    // Another attempt is paid for now and then.
-    if (++request.refused_by_engines > 1) return End(request, &ModelledOutcome::refused);
-    return Offer(std::move(request), false);
-  }
   entry.table.OnSent(instance, request.model, now_);
   request.sent_at = now_;
   engine.queue.push_back(std::move(request));
@@ -266,9 +258,8 @@
       ++it;
       continue;
     }
-    Entry& entry = entries_[static_cast<std::size_t>(it->entry)];
-    entry.table.OnEnd(engine.instance, it->model, AttemptEnd::kServed, now_);
-    entry.table.OnRun(it->model, it->load->runs_ms - kFirstEventMs);
+    entries_[static_cast<std::size_t>(it->entry)].table.OnEnd(engine.instance, it->model,
+                                                              AttemptEnd::kServed, now_);
     it = engine.runs.erase(it);
   }
   StartRuns(engine);
--- a/test/support/model_fleet.h
+++ b/test/support/model_fleet.h
@@ -35,7 +35,6 @@
   int entries = 4;
   int models = 24;
   int slots = 16;        // Requests that an engine runs at once.
-  int queue = 48;        // And those that wait there; it refuses more.
   int places = 3;        // Models that an engine has room for.
   int disk_models = 18;  // Models that an engine's disk holds.
   DurationMs disk_load_ms = 640;
@@ -73,7 +72,6 @@
   int loads_from_disk() const { return loads_from_disk_; }
   int loads_from_store() const { return loads_from_store_; }
   int unloads() const { return unloads_; }
-  int refused_by_engines() const { return refused_by_engines_; }
   TimeMs now() const { return now_; }
 
  private:
@@ -84,7 +82,6 @@
     TimeMs came_at = 0;
     TimeMs parked_at = 0;
     TimeMs sent_at = 0;
-    int refused_by_engines = 0;
     TimeMs ends_at = 0;  // 0: waits in the engine's queue.
     int entry = 0;
     std::string asked;
@@ -139,7 +136,6 @@
   int loads_from_disk_ = 0;
   int loads_from_store_ = 0;
   int unloads_ = 0;
-  int refused_by_engines_ = 0;
 };
 
 }  // namespace junctionrail::testing
