Know engines by their addresses alone while an entry gives them orders

The map from an engine's text to its address grew with each engine that was ever out of sight; the text says it. EntryHosts and HostElections pass.

--- a/src/daemon/entry_hosting.cc
+++ b/src/daemon/entry_hosting.cc
@@ -45,6 +45,13 @@
   return claim;
 }
 
+// Engines are known by their addresses as texts, which were made by ToString.
+Endpoint AddressOf(const std::string& engine) {
+  Endpoint endpoint;
+  CheckInvariant(ParseEndpoint(engine, &endpoint), "an engine is known by its address");
+  return endpoint;
+}
+
 // One attempt to connect, given up after a time.
 struct PortLook : std::enable_shared_from_this<PortLook> {
   explicit PortLook(boost::asio::io_context& io) : socket(io), timer(io) {}
@@ -157,10 +164,7 @@
   if (is_stopped_) return;
   const TimeMs now = MonotonicMs();
   std::vector<std::string> engines;
-  for (const auto& it : unseen) {
-    engines.push_back(it.ToString());
-    endpoints_[engines.back()] = it;
-  }
+  for (const auto& it : unseen) engines.push_back(it.ToString());
   election_.SetUnseen(engines, now);
   DropLost();
   for (const auto& it : election_.PortsToLookAt(now)) Look(it);
@@ -175,7 +179,7 @@
 }
 
 void EntryHosting::Look(const std::string& engine) {
-  const Endpoint port{endpoints_[engine].address, options_.link.port};
+  const Endpoint port{AddressOf(engine).address, options_.link.port};
   std::make_shared<PortLook>(io_)->Start(
       port, [self = shared_from_this(), engine](HostElection::Port found) {
         self->election_.OnPort(engine, found, MonotonicMs());
@@ -245,7 +249,7 @@
   if (!Listen()) return;
   HostClaim claim{engine, options_.entry, options_.link, 0};
   platform::StoreCommit commit;
-  const std::string key = HostKey(endpoints_[engine]);
+  const std::string key = HostKey(AddressOf(engine));
   commit.conditions.push_back({key, 0});
   commit.writes.push_back({key, ToValue(claim), lease_});
   is_claiming_ = true;
@@ -273,7 +277,7 @@
 }
 
 void EntryHosting::Host(const HostClaim& claim) {
-  const Endpoint engine = endpoints_[claim.engine];
+  const Endpoint engine = AddressOf(claim.engine);
   log_.Write(MonotonicMs(), "engine_claimed",
              {{"engine", claim.engine}, {"fence", claim.revision}});
   KeeperCallbacks callbacks;
@@ -317,7 +321,7 @@
 void EntryHosting::Release(const std::string& engine) {
   platform::StoreCommit commit;
   const HostClaim* claim = election_.ClaimOf(engine);
-  const std::string key = HostKey(endpoints_[engine]);
+  const std::string key = HostKey(AddressOf(engine));
   if (claim != nullptr) commit.conditions.push_back({key, claim->revision});
   commit.removals.push_back(key);
   // Without an answer it goes with the lease.
--- a/src/daemon/entry_hosting.h
+++ b/src/daemon/entry_hosting.h
@@ -82,7 +82,6 @@
   Callbacks callbacks_;
   HostElection election_;
   LinkServer links_;
-  std::map<std::string, Endpoint> endpoints_;         // By engine, as a text.
   std::map<std::string, Hosted> hosted_;              // By engine.
   std::map<std::uint64_t, std::string> link_engine_;  // Which engine a link is for.
   std::vector<ServiceSpec> services_;
