Say in two headers what the code does

Read over: the table of upstreams is moved, not copied, as its index points to rows; claims may lag in an entry that holds none. Comments only; format, the build of direct_tests, and the groups EntryHosts, HostElections, ColdModels and PlacementMessages pass.

--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -202,7 +202,8 @@
 
   // Whether claims are of use now: an engine is held, or nothing listens for one.
   bool WantsClaims() const;
-  // All claims of all entries, as the store's newest at `asked_at`.
+  // All claims of all entries, asked for at `asked_at`; the store's newest while one is
+  // held here, else they may lag by seconds.
   void OnClaims(std::vector<HostClaim> claims, TimeMs asked_at);
   const HostClaim* ClaimOf(const std::string& engine) const;
 
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -285,7 +285,7 @@
 class UpstreamTable {
  public:
   explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {}
-  // Rows point to each other's places by address.
+  // `holders_` points to rows, which stay where they are when the table is moved.
   UpstreamTable(const UpstreamTable&) = delete;
   UpstreamTable(UpstreamTable&&) = default;
 
