Sight: what each reading of the list of upstreams did, and how old it was at each attempt

Cause: nothing in logs or metrics told when the list was read, that a reading failed, what it changed, or by how old a list a request was sent, so the hypotheses on requests to leaving upstreams could not be told apart.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -89,7 +89,7 @@
   void ApplyConfiguration(RoutingConfiguration configuration);
   void SetRetries(RetryBudget::Options options);
   void SetPolicy(const PolicySettings& policy);
-  void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage);
+  void ApplyListing(const UpstreamListing& listing);
   void ApplyView(const EngineView& view);
   void ForgetView(const std::string& instance);
 
@@ -105,6 +105,8 @@
 
   const GatewayCounters& counters() const;
   const LatencyHistogram& first_answer() const;
+  // How old the list of upstreams was by which each attempt was sent.
+  const LatencyHistogram& listing_age() const;
 
   class Impl;
 
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -176,6 +176,29 @@
 // has ended, and its record only has not lapsed yet.
 std::vector<UpstreamRecord> KeepLatestAtEachAddress(std::vector<UpstreamRecord> records);
 
+// One reading of the platform's list of upstreams.
+struct UpstreamListing {
+  std::vector<UpstreamRecord> records;
+  // The store was away just before, so that records may be missing that are about
+  // to come back.
+  bool after_outage = false;
+  // When the reading began: later changes may not be in it. 0: not known.
+  TimeMs as_of = 0;
+};
+
+// What a listing changed in what is believed of one upstream.
+enum class ListingNews {
+  kListed,   // For the first time, or again.
+  kLeaving,  // It says that it leaves.
+  kMissing,  // Its record is not there, and may only have lapsed.
+  kGone,     // Its record is not there for good.
+};
+struct UpstreamNews {
+  ListingNews news = ListingNews::kListed;
+  std::string instance;
+  std::string service;
+};
+
 // A load from the weight store that an agent would order if it might.
 struct StoreWant {
   bool is_waited_for = false;  // Requests wait for it; else it is staged or a replica.
@@ -292,9 +315,9 @@
   void SetPolicy(const PolicySettings& policy) { options_.policy = policy; }
   const PolicySettings& policy() const { return options_.policy; }
 
-  // A whole listing. `after_outage`: the store was away just before, so that
-  // records may be missing that are about to come back.
-  void ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage, TimeMs now);
+  // A whole listing; see UpstreamListing. Returns what it changed.
+  std::vector<UpstreamNews> ApplyListing(const std::vector<UpstreamRecord>& listing,
+                                         bool after_outage, TimeMs now);
   void ApplyServices(const std::vector<ServiceSpec>& services);
   void ApplyView(const EngineView& view, TimeMs now);
   void ForgetView(const std::string& instance);
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -38,7 +38,7 @@
             io, store_, log_, platform::Freshness::kMayLag,
             [this](const RoutingConfiguration& it) { keeper_->SetServices(it.services); }),
         upstreams_(io, store_, log_, platform::Freshness::kMayLag, kListingMs,
-                   [this](const auto& listing, bool) { OnListing(listing); }) {}
+                   [this](const UpstreamListing& listing) { OnListing(listing.records); }) {}
 
   std::optional<ListenError> Start() {
     log_.Write(MonotonicMs(), "start",
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -87,9 +87,9 @@
                          gateway_.ApplyConfiguration(std::move(it));
                        }),
         upstreams_(io, store_, log_, platform::Freshness::kNewest, ListingPeriod(*settings_.direct),
-                   [this](const auto& listing, bool after_outage) {
-                     gateway_.ApplyListing(listing, after_outage);
-                     hosting_->SetListing(listing);
+                   [this](const UpstreamListing& listing) {
+                     gateway_.ApplyListing(listing);
+                     hosting_->SetListing(listing.records);
                    }),
         demand_timer_(io),
         urgent_timer_(io),
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -19,7 +19,8 @@
   AddProcess(page);
 }
 
-void AddLatency(const LatencyHistogram& histogram, MetricsPage* page) {
+void AddHistogram(std::string_view name, std::string_view help, const LatencyHistogram& histogram,
+                  MetricsPage* page) {
   std::vector<std::pair<std::string, std::uint64_t>> cumulative;
   std::uint64_t n = 0;
   for (std::size_t bucket = 0; bucket < kLatencyBuckets; ++bucket) {
@@ -27,9 +28,7 @@
     const bool is_last = bucket + 1 == kLatencyBuckets;
     cumulative.emplace_back(is_last ? "+Inf" : std::to_string(kLatencyBucketsMs[bucket]), n);
   }
-  page->Histogram("junctionrail_first_answer_ms",
-                  "From a request's arrival to the first byte of its answer.", cumulative,
-                  histogram.count, histogram.sum_ms);
+  page->Histogram(name, help, cumulative, histogram.count, histogram.sum_ms);
 }
 
 }  // namespace
@@ -58,7 +57,12 @@
                it.surplus_answers);
   page.Counter("junctionrail_upstream_connections_total", "Connections opened to upstreams.",
                it.upstream_connections);
-  AddLatency(gateway.first_answer(), &page);
+  AddHistogram("junctionrail_first_answer_ms",
+               "From a request's arrival to the first byte of its answer.", gateway.first_answer(),
+               &page);
+  AddHistogram("junctionrail_listing_age_ms",
+               "Age of the list of upstreams by which an attempt was sent.", gateway.listing_age(),
+               &page);
   AddStore(store, log, &page);
   return page.text();
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -193,6 +193,8 @@
   body_.clear();
   attempt_at_ = MonotonicMs();
   heard_at_ = attempt_at_;
+  listing_age_ms_ = gateway_.ListingAge(attempt_at_);
+  if (listing_age_ms_ >= 0) gateway_.listing_age.Add(listing_age_ms_);
   ++sent_attempts_;
   ++ran_attempts_;
   gateway_.upstreams.OnSent(instance, model_, attempt_at_);
@@ -261,6 +263,7 @@
                       {"may_have_run", ran == Ran::kMaybe},
                       {"attempt", static_cast<std::int64_t>(tried_.size())},
                       {"attempt_ms", now - attempt_at_},
+                      {"listing_age_ms", listing_age_ms_},
                       {"last_event", events_.last_id()},
                       {"left_ms", end_at_ - now}});
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -120,6 +120,8 @@
   int unsent_attempts_ = 0;
   TimeMs attempt_at_ = 0;
   TimeMs heard_at_ = 0;  // Last byte from the upstream in this attempt.
+  // Age of the list by which the last attempt was sent; -1: none was, or not known.
+  DurationMs listing_age_ms_ = -1;
 
   std::string asked_;  // Whose agent was asked for the model.
   TimeMs parked_since_ = 0;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -209,6 +209,7 @@
                       {"first_ms", first_at_ > 0 ? first_at_ - request_.arrived_at : -1},
                       {"pause_ms", longest_pause_ms_},
                       {"total_ms", now - request_.arrived_at},
+                      {"listing_age_ms", listing_age_ms_},
                       {"configuration", version}});
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -30,6 +30,20 @@
 // Later than any moment of a process.
 constexpr TimeMs kNeverLate = 1LL << 60;
 
+std::string_view EventName(ListingNews news) {
+  switch (news) {
+    case ListingNews::kListed:
+      return "upstream_listed";
+    case ListingNews::kLeaving:
+      return "upstream_leaving";
+    case ListingNews::kMissing:
+      return "upstream_missing";
+    case ListingNews::kGone:
+      return "upstream_gone";
+  }
+  return "upstream_listed";
+}
+
 }  // namespace
 
 void LatencyHistogram::Add(std::int64_t ms) {
@@ -168,6 +182,24 @@
   for (const auto& it : all) it->Retry();
 }
 
+void Gateway::Impl::ApplyListing(const UpstreamListing& listing) {
+  const TimeMs now = MonotonicMs();
+  const bool is_first = listed_as_of == 0;
+  listed_as_of = listing.as_of;
+  const auto changes = upstreams.ApplyListing(listing.records, listing.after_outage, now);
+  for (const auto& it : changes) {
+    // All of them are new in the first one.
+    if (is_first && it.news == ListingNews::kListed) continue;
+    log.Write(
+        now, EventName(it.news),
+        {{"upstream", it.instance}, {"service", it.service}, {"listing_age_ms", ListingAge(now)}});
+  }
+}
+
+DurationMs Gateway::Impl::ListingAge(TimeMs now) const {
+  return listed_as_of == 0 ? -1 : now - listed_as_of;
+}
+
 UpstreamTable::Waiting Gateway::Impl::WaitingOf(const internal::Exchange& exchange, TimeMs since) {
   UpstreamTable::Waiting waiting;
   waiting.ref = *exchange.model();
@@ -242,9 +274,7 @@
 
 void Gateway::SetPolicy(const PolicySettings& policy) { impl_->upstreams.SetPolicy(policy); }
 
-void Gateway::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage) {
-  impl_->upstreams.ApplyListing(listing, after_outage, MonotonicMs());
-}
+void Gateway::ApplyListing(const UpstreamListing& listing) { impl_->ApplyListing(listing); }
 
 void Gateway::ApplyView(const EngineView& view) {
   impl_->upstreams.ApplyView(view, MonotonicMs());
@@ -281,5 +311,6 @@
   return impl_->counters;
 }
 const LatencyHistogram& Gateway::first_answer() const { return impl_->first_answer; }
+const LatencyHistogram& Gateway::listing_age() const { return impl_->listing_age; }
 
 }  // namespace junctionrail
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -30,6 +30,10 @@
   void Tick();
   void FinishStop();
 
+  void ApplyListing(const UpstreamListing& listing);
+  // Since the reading of the list began on which choices rest; -1: not known.
+  DurationMs ListingAge(TimeMs now) const;
+
   // Requests that wait for a model.
   void Park(const std::shared_ptr<internal::Exchange>& exchange);
   void Unpark(const std::shared_ptr<internal::Exchange>& exchange);
@@ -53,6 +57,8 @@
   internal::UpstreamPool pool;
   GatewayCounters counters;
   LatencyHistogram first_answer;
+  LatencyHistogram listing_age;
+  TimeMs listed_as_of = 0;  // 0: never listed, or by another entry's word.
   std::set<std::shared_ptr<internal::Exchange>> parked;
   std::vector<UpstreamTable::Waiting> turned_away;  // Of the last seconds; `since` is when.
   std::set<std::shared_ptr<internal::CallerConnection>> connections;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -74,8 +74,12 @@
   return records;
 }
 
-void UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing, bool after_outage,
-                                 TimeMs now) {
+std::vector<UpstreamNews> UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing,
+                                                      bool after_outage, TimeMs now) {
+  std::vector<UpstreamNews> changes;
+  const auto note = [&changes](ListingNews news, const UpstreamRecord& it) {
+    changes.push_back({news, it.instance, it.service});
+  };
   std::set<std::string> listed;
   // An instance in whose place another one answered has ended, whatever its
   // record says: it may lapse late, or even be written again.
@@ -92,10 +96,13 @@
   for (const auto& it : KeepLatestAtEachAddress(std::move(present))) {
     listed.insert(it.instance);
     Row& row = rows_[it.instance];
+    const bool is_new = row.listed_at == 0 || row.missing_since != 0;
     if (row.listed_at == 0) row.listed_at = now;
     const bool was_leaving = row.record.is_leaving;
     row.record = it;
     row.record.is_leaving = it.is_leaving || was_leaving;
+    if (is_new) note(ListingNews::kListed, row.record);
+    if (row.record.is_leaving && !was_leaving) note(ListingNews::kLeaving, row.record);
     row.missing_since = 0;
     Index(&row);
   }
@@ -104,12 +111,14 @@
     if (listed.count(it->first) == 0 && row.missing_since == 0) {
       // A record that is missing right after an outage may only have lapsed.
       row.missing_since = after_outage ? now : now - RoutingTimes::kMissingMs;
+      note(after_outage ? ListingNews::kMissing : ListingNews::kGone, row.record);
     }
     // Requests under way still refer to the row.
     const bool is_over = IsGone(row, now) && row.in_flight == 0;
     if (is_over) Unindex(&row);
     it = is_over ? rows_.erase(it) : std::next(it);
   }
+  return changes;
 }
 
 void UpstreamTable::Index(Row* row) {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -112,12 +112,11 @@
   }
 
   void FollowUpstreams(DurationMs period_ms) {
-    upstreams = std::make_unique<UpstreamFollower>(
-        io, client, log, Freshness::kNewest, period_ms,
-        [this](const std::vector<UpstreamRecord>& it, bool is_after_outage) {
-          listings.push_back(it);
-          after_outage = is_after_outage;
-        });
+    upstreams = std::make_unique<UpstreamFollower>(io, client, log, Freshness::kNewest, period_ms,
+                                                   [this](const UpstreamListing& it) {
+                                                     listings.push_back(it.records);
+                                                     after_outage = it.after_outage;
+                                                   });
     upstreams->Start();
   }
 
