Take a record for lapsed only if the first listing after an outage lacks it

Cause: an entry that could not read the list took records that were missing within 2.3 s of its return for lapsed, and kept each for 2.3 s from when it was first missing, although they had been there after the return and the outage was its own. LapsedRecords now keeps only what the first listing after an outage lacks, only after one long enough for a record to lapse (twice the upstreams' write period, a new setting), and only until two seconds after that listing, when the list is read again for it. The table of upstreams knows no outages any more.

Choices.KeepWhatIsMissingAfterAnOutage... becomes ListingsAfterAnOutage.KeepWhatIsMissingForTwoSeconds..., as strict, as the decision has moved; five tests beside it.

--- a/bench/bench_direct.cc
+++ b/bench/bench_direct.cc
@@ -47,7 +47,7 @@
   }
   TimeMs now = 1000;
   auto start = Clock::now();
-  table.ApplyListing(listing, false, now);
+  table.ApplyListing(listing, now);
   const double listing_us = MicrosecondsSince(start);
   start = Clock::now();
   for (const auto& it : encoded) {
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -170,6 +170,8 @@
   bool is_leaving = false;
   std::vector<LoadedModel> loaded;  // Engines; lags.
   std::int64_t generation = 0;      // Higher for a record made later.
+  // Not in the last reading, but it may only have lapsed; see LapsedRecords.
+  bool is_missing = false;
 };
 
 // Leaves out records whose address a later one has: the upstream behind them
@@ -179,19 +181,44 @@
 // One reading of the platform's list of upstreams.
 struct UpstreamListing {
   std::vector<UpstreamRecord> records;
-  // The store was away just before, so that records may be missing that are about
-  // to come back.
-  bool after_outage = false;
   // When the reading began: later changes may not be in it. 0: not known.
   TimeMs as_of = 0;
 };
 
+// Adds to readings of the list what they lack only because it lapsed: while the
+// platform's store is away no upstream can write its record.
+class LapsedRecords {
+ public:
+  // Upstreams write their records anew so often.
+  void SetWritePeriod(DurationMs write_period_ms) { write_period_ms_ = write_period_ms; }
+
+  // The records of a reading that began at `as_of`, and with them, marked as missing,
+  // those that may yet come back. `was_unreadable`: the list could not be read at
+  // some time since the reading before.
+  std::vector<UpstreamRecord> Complete(std::vector<UpstreamRecord> read, bool was_unreadable,
+                                       TimeMs as_of, TimeMs now);
+  // Takes what another entry believes, before the first reading of our own.
+  std::vector<UpstreamRecord> Take(std::vector<UpstreamRecord> told);
+  // When the list is to be read for those that are missing: then they are back, or
+  // they have left. None while nothing is missing.
+  std::optional<TimeMs> RestoredAt() const {
+    return has_missing_ ? std::optional<TimeMs>(restored_at_) : std::nullopt;
+  }
+
+ private:
+  DurationMs write_period_ms_ = 1200;
+  std::vector<UpstreamRecord> told_;
+  TimeMs read_as_of_ = 0;   // 0: never read.
+  TimeMs restored_at_ = 0;  // Of the last outage.
+  bool has_missing_ = false;
+};
+
 // What a listing changed in what is believed of one upstream.
 enum class ListingNews {
   kListed,   // For the first time, or again.
   kLeaving,  // It says that it leaves.
   kMissing,  // Its record is not there, and may only have lapsed.
-  kGone,     // Its record is not there for good.
+  kGone,     // Its record is not there.
 };
 struct UpstreamNews {
   ListingNews news = ListingNews::kListed;
@@ -276,7 +303,6 @@
 // The times and weights of the choice; see routing.cc for where each is from.
 struct RoutingTimes {
   static constexpr DurationMs kViewFreshMs = 1600;
-  static constexpr DurationMs kMissingMs = 2300;
 };
 
 // Whom a request may go to.
@@ -315,9 +341,8 @@
   void SetPolicy(const PolicySettings& policy) { options_.policy = policy; }
   const PolicySettings& policy() const { return options_.policy; }
 
-  // A whole listing; see UpstreamListing. Returns what it changed.
-  std::vector<UpstreamNews> ApplyListing(const std::vector<UpstreamRecord>& listing,
-                                         bool after_outage, TimeMs now);
+  // A whole listing, completed by LapsedRecords. Returns what it changed.
+  std::vector<UpstreamNews> ApplyListing(const std::vector<UpstreamRecord>& listing, TimeMs now);
   void ApplyServices(const std::vector<ServiceSpec>& services);
   void ApplyView(const EngineView& view, TimeMs now);
   void ForgetView(const std::string& instance);
@@ -371,8 +396,8 @@
  private:
   struct Row {
     UpstreamRecord record;
-    TimeMs listed_at = 0;      // For the first time.
-    TimeMs missing_since = 0;  // 0: listed.
+    TimeMs listed_at = 0;  // For the first time.
+    bool is_gone = false;  // No longer listed.
     bool was_replaced = false;
     EngineView view;
     TimeMs view_at = 0;  // 0: none.
@@ -405,8 +430,7 @@
     int wants = 0;  // Requests wait for so many more.
   };
 
-  static bool IsGone(const Row& row, TimeMs now);
-  static bool IsPresent(const Row& row, std::string_view service, TimeMs now);
+  static bool IsPresent(const Row& row, std::string_view service);
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
   bool IsFresh(const Row& row, TimeMs now) const;
   bool IsMute(const Row& row, TimeMs now) const;
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -98,6 +98,8 @@
   double retry_extra = 50;      // And so many more in a window.
   DurationMs retry_window_ms = 10000;
   DurationMs leaving_ms = 2000;  // An upstream that leaves gets nothing new after it.
+  // Upstreams write their records anew so often.
+  DurationMs record_period_ms = 1200;
   // An agent's.
   Endpoint link;
   Endpoint upstream;
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -92,6 +92,7 @@
   direct.retry_extra = r.Number("retry_extra", 0, 1e6, direct.retry_extra);
   direct.retry_window_ms = r.Integer("retry_window_ms", 1, kLongestMs, direct.retry_window_ms);
   direct.leaving_ms = r.Integer("leaving_ms", 400, kLongestMs, direct.leaving_ms);
+  direct.record_period_ms = r.Integer("record_period_ms", 1, kLongestMs, direct.record_period_ms);
   return direct;
 }
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -105,6 +105,7 @@
     if (error) return error;
     gateway_.OnNewDemand([this](const std::string& instance) { TellSoon(instance); });
     upstreams_.OnRegained([this] { configuration_.Reread(); });
+    upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
     configuration_.Start();
     upstreams_.Start();
     demand_timer_.Every(kDemandMs, [this] { TellAgents(); });
@@ -134,7 +135,9 @@
       gateway_.SetPolicy(direct.policy);
       hosting_->SetPolicy(direct.policy);
       gateway_.SetRetries(RetriesOf(direct));
+      direct.record_period_ms = settings.direct->record_period_ms;
       upstreams_.SetPeriod(ListingPeriod(direct));
+      upstreams_.SetWritePeriod(direct.record_period_ms);
     }
     log_.Write(MonotonicMs(), "reload",
                {{"waits_for_restart", must_restart},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -186,7 +186,7 @@
   const TimeMs now = MonotonicMs();
   const bool is_first = listed_as_of == 0;
   listed_as_of = listing.as_of;
-  const auto changes = upstreams.ApplyListing(listing.records, listing.after_outage, now);
+  const auto changes = upstreams.ApplyListing(listing.records, now);
   for (const auto& it : changes) {
     // All of them are new in the first one.
     if (is_first && it.news == ListingNews::kListed) continue;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -247,7 +247,7 @@
   for (const auto& [instance, row] : rows_) {
     const auto service = services_.find(row.record.service);
     if (service == services_.end() || !service->second.engine) continue;
-    if (!IsPresent(row, row.record.service, now)) continue;
+    if (!IsPresent(row, row.record.service)) continue;
     AgentDemand& demand = demands[instance];
     demand.instance = instance;
     AddUse(&demand, row, replicas, now);
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -75,7 +75,7 @@
 }
 
 std::vector<UpstreamNews> UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing,
-                                                      bool after_outage, TimeMs now) {
+                                                      TimeMs now) {
   std::vector<UpstreamNews> changes;
   const auto note = [&changes](ListingNews news, const UpstreamRecord& it) {
     changes.push_back({news, it.instance, it.service});
@@ -96,25 +96,26 @@
   for (const auto& it : KeepLatestAtEachAddress(std::move(present))) {
     listed.insert(it.instance);
     Row& row = rows_[it.instance];
-    const bool is_new = row.listed_at == 0 || row.missing_since != 0;
+    const bool was_missing = row.record.is_missing;
+    const bool is_new = row.listed_at == 0 || row.is_gone || (was_missing && !it.is_missing);
     if (row.listed_at == 0) row.listed_at = now;
     const bool was_leaving = row.record.is_leaving;
     row.record = it;
     row.record.is_leaving = it.is_leaving || was_leaving;
     if (is_new) note(ListingNews::kListed, row.record);
+    if (it.is_missing && !was_missing) note(ListingNews::kMissing, row.record);
     if (row.record.is_leaving && !was_leaving) note(ListingNews::kLeaving, row.record);
-    row.missing_since = 0;
+    row.is_gone = false;
     Index(&row);
   }
   for (auto it = rows_.begin(); it != rows_.end();) {
     Row& row = it->second;
-    if (listed.count(it->first) == 0 && row.missing_since == 0) {
-      // A record that is missing right after an outage may only have lapsed.
-      row.missing_since = after_outage ? now : now - RoutingTimes::kMissingMs;
-      note(after_outage ? ListingNews::kMissing : ListingNews::kGone, row.record);
+    if (listed.count(it->first) == 0 && !row.is_gone) {
+      row.is_gone = true;
+      note(ListingNews::kGone, row.record);
     }
     // Requests under way still refer to the row.
-    const bool is_over = IsGone(row, now) && row.in_flight == 0;
+    const bool is_over = row.is_gone && row.in_flight == 0;
     if (is_over) Unindex(&row);
     it = is_over ? rows_.erase(it) : std::next(it);
   }
@@ -181,7 +182,7 @@
   for (const auto& [instance, row] : rows_) {
     const auto service = services_.find(row.record.service);
     const bool is_engine = service != services_.end() && service->second.engine.has_value();
-    if (!is_engine || !IsPresent(row, row.record.service, now)) continue;
+    if (!is_engine || !IsPresent(row, row.record.service)) continue;
     if (now - std::max(row.view_at, row.listed_at) >= ms) engines.push_back(row.record.endpoint);
   }
   return engines;
@@ -195,18 +196,14 @@
   return entries;
 }
 
-bool UpstreamTable::IsGone(const Row& row, TimeMs now) {
-  return row.missing_since != 0 && now - row.missing_since >= RoutingTimes::kMissingMs;
-}
-
 // Whether the upstream is there for new requests, healthy or not.
-bool UpstreamTable::IsPresent(const Row& row, std::string_view service, TimeMs now) {
+bool UpstreamTable::IsPresent(const Row& row, std::string_view service) {
   return row.record.service == service && !row.record.is_leaving && !row.was_replaced &&
-         !IsGone(row, now);
+         !row.is_gone;
 }
 
 bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
-  return IsPresent(row, service, now) && row.ejected_until <= now && !IsMute(row, now);
+  return IsPresent(row, service) && row.ejected_until <= now && !IsMute(row, now);
 }
 
 bool UpstreamTable::Holds(const Row& row, const ModelRef& model, TimeMs now) const {
@@ -304,7 +301,7 @@
   if (usable.empty()) {
     // All ejected: any that is listed is better than a refusal.
     for (auto& [instance, row] : rows_) {
-      if (IsPresent(row, request.service, now)) usable.push_back(&row);
+      if (IsPresent(row, request.service)) usable.push_back(&row);
     }
   }
   if (usable.empty()) return NoneLeft{"no_upstream"};
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -86,7 +86,7 @@
     for (int n = 0; n < kEntries; ++n) {
       entries_.emplace_back(options);
       entries_.back().ApplyServices({{"engine", 100, MakeSpec()}});
-      entries_.back().ApplyListing(listing, false, now_);
+      entries_.back().ApplyListing(listing, now_);
     }
   }
 
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -66,7 +66,7 @@
                    ScriptedUpstream::Script script) {
     upstreams.push_back(std::make_unique<ScriptedUpstream>(io, std::move(script)));
     records.push_back({instance, service, upstreams.back()->endpoint(), "hall-1", 8, false, {}});
-    gateway->ApplyListing({records, false, MonotonicMs()});
+    gateway->ApplyListing({records, MonotonicMs()});
   }
 
   void Configure(std::vector<Route> routes, std::uint64_t version = 1) {
@@ -482,7 +482,7 @@
   record.endpoint = {"127.0.0.1", paused.local_endpoint().port()};
   record.data_hall = "hall-1";
   record.slots = 4;
-  world.gateway->ApplyListing({{record}, false, MonotonicMs()});
+  world.gateway->ApplyListing({{record}, MonotonicMs()});
   TestCaller caller(world.io, world.port);
   caller.Send(Request("GET /a/"));
   tcp::socket socket(world.io);
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -112,11 +112,9 @@
   }
 
   void FollowUpstreams(DurationMs period_ms) {
-    upstreams = std::make_unique<UpstreamFollower>(io, client, log, Freshness::kNewest, period_ms,
-                                                   [this](const UpstreamListing& it) {
-                                                     listings.push_back(it.records);
-                                                     after_outage = it.after_outage;
-                                                   });
+    upstreams = std::make_unique<UpstreamFollower>(
+        io, client, log, Freshness::kNewest, period_ms,
+        [this](const UpstreamListing& it) { listings.push_back(it.records); });
     upstreams->Start();
   }
 
@@ -133,7 +131,6 @@
   std::unique_ptr<UpstreamFollower> upstreams;
   std::vector<int> versions;
   std::vector<std::vector<UpstreamRecord>> listings;
-  bool after_outage = false;
 };
 
 }  // namespace
@@ -239,15 +236,18 @@
   world.store.Put("servers/i-1", kUpstream);
   bool is_regained = false;
   world.FollowUpstreams(20);
+  world.upstreams->SetWritePeriod(20);
   world.upstreams->OnRegained([&] { is_regained = true; });
   EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.size() >= 2; }), "");
-  EXPECT_TRUE(!world.after_outage && !is_regained, "all is well");
+  EXPECT_TRUE(!world.listings.back().at(0).is_missing && !is_regained, "all is well");
   world.store.mood = StandinStore::Mood::kBusy;
   RunFor(world.io, 60);
   world.store.Remove("servers/i-1");
   world.store.mood = StandinStore::Mood::kFine;
-  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.back().empty(); }), "");
-  EXPECT_TRUE(world.after_outage && is_regained, "what is missing may only have lapsed");
+  EXPECT_TRUE(RunUntil(world.io, [&] { return is_regained; }), "");
+  EXPECT_TRUE(world.listings.back().at(0).is_missing, "it may only have lapsed");
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.back().empty(); }),
+              "it would be back by now");
 }
 
 TEST(FollowsUpstreams, PassingOverAMalformedRecord) {
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -132,7 +132,7 @@
   auto busy = Record("u2");
   auto idle = Record("u3");
   busy.service = idle.service = "plain";
-  t.table.ApplyListing({leaving, busy, idle}, false, t.now);
+  t.table.ApplyListing({leaving, busy, idle}, t.now);
   for (int n = 0; n < 5; ++n) t.table.OnSent("u2", std::nullopt, t.now);
   EXPECT_TEXT("send u3", t.Choose("plain"), "it has nothing in flight");
   EXPECT_TEXT("send u2", t.Choose("plain", std::nullopt, {"u3"}), "the other was tried");
@@ -143,7 +143,7 @@
   // one stream in ten paused for over 300 ms, as all 28
   // entries sent to the engine that had the least in the last view.
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   EngineView busy = View("u1", {{"a", {}}});
   busy.running = 16;
   EngineView less = View("u2", {{"a", {}}});
@@ -170,38 +170,132 @@
   auto record = Record("u1");
   record.service = "plain";
   record.is_leaving = true;
-  t.table.ApplyListing({record}, false, t.now);
+  t.table.ApplyListing({record}, t.now);
   record.is_leaving = false;
-  t.table.ApplyListing({record}, false, t.now);
+  t.table.ApplyListing({record}, t.now);
   EXPECT_TEXT("no_upstream", t.Choose("plain"), "a listing may lag");
 }
 
-TEST(Choices, KeepWhatIsMissingAfterAnOutageForTwoSecondsAndDropItAtOnceElse) {
-  Table t;
-  auto record = Record("u1");
-  record.service = "plain";
-  t.table.ApplyListing({record}, false, t.now);
-  t.table.ApplyListing({}, true, t.now);
+namespace {
+
+// A table that is told listings as an entry reads them.
+struct FollowedTable : Table {
+  // A reading that took 10 ms.
+  void Read(const std::vector<std::string>& instances, bool was_unreadable = false) {
+    std::vector<UpstreamRecord> records;
+    for (const auto& it : instances) {
+      records.push_back(Record(it));
+      records.back().service = "plain";
+    }
+    const TimeMs as_of = now;
+    now += 10;
+    table.ApplyListing(lapsed.Complete(records, was_unreadable, as_of, now), now);
+  }
+  void ReadAfterOutage(const std::vector<std::string>& instances) {
+    now += 3000;
+    Read(instances, true);
+  }
+
+  LapsedRecords lapsed;
+};
+
+}  // namespace
+
+TEST_GROUP(ListingsAfterAnOutage){};
+
+TEST(ListingsAfterAnOutage, KeepWhatIsMissingForTwoSecondsAndDropItAtOnceElse) {
+  FollowedTable t;
+  t.Read({"u1"});
+  EXPECT_TRUE(!t.lapsed.RestoredAt(), "nothing is missing");
+  t.ReadAfterOutage({});
   EXPECT_TEXT("send u1", t.Choose("plain"), "it may only have lapsed");
-  t.now += 2400;
-  t.table.ApplyListing({}, false, t.now);
+  EXPECT_NUMBER(t.now + 2000, t.lapsed.RestoredAt().value_or(0), "it is looked for again then");
+  t.now += 1000;
+  t.Read({});
+  EXPECT_TEXT("send u1", t.Choose("plain"), "it may yet come back");
+  t.now += 1000;
+  t.Read({});
   EXPECT_TEXT("no_upstream", t.Choose("plain"), "it would be back by now");
-  t.table.ApplyListing({record}, false, t.now);
-  t.table.ApplyListing({}, false, t.now);
+  t.Read({"u1"});
+  t.Read({});
   EXPECT_TEXT("no_upstream", t.Choose("plain"), "no outage explains that it is missing");
 }
 
+TEST(ListingsAfterAnOutage, DropWhatWasThereOnceTheStoreWasBack) {
+  FollowedTable t;
+  t.Read({"u1", "u2"});
+  t.ReadAfterOutage({"u1"});
+  t.now += 1000;
+  t.Read({});
+  EXPECT_TEXT("send u2", t.Choose("plain"), "it may have lapsed in the outage, u1 has not");
+  EXPECT_TEXT("all_tried", t.Choose("plain", std::nullopt, {"u2"}), "u1 has left");
+}
+
+TEST(ListingsAfterAnOutage, DropWhatIsMissingWhenNoRecordCanHaveLapsed) {
+  FollowedTable t;
+  t.Read({"u1"});
+  t.now += 2300;
+  t.Read({}, true);
+  EXPECT_TEXT("no_upstream", t.Choose("plain"), "records outlive two writes that do not come");
+}
+
+TEST(ListingsAfterAnOutage, KeepWhatIsMissingThroughTheNextOutage) {
+  FollowedTable t;
+  t.Read({"u1"});
+  t.ReadAfterOutage({});
+  t.ReadAfterOutage({});
+  EXPECT_TEXT("send u1", t.Choose("plain"), "it had no time to come back");
+  t.now += 2000;
+  t.Read({});
+  EXPECT_TEXT("no_upstream", t.Choose("plain"), "now it had");
+}
+
+TEST(ListingsAfterAnOutage, KeepWhatAnotherEntryTold) {
+  FollowedTable t;
+  auto record = Record("u1");
+  record.service = "plain";
+  t.table.ApplyListing(t.lapsed.Take({record}), t.now);
+  t.ReadAfterOutage({});
+  EXPECT_TEXT("send u1", t.Choose("plain"), "the store was away as this entry started");
+  t.now += 2000;
+  t.Read({});
+  EXPECT_TEXT("no_upstream", t.Choose("plain"), "it would be back by now");
+}
+
+TEST(ListingsAfterAnOutage, SayWhatChanged) {
+  FollowedTable t;
+  const auto news = [&](const std::vector<UpstreamRecord>& read, bool was_unreadable) {
+    std::string text;
+    const auto listing = t.lapsed.Complete(read, was_unreadable, t.now, t.now);
+    for (const auto& it : t.table.ApplyListing(listing, t.now)) {
+      constexpr const char* kNames[] = {"listed", "leaving", "missing", "gone"};
+      text += it.instance + " " + kNames[static_cast<int>(it.news)] + ";";
+    }
+    return text;
+  };
+  auto leaving = Record("u2");
+  EXPECT_TEXT("u1 listed;u2 listed;", news({Record("u1"), leaving}, false), "");
+  leaving.is_leaving = true;
+  EXPECT_TEXT("u2 leaving;", news({Record("u1"), leaving}, false), "");
+  t.now += 3000;
+  EXPECT_TEXT("u1 missing;u2 missing;", news({}, true), "");
+  EXPECT_TEXT("u1 listed;", news({Record("u1")}, false), "it is back");
+  t.now += 2000;
+  EXPECT_TEXT("u2 gone;", news({Record("u1")}, false), "it is not");
+  EXPECT_TEXT("", news({Record("u1")}, false), "");
+}
+
 TEST(Choices, TakeAnUpstreamAgainWhoseRecordComesBackWhileARequestIsUnderWay) {
   // Found by reading: a record that lapsed under a long stream and came back
   // left its upstream unused for good.
   Table t;
   auto record = Record("u1");
   record.service = "plain";
-  t.table.ApplyListing({record}, false, t.now);
+  t.table.ApplyListing({record}, t.now);
   t.table.OnSent("u1", std::nullopt, t.now);
-  t.table.ApplyListing({}, false, t.now);
+  t.table.ApplyListing({}, t.now);
   EXPECT_TEXT("no_upstream", t.Choose("plain"), "it is not listed");
-  t.table.ApplyListing({record}, false, t.now);
+  t.table.ApplyListing({record}, t.now);
   EXPECT_TEXT("send u1", t.Choose("plain"), "it is listed as ready again");
 }
 
@@ -212,12 +306,12 @@
   present.generation = 5;
   UpstreamRecord ended = Record("u2");
   ended.generation = 9;
-  t.table.ApplyListing({present, ended}, false, t.now);
+  t.table.ApplyListing({present, ended}, t.now);
   EXPECT_TEXT("send u2", t.Choose("engine"), "it seems to be the later one");
   t.table.OnOtherInstance("u2");
-  t.table.ApplyListing({present, ended}, false, t.now);
+  t.table.ApplyListing({present, ended}, t.now);
   EXPECT_TEXT("send u1", t.Choose("engine"), "it answered in u2's place");
-  t.table.ApplyListing({present, ended}, false, t.now);
+  t.table.ApplyListing({present, ended}, t.now);
   EXPECT_TEXT("send u1", t.Choose("engine"), "and not forgotten with the next listing");
 }
 
@@ -226,18 +320,18 @@
   auto a = Record("u1");
   auto b = Record("u2");
   a.service = b.service = "plain";
-  t.table.ApplyListing({a, b}, false, t.now);
+  t.table.ApplyListing({a, b}, t.now);
   t.table.OnSent("u1", std::nullopt, t.now);
   t.table.OnEnd("u1", std::nullopt, AttemptEnd::kUnreachable, t.now);
   EXPECT_TEXT("send u2", t.Choose("plain"), "nobody listens at u1");
   EXPECT_TEXT("all_tried", t.Choose("plain", std::nullopt, {"u2"}), "u1 is set aside");
-  t.table.ApplyListing({a}, false, t.now);
+  t.table.ApplyListing({a}, t.now);
   EXPECT_TEXT("send u1", t.Choose("plain"), "trying it is better than a refusal");
 }
 
 TEST(Choices, AvoidAnUpstreamThatAnswersNothingWhileItsAgentIsSilentToo) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   for (const char* it : {"u1", "u2"}) t.table.ApplyView(View(it, {{"a", {}}}), t.now);
   const ModelRef model{"a", ""};
   t.table.OnSent("u1", model, t.now);
@@ -260,7 +354,7 @@
 
 TEST(ColdModels, AreSentToWhereTheAgentSaysTheyAreLoaded) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   t.table.ApplyView(View("u2", {{"a", {"x"}}}), t.now);
   EXPECT_TEXT("send u2", t.Choose("engine", ModelRef{"a", ""}), "");
   EXPECT_TEXT("send u2", t.Choose("engine", ModelRef{"a", "x"}), "with the adapter");
@@ -270,7 +364,7 @@
   // after all engines had restarted, hundreds
   // of requests from 28 entries went to the first that held the model.
   Table t;
-  t.table.ApplyListing({Record("u1")}, false, t.now);
+  t.table.ApplyListing({Record("u1")}, t.now);
   EngineView view = View("u1", {{"a", {}}});
   view.entries = 10;
   t.table.ApplyView(view, t.now);
@@ -289,7 +383,7 @@
   Table it;
   UpstreamRecord first = Record("u1");
   first.loaded = {{"a", {}}};
-  it.table.ApplyListing({first, Record("u2")}, false, it.now);
+  it.table.ApplyListing({first, Record("u2")}, it.now);
   EXPECT_TEXT("send u1", it.Choose("engine", ModelRef{"a", {}}), "by its record");
   it.table.ApplyView(View("u1", {{"b", {}}}), it.now);
   it.table.ApplyView(View("u2", {{"a", {}}}), it.now);
@@ -297,14 +391,14 @@
   EXPECT_TEXT("send u1", it.Choose("engine", ModelRef{"b", {}}), "");
   it.table.ForgetView("u1");
   EXPECT_TEXT("send u1", it.Choose("engine", ModelRef{"a", {}}, {"u2"}), "its record again");
-  it.table.ApplyListing({Record("u2")}, false, it.now);
+  it.table.ApplyListing({Record("u2")}, it.now);
   EXPECT_TEXT("all_tried", it.Choose("engine", ModelRef{"a", {}}, {"u2"}), "u1 has gone");
   EXPECT_TEXT("send u2", it.Choose("engine", ModelRef{"a", {}}), "");
 }
 
 TEST(ColdModels, AreAskedForWhereTheWeightsAreClosest) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   t.table.ApplyView(View("u1"), t.now);
   t.table.ApplyView(View("u2", {}, {"a"}), t.now);
   EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}), "on its disk");
@@ -313,7 +407,7 @@
 
 TEST(ColdModels, AreAskedForElsewhereWhenTheClosestIsBusyForLong) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   t.table.ApplyView(View("u1"), t.now);
   EngineView busy = View("u2", {}, {"a"});
   busy.loading = "b";
@@ -326,7 +420,7 @@
   // an agent ordered from an engine that had been replaced
   // for two seconds, and a busy model's requests went on asking it for eight.
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   t.table.ApplyView(View("u1", {}, {"a"}), t.now);
   t.table.ApplyView(View("u2"), t.now);
   EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "on its disk");
@@ -344,7 +438,7 @@
 TEST(ColdModels, CountAnAdaptersWaitForTheOrderUnderWay) {
   // Engines load no adapter while an order on a model is under way.
   Table t;
-  t.table.ApplyListing({Record("u1")}, false, t.now);
+  t.table.ApplyListing({Record("u1")}, t.now);
   EngineView view = View("u1", {{"a", {}}});
   view.loading = "b";
   view.remaining_ms = 5000;
@@ -355,7 +449,7 @@
 
 TEST(ColdModels, GetAnotherReplicaWhenManyAskForThem) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, t.now);
   EngineView holder = View("u1", {{"a", {}}});
   holder.entries = 28;
   for (const char* it : {"u2", "u3", "u4"}) t.table.ApplyView(View(it), t.now);
@@ -379,7 +473,7 @@
   // after a restart of all entries busy models got their
   // replicas seconds late, as their rates grew from nothing.
   Table t;
-  t.table.ApplyListing({Record("u1")}, false, t.now);
+  t.table.ApplyListing({Record("u1")}, t.now);
   t.table.ApplyView(View("u1", {{"a", {}}}), t.now);
   for (int n = 0; n < 15; ++n) {
     t.table.OnArrival(ModelRef{"a", ""}, 1, 300, t.now);
@@ -392,7 +486,7 @@
 
 TEST(ColdModels, GetAnotherReplicaBeforeMoreThanFiveInAHundredAreLate) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, t.now);
   for (const char* it : {"u1", "u2"}) {
     EngineView view = View(it, {{"a", {}}});
     view.per_s["a"] = 20;
@@ -416,7 +510,7 @@
 TEST(ColdModels, GetAReplicaFromDiskWhileOneIsUnderWayFromTheStore) {
   // A load from the store takes 6 s; for so long one engine had all requests.
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3")}, t.now);
   EngineView holder = View("u1", {{"a", {}}});
   holder.per_s["a"] = 20;
   t.table.ApplyView(holder, t.now);
@@ -438,7 +532,7 @@
 
 TEST(ColdModels, AreAskedForWhereTheRoomCostsOthersLeast) {
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   EngineSpec spec = MakeSpec();
   spec.accelerator_mb = 160;  // Of which two models take 144.
   t.table.ApplyServices({{"engine", 100, spec}});
@@ -462,7 +556,7 @@
   // three engines of six were lost, a third of the others' time went that way,
   // while fresh engines with empty disks had nothing to do.
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   EngineView busy = View("u1");
   busy.wants_per_s = 1;
   t.table.ApplyView(busy, t.now);
@@ -482,7 +576,7 @@
   // An engine that makes room for it looks busier than the others meanwhile. Two
   // of a busy model's replicas were closed for a third that was never loaded.
   Table t;
-  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, false, t.now);
+  t.table.ApplyListing({Record("u1"), Record("u2"), Record("u3"), Record("u4")}, t.now);
   EngineView holder = View("u1", {{"a", {}}});
   holder.per_s["a"] = 20;
   t.table.ApplyView(holder, t.now);
@@ -517,7 +611,7 @@
   // A busy model's engines had 55 requests a second of room, and the 56th made all wait:
   // a further replica from the weight store came half a minute later.
   Table it;
-  it.table.ApplyListing({Record("u1"), Record("u2"), Record("u3")}, false, it.now);
+  it.table.ApplyListing({Record("u1"), Record("u2"), Record("u3")}, it.now);
   const auto asks_with = [&it](int running) {
     it.now += 5000;
     for (const char* instance : {"u1", "u2", "u3"}) {
@@ -540,7 +634,7 @@
   Table t;
   std::vector<UpstreamRecord> listing;
   for (int n = 0; n < 8; ++n) listing.push_back(Record("u" + std::to_string(n)));
-  t.table.ApplyListing(listing, false, t.now);
+  t.table.ApplyListing(listing, t.now);
   for (int n = 0; n < 8; ++n) {
     EngineView view = View("u" + std::to_string(n));
     // u0 loads from the store; u1 would stage; u2 asks for a busy model; u3 to u7
@@ -562,7 +656,7 @@
   Table t;
   std::vector<UpstreamRecord> listing;
   for (int n = 0; n < 8; ++n) listing.push_back(Record("u" + std::to_string(n)));
-  t.table.ApplyListing(listing, false, t.now);
+  t.table.ApplyListing(listing, t.now);
   for (int n = 0; n < 8; ++n) {
     EngineView view = View("u" + std::to_string(n));
     view.is_from_store = n < 4;
@@ -579,7 +673,7 @@
   Table t(true);
   std::vector<UpstreamRecord> listing;
   for (int n = 0; n < 8; ++n) listing.push_back(Record("u" + std::to_string(n)));
-  t.table.ApplyListing(listing, false, t.now);
+  t.table.ApplyListing(listing, t.now);
   for (int n = 0; n < 8; ++n) t.table.ApplyView(View("u" + std::to_string(n)), t.now);
   EngineView busy = View("u0");
   busy.loading = "c";
--- a/test/support/model_fleet.cc
+++ b/test/support/model_fleet.cc
@@ -93,7 +93,7 @@
     record.endpoint.port = static_cast<std::uint16_t>(n + 1);
     listing.push_back(std::move(record));
   }
-  for (auto& it : entries_) it.table.ApplyListing(listing, false, now_);
+  for (auto& it : entries_) it.table.ApplyListing(listing, now_);
 }
 
 void ModelFleet::Run(DurationMs ms) {
