--- a/src/routing/lapsed_records.cc
+++ b/src/listing/lapsed_records.cc
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "junctionrail/routing.h"
+#include "junctionrail/listing.h"
 
 namespace junctionrail {
 namespace {
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -61,19 +61,6 @@
 
 }  // namespace
 
-std::vector<UpstreamRecord> KeepLatestAtEachAddress(std::vector<UpstreamRecord> records) {
-  std::map<std::string, std::int64_t> latest;
-  for (const auto& it : records) {
-    std::int64_t& generation = latest[it.endpoint.ToString()];
-    generation = std::max(generation, it.generation);
-  }
-  const auto is_outdated = [&latest](const UpstreamRecord& it) {
-    return it.generation < latest[it.endpoint.ToString()];
-  };
-  records.erase(std::remove_if(records.begin(), records.end(), is_outdated), records.end());
-  return records;
-}
-
 std::vector<UpstreamNews> UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing,
                                                       TimeMs now) {
   std::vector<UpstreamNews> changes;
