Read the list of upstreams by a schedule that no single call holds up

Cause: the next reading began 1.5 s after the end of the last one and only once that had ended; a call without an answer ended after 0.9 s and was made again 0.25 to 1 s later, up to 3.4 s from one good reading to the next where 2 s are allowed; ReadSoon set the timer anew each time. A store that takes 1.2 s for an answer was never read at all: entries that started then knew no configuration until it was fast again.

ReadingSchedule, without I/O: a reading each 0.45 of the bound, from beginning to beginning; a call that is not answered within 250 ms (or twice the last answer's time) is made again beside it on a new connection; asking sooner never puts off; an answer that comes after a later one is passed over. Calls may take 3 s. The configuration is read by it too while there is no watch. Ruled out: readings at 0.3 of the bound alone (more calls, and a lost one still takes the whole bound).

--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -49,6 +49,58 @@
   TimeMs as_of = 0;
 };
 
+// When to read the list, or whatever else must not be older than a bound, from a
+// store that may be slow, away, or deaf on some connections. A call that is not
+// answered soon is made again beside it, and the answer to the latest call counts:
+// one call without an answer costs a quarter of a second, not its whole time limit.
+class ReadingSchedule {
+ public:
+  struct Call {
+    std::uint64_t number = 0;
+    TimeMs begun_at = 0;
+    // An earlier one has no answer yet: its connection may be dead.
+    bool is_repeated = false;
+  };
+
+  // `period_ms`: from the beginning of a reading to that of the next.
+  explicit ReadingSchedule(DurationMs period_ms) : period_ms_(period_ms) {}
+  void SetPeriod(DurationMs period_ms) { period_ms_ = period_ms; }
+
+  // When the next call is to begin, whatever has become of the others.
+  TimeMs NextAt() const { return next_at_; }
+  Call Begin(TimeMs now);
+  // False: a later call was answered before, so this answer is out of date. A call that
+  // fails needs no word: the next one is due.
+  bool OnAnswer(const Call& call, TimeMs now);
+  // What was in touch with the store by other means lost it.
+  void OnLost(TimeMs now);
+  // The next call begins at `at`, unless it is due before. Never puts it off.
+  void ReadBy(TimeMs at);
+
+  // When the last call began; 0: none has.
+  TimeMs begun_at() const { return begun_at_; }
+  // When the call began that was answered last: later changes may not be known.
+  // 0: none was.
+  TimeMs as_of() const { return as_of_; }
+  // Calls begun since the last answer.
+  int unanswered() const { return unanswered_; }
+  // Whether the store could not be read at some time before the last answer.
+  bool was_unreadable() const { return was_unreadable_; }
+
+ private:
+  DurationMs Patience() const;
+
+  DurationMs period_ms_;
+  TimeMs next_at_ = 0;
+  TimeMs begun_at_ = 0;
+  std::uint64_t begun_ = 0;
+  std::uint64_t answered_ = 0;
+  TimeMs as_of_ = 0;
+  DurationMs answer_ms_ = 0;  // What the last answer took.
+  int unanswered_ = 0;
+  bool was_unreadable_ = false;
+};
+
 // Adds to readings of the list what they lack only because it lapsed: while the
 // platform's store is away no upstream can write its record.
 class LapsedRecords {
--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -94,6 +94,7 @@
   DurationMs connect_ms = 1000;
   DurationMs quiet_ms = 60000;  // The longest silence after the call was sent.
   bool is_fresh = false;        // Never on a connection used before.
+  bool closes_idle = false;     // Those kept for the endpoint may be dead: closed first.
 };
 
 // What becomes of a call: a head, pieces, then `done`; or `failed` at any point.
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -15,9 +15,9 @@
 namespace {
 
 // Upstreams are listed so often, as a part of the time within which one that
-// leaves may get something new. The rest is for a slow store and a slow VM;
-// more listings would cost more calls.
-constexpr double kListingPart = 0.75;
+// leaves may get something new. What is left is for two calls without an answer, which
+// take 750 ms, and for the way of the last request.
+constexpr double kListingPart = 0.45;
 // Agents are told of demand so often, and at once when a request begins to
 // wait for a model nobody was asked for.
 constexpr DurationMs kDemandMs = 250;
--- a/src/daemon/entry_hosting.cc
+++ b/src/daemon/entry_hosting.cc
@@ -191,9 +191,9 @@
   if (is_reading_claims_ || now - claims_asked_at_ < period) return;
   is_reading_claims_ = true;
   claims_asked_at_ = now;
-  const auto freshness =
-      hosted_.empty() ? platform::Freshness::kMayLag : platform::Freshness::kNewest;
-  store_.ReadBelow(std::string(kClaims), freshness, [self = shared_from_this(), now](auto read) {
+  platform::ReadOptions options;
+  if (hosted_.empty()) options.freshness = platform::Freshness::kMayLag;
+  store_.ReadBelow(std::string(kClaims), options, [self = shared_from_this(), now](auto read) {
     self->is_reading_claims_ = false;
     if (!read) return;
     std::vector<HostClaim> claims;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -56,6 +56,8 @@
     if (list.size() < kMostIdle) list.push_back(std::move(stream));
   }
 
+  void DropIdle(const Endpoint& endpoint) { idle_.erase(endpoint.ToString()); }
+
   class Call;
   asio::io_context& io_;
   std::map<std::string, std::vector<std::unique_ptr<Stream>>> idle_;
@@ -74,6 +76,7 @@
     for (const auto& it : call_.headers) request_.set(it.name, it.value);
     request_.body() = std::move(call_.body);
     request_.prepare_payload();
+    if (call_.closes_idle) client_->DropIdle(call_.endpoint);
     if (!call_.is_fresh) stream_ = client_->TakeIdle(call_.endpoint);
     if (stream_) return Write();
     Connect();
