Look again at an upstream once the connection to it stands

The request is now withheld, counts as not sent, and goes elsewhere at once; the same look spares the upstream a request whose caller has left. GatewayLeavesOut.* failed before (1 request sent, 0 expected).

LeavingUpstreams.StayGoneWhenAnOlderReadingIsAnsweredLast holds the other half: it fails when ReadingSchedule takes any answer and the follower any revision.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -323,6 +323,8 @@
                                       const std::vector<Waiting>& waiting, TimeMs now) const;
 
   const UpstreamRecord* Find(const std::string& instance) const;
+  // Whether the upstream is there for new requests, healthy or not.
+  bool IsListed(const std::string& instance) const;
   // Whether the upstream can take requests for the model, as far as is known.
   bool HoldsNow(const std::string& instance, const ModelRef& model, TimeMs now) const;
   bool HasFreshView(const std::string& instance, TimeMs now) const;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -232,10 +232,19 @@
   return head;
 }
 
+// What was chosen may have left, and the caller too, while the connection was opened.
+bool Exchange::MaySend() {
+  const auto sink = sink_.lock();
+  return sink && !sink->HasLeft() && gateway_.upstreams.IsListed(instance_);
+}
+
 void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
   call_ = nullptr;
-  const bool was_sent = failure != UpstreamFailure::kNoConnection;
-  EndAttempt(was_sent ? AttemptEnd::kFailed : AttemptEnd::kUnreachable);
+  const bool was_sent = failure == UpstreamFailure::kBroken;
+  // An upstream from which a request was withheld has shown no fault.
+  EndAttempt(was_sent                                ? AttemptEnd::kFailed
+             : failure == UpstreamFailure::kWithheld ? AttemptEnd::kRefused
+                                                     : AttemptEnd::kUnreachable);
   if (!was_sent) {
     --ran_attempts_;
     --sent_attempts_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,6 +63,7 @@
   TimeMs late_at() const { return request_.arrived_at + route_->first_answer_ms; }
   TimeMs parked_since() const { return parked_since_; }
 
+  bool MaySend() override;
   void OnHead(UpstreamHead head) override;
   void OnBody(std::string_view data) override;
   void OnEnd() override;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -165,6 +165,7 @@
   }
 
   void Send() {
+    if (!listener_->MaySend()) return Fail(UpstreamFailure::kWithheld, "no longer wanted there");
     parser_.reset();
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(message_.head),
                                                      asio::buffer(*message_.body)};
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -18,6 +18,7 @@
 
 enum class UpstreamFailure {
   kNoConnection,  // Not one byte was sent.
+  kWithheld,      // Not one byte was sent, as the listener asked.
   kBroken,        // Closed, reset or malformed after the request was sent.
 };
 
@@ -30,6 +31,9 @@
 class UpstreamListener {
  public:
   virtual ~UpstreamListener() = default;
+  // Asked once the connection stands, which may take half a second: whether the
+  // request is still to be sent there.
+  virtual bool MaySend() = 0;
   virtual void OnHead(UpstreamHead head) = 0;
   virtual void OnBody(std::string_view data) = 0;
   virtual void OnEnd() = 0;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -205,6 +205,11 @@
   return false;
 }
 
+bool UpstreamTable::IsListed(const std::string& instance) const {
+  const auto it = rows_.find(instance);
+  return it != rows_.end() && IsPresent(it->second, it->second.record.service);
+}
+
 bool UpstreamTable::HoldsNow(const std::string& instance, const ModelRef& model, TimeMs now) const {
   const auto it = rows_.find(instance);
   return it != rows_.end() && Holds(it->second, model, now);
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -525,6 +525,41 @@
   EXPECT_TRUE(Holds(answer, "502 ") && Holds(answer, "\"ran\":\"unknown\""), answer);
 }
 
+TEST_GROUP(GatewayLeavesOut){};
+
+TEST(GatewayLeavesOut, AnUpstreamThatLeftWhileItWasConnectedTo) {
+  // A connection may take half a second; without a second look the request went to
+  // an upstream that was known to leave.
+  World world;
+  const auto answer = [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("x")); };
+  world.AddUpstream("u1", "plain", answer);
+  world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
+  TestCaller caller(world.io, world.port);
+  caller.Send(Request("POST /a/b", "", "body"));
+  EXPECT_TRUE(
+      RunUntil(world.io, [&] { return world.gateway->counters().upstream_connections == 1; }), "");
+  world.records[0].is_leaving = true;
+  world.AddUpstream("u2", "plain", answer);
+  EXPECT_TRUE(caller.AwaitText("x"), "the other one answers");
+  EXPECT_NUMBER(0, world.upstreams[0]->seen().size(), "it leaves");
+  EXPECT_NUMBER(1, world.upstreams[1]->seen().size(), "it was sent nowhere before");
+}
+
+TEST(GatewayLeavesOut, AnUpstreamThatLeftAndSaysThatTheRequestDidNotRun) {
+  World world;
+  world.AddUpstream("u1", "plain",
+                    [](const SeenRequest&, const Peer& peer) { peer->Write(Answer("x")); });
+  world.Configure({MakeRoute("/a/", CallKind::kOnce, "plain")});
+  TestCaller caller(world.io, world.port);
+  caller.Send(Request("POST /a/b", "", "body"));
+  EXPECT_TRUE(
+      RunUntil(world.io, [&] { return world.gateway->counters().upstream_connections == 1; }), "");
+  world.gateway->ApplyListing({{}, MonotonicMs()});
+  EXPECT_TRUE(caller.AwaitText(R"("ran":"no")"), "it was sent nowhere");
+  EXPECT_TRUE(Holds(caller.received(), "503"), caller.received());
+  EXPECT_NUMBER(0, world.upstreams[0]->seen().size(), "it has gone");
+}
+
 TEST_GROUP(GatewayEnds){};
 
 TEST(GatewayEnds, ServesARequestWhoseFirstBytesComeAsTheIdleTimeEnds) {
--- a/test/leaving_upstreams_test.cc
+++ b/test/leaving_upstreams_test.cc
@@ -125,4 +125,25 @@
   EXPECT_TRUE(world.AwaitChoice(""), "it says that it leaves");
 }
 
+TEST(LeavingUpstreams, StayGoneWhenAnOlderReadingIsAnsweredLast) {
+  World world;
+  world.store.Put("servers/i-1", Record());
+  world.Follow(kPeriodMs);
+  EXPECT_TRUE(world.AwaitChoice("i-1"), "it is listed");
+  world.store.HoldNext();
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.store.is_call_held(); }), "");
+  world.store.Remove("servers/i-1");
+  world.upstreams->ReadSoon();
+  EXPECT_TRUE(world.AwaitChoice(""), "it has left");
+  EXPECT_TRUE(world.store.is_call_held(), "the first call still waits");
+  world.store.AnswerHeld();
+  const std::size_t calls = world.store.calls.size();
+  bool came_back = false;
+  const bool was_read_again = RunUntil(world.io, [&] {
+    came_back |= world.Choice() == "i-1";
+    return world.store.calls.size() >= calls + 2;
+  });
+  EXPECT_TRUE(was_read_again && !came_back, "the answer is from before it left");
+}
+
 }  // namespace junctionrail
