Let the kernel notice a dead connection to the store within two seconds

The watch on the configuration waits 6 s without a word, and a change must be in force 2 s after it was accepted. The readings of the list notice a dead path, not a single dead connection. TCP keep-alive on connections of HttpClient: asked after 1 s of silence, given up 1 s later.

FollowsConfiguration.OverAConnectionWhoseDeath... failed before.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,3 +1,5 @@
+#include <netinet/tcp.h>
+
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +25,13 @@
 constexpr std::size_t kMostIdle = 64;  // Connections kept for each endpoint.
 constexpr std::uint64_t kMostAnswerBytes = 1ULL << 40;
 
+// A connection may die without a word while a call waits on it for seconds, as one that
+// watches does. The kernel asks the far end after a second of silence and gives the
+// connection up a second later, which costs no call.
+constexpr int kProbeAfterS = 1;
+constexpr int kProbeEachS = 1;
+constexpr int kMostProbes = 1;
+
 using Stream = beast::tcp_stream;
 using Parser = http::response_parser<http::buffer_body>;
 
@@ -35,6 +44,15 @@
   return ec != asio::error::would_block;
 }
 
+void ProbeFarEnd(tcp::socket& socket) {
+  beast::error_code ec;
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  const int descriptor = socket.native_handle();
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterS, sizeof(kProbeAfterS));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeEachS, sizeof(kProbeEachS));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kMostProbes, sizeof(kMostProbes));
+}
+
 }  // namespace
 
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
@@ -100,6 +118,7 @@
                              if (connect_ec) return self->Fail(false, connect_ec.message());
                              beast::error_code option_ec;
                              self->stream_->socket().set_option(tcp::no_delay(true), option_ec);
+                             ProbeFarEnd(self->stream_->socket());
                              self->Write();
                            });
   }
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -3,6 +3,9 @@
 #include "platform.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "check.h"
 #include "loopback.h"
@@ -199,6 +202,48 @@
   EXPECT_TRUE(world.AwaitVersion(6), "it is read again once the store is back");
 }
 
+namespace {
+
+// This process's connection to a port; -1 when there is none.
+int ConnectionTo(std::uint16_t port) {
+  constexpr int kMostDescriptors = 1024;
+  for (int descriptor = 0; descriptor < kMostDescriptors; ++descriptor) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    const int failed = getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size);
+    if (failed == 0 && peer.sin_family == AF_INET && ntohs(peer.sin_port) == port) {
+      return descriptor;
+    }
+  }
+  return -1;
+}
+
+int TcpOption(int descriptor, int name) {
+  int value = 0;
+  socklen_t size = sizeof(value);
+  getsockopt(descriptor, IPPROTO_TCP, name, &value, &size);
+  return value;
+}
+
+}  // namespace
+
+TEST(FollowsConfiguration, OverAConnectionWhoseDeathIsNoticedWithinTwoSeconds) {
+  // A change must be in force two seconds after it was accepted, and a watch
+  // waits for six without a word.
+  World world;
+  world.store.Put("op/config", Configuration(5));
+  world.FollowConfiguration();
+  EXPECT_TRUE(world.AwaitVersion(5), "");
+  const int connection = ConnectionTo(world.store.endpoint().port);
+  int is_on = 0;
+  socklen_t size = sizeof(is_on);
+  getsockopt(connection, SOL_SOCKET, SO_KEEPALIVE, &is_on, &size);
+  EXPECT_TRUE(is_on != 0, "the kernel asks whether the store is there");
+  const int seconds = TcpOption(connection, TCP_KEEPIDLE) +
+                      TcpOption(connection, TCP_KEEPINTVL) * TcpOption(connection, TCP_KEEPCNT);
+  EXPECT_TRUE(seconds <= 2, "expected 2 s at most, got " + std::to_string(seconds));
+}
+
 TEST(FollowsConfiguration, AskingAStoreThatIsAwayLessAndLessOften) {
   // Found on the users' grown site: most of a day's calls to the store were
   // made while it was away, four a second by each of 68 processes.
