--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -120,7 +120,9 @@
     if (is_asking_host_) return;
     is_asking_host_ = true;
     const std::string key = HostKey(settings_.direct->upstream);
-    store_.ReadKey(key, {}, [this, key](auto read) {
+    platform::ReadOptions options;
+    options.limit_ms = platform::kRepeatedCallMs;
+    store_.ReadKey(key, options, [this, key](auto read) {
       is_asking_host_ = false;
       if (!read || fence_ != 0) return;
       const bool has_host = !read.value().items.empty();
