Soak: upstreams leave, also without a word, and entries may not send them anything late

Now it may go without a word, requests are judged by the entry they were sent to, and an entry is excused while its process, its way to the store or the upstream's path is harmed and for three seconds after, or while the machine is too busy to tell. Also new: connections that go silent for good while new ones work.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -74,7 +74,8 @@
 
 void Caller::Connect() {
   socket_ = std::make_shared<tcp::socket>(io_);
-  const Endpoint& entry = entries_[random_() % entries_.size()];
+  entry_ = static_cast<int>(random_() % entries_.size());
+  const Endpoint& entry = entries_[static_cast<std::size_t>(entry_)];
   socket_->async_connect(tcp::endpoint(asio::ip::make_address(entry.address), entry.port),
                          [self = shared_from_this(), round = round_](error_code ec) {
                            if (round != self->round_ || self->is_stopped_) return;
@@ -86,6 +87,7 @@
 }
 
 void Caller::Send() {
+  judge_.OnSent(id_, entry_);
   const bool is_plain = kind_ == "once" || kind_ == "repeatable";
   std::string request = kind_ == "repeatable" ? "GET" : "POST";
   request += " /" + kind_ + "/x HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + id_ +
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -42,6 +42,7 @@
   Random& random_;
   std::string name_;
   std::vector<Endpoint> entries_;
+  int entry_ = 0;  // Of the connection.
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
   std::array<char, 8192> chunk_;
   Timer pace_;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -26,7 +26,8 @@
   // when it ended by itself.
   std::string Poll(TimeMs now);
   bool is_running() const { return pid_ > 0; }
-  bool is_paused() const { return is_paused_; }
+  // Runs, and was told neither to end nor to pause.
+  bool is_well() const { return is_running() && !is_paused_ && !is_to_end_; }
   const std::string& name() const { return name_; }
   // An end is not restarted for so long; for ends that a fault causes.
   void HoldDown(TimeMs until) { down_until_ = until; }
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -1,14 +1,50 @@
 #include "judge.h"
 
+#include <algorithm>
+
+#include "junctionrail/net.h"
+
 namespace junctionrail::soak {
+namespace {
+
+// An upstream that leaves gets nothing new after the entries' `leaving_ms`; what is on
+// its way then is let pass.
+constexpr DurationMs kLeavingMs = 2000;
+constexpr DurationMs kOnItsWayMs = 500;
+// From an entry that has been in touch with the store and the upstream for so long.
+constexpr DurationMs kInTouchMs = 3000;
+
+}  // namespace
 
 void Judge::OnRun(const std::string& request, const std::string& instance, bool may_repeat) {
+  CheckLeaving(request, instance);
   const int n = ++runs_[request];
   if (may_repeat) return;
   at_most_once_.insert(request);
   if (n > 1) Complain("request " + request + " ran again, at " + instance);
 }
 
+void Judge::OnLeaving(const std::string& instance) { leaving_.emplace(instance, MonotonicMs()); }
+void Judge::OnEntryTroubled(int entry) { entry_troubled_[entry] = MonotonicMs(); }
+void Judge::OnUpstreamTroubled(const std::string& instance) {
+  upstream_troubled_[instance] = MonotonicMs();
+}
+void Judge::OnBusyMachine() { busy_at_ = MonotonicMs(); }
+void Judge::OnSent(const std::string& request, int entry) { entry_of_[request] = entry; }
+
+void Judge::CheckLeaving(const std::string& request, const std::string& instance) {
+  const auto leaving = leaving_.find(instance);
+  if (leaving == leaving_.end()) return;
+  const TimeMs now = MonotonicMs();
+  const DurationMs late = now - leaving->second;
+  const int entry = entry_of_[request];
+  const TimeMs troubled =
+      std::max({entry_troubled_[entry], upstream_troubled_[instance], busy_at_});
+  if (late <= kLeavingMs + kOnItsWayMs || now - troubled <= kInTouchMs) return;
+  Complain("upstream " + instance + " got request " + request + " from entry " +
+           std::to_string(entry) + " " + std::to_string(late) + " ms after it left");
+}
+
 void Judge::OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence) {
   const auto [it, is_first] = holders_.emplace(engine, holder);
   if (!is_first && it->second != holder) {
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -17,10 +17,21 @@
   // --- What upstreams see ---
   // `may_repeat` is what the request's route says.
   void OnRun(const std::string& request, const std::string& instance, bool may_repeat);
+  // It says that it leaves, or its record goes and it serves on.
+  void OnLeaving(const std::string& instance);
   void OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence);
   void OnOverfilled(const std::string& engine);
 
+  // --- What excuses an entry ---
+  // Its way to the store, or to `instance`, is harmed, or its process is. To be told
+  // again while that lasts.
+  void OnEntryTroubled(int entry);
+  void OnUpstreamTroubled(const std::string& instance);
+  // The machine is too busy for times to tell anything.
+  void OnBusyMachine();
+
   // --- What callers see ---
+  void OnSent(const std::string& request, int entry);
   void OnServed(const std::string& kind);
   void OnRefused(const std::string& request);  // Said not to have run.
   void OnFailed(const std::string& kind);      // Ended in any other way.
@@ -31,7 +42,14 @@
   std::string Summary() const;
 
  private:
+  void CheckLeaving(const std::string& request, const std::string& instance);
+
   std::map<std::string, int> runs_;
+  std::map<std::string, TimeMs> leaving_;
+  std::map<std::string, TimeMs> upstream_troubled_;
+  std::map<int, TimeMs> entry_troubled_;
+  std::map<std::string, int> entry_of_;  // By request.
+  TimeMs busy_at_ = 0;
   std::set<std::string> at_most_once_;
   std::set<std::string> refused_;
   std::map<std::string, std::string> holders_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -38,6 +38,8 @@
 constexpr std::uint16_t kLinkPort = 8200;
 constexpr DurationMs kStartMs = 1500;
 constexpr DurationMs kPollMs = 20;
+// A poll that comes so late says that the machine is busy with something else.
+constexpr DurationMs kBusyPollMs = 200;
 // After the last fault everything is back; then requests of all callers are
 // served again within this.
 constexpr DurationMs kRecoverMs = 20000;
@@ -93,9 +95,9 @@
                                    (is_engine ? "e" : "p") + std::to_string(n), is_engine, inner);
     upstream->SetAddress(outer);
     upstreams_.push_back(std::move(upstream));
-    paths_.push_back(std::make_unique<Proxy>(io_, outer, [inner] { return inner; }));
+    paths_.push_back({std::make_unique<Proxy>(io_, outer, [inner] { return inner; }), -1, n});
     if (!is_engine) return;
-    const json direct = {{"store", AddStorePath().ToString()},
+    const json direct = {{"store", AddStorePath(-1).ToString()},
                          {"metrics", outer.address + ":8300"},
                          {"link", outer.address + ":" + std::to_string(kLinkPort)},
                          {"upstream", outer.ToString()}};
@@ -108,7 +110,7 @@
     entry_endpoints_.push_back(callers);
     json peers = json::array();
     for (int other = 0; other < kEntries; ++other) peers.push_back(Address(50 + other) + ":8102");
-    const json direct = {{"store", AddStorePath().ToString()},
+    const json direct = {{"store", AddStorePath(n).ToString()},
                          {"metrics", address + ":8300"},
                          {"link_port", kLinkPort},
                          {"callers", callers.ToString()},
@@ -116,12 +118,15 @@
                          {"peer", address + ":8102"},
                          {"peers", peers}};
     AddProcess("entry-" + std::to_string(n), "entry", direct);
+    entry_processes_.push_back(processes_.back().get());
   }
 
-  Endpoint AddStorePath() {
-    paths_.push_back(std::make_unique<Proxy>(io_, Endpoint{"127.0.0.1", 0},
-                                             [this] { return store_.endpoint(); }));
-    return paths_.back()->endpoint();
+  // `entry` is -1 for an agent's.
+  Endpoint AddStorePath(int entry) {
+    paths_.push_back({std::make_unique<Proxy>(io_, Endpoint{"127.0.0.1", 0},
+                                              [this] { return store_.endpoint(); }),
+                      entry, -1});
+    return paths_.back().proxy->endpoint();
   }
 
   void AddProcess(const std::string& name, const std::string& role, const json& direct) {
@@ -186,8 +191,32 @@
       const std::string sentence = it->Poll(now);
       if (!sentence.empty()) judge_.Complain(sentence);
     }
+    if (now - polled_at_ > kBusyPollMs) judge_.OnBusyMachine();
+    polled_at_ = now;
+    for (const auto& it : paths_) {
+      if (!it.proxy->is_open()) Excuse(it);
+    }
+    const bool is_store_away = store_.mood != testing::StandinStore::Mood::kFine;
+    for (int n = 0; n < kEntries; ++n) {
+      const bool is_well = entry_processes_[static_cast<std::size_t>(n)]->is_well();
+      if (is_store_away || !is_well) judge_.OnEntryTroubled(n);
+    }
+  }
+
+  struct Path {
+    std::unique_ptr<Proxy> proxy;
+    int entry = -1;     // Whose way to the store it is.
+    int upstream = -1;  // Whose way from all entries it is.
+  };
+
+  void Excuse(const Path& path) {
+    if (path.entry >= 0) judge_.OnEntryTroubled(path.entry);
+    if (path.upstream < 0) return;
+    judge_.OnUpstreamTroubled(upstreams_[static_cast<std::size_t>(path.upstream)]->instance());
   }
 
+  Path& AnyPath() { return paths_[random_() % paths_.size()]; }
+
   template <class T>
   T& Any(std::vector<std::unique_ptr<T>>& list) {
     return *list[random_() % list.size()];
@@ -204,7 +233,7 @@
 
   // One fault; it may begin while earlier ones last.
   void Harm() {
-    switch (random_() % 12) {
+    switch (random_() % 13) {
       case 0:
         return HarmProcess(SIGKILL);
       case 1:
@@ -222,8 +251,11 @@
         return HarmPath(PathState::kSilent);
       case 6:
         return HarmPath(PathState::kOneWay);
-      case 7:
-        return Any(paths_).Reset();
+      case 7: {
+        const Path& path = AnyPath();
+        Excuse(path);
+        return path.proxy->Reset();
+      }
       case 8: {
         store_.mood = random_() % 2 == 0 ? testing::StandinStore::Mood::kBusy
                                          : testing::StandinStore::Mood::kSilent;
@@ -237,6 +269,11 @@
         return store_.CutWatches();
       case 10:
         return HarmUpstream();
+      case 11: {
+        const Path& path = AnyPath();
+        Excuse(path);
+        return path.proxy->SilenceOpen();
+      }
       default: {
         Upstream& upstream = Any(upstreams_);
         upstream.misbehaviour = {10, 10, 10, 30};
@@ -252,14 +289,16 @@
   }
 
   void HarmPath(PathState state) {
-    Proxy& path = Any(paths_);
+    const Path& harmed = AnyPath();
+    Excuse(harmed);
+    Proxy& path = *harmed.proxy;
     path.Set(state);
     Later(Between(200, 2500), [&path] { path.Set(PathState::kOpen); });
   }
 
   void HarmUpstream() {
     Upstream& upstream = Any(upstreams_);
-    if (random_() % 2 == 0) return upstream.Drain();
+    if (random_() % 2 == 0) return upstream.Drain(random_() % 2 == 0);
     upstream.Crash();
     Later(Between(100, 1500), [&upstream] {
       if (!upstream.is_running()) upstream.Start();
@@ -268,7 +307,7 @@
 
   void Heal() {
     for (auto& it : processes_) it->Resume();
-    for (auto& it : paths_) it->Set(PathState::kOpen);
+    for (auto& it : paths_) it.proxy->Set(PathState::kOpen);
     store_.mood = testing::StandinStore::Mood::kFine;
     for (auto& it : upstreams_) {
       it->misbehaviour = {};
@@ -297,8 +336,10 @@
   testing::StandinStore store_{io_};
   Timer poll_{io_};
   std::vector<std::unique_ptr<Upstream>> upstreams_;
-  std::vector<std::unique_ptr<Proxy>> paths_;
+  std::vector<Path> paths_;
   std::vector<std::unique_ptr<Process>> processes_;
+  std::vector<Process*> entry_processes_;
+  TimeMs polled_at_ = MonotonicMs();
   std::vector<Endpoint> entry_endpoints_;
   std::vector<std::shared_ptr<Caller>> callers_;
   int version_ = 0;
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -38,6 +38,8 @@
           timer_(owner_->io_),
           is_back_(is_back) {}
 
+    void Die() { is_dead_ = true; }
+
     void Read() {
       from_->async_read_some(asio::buffer(chunk_),
                              [self = shared_from_this()](error_code ec, std::size_t n) {
@@ -54,6 +56,8 @@
     }
 
     void Pass() {
+      // The sockets stay open, so that neither end hears of it.
+      if (is_dead_) return owner_->dead_.push_back(from_);
       const bool is_slow = owner_->state_ == PathState::kSlow && !was_slowed_;
       if (IsHeld() || is_slow) {
         was_slowed_ = is_slow;
@@ -86,6 +90,7 @@
     bool ends_ = false;
     bool is_back_;
     bool was_slowed_ = false;
+    bool is_dead_ = false;
   };
 
   void Accept() {
@@ -104,11 +109,26 @@
                          if (ec) return ResetSocket(*near);
                          self->sockets_.push_back(near);
                          self->sockets_.push_back(far);
-                         std::make_shared<Pump>(self, near, far, false)->Read();
-                         std::make_shared<Pump>(self, far, near, true)->Read();
+                         self->StartPump(near, far, false);
+                         self->StartPump(far, near, true);
                        });
   }
 
+  void StartPump(const std::shared_ptr<tcp::socket>& from, const std::shared_ptr<tcp::socket>& to,
+                 bool is_back) {
+    const auto pump = std::make_shared<Pump>(shared_from_this(), from, to, is_back);
+    pumps_.push_back(pump);
+    pump->Read();
+  }
+
+  void SilenceOpen() {
+    for (const auto& it : pumps_) {
+      const auto pump = it.lock();
+      if (pump) pump->Die();
+    }
+    pumps_.clear();
+  }
+
   static void ResetSocket(tcp::socket& socket) {
     error_code ec;
     socket.set_option(asio::socket_base::linger(true, 0), ec);
@@ -127,6 +147,8 @@
   std::function<Endpoint()> target_;
   tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<tcp::socket>> sockets_;
+  std::vector<std::weak_ptr<Pump>> pumps_;
+  std::vector<std::shared_ptr<tcp::socket>> dead_;
   PathState state_ = PathState::kOpen;
 };
 
@@ -144,6 +166,8 @@
   return {local.address().to_string(), local.port()};
 }
 void Proxy::Set(PathState state) { impl_->state_ = state; }
+bool Proxy::is_open() const { return impl_->state_ == PathState::kOpen; }
 void Proxy::Reset() { impl_->Reset(); }
+void Proxy::SilenceOpen() { impl_->SilenceOpen(); }
 
 }  // namespace junctionrail::soak
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -26,8 +26,11 @@
 
   Endpoint endpoint() const;
   void Set(PathState state);
+  bool is_open() const;
   // Resets every connection through it.
   void Reset();
+  // Nothing passes on the present connections any more; new ones work.
+  void SilenceOpen();
 
  private:
   class Impl;
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -16,7 +16,6 @@
 constexpr DurationMs kPlainMs = 10;
 // How long an upstream serves on after it said that it leaves; then it ends.
 constexpr DurationMs kLeavingMs = 4000;
-// No new request may come so long after that, to entries that reach the store.
 constexpr int kLeastEvents = 5;
 constexpr int kMoreEvents = 25;
 
@@ -64,6 +63,7 @@
   life_ = std::make_shared<int>(0);
   instance_ = name_ + "-" + std::to_string(++starts_);
   drained_at_ = 0;
+  is_recorded_ = true;
   loaded_.clear();
   loading_.reset();
   sequence_ = 0;
@@ -81,14 +81,21 @@
   store_.Remove("servers/" + instance_);
 }
 
-void Upstream::Drain() {
+void Upstream::Drain(bool is_told) {
   if (!listener_ || drained_at_ != 0) return;
   drained_at_ = MonotonicMs();
-  Record();
+  is_recorded_ = is_told;
+  judge_.OnLeaving(instance_);
+  if (is_told) {
+    Record();
+  } else {
+    store_.Remove("servers/" + instance_);
+  }
   After(kLeavingMs, [this] { boost::asio::post(io_, [this] { Start(); }); });
 }
 
 void Upstream::Record() {
+  if (!is_recorded_) return;
   json models = json::array();
   for (const auto& [model, adapters] : loaded_) {
     models.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -43,8 +43,9 @@
   // Starts as a new instance; one that runs is crashed before.
   void Start();
   void Crash();
-  // Records that it leaves; it ends after some time.
-  void Drain();
+  // Records that it leaves, or only takes its record away; it ends after some time.
+  void Drain(bool is_told);
+  const std::string& instance() const { return instance_; }
   bool is_running() const { return listener_ != nullptr; }
   // The address that others know, which a proxy may stand at.
   void SetAddress(const Endpoint& address) { address_ = address; }
@@ -78,7 +79,8 @@
   Endpoint address_;
   std::string instance_;
   int starts_ = 0;
-  TimeMs drained_at_ = 0;  // 0: not leaving.
+  TimeMs drained_at_ = 0;    // 0: not leaving.
+  bool is_recorded_ = true;  // False once it has taken its record away.
   std::unique_ptr<testing::ScriptedUpstream> listener_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);  // Timers of an earlier one do nothing.
   std::map<std::string, std::vector<std::string>> loaded_;
