--- /dev/null
+++ b/test/support/gateway_world.h
@@ -0,0 +1,116 @@
+// A gateway before scripted upstreams, and requests and answers as bytes.
+#ifndef JUNCTIONRAIL_TEST_SUPPORT_GATEWAY_WORLD_H_
+#define JUNCTIONRAIL_TEST_SUPPORT_GATEWAY_WORLD_H_
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "junctionrail/gateway.h"
+#include "loopback.h"
+
+namespace junctionrail::testing {
+
+inline Route MakeRoute(const std::string& prefix, CallKind kind, const std::string& service) {
+  Route route;
+  route.name = prefix;
+  route.host = "shop.example";
+  route.path_prefix = prefix;
+  route.kind = kind;
+  route.timeout_ms = 5000;
+  route.first_answer_ms = 5000;
+  route.pause_ms = 5000;
+  route.max_attempts = 2;
+  route.priority = 1;
+  route.shares = {{service, 1}};
+  return route;
+}
+
+// A gateway before scripted upstreams.
+struct GatewayWorld {
+  explicit GatewayWorld(GatewayOptions given = {}, RetryBudget::Options retries = {1.0, 100, 10000})
+      : options(std::move(given)) {
+    options.callers = {"127.0.0.1", 0};
+    options.data_hall = "hall-1";
+    options.routing.data_hall = "hall-1";
+    options.retries = retries;
+    gateway = std::make_unique<Gateway>(io, options, log);
+    port = gateway->Listen().value();
+  }
+
+  ~GatewayWorld() {
+    gateway->Stop(0, [] {});
+    RunFor(io, 100);
+  }
+
+  void AddUpstream(const std::string& instance, const std::string& service,
+                   ScriptedUpstream::Script script) {
+    upstreams.push_back(std::make_unique<ScriptedUpstream>(io, std::move(script)));
+    records.push_back({instance, service, upstreams.back()->endpoint(), "hall-1", 8, false, {}});
+    gateway->ApplyListing({records, MonotonicMs()});
+  }
+
+  void Configure(std::vector<Route> routes, std::uint64_t version = 1) {
+    RoutingConfiguration configuration;
+    configuration.version = version;
+    configuration.routes = std::move(routes);
+    configuration.services = {{"plain", 64, std::nullopt}, {"engine", 64, std::nullopt}};
+    configuration.limits = limits;
+    gateway->ApplyConfiguration(configuration);
+  }
+
+  std::string Ask(const std::string& request) {
+    TestCaller caller(io, port);
+    caller.Send(request);
+    caller.AwaitEnd();
+    return caller.received();
+  }
+
+  boost::asio::io_context io;
+  EventLog log{QuietLog()};
+  GatewayOptions options;
+  CallerLimits limits;
+  std::unique_ptr<Gateway> gateway;
+  std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+  std::vector<UpstreamRecord> records;
+  std::uint16_t port = 0;
+};
+
+inline std::string Request(const std::string& line, const std::string& fields = "",
+                           const std::string& body = "") {
+  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: r1\r\n" + fields +
+         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         "Connection: close\r\n\r\n" + body;
+}
+
+inline std::string KeptRequest(const std::string& line, const std::string& id) {
+  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: " + id + "\r\n\r\n";
+}
+
+inline std::string Answer(const std::string& body, const std::string& id = "r1") {
+  return "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: " + id +
+         "\r\nJunctionrail-Proof: p\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+inline std::string StreamHead(const std::string& id = "r1") {
+  return "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: " + id +
+         "\r\nJunctionrail-Proof: p\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string Event(int id) {
+  const std::string text = "id: " + std::to_string(id) + "\ndata: x\n\n";
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", text.size());
+  return std::string(size) + "\r\n" + text + "\r\n";
+}
+
+inline bool Holds(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace junctionrail::testing
+
+#endif  // JUNCTIONRAIL_TEST_SUPPORT_GATEWAY_WORLD_H_
