--- a/src/quarantine/request_digest.cc
+++ b/src/quarantine/request_digest.cc
@@ -1,32 +1,23 @@
-#include <openssl/evp.h>
-
 #include <array>
 #include <cstdio>
-#include <memory>
 
 #include "junctionrail/quarantine.h"
+#include "junctionrail/sha256.h"
 
 namespace junctionrail {
 namespace {
 
 constexpr std::size_t kHexDigits = 32;
 
-constexpr std::size_t kDigestBytes = 32;
-
-struct FreeContext {
-  void operator()(EVP_MD_CTX* context) const { EVP_MD_CTX_free(context); }
-};
-using Context = std::unique_ptr<EVP_MD_CTX, FreeContext>;
-
 // With its length before it, so that no two lists of parts give the same bytes.
-void AddPart(EVP_MD_CTX* context, std::string_view part) {
+void AddPart(Sha256* hash, std::string_view part) {
   const std::uint64_t n = part.size();
-  std::array<unsigned char, 8> length{};
+  std::array<char, 8> length{};
   for (std::size_t at = 0; at < length.size(); ++at) {
-    length[at] = static_cast<unsigned char>(n >> (8 * at));
+    length[at] = static_cast<char>(n >> (8 * at));
   }
-  EVP_DigestUpdate(context, length.data(), length.size());
-  EVP_DigestUpdate(context, part.data(), part.size());
+  hash->Add({length.data(), length.size()});
+  hash->Add(part);
 }
 
 std::uint64_t ReadWord(const unsigned char* bytes) {
@@ -50,16 +41,12 @@
 // Callers choose the bytes, and processes tell each other the digests: so a hash in
 // which nobody finds two alike, and which needs no key that all of them would share.
 RequestDigest DigestOf(const RequestIdentity& identity) {
-  const Context context(EVP_MD_CTX_new());
-  const bool is_begun =
-      context != nullptr && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1;
-  CheckInvariant(is_begun, "SHA-256 is there");
+  Sha256 hash;
   for (const auto part :
        {identity.method, identity.host, identity.target, identity.credential, identity.body}) {
-    AddPart(context.get(), part);
+    AddPart(&hash, part);
   }
-  std::array<unsigned char, kDigestBytes> bytes{};
-  EVP_DigestFinal_ex(context.get(), bytes.data(), nullptr);
+  const Sha256Digest bytes = hash.Finish();
   return {ReadWord(bytes.data()), ReadWord(bytes.data() + 8)};
 }
 
