--- a/src/cli/quarantine.cc
+++ b/src/cli/quarantine.cc
@@ -1,52 +1,16 @@
 #include "quarantine.h"
 
-#include <boost/asio/io_context.hpp>
 #include <cstdio>
 #include <nlohmann/json.hpp>
-#include <utility>
 
-#include "junctionrail/net.h"
+#include "entry_call.h"
 #include "junctionrail/quarantine.h"
-#include "junctionrail/settings.h"
 
 namespace junctionrail::cli {
-namespace {
-
-// Status 0: no answer.
-ExitCode Call(const Options& options, std::string method, std::string target, HttpAnswer* answer) {
-  HttpCall call;
-  if (!ParseEndpoint(options.entry, &call.endpoint)) {
-    std::fprintf(stderr, "error: --entry: expected ADDRESS:PORT, found \"%s\"\n",
-                 options.entry.c_str());
-    return kBadInput;
-  }
-  call.method = std::move(method);
-  call.target = std::move(target);
-  call.connect_ms = options.timeout_ms;
-  call.quiet_ms = options.timeout_ms;
-  boost::asio::io_context io;
-  HttpClient client(io);
-  const auto handle = FetchWhole(client, std::move(call), [&](const HttpAnswer& it) {
-    *answer = it;
-    io.stop();
-  });
-  io.run();
-  if (answer->status != 0) return kDone;
-  std::fprintf(stderr, "error: entry %s: no answer\n", options.entry.c_str());
-  return kEntryAway;
-}
-
-ExitCode BadAnswer(const Options& options, const HttpAnswer& answer) {
-  std::fprintf(stderr, "error: entry %s: status %u: %s\n", options.entry.c_str(), answer.status,
-               answer.body.c_str());
-  return kUnknown;
-}
-
-}  // namespace
 
 ExitCode ListQuarantine(const Options& options) {
   HttpAnswer answer;
-  const ExitCode code = Call(options, "GET", "/quarantine", &answer);
+  const ExitCode code = CallEntry(options, "GET", "/quarantine", &answer);
   if (code != kDone) return code;
   const auto page = nlohmann::json::parse(answer.body, nullptr, false);
   const bool is_page = answer.status == 200 && page.is_object() && page.contains("refused");
@@ -73,7 +37,7 @@
     return kBadInput;
   }
   HttpAnswer answer;
-  const ExitCode code = Call(options, "POST", "/quarantine/release/" + digest, &answer);
+  const ExitCode code = CallEntry(options, "POST", "/quarantine/release/" + digest, &answer);
   if (code != kDone) return code;
   if (answer.status == 404) {
     std::fprintf(stderr, "error: %s is not refused at %s\n", digest.c_str(), options.entry.c_str());
