--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -29,6 +29,9 @@
   std::string model = "Junctionrail-Model";
   std::string prompt_parts = "Junctionrail-Prompt-Parts";
   std::string last_event_id = "Last-Event-ID";
+  std::string key = "Junctionrail-Key";                    // Of a caller; goes no further.
+  std::string organisation = "Junctionrail-Organisation";  // To an upstream: who holds the key.
+  std::string token_usage = "Junctionrail-Token-Usage";    // Two whole numbers, and a comma.
   // Headers that only the system sets; dropped from what callers send.
   std::vector<std::string> reserved;
 };
@@ -39,6 +42,10 @@
   CallHeaderNames names;
   RetryBudget::Options retries;
   RoutingOptions routing;
+  std::string entry;  // This one, for those that grant quotas.
+  // Nothing is sent for a key by a configuration that may have been replaced for so long;
+  // 0: any age will do.
+  DurationMs revoke_ms = 0;
   // After a stop the balancer may send new connections for so long: it notices
   // after two checks, a second apart.
   DurationMs balancer_ms = 2500;
@@ -57,6 +64,10 @@
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
   std::uint64_t waited_for_model = 0;
+  std::uint64_t unknown_keys = 0;     // Refused for a key that is missing or unknown.
+  std::uint64_t old_words = 0;        // Refused, as the key may have been taken away.
+  std::uint64_t over_quota = 0;       // Refused, as the organisation has used up its quota.
+  std::uint64_t without_giver = 0;    // Refused, as nobody grants quotas.
   std::uint64_t quarantined = 0;      // Refused, as upstreams end when they run them.
   std::uint64_t upstreams_ended = 0;  // With requests of this entry under way.
   std::uint64_t surplus_answers = 0;
@@ -90,6 +101,9 @@
   // Takes effect for the next request. An older version than the present one
   // is not applied.
   void ApplyConfiguration(RoutingConfiguration configuration);
+  // The configuration in force was the newest one when a question was asked, at `as_of`.
+  void ConfirmConfiguration(TimeMs as_of);
+  void SetRevokeMs(DurationMs revoke_ms);
   void SetRetries(RetryBudget::Options options);
   void SetPolicy(const PolicySettings& policy);
   void ApplyListing(const UpstreamListing& listing);
@@ -112,6 +126,14 @@
   void OnUpstreamEnd(std::function<void(const UpstreamEnd&)> call);
   // What this entry found out, and refuses from now on.
   void OnRequestRefused(std::function<void(const RequestDigest&)> call);
+  // What is to be sent to givers of quotas, who they are, and what they answer.
+  void OnQuotaMessages(std::function<void(const QuotaTaker::Message&)> call);
+  void SetQuotaGivers(std::vector<QuotaTaker::Giver> givers);
+  void ApplyQuotaGrant(const QuotaGrant& grant);
+  // The link to that instance has closed.
+  void OnQuotaLinkClosed(const std::string& instance);
+  const QuotaTaker& quotas() const;
+
   // What other processes saw and found out.
   void AddUpstreamEnd(const UpstreamEnd& end);
   void RefuseRequest(const RequestDigest& digest);
@@ -123,6 +145,8 @@
   const LatencyHistogram& first_answer() const;
   // How old the list of upstreams was by which each attempt was sent.
   const LatencyHistogram& listing_age() const;
+  // Since the configuration in force is known to have been the newest; -1: it never was.
+  DurationMs ConfigurationAge() const;
 
   class Impl;
 
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -20,6 +20,7 @@
 #include "junctionrail/base.h"
 #include "junctionrail/listing.h"
 #include "junctionrail/settings.h"
+#include "junctionrail/tenancy.h"
 
 namespace junctionrail {
 
@@ -49,6 +50,7 @@
   DurationMs patience_ms = 0;      // Callers leave after so much silence.
   int max_attempts = 1;            // Upstreams that one request may be sent to.
   int priority = 0;                // 0 is the most urgent.
+  bool is_public = false;          // Callers need no key.
   std::vector<ServiceShare> shares;
 
   bool MayRepeat() const { return kind == CallKind::kRepeatable || is_resumable; }
@@ -114,6 +116,8 @@
   std::vector<Route> routes;
   std::vector<ServiceSpec> services;
   CallerLimits limits;
+  // None: callers are asked for no key.
+  std::optional<OrganisationTable> organisations;
 
   const ServiceSpec* FindService(std::string_view name) const;
 };
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -101,6 +101,9 @@
   DurationMs leaving_ms = 2000;  // An upstream that leaves gets nothing new after it.
   // Upstreams write their records anew so often.
   DurationMs record_period_ms = 1200;
+  // Nothing is sent for a key later than so long after it was taken away, known here or not.
+  // 0: as long as nothing is heard of it.
+  DurationMs revoke_ms = 0;
   // An agent's.
   Endpoint link;
   Endpoint upstream;
--- /dev/null
+++ b/include/junctionrail/tenancy.h
@@ -0,0 +1,336 @@
+// Organisations: by whose key a caller is known, how much each may send over all
+// entries together, and up to when a configuration is known to be the newest.
+// Decisions only; the time is handed in and nothing here opens a socket.
+#ifndef JUNCTIONRAIL_TENANCY_H_
+#define JUNCTIONRAIL_TENANCY_H_
+
+#include <cstdint>
+#include <cstring>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/sha256.h"
+
+namespace junctionrail {
+
+// --- Keys ---
+
+// Stands for a key wherever the key itself is not kept.
+using KeyDigest = Sha256Digest;
+KeyDigest DigestOfKey(std::string_view key);
+
+enum class QuotaUnit { kRequests, kTokens };
+
+// What an organisation may send over all entries together.
+struct Quota {
+  QuotaUnit unit = QuotaUnit::kRequests;
+  double per_s = 0;         // 0: no limit.
+  double burst = 0;         // So much at once, beyond the rate.
+  double plain_tokens = 1;  // What a request counts for that names no tokens.
+
+  bool IsLimited() const { return per_s > 0; }
+};
+
+struct Organisation {
+  std::string name;
+  std::vector<KeyDigest> keys;
+  std::optional<int> priority;  // Goes before that of a route.
+  Quota quota;
+};
+
+// The organisations of one configuration.
+class OrganisationTable {
+ public:
+  OrganisationTable() = default;
+  explicit OrganisationTable(std::vector<Organisation> organisations);
+
+  // Null where no organisation holds the key.
+  const Organisation* FindByKey(const KeyDigest& key) const;
+  const std::vector<Organisation>& all() const { return organisations_; }
+
+ private:
+  // A digest is as good a hash as any.
+  struct FirstBytes {
+    std::size_t operator()(const KeyDigest& key) const {
+      std::size_t hash = 0;
+      std::memcpy(&hash, key.data(), sizeof(hash));
+      return hash;
+    }
+  };
+
+  std::vector<Organisation> organisations_;
+  std::unordered_map<KeyDigest, std::size_t, FirstBytes> by_key_;
+};
+
+// --- The age of a configuration ---
+
+// Which configuration is in force here, and up to which moment it is known to have
+// been the newest one.
+class ConfigurationWord {
+ public:
+  // It was put in force; nobody has vouched for it yet.
+  void OnApplied(std::uint64_t version);
+  // Whoever knows showed `version` as the newest, by an answer to a question that was
+  // asked at `as_of`; what was written since may not be in it. False when that is a later
+  // one than is in force here, which is to be read first.
+  bool OnShown(std::uint64_t version, TimeMs as_of);
+
+  std::uint64_t version() const { return version_; }
+  // 0: never.
+  TimeMs as_of() const { return as_of_; }
+
+ private:
+  std::uint64_t version_ = 0;
+  TimeMs as_of_ = 0;
+};
+
+// --- Quotas ---
+//
+// One agent is the giver of an organisation's quota: a token bucket of its rate and burst.
+// Entries ask it for each request and send what it grants. Which agent, all entries find by
+// rendezvous; where they disagree for a while, each giver gives only that part of the rate that
+// its entries are of all entries it knows. An entry counts at a new giver once it can count at no
+// former one any more, so that what is given over all is within the limit.
+
+// An entry counts at a giver for so long after it last said that it takes it for one.
+constexpr DurationMs kHoldingMs = 2500;
+
+// What an organisation may send, as the newest version of the configuration that is known has it.
+struct QuotaHolding {
+  std::string organisation;
+  double per_s = 0;
+  double burst = 0;
+
+  bool operator==(const QuotaHolding& other) const {
+    return organisation == other.organisation && per_s == other.per_s && burst == other.burst;
+  }
+};
+
+// All organisations for which an entry takes an agent for the giver.
+struct QuotaHoldings {
+  std::uint64_t version = 0;  // Of the configuration.
+  std::vector<QuotaHolding> all;
+
+  bool operator==(const QuotaHoldings& other) const {
+    return version == other.version && all == other.all;
+  }
+};
+
+// Requests of one organisation that wait at an entry, the first of them first.
+struct QuotaWant {
+  std::string organisation;
+  std::vector<double> amounts;
+};
+
+// Of an entry to a giver.
+struct QuotaAsk {
+  std::string entry;
+  std::uint64_t number = 0;
+  int entries = 0;  // That share each limit, as far as it knows.
+  std::vector<QuotaWant> wants;
+  std::optional<QuotaHoldings> holdings;  // None: as said before.
+};
+
+struct QuotaShare {
+  std::string organisation;
+  std::size_t granted = 0;  // So many of the amounts, the first ones.
+  double ahead = 0;         // And so much for requests to come.
+  DurationMs retry_ms = 0;  // Of the others, when the first would be granted.
+};
+
+struct QuotaGrant {
+  std::uint64_t number = 0;  // Of the question.
+  std::vector<QuotaShare> shares;
+};
+
+// One message each, told from all others by its first bytes.
+std::string EncodeQuotaAsk(const QuotaAsk& ask);
+bool IsQuotaAsk(std::string_view bytes);
+bool DecodeQuotaAsk(std::string_view bytes, QuotaAsk* ask);
+std::string EncodeQuotaGrant(const QuotaGrant& grant);
+bool IsQuotaGrant(std::string_view bytes);
+bool DecodeQuotaGrant(std::string_view bytes, QuotaGrant* grant);
+
+// An agent's part.
+class QuotaGiver {
+ public:
+  // The entry said something, if only that it is there, and does so each `repeat_ms`.
+  void OnHeard(const std::string& entry, DurationMs repeat_ms, TimeMs now);
+  // Its link has closed. It may still run.
+  void OnClosed(const std::string& entry, TimeMs now);
+  QuotaGrant OnAsk(const QuotaAsk& ask, TimeMs now);
+  // To be called each second or more often: a longer time without it counts for nothing.
+  void Tick(TimeMs now);
+  // What this giver may give of an organisation's limit has changed since the last call.
+  struct PartChange {
+    std::string organisation;
+    int holders = 0;  // Entries that take it for the giver,
+    int entries = 0;  // of so many.
+    double part = 0;
+  };
+  std::vector<PartChange> TakeChanges() { return std::exchange(changes_, {}); }
+
+ private:
+  struct Entry {
+    TimeMs heard_at = 0;
+    DurationMs repeat_ms = 0;
+    int entries = 0;     // That it knows of.
+    TimeMs held_at = 0;  // When it last said for what it takes this agent for the giver:
+    std::map<std::string, TimeMs> organisations;  // Since when it does.
+
+    bool IsLive(TimeMs now) const;
+    bool IsHolding(TimeMs now) const { return now - held_at <= kHoldingMs; }
+  };
+  // Of one organisation.
+  struct Holders {
+    int all = 0;
+    int settled = 0;  // That can count at no other giver any more.
+  };
+  struct Bucket {
+    std::uint64_t version = 0;
+    QuotaHolding limit;
+    double level = 0;  // What may be granted; below 0 by what was granted beyond it.
+    TimeMs at = 0;     // Up to when `level` is filled.
+    int holders = 0;   // Entries in touch whose giver this agent is.
+    double part = 0;   // Of the limit, what this giver may give: those of all entries.
+
+    double Most() const { return limit.burst * part; }
+  };
+
+  void Hold(Entry* entry, const QuotaHoldings& holdings, TimeMs now);
+  std::map<std::string, Holders> CountHolders(TimeMs now) const;
+  void Settle(const std::string& organisation, TimeMs now);
+  QuotaShare Give(const QuotaWant& want, TimeMs now);
+  // Counts again who is there.
+  void Recount(TimeMs now);
+  static void Fill(Bucket* bucket, TimeMs now);
+
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, Bucket> buckets_;  // By organisation.
+  std::vector<PartChange> changes_;
+  TimeMs counted_at_ = 0;
+};
+
+// An entry's part.
+class QuotaTaker {
+ public:
+  enum class Decision {
+    kTaken,
+    kAsked,    // It is told by an Outcome.
+    kOver,     // The organisation has used up its quota.
+    kNoGiver,  // No giver answers, and the entry has no share of its own left.
+  };
+  struct Verdict {
+    Decision decision = Decision::kTaken;
+    DurationMs retry_ms = 0;  // Of the last two, when something is left again.
+  };
+  struct Outcome {
+    std::uint64_t ticket = 0;
+    Verdict verdict;
+  };
+  struct Giver {
+    std::string instance;  // By which it is reached.
+    std::string address;   // By which it is chosen: it stays while instances change.
+  };
+  struct Message {
+    std::string instance;
+    QuotaAsk ask;
+  };
+  // What is known of one organisation here.
+  struct Usage {
+    QuotaHolding limit;
+    std::uint64_t taken = 0;    // Requests.
+    std::uint64_t refused = 0;  // Requests, for either reason.
+    double amount = 0;          // Of the requests taken.
+    double credit = 0;          // Granted ahead and not used.
+    std::string giver;          // Its address; empty: none.
+    bool is_silent = false;     // It has left a question unanswered just now.
+  };
+
+  explicit QuotaTaker(std::string entry) : entry_(std::move(entry)) {}
+
+  void SetOrganisations(const std::vector<Organisation>& organisations, std::uint64_t version,
+                        TimeMs now);
+  // Those that may be reached now.
+  void SetGivers(std::vector<Giver> givers, TimeMs now);
+  // How many entries share each limit; 0: not known.
+  void SetEntries(int entries) { entries_ = entries; }
+
+  Verdict Take(const std::string& organisation, double amount, std::uint64_t ticket, TimeMs now);
+  // Refuses the request if nothing is left just now, so that it is not kept waiting for
+  // something else first.
+  std::optional<Verdict> RefuseIfOver(const std::string& organisation, double amount, TimeMs now);
+  // What this giver was told may be lost: its link has closed.
+  void OnClosed(const std::string& instance);
+  // The request that asked is over.
+  void Cancel(std::uint64_t ticket);
+  // What was taken has not run.
+  void GiveBack(const std::string& organisation, double amount, TimeMs now);
+
+  std::vector<Outcome> OnGrant(const QuotaGrant& grant, TimeMs now);
+  // Decides without their givers on those that have waited for long enough.
+  std::vector<Outcome> Expire(TimeMs now);
+  // When Expire has something to do; 0: nothing is waited for.
+  TimeMs NextAt() const;
+  // What is to be sent now.
+  std::vector<Message> TakeMessages(TimeMs now);
+
+  std::vector<Usage> Usages(TimeMs now) const;
+
+ private:
+  struct Waiting {
+    std::uint64_t ticket = 0;
+    double amount = 0;
+  };
+  struct Account {
+    QuotaHolding limit;
+    Giver giver;        // Its instance is empty where there is none.
+    double credit = 0;  // Granted ahead.
+    TimeMs credit_until = 0;
+    TimeMs over_until = 0;
+    TimeMs silent_until = 0;
+    double own_level = 0;      // Of the entry's own share, for when there is no giver.
+    TimeMs own_at = 0;         // Up to when it is filled.
+    TimeMs told_at = 0;        // When a giver was last told that it is the one.
+    std::uint64_t number = 0;  // Of the question that is out; 0: none.
+    TimeMs asked_at = 0;
+    std::deque<Waiting> asked;    // In that question.
+    std::deque<Waiting> waiting;  // For the next one.
+    std::uint64_t taken = 0;
+    std::uint64_t refused = 0;
+    double amount = 0;
+  };
+  struct Told {
+    QuotaHoldings holdings;
+    TimeMs at = 0;
+  };
+
+  Verdict TakeAlone(Account* account, double amount, TimeMs now) const;
+  static Verdict Note(Account* account, double amount, const Verdict& verdict);
+  void ChooseGiver(const std::string& organisation, Account* account, TimeMs now);
+  std::map<std::string, QuotaHoldings> Holdings() const;
+  void AddHoldings(std::map<std::string, QuotaAsk>* asks, TimeMs now);
+  void AddWants(std::map<std::string, QuotaAsk>* asks, TimeMs now);
+
+  std::string entry_;
+  std::uint64_t version_ = 0;
+  int entries_ = 0;
+  std::vector<Giver> givers_;
+  std::map<std::string, Account> accounts_;  // Of the organisations that have a limit.
+  std::map<std::string, Told> told_;         // By instance, what it was last told.
+  bool has_news_ = false;                    // Some giver is to be told of its holdings.
+  TimeMs tell_at_ = 0;                       // When all are told again.
+  std::uint64_t last_number_ = 0;
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_TENANCY_H_
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -33,12 +33,13 @@
 }  // namespace
 
 Caller::Caller(asio::io_context& io, Judge& judge, Random& random, std::string name,
-               std::vector<Endpoint> entries, bool is_deadly)
+               std::vector<Endpoint> entries, std::string organisation, bool is_deadly)
     : io_(io),
       judge_(judge),
       random_(random),
       name_(std::move(name)),
       entries_(std::move(entries)),
+      organisation_(std::move(organisation)),
       pace_(io),
       patience_(io),
       is_deadly_(is_deadly) {}
@@ -88,12 +89,13 @@
 }
 
 void Caller::Send() {
-  judge_.OnSent(id_, entry_);
+  judge_.OnSent(id_, entry_, organisation_);
   const bool is_plain = kind_ == "once" || kind_ == "repeatable";
   std::string request = kind_ == "repeatable" ? "GET" : "POST";
   request += " /" + kind_ + "/" + (is_deadly_ ? "x" : id_) +
              " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + id_ +
-             "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\n";
+             "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " +
+             organisation_ + "\r\n";
   if (!is_plain) {
     const std::string model = kModels[is_deadly_ ? 0 : random_() % std::size(kModels)];
     request += "Model: " + model + (random_() % 4 == 0 ? "/a1" : "") + "\r\n";
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -18,7 +18,7 @@
 class Caller : public std::enable_shared_from_this<Caller> {
  public:
   Caller(boost::asio::io_context& io, Judge& judge, Random& random, std::string name,
-         std::vector<Endpoint> entries, bool is_deadly = false);
+         std::vector<Endpoint> entries, std::string organisation, bool is_deadly = false);
 
   void Start();
   void Stop();
@@ -42,6 +42,7 @@
   Random& random_;
   std::string name_;
   std::vector<Endpoint> entries_;
+  std::string organisation_;
   int entry_ = 0;  // Of the connection.
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
   std::array<char, 8192> chunk_;
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -16,6 +16,9 @@
 // A request that has ended three engines reaches others three times more at most.
 constexpr int kEndsToKnow = 3;
 constexpr int kMostDeadlyLate = 3;
+// As on the users' sheet.
+constexpr DurationMs kQuotaWindowMs = 8000;
+constexpr double kQuotaOver = 0.1;
 
 }  // namespace
 
@@ -33,14 +36,48 @@
   upstream_troubled_[instance] = MonotonicMs();
 }
 void Judge::OnBusyMachine() { busy_at_ = MonotonicMs(); }
-void Judge::OnSent(const std::string& request, int entry) { entry_of_[request] = entry; }
+void Judge::OnSent(const std::string& request, int entry, const std::string& organisation) {
+  sent_[request] = {entry, organisation, MonotonicMs()};
+}
+void Judge::OnKey(bool is_there) {
+  if (is_there) {
+    key_gone_at_ = 0;
+  } else if (key_gone_at_ == 0) {
+    key_gone_at_ = MonotonicMs();
+  }
+}
+
+void Judge::OnAccess(const std::string& request, const std::string& organisation, bool has_key) {
+  const Sent& sent = sent_[request];
+  if (has_key) Complain("an upstream got the key of request " + request);
+  if (organisation != sent.organisation) {
+    Complain("request " + request + " of " + sent.organisation + " ran as one of " + organisation);
+  }
+  if (sent.organisation == kOrganisations[1]) CheckQuota(request);
+  const DurationMs late = sent.at - key_gone_at_;
+  if (sent.organisation == kOrganisations[2] && key_gone_at_ != 0 && late > kRevokeMs) {
+    Complain("request " + request + " ran from entry " + std::to_string(sent.entry) + ", sent " +
+             std::to_string(late) + " ms after its key had gone");
+  }
+}
+
+void Judge::CheckQuota(const std::string& request) {
+  if (!limited_.insert(request).second) return;
+  const TimeMs now = MonotonicMs();
+  limited_at_.push_back(now);
+  while (limited_at_.front() <= now - kQuotaWindowMs) limited_at_.pop_front();
+  const double allowed = kLimitedPerS * kQuotaWindowMs / 1000.0 + kLimitedBurst;
+  if (static_cast<double>(limited_at_.size()) <= allowed * (1 + kQuotaOver)) return;
+  Complain("an organisation had " + std::to_string(limited_at_.size()) +
+           " requests run in a window");
+}
 
 void Judge::CheckLeaving(const std::string& request, const std::string& instance) {
   const auto leaving = leaving_.find(instance);
   if (leaving == leaving_.end()) return;
   const TimeMs now = MonotonicMs();
   const DurationMs late = now - leaving->second;
-  const int entry = entry_of_[request];
+  const int entry = sent_[request].entry;
   const TimeMs troubled =
       std::max({entry_troubled_[entry], upstream_troubled_[instance], busy_at_});
   if (late <= kLeavingMs + kOnItsWayMs || now - troubled <= kInTouchMs) return;
@@ -68,7 +105,7 @@
 
 void Judge::OnDeadlyRun(const std::string& request) {
   const TimeMs now = MonotonicMs();
-  const int entry = entry_of_[request];
+  const int entry = sent_[request].entry;
   const TimeMs troubled = std::max(entry_troubled_[entry], busy_at_);
   const bool is_known = third_end_at_ != 0 && now - third_end_at_ > kInTouchMs;
   if (!is_known || now - troubled <= kInTouchMs) return;
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -3,6 +3,7 @@
 #define JUNCTIONRAIL_SOAK_JUDGE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -12,11 +13,21 @@
 
 namespace junctionrail::soak {
 
+// Organisations of callers: one without a limit, one that sends more than its limit, and one
+// whose key is taken away now and then.
+constexpr const char* kOrganisations[] = {"open", "limited", "fleeting"};
+constexpr double kLimitedPerS = 8;
+constexpr double kLimitedBurst = 8;
+// The entries' `revoke_ms`.
+constexpr DurationMs kRevokeMs = 3000;
+
 class Judge {
  public:
   // --- What upstreams see ---
   // `may_repeat` is what the request's route says.
   void OnRun(const std::string& request, const std::string& instance, bool may_repeat);
+  // With that run: whose it is by the entry's word, and whether the caller's key came along.
+  void OnAccess(const std::string& request, const std::string& organisation, bool has_key);
   // It says that it leaves, or its record goes and it serves on.
   void OnLeaving(const std::string& instance);
   void OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence);
@@ -34,7 +45,9 @@
   void OnBusyMachine();
 
   // --- What callers see ---
-  void OnSent(const std::string& request, int entry);
+  void OnSent(const std::string& request, int entry, const std::string& organisation);
+  // The key of "fleeting" is taken away, or comes back.
+  void OnKey(bool is_there);
   void OnServed(const std::string& kind);
   void OnRefused(const std::string& request);  // Said not to have run.
   void OnFailed(const std::string& kind);      // Ended in any other way.
@@ -46,12 +59,21 @@
 
  private:
   void CheckLeaving(const std::string& request, const std::string& instance);
+  void CheckQuota(const std::string& request);
 
+  struct Sent {
+    int entry = 0;
+    std::string organisation;
+    TimeMs at = 0;
+  };
   std::map<std::string, int> runs_;
   std::map<std::string, TimeMs> leaving_;
   std::map<std::string, TimeMs> upstream_troubled_;
   std::map<int, TimeMs> entry_troubled_;
-  std::map<std::string, int> entry_of_;  // By request.
+  std::map<std::string, Sent> sent_;  // By request.
+  TimeMs key_gone_at_ = 0;            // 0: it is there.
+  std::set<std::string> limited_;     // Requests of "limited" that ran,
+  std::deque<TimeMs> limited_at_;     // and when they first did, within a window.
   TimeMs busy_at_ = 0;
   int deadly_ends_ = 0;
   int deadly_late_ = 0;  // Runs from entries in touch, once all must know it.
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -53,10 +53,12 @@
     for (int n = 0; n < kEngines + kPlains; ++n) AddUpstream(n);
     for (int n = 0; n < kEntries; ++n) AddEntry(n);
     for (int n = 0; n < kCallers; ++n) {
+      const char* organisation = kOrganisations[n % std::size(kOrganisations)];
       callers_.push_back(std::make_shared<Caller>(io_, judge_, random_, "c" + std::to_string(n),
-                                                  entry_endpoints_));
+                                                  entry_endpoints_, organisation));
     }
-    deadly_ = std::make_shared<Caller>(io_, judge_, random_, "deadly", entry_endpoints_, true);
+    deadly_ = std::make_shared<Caller>(io_, judge_, random_, "deadly", entry_endpoints_,
+                                       kOrganisations[0], true);
   }
 
   // Returns what was broken.
@@ -119,7 +121,8 @@
                          {"callers", callers.ToString()},
                          {"health", address + ":8101"},
                          {"peer", address + ":8102"},
-                         {"peers", peers}};
+                         {"peers", peers},
+                         {"revoke_ms", kRevokeMs}};
     AddProcess("entry-" + std::to_string(n), "entry", direct);
     entry_processes_.push_back(processes_.back().get());
   }
@@ -144,7 +147,15 @@
                                                    directory_ + "/" + name + ".log"));
   }
 
-  void Configure() {
+  // `has_key`: the organisation "fleeting" has its key.
+  void Configure(bool has_key = true) {
+    json organisations = json::array();
+    for (const char* it : kOrganisations) {
+      organisations.push_back({{"name", it}, {"apiKeys", {std::string("key of ") + it}}});
+    }
+    organisations[1]["ratePerS"] = kLimitedPerS;
+    organisations[1]["burst"] = kLimitedBurst;
+    if (!has_key) organisations[2]["apiKeys"] = json::array();
     json routes = json::array();
     const auto add = [&](const char* kind, const char* path, const char* service, bool resumable) {
       routes.push_back({{"name", path},
@@ -177,6 +188,7 @@
     const json engine = {{"weightsMb", 95}, {"adapterSlots", kEnginePlaces}, {"models", models}};
     const json configuration = {{"version", ++version_},
                                 {"routes", routes},
+                                {"tenants", organisations},
                                 {"services",
                                  {{{"name", kEngineService}, {"maxConns", 200}, {"engine", engine}},
                                   {{"name", kPlainService}, {"maxConns", 200}}}},
@@ -186,6 +198,7 @@
                                   {"headerTimeoutMs", 2000},
                                   {"idleTimeoutMs", 5000}}}};
     store_.Put("op/config", configuration.dump());
+    judge_.OnKey(has_key);
   }
 
   void Poll() {
@@ -268,7 +281,7 @@
       }
       case 9:
         store_.SilenceWatches();
-        Configure();
+        Configure(random_() % 3 != 0);
         store_.ForgetHistory();
         return store_.CutWatches();
       case 10:
@@ -313,6 +326,7 @@
     for (auto& it : processes_) it->Resume();
     for (auto& it : paths_) it.proxy->Set(PathState::kOpen);
     store_.mood = testing::StandinStore::Mood::kFine;
+    Configure();
     for (auto& it : upstreams_) {
       it->misbehaviour = {};
       if (!it->is_running()) it->Start();
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -207,6 +207,7 @@
   }
   const bool may_repeat = request.Line().rfind("POST /resumable/", 0) == 0;
   judge_.OnRun(id, instance_, may_repeat);
+  judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (request.body == kDeadlyBody) {
     judge_.OnDeadlyRun(id);
     return After(kDeadlyRunMs, [this] {
@@ -243,6 +244,7 @@
 void Upstream::RunPlain(const SeenRequest& request, const Peer& peer) {
   const std::string id = request.Field("Attempt-Id");
   judge_.OnRun(id, instance_, request.Line().rfind("GET /repeatable/", 0) == 0);
+  judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (Happens(misbehaviour.losses)) return peer->Reset();
   const std::string answer =
       Whole(id, 200, "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -93,6 +93,7 @@
   direct.retry_window_ms = r.Integer("retry_window_ms", 1, kLongestMs, direct.retry_window_ms);
   direct.leaving_ms = r.Integer("leaving_ms", 400, kLongestMs, direct.leaving_ms);
   direct.record_period_ms = r.Integer("record_period_ms", 1, kLongestMs, direct.record_period_ms);
+  direct.revoke_ms = r.Integer("revoke_ms", 0, kLongestMs, direct.revoke_ms);
   return direct;
 }
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -9,6 +9,7 @@
 
 #include "commands.h"
 #include "quarantine.h"
+#include "quotas.h"
 
 ABSL_FLAG(std::string, entry, "127.0.0.1:7000", "The RPC address of any entry.");
 ABSL_FLAG(std::string, f, "", "The directory of declarations (apply, diff, check).");
@@ -40,6 +41,9 @@
     "  quarantine list           requests refused since upstreams end when they run them\n"
     "  quarantine release DIGEST let one be tried once more, alone; both with --entry=ADDRESS of\n"
     "                            an entry for peers (direct.peer)\n"
+    "  quotas                    what organisations may send, and what this entry sent and "
+    "refused\n"
+    "                            of it; --entry as for quarantine\n"
     "  story ID FILE...          what the logs of all processes say of a request\n"
     "  explain FILE...           where callers' time went, out of the logs of all processes\n"
     "Exit codes: 0 done, 1 refused, 2 bad input, 3 entry away, 4 not in force yet, 5 unknown";
@@ -97,6 +101,7 @@
   if (command == "apply") return junctionrail::cli::Apply(options);
   if (command == "get") return junctionrail::cli::Get(options);
   if (command == "status") return junctionrail::cli::Status(options);
+  if (command == "quotas") return junctionrail::cli::ListQuotas(options);
   return BadUsage("no command is called \"" + command + "\"");
 }
 
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -139,6 +139,7 @@
 
   void OnDemand(std::uint64_t link, std::string_view bytes) {
     if (IsEndMessage(bytes)) return OnEnd(bytes);
+    if (IsQuotaAsk(bytes)) return OnQuotaAsk(link, bytes);
     AgentDemand demand;
     if (!DecodeDemand(bytes, &demand)) {
       log_.Write(MonotonicMs(), "demand_malformed", {});
@@ -147,6 +148,12 @@
     keeper_->OnDemand(link, std::move(demand));
   }
 
+  void OnQuotaAsk(std::uint64_t link, std::string_view bytes) {
+    QuotaAsk ask;
+    if (!DecodeQuotaAsk(bytes, &ask)) return log_.Write(MonotonicMs(), "quota_malformed", {});
+    keeper_->OnQuotaAsk(link, ask);
+  }
+
   void OnEnd(std::string_view bytes) {
     UpstreamEnd end;
     if (!DecodeEnd(bytes, &end)) return log_.Write(MonotonicMs(), "end_malformed", {});
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -12,6 +12,8 @@
 #include "platform.h"
 #include "quarantine_keeper.h"
 #include "quarantine_page.h"
+#include "quota_page.h"
+#include "word_message.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -37,6 +39,14 @@
 // An end is told to the agent of the upstream that ended, and to so many others, since that
 // VM may be gone.
 constexpr std::size_t kOtherRelays = 1;
+// The store confirms the configuration so often, as a part of the time for which an entry may
+// act on it unconfirmed. Its word is at most twice as old, and one answer may be lost.
+constexpr double kConfirmPart = 0.3;
+// From this age on, as a part of the same time, other entries are asked for their word.
+constexpr double kAskWordPart = 0.65;
+constexpr DurationMs kAskWordMs = 500;
+// A giver of quotas is passed over when no view of its engine came for so long.
+constexpr DurationMs kGiverUnseenMs = 1500;
 // An entry that starts waits so long for what others have recorded of requests that end
 // upstreams, before it calls itself ready.
 constexpr DurationMs kQuarantineWaitMs = 1000;
@@ -67,6 +77,8 @@
   options.retries = RetriesOf(direct);
   options.routing.data_hall = settings.data_hall;
   options.routing.policy = direct.policy;
+  options.entry = settings.id;
+  options.revoke_ms = direct.revoke_ms;
   return options;
 }
 
@@ -103,7 +115,8 @@
                    }),
         demand_timer_(io),
         urgent_timer_(io),
-        peer_timer_(io) {}
+        peer_timer_(io),
+        word_timer_(io) {}
 
   std::optional<ListenError> Start() {
     log_.Write(MonotonicMs(), "start", {{"role", "entry"}, {"data_hall", settings_.data_hall}});
@@ -126,12 +139,16 @@
       configuration_.Reread();
       quarantine_->Reread();
     });
+    gateway_.OnQuotaMessages([this](const QuotaTaker::Message& it) { TellGiver(it); });
+    configuration_.OnConfirmed([this](TimeMs as_of) { gateway_.ConfirmConfiguration(as_of); });
+    BoundWord();
     upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
     configuration_.Start();
     upstreams_.Start();
     quarantine_->Start();
     demand_timer_.Every(kDemandMs, [this] { TellAgents(); });
     peer_timer_.After(kAskPeerMs, [this] { AskPeer(0); });
+    word_timer_.Every(kAskWordMs, [this] { AskWord(); });
     return std::nullopt;
   }
 
@@ -154,6 +171,9 @@
       direct.retry_window_ms = settings.direct->retry_window_ms;
       direct.leaving_ms = settings.direct->leaving_ms;
       direct.policy = settings.direct->policy;
+      direct.revoke_ms = settings.direct->revoke_ms;
+      gateway_.SetRevokeMs(direct.revoke_ms);
+      BoundWord();
       gateway_.SetPolicy(direct.policy);
       hosting_->SetPolicy(direct.policy);
       gateway_.SetRetries(RetriesOf(direct));
@@ -184,6 +204,7 @@
       gateway_.ForgetView(instance);
       views_.erase(instance);
       sent_.erase(instance);
+      gateway_.OnQuotaLinkClosed(instance);
       if (!was_open) reopen_at_[instance] = MonotonicMs() + kReopenMs;
     };
     return callbacks;
@@ -263,6 +284,7 @@
   // `source` is the link's instance, or the address of an engine kept here.
   void OnView(const std::string& source, std::string_view bytes) {
     if (IsEndMessage(bytes)) return OnToldOfEnd(source, bytes);
+    if (IsQuotaGrant(bytes)) return OnQuotaGrant(source, bytes);
     EngineView& view = views_[source];
     if (!DecodeView(bytes, &view)) {
       log_.Write(MonotonicMs(), "view_malformed", {{"upstream", source}});
@@ -283,6 +305,72 @@
     gateway_.AddUpstreamEnd(end);
   }
 
+  void OnQuotaGrant(const std::string& source, std::string_view bytes) {
+    QuotaGrant grant;
+    if (!DecodeQuotaGrant(bytes, &grant)) {
+      log_.Write(MonotonicMs(), "grant_malformed", {{"upstream", source}});
+      return;
+    }
+    gateway_.ApplyQuotaGrant(grant);
+  }
+
+  // Over the link by which the agent is told of demand.
+  void TellGiver(const QuotaTaker::Message& message) {
+    const auto sent = sent_.find(message.instance);
+    const UpstreamRecord* upstream = gateway_.upstreams().Find(message.instance);
+    const bool has_link = sent != sent_.end() && upstream != nullptr && sent->second.to.port != 0;
+    if (!has_link) return;
+    if (hosting_->IsHosting(upstream->endpoint)) {
+      return hosting_->OnQuotaAsk(upstream->endpoint, message.ask);
+    }
+    links_.Send(message.instance, sent->second.to, EncodeQuotaAsk(message.ask));
+  }
+
+  // All agents that entries are in touch with, or are yet to hear of: all entries that read
+  // the same list choose the same ones.
+  void FindGivers(TimeMs now) {
+    if (!gateway_.has_configuration() || !gateway_.configuration().organisations) return;
+    const auto unseen = gateway_.upstreams().EnginesWithoutView(kGiverUnseenMs, now);
+    std::vector<QuotaTaker::Giver> givers;
+    for (const auto& [instance, sent] : sent_) {
+      const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
+      if (upstream == nullptr || upstream->is_leaving || reopen_at_.count(instance) > 0) continue;
+      const bool is_giver =
+          std::find(unseen.begin(), unseen.end(), upstream->endpoint) == unseen.end();
+      if (is_giver) givers.push_back({instance, upstream->endpoint.ToString()});
+    }
+    gateway_.SetQuotaGivers(std::move(givers));
+  }
+
+  void BoundWord() {
+    const auto bound_ms = static_cast<double>(settings_.direct->revoke_ms);
+    if (bound_ms > 0) configuration_.SetWatch(static_cast<DurationMs>(kConfirmPart * bound_ms));
+  }
+
+  // The store cannot be reached, or is slow: another entry may have its word.
+  void AskWord() {
+    const auto bound_ms = static_cast<double>(settings_.direct->revoke_ms);
+    const auto& peers = settings_.direct->peers;
+    const bool is_old = static_cast<double>(gateway_.ConfigurationAge()) > kAskWordPart * bound_ms;
+    if (bound_ms <= 0 || !is_old || peers.empty()) return;
+    const Endpoint peer = peers[++asked_words_ % peers.size()];
+    if (peer == settings_.direct->peer) return;
+    Ask(peer, "/known/word", [this, peer, asked_at = MonotonicMs()](const std::string& text) {
+      OnWord(peer, asked_at, text);
+    });
+  }
+
+  void OnWord(const Endpoint& peer, TimeMs asked_at, const std::string& text) {
+    const auto word = ParseWord(text);
+    if (!word) return log_.Write(MonotonicMs(), "word_malformed", {{"peer", peer.ToString()}});
+    if (configuration_.OfferWord(word->version, asked_at, word->age_ms)) return;
+    Ask(peer, "/known/configuration", [this, word = *word, asked_at](const std::string& document) {
+      if (configuration_.Offer(document)) {
+        configuration_.OfferWord(word.version, asked_at, word.age_ms);
+      }
+    });
+  }
+
   std::optional<ListenError> Serve(const Endpoint& endpoint, const char* path) {
     HttpServerOptions options;
     options.endpoint = endpoint;
@@ -317,6 +405,15 @@
     if (request.target == "/known/configuration") {
       return responder.Whole(200, {}, configuration_.document());
     }
+    if (request.target == "/known/word") {
+      const DurationMs age_ms = gateway_.ConfigurationAge();
+      if (age_ms < 0) return responder.Whole(404, {}, "");
+      return responder.Whole(200, {}, FormatWord({configuration_.word().version(), age_ms}));
+    }
+    if (request.target == "/quotas") {
+      return responder.Whole(200, {{"Content-Type", "application/json"}},
+                             QuotaPage(gateway_.quotas(), MonotonicMs()));
+    }
     if (request.target == "/known/upstreams") {
       return responder.Whole(200, {}, upstreams_.Document());
     }
@@ -420,6 +517,7 @@
       sent.demand = std::move(demand);
     }
     CloseSilent(now);
+    FindGivers(now);
     for (auto it = reopen_at_.begin(); it != reopen_at_.end();) {
       it = it->second <= now ? reopen_at_.erase(it) : std::next(it);
     }
@@ -493,6 +591,8 @@
   Timer demand_timer_;
   Timer urgent_timer_;
   Timer peer_timer_;
+  Timer word_timer_;
+  std::size_t asked_words_ = 0;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::map<std::string, Sent> sent_;
   std::map<std::string, TimeMs> reopen_at_;  // Of links that could not be opened.
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -1,5 +1,7 @@
 #include "direct_metrics.h"
 
+#include <algorithm>
+
 #include "junctionrail/telemetry.h"
 
 namespace junctionrail::internal {
@@ -31,6 +33,23 @@
   page->Histogram(name, help, cumulative, histogram.count, histogram.sum_ms);
 }
 
+// A page with a line for each of thousands would be read by nobody.
+constexpr std::size_t kMostOrganisations = 64;
+
+// Of those that have a limit; the most used ones.
+void AddQuotas(const QuotaTaker& quotas, MetricsPage* page) {
+  auto usages = quotas.Usages(MonotonicMs());
+  std::sort(usages.begin(), usages.end(),
+            [](const auto& a, const auto& b) { return a.taken + a.refused > b.taken + b.refused; });
+  if (usages.size() > kMostOrganisations) usages.resize(kMostOrganisations);
+  for (const auto& it : usages) {
+    page->Counter("junctionrail_quota_taken_total", "Requests within their organisation's quota.",
+                  it.taken, {{"organisation", it.limit.organisation}});
+    page->Counter("junctionrail_quota_refused_total", "Requests refused for it.", it.refused,
+                  {{"organisation", it.limit.organisation}});
+  }
+}
+
 }  // namespace
 
 std::string EntryMetrics(const Gateway& gateway, const platform::StoreClient& store,
@@ -68,6 +87,17 @@
              static_cast<double>(quarantine.suspects()));
   page.Gauge("junctionrail_refused_digests", "Requests that are sent to no upstream.",
              static_cast<double>(quarantine.Refusals().size()));
+  page.Counter("junctionrail_unknown_keys_total", "Refused for a missing or unknown key.",
+               it.unknown_keys);
+  page.Counter("junctionrail_old_configuration_total",
+               "Refused, as the key may have been taken away.", it.old_words);
+  page.Counter("junctionrail_over_quota_total", "Refused, as the quota is used up.", it.over_quota);
+  page.Counter("junctionrail_without_giver_total", "Refused, as nobody grants quotas.",
+               it.without_giver);
+  page.Gauge("junctionrail_configuration_age_ms",
+             "Since the configuration is known to have been the newest; -1: it never was.",
+             static_cast<double>(gateway.ConfigurationAge()));
+  AddQuotas(gateway.quotas(), &page);
   AddHistogram("junctionrail_first_answer_ms",
                "From a request's arrival to the first byte of its answer.", gateway.first_answer(),
                &page);
--- a/src/daemon/engine_keeper.cc
+++ b/src/daemon/engine_keeper.cc
@@ -13,6 +13,8 @@
 // on as one message to each.
 constexpr DurationMs kGatherEndsMs = 4;
 
+constexpr double kPercent = 100;
+
 std::string_view AnswerName(OrderAnswer answer) {
   switch (answer) {
     case OrderAnswer::kAccepted:
@@ -106,6 +108,8 @@
 }
 
 void EngineKeeper::OnLinkClosed(std::uint64_t link) {
+  const auto it = links_.find(link);
+  if (it != links_.end()) quotas_.OnClosed(it->second.entry, MonotonicMs());
   links_.erase(link);
   core_.OnEntryGone(link);
 }
@@ -114,6 +118,8 @@
   // An entry that reads the store sooner knows of a new instance first.
   const bool has_work = !demand.wanted.empty() || !demand.stage.empty();
   OpenLink& open = links_[link];
+  open.entry = demand.entry;
+  quotas_.OnHeard(demand.entry, demand.repeat_ms, MonotonicMs());
   const bool is_to_catch_up = demand.takes_ends && !open.takes_ends;
   open.takes_ends = demand.takes_ends;
   if (is_to_catch_up) {
@@ -123,6 +129,23 @@
   if (has_work) AskReportSoon();
 }
 
+void EngineKeeper::OnQuotaAsk(std::uint64_t link, const QuotaAsk& ask) {
+  if (is_stopped_) return;
+  const QuotaGrant grant = quotas_.OnAsk(ask, MonotonicMs());
+  if (!grant.shares.empty()) callbacks_.send(link, EncodeQuotaGrant(grant));
+  LogQuotaParts();
+}
+
+void EngineKeeper::LogQuotaParts() {
+  for (const auto& it : quotas_.TakeChanges()) {
+    log_.Write(MonotonicMs(), "quota_part",
+               {{"organisation", it.organisation},
+                {"holders", it.holders},
+                {"entries", it.entries},
+                {"percent", static_cast<std::int64_t>(kPercent * it.part)}});
+  }
+}
+
 void EngineKeeper::OnEnd(const UpstreamEnd& end) {
   const TimeMs now = MonotonicMs();
   quarantine_.Expire(now);
@@ -156,6 +179,8 @@
 void EngineKeeper::AskReport() {
   if (is_stopped_) return;
   is_asking_ = true;
+  quotas_.Tick(MonotonicMs());
+  LogQuotaParts();
   report_timer_.Cancel();
   engine_.Report([self = shared_from_this()](Result<EngineReport, platform::DecodeError> report) {
     self->is_asking_ = false;
--- a/src/daemon/engine_keeper.h
+++ b/src/daemon/engine_keeper.h
@@ -20,6 +20,7 @@
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
 #include "junctionrail/quarantine.h"
+#include "junctionrail/tenancy.h"
 #include "platform.h"
 
 namespace junctionrail::internal {
@@ -61,6 +62,8 @@
   // A link to an entry.
   void OnLinkOpened(std::uint64_t link);
   void OnDemand(std::uint64_t link, AgentDemand demand);
+  // It asks for what organisations may send.
+  void OnQuotaAsk(std::uint64_t link, const QuotaAsk& ask);
   // The entry saw an upstream end, this engine or another.
   void OnEnd(const UpstreamEnd& end);
   void OnLinkClosed(std::uint64_t link);
@@ -73,6 +76,7 @@
     ViewParts owed;
     bool is_whole_owed = true;
     bool takes_ends = false;
+    std::string entry;  // Empty before its first demand.
   };
 
   // The messages for one view, each made once however many links it goes to.
@@ -96,6 +100,7 @@
   void OnAnswer(const EngineOrder& order, std::int64_t fence, OrderAnswer answer, TimeMs since);
   void OnOtherInstance();
   bool IsBornLater(const EngineReport& report) const;
+  void LogQuotaParts();
   void SendViews();
   void SendEnds();
   void SendOwed(std::uint64_t link, OpenLink* open, EncodedViews* encoded);
@@ -113,6 +118,7 @@
   std::int64_t born_ms_ = 0;  // Its start; 0: it does not tell.
   std::string replaced_;      // The last instance in whose place another one answered.
   std::map<std::uint64_t, OpenLink> links_;
+  QuotaGiver quotas_;
   // Ends that entries told of, for all entries and for those that come later.
   QuarantineTable quarantine_;
   std::set<std::string> unsent_ends_;      // By instance.
--- a/src/daemon/entry_hosting.cc
+++ b/src/daemon/entry_hosting.cc
@@ -97,15 +97,29 @@
 }
 
 void EntryHosting::OnLinkEnd(std::uint64_t link, std::string_view bytes) {
-  const auto engine = link_engine_.find(link);
-  const auto hosted = engine == link_engine_.end() ? hosted_.end() : hosted_.find(engine->second);
   UpstreamEnd end;
   if (!DecodeEnd(bytes, &end)) return log_.Write(MonotonicMs(), "end_malformed", {});
-  if (hosted != hosted_.end()) hosted->second.keeper->OnEnd(end);
+  EngineKeeper* keeper = KeeperOf(link);
+  if (keeper != nullptr) keeper->OnEnd(end);
+}
+
+void EntryHosting::OnLinkQuotaAsk(std::uint64_t link, std::string_view bytes) {
+  QuotaAsk ask;
+  if (!DecodeQuotaAsk(bytes, &ask)) return log_.Write(MonotonicMs(), "quota_malformed", {});
+  EngineKeeper* keeper = KeeperOf(link);
+  if (keeper != nullptr) keeper->OnQuotaAsk(link, ask);
+}
+
+EngineKeeper* EntryHosting::KeeperOf(std::uint64_t link) {
+  const auto engine = link_engine_.find(link);
+  if (engine == link_engine_.end()) return nullptr;
+  const auto hosted = hosted_.find(engine->second);
+  return hosted == hosted_.end() ? nullptr : hosted->second.keeper.get();
 }
 
 void EntryHosting::OnLinkDemand(std::uint64_t link, std::string_view bytes) {
   if (IsEndMessage(bytes)) return OnLinkEnd(link, bytes);
+  if (IsQuotaAsk(bytes)) return OnLinkQuotaAsk(link, bytes);
   AgentDemand demand;
   if (!DecodeDemand(bytes, &demand)) {
     log_.Write(MonotonicMs(), "demand_malformed", {});
@@ -332,6 +346,11 @@
   if (it != hosted_.end()) it->second.keeper->OnEnd(end);
 }
 
+void EntryHosting::OnQuotaAsk(const Endpoint& engine, const QuotaAsk& ask) {
+  const auto it = hosted_.find(engine.ToString());
+  if (it != hosted_.end()) it->second.keeper->OnQuotaAsk(kOwnLink, ask);
+}
+
 std::optional<Endpoint> EntryHosting::LinkOf(const Endpoint& engine) const {
   const HostClaim* claim = election_.ClaimOf(engine.ToString());
   if (claim == nullptr) return std::nullopt;
--- a/src/daemon/entry_hosting.h
+++ b/src/daemon/entry_hosting.h
@@ -54,6 +54,7 @@
   // Demand of this entry for an engine that it hosts.
   void OnDemand(const Endpoint& engine, const AgentDemand& demand);
   void OnEnd(const Endpoint& engine, const UpstreamEnd& end);
+  void OnQuotaAsk(const Endpoint& engine, const QuotaAsk& ask);
   // Where demand for the engine goes in place of its agent.
   std::optional<Endpoint> LinkOf(const Endpoint& engine) const;
 
@@ -66,6 +67,9 @@
   LinkServerCallbacks LinkCallbacks();
   void OnLinkDemand(std::uint64_t link, std::string_view bytes);
   void OnLinkEnd(std::uint64_t link, std::string_view bytes);
+  void OnLinkQuotaAsk(std::uint64_t link, std::string_view bytes);
+  // Of the engine that a link is for; null where none is hosted here.
+  EngineKeeper* KeeperOf(std::uint64_t link);
   void Look(const std::string& engine);
   void ReadClaims(TimeMs now);
   void KeepLease(TimeMs now);
--- /dev/null
+++ b/src/daemon/word_message.h
@@ -0,0 +1,25 @@
+// What one entry tells another of the age of its configuration.
+#ifndef JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
+#define JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "junctionrail/base.h"
+
+namespace junctionrail::internal {
+
+struct WordMessage {
+  std::uint64_t version = 0;  // Of the configuration in force.
+  DurationMs age_ms = 0;      // Since it is known to have been the newest.
+};
+
+// Two whole numbers and a blank between.
+std::string FormatWord(const WordMessage& word);
+std::optional<WordMessage> ParseWord(std::string_view text);
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -68,7 +68,7 @@
   QuarantineTable& quarantine_;
   Ended ended_;
   std::map<std::string, std::set<Exchange*>> under_way_;  // By instance.
-  std::map<std::string, Case> cases_;  // By instance.
+  std::map<std::string, Case> cases_;                     // By instance.
   std::map<std::string, Open> open_;
   // A look that ends after this object does nothing.
   std::shared_ptr<bool> life_ = std::make_shared<bool>(true);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -66,10 +66,11 @@
   if (!FindRoute()) {
     return Refuse(kNotFound, "no_route", "no route matches this host and path", Ran::kNo, 0);
   }
-  if (!ReadFields()) return;
+  if (!ReadFields() || !ReadKey() || !ReadAmount()) return;
+  const auto over = gateway_.quotas.RefuseIfOver(organisation_, amount_, request_.arrived_at);
+  if (over) return RefuseOverQuota(*over);
   gateway_.retries.OnRequest(service_, request_.arrived_at);
-  gateway_.upstreams.OnArrival(model_, route_->priority, route_->first_answer_ms,
-                               request_.arrived_at);
+  gateway_.upstreams.OnArrival(model_, priority_, route_->first_answer_ms, request_.arrived_at);
   Attempt();
 }
 
@@ -117,9 +118,13 @@
 void Exchange::Attempt() {
   const TimeMs now = MonotonicMs();
   if (now >= end_at_) return GiveUp(SoFar(), "deadline");
+  if (quota_ticket_ != 0 || !MayUseKey()) return;
   if (StandingNow() == Standing::kRefused) return RefuseAsDeadly();
   const Pick choice = Choose(now);
-  if (const auto* to = std::get_if<SendTo>(&choice)) return Send(to->instance);
+  if (const auto* to = std::get_if<SendTo>(&choice)) {
+    if (MayUseQuota()) Send(to->instance);
+    return;
+  }
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
   GiveUp(SoFar(), std::get<NoneLeft>(choice).reason);
 }
@@ -131,8 +136,10 @@
       const std::string* value = FindField(request_.fields, name);
       return value != nullptr ? std::string_view{*value} : std::string_view{};
     };
-    digest_ = DigestOf(
-        {request_.method, field("Host"), request_.target, field("Authorization"), *request_.body});
+    digest_ =
+        DigestOf({request_.method, field("Host"), request_.target,
+                  organisation_.empty() ? field("Authorization") : std::string_view{organisation_},
+                  *request_.body});
   }
   return *digest_;
 }
@@ -279,7 +286,8 @@
   for (const auto& it : EndToEndFields(request_.fields)) {
     bool is_ours =
         EqualsNoCase(it.name, names.deadline_ms) || EqualsNoCase(it.name, names.priority) ||
-        EqualsNoCase(it.name, names.expected_instance) || EqualsNoCase(it.name, "Expect");
+        EqualsNoCase(it.name, names.expected_instance) || EqualsNoCase(it.name, "Expect") ||
+        EqualsNoCase(it.name, names.key) || EqualsNoCase(it.name, names.organisation);
     for (const auto& reserved : names.reserved) is_ours |= EqualsNoCase(it.name, reserved);
     const bool is_replaced =
         !events_.last_id().empty() && EqualsNoCase(it.name, names.last_event_id);
@@ -288,7 +296,8 @@
   const DurationMs left = std::max<DurationMs>(1, Left() - kDeadlineMarginMs);
   AppendField(names.deadline_ms, std::to_string(left), &head);
   AppendField(names.expected_instance, upstream.WireId(), &head);
-  AppendField(names.priority, std::to_string(std::clamp(route_->priority, 0, 9)), &head);
+  AppendField(names.priority, std::to_string(std::clamp(priority_, 0, 9)), &head);
+  if (!organisation_.empty()) AppendField(names.organisation, organisation_, &head);
   if (!events_.last_id().empty()) AppendField(names.last_event_id, events_.last_id(), &head);
   const bool has_body = !request_.body->empty() || request_.method == "POST" ||
                         request_.method == "PUT" || request_.method == "PATCH";
@@ -300,7 +309,9 @@
 // What was chosen may have left, and the caller too, while the connection was opened.
 bool Exchange::MaySend() {
   const auto sink = sink_.lock();
-  return sink && !sink->HasLeft() && gateway_.upstreams.IsListed(instance_);
+  const bool is_key_good =
+      !key_ || (KeyHolder() != nullptr && gateway_.MayTrustKeys(MonotonicMs()));
+  return sink && !sink->HasLeft() && is_key_good && gateway_.upstreams.IsListed(instance_);
 }
 
 void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -61,7 +61,7 @@
   const std::optional<ModelRef>& model() const { return model_; }
   const std::string& service() const { return service_; }
   const std::string& asked() const { return asked_; }
-  int priority() const { return route_->priority; }
+  int priority() const { return priority_; }
   DurationMs target_ms() const { return route_->first_answer_ms; }
   TimeMs late_at() const { return request_.arrived_at + route_->first_answer_ms; }
   TimeMs parked_since() const { return parked_since_; }
@@ -71,6 +71,10 @@
   // run there for long enough.
   std::optional<Suspect> AsSuspect(TimeMs now);
 
+  // Whether its organisation's quota lets it be sent is asked under `ticket`; the answer.
+  void OnQuotaAsked(std::uint64_t ticket) { quota_ticket_ = ticket; }
+  void OnQuota(const QuotaTaker::Verdict& verdict);
+
   bool MaySend() override;
   void OnHead(UpstreamHead head) override;
   void OnBody(std::string_view data) override;
@@ -83,6 +87,13 @@
 
   bool FindRoute();
   bool ReadFields();
+  bool ReadKey();
+  bool ReadAmount();
+  const Organisation* KeyHolder() const;
+  bool MayUseKey();
+  bool MayUseQuota();
+  void RefuseOverQuota(const QuotaTaker::Verdict& verdict);
+  void GiveQuotaBack();
   void Attempt();
   Pick Choose(TimeMs now);
   const RequestDigest& Digest();
@@ -122,8 +133,14 @@
   std::string service_;
   std::optional<ModelRef> model_;
   std::string affinity_;
-  TimeMs end_at_ = 0;       // When the caller or the route gives it up.
-  TimeMs patience_at_ = 0;  // Until when it may wait for a model.
+  int priority_ = 0;  // 0 is the most urgent.
+  std::optional<KeyDigest> key_;
+  std::string organisation_;  // Who holds the key; empty: nobody, and none is asked for.
+  double amount_ = 0;         // Of its organisation's quota.
+  bool has_quota_ = false;
+  std::uint64_t quota_ticket_ = 0;  // While a giver is asked; 0: none is.
+  TimeMs end_at_ = 0;               // When the caller or the route gives it up.
+  TimeMs patience_at_ = 0;          // Until when it may wait for a model.
   boost::asio::steady_timer timer_;
 
   std::shared_ptr<UpstreamCall> call_;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -182,6 +182,7 @@
   if (is_finished_) return;
   is_finished_ = true;
   timer_.cancel();
+  GiveQuotaBack();
   if (is_parked_) {
     is_parked_ = false;
     waited_ms_ += MonotonicMs() - parked_since_;
@@ -212,6 +213,8 @@
                       {"status", static_cast<std::int64_t>(status)},
                       {"route", route},
                       {"model", model},
+                      {"organisation", organisation_},
+                      {"amount", static_cast<std::int64_t>(amount_)},
                       {"upstream", instance_},
                       {"attempts", static_cast<std::int64_t>(sent_attempts_)},
                       {"events", static_cast<std::int64_t>(events_.events())},
@@ -221,7 +224,8 @@
                       {"pause_ms", longest_pause_ms_},
                       {"total_ms", now - request_.arrived_at},
                       {"listing_age_ms", listing_age_ms_},
-                      {"configuration", version}});
+                      {"configuration", version},
+                      {"configuration_age_ms", gateway_.ConfigurationAge(now)}});
 }
 
 }  // namespace junctionrail::internal
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,8 @@
 constexpr DurationMs kStopTickMs = 50;
 // Clocks are read one after the other; less is no suspension.
 constexpr DurationMs kSuspendedMs = 200;
+// From the last look at a configuration's age to the beginning of the upstream's work.
+constexpr DurationMs kKeyMarginMs = 400;
 // What the fleet shares is divided among the entries that agents count, and
 // among so many until they do: today's sites have four to seven.
 constexpr int kEntriesAssumed = 8;
@@ -68,6 +70,8 @@
               [this](const UpstreamEnd& end, std::string_view evidence) {
                 OnUpstreamEnded(end, evidence);
               }),
+      quotas(options.entry),
+      quota_timer(io),
       acceptor(io),
       tick(io) {}
 
@@ -116,6 +120,8 @@
     self->crashes.Expire(now);
     self->quarantine.Expire(now);
     self->NoteRefused();
+    self->quotas.SetEntries(self->upstreams.Entries(now));
+    self->SendQuotaMessages();
     if (self->is_stopping) {
       self->FinishStop();
       if (!self->on_stopped) return;
@@ -274,6 +280,58 @@
   return listed_as_of == 0 ? -1 : now - listed_as_of;
 }
 
+DurationMs Gateway::Impl::ConfigurationAge(TimeMs now) const {
+  return confirmed_at == 0 ? -1 : now - confirmed_at;
+}
+
+bool Gateway::Impl::MayTrustKeys(TimeMs now) const {
+  if (options.revoke_ms == 0) return true;
+  return confirmed_at != 0 && now - confirmed_at <= options.revoke_ms - kKeyMarginMs;
+}
+
+QuotaTaker::Verdict Gateway::Impl::TakeQuota(const std::shared_ptr<internal::Exchange>& exchange,
+                                             const std::string& organisation, double amount) {
+  const std::uint64_t ticket = ++last_ticket;
+  const auto verdict = quotas.Take(organisation, amount, ticket, MonotonicMs());
+  if (verdict.decision != QuotaTaker::Decision::kAsked) return verdict;
+  exchange->OnQuotaAsked(ticket);
+  asking.emplace(ticket, exchange);
+  if (std::exchange(is_sending_quotas, true)) return verdict;
+  // All requests that come with the same wake-up go into one question.
+  boost::asio::post(io, [self = shared_from_this()] {
+    self->is_sending_quotas = false;
+    self->SendQuotaMessages();
+  });
+  return verdict;
+}
+
+void Gateway::Impl::CancelQuota(std::uint64_t ticket) {
+  if (asking.erase(ticket) > 0) quotas.Cancel(ticket);
+}
+
+void Gateway::Impl::TellQuotas(const std::vector<QuotaTaker::Outcome>& outcomes) {
+  for (const auto& it : outcomes) {
+    const auto found = asking.find(it.ticket);
+    if (found == asking.end()) continue;
+    const auto exchange = found->second.lock();
+    asking.erase(found);
+    if (exchange) exchange->OnQuota(it.verdict);
+  }
+}
+
+void Gateway::Impl::SendQuotaMessages() {
+  if (on_quota_message) {
+    for (const auto& it : quotas.TakeMessages(MonotonicMs())) on_quota_message(it);
+  }
+  const TimeMs next = quotas.NextAt();
+  if (next == 0) return;
+  const DurationMs delay = std::max<DurationMs>(1, next - MonotonicMs());
+  quota_timer.After(delay, [self = shared_from_this()] {
+    self->TellQuotas(self->quotas.Expire(MonotonicMs()));
+    self->SendQuotaMessages();
+  });
+}
+
 UpstreamTable::Waiting Gateway::Impl::WaitingOf(const internal::Exchange& exchange, TimeMs since) {
   UpstreamTable::Waiting waiting;
   waiting.ref = *exchange.model();
@@ -341,7 +399,20 @@
       impl_->routes && configuration.version <= impl_->routes->configuration().version;
   if (is_old) return;
   impl_->upstreams.ApplyServices(configuration.services);
+  static const std::vector<Organisation> kNone;
+  impl_->quotas.SetOrganisations(
+      configuration.organisations ? configuration.organisations->all() : kNone,
+      configuration.version, MonotonicMs());
   impl_->routes = std::make_shared<const RouteTable>(std::move(configuration));
+  if (impl_->parked.empty()) return;
+  // A key may be gone for which a request waits.
+  boost::asio::post(impl_->io, [impl = impl_] { impl->WakeParked(); });
+}
+
+void Gateway::SetRevokeMs(DurationMs revoke_ms) { impl_->options.revoke_ms = revoke_ms; }
+
+void Gateway::ConfirmConfiguration(TimeMs as_of) {
+  impl_->confirmed_at = std::max(impl_->confirmed_at, as_of);
 }
 
 void Gateway::SetRetries(RetryBudget::Options options) { impl_->retries.SetOptions(options); }
@@ -394,6 +465,20 @@
 bool Gateway::ReleaseRequest(const RequestDigest& digest) {
   return impl_->quarantine.Release(digest, MonotonicMs());
 }
+void Gateway::OnQuotaMessages(std::function<void(const QuotaTaker::Message&)> call) {
+  impl_->on_quota_message = std::move(call);
+}
+void Gateway::SetQuotaGivers(std::vector<QuotaTaker::Giver> givers) {
+  impl_->quotas.SetGivers(std::move(givers), MonotonicMs());
+  impl_->TellQuotas(impl_->quotas.Expire(MonotonicMs()));
+  impl_->SendQuotaMessages();
+}
+void Gateway::ApplyQuotaGrant(const QuotaGrant& grant) {
+  impl_->TellQuotas(impl_->quotas.OnGrant(grant, MonotonicMs()));
+  impl_->SendQuotaMessages();
+}
+void Gateway::OnQuotaLinkClosed(const std::string& instance) { impl_->quotas.OnClosed(instance); }
+const QuotaTaker& Gateway::quotas() const { return impl_->quotas; }
 const QuarantineTable& Gateway::quarantine() const { return impl_->quarantine; }
 
 const GatewayCounters& Gateway::counters() const {
@@ -403,5 +488,6 @@
 }
 const LatencyHistogram& Gateway::first_answer() const { return impl_->first_answer; }
 const LatencyHistogram& Gateway::listing_age() const { return impl_->listing_age; }
+DurationMs Gateway::ConfigurationAge() const { return impl_->ConfigurationAge(MonotonicMs()); }
 
 }  // namespace junctionrail
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -35,6 +36,17 @@
   // Since the reading of the list began on which choices rest; -1: not known.
   DurationMs ListingAge(TimeMs now) const;
 
+  // Since the configuration is known to have been the newest; -1: it never was.
+  DurationMs ConfigurationAge(TimeMs now) const;
+  bool MayTrustKeys(TimeMs now) const;
+
+  // Requests that wait for a giver's word on their organisation's quota.
+  QuotaTaker::Verdict TakeQuota(const std::shared_ptr<internal::Exchange>& exchange,
+                                const std::string& organisation, double amount);
+  void CancelQuota(std::uint64_t ticket);
+  void TellQuotas(const std::vector<QuotaTaker::Outcome>& outcomes);
+  void SendQuotaMessages();
+
   // Requests that wait for a model.
   void Park(const std::shared_ptr<internal::Exchange>& exchange);
   void Unpark(const std::shared_ptr<internal::Exchange>& exchange);
@@ -66,6 +78,13 @@
   QuarantineTable quarantine;
   Probation probation;
   internal::CrashWatch crashes;
+  QuotaTaker quotas;
+  std::map<std::uint64_t, std::weak_ptr<internal::Exchange>> asking;  // By ticket.
+  std::uint64_t last_ticket = 0;
+  bool is_sending_quotas = false;
+  std::function<void(const QuotaTaker::Message&)> on_quota_message;
+  Timer quota_timer;
+  TimeMs confirmed_at = 0;  // The configuration was the newest then; 0: never known.
   GatewayCounters counters;
   LatencyHistogram first_answer;
   LatencyHistogram listing_age;
--- a/src/gateway/http_text.cc
+++ b/src/gateway/http_text.cc
@@ -97,4 +97,14 @@
   return parsed.ec == std::errc() && parsed.ptr == end && *value >= 0;
 }
 
+std::optional<std::int64_t> ParseTokenUsage(std::string_view text) {
+  const std::size_t comma = text.find(',');
+  if (comma == std::string_view::npos) return std::nullopt;
+  std::int64_t prompt = 0;
+  std::int64_t most = 0;
+  const bool is_usage = ParseWhole(Trim(text.substr(0, comma)), &prompt) &&
+                        ParseWhole(Trim(text.substr(comma + 1)), &most);
+  return is_usage ? std::optional<std::int64_t>(prompt + most) : std::nullopt;
+}
+
 }  // namespace junctionrail::internal
--- a/src/gateway/http_text.h
+++ b/src/gateway/http_text.h
@@ -2,6 +2,7 @@
 #ifndef JUNCTIONRAIL_GATEWAY_HTTP_TEXT_H_
 #define JUNCTIONRAIL_GATEWAY_HTTP_TEXT_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,9 @@
 // Parses a whole number of at most 15 digits; false for anything else.
 bool ParseWhole(std::string_view text, std::int64_t* value);
 
+// The sum of two whole numbers with a comma between; none for anything else.
+std::optional<std::int64_t> ParseTokenUsage(std::string_view text);
+
 }  // namespace junctionrail::internal
 
 #endif  // JUNCTIONRAIL_GATEWAY_HTTP_TEXT_H_
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -81,6 +81,61 @@
               DecodeUpstream("i", R"({"service":"s","address":"x"})", 1).error().sentence, "");
 }
 
+namespace {
+
+std::string WithTenants(const std::string& tenants) {
+  std::string text = kConfiguration;
+  return text.replace(text.find("\"new_field\":1"), 13, "\"tenants\":" + tenants);
+}
+
+std::string TenantsComplaint(const std::string& tenants) {
+  const auto decoded = DecodeConfiguration(WithTenants(tenants));
+  return decoded ? "" : decoded.error().sentence;
+}
+
+}  // namespace
+
+TEST(Documents, BecomeOrganisationsWhoseKeysAreKeptAsDigests) {
+  EXPECT_TRUE(!DecodeConfiguration(kConfiguration).value().organisations, "no key is asked for");
+  const auto decoded = DecodeConfiguration(WithTenants(
+      R"([{"name":"o1","apiKeys":["k1","k2"],"priority":3,"unit":"tokens","plainTokens":200,
+           "ratePerS":99468,"burst":1.5},{"name":"o2","apiKeys":[]},{"name":"o3"}])"));
+  EXPECT_TRUE(decoded.has_value(), decoded ? "" : decoded.error().sentence);
+  const OrganisationTable& table = *decoded.value().organisations;
+  const Organisation* first = table.FindByKey(DigestOfKey("k2"));
+  EXPECT_TRUE(first != nullptr && first->name == "o1" && first->priority == 3, "its second key");
+  EXPECT_TRUE(first->quota.unit == QuotaUnit::kTokens && first->quota.plain_tokens == 200 &&
+                  first->quota.per_s == 99468 && first->quota.burst == 1.5,
+              "its limit");
+  const Organisation& second = table.all().at(1);
+  EXPECT_TRUE(!second.quota.IsLimited() && !second.priority, "none is none");
+  EXPECT_NUMBER(0, DecodeConfiguration(WithTenants("[]")).value().organisations->all().size(),
+                "keys are asked for, and there are none");
+}
+
+TEST(Documents, WithOrganisationsThatAreMalformedNameTheField) {
+  EXPECT_TEXT("tenants: expected an array of tenants", TenantsComplaint("{}"), "");
+  EXPECT_TEXT("name: expected a text", TenantsComplaint(R"([{"apiKeys":[]}])"), "");
+  EXPECT_TEXT("name: expected printable characters without blanks",
+              TenantsComplaint(R"([{"name":"a\r\nb"}])"), "it goes on as a header's value");
+  EXPECT_TEXT("apiKeys: expected an array of texts",
+              TenantsComplaint(R"([{"name":"a","apiKeys":[7]}])"), "");
+  EXPECT_TEXT("apiKeys: expected each key at one tenant",
+              TenantsComplaint(R"([{"name":"a","apiKeys":["k"]},{"name":"b","apiKeys":["k"]}])"),
+              "whose it is cannot be told");
+  EXPECT_TEXT("tenants: expected each name once",
+              TenantsComplaint(R"([{"name":"a"},{"name":"a"}])"), "");
+  for (const char* it : {"-1", "1e300"}) {
+    EXPECT_TEXT("ratePerS: expected a number from 0 to 2^53",
+                TenantsComplaint(std::string(R"([{"name":"a","ratePerS":)") + it + "}]"), it);
+  }
+  EXPECT_TEXT("ratePerS: expected a number", TenantsComplaint(R"([{"name":"a","ratePerS":"x"}])"),
+              "");
+  EXPECT_TEXT(
+      "", TenantsComplaint(R"([{"name":"a","apiKeys":[")" + std::string(1 << 20, 'k') + R"("]}])"),
+      "a key of 1 MB is a key");
+}
+
 TEST(Documents, BecomeUpstreamsAndReports) {
   const auto upstream = DecodeUpstream("i-1", kUpstream, 42);
   EXPECT_TRUE(upstream.has_value(), "");
@@ -144,6 +199,50 @@
   EXPECT_TRUE(world.AwaitVersion(8), "a watch sees the change");
 }
 
+TEST(FollowsConfiguration, AndKnowsHowOldItsWordIs) {
+  World world;
+  world.FollowConfiguration();
+  world.configuration->SetWatch(100);
+  TimeMs confirmed_at = 0;
+  world.configuration->OnConfirmed([&](TimeMs as_of) { confirmed_at = as_of; });
+  world.store.Put("op/config", Configuration(3));
+  EXPECT_TRUE(world.AwaitVersion(3), "");
+  const TimeMs read_at = MonotonicMs();
+  EXPECT_TRUE(confirmed_at > 0 && confirmed_at <= read_at, "from the beginning of the call");
+  EXPECT_TRUE(RunUntil(world.io, [&] { return confirmed_at > read_at; }),
+              "a watch that returns with nothing new confirms it");
+  world.store.mood = StandinStore::Mood::kSilent;
+  world.store.SilenceWatches();
+  RunFor(world.io, 50);
+  const TimeMs last_at = confirmed_at;
+  RunFor(world.io, 400);
+  EXPECT_NUMBER(last_at, confirmed_at, "a watch that stands proves nothing");
+  EXPECT_TRUE(world.configuration->OfferWord(3, last_at + 300, 100), "another entry knows more");
+  EXPECT_NUMBER(last_at + 200, confirmed_at, "and its word counts from the question");
+  EXPECT_TRUE(!world.configuration->OfferWord(4, last_at + 400, 0), "there is a newer one");
+  EXPECT_NUMBER(last_at + 200, confirmed_at, "so this one is not confirmed");
+  EXPECT_TRUE(world.configuration->Offer(Configuration(4)) &&
+                  world.configuration->OfferWord(4, last_at + 400, 0),
+              "once it is in force");
+}
+
+TEST(FollowsConfiguration, IsNotConfirmedWhileTheNewestCannotBeRead) {
+  World world;
+  world.store.Put("op/config", Configuration(5));
+  world.FollowConfiguration();
+  world.configuration->SetWatch(50);
+  EXPECT_TRUE(world.AwaitVersion(5), "");
+  RunFor(world.io, 100);
+  world.store.Put("op/config", "{");
+  RunFor(world.io, 50);
+  const TimeMs before = world.configuration->word().as_of();
+  RunFor(world.io, 300);
+  EXPECT_NUMBER(before, world.configuration->word().as_of(), "it may have taken keys away");
+  world.store.Put("op/config", Configuration(6));
+  EXPECT_TRUE(world.AwaitVersion(6), "");
+  EXPECT_TRUE(world.configuration->word().as_of() > before, "confirmed again");
+}
+
 TEST(FollowsConfiguration, WhenTheStoreForgetsItsHistory) {
   World world;
   world.store.Put("op/config", Configuration(3));
