Ask all other entries for their word, also before the first confirmation

Found by a test of two entries, one without a way to the store: it had the configuration from the other one and never asked for a confirmation, as an age that is not known counted as young. Callers with a key were refused by an entry that could have served them. Asked one in turn, each half a second, it would also have waited past its bound where two of three are gone: now all are asked. Vouching.* failed before and holds: served with the other's word, refused once that has aged too.

--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -347,17 +347,19 @@
     if (bound_ms > 0) configuration_.SetWatch(static_cast<DurationMs>(kConfirmPart * bound_ms));
   }
 
-  // The store cannot be reached, or is slow: another entry may have its word.
+  // The store cannot be reached, or is slow: another entry may have its word. All are asked, as
+  // some may be gone, and their words differ in age.
   void AskWord() {
     const auto bound_ms = static_cast<double>(settings_.direct->revoke_ms);
-    const auto& peers = settings_.direct->peers;
-    const bool is_old = static_cast<double>(gateway_.ConfigurationAge()) > kAskWordPart * bound_ms;
-    if (bound_ms <= 0 || !is_old || peers.empty()) return;
-    const Endpoint peer = peers[++asked_words_ % peers.size()];
-    if (peer == settings_.direct->peer) return;
-    Ask(peer, "/known/word", [this, peer, asked_at = MonotonicMs()](const std::string& text) {
-      OnWord(peer, asked_at, text);
-    });
+    const DurationMs age_ms = gateway_.ConfigurationAge();
+    const bool is_old = age_ms < 0 || static_cast<double>(age_ms) > kAskWordPart * bound_ms;
+    if (bound_ms <= 0 || !is_old) return;
+    for (const auto& peer : settings_.direct->peers) {
+      if (peer == settings_.direct->peer) continue;
+      Ask(peer, "/known/word", [this, peer, asked_at = MonotonicMs()](const std::string& text) {
+        OnWord(peer, asked_at, text);
+      });
+    }
   }
 
   void OnWord(const Endpoint& peer, TimeMs asked_at, const std::string& text) {
@@ -592,7 +594,6 @@
   Timer urgent_timer_;
   Timer peer_timer_;
   Timer word_timer_;
-  std::size_t asked_words_ = 0;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::map<std::string, Sent> sent_;
   std::map<std::string, TimeMs> reopen_at_;  // Of links that could not be opened.
