An entry's own share counts the entries that there were before it was cut off

Found by reading: an entry that no agent reaches counts itself alone, and so took the whole limit of each organisation as its own share; one that has reached none since its start did so too. Now the most entries that were counted within a minute share the limit, and an entry without a giver since its start has no share. TakesQuotas.NotByItselfBeforeItKnows..., .AShareAmongTheEntriesThatWereCounted... are for it.

--- a/include/junctionrail/tenancy.h
+++ b/include/junctionrail/tenancy.h
@@ -261,8 +261,8 @@
                         TimeMs now);
   // Those that may be reached now.
   void SetGivers(std::vector<Giver> givers, TimeMs now);
-  // How many entries share each limit; 0: not known.
-  void SetEntries(int entries) { entries_ = entries; }
+  // How many entries share each limit, as the agents in reach count them.
+  void SetEntries(int entries, TimeMs now);
 
   Verdict Take(const std::string& organisation, double amount, std::uint64_t ticket, TimeMs now);
   // Refuses the request if nothing is left just now, so that it is not kept waiting for
@@ -322,7 +322,8 @@
 
   std::string entry_;
   std::uint64_t version_ = 0;
-  int entries_ = 0;
+  int entries_ = 0;  // The most that were counted lately; 0: not known.
+  TimeMs entries_at_ = 0;
   std::vector<Giver> givers_;
   std::map<std::string, Account> accounts_;  // Of the organisations that have a limit.
   std::map<std::string, Told> told_;         // By instance, what it was last told.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -120,7 +120,7 @@
     self->crashes.Expire(now);
     self->quarantine.Expire(now);
     self->NoteRefused();
-    self->quotas.SetEntries(self->upstreams.Entries(now));
+    self->quotas.SetEntries(self->upstreams.Entries(now), now);
     self->SendQuotaMessages();
     if (self->is_stopping) {
       self->FinishStop();
--- a/src/tenancy/quota_taker.cc
+++ b/src/tenancy/quota_taker.cc
@@ -20,6 +20,8 @@
 constexpr std::string_view kGivers = "quota givers";
 constexpr DurationMs kNoGiverRetryMs = 1000;
 constexpr std::size_t kMostAsked = 256;
+// A lower count of entries is believed once no higher one came for so long.
+constexpr DurationMs kEntriesMs = 60000;
 constexpr double kMsPerS = 1000;
 
 }  // namespace
@@ -44,6 +46,13 @@
   }
 }
 
+// An entry that is cut off is counted by nobody, and the others are still there.
+void QuotaTaker::SetEntries(int entries, TimeMs now) {
+  if (entries < entries_ && now - entries_at_ < kEntriesMs) return;
+  entries_ = entries;
+  entries_at_ = now;
+}
+
 void QuotaTaker::SetGivers(std::vector<Giver> givers, TimeMs now) {
   std::vector<std::pair<std::uint64_t, std::size_t>> scores;
   for (std::size_t n = 0; n < givers.size(); ++n) {
@@ -118,16 +127,18 @@
 }
 
 // Every entry an equal share of the limit, once it counts at no giver any more, which
-// keeps it back from then on for as long as it misses the entry.
+// keeps it back from then on for as long as it misses the entry. One that has had no giver since
+// its start does not know how many share the limit, and has none.
 QuotaTaker::Verdict QuotaTaker::TakeAlone(Account* account, double amount, TimeMs now) const {
   const Verdict refused{Decision::kNoGiver, kNoGiverRetryMs};
-  if (!account->giver.instance.empty()) return refused;
-  const TimeMs begin_at = account->told_at == 0 ? 0 : account->told_at + kHoldingMs + kAnswerMs;
-  if (now <= begin_at) return refused;
+  const TimeMs begin_at = account->told_at + kHoldingMs + kAnswerMs;
+  const bool has_share =
+      account->giver.instance.empty() && account->told_at != 0 && now > begin_at && entries_ > 0;
+  if (!has_share) return refused;
   const auto gap = static_cast<double>(now - std::max(account->own_at, begin_at));
   account->own_at = now;
-  const double per_s = entries_ > 0 ? account->limit.per_s / entries_ : 0;
-  const double most = std::max(amount, entries_ > 0 ? account->limit.burst / entries_ : 0);
+  const double per_s = account->limit.per_s / entries_;
+  const double most = std::max(amount, account->limit.burst / entries_);
   account->own_level = std::min(most, account->own_level + per_s * gap / kMsPerS);
   if (account->own_level < amount) return refused;
   account->own_level -= amount;
--- a/test/random_quota_test.cc
+++ b/test/random_quota_test.cc
@@ -71,7 +71,7 @@
   void StartEntry(int n) {
     Entry& it = entries_[static_cast<std::size_t>(n)];
     it.taker = std::make_unique<QuotaTaker>("entry-" + std::to_string(n));
-    it.taker->SetEntries(kEntries);
+    it.taker->SetEntries(kEntries, now_);
     Organisation shop;
     shop.name = "shop";
     shop.quota.per_s = kPerS;
@@ -232,7 +232,7 @@
       shop.name = "shop";
       shop.quota.per_s = kPerS;
       shop.quota.burst = kBurst;
-      takers.back()->SetEntries(kEntries);
+      takers.back()->SetEntries(kEntries, now);
       takers.back()->SetOrganisations({shop}, 1, now);
       takers.back()->SetGivers({{"i-0", "10.0.0.1:1"}}, now);
     }
--- a/test/tenancy_test.cc
+++ b/test/tenancy_test.cc
@@ -193,7 +193,7 @@
 // One entry of four and their giver, with messages that arrive at once.
 struct Pair {
   Pair() {
-    taker.SetEntries(4);
+    taker.SetEntries(4, now);
     taker.SetOrganisations({Shop(100, 50)}, 1, now);
     taker.SetGivers({{"i-1", "10.0.0.1:1"}}, now);
     Exchange();
@@ -278,6 +278,26 @@
   EXPECT_NUMBER(24, taken, "and at a quarter of the rate, up to that");
 }
 
+TEST(TakesQuotas, NotByItselfBeforeItKnowsHowManyEntriesThereAre) {
+  QuotaTaker taker{"entry-1"};
+  TimeMs now = kStart;
+  taker.SetOrganisations({Shop(100, 50)}, 1, now);
+  taker.SetEntries(1, now);
+  now += 10000;
+  EXPECT_TRUE(taker.Take("shop", 1, 1, now).decision == Decision::kNoGiver,
+              "it has reached no agent since its start");
+}
+
+TEST(TakesQuotas, AShareAmongTheEntriesThatWereCountedBeforeItWasCutOff) {
+  Pair it;
+  it.taker.SetGivers({}, it.now);
+  it.taker.SetEntries(1, it.now);  // Nobody is in reach who counts another.
+  it.now += 10000;
+  int taken = 0;
+  while (it.Take() == Decision::kTaken) ++taken;
+  EXPECT_NUMBER(12, taken, "a quarter of the burst, as there were four");
+}
+
 TEST(TakesQuotas, ByItselfWhereAQuestionIsNotAnsweredInTime) {
   Pair it;
   while (it.Take() == Decision::kTaken) continue;
