--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -399,10 +399,8 @@
       impl_->routes && configuration.version <= impl_->routes->configuration().version;
   if (is_old) return;
   impl_->upstreams.ApplyServices(configuration.services);
-  static const std::vector<Organisation> kNone;
-  impl_->quotas.SetOrganisations(
-      configuration.organisations ? configuration.organisations->all() : kNone,
-      configuration.version, MonotonicMs());
+  const OrganisationTable organisations = configuration.organisations.value_or(OrganisationTable());
+  impl_->quotas.SetOrganisations(organisations.all(), configuration.version, MonotonicMs());
   impl_->routes = std::make_shared<const RouteTable>(std::move(configuration));
   if (impl_->parked.empty()) return;
   // A key may be gone for which a request waits.
--- a/test/gateway_keys_test.cc
+++ b/test/gateway_keys_test.cc
@@ -7,7 +7,6 @@
 namespace {
 
 using testing::Answer;
-using testing::Event;
 using testing::GatewayWorld;
 using testing::Holds;
 using testing::MakeRoute;
@@ -15,7 +14,6 @@
 using testing::RunFor;
 using testing::RunUntil;
 using testing::SeenRequest;
-using testing::StreamHead;
 using testing::TestCaller;
 using testing::UpstreamPeer;
 using Peer = std::shared_ptr<UpstreamPeer>;
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -13,10 +13,8 @@
 namespace junctionrail {
 namespace {
 
-using testing::QuietLog;
 using testing::RunFor;
 using testing::RunUntil;
-using testing::ScriptedUpstream;
 using testing::SeenRequest;
 using testing::TestCaller;
 using testing::UpstreamPeer;
