Read and log what upstreams say beside their answers: limit, rest, that they leave

Change: platform/ decodes the three fields once, into UpstreamNotice. An entry logs a limit that is named or lifted, each rest asked for, that an upstream says it leaves, and what could not be read; metrics count them. Nothing acts on it yet. An answer without a limit lifts it only if its request was sent after the limit was last named, as answers overtake one another.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -36,10 +36,15 @@
   std::vector<std::string> reserved;
 };
 
+// Reads what an upstream's answer says beside its body.
+using NoticeReader =
+    std::function<UpstreamNotice(unsigned status, const std::vector<HttpHeader>& fields)>;
+
 struct GatewayOptions {
   Endpoint callers;
   std::string data_hall;
   CallHeaderNames names;
+  NoticeReader read_notice;  // Empty: upstreams say nothing that is to be read.
   RetryBudget::Options retries;
   RoutingOptions routing;
   std::string entry;  // This one, for those that grant quotas.
@@ -70,6 +75,8 @@
   std::uint64_t without_giver = 0;    // Refused, as nobody grants quotas.
   std::uint64_t quarantined = 0;      // Refused, as upstreams end when they run them.
   std::uint64_t upstreams_ended = 0;  // With requests of this entry under way.
+  std::uint64_t rests_asked = 0;      // Refusals of upstreams that ask for a rest.
+  std::uint64_t malformed_notices = 0;
   std::uint64_t surplus_answers = 0;
   std::uint64_t upstream_connections = 0;
 };
@@ -110,6 +117,7 @@
   void ApplyView(const EngineView& view);
   void ForgetView(const std::string& instance);
 
+  const UpstreamTable& upstreams() const;
   bool has_configuration() const;
   const RoutingConfiguration& configuration() const;
   UpstreamTable& upstreams();
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -281,6 +281,16 @@
 };
 using Pick = std::variant<SendTo, WaitFor, NoneLeft>;
 
+// What an upstream says in an answer of how it is to be used from then on.
+struct UpstreamNotice {
+  // Requests a second that it takes from all entries together; none: as many as come.
+  std::optional<double> limit_per_s;
+  // It wants nothing from this entry for so long; 0: it asks for no rest.
+  DurationMs rest_ms = 0;
+  bool is_leaving = false;
+  std::string malformed;  // What could not be read, with the field's name; empty: nothing.
+};
+
 // How an attempt at an upstream ended, as far as it tells of its health.
 enum class AttemptEnd { kServed, kRefused, kFailed, kUnreachable, kSilent, kAbandoned };
 
@@ -316,6 +326,12 @@
   DurationMs FirstEventMs(const ModelRef& model) const;
   void OnEnd(const std::string& instance, const std::optional<ModelRef>& model, AttemptEnd end,
              TimeMs now);
+  // An answer to a request sent at `sent_at` names this limit, or none. Whether that is news.
+  bool OnLimit(const std::string& instance, std::optional<double> per_s, TimeMs sent_at,
+               TimeMs now);
+  std::optional<double> LimitOf(const std::string& instance) const;
+  // How many upstreams name a limit.
+  int CountLimited() const;
   // The upstream says that it is another instance, or does not hold the model.
   void OnOtherInstance(const std::string& instance);
   void OnNotLoaded(const std::string& instance, const ModelRef& model, TimeMs now);
@@ -364,6 +380,8 @@
     std::map<ModelRef, TimeMs> not_loaded_until;
     std::map<ModelRef, TimeMs> overdue_until;  // Asked for it in vain.
     std::vector<std::string> indexed;          // Models under which `holders_` has the row.
+    std::optional<double> limit_per_s;         // That it takes from all entries together.
+    TimeMs limit_at = 0;                       // When it last named one.
     int failures = 0;                          // In a row.
     TimeMs ejected_until = 0;
     int ejections = 0;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -74,6 +74,7 @@
   options.callers = direct.callers;
   options.data_hall = settings.data_hall;
   options.names = platform::HeaderNames();
+  options.read_notice = platform::ReadNotice;
   options.retries = RetriesOf(direct);
   options.routing.data_hall = settings.data_hall;
   options.routing.policy = direct.policy;
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -97,6 +97,13 @@
   page.Gauge("junctionrail_configuration_age_ms",
              "Since the configuration is known to have been the newest; -1: it never was.",
              static_cast<double>(gateway.ConfigurationAge()));
+  page.Gauge("junctionrail_limited_upstreams",
+             "Upstreams that name a limit of requests a second from all entries.",
+             gateway.upstreams().CountLimited());
+  page.Counter("junctionrail_upstream_rests_total", "Refusals of upstreams that ask for a rest.",
+               it.rests_asked);
+  page.Counter("junctionrail_malformed_notices_total",
+               "Answers of upstreams with a notice that could not be read.", it.malformed_notices);
   AddQuotas(gateway.quotas(), &page);
   AddHistogram("junctionrail_first_answer_ms",
                "From a request's arrival to the first byte of its answer.", gateway.first_answer(),
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <cstdio>
 #include <map>
 #include <utility>
 
@@ -48,6 +49,14 @@
   return "upstream_listed";
 }
 
+// With the digits that tell one limit from another.
+std::string FormatLimit(std::optional<double> per_s) {
+  if (!per_s) return "none";
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.6g", *per_s);
+  return text;
+}
+
 }  // namespace
 
 void LatencyHistogram::Add(std::int64_t ms) {
@@ -225,6 +234,30 @@
   }
 }
 
+void Gateway::Impl::OnAnswer(const std::string& instance, const internal::UpstreamHead& head,
+                             TimeMs sent_at) {
+  if (!options.read_notice) return;
+  const TimeMs now = MonotonicMs();
+  const UpstreamNotice notice = options.read_notice(head.status, head.fields);
+  if (!notice.malformed.empty()) {
+    ++counters.malformed_notices;
+    log.Write(now, "upstream_notice_malformed",
+              {{"upstream", instance}, {"reason", notice.malformed}});
+  }
+  const bool tells_limit = notice.malformed.empty();
+  if (tells_limit && upstreams.OnLimit(instance, notice.limit_per_s, sent_at, now)) {
+    log.Write(now, "upstream_limit",
+              {{"upstream", instance}, {"per_s", FormatLimit(notice.limit_per_s)}});
+  }
+  if (notice.rest_ms > 0) {
+    ++counters.rests_asked;
+    log.Write(now, "upstream_rest", {{"upstream", instance}, {"rest_ms", notice.rest_ms}});
+  }
+  if (notice.is_leaving && upstreams.IsListed(instance)) {
+    log.Write(now, "upstream_says_leaving", {{"upstream", instance}});
+  }
+}
+
 // Of an end that this entry saw, or shared with others. The digests are cut to eight digits
 // so that the line names all suspects that an end is likely to have.
 void Gateway::Impl::OnUpstreamEnded(const UpstreamEnd& end, std::string_view evidence) {
@@ -435,6 +468,7 @@
   return impl_->routes->configuration();
 }
 UpstreamTable& Gateway::upstreams() { return impl_->upstreams; }
+const UpstreamTable& Gateway::upstreams() const { return impl_->upstreams; }
 
 std::map<std::string, AgentDemand> Gateway::Demands() {
   return impl_->upstreams.Demands(impl_->WaitingModels(), MonotonicMs());
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -58,6 +58,9 @@
   // A request could not wait for its model; others will ask for it.
   void NoteTurnedAway(const internal::Exchange& exchange);
 
+  // What the answer to a request sent to `instance` at `sent_at` says beside its body.
+  void OnAnswer(const std::string& instance, const internal::UpstreamHead& head, TimeMs sent_at);
+
   void OnUpstreamEnded(const UpstreamEnd& end, std::string_view evidence);
   void AddUpstreamEnd(const UpstreamEnd& end);
   void NoteRefused();
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -426,6 +426,31 @@
   row.failures = kFailuresToEject - 1;
 }
 
+// Answers on different connections overtake one another: only one to a request that was sent
+// after the limit was last named can tell that there is none any more.
+bool UpstreamTable::OnLimit(const std::string& instance, std::optional<double> per_s,
+                            TimeMs sent_at, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end()) return false;
+  Row& row = it->second;
+  if (!per_s && sent_at < row.limit_at) return false;
+  if (per_s) row.limit_at = now;
+  if (row.limit_per_s == per_s) return false;
+  row.limit_per_s = per_s;
+  return true;
+}
+
+std::optional<double> UpstreamTable::LimitOf(const std::string& instance) const {
+  const auto it = rows_.find(instance);
+  return it == rows_.end() ? std::nullopt : it->second.limit_per_s;
+}
+
+int UpstreamTable::CountLimited() const {
+  return static_cast<int>(std::count_if(rows_.begin(), rows_.end(), [](const auto& it) {
+    return it.second.limit_per_s && !it.second.is_gone;
+  }));
+}
+
 void UpstreamTable::OnOtherInstance(const std::string& instance) {
   const auto it = rows_.find(instance);
   if (it != rows_.end()) it->second.was_replaced = true;
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -47,6 +47,34 @@
 
 }  // namespace
 
+TEST_GROUP(Notices){};
+
+TEST(Notices, TellALimitARestAndThatTheUpstreamLeaves) {
+  const auto limit = ReadNotice(200, {{"server-limit", "2.3"}});
+  EXPECT_TRUE(limit.limit_per_s == 2.3 && limit.malformed.empty(), "2.3 requests a second");
+  const auto rest = ReadNotice(503, {{"Not-Executed", "1"}, {"Retry-After", "0.25"}});
+  EXPECT_NUMBER(250, rest.rest_ms, "milliseconds of rest");
+  EXPECT_TRUE(ReadNotice(200, {{"Server-Leaving", "1"}}).is_leaving, "it leaves");
+}
+
+TEST(Notices, AreNoneWhereAnAnswerSaysNothing) {
+  const auto notice = ReadNotice(200, {{"Retry-After", "3"}, {"Server-Leaving", "0"}});
+  EXPECT_TRUE(!notice.limit_per_s && !notice.is_leaving, "neither a limit nor that it leaves");
+  EXPECT_NUMBER(0, notice.rest_ms, "only a refusal asks for a rest");
+}
+
+TEST(Notices, ThatCannotBeReadAreNamedAndChangeNothing) {
+  for (const char* text : {"", "-1", "two", "1e999", "nan", "3 s", "Wed, 21 Oct 2026 07:28:00"}) {
+    const auto limit = ReadNotice(200, {{"Server-Limit", text}});
+    EXPECT_TRUE(!limit.limit_per_s, text);
+    EXPECT_TRUE(limit.malformed.find("Server-Limit") == 0, limit.malformed);
+    const auto rest = ReadNotice(503, {{"Retry-After", text}});
+    EXPECT_NUMBER(0, rest.rest_ms, text);
+    EXPECT_TRUE(rest.malformed.find("Retry-After") == 0, rest.malformed);
+  }
+  EXPECT_NUMBER(3600000, ReadNotice(503, {{"Retry-After", "1e300"}}).rest_ms, "an hour at most");
+}
+
 TEST_GROUP(Documents){};
 
 TEST(Documents, BecomeRoutesServicesAndLimits) {
