A failing test: upstreams that name a limit get more than it, from all entries

Callers see nothing of it as long as the upstream bears it; an upstream in need gets as much as before, and is lost with all it runs when it can't.

UpstreamLimits.HoldOverAllEntriesThatWereTold plays four entries before an upstream that names 2 requests a second and one that names none.

--- /dev/null
+++ b/test/upstream_notices_test.cc
@@ -0,0 +1,145 @@
+// What upstreams say beside their answers, and what entries do about it, over real sockets.
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <memory>
+
+#include "check.h"
+#include "gateway_world.h"
+#include "junctionrail/tenancy.h"
+#include "loopback.h"
+#include "platform.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::Holds;
+using testing::MakeRoute;
+using testing::QuietLog;
+using testing::Request;
+using testing::RunFor;
+using testing::RunUntil;
+using testing::ScriptedUpstream;
+using testing::SeenRequest;
+using testing::TestCaller;
+using testing::UpstreamPeer;
+using Peer = std::shared_ptr<UpstreamPeer>;
+
+std::string Answer(const std::string& fields = "") {
+  return "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: r1\r\nJunctionrail-Proof: p\r\n" + fields +
+         "Content-Length: 2\r\n\r\nok";
+}
+
+// Entries before the same upstreams, and an agent that counts what they may send to an
+// upstream with a limit.
+class Entries {
+ public:
+  explicit Entries(int n) {
+    for (int k = 0; k < n; ++k) {
+      GatewayOptions options;
+      options.callers = {"127.0.0.1", 0};
+      options.data_hall = "hall-1";
+      options.routing.data_hall = "hall-1";
+      options.retries = {1.0, 100, 10000};
+      options.entry = "entry-" + std::to_string(k);
+      options.read_notice = platform::ReadNotice;
+      gateways.push_back(std::make_unique<Gateway>(io, options, log));
+      ports.push_back(gateways.back()->Listen().value());
+    }
+  }
+
+  ~Entries() {
+    for (const auto& it : gateways) it->Stop(0, [] {});
+    RunFor(io, 100);
+  }
+
+  void AddUpstream(const std::string& instance, ScriptedUpstream::Script script) {
+    upstreams.push_back(std::make_unique<ScriptedUpstream>(io, std::move(script)));
+    records.push_back({instance, "plain", upstreams.back()->endpoint(), "hall-1", 8, false, {}});
+    RoutingConfiguration configuration;
+    configuration.version = 1;
+    configuration.routes = {MakeRoute("/a/", CallKind::kRepeatable, "plain")};
+    configuration.services = {{"plain", 64, std::nullopt}};
+    for (const auto& it : gateways) {
+      it->ApplyListing({records, MonotonicMs()});
+      it->ApplyConfiguration(configuration);
+    }
+  }
+
+  void AddGiver() {
+    for (const auto& it : gateways) {
+      Gateway* gateway = it.get();
+      gateway->OnQuotaMessages([this, gateway](const QuotaTaker::Message& message) {
+        boost::asio::post(io, [this, gateway, ask = message.ask] {
+          const QuotaGrant grant = giver.OnAsk(ask, MonotonicMs());
+          if (!grant.shares.empty()) gateway->ApplyQuotaGrant(grant);
+        });
+      });
+      gateway->SetQuotaGivers({{"i-agent", "10.0.0.1:1"}});
+    }
+  }
+
+  // A caller of entry `n` that need not be answered before the next one.
+  void Call(std::size_t n) {
+    callers.push_back(std::make_unique<TestCaller>(io, ports[n % ports.size()]));
+    callers.back()->Send(Request("GET /a/"));
+  }
+
+  boost::asio::io_context io;
+  EventLog log{QuietLog()};
+  QuotaGiver giver;
+  std::vector<std::unique_ptr<Gateway>> gateways;
+  std::vector<std::uint16_t> ports;
+  std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+  std::vector<UpstreamRecord> records;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+};
+
+std::size_t MostWithin(const std::vector<TimeMs>& times, DurationMs window_ms) {
+  std::size_t most = 0;
+  for (std::size_t from = 0, to = 0; to < times.size(); ++to) {
+    while (times[to] - times[from] >= window_ms) ++from;
+    most = std::max(most, to - from + 1);
+  }
+  return most;
+}
+
+}  // namespace
+
+TEST_GROUP(UpstreamLimits){};
+
+// Guards against entries that send an upstream more than the limit that its answers name.
+TEST(UpstreamLimits, HoldOverAllEntriesThatWereTold) {
+  constexpr double kLimitPerS = 2;
+  constexpr DurationMs kWindowMs = 4000;
+  constexpr auto kAllowed = static_cast<std::size_t>(1.5 * kLimitPerS * kWindowMs / 1000 + 5);
+  constexpr int kEntries = 4;
+  Entries world(kEntries);
+  std::vector<TimeMs> got;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    got.push_back(MonotonicMs());
+    peer->Write(Answer("Server-Limit: 2\r\n"));
+  });
+  world.AddUpstream("u2", [](const SeenRequest&, const Peer& peer) { peer->Write(Answer()); });
+  world.AddGiver();
+  // Until each entry has been told.
+  for (std::size_t n = 0; n < 64; ++n) world.Call(n);
+  RunFor(world.io, 500);
+  got.clear();
+  constexpr int kCalls = 240;
+  for (std::size_t n = 0; n < kCalls; ++n) {
+    world.Call(n);
+    RunFor(world.io, 25);
+  }
+  RunFor(world.io, 200);
+  const std::size_t most = MostWithin(got, kWindowMs);
+  EXPECT_TRUE(most <= kAllowed, "expected " + std::to_string(kAllowed) +
+                                    " requests in four seconds at most, got " +
+                                    std::to_string(most));
+  EXPECT_TRUE(!got.empty(), "what it allows is used");
+  const auto served = std::count_if(world.callers.begin(), world.callers.end(),
+                                    [](const auto& it) { return Holds(it->received(), "200 OK"); });
+  EXPECT_NUMBER(kCalls + 64, served, "callers served, the others by the upstream without a limit");
+}
+
+}  // namespace junctionrail
