Send upstreams that name a limit no more than it, over all entries together

Seen: an upstream in need that named 2.3 requests a second got 29 in four seconds (19 allowed), one that named 1 got 19 (11 allowed).

Cause: nothing read the word. The class: an upstream's own statement about itself was taken for a field of one answer and passed on, and changed nothing in what the entry believes of the upstream. To keep it at each entry alone would be the next fault, as the limit is for all entries together.

Change: the limit is an account of QuotaTaker, counted by the same givers as organisations' quotas, so that it holds over all entries however many there are; a request that was given no share goes to another upstream, waits where its model is only there and that is sooner than a load, or is refused with the time at which something is left. A limit that changes is counted anew. Where there is no agent each entry has an eighth.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -75,6 +75,7 @@
   std::uint64_t without_giver = 0;    // Refused, as nobody grants quotas.
   std::uint64_t quarantined = 0;      // Refused, as upstreams end when they run them.
   std::uint64_t upstreams_ended = 0;  // With requests of this entry under way.
+  std::uint64_t held_by_limits = 0;   // Sends that found nothing left of an upstream's limit.
   std::uint64_t rests_asked = 0;      // Refusals of upstreams that ask for a rest.
   std::uint64_t malformed_notices = 0;
   std::uint64_t surplus_answers = 0;
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -278,6 +278,7 @@
 };
 struct NoneLeft {
   std::string reason;
+  DurationMs retry_ms = 0;  // When one of them takes requests again; 0: not known.
 };
 using Pick = std::variant<SendTo, WaitFor, NoneLeft>;
 
@@ -330,6 +331,8 @@
   bool OnLimit(const std::string& instance, std::optional<double> per_s, TimeMs sent_at,
                TimeMs now);
   std::optional<double> LimitOf(const std::string& instance) const;
+  // All entries together have sent what its limit allows, for so long.
+  void OnLimitReached(const std::string& instance, TimeMs until);
   // How many upstreams name a limit.
   int CountLimited() const;
   // The upstream says that it is another instance, or does not hold the model.
@@ -382,6 +385,7 @@
     std::vector<std::string> indexed;          // Models under which `holders_` has the row.
     std::optional<double> limit_per_s;         // That it takes from all entries together.
     TimeMs limit_at = 0;                       // When it last named one.
+    TimeMs limited_until = 0;                  // Nothing is left of the limit.
     int failures = 0;                          // In a row.
     TimeMs ejected_until = 0;
     int ejections = 0;
@@ -406,6 +410,16 @@
 
   static bool IsPresent(const Row& row, std::string_view service);
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
+  struct Candidates {
+    std::vector<Row*> open;
+    std::vector<Row*> closed;  // They want no requests now.
+  };
+  Candidates HoldersFor(const PickRequest& request, TimeMs now);
+  Candidates UsableFor(std::string_view service, TimeMs now);
+  // From when on the upstream takes requests.
+  static TimeMs OpensAt(const Row& row);
+  // The first of these to take requests again; null where there is none.
+  static const Row* SoonestOpen(const std::vector<Row*>& closed);
   bool IsFresh(const Row& row, TimeMs now) const;
   bool IsMute(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
@@ -416,7 +430,9 @@
   void Unindex(Row* row);
   Pick ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders, TimeMs now) const;
   double LoadOf(const Row& row, const PickRequest& request, TimeMs now) const;
-  Pick ChooseLoad(const PickRequest& request, const std::vector<Row*>& usable, TimeMs now);
+  // `opening`, where that is sooner than any load.
+  Pick ChooseLoad(const PickRequest& request, const std::vector<Row*>& usable,
+                  const std::optional<WaitFor>& opening, TimeMs now);
   std::string StillAsked(const ModelRef& model, TimeMs now);
   void NoteAsked(const ModelRef& model, const std::string& instance, DurationMs estimate,
                  TimeMs now);
--- a/include/junctionrail/tenancy.h
+++ b/include/junctionrail/tenancy.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <cstring>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -252,6 +253,7 @@
     double amount = 0;          // Of the requests taken.
     double credit = 0;          // Granted ahead and not used.
     std::string giver;          // Its address; empty: none.
+    std::string upstream;       // Whose limit it is; empty: an organisation's.
     bool is_silent = false;     // It has left a question unanswered just now.
   };
 
@@ -261,6 +263,14 @@
                         TimeMs now);
   // Those that may be reached now.
   void SetGivers(std::vector<Giver> givers, TimeMs now);
+  // An upstream takes so many requests a second from all entries together; none: as many as
+  // come. Those that wait for its share then may go.
+  std::vector<Outcome> LimitUpstream(const std::string& instance, std::optional<double> per_s,
+                                     TimeMs now);
+  // Those of which `has_limit` is false are forgotten.
+  void KeepUpstreams(const std::function<bool(const std::string& instance)>& has_limit);
+  // As Take, of what all entries may send to that upstream.
+  Verdict TakeOfUpstream(const std::string& instance, std::uint64_t ticket, TimeMs now);
   // How many entries share each limit, as the agents in reach count them.
   void SetEntries(int entries, TimeMs now);
 
@@ -297,9 +307,12 @@
     TimeMs credit_until = 0;
     TimeMs over_until = 0;
     TimeMs silent_until = 0;
-    double own_level = 0;      // Of the entry's own share, for when there is no giver.
-    TimeMs own_at = 0;         // Up to when it is filled.
-    TimeMs told_at = 0;        // When a giver was last told that it is the one.
+    double own_level = 0;  // Of the entry's own share, for when there is no giver.
+    TimeMs own_at = 0;     // Up to when it is filled.
+    TimeMs told_at = 0;    // When a giver was last told that it is the one.
+    // From then on the own share may be used though no giver was ever told; 0: never.
+    TimeMs alone_from = 0;
+    std::string upstream;      // Whose limit it is; empty: an organisation's.
     std::uint64_t number = 0;  // Of the question that is out; 0: none.
     TimeMs asked_at = 0;
     std::deque<Waiting> asked;    // In that question.
@@ -313,6 +326,7 @@
     TimeMs at = 0;
   };
 
+  void Forget(const std::string& account);
   Verdict TakeAlone(Account* account, double amount, TimeMs now) const;
   static Verdict Note(Account* account, double amount, const Verdict& verdict);
   void ChooseGiver(const std::string& organisation, Account* account, TimeMs now);
@@ -325,10 +339,11 @@
   int entries_ = 0;  // The most that were counted lately; 0: not known.
   TimeMs entries_at_ = 0;
   std::vector<Giver> givers_;
-  std::map<std::string, Account> accounts_;  // Of the organisations that have a limit.
-  std::map<std::string, Told> told_;         // By instance, what it was last told.
-  bool has_news_ = false;                    // Some giver is to be told of its holdings.
-  TimeMs tell_at_ = 0;                       // When all are told again.
+  std::map<std::string, Account> accounts_;  // Of organisations and upstreams that have a limit.
+  std::map<std::string, std::string> upstreams_;  // The accounts of their limits, by instance.
+  std::map<std::string, Told> told_;              // By instance, what it was last told.
+  bool has_news_ = false;                         // Some giver is to be told of its holdings.
+  TimeMs tell_at_ = 0;                            // When all are told again.
   std::uint64_t last_number_ = 0;
 };
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -330,7 +330,10 @@
   // All agents that entries are in touch with, or are yet to hear of: all entries that read
   // the same list choose the same ones.
   void FindGivers(TimeMs now) {
-    if (!gateway_.has_configuration() || !gateway_.configuration().organisations) return;
+    const bool has_limits =
+        gateway_.has_configuration() && (gateway_.configuration().organisations.has_value() ||
+                                         gateway_.upstreams().CountLimited() > 0);
+    if (!has_limits) return;
     const auto unseen = gateway_.upstreams().EnginesWithoutView(kGiverUnseenMs, now);
     std::vector<QuotaTaker::Giver> givers;
     for (const auto& [instance, sent] : sent_) {
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -39,6 +39,9 @@
 // Of those that have a limit; the most used ones.
 void AddQuotas(const QuotaTaker& quotas, MetricsPage* page) {
   auto usages = quotas.Usages(MonotonicMs());
+  usages.erase(std::remove_if(usages.begin(), usages.end(),
+                              [](const auto& it) { return !it.upstream.empty(); }),
+               usages.end());
   std::sort(usages.begin(), usages.end(),
             [](const auto& a, const auto& b) { return a.taken + a.refused > b.taken + b.refused; });
   if (usages.size() > kMostOrganisations) usages.resize(kMostOrganisations);
@@ -100,6 +103,8 @@
   page.Gauge("junctionrail_limited_upstreams",
              "Upstreams that name a limit of requests a second from all entries.",
              gateway.upstreams().CountLimited());
+  page.Counter("junctionrail_held_by_limits_total",
+               "Sends that found nothing left of an upstream's limit.", it.held_by_limits);
   page.Counter("junctionrail_upstream_rests_total", "Refusals of upstreams that ask for a rest.",
                it.rests_asked);
   page.Counter("junctionrail_malformed_notices_total",
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -118,15 +118,16 @@
 void Exchange::Attempt() {
   const TimeMs now = MonotonicMs();
   if (now >= end_at_) return GiveUp(SoFar(), "deadline");
-  if (quota_ticket_ != 0 || !MayUseKey()) return;
+  if (quota_ticket_ != 0 || share_ticket_ != 0 || !MayUseKey()) return;
   if (StandingNow() == Standing::kRefused) return RefuseAsDeadly();
   const Pick choice = Choose(now);
   if (const auto* to = std::get_if<SendTo>(&choice)) {
-    if (MayUseQuota()) Send(to->instance);
+    if (MayUseQuota() && MayUseShare(to->instance)) Send(to->instance);
     return;
   }
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
-  GiveUp(SoFar(), std::get<NoneLeft>(choice).reason);
+  const auto& none = std::get<NoneLeft>(choice);
+  GiveUp(SoFar(), none.reason, std::max(none.retry_ms, kDefaultRetryAfterMs));
 }
 
 // Worked out only while there is something to compare it with, as it reads the whole body.
@@ -408,6 +409,10 @@
 }
 
 void Exchange::GiveUp(Ran ran, std::string_view reason) {
+  GiveUp(ran, reason, kDefaultRetryAfterMs);
+}
+
+void Exchange::GiveUp(Ran ran, std::string_view reason, DurationMs retry_after_ms) {
   if (is_finished_) return;
   if (is_begun_) {
     const auto sink = sink_.lock();
@@ -416,7 +421,7 @@
   }
   const bool is_late = MonotonicMs() >= end_at_;
   if (ran == Ran::kNo) {
-    return Refuse(kUnavailable, "not_run", reason, Ran::kNo, kDefaultRetryAfterMs);
+    return Refuse(kUnavailable, "not_run", reason, Ran::kNo, retry_after_ms);
   }
   Refuse(is_late ? kGatewayTimeout : kBadGateway, "outcome_unknown", reason, Ran::kMaybe, 0);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,7 +73,9 @@
 
   // Whether its organisation's quota lets it be sent is asked under `ticket`; the answer.
   void OnQuotaAsked(std::uint64_t ticket) { quota_ticket_ = ticket; }
-  void OnQuota(const QuotaTaker::Verdict& verdict);
+  // The same for its share of what an upstream takes.
+  void OnShareAsked(std::uint64_t ticket, const std::string& instance);
+  void OnQuota(std::uint64_t ticket, const QuotaTaker::Verdict& verdict);
 
   bool MaySend() override;
   void OnHead(UpstreamHead head) override;
@@ -92,6 +94,9 @@
   const Organisation* KeyHolder() const;
   bool MayUseKey();
   bool MayUseQuota();
+  bool MayUseShare(const std::string& instance);
+  void OnShare(const QuotaTaker::Verdict& verdict);
+  void NoteLimitReached(const std::string& instance, DurationMs retry_ms);
   void RefuseOverQuota(const QuotaTaker::Verdict& verdict);
   void GiveQuotaBack();
   void Attempt();
@@ -117,6 +122,7 @@
   void Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
               DurationMs retry_after_ms);
   void GiveUp(Ran ran, std::string_view reason);
+  void GiveUp(Ran ran, std::string_view reason, DurationMs retry_after_ms);
   void Finish(std::string_view outcome, unsigned status);
   void Arm();
   void OnTimer();
@@ -139,6 +145,8 @@
   double amount_ = 0;         // Of its organisation's quota.
   bool has_quota_ = false;
   std::uint64_t quota_ticket_ = 0;  // While a giver is asked; 0: none is.
+  std::uint64_t share_ticket_ = 0;  // While one is asked what `share_of_` takes.
+  std::string share_of_;            // The upstream of which it has a share, or asks for one.
   TimeMs end_at_ = 0;               // When the caller or the route gives it up.
   TimeMs patience_at_ = 0;          // Until when it may wait for a model.
   boost::asio::steady_timer timer_;
--- a/src/gateway/exchange_access.cc
+++ b/src/gateway/exchange_access.cc
@@ -11,6 +11,9 @@
 // By then the configuration has been read again, unless the store cannot be reached.
 constexpr DurationMs kOldConfigurationRetryMs = 1000;
 
+// So that a choice made again within the same millisecond passes the upstream over.
+constexpr DurationMs kLeastLimitRetryMs = 2;
+
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorised = 401;
 constexpr unsigned kTooManyRequests = 429;
@@ -132,7 +135,8 @@
   return false;
 }
 
-void Exchange::OnQuota(const QuotaTaker::Verdict& verdict) {
+void Exchange::OnQuota(std::uint64_t ticket, const QuotaTaker::Verdict& verdict) {
+  if (ticket == share_ticket_) return OnShare(verdict);
   quota_ticket_ = 0;
   if (is_finished_) return;
   has_quota_ = verdict.decision == QuotaTaker::Decision::kTaken;
@@ -140,6 +144,43 @@
   RefuseOverQuota(verdict);
 }
 
+// Taken at each send to an upstream that names a limit. False while it is asked for, and when
+// there is none and another upstream was chosen.
+bool Exchange::MayUseShare(const std::string& instance) {
+  const bool has_share = share_of_ == instance;
+  share_of_.clear();
+  if (has_share || !gateway_.upstreams.LimitOf(instance)) return true;
+  const auto verdict = gateway_.TakeOfUpstream(shared_from_this(), instance);
+  if (verdict.decision == QuotaTaker::Decision::kTaken) return true;
+  if (verdict.decision == QuotaTaker::Decision::kAsked) {
+    Arm();
+    return false;
+  }
+  NoteLimitReached(instance, verdict.retry_ms);
+  Attempt();
+  return false;
+}
+
+void Exchange::OnShareAsked(std::uint64_t ticket, const std::string& instance) {
+  share_ticket_ = ticket;
+  share_of_ = instance;
+}
+
+void Exchange::OnShare(const QuotaTaker::Verdict& verdict) {
+  share_ticket_ = 0;
+  if (is_finished_) return;
+  if (verdict.decision != QuotaTaker::Decision::kTaken) {
+    NoteLimitReached(std::exchange(share_of_, {}), verdict.retry_ms);
+  }
+  Attempt();
+}
+
+void Exchange::NoteLimitReached(const std::string& instance, DurationMs retry_ms) {
+  ++gateway_.counters.held_by_limits;
+  gateway_.upstreams.OnLimitReached(instance,
+                                    MonotonicMs() + std::max(retry_ms, kLeastLimitRetryMs));
+}
+
 void Exchange::RefuseOverQuota(const QuotaTaker::Verdict& verdict) {
   if (verdict.decision == QuotaTaker::Decision::kNoGiver) {
     ++gateway_.counters.without_giver;
@@ -154,6 +195,7 @@
 // Of a request that has not run.
 void Exchange::GiveQuotaBack() {
   if (quota_ticket_ != 0) gateway_.CancelQuota(std::exchange(quota_ticket_, 0));
+  if (share_ticket_ != 0) gateway_.CancelQuota(std::exchange(share_ticket_, 0));
   if (!std::exchange(has_quota_, false) || SoFar() == Ran::kMaybe) return;
   gateway_.quotas.GiveBack(organisation_, amount_, MonotonicMs());
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -130,6 +130,8 @@
     self->quarantine.Expire(now);
     self->NoteRefused();
     self->quotas.SetEntries(self->upstreams.Entries(now), now);
+    self->quotas.KeepUpstreams(
+        [&](const std::string& instance) { return self->upstreams.LimitOf(instance).has_value(); });
     self->SendQuotaMessages();
     if (self->is_stopping) {
       self->FinishStop();
@@ -248,6 +250,7 @@
   if (tells_limit && upstreams.OnLimit(instance, notice.limit_per_s, sent_at, now)) {
     log.Write(now, "upstream_limit",
               {{"upstream", instance}, {"per_s", FormatLimit(notice.limit_per_s)}});
+    LimitUpstream(instance, notice.limit_per_s);
   }
   if (notice.rest_ms > 0) {
     ++counters.rests_asked;
@@ -328,14 +331,38 @@
   const auto verdict = quotas.Take(organisation, amount, ticket, MonotonicMs());
   if (verdict.decision != QuotaTaker::Decision::kAsked) return verdict;
   exchange->OnQuotaAsked(ticket);
+  AwaitGiver(exchange, ticket);
+  return verdict;
+}
+
+QuotaTaker::Verdict Gateway::Impl::TakeOfUpstream(
+    const std::shared_ptr<internal::Exchange>& exchange, const std::string& instance) {
+  const std::uint64_t ticket = ++last_ticket;
+  const auto verdict = quotas.TakeOfUpstream(instance, ticket, MonotonicMs());
+  if (verdict.decision != QuotaTaker::Decision::kAsked) return verdict;
+  exchange->OnShareAsked(ticket, instance);
+  AwaitGiver(exchange, ticket);
+  return verdict;
+}
+
+void Gateway::Impl::AwaitGiver(const std::shared_ptr<internal::Exchange>& exchange,
+                               std::uint64_t ticket) {
   asking.emplace(ticket, exchange);
-  if (std::exchange(is_sending_quotas, true)) return verdict;
+  if (std::exchange(is_sending_quotas, true)) return;
   // All requests that come with the same wake-up go into one question.
   boost::asio::post(io, [self = shared_from_this()] {
     self->is_sending_quotas = false;
     self->SendQuotaMessages();
   });
-  return verdict;
+}
+
+void Gateway::Impl::LimitUpstream(const std::string& instance, std::optional<double> per_s) {
+  auto outcomes = quotas.LimitUpstream(instance, per_s, MonotonicMs());
+  // Not from within an exchange's own call.
+  boost::asio::post(io, [self = shared_from_this(), outcomes = std::move(outcomes)] {
+    self->TellQuotas(outcomes);
+    self->SendQuotaMessages();
+  });
 }
 
 void Gateway::Impl::CancelQuota(std::uint64_t ticket) {
@@ -348,7 +375,7 @@
     if (found == asking.end()) continue;
     const auto exchange = found->second.lock();
     asking.erase(found);
-    if (exchange) exchange->OnQuota(it.verdict);
+    if (exchange) exchange->OnQuota(it.ticket, it.verdict);
   }
 }
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -43,6 +43,11 @@
   // Requests that wait for a giver's word on their organisation's quota.
   QuotaTaker::Verdict TakeQuota(const std::shared_ptr<internal::Exchange>& exchange,
                                 const std::string& organisation, double amount);
+  // The same for what an upstream that names a limit takes.
+  QuotaTaker::Verdict TakeOfUpstream(const std::shared_ptr<internal::Exchange>& exchange,
+                                     const std::string& instance);
+  void AwaitGiver(const std::shared_ptr<internal::Exchange>& exchange, std::uint64_t ticket);
+  void LimitUpstream(const std::string& instance, std::optional<double> per_s);
   void CancelQuota(std::uint64_t ticket);
   void TellQuotas(const std::vector<QuotaTaker::Outcome>& outcomes);
   void SendQuotaMessages();
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -159,7 +159,7 @@
 }
 
 Pick UpstreamTable::ChooseLoad(const PickRequest& request, const std::vector<Row*>& usable,
-                               TimeMs now) {
+                               const std::optional<WaitFor>& opening, TimeMs now) {
   const Row* best = nullptr;
   DurationMs best_ms = 0;
   std::uint64_t best_score = 0;
@@ -191,8 +191,10 @@
     best_ms = estimate;
     best_score = score;
   }
+  if (best == nullptr && opening) return *opening;
   if (best == nullptr) return WaitFor{{}, 0, {}, 0};
   const DurationMs estimate = EstimateLoad(*best, *request.model, store, now);
+  if (opening && opening->estimate_ms <= estimate) return *opening;
   NoteAsked(*request.model, best->record.instance, estimate, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
                  CostToOthers(*best, *request.model)};
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -222,6 +222,15 @@
   return IsPresent(row, service) && row.ejected_until <= now && !IsMute(row, now);
 }
 
+TimeMs UpstreamTable::OpensAt(const Row& row) { return row.limit_per_s ? row.limited_until : 0; }
+
+const UpstreamTable::Row* UpstreamTable::SoonestOpen(const std::vector<Row*>& closed) {
+  const auto first = std::min_element(closed.begin(), closed.end(), [](const Row* a, const Row* b) {
+    return OpensAt(*a) < OpensAt(*b);
+  });
+  return first == closed.end() ? nullptr : *first;
+}
+
 bool UpstreamTable::Holds(const Row& row, const ModelRef& model, TimeMs now) const {
   const auto denied = row.not_loaded_until.find(model);
   if (denied != row.not_loaded_until.end() && denied->second > now) return false;
@@ -309,39 +318,56 @@
   return NoneLeft{"all_tried"};
 }
 
-Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
-  const auto is_untried = [&request](const Row& row) {
-    return !Contains(request.tried, row.record.instance);
-  };
-  if (request.model) {
-    std::vector<Row*> holders;
-    const auto known = holders_.find(request.model->model);
-    if (known != holders_.end()) {
-      std::copy_if(
-          known->second.begin(), known->second.end(), std::back_inserter(holders),
-          [&](const Row* it) { return IsUsable(*it, request.service, now) && is_untried(*it); });
+UpstreamTable::Candidates UpstreamTable::HoldersFor(const PickRequest& request, TimeMs now) {
+  Candidates holders;
+  const auto known = holders_.find(request.model->model);
+  if (known == holders_.end()) return holders;
+  for (Row* it : known->second) {
+    const bool is_untried = !Contains(request.tried, it->record.instance);
+    if (!is_untried || !IsUsable(*it, request.service, now)) continue;
+    if (OpensAt(*it) <= now) {
+      holders.open.push_back(it);
+    } else if (Holds(*it, *request.model, now)) {
+      holders.closed.push_back(it);
     }
-    const Pick pick = ChooseHolder(request, holders, now);
-    if (!std::holds_alternative<NoneLeft>(pick)) return pick;
   }
-  std::vector<Row*> usable;
+  return holders;
+}
+
+// All ejected: any that is listed and takes requests is better than a refusal.
+UpstreamTable::Candidates UpstreamTable::UsableFor(std::string_view service, TimeMs now) {
+  Candidates usable;
+  Candidates ejected;
   for (auto& [instance, row] : rows_) {
-    if (IsUsable(row, request.service, now)) usable.push_back(&row);
+    if (!IsPresent(row, service)) continue;
+    Candidates& its = IsUsable(row, service, now) ? usable : ejected;
+    (OpensAt(row) > now ? its.closed : its.open).push_back(&row);
   }
-  if (usable.empty()) {
-    // All ejected: any that is listed is better than a refusal.
-    for (auto& [instance, row] : rows_) {
-      if (IsPresent(row, request.service)) usable.push_back(&row);
-    }
+  if (!usable.open.empty()) return usable;
+  ejected.closed.insert(ejected.closed.end(), usable.closed.begin(), usable.closed.end());
+  return ejected;
+}
+
+Pick UpstreamTable::Choose(const PickRequest& request, TimeMs now) {
+  std::optional<WaitFor> opening;  // A holder that takes requests again later.
+  if (request.model) {
+    const Candidates holders = HoldersFor(request, now);
+    const Pick pick = ChooseHolder(request, holders.open, now);
+    if (!std::holds_alternative<NoneLeft>(pick)) return pick;
+    const Row* row = SoonestOpen(holders.closed);
+    if (row != nullptr) opening = WaitFor{row->record.instance, OpensAt(*row) - now, "closed", 0};
   }
-  if (usable.empty()) return NoneLeft{"no_upstream"};
+  const Candidates usable = UsableFor(request.service, now);
   std::vector<Row*> untried;
-  std::copy_if(usable.begin(), usable.end(), std::back_inserter(untried),
-               [&](const Row* it) { return is_untried(*it); });
+  std::copy_if(usable.open.begin(), usable.open.end(), std::back_inserter(untried),
+               [&](const Row* it) { return !Contains(request.tried, it->record.instance); });
   const Pick pick = ChooseHolder(request, untried, now);
-  const bool is_cold = std::holds_alternative<NoneLeft>(pick) && request.model && !untried.empty();
-  if (!is_cold) return pick;
-  return ChooseLoad(request, untried, now);
+  if (!std::holds_alternative<NoneLeft>(pick)) return pick;
+  if (request.model && !untried.empty()) return ChooseLoad(request, untried, opening, now);
+  if (opening) return *opening;
+  const Row* row = SoonestOpen(usable.closed);
+  if (row != nullptr) return NoneLeft{"upstreams take nothing now", OpensAt(*row) - now};
+  return NoneLeft{usable.open.empty() ? "no_upstream" : "all_tried", 0};
 }
 
 void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority,
@@ -445,6 +471,11 @@
   return it == rows_.end() ? std::nullopt : it->second.limit_per_s;
 }
 
+void UpstreamTable::OnLimitReached(const std::string& instance, TimeMs until) {
+  const auto it = rows_.find(instance);
+  if (it != rows_.end()) it->second.limited_until = until;
+}
+
 int UpstreamTable::CountLimited() const {
   return static_cast<int>(std::count_if(rows_.begin(), rows_.end(), [](const auto& it) {
     return it.second.limit_per_s && !it.second.is_gone;
--- a/src/tenancy/quota_taker.cc
+++ b/src/tenancy/quota_taker.cc
@@ -23,6 +23,18 @@
 // A lower count of entries is believed once no higher one came for so long.
 constexpr DurationMs kEntriesMs = 60000;
 constexpr double kMsPerS = 1000;
+// Where there are no agents nobody counts the entries.
+constexpr int kEntriesAssumed = 8;
+// One that takes less, or nothing, gets as much all the same: only an answer tells that it
+// takes more again.
+constexpr double kLeastUpstreamPerS = 0.05;
+constexpr double kUpstreamBurst = 1;
+
+// Names of organisations hold no blanks. A limit that changes is counted anew: what was said of
+// the former one may still be under way.
+std::string UpstreamAccount(const std::string& instance, double per_s) {
+  return "upstream " + instance + " " + std::to_string(per_s);
+}
 
 }  // namespace
 
@@ -40,12 +52,61 @@
   }
   for (auto it = accounts_.begin(); it != accounts_.end();) {
     // One with requests that still wait goes with the next configuration.
-    const bool is_over =
-        limited.count(it->first) == 0 && it->second.asked.empty() && it->second.waiting.empty();
+    const bool is_over = it->second.upstream.empty() && limited.count(it->first) == 0 &&
+                         it->second.asked.empty() && it->second.waiting.empty();
     it = is_over ? accounts_.erase(it) : std::next(it);
   }
 }
 
+std::vector<QuotaTaker::Outcome> QuotaTaker::LimitUpstream(const std::string& instance,
+                                                           std::optional<double> per_s,
+                                                           TimeMs now) {
+  std::vector<Outcome> outcomes;
+  const auto former = upstreams_.find(instance);
+  if (former != upstreams_.end()) {
+    const Account& account = accounts_[former->second];
+    for (const auto* waiting : {&account.asked, &account.waiting}) {
+      for (const auto& it : *waiting) {
+        // With another limit they ask anew.
+        const Verdict verdict = per_s ? Verdict{Decision::kOver, 0} : Verdict{};
+        if (it.ticket != 0) outcomes.push_back({it.ticket, verdict});
+      }
+    }
+    Forget(former->second);
+    upstreams_.erase(former);
+  }
+  if (!per_s) return outcomes;
+  const std::string name = UpstreamAccount(instance, *per_s);
+  upstreams_[instance] = name;
+  Account& account = accounts_[name];
+  account.upstream = instance;
+  account.limit = {name, std::max(*per_s, kLeastUpstreamPerS), kUpstreamBurst};
+  account.alone_from = now;
+  ChooseGiver(name, &account, now);
+  has_news_ = true;
+  return outcomes;
+}
+
+void QuotaTaker::Forget(const std::string& account) {
+  accounts_.erase(account);
+  has_news_ = true;
+}
+
+void QuotaTaker::KeepUpstreams(const std::function<bool(const std::string& instance)>& has_limit) {
+  for (auto it = upstreams_.begin(); it != upstreams_.end();) {
+    const Account& account = accounts_[it->second];
+    const bool is_kept = has_limit(it->first) || !account.asked.empty() || !account.waiting.empty();
+    if (!is_kept) Forget(it->second);
+    it = is_kept ? std::next(it) : upstreams_.erase(it);
+  }
+}
+
+QuotaTaker::Verdict QuotaTaker::TakeOfUpstream(const std::string& instance, std::uint64_t ticket,
+                                               TimeMs now) {
+  const auto it = upstreams_.find(instance);
+  return it == upstreams_.end() ? Verdict{} : Take(it->second, 1, ticket, now);
+}
+
 // An entry that is cut off is counted by nobody, and the others are still there.
 void QuotaTaker::SetEntries(int entries, TimeMs now) {
   if (entries < entries_ && now - entries_at_ < kEntriesMs) return;
@@ -131,14 +192,17 @@
 // its start does not know how many share the limit, and has none.
 QuotaTaker::Verdict QuotaTaker::TakeAlone(Account* account, double amount, TimeMs now) const {
   const Verdict refused{Decision::kNoGiver, kNoGiverRetryMs};
-  const TimeMs begin_at = account->told_at + kHoldingMs + kAnswerMs;
+  const bool was_told = account->told_at != 0;
+  const TimeMs begin_at =
+      was_told ? account->told_at + kHoldingMs + kAnswerMs : account->alone_from;
   const bool has_share =
-      account->giver.instance.empty() && account->told_at != 0 && now > begin_at && entries_ > 0;
+      account->giver.instance.empty() && begin_at != 0 && now > begin_at && entries_ > 0;
   if (!has_share) return refused;
+  const int entries = was_told ? entries_ : std::max(entries_, kEntriesAssumed);
   const auto gap = static_cast<double>(now - std::max(account->own_at, begin_at));
   account->own_at = now;
-  const double per_s = account->limit.per_s / entries_;
-  const double most = std::max(amount, account->limit.burst / entries_);
+  const double per_s = account->limit.per_s / entries;
+  const double most = std::max(amount, account->limit.burst / entries);
   account->own_level = std::min(most, account->own_level + per_s * gap / kMsPerS);
   if (account->own_level < amount) return refused;
   account->own_level -= amount;
@@ -304,6 +368,7 @@
     usage.amount = account.amount;
     usage.credit = now > account.credit_until ? 0 : account.credit;
     usage.giver = account.giver.address;
+    usage.upstream = account.upstream;
     usage.is_silent = now < account.silent_until;
     usages.push_back(std::move(usage));
   }
--- a/test/random_quota_test.cc
+++ b/test/random_quota_test.cc
@@ -13,14 +13,42 @@
 namespace {
 
 constexpr DurationMs kStepMs = 25;
-constexpr int kEntries = 4;
 constexpr int kAgents = 3;
-constexpr double kPerS = 100;
-constexpr double kBurst = 100;
-// As the users have it: a window of so long, and so much beyond the limit.
-constexpr DurationMs kWindowMs = 8000;
-constexpr double kOver = 0.1;
-constexpr double kSlack = 0.17 * kPerS;
+
+// What is limited, and the bounds as the users have them.
+struct OrganisationPlan {
+  static constexpr int kEntries = 4;
+  static constexpr double kPerS = 100;
+  static constexpr double kBurst = 100;
+  static constexpr DurationMs kWindowMs = 8000;
+  static constexpr double kMost = (kPerS * kWindowMs / 1000 + kBurst) * 1.1 + 0.17 * kPerS;
+
+  static void Limit(QuotaTaker* taker, TimeMs now) {
+    Organisation shop;
+    shop.name = "shop";
+    shop.quota.per_s = kPerS;
+    shop.quota.burst = kBurst;
+    taker->SetOrganisations({shop}, 1, now);
+  }
+  static QuotaTaker::Verdict Take(QuotaTaker* taker, std::uint64_t ticket, TimeMs now) {
+    return taker->Take("shop", 1, ticket, now);
+  }
+};
+
+// An upstream that takes one request a second: much less than the entries together want.
+template <int n>
+struct UpstreamPlan {
+  static constexpr int kEntries = n;
+  static constexpr double kPerS = 1;
+  static constexpr DurationMs kWindowMs = 4000;
+  static constexpr double kMost = 1.5 * kPerS * kWindowMs / 1000 + 5;
+
+  static void Limit(QuotaTaker* taker, TimeMs now) { taker->LimitUpstream("i-up", kPerS, now); }
+  static QuotaTaker::Verdict Take(QuotaTaker* taker, std::uint64_t ticket, TimeMs now) {
+    return taker->TakeOfUpstream("i-up", ticket, now);
+  }
+};
+
 // An agent whose view is not heard for so long is no giver, as an entry sees it.
 constexpr DurationMs kUnseenMs = 1500;
 constexpr DurationMs kSayMs = 250;
@@ -50,10 +78,11 @@
   std::optional<QuotaGrant> grant;
 };
 
+template <class Plan>
 class World {
  public:
-  explicit World(std::uint32_t) : entries_(kEntries), agents_(kAgents) {
-    for (int n = 0; n < kEntries; ++n) StartEntry(n);
+  explicit World(std::uint32_t) : entries_(Plan::kEntries), agents_(kAgents) {
+    for (int n = 0; n < Plan::kEntries; ++n) StartEntry(n);
     for (auto& it : agents_) it.giver = std::make_unique<QuotaGiver>();
   }
 
@@ -71,19 +100,15 @@
   void StartEntry(int n) {
     Entry& it = entries_[static_cast<std::size_t>(n)];
     it.taker = std::make_unique<QuotaTaker>("entry-" + std::to_string(n));
-    it.taker->SetEntries(kEntries, now_);
-    Organisation shop;
-    shop.name = "shop";
-    shop.quota.per_s = kPerS;
-    shop.quota.burst = kBurst;
-    it.taker->SetOrganisations({shop}, 1, now_);
+    it.taker->SetEntries(Plan::kEntries, now_);
+    Plan::Limit(it.taker.get(), now_);
     it.seen_at.assign(kAgents, now_);
     it.said_at = 0;
   }
 
   void Trouble(Word& word) {
     const auto for_ms = 200 + static_cast<DurationMs>(word.Take(6000));
-    auto& entry = entries_[word.Take(kEntries)];
+    auto& entry = entries_[word.Take(Plan::kEntries)];
     auto& agent = agents_[word.Take(kAgents)];
     switch (word.Take(12)) {
       case 0:
@@ -99,7 +124,7 @@
         agent.cut_until = now_ + for_ms;
         break;
       case 4:
-        StartEntry(static_cast<int>(word.Take(kEntries)));
+        StartEntry(static_cast<int>(word.Take(Plan::kEntries)));
         break;
       case 5:
         RestartAgent(word.Take(kAgents));
@@ -128,7 +153,7 @@
   void Pass(Word& word) {
     now_ += kStepMs;
     Deliver(word);
-    for (int n = 0; n < kEntries; ++n) {
+    for (int n = 0; n < Plan::kEntries; ++n) {
       if (entries_[static_cast<std::size_t>(n)].stopped_until <= now_) Run(n, word);
     }
     for (auto& it : agents_) {
@@ -144,7 +169,7 @@
     const std::uint32_t most = now_ < hot_until_ ? 12 : 3;
     const auto requests = word.Take(most);
     for (std::uint32_t k = 0; k < requests; ++k) {
-      const auto verdict = entry.taker->Take("shop", 1, ++tickets_, now_);
+      const auto verdict = Plan::Take(entry.taker.get(), ++tickets_, now_);
       if (verdict.decision == QuotaTaker::Decision::kTaken) Count(1);
     }
     for (auto& it : entry.taker->TakeMessages(now_)) {
@@ -204,13 +229,13 @@
   }
 
   void Judge() {
-    while (!taken_.empty() && taken_.front().first <= now_ - kWindowMs) {
+    while (!taken_.empty() && taken_.front().first <= now_ - Plan::kWindowMs) {
       in_window_ -= taken_.front().second;
       taken_.pop_front();
     }
-    const double most = (kPerS * kWindowMs / 1000.0 + kBurst) * (1 + kOver) + kSlack;
-    Require(in_window_ <= most, "expected " + std::to_string(most) + " in a window at most, got " +
-                                    std::to_string(in_window_));
+    Require(in_window_ <= Plan::kMost, "expected " + std::to_string(Plan::kMost) +
+                                           " in a window at most, got " +
+                                           std::to_string(in_window_));
   }
 
   std::vector<Entry> entries_;
@@ -226,14 +251,10 @@
 // All is well: what is allowed is used to the full, and below it nobody is refused.
 struct Calm {
   Calm() {
-    for (int n = 0; n < kEntries; ++n) {
+    for (int n = 0; n < OrganisationPlan::kEntries; ++n) {
       takers.push_back(std::make_unique<QuotaTaker>("entry-" + std::to_string(n)));
-      Organisation shop;
-      shop.name = "shop";
-      shop.quota.per_s = kPerS;
-      shop.quota.burst = kBurst;
-      takers.back()->SetEntries(kEntries, now);
-      takers.back()->SetOrganisations({shop}, 1, now);
+      takers.back()->SetEntries(OrganisationPlan::kEntries, now);
+      OrganisationPlan::Limit(takers.back().get(), now);
       takers.back()->SetGivers({{"i-0", "10.0.0.1:1"}}, now);
     }
   }
@@ -270,13 +291,22 @@
 
 TEST_GROUP(RandomQuota){};
 
-TEST(RandomQuota, KeepsAllEntriesTogetherWithinTheLimit) { CHECK(RunAtRandom<World>("quotas")); }
+TEST(RandomQuota, KeepsAllEntriesTogetherWithinTheLimit) {
+  CHECK(RunAtRandom<World<OrganisationPlan>>("quotas"));
+}
+
+// Guards against entries that each keep an upstream's limit for themselves.
+TEST(RandomQuota, KeepsAllEntriesTogetherWithinWhatAnUpstreamTakes) {
+  CHECK(RunAtRandom<World<UpstreamPlan<4>>>("upstream limits, few entries"));
+  CHECK(RunAtRandom<World<UpstreamPlan<25>>>("upstream limits, many entries"));
+}
 
 TEST(RandomQuota, UsesWhatIsAllowedToTheFullAtManyTimesTheLimit) {
   Calm calm;
   for (int n = 0; n < 40; ++n) calm.Pass(0);
-  for (int n = 0; n < 400; ++n) calm.Pass(7.5 * kPerS / kEntries);
-  const double allowed = kPerS * 10 + kBurst;
+  for (int n = 0; n < 400; ++n)
+    calm.Pass(7.5 * OrganisationPlan::kPerS / OrganisationPlan::kEntries);
+  const double allowed = OrganisationPlan::kPerS * 10 + OrganisationPlan::kBurst;
   EXPECT_TRUE(
       calm.taken >= 0.97 * allowed && calm.taken <= allowed + 1,
       "expected 97 in 100 of " + std::to_string(allowed) + ", got " + std::to_string(calm.taken));
@@ -285,7 +315,8 @@
 TEST(RandomQuota, RefusesNobodyBelowTheLimit) {
   Calm calm;
   for (int n = 0; n < 40; ++n) calm.Pass(0);
-  for (int n = 0; n < 400; ++n) calm.Pass(0.9 * kPerS / kEntries);
+  for (int n = 0; n < 400; ++n)
+    calm.Pass(0.9 * OrganisationPlan::kPerS / OrganisationPlan::kEntries);
   EXPECT_NUMBER(calm.asked, calm.taken, "requests asked for and taken");
 }
 
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -2,64 +2,15 @@
 #include "junctionrail/routing.h"
 
 #include "check.h"
+#include "routing_world.h"
 
 namespace junctionrail {
 namespace {
 
-EngineSpec MakeSpec() {
-  EngineSpec spec;
-  spec.accelerator_mb = 230;
-  spec.adapter_places = 8;
-  for (const char* name : {"a", "b", "c"}) spec.models.push_back({name, 72, 1, 6000, 800, 400});
-  return spec;
-}
-
-UpstreamRecord Record(const std::string& instance, const std::string& hall = "hall-1") {
-  return {instance, "engine", {"10.0.0.1", 80}, hall, 64, false, {}};
-}
-
-EngineView View(const std::string& instance, std::vector<LoadedModel> loaded = {},
-                std::vector<std::string> at_hand = {}) {
-  EngineView view;
-  view.instance = instance;
-  view.loaded = std::move(loaded);
-  view.at_hand = std::move(at_hand);
-  return view;
-}
-
-struct Table {
-  // What is loaded ahead of requests is off but for its own tests.
-  explicit Table(bool stages = false, bool spares = false) : table(Options(stages, spares)) {
-    table.ApplyServices({{"engine", 100, MakeSpec()}, {"plain", 100, std::nullopt}});
-  }
-  static RoutingOptions Options(bool stages, bool spares) {
-    RoutingOptions options;
-    options.data_hall = "hall-1";
-    options.policy.stages = stages;
-    options.policy.spares = spares;
-    return options;
-  }
-
-  // The choice as "send u1", "wait u1" or the reason why there is none.
-  std::string Choose(const std::string& service, std::optional<ModelRef> model = std::nullopt,
-                     std::vector<std::string> tried = {}) {
-    PickRequest request;
-    request.service = service;
-    request.model = std::move(model);
-    request.tried = std::move(tried);
-    const Pick pick = table.Choose(request, now);
-    if (const auto* to = std::get_if<SendTo>(&pick)) return "send " + to->instance;
-    if (const auto* wait = std::get_if<WaitFor>(&pick)) {
-      estimate_ms = wait->estimate_ms;
-      return "wait " + wait->instance;
-    }
-    return std::get<NoneLeft>(pick).reason;
-  }
-
-  UpstreamTable table;
-  TimeMs now = 100000;
-  DurationMs estimate_ms = 0;
-};
+using testing::MakeSpec;
+using testing::Record;
+using testing::Table;
+using testing::View;
 
 }  // namespace
 
--- a/test/upstream_notices_test.cc
+++ b/test/upstream_notices_test.cc
@@ -85,6 +85,11 @@
     callers.back()->Send(Request("GET /a/"));
   }
 
+  std::int64_t CountServed() const {
+    return std::count_if(callers.begin(), callers.end(),
+                         [](const auto& it) { return Holds(it->received(), "200 OK"); });
+  }
+
   boost::asio::io_context io;
   EventLog log{QuietLog()};
   QuotaGiver giver;
@@ -123,7 +128,11 @@
   world.AddUpstream("u2", [](const SeenRequest&, const Peer& peer) { peer->Write(Answer()); });
   world.AddGiver();
   // Until each entry has been told.
-  for (std::size_t n = 0; n < 64; ++n) world.Call(n);
+  constexpr int kFirstCalls = 64;
+  for (std::size_t n = 0; n < kFirstCalls; ++n) {
+    world.Call(n);
+    RunFor(world.io, 10);
+  }
   RunFor(world.io, 500);
   got.clear();
   constexpr int kCalls = 240;
@@ -137,9 +146,53 @@
                                     " requests in four seconds at most, got " +
                                     std::to_string(most));
   EXPECT_TRUE(!got.empty(), "what it allows is used");
-  const auto served = std::count_if(world.callers.begin(), world.callers.end(),
-                                    [](const auto& it) { return Holds(it->received(), "200 OK"); });
-  EXPECT_NUMBER(kCalls + 64, served, "callers served, the others by the upstream without a limit");
+  EXPECT_NUMBER(kCalls + kFirstCalls, world.CountServed(),
+                "callers served, most by the upstream without a limit");
+}
+
+// Guards against an upstream that is avoided for good once it has named a limit.
+TEST(UpstreamLimits, EndWithAnAnswerThatNamesNone) {
+  Entries world(1);
+  bool is_in_need = true;
+  int calls = 0;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    ++calls;
+    peer->Write(Answer(is_in_need ? "Server-Limit: 2\r\n" : ""));
+  });
+  world.AddGiver();
+  const auto call = [&] {
+    world.Call(0);
+    TestCaller& caller = *world.callers.back();
+    RunUntil(world.io, [&] { return Holds(caller.received(), "\r\n\r\n"); });
+    return caller.received();
+  };
+  EXPECT_TRUE(Holds(call(), "200 OK"), "the first answer names the limit");
+  const std::string refusal = call();
+  EXPECT_TRUE(Holds(refusal, "503 ") && Holds(refusal, "\"ran\":\"no\""), refusal);
+  EXPECT_TRUE(Holds(refusal, "Retry-After"), "with the time at which it is served");
+  EXPECT_NUMBER(1, calls, "nothing is left of two a second so soon");
+  is_in_need = false;
+  EXPECT_TRUE(RunUntil(world.io, [&] { return Holds(call(), "200 OK"); }), "its share came");
+  const int before = calls;
+  for (int n = 0; n < 8; ++n) call();
+  EXPECT_NUMBER(before + 8, calls, "it takes as many as come");
+}
+
+// Guards against an upstream that no entry sends to any more, as nobody counts its limit.
+TEST(UpstreamLimits, LeaveEachEntryAShareWhereThereIsNoAgent) {
+  Entries world(1);
+  std::vector<TimeMs> got;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    got.push_back(MonotonicMs());
+    peer->Write(Answer("Server-Limit: 16\r\n"));
+  });
+  for (std::size_t n = 0; n < 160; ++n) {
+    world.Call(n);
+    RunFor(world.io, 25);
+  }
+  EXPECT_TRUE(got.size() >= 2, "expected two requests or more, got " + std::to_string(got.size()));
+  const std::size_t most = MostWithin(got, 4000);
+  EXPECT_TRUE(most <= 16 * 4 / 8 + 2, "expected an eighth at most, got " + std::to_string(most));
 }
 
 }  // namespace junctionrail
