A failing test: an upstream that asks for a rest gets none

What callers see: requests for a model that only this upstream holds end with its refusal; all others take a way round over it, again and again, out of the budget for further attempts.

--- a/test/upstream_notices_test.cc
+++ b/test/upstream_notices_test.cc
@@ -30,6 +30,13 @@
          "Content-Length: 2\r\n\r\nok";
 }
 
+// It has not run the request.
+std::string TurnedAway(const std::string& fields) {
+  return "HTTP/1.1 503 Service Unavailable\r\nJunctionrail-Request-Id: r1\r\n"
+         "Junctionrail-Not-Run: 1\r\n" +
+         fields + "Content-Length: 0\r\n\r\n";
+}
+
 // Entries before the same upstreams, and an agent that counts what they may send to an
 // upstream with a limit.
 class Entries {
@@ -195,4 +202,35 @@
   EXPECT_TRUE(most <= 16 * 4 / 8 + 2, "expected an eighth at most, got " + std::to_string(most));
 }
 
+TEST_GROUP(UpstreamRests){};
+
+// Guards against an entry that goes on sending to an upstream which has asked it for a rest.
+TEST(UpstreamRests, AreLeftToAnUpstreamThatAsksForOne) {
+  constexpr DurationMs kRestMs = 2000;
+  constexpr DurationMs kGraceMs = 500;  // What was under way when it asked.
+  constexpr std::size_t kAllowed = 2;
+  Entries world(1);
+  TimeMs asked_at = 0;
+  std::size_t unasked = 0;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    const TimeMs now = MonotonicMs();
+    if (asked_at == 0 || now - asked_at >= kRestMs) {
+      asked_at = now;
+    } else if (now - asked_at >= kGraceMs) {
+      ++unasked;
+    }
+    peer->Write(TurnedAway("Retry-After: 2\r\n"));
+  });
+  world.AddUpstream("u2", [](const SeenRequest&, const Peer& peer) { peer->Write(Answer()); });
+  constexpr int kCalls = 160;
+  for (std::size_t n = 0; n < kCalls; ++n) {
+    world.Call(n);
+    RunFor(world.io, 25);
+  }
+  RunFor(world.io, 200);
+  EXPECT_TRUE(unasked <= kAllowed,
+              "expected two requests at most in its rest, got " + std::to_string(unasked));
+  EXPECT_NUMBER(kCalls, world.CountServed(), "callers served by the other upstream");
+}
+
 }  // namespace junctionrail
