Routing: what an upstream says of its use stands in a type of its own

UpstreamTerms holds the limit that an upstream names and when something is left of it. The table of upstreams keeps one a row; nothing it decides changes. ClosedUpstreams.*, UpstreamLimits.*, Choices.* and ColdModels.* pass as before.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -292,6 +292,24 @@
   std::string malformed;  // What could not be read, with the field's name; empty: nothing.
 };
 
+// What an upstream has said of how it is to be used, and from when on it takes requests.
+class UpstreamTerms {
+ public:
+  // An answer to a request sent at `sent_at` names this limit, or none. Whether that is news.
+  bool OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now);
+  // All entries together have sent what the limit allows, for so long.
+  void OnLimitReached(TimeMs until) { limited_until_ = until; }
+
+  std::optional<double> limit_per_s() const { return limit_per_s_; }
+  // From when on it takes requests.
+  TimeMs OpensAt() const;
+
+ private:
+  std::optional<double> limit_per_s_;  // From all entries together.
+  TimeMs limit_at_ = 0;                // When it last named one.
+  TimeMs limited_until_ = 0;           // Nothing is left of the limit.
+};
+
 // How an attempt at an upstream ended, as far as it tells of its health.
 enum class AttemptEnd { kServed, kRefused, kFailed, kUnreachable, kSilent, kAbandoned };
 
@@ -327,12 +345,9 @@
   DurationMs FirstEventMs(const ModelRef& model) const;
   void OnEnd(const std::string& instance, const std::optional<ModelRef>& model, AttemptEnd end,
              TimeMs now);
-  // An answer to a request sent at `sent_at` names this limit, or none. Whether that is news.
-  bool OnLimit(const std::string& instance, std::optional<double> per_s, TimeMs sent_at,
-               TimeMs now);
+  // Of an upstream in the table, else null.
+  UpstreamTerms* FindTerms(const std::string& instance);
   std::optional<double> LimitOf(const std::string& instance) const;
-  // All entries together have sent what its limit allows, for so long.
-  void OnLimitReached(const std::string& instance, TimeMs until);
   // How many upstreams name a limit.
   int CountLimited() const;
   // The upstream says that it is another instance, or does not hold the model.
@@ -383,10 +398,8 @@
     std::map<ModelRef, TimeMs> not_loaded_until;
     std::map<ModelRef, TimeMs> overdue_until;  // Asked for it in vain.
     std::vector<std::string> indexed;          // Models under which `holders_` has the row.
-    std::optional<double> limit_per_s;         // That it takes from all entries together.
-    TimeMs limit_at = 0;                       // When it last named one.
-    TimeMs limited_until = 0;                  // Nothing is left of the limit.
-    int failures = 0;                          // In a row.
+    UpstreamTerms terms;
+    int failures = 0;  // In a row.
     TimeMs ejected_until = 0;
     int ejections = 0;
   };
@@ -416,8 +429,6 @@
   };
   Candidates HoldersFor(const PickRequest& request, TimeMs now);
   Candidates UsableFor(std::string_view service, TimeMs now);
-  // From when on the upstream takes requests.
-  static TimeMs OpensAt(const Row& row);
   // The first of these to take requests again; null where there is none.
   static const Row* SoonestOpen(const std::vector<Row*>& closed);
   bool IsFresh(const Row& row, TimeMs now) const;
--- a/src/gateway/exchange_access.cc
+++ b/src/gateway/exchange_access.cc
@@ -177,8 +177,9 @@
 
 void Exchange::NoteLimitReached(const std::string& instance, DurationMs retry_ms) {
   ++gateway_.counters.held_by_limits;
-  gateway_.upstreams.OnLimitReached(instance,
-                                    MonotonicMs() + std::max(retry_ms, kLeastLimitRetryMs));
+  UpstreamTerms* terms = gateway_.upstreams.FindTerms(instance);
+  if (terms == nullptr) return;
+  terms->OnLimitReached(MonotonicMs() + std::max(retry_ms, kLeastLimitRetryMs));
 }
 
 void Exchange::RefuseOverQuota(const QuotaTaker::Verdict& verdict) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -238,7 +238,8 @@
 
 void Gateway::Impl::OnAnswer(const std::string& instance, const internal::UpstreamHead& head,
                              TimeMs sent_at) {
-  if (!options.read_notice) return;
+  UpstreamTerms* terms = upstreams.FindTerms(instance);
+  if (!options.read_notice || terms == nullptr) return;
   const TimeMs now = MonotonicMs();
   const UpstreamNotice notice = options.read_notice(head.status, head.fields);
   if (!notice.malformed.empty()) {
@@ -247,7 +248,7 @@
               {{"upstream", instance}, {"reason", notice.malformed}});
   }
   const bool tells_limit = notice.malformed.empty();
-  if (tells_limit && upstreams.OnLimit(instance, notice.limit_per_s, sent_at, now)) {
+  if (tells_limit && terms->OnLimit(notice.limit_per_s, sent_at, now)) {
     log.Write(now, "upstream_limit",
               {{"upstream", instance}, {"per_s", FormatLimit(notice.limit_per_s)}});
     LimitUpstream(instance, notice.limit_per_s);
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -111,7 +111,7 @@
   for (const Row* row : holders->second) {
     if (!IsUsable(*row, row->record.service, now) || !IsFresh(*row, now)) continue;
     // One that names a limit is in need: callers beyond it have to be served elsewhere.
-    taken += row->limit_per_s ? row->record.slots : row->view.running + row->view.waiting;
+    taken += row->terms.limit_per_s() ? row->record.slots : row->view.running + row->view.waiting;
     places += row->record.slots;
   }
   return taken > kCrowdedPart * places;
@@ -148,7 +148,7 @@
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
     if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
-    if (row.limit_per_s) continue;
+    if (row.terms.limit_per_s()) continue;
     if (is_asked && asked->second.instance == instance) return &row;
     double cost = static_cast<double>(EstimateLoad(row, ref, store, now));
     if (best != nullptr && cost > best_rank.first) continue;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -222,11 +222,9 @@
   return IsPresent(row, service) && row.ejected_until <= now && !IsMute(row, now);
 }
 
-TimeMs UpstreamTable::OpensAt(const Row& row) { return row.limit_per_s ? row.limited_until : 0; }
-
 const UpstreamTable::Row* UpstreamTable::SoonestOpen(const std::vector<Row*>& closed) {
   const auto first = std::min_element(closed.begin(), closed.end(), [](const Row* a, const Row* b) {
-    return OpensAt(*a) < OpensAt(*b);
+    return a->terms.OpensAt() < b->terms.OpensAt();
   });
   return first == closed.end() ? nullptr : *first;
 }
@@ -325,7 +323,7 @@
   for (Row* it : known->second) {
     const bool is_untried = !Contains(request.tried, it->record.instance);
     if (!is_untried || !IsUsable(*it, request.service, now)) continue;
-    if (OpensAt(*it) <= now) {
+    if (it->terms.OpensAt() <= now) {
       holders.open.push_back(it);
     } else if (Holds(*it, *request.model, now)) {
       holders.closed.push_back(it);
@@ -341,7 +339,7 @@
   for (auto& [instance, row] : rows_) {
     if (!IsPresent(row, service)) continue;
     Candidates& its = IsUsable(row, service, now) ? usable : ejected;
-    (OpensAt(row) > now ? its.closed : its.open).push_back(&row);
+    (row.terms.OpensAt() > now ? its.closed : its.open).push_back(&row);
   }
   if (!usable.open.empty()) return usable;
   ejected.closed.insert(ejected.closed.end(), usable.closed.begin(), usable.closed.end());
@@ -355,7 +353,8 @@
     const Pick pick = ChooseHolder(request, holders.open, now);
     if (!std::holds_alternative<NoneLeft>(pick)) return pick;
     const Row* row = SoonestOpen(holders.closed);
-    if (row != nullptr) opening = WaitFor{row->record.instance, OpensAt(*row) - now, "closed", 0};
+    if (row != nullptr)
+      opening = WaitFor{row->record.instance, row->terms.OpensAt() - now, "closed", 0};
   }
   const Candidates usable = UsableFor(request.service, now);
   std::vector<Row*> untried;
@@ -366,7 +365,7 @@
   if (request.model && !untried.empty()) return ChooseLoad(request, untried, opening, now);
   if (opening) return *opening;
   const Row* row = SoonestOpen(usable.closed);
-  if (row != nullptr) return NoneLeft{"upstreams take nothing now", OpensAt(*row) - now};
+  if (row != nullptr) return NoneLeft{"upstreams take nothing now", row->terms.OpensAt() - now};
   return NoneLeft{usable.open.empty() ? "no_upstream" : "all_tried", 0};
 }
 
@@ -452,33 +451,19 @@
   row.failures = kFailuresToEject - 1;
 }
 
-// Answers on different connections overtake one another: only one to a request that was sent
-// after the limit was last named can tell that there is none any more.
-bool UpstreamTable::OnLimit(const std::string& instance, std::optional<double> per_s,
-                            TimeMs sent_at, TimeMs now) {
+UpstreamTerms* UpstreamTable::FindTerms(const std::string& instance) {
   const auto it = rows_.find(instance);
-  if (it == rows_.end()) return false;
-  Row& row = it->second;
-  if (!per_s && sent_at < row.limit_at) return false;
-  if (per_s) row.limit_at = now;
-  if (row.limit_per_s == per_s) return false;
-  row.limit_per_s = per_s;
-  return true;
+  return it == rows_.end() ? nullptr : &it->second.terms;
 }
 
 std::optional<double> UpstreamTable::LimitOf(const std::string& instance) const {
   const auto it = rows_.find(instance);
-  return it == rows_.end() ? std::nullopt : it->second.limit_per_s;
-}
-
-void UpstreamTable::OnLimitReached(const std::string& instance, TimeMs until) {
-  const auto it = rows_.find(instance);
-  if (it != rows_.end()) it->second.limited_until = until;
+  return it == rows_.end() ? std::nullopt : it->second.terms.limit_per_s();
 }
 
 int UpstreamTable::CountLimited() const {
   return static_cast<int>(std::count_if(rows_.begin(), rows_.end(), [](const auto& it) {
-    return it.second.limit_per_s && !it.second.is_gone;
+    return it.second.terms.limit_per_s() && !it.second.is_gone;
   }));
 }
 
--- a/test/closed_upstreams_test.cc
+++ b/test/closed_upstreams_test.cc
@@ -18,9 +18,9 @@
   t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   t.table.OnSent("u2", std::nullopt, t.now);
   EXPECT_TEXT("send u1", t.Choose("engine"), "the less busy one");
-  t.table.OnLimit("u1", 2, t.now, t.now);
+  t.Terms("u1").OnLimit(2, t.now, t.now);
   EXPECT_TEXT("send u1", t.Choose("engine"), "a limit alone keeps nothing back");
-  t.table.OnLimitReached("u1", t.now + 500);
+  t.Terms("u1").OnLimitReached(t.now + 500);
   EXPECT_TEXT("send u2", t.Choose("engine"), "nothing is left");
   t.now += 500;
   EXPECT_TEXT("send u1", t.Choose("engine"), "something is left again");
@@ -29,8 +29,8 @@
 TEST(ClosedUpstreams, AreNoLastResortAndTellWhenTheyOpen) {
   Table t;
   t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
-  t.table.OnLimit("u1", 1, t.now, t.now);
-  t.table.OnLimitReached("u1", t.now + 700);
+  t.Terms("u1").OnLimit(1, t.now, t.now);
+  t.Terms("u1").OnLimitReached(t.now + 700);
   t.table.OnSent("u2", std::nullopt, t.now);
   t.table.OnEnd("u2", std::nullopt, AttemptEnd::kUnreachable, t.now);
   EXPECT_TEXT("send u2", t.Choose("engine"), "one that is ejected goes before one that is closed");
@@ -43,21 +43,21 @@
   t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
   t.table.ApplyView(View("u1", {{"a", {}}}), t.now);
   t.table.ApplyView(View("u2", {}, {"a"}), t.now);
-  t.table.OnLimit("u1", 1, t.now, t.now);
-  t.table.OnLimitReached("u1", t.now + 400);
+  t.Terms("u1").OnLimit(1, t.now, t.now);
+  t.Terms("u1").OnLimitReached(t.now + 400);
   EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "it opens before a load is done");
   EXPECT_NUMBER(400, t.estimate_ms, "");
-  t.table.OnLimitReached("u1", t.now + 3000);
+  t.Terms("u1").OnLimitReached(t.now + 3000);
   EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}), "from its disk it is up sooner");
 }
 
 TEST(ClosedUpstreams, KeepTheirLimitThroughAnAnswerToAnEarlierRequest) {
   Table t;
   t.table.ApplyListing({Record("u1")}, t.now);
-  EXPECT_TRUE(t.table.OnLimit("u1", 2, t.now, t.now + 100), "it is news");
-  EXPECT_TRUE(!t.table.OnLimit("u1", std::nullopt, t.now + 50, t.now + 200), "sent before");
+  EXPECT_TRUE(t.Terms("u1").OnLimit(2, t.now, t.now + 100), "it is news");
+  EXPECT_TRUE(!t.Terms("u1").OnLimit(std::nullopt, t.now + 50, t.now + 200), "sent before");
   EXPECT_TRUE(t.table.LimitOf("u1") == 2, "the limit stands");
-  EXPECT_TRUE(t.table.OnLimit("u1", std::nullopt, t.now + 150, t.now + 200), "sent after");
+  EXPECT_TRUE(t.Terms("u1").OnLimit(std::nullopt, t.now + 150, t.now + 200), "sent after");
   EXPECT_TRUE(!t.table.LimitOf("u1"), "it has ended");
 }
 
@@ -75,8 +75,8 @@
   t.table.ApplyView(View("u2", {}, {"a"}), t.now);
   t.table.OnArrival(ModelRef{"a", ""}, 0, 400, t.now);
   EXPECT_TRUE(t.table.Demands({}, t.now)["u2"].wanted.empty(), "two replicas bear six a second");
-  t.table.OnLimit("u1", 1, t.now, t.now);
-  t.table.OnLimit("u3", 1, t.now, t.now);
+  t.Terms("u1").OnLimit(1, t.now, t.now);
+  t.Terms("u3").OnLimit(1, t.now, t.now);
   EXPECT_NUMBER(1, t.table.Demands({}, t.now)["u2"].wanted.size(),
                 "what they do not take needs a place");
 }
--- a/test/support/routing_world.h
+++ b/test/support/routing_world.h
@@ -63,6 +63,8 @@
     return std::get<NoneLeft>(pick).reason;
   }
 
+  UpstreamTerms& Terms(const std::string& instance) { return *table.FindTerms(instance); }
+
   UpstreamTable table;
   TimeMs now = 100000;
   DurationMs estimate_ms = 0;  // Of the last choice, where it was to wait.
