Leave upstreams the rest that they ask for

Seen: an engine that turned requests away with Retry-After: 3 got four from the same entry within those three seconds (two allowed). Requests for what only it held ended with its refusal; all others took the way round over it each time.

Cause: a refusal counted for the request that met it ("tried") and for nothing else, and the field was not read. It even drew requests: an upstream that turns all away has the lowest load in the next view. The class is that of the limit: an upstream's statement about itself ended with the answer that carried it.

Change: UpstreamTerms keeps the rest. No choice takes a resting upstream, nor as a last resort when all others are ejected, and a request whose connection was being opened is not sent. After a rest one request goes ahead of the others. A request whose model is only there waits if that is sooner than a load elsewhere, else it is refused at once with the end of the rest as its Retry-After.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -299,8 +299,13 @@
   bool OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now);
   // All entries together have sent what the limit allows, for so long.
   void OnLimitReached(TimeMs until) { limited_until_ = until; }
+  // An answer to a request sent at `sent_at` asks for a rest, or for none: 0.
+  void OnRest(DurationMs rest_ms, TimeMs sent_at, TimeMs now);
+  void OnSent(TimeMs now) { sent_at_ = now; }
 
   std::optional<double> limit_per_s() const { return limit_per_s_; }
+  // Whether it has asked for a rest that lasts still.
+  bool IsResting(TimeMs now) const { return rest_until_ > now; }
   // From when on it takes requests.
   TimeMs OpensAt() const;
 
@@ -308,6 +313,9 @@
   std::optional<double> limit_per_s_;  // From all entries together.
   TimeMs limit_at_ = 0;                // When it last named one.
   TimeMs limited_until_ = 0;           // Nothing is left of the limit.
+  TimeMs rest_until_ = 0;              // It wants nothing until then.
+  bool is_unproven_ = false;           // It has taken nothing since that rest.
+  TimeMs sent_at_ = 0;                 // When it was last sent a request.
 };
 
 // How an attempt at an upstream ended, as far as it tells of its health.
@@ -348,6 +356,7 @@
   // Of an upstream in the table, else null.
   UpstreamTerms* FindTerms(const std::string& instance);
   std::optional<double> LimitOf(const std::string& instance) const;
+  bool IsResting(const std::string& instance, TimeMs now) const;
   // How many upstreams name a limit.
   int CountLimited() const;
   // The upstream says that it is another instance, or does not hold the model.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -126,8 +126,7 @@
     return;
   }
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
-  const auto& none = std::get<NoneLeft>(choice);
-  GiveUp(SoFar(), none.reason, std::max(none.retry_ms, kDefaultRetryAfterMs));
+  GiveUp(SoFar(), std::get<NoneLeft>(choice).reason);
 }
 
 // Worked out only while there is something to compare it with, as it reads the whole body.
@@ -194,7 +193,10 @@
     auto& besides = is_suspect ? request.taken : request.risky;
     besides = is_suspect ? gateway_.probation.TakenBesides(Digest()) : gateway_.probation.Taken();
   }
-  return gateway_.upstreams.Choose(request, now);
+  Pick pick = gateway_.upstreams.Choose(request, now);
+  const auto* none = std::get_if<NoneLeft>(&pick);
+  opens_in_ms_ = none == nullptr ? 0 : none->retry_ms;
+  return pick;
 }
 
 void Exchange::WaitForModel(const WaitFor& wait) {
@@ -307,12 +309,15 @@
   return head;
 }
 
-// What was chosen may have left, and the caller too, while the connection was opened.
+// What was chosen may have left or asked for a rest, and the caller may have left, while the
+// connection was opened.
 bool Exchange::MaySend() {
   const auto sink = sink_.lock();
   const bool is_key_good =
       !key_ || (KeyHolder() != nullptr && gateway_.MayTrustKeys(MonotonicMs()));
-  return sink && !sink->HasLeft() && is_key_good && gateway_.upstreams.IsListed(instance_);
+  const bool is_upstream_good = gateway_.upstreams.IsListed(instance_) &&
+                                !gateway_.upstreams.IsResting(instance_, MonotonicMs());
+  return sink && !sink->HasLeft() && is_key_good && is_upstream_good;
 }
 
 void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
@@ -409,10 +414,6 @@
 }
 
 void Exchange::GiveUp(Ran ran, std::string_view reason) {
-  GiveUp(ran, reason, kDefaultRetryAfterMs);
-}
-
-void Exchange::GiveUp(Ran ran, std::string_view reason, DurationMs retry_after_ms) {
   if (is_finished_) return;
   if (is_begun_) {
     const auto sink = sink_.lock();
@@ -421,7 +422,8 @@
   }
   const bool is_late = MonotonicMs() >= end_at_;
   if (ran == Ran::kNo) {
-    return Refuse(kUnavailable, "not_run", reason, Ran::kNo, retry_after_ms);
+    return Refuse(kUnavailable, "not_run", reason, Ran::kNo,
+                  std::max(opens_in_ms_, kDefaultRetryAfterMs));
   }
   Refuse(is_late ? kGatewayTimeout : kBadGateway, "outcome_unknown", reason, Ran::kMaybe, 0);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -122,7 +122,6 @@
   void Refuse(unsigned status, std::string_view code, std::string_view sentence, Ran ran,
               DurationMs retry_after_ms);
   void GiveUp(Ran ran, std::string_view reason);
-  void GiveUp(Ran ran, std::string_view reason, DurationMs retry_after_ms);
   void Finish(std::string_view outcome, unsigned status);
   void Arm();
   void OnTimer();
@@ -169,6 +168,8 @@
   std::string asked_;  // Whose agent was asked for the model.
   TimeMs parked_since_ = 0;
   DurationMs waited_ms_ = 0;  // For models, before it was sent.
+  // When an upstream takes requests again, where the last choice found none; 0: not known.
+  DurationMs opens_in_ms_ = 0;
   bool is_parked_ = false;
 
   std::optional<UpstreamHead> head_;  // Of the attempt under way.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -67,6 +67,10 @@
       // It may be the right one again once the model is loaded.
       tried_.pop_back();
     }
+  } else if (gateway_.upstreams.IsResting(instance_, now)) {
+    reason = "it asks for a rest";
+    // It may be the right one again after it.
+    if (model_) tried_.pop_back();
   } else if (model_ && head.status == kUnavailable) {
     reason = "full, or an order on the model is under way";
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -253,6 +253,7 @@
               {{"upstream", instance}, {"per_s", FormatLimit(notice.limit_per_s)}});
     LimitUpstream(instance, notice.limit_per_s);
   }
+  terms->OnRest(notice.rest_ms, sent_at, now);
   if (notice.rest_ms > 0) {
     ++counters.rests_asked;
     log.Write(now, "upstream_rest", {{"upstream", instance}, {"rest_ms", notice.rest_ms}});
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -410,6 +410,7 @@
   if (it->second.unheard_since == 0) it->second.unheard_since = now;
   ++it->second.in_flight;
   ++it->second.sent_since_view;
+  it->second.terms.OnSent(now);
   if (model) ++it->second.in_flight_by_model[*model];
 }
 
@@ -461,6 +462,11 @@
   return it == rows_.end() ? std::nullopt : it->second.terms.limit_per_s();
 }
 
+bool UpstreamTable::IsResting(const std::string& instance, TimeMs now) const {
+  const auto it = rows_.find(instance);
+  return it != rows_.end() && it->second.terms.IsResting(now);
+}
+
 int UpstreamTable::CountLimited() const {
   return static_cast<int>(std::count_if(rows_.begin(), rows_.end(), [](const auto& it) {
     return it.second.terms.limit_per_s() && !it.second.is_gone;
--- a/test/closed_upstreams_test.cc
+++ b/test/closed_upstreams_test.cc
@@ -1,4 +1,5 @@
-// Upstreams that want no requests just now: those that named a limit which is used up.
+// Upstreams that want no requests just now: those that named a limit which is used up, and
+// those that asked for a rest.
 #include "check.h"
 #include "routing_world.h"
 
@@ -61,6 +62,40 @@
   EXPECT_TRUE(!t.table.LimitOf("u1"), "it has ended");
 }
 
+TEST(ClosedUpstreams, GetNothingInTheirRestAndThenOneRequestAheadOfTheOthers) {
+  Table t;
+  t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
+  t.table.OnSent("u2", std::nullopt, t.now);
+  const TimeMs sent_at = t.now;
+  t.Terms("u1").OnRest(3000, sent_at, t.now);
+  EXPECT_TEXT("send u2", t.Choose("engine"), "it rests");
+  t.now += 2999;
+  EXPECT_TEXT("send u2", t.Choose("engine"), "still");
+  t.now += 1;
+  EXPECT_TEXT("send u1", t.Choose("engine"), "the rest is over");
+  t.table.OnSent("u1", std::nullopt, t.now);
+  t.table.OnEnd("u1", std::nullopt, AttemptEnd::kAbandoned, t.now);
+  EXPECT_TEXT("send u2", t.Choose("engine"), "one request finds out first");
+  t.Terms("u1").OnRest(0, sent_at, t.now);
+  EXPECT_TEXT("send u2", t.Choose("engine"), "an answer to one sent before the rest tells nothing");
+  t.Terms("u1").OnRest(0, t.now, t.now);
+  EXPECT_TEXT("send u1", t.Choose("engine"), "it takes requests again");
+}
+
+TEST(ClosedUpstreams, RestAgainWhenTheFirstRequestAfterARestIsTurnedAway) {
+  Table t;
+  t.table.ApplyListing({Record("u1")}, t.now);
+  t.Terms("u1").OnRest(1000, t.now, t.now);
+  t.now += 1000;
+  t.table.OnSent("u1", std::nullopt, t.now);
+  t.Terms("u1").OnRest(1000, t.now, t.now + 10);
+  t.now += 1009;
+  EXPECT_TEXT("upstreams take nothing now", t.Choose("engine"), "the second rest");
+  EXPECT_NUMBER(1, t.retry_ms, "of it");
+  t.now += 1;
+  EXPECT_TEXT("send u1", t.Choose("engine"), "is over too");
+}
+
 TEST(ClosedUpstreams, MakeTheirModelsWantAnotherReplica) {
   Table t;
   t.table.ApplyListing({Record("u1"), Record("u2")}, t.now);
--- a/test/upstream_notices_test.cc
+++ b/test/upstream_notices_test.cc
@@ -9,6 +9,7 @@
 #include "junctionrail/tenancy.h"
 #include "loopback.h"
 #include "platform.h"
+#include "routing_world.h"
 
 namespace junctionrail {
 namespace {
@@ -60,13 +61,17 @@
     RunFor(io, 100);
   }
 
-  void AddUpstream(const std::string& instance, ScriptedUpstream::Script script) {
+  void AddUpstream(const std::string& instance, ScriptedUpstream::Script script,
+                   const std::string& service = "plain") {
     upstreams.push_back(std::make_unique<ScriptedUpstream>(io, std::move(script)));
-    records.push_back({instance, "plain", upstreams.back()->endpoint(), "hall-1", 8, false, {}});
+    UpstreamRecord record{instance, service, upstreams.back()->endpoint(), "hall-1", 8, false, {}};
+    if (service == "engine") record.loaded = {{"a", {}}};
+    records.push_back(std::move(record));
     RoutingConfiguration configuration;
     configuration.version = 1;
-    configuration.routes = {MakeRoute("/a/", CallKind::kRepeatable, "plain")};
-    configuration.services = {{"plain", 64, std::nullopt}};
+    configuration.routes = {MakeRoute("/a/", CallKind::kRepeatable, "plain"),
+                            MakeRoute("/m/", CallKind::kOnce, "engine")};
+    configuration.services = {{"plain", 64, std::nullopt}, {"engine", 64, testing::MakeSpec()}};
     for (const auto& it : gateways) {
       it->ApplyListing({records, MonotonicMs()});
       it->ApplyConfiguration(configuration);
@@ -87,9 +92,9 @@
   }
 
   // A caller of entry `n` that need not be answered before the next one.
-  void Call(std::size_t n) {
+  void Call(std::size_t n, const std::string& line = "GET /a/", const std::string& fields = "") {
     callers.push_back(std::make_unique<TestCaller>(io, ports[n % ports.size()]));
-    callers.back()->Send(Request("GET /a/"));
+    callers.back()->Send(Request(line, fields));
   }
 
   std::int64_t CountServed() const {
@@ -233,4 +238,62 @@
   EXPECT_NUMBER(kCalls, world.CountServed(), "callers served by the other upstream");
 }
 
+// Guards against a request that is sent, or kept waiting, where the only upstream rests.
+TEST(UpstreamRests, AreToldToCallersWhereNoOtherUpstreamIsThere) {
+  Entries world(1);
+  int calls = 0;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    ++calls;
+    peer->Write(TurnedAway("Retry-After: 30\r\n"));
+  });
+  world.Call(0);
+  TestCaller& first = *world.callers.back();
+  EXPECT_TRUE(RunUntil(world.io, [&] { return Holds(first.received(), "\"ran\":\"no\""); }),
+              "it is refused");
+  EXPECT_TRUE(
+      Holds(first.received(), "Retry-After: 30.0") || Holds(first.received(), "Retry-After: 29.9"),
+      first.received());
+  world.Call(0);
+  TestCaller& second = *world.callers.back();
+  EXPECT_TRUE(RunUntil(world.io, [&] { return Holds(second.received(), "503 "); }),
+              "the next is refused at once");
+  EXPECT_NUMBER(1, calls, "and sent nowhere");
+}
+
+// Guards against a request that is given up though the one engine with its model only rests.
+TEST(UpstreamRests, AreWaitedForByARequestWhoseModelIsNowhereElse) {
+  constexpr DurationMs kRestMs = 500;
+  Entries world(1);
+  std::vector<TimeMs> got;
+  const auto script = [&](const SeenRequest&, const Peer& peer) {
+    got.push_back(MonotonicMs());
+    peer->Write(got.size() == 1 ? TurnedAway("Retry-After: 0.5\r\n") : Answer());
+  };
+  world.AddUpstream("u1", script, "engine");
+  world.Call(0, "POST /m/", "Junctionrail-Model: a\r\n");
+  TestCaller& caller = *world.callers.back();
+  EXPECT_TRUE(RunUntil(world.io, [&] { return Holds(caller.received(), "200 OK"); }),
+              caller.received());
+  EXPECT_NUMBER(2, got.size(), "it was sent again");
+  EXPECT_TRUE(got.at(1) - got.at(0) >= kRestMs, "after the rest");
+}
+
+// Guards against requests that all go at once to an upstream whose rest is over.
+TEST(UpstreamRests, EndWithOneRequestAheadOfThoseThatWaited) {
+  constexpr int kCalls = 12;
+  Entries world(1);
+  std::vector<TimeMs> got;
+  const auto script = [&](const SeenRequest&, const Peer& peer) {
+    got.push_back(MonotonicMs());
+    peer->Write(TurnedAway("Retry-After: 2\r\n"));
+  };
+  world.AddUpstream("u1", script, "engine");
+  for (std::size_t n = 0; n < kCalls; ++n) world.Call(n, "POST /m/", "Junctionrail-Model: a\r\n");
+  RunFor(world.io, 400);
+  const std::size_t before = got.size();
+  EXPECT_TRUE(RunUntil(world.io, [&] { return got.size() > before; }), "the rest is over");
+  RunFor(world.io, 100);
+  EXPECT_NUMBER(before + 1, got.size(), "requests, and another rest");
+}
+
 }  // namespace junctionrail
