Take an upstream's own word that it leaves

An upstream that says in its answers that it leaves went on getting requests until its record said so, or for good where it never does.

Change: an answer that says so takes the upstream out of all choices, and holds through listings that still call it ready. An answer with 421 says nothing of the upstream that was meant, as another one may have its address.

Evidence: UpstreamsThatLeave.GetNothingMoreOnceAnAnswerSaysSo failed before (20 requests after the first answer, expected 1) and passes.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -359,6 +359,8 @@
   bool IsResting(const std::string& instance, TimeMs now) const;
   // How many upstreams name a limit.
   int CountLimited() const;
+  // The upstream says that it leaves, whatever its record says. Whether that is news.
+  bool OnSaidLeaving(const std::string& instance, TimeMs now);
   // The upstream says that it is another instance, or does not hold the model.
   void OnOtherInstance(const std::string& instance);
   void OnNotLoaded(const std::string& instance, const ModelRef& model, TimeMs now);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -31,7 +31,8 @@
   heard_at_ = MonotonicMs();
   gateway_.upstreams.OnHeard(instance_, heard_at_);
   gateway_.crashes.OnHeard(instance_, heard_at_);
-  gateway_.OnAnswer(instance_, head, attempt_at_);
+  // Such an answer may be that of another instance at the address.
+  if (head.status != kMisdirected) gateway_.OnAnswer(instance_, head, attempt_at_);
   const CallHeaderNames& names = gateway_.options.names;
   const bool is_success = head.status / 100 == 2;
   const std::string* type = FindField(head.fields, "Content-Type");
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -258,7 +258,8 @@
     ++counters.rests_asked;
     log.Write(now, "upstream_rest", {{"upstream", instance}, {"rest_ms", notice.rest_ms}});
   }
-  if (notice.is_leaving && upstreams.IsListed(instance)) {
+  if (notice.is_leaving && upstreams.OnSaidLeaving(instance, now)) {
+    crashes.OnLeaving(instance);
     log.Write(now, "upstream_says_leaving", {{"upstream", instance}});
   }
 }
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -473,6 +473,14 @@
   }));
 }
 
+bool UpstreamTable::OnSaidLeaving(const std::string& instance, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end() || it->second.record.is_leaving) return false;
+  it->second.record.is_leaving = true;
+  NoteLeft(it->second.record.service, now);
+  return true;
+}
+
 void UpstreamTable::OnOtherInstance(const std::string& instance) {
   const auto it = rows_.find(instance);
   if (it != rows_.end()) it->second.was_replaced = true;
--- a/test/upstream_notices_test.cc
+++ b/test/upstream_notices_test.cc
@@ -296,4 +296,41 @@
   EXPECT_NUMBER(before + 1, got.size(), "requests, and another rest");
 }
 
+TEST_GROUP(UpstreamsThatLeave){};
+
+// Guards against work for an upstream whose answers say that it leaves, while its record does not.
+TEST(UpstreamsThatLeave, GetNothingMoreOnceAnAnswerSaysSo) {
+  Entries world(1);
+  int calls = 0;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    ++calls;
+    peer->Write(Answer("Server-Leaving: 1\r\n"));
+  });
+  world.AddUpstream("u2", [](const SeenRequest&, const Peer& peer) { peer->Write(Answer()); });
+  constexpr int kCalls = 20;
+  for (std::size_t n = 0; n < kCalls; ++n) {
+    world.Call(n);
+    RunFor(world.io, 10);
+    world.gateways[0]->ApplyListing({world.records, MonotonicMs()});
+  }
+  RunFor(world.io, 200);
+  EXPECT_NUMBER(kCalls, world.CountServed(), "callers served");
+  EXPECT_NUMBER(1, calls, "requests to the one that leaves");
+}
+
+// Guards against a notice of another upstream that has the address now.
+TEST(UpstreamsThatLeave, AreNotThoseInWhosePlaceAnotherOneAnswers) {
+  Entries world(1);
+  int calls = 0;
+  world.AddUpstream("u1", [&](const SeenRequest&, const Peer& peer) {
+    const bool is_first = ++calls == 1;
+    peer->Write(is_first ? "HTTP/1.1 421 Misdirected Request\r\nJunctionrail-Request-Id: r1\r\n"
+                           "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+                         : Answer());
+  });
+  world.Call(0);
+  RunFor(world.io, 100);
+  EXPECT_TRUE(world.gateways[0]->upstreams().IsListed("u1"), "it has said nothing");
+}
+
 }  // namespace junctionrail
