Agents leave their engine the rest that it asks for

An engine that answers a report or an order with 503 and Retry-After was asked on, up to twenty times a second while demand waits.

--- a/src/daemon/engine_keeper.cc
+++ b/src/daemon/engine_keeper.cc
@@ -178,10 +178,16 @@
 
 void EngineKeeper::AskReport() {
   if (is_stopped_) return;
-  is_asking_ = true;
   quotas_.Tick(MonotonicMs());
   LogQuotaParts();
   report_timer_.Cancel();
+  const DurationMs rest_ms = engine_.rest_until() - MonotonicMs();
+  if (rest_ms > 0) {
+    // Entries' quotas are counted on meanwhile.
+    const DurationMs delay = std::min(rest_ms, options_.quiet_report_ms);
+    return report_timer_.After(delay, [self = shared_from_this()] { self->AskReport(); });
+  }
+  is_asking_ = true;
   engine_.Report([self = shared_from_this()](Result<EngineReport, platform::DecodeError> report) {
     self->is_asking_ = false;
     if (self->is_stopped_) return;
@@ -214,7 +220,9 @@
 void EngineKeeper::GiveOrder() {
   // Without a token no order is given: it could be older than one given before.
   const std::int64_t fence = callbacks_.fence();
-  if (is_ordering_ || fence == 0 || core_.instance().empty() || is_leaving_) return;
+  const bool is_resting = engine_.rest_until() > MonotonicMs();
+  const bool may_order = fence != 0 && !core_.instance().empty() && !is_leaving_ && !is_resting;
+  if (is_ordering_ || !may_order) return;
   const auto order = core_.NextOrder(MonotonicMs());
   if (!order) return;
   is_ordering_ = true;
--- a/test/direct_agent_test.cc
+++ b/test/direct_agent_test.cc
@@ -62,7 +62,8 @@
   void Handle(const SeenRequest& request, const Peer& peer) {
     if (request.Line() == "GET /report HTTP/1.1") {
       ++reports;
-      return peer->Write(Answer(200, "", kReport));
+      return peer->Write(wants_rest ? Answer(503, "Retry-After: 10\r\n", "")
+                                    : Answer(200, "", kReport));
     }
     ordered.push_back(request.Field("Expect-Instance"));
     if (ordered.back() == present) return peer->Write(Answer(202, "", ""));
@@ -97,6 +98,7 @@
     return n;
   }
 
+  bool wants_rest = false;  // The engine does, and says so.
   boost::asio::io_context io;
   StandinStore store{io};
   Endpoint link;
@@ -168,6 +170,19 @@
               "expected 5 listings or more, got " + std::to_string(world.Listings()));
 }
 
+// Guards against an agent that goes on asking an engine which wants a rest.
+TEST(DirectAgent, LeavesItsEngineTheRestThatItAsksFor) {
+  World world;
+  world.List("i-1");
+  world.wants_rest = true;
+  world.Start();
+  EXPECT_TRUE(world.AwaitReports(1), "it asks once");
+  world.Ask("i-1");
+  testing::RunFor(world.io, 2500);
+  EXPECT_NUMBER(1, world.reports, "reports asked for");
+  EXPECT_NUMBER(0, world.ordered.size(), "orders given");
+}
+
 TEST(DirectAgent, SendsOnlyWhatHasChangedToAnEntryThatCanReadIt) {
   World world;
   world.List("i-1");
