Soak: start programs without a moment in which they hold the driver's sockets

Cause: fork copied the driver's listening sockets into the child, which closed them itself before exec. A pause that the driver sent in between stopped the child with them open, and an upstream that started again at its address in those up to 2.5 s could not bind.

Change: posix_spawn with closefrom. The parent goes on only once the child's program has begun, so no signal of the driver can meet it earlier.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -1,10 +1,12 @@
 #include "fleet.h"
 
 #include <fcntl.h>
+#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <system_error>
 #include <utility>
 
 namespace junctionrail::soak {
@@ -27,18 +29,19 @@
   char* const argv[] = {program_.data(), const_cast<char*>(settings.c_str()), nullptr};
   is_to_end_ = false;
   is_paused_ = false;
-  const pid_t pid = fork();
-  if (pid != 0) {
-    pid_ = pid;
-    return;
-  }
-  const int log = open(log_file_.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
-  dup2(log, STDOUT_FILENO);
-  dup2(log, STDERR_FILENO);
-  // What the driver has open is not the program's.
-  for (int fd = 3; fd < 1024; ++fd) close(fd);
-  execv(argv[0], argv);
-  _exit(127);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file_.c_str(),
+                                   O_CREAT | O_WRONLY | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // What the driver has open is not the program's. Unlike after a fork, no signal of the driver
+  // meets the child before its program has begun.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  const int error = posix_spawn(&pid_, argv[0], &actions, nullptr, argv, environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error == 0) return;
+  pid_ = 0;
+  throw std::system_error(error, std::generic_category(), program_);
 }
 
 void Process::Signal(int signal) {
