Soak: upstreams that name limits, ask for rests and say that they leave

Change: upstreams of the soak name a limit or turn a part of the requests away with a rest for 3 to 9 s, and half of those that leave say so. The judge holds entries to what they were told, by the users' bounds; a process that was stopped, a busy machine, and for limits a harmed way to the upstream excuse it.

--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -19,6 +19,16 @@
 // As on the users' sheet.
 constexpr DurationMs kQuotaWindowMs = 8000;
 constexpr double kQuotaOver = 0.1;
+// An upstream's limit holds from so long after it was first named, over each such window, for
+// entries that were told so long before.
+constexpr DurationMs kLimitFromMs = 3000;
+constexpr DurationMs kLimitWindowMs = 4000;
+constexpr DurationMs kLimitToldMs = 500;
+constexpr double kLimitTimes = 1.5;
+constexpr double kLimitExtra = 5;
+// Of a rest, what is on its way is let pass, and so many more.
+constexpr DurationMs kRestFromMs = 500;
+constexpr int kMostInRest = 2;
 
 }  // namespace
 
@@ -30,6 +40,90 @@
   if (n > 1) Complain("request " + request + " ran again, at " + instance);
 }
 
+void Judge::OnLimitNamed(const std::string& request, const std::string& instance, double per_s) {
+  Limit& limit = limits_[instance];
+  if (limit.since == 0) {
+    ++limits_named_;
+    limit.since = MonotonicMs();
+    limit.per_s = per_s;
+  }
+  limit.told.emplace(sent_[request].entry, MonotonicMs());
+}
+
+void Judge::OnLimitLifted(const std::string& instance) { limits_.erase(instance); }
+
+void Judge::OnRestAsked(const std::string& request, const std::string& instance,
+                        DurationMs rest_ms) {
+  ++rests_asked_;
+  const TimeMs now = MonotonicMs();
+  Rest& rest = rests_[{instance, sent_[request].entry}];
+  if (now < rest.until) return;
+  rest = {now, now + rest_ms, 0};
+}
+
+void Judge::OnSaidLeaving(const std::string& request, const std::string& instance) {
+  said_leaving_.emplace(AtEntry{instance, sent_[request].entry}, MonotonicMs());
+}
+
+void Judge::OnEntryStopped(int entry) { entry_stopped_[entry] = MonotonicMs(); }
+
+bool Judge::WasStopped(int entry, DurationMs within_ms) const {
+  const TimeMs now = MonotonicMs();
+  const auto stopped = entry_stopped_.find(entry);
+  const bool was_stopped = stopped != entry_stopped_.end() && now - stopped->second <= within_ms;
+  return was_stopped || now - busy_at_ <= within_ms;
+}
+
+void Judge::OnArrival(const std::string& request, const std::string& instance) {
+  const int entry = sent_[request].entry;
+  CheckLimit(instance, entry);
+  CheckRest(instance, entry);
+  CheckSaidLeaving(request, instance);
+}
+
+void Judge::CheckLimit(const std::string& instance, int entry) {
+  const auto found = limits_.find(instance);
+  if (found == limits_.end()) return;
+  Limit& limit = found->second;
+  const TimeMs now = MonotonicMs();
+  const auto told = limit.told.find(entry);
+  const bool is_told = told != limit.told.end() && now - told->second >= kLimitToldMs;
+  if (!is_told || now - limit.since < kLimitFromMs) return;
+  limit.came.emplace_back(now, entry);
+  while (limit.came.front().first <= now - kLimitWindowMs) limit.came.pop_front();
+  // What a harmed way held up comes all at once.
+  if (now - upstream_troubled_[instance] <= kLimitWindowMs) return;
+  const auto n = std::count_if(limit.came.begin(), limit.came.end(), [this](const auto& it) {
+    return !WasStopped(it.second, kLimitWindowMs);
+  });
+  const double allowed = kLimitTimes * limit.per_s * kLimitWindowMs / 1000.0 + kLimitExtra;
+  if (static_cast<double>(n) <= allowed) return;
+  Complain("upstream " + instance + ", which takes " + std::to_string(limit.per_s) +
+           " a second, got " + std::to_string(n) + " in a window");
+}
+
+void Judge::CheckRest(const std::string& instance, int entry) {
+  const auto found = rests_.find({instance, entry});
+  const TimeMs now = MonotonicMs();
+  if (found == rests_.end() || now >= found->second.until) return;
+  Rest& rest = found->second;
+  if (now - rest.since < kRestFromMs || WasStopped(entry, now - rest.since)) return;
+  if (++rest.came <= kMostInRest) return;
+  Complain("upstream " + instance + " got " + std::to_string(rest.came) + " requests from entry " +
+           std::to_string(entry) + " in a rest");
+}
+
+void Judge::CheckSaidLeaving(const std::string& request, const std::string& instance) {
+  const int entry = sent_[request].entry;
+  const auto said = said_leaving_.find({instance, entry});
+  if (said == said_leaving_.end()) return;
+  const DurationMs late = sent_[request].at - said->second;
+  if (late <= kLeavingMs || WasStopped(entry, MonotonicMs() - said->second)) return;
+  Complain("upstream " + instance + " got request " + request + " from entry " +
+           std::to_string(entry) + ", sent " + std::to_string(late) +
+           " ms after it had told it that it leaves");
+}
+
 void Judge::OnLeaving(const std::string& instance) { leaving_.emplace(instance, MonotonicMs()); }
 void Judge::OnEntryTroubled(int entry) { entry_troubled_[entry] = MonotonicMs(); }
 void Judge::OnUpstreamTroubled(const std::string& instance) {
@@ -136,6 +230,8 @@
   for (const auto& [kind, n] : served_) text += " " + kind + " served " + std::to_string(n);
   for (const auto& [kind, n] : failed_) text += " " + kind + " failed " + std::to_string(n);
   text += ", ended by a request " + std::to_string(deadly_ends_);
+  text += ", limits named " + std::to_string(limits_named_);
+  text += ", rests asked " + std::to_string(rests_asked_);
   return text + ", refused " + std::to_string(refused_.size());
 }
 
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -30,6 +30,15 @@
   void OnAccess(const std::string& request, const std::string& organisation, bool has_key);
   // It says that it leaves, or its record goes and it serves on.
   void OnLeaving(const std::string& instance);
+  // Its answer to the request named a limit of requests a second from all entries.
+  void OnLimitNamed(const std::string& request, const std::string& instance, double per_s);
+  void OnLimitLifted(const std::string& instance);
+  // It turned the request away and asked its entry for a rest.
+  void OnRestAsked(const std::string& request, const std::string& instance, DurationMs rest_ms);
+  // Its answer to the request said that it leaves.
+  void OnSaidLeaving(const std::string& request, const std::string& instance);
+  // A request came, to be run or not.
+  void OnArrival(const std::string& request, const std::string& instance);
   void OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence);
   void OnOverfilled(const std::string& engine);
   // The request that ends engines begins to run, and ends one.
@@ -40,6 +49,8 @@
   // Its way to the store, or to `instance`, is harmed, or its process is. To be told
   // again while that lasts.
   void OnEntryTroubled(int entry);
+  // Its process does not run, or is paused. To be told again while that lasts.
+  void OnEntryStopped(int entry);
   void OnUpstreamTroubled(const std::string& instance);
   // The machine is too busy for times to tell anything.
   void OnBusyMachine();
@@ -60,12 +71,34 @@
  private:
   void CheckLeaving(const std::string& request, const std::string& instance);
   void CheckQuota(const std::string& request);
+  void CheckLimit(const std::string& instance, int entry);
+  void CheckRest(const std::string& instance, int entry);
+  void CheckSaidLeaving(const std::string& request, const std::string& instance);
+  bool WasStopped(int entry, DurationMs within_ms) const;
 
   struct Sent {
     int entry = 0;
     std::string organisation;
     TimeMs at = 0;
   };
+  struct Limit {
+    double per_s = 0;
+    TimeMs since = 0;
+    std::map<int, TimeMs> told;               // Entries that passed it on.
+    std::deque<std::pair<TimeMs, int>> came;  // Requests of those, by entry.
+  };
+  struct Rest {
+    TimeMs since = 0;
+    TimeMs until = 0;
+    int came = 0;
+  };
+  using AtEntry = std::pair<std::string, int>;  // An upstream and an entry.
+  std::map<std::string, Limit> limits_;         // By upstream.
+  std::map<AtEntry, Rest> rests_;
+  std::map<AtEntry, TimeMs> said_leaving_;
+  std::map<int, TimeMs> entry_stopped_;
+  int limits_named_ = 0;
+  int rests_asked_ = 0;
   std::map<std::string, int> runs_;
   std::map<std::string, TimeMs> leaving_;
   std::map<std::string, TimeMs> upstream_troubled_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -217,6 +217,7 @@
     for (int n = 0; n < kEntries; ++n) {
       const bool is_well = entry_processes_[static_cast<std::size_t>(n)]->is_well();
       if (is_store_away || !is_well) judge_.OnEntryTroubled(n);
+      if (!is_well) judge_.OnEntryStopped(n);
     }
   }
 
@@ -250,7 +251,7 @@
 
   // One fault; it may begin while earlier ones last.
   void Harm() {
-    switch (random_() % 13) {
+    switch (random_() % 14) {
       case 0:
         return HarmProcess(SIGKILL);
       case 1:
@@ -291,6 +292,13 @@
         Excuse(path);
         return path.proxy->SilenceOpen();
       }
+      case 12: {
+        Upstream& upstream = Any(upstreams_);
+        const bool is_limit = random_() % 2 == 0;
+        upstream.SetNeed(is_limit ? 0.25 * static_cast<double>(1 + random_() % 3) : 0,
+                         is_limit ? 0 : 60);
+        return Later(Between(3000, 9000), [&upstream] { upstream.SetNeed(0, 0); });
+      }
       default: {
         Upstream& upstream = Any(upstreams_);
         upstream.misbehaviour = {10, 10, 10, 30};
@@ -329,6 +337,7 @@
     Configure();
     for (auto& it : upstreams_) {
       it->misbehaviour = {};
+      it->SetNeed(0, 0);
       if (!it->is_running()) it->Start();
     }
     for (auto& it : callers_) it->TakeServed();
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -19,6 +19,7 @@
 constexpr DurationMs kPlainMs = 10;
 // How long an upstream serves on after it said that it leaves; then it ends.
 constexpr DurationMs kLeavingMs = 4000;
+constexpr DurationMs kRestMs = 1500;
 constexpr int kLeastEvents = 5;
 constexpr int kMoreEvents = 25;
 
@@ -67,6 +68,7 @@
   instance_ = name_ + "-" + std::to_string(++starts_);
   drained_at_ = 0;
   is_recorded_ = true;
+  need_ = {};
   loaded_.clear();
   loading_.reset();
   sequence_ = 0;
@@ -90,8 +92,28 @@
   if (!is_running()) Start();
 }
 
+void Upstream::SetNeed(double limit_per_s, int turned_away) {
+  if (limit_per_s == 0) judge_.OnLimitLifted(instance_);
+  need_.limit_per_s = limit_per_s;
+  need_.turned_away = turned_away;
+}
+
+std::string Upstream::Notices(const std::string& request) {
+  std::string fields;
+  if (need_.limit_per_s > 0) {
+    fields += "Server-Limit: " + std::to_string(need_.limit_per_s) + "\r\n";
+    judge_.OnLimitNamed(request, instance_, need_.limit_per_s);
+  }
+  if (need_.says_leaving) {
+    fields += "Server-Leaving: 1\r\n";
+    judge_.OnSaidLeaving(request, instance_);
+  }
+  return fields;
+}
+
 void Upstream::Drain(bool is_told) {
   if (!listener_ || drained_at_ != 0) return;
+  need_.says_leaving = Happens(50);
   drained_at_ = MonotonicMs();
   is_recorded_ = is_told;
   judge_.OnLeaving(instance_);
@@ -127,6 +149,11 @@
   if (request.Field("Expect-Instance") != instance_) {
     return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
   }
+  judge_.OnArrival(id, instance_);
+  if (Happens(need_.turned_away)) {
+    judge_.OnRestAsked(id, instance_, kRestMs);
+    return peer->Write(Whole(id, 503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n" + Notices(id), ""));
+  }
   is_engine_ ? Run(request, peer) : RunPlain(request, peer);
 }
 
@@ -222,7 +249,7 @@
   const std::string last = request.Field("Last-Event-Id");
   const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
   peer->Write(Head(id, 200,
-                   "Response-Seal: seal-" + id +
+                   Notices(id) + "Response-Seal: seal-" + id +
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
   Stream(id, next, count, peer, Happens(misbehaviour.cuts));
 }
@@ -247,7 +274,7 @@
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (Happens(misbehaviour.losses)) return peer->Reset();
   const std::string answer =
-      Whole(id, 200, "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
+      Whole(id, 200, Notices(id) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
   const bool is_cut = Happens(misbehaviour.cuts);
   const bool is_double = Happens(misbehaviour.surplus);
   After(kPlainMs, [peer, answer, is_cut, is_double] {
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -37,6 +37,13 @@
   int late_orders = 0;
 };
 
+// What an upstream says beside its answers.
+struct Need {
+  double limit_per_s = 0;  // 0: none.
+  int turned_away = 0;     // In a hundred requests, with a rest.
+  bool says_leaving = false;
+};
+
 class Upstream {
  public:
   Upstream(boost::asio::io_context& io, testing::StandinStore& store, Judge& judge, Random& random,
@@ -56,12 +63,17 @@
   // Starts again if a request ended it and its time to start has come.
   void StartIfDue();
 
+  // In need for a while; what it says of its leaving stays.
+  void SetNeed(double limit_per_s, int turned_away);
+
   Misbehaviour misbehaviour;
 
  private:
   using Peer = std::shared_ptr<testing::UpstreamPeer>;
 
   void OnRequest(const testing::SeenRequest& request, const Peer& peer);
+  // The fields of an answer to that request that tell what it needs.
+  std::string Notices(const std::string& request);
   void Report(const Peer& peer);
   void Order(const testing::SeenRequest& request, const Peer& peer);
   int Apply(const std::string& operation, const std::string& model, const std::string& adapter,
@@ -86,6 +98,7 @@
   TimeMs restart_at_ = 0;    // After a request ended it; 0: none did.
   TimeMs drained_at_ = 0;    // 0: not leaving.
   bool is_recorded_ = true;  // False once it has taken its record away.
+  Need need_;
   std::unique_ptr<testing::ScriptedUpstream> listener_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);  // Timers of an earlier one do nothing.
   std::map<std::string, std::vector<std::string>> loaded_;
