Agents on the product's own path leave their upstream the rest that it asks for

An upstream that refused a call with Retry-After got the next one at once.

Change: until the rest ends new calls are refused as not run, with its end, so that their entry finds another upstream; queued calls wait.

Evidence: AgentQueues.LeaveTheUpstreamTheRestThatItAsksFor fails with the rest not kept (the call is not refused) and passes. That the daemon reads the field of an answer has no test.

--- a/include/junctionrail/agent_core.h
+++ b/include/junctionrail/agent_core.h
@@ -91,6 +91,10 @@
   std::uint32_t status = 0;
   std::string content_type;
 };
+// The upstream turned a call away and wants nothing more for so long.
+struct UpstreamRests {
+  DurationMs rest_ms = 0;
+};
 struct UpstreamPiece {
   std::string id;
   std::string data;
@@ -150,9 +154,9 @@
 };
 
 using Event =
-    std::variant<FrameArrived, LinkClosed, UpstreamHead, UpstreamPiece, UpstreamEnd, UpstreamFailed,
-                 InventoryArrived, InventoryFailed, FenceDone, LoadEnded, UnloadEnded, GrantsRead,
-                 GrantFreed, PeersChanged, LeaveRequested, Ticked>;
+    std::variant<FrameArrived, LinkClosed, UpstreamHead, UpstreamRests, UpstreamPiece, UpstreamEnd,
+                 UpstreamFailed, InventoryArrived, InventoryFailed, FenceDone, LoadEnded,
+                 UnloadEnded, GrantsRead, GrantFreed, PeersChanged, LeaveRequested, Ticked>;
 
 // Commands.
 struct SendFrame {
--- a/src/core/agent_grants.cc
+++ b/src/core/agent_grants.cc
@@ -139,6 +139,11 @@
   reconsider_ = true;
   ExpireRequests();
   for (auto& [key, it] : replicas_) RefuseHopeless(it);
+  const bool is_rest_over = rest_until_ != 0 && rest_until_ <= now_;
+  if (is_rest_over) {
+    rest_until_ = 0;
+    for (auto& [key, it] : replicas_) PumpQueue(it);
+  }
   answers_.DropExpired(now_);
   if (options_.kind == UpstreamKind::kService) return;
   UnloadIdle();
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -101,6 +101,7 @@
   void On(agent::FrameArrived event);
   void On(agent::LinkClosed event);
   void On(agent::UpstreamHead event);
+  void On(agent::UpstreamRests event);
   void On(agent::UpstreamPiece event);
   void On(agent::UpstreamEnd event);
   void On(agent::UpstreamFailed event);
@@ -207,6 +208,7 @@
   std::map<std::string, Replica, std::less<>> replicas_;
   std::map<std::string, std::int64_t, std::less<>> seen_tokens_;
   std::map<std::string, CacheTier, std::less<>> tiers_;
+  TimeMs rest_until_ = 0;                           // The upstream wants no calls until then.
   double load_ms_per_gb_[3];                        // By tier: assumed at first, then measured.
   std::map<std::string, std::int64_t> lost_peers_;  // VM to the Unix time it left the list.
   std::set<ServicePeer> peers_;
--- a/src/core/agent_requests.cc
+++ b/src/core/agent_requests.cc
@@ -73,6 +73,11 @@
   if (call.deadline_ms <= 0) {
     return Refusal{RefusalCode::kDeadlinePassed, "the deadline had passed on arrival", Ran::kNo, 0};
   }
+  // Its entry finds another upstream sooner than the rest ends.
+  if (rest_until_ > now_) {
+    return Refusal{RefusalCode::kQueueFull, "the upstream asks for a rest", Ran::kNo,
+                   rest_until_ - now_};
+  }
   if (options_.kind == UpstreamKind::kEngine) {
     const auto refusal = AdmitToEngine(request);
     if (refusal) return refusal;
@@ -209,7 +214,7 @@
 }
 
 void AgentImpl::PumpQueue(Replica& replica) {
-  if (replica.state != ReplicaState::kLoaded || leaving_) return;
+  if (replica.state != ReplicaState::kLoaded || leaving_ || rest_until_ > now_) return;
   while (replica.running < options_.max_concurrent && !replica.queue.empty()) {
     AgentRequest& request = requests_.at(replica.queue.begin()->id);
     const bool others_wait = replica.queue.size() > 1;
@@ -250,6 +255,11 @@
                                request.was_cold, ReportOn(request.call.key)});
 }
 
+// What was queued before waits for the rest's end, as far as its deadlines allow.
+void AgentImpl::On(agent::UpstreamRests event) {
+  rest_until_ = std::max(rest_until_, now_ + event.rest_ms);
+}
+
 void AgentImpl::On(agent::UpstreamPiece event) {
   const auto it = requests_.find(event.id);
   if (it == requests_.end()) return;
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -1,9 +1,12 @@
 // The agent: links from entries on one side, its one upstream on the other,
 // and the decision core between them.
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <cmath>
 #include <map>
 #include <random>
 #include <unordered_map>
@@ -24,6 +27,20 @@
 constexpr DurationMs kReadSpreadMsPerUpstream = 4;
 constexpr DurationMs kLongestReadSpreadMs = 10000;
 constexpr DurationMs kSilentUpstreamMs = 10LL * 60 * 1000;
+constexpr unsigned kUnavailable = 503;
+// Of a longer rest as much is kept: then one call finds out whether it still holds.
+constexpr double kLongestRestS = 3600;
+constexpr double kMsPerS = 1000;
+
+// What a field of a refusal asks for (RFC 9110, section 10.2.3); a date, or what cannot be read,
+// asks for nothing.
+DurationMs RestOf(const HttpHeader& field) {
+  double seconds = 0;
+  const bool is_rest = absl::EqualsIgnoreCase(field.name, "Retry-After") &&
+                       absl::SimpleAtod(field.value, &seconds) && seconds > 0;
+  if (!is_rest) return 0;
+  return static_cast<DurationMs>(std::ceil(std::min(seconds, kLongestRestS) * kMsPerS));
+}
 
 }  // namespace
 
@@ -166,9 +183,15 @@
   call.is_fresh = settings_.agent.upstream_kind == UpstreamKind::kService;
   const std::string id = command.id;
   HttpCallbacks callbacks;
-  callbacks.head = [this, id](unsigned status, const std::string& content_type) {
+  const auto is_refusal = std::make_shared<bool>(false);
+  callbacks.head = [this, id, is_refusal](unsigned status, const std::string& content_type) {
+    *is_refusal = status == kUnavailable;
     Handle(agent::UpstreamHead{id, status, content_type});
   };
+  callbacks.header = [this, is_refusal](const HttpHeader& header) {
+    const DurationMs rest_ms = *is_refusal ? RestOf(header) : 0;
+    if (rest_ms > 0) Handle(agent::UpstreamRests{rest_ms});
+  };
   callbacks.piece = [this, id](std::string data) {
     Handle(agent::UpstreamPiece{id, std::move(data)});
   };
--- a/test/agent_core_test.cc
+++ b/test/agent_core_test.cc
@@ -204,6 +204,20 @@
   EXPECT_TEXT("other", agent.Last<agent::Dispatch>()->id, "the place goes to one in time");
 }
 
+// Guards against an agent that goes on sending to an upstream which has asked for a rest.
+TEST(AgentQueues, LeaveTheUpstreamTheRestThatItAsksFor) {
+  agent.Call("queued", "a@1", 60000);
+  agent.Handle(agent::UpstreamRests{3000});
+  agent.Handle(agent::UpstreamEnd{"first"});
+  const int before = agent.Count<agent::Dispatch>();
+  agent.Call("second", "a@1", 60000);
+  EXPECT_TEXT("queue_full", agent.RefusalOf("second"), "another upstream is there sooner");
+  agent.Tick(2999);
+  EXPECT_NUMBER(before, agent.Count<agent::Dispatch>(), "calls sent by the end of the rest");
+  agent.Tick(1);
+  EXPECT_TEXT("queued", agent.Last<agent::Dispatch>()->id, "the rest is over");
+}
+
 TEST(AgentQueues, ACancelledCallLeavesNothing) {
   agent.Handle(agent::FrameArrived{1, CancelFrame{"first"}});
   EXPECT_NUMBER(1, agent.Count<agent::CancelDispatch>(), "the upstream must not go on for nobody");
