Requests near limits and rests: keep a slow answer, tell the rest's end

An attempt that was silent for long was ended for an upstream with a limit, of which nothing might be left, so that the request had neither: it is now left only for one without a limit. A request that had been turned away too often was told half a second where its upstream had asked for a longer rest: it is told that.

UpstreamLimits.*, UpstreamRests.*, UpstreamsThatLeave.*, ClosedUpstreams.* and GatewayRetries.* pass; the linter is clean.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -500,7 +500,10 @@
     // Only where another upstream can take it and the budget has an attempt
     // left; else the wait goes on.
     const Pick choice = Choose(now);
-    if (std::holds_alternative<SendTo>(choice) && PayForAnother(now)) {
+    const auto* to = std::get_if<SendTo>(&choice);
+    // One with a limit may have nothing left of it.
+    const bool is_free = to != nullptr && !gateway_.upstreams.LimitOf(to->instance);
+    if (is_free && PayForAnother(now)) {
       call_->Cancel();
       EndAttempt(AttemptEnd::kSilent);
       LogAttempt(Ran::kMaybe, "silent");
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -70,6 +70,7 @@
     }
   } else if (gateway_.upstreams.IsResting(instance_, now)) {
     reason = "it asks for a rest";
+    opens_in_ms_ = gateway_.upstreams.FindTerms(instance_)->OpensAt() - now;
     // It may be the right one again after it.
     if (model_) tried_.pop_back();
   } else if (model_ && head.status == kUnavailable) {
