--- a/test/tenancy_test.cc
+++ b/test/tenancy_test.cc
@@ -134,6 +134,16 @@
   EXPECT_NUMBER(301, entry.last.retry_ms, "time until the level is positive");
 }
 
+TEST(QuotaAllocation, AdmitsOneRequestOnceAnythingHasAccrued) {
+  QuotaAllocator allocator;
+  TestEntry entry;
+  entry.registration = RegistrationOf(2, 1);
+  EXPECT_NUMBER(0, entry.Request(&allocator, {1}, kStart), "the bucket starts empty");
+  EXPECT_NUMBER(1, entry.Request(&allocator, {1}, kStart + 1), "the level is positive");
+  EXPECT_NUMBER(0, entry.Request(&allocator, {1}, kStart + 2), "and overdrawn now");
+  EXPECT_NUMBER(499, entry.last.retry_ms, "until the rate has made up for it");
+}
+
 TEST(QuotaAllocation, GrantsAmountsInOrder) {
   QuotaAllocator allocator;
   TestEntry entry;
