--- a/bench/bench_limits.cc
+++ b/bench/bench_limits.cc
@@ -72,7 +72,7 @@
     takers.back()->SetEntryCount(entries, now);
     takers.back()->SetAllocators({{"agent", "10.0.0.1:1"}}, now);
     for (int k = 0; k < upstreams; ++k)
-      takers.back()->SetUpstreamLimit(Instance(k), kLimitPerS, now);
+      takers.back()->SetUpstreamLimit(Instance(k), RateLimit{kLimitPerS}, now);
   }
   Cost cost;
   const int steps = static_cast<int>(kSeconds * DurationMs{1000} / kStepMs);
--- a/include/junctionrail/checked_json.h
+++ b/include/junctionrail/checked_json.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -51,6 +52,9 @@
   // The array of strings at `key`; absent is empty.
   std::vector<std::string> Strings(const char* key);
 
+  // The object at `key`, all of whose values are strings; absent is empty.
+  std::map<std::string, std::string> StringMap(const char* key);
+
   // Calls `read` for each element of the array at `key`; absent is empty.
   void Each(const char* key, const std::function<void(ObjectReader&)>& read);
 
--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -73,6 +73,7 @@
   std::uint64_t stale_configuration_refusals = 0;  // Key may have been revoked.
   std::uint64_t over_quota_refusals = 0;           // Organisation's quota used up.
   std::uint64_t quota_unavailable_refusals = 0;    // No quota allocator answered.
+  std::uint64_t place_refusals = 0;                // No upstream in a place that is allowed.
   std::uint64_t quarantine_refusals = 0;           // Running them crashes upstreams.
   std::uint64_t upstreams_crashed = 0;             // With requests of this entry in flight.
   std::uint64_t rate_limited_sends = 0;            // Sends held back by an upstream's rate limit.
@@ -114,6 +115,10 @@
   void SetRetries(RetryBudget::Options options);
   void SetPolicy(const PolicySettings& policy);
   void ApplyListing(const UpstreamListing& listing);
+  // All data halls that are evacuated, as read by a query sent at `as_of`.
+  void ApplyEvacuations(const std::set<std::string>& halls, TimeMs as_of);
+  void SetEvacuationBound(DurationMs bound_ms);
+  void SetRecordPeriod(DurationMs period_ms);
   void ApplyView(const EngineView& view);
   void ForgetView(const std::string& instance);
 
--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -42,6 +42,9 @@
   std::int64_t started_unix_ms = 0;  // Start time of the process; 0: not reported.
   // Its record cannot be parsed: the upstream exists but gets no new requests.
   bool is_unreadable = false;
+  // How much longer the upstream bears only a low rate of requests, as of its last write to the
+  // record; none: it does not say.
+  std::optional<DurationMs> cold_ms = {};
 
   const std::string& WireId() const { return id.empty() ? instance : id; }
 };
--- /dev/null
+++ b/include/junctionrail/places.h
@@ -0,0 +1,59 @@
+// Where requests may be served: the regions that routes and organisations allow, and the data
+// halls that operators evacuate. Pure decision logic: the caller passes the time in.
+#ifndef JUNCTIONRAIL_PLACES_H_
+#define JUNCTIONRAIL_PLACES_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "junctionrail/base.h"
+
+namespace junctionrail {
+
+// The regions in which a request may be served; none: in all of them.
+using AllowedRegions = std::optional<std::set<std::string>>;
+// Region by data hall, from the settings of the process.
+using HallRegions = std::map<std::string, std::string>;
+
+// The regions that both allow.
+AllowedRegions Intersect(const AllowedRegions& a, const AllowedRegions& b);
+// Whether the data hall is in an allowed region. A hall whose region is unknown is in none.
+bool IsHallAllowed(const AllowedRegions& allowed, const HallRegions& regions,
+                   const std::string& hall);
+
+// The data halls that operators evacuate, as last read, and when each closes to new requests.
+class EvacuatedHalls {
+ public:
+  struct Change {
+    std::string hall;
+    bool is_evacuated = false;    // Otherwise it was given back.
+    DurationMs closes_in_ms = 0;  // Of an evacuated hall; 0: it is closed.
+  };
+
+  // A hall receives nothing once its evacuation was requested `bound_ms` ago; 0: as soon as it is
+  // known.
+  void SetBound(DurationMs bound_ms) { bound_ms_ = bound_ms; }
+
+  // Takes all evacuated halls, as returned by a query sent at `as_of`; later changes may be
+  // missing. Returns what changed. An answer older than the last one is ignored.
+  std::vector<Change> Apply(const std::set<std::string>& halls, TimeMs as_of, TimeMs now);
+
+  bool IsEvacuated(const std::string& hall) const { return closes_at_.count(hall) > 0; }
+  // Whether the hall may receive nothing any more.
+  bool IsClosed(const std::string& hall, TimeMs now) const;
+  // Until the hall closes; 0 if it is closed, -1 if it is not evacuated.
+  DurationMs ClosesIn(const std::string& hall, TimeMs now) const;
+  std::set<std::string> halls() const;
+
+ private:
+  DurationMs bound_ms_ = 0;
+  TimeMs as_of_ = 0;                         // Of the last answer; 0: none yet.
+  std::map<std::string, TimeMs> closes_at_;  // By evacuated hall.
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_PLACES_H_
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -19,6 +19,7 @@
 
 #include "junctionrail/base.h"
 #include "junctionrail/listing.h"
+#include "junctionrail/places.h"
 #include "junctionrail/settings.h"
 #include "junctionrail/tenancy.h"
 
@@ -51,6 +52,7 @@
   int max_attempts = 1;                 // Upstreams that one request may be sent to.
   int priority = 0;                     // 0 is the highest.
   bool is_public = false;               // No API key required.
+  AllowedRegions allowed_regions;       // Apply together with those of the organisation.
   std::vector<WeightedService> traffic_split;
 
   bool IsRetryable() const { return kind == RequestKind::kIdempotent || is_resumable; }
@@ -101,6 +103,10 @@
   std::string name;
   int max_connections = 0;  // To one upstream, across all callers.
   std::optional<EngineSpec> engine;
+  // An upstream that is cold bears this many requests a second from all entries; 0: as many as
+  // a warm one.
+  double cold_requests_per_s = 0;
+  DurationMs cold_start_ms = 0;  // An upstream stays cold this long after its start.
 };
 
 // Limits on caller input.
@@ -247,6 +253,11 @@
   // report this: too low a value delays loads, too high a value slows each of them.
   int parallel_store_loads = 4;
   PolicySettings policy;
+  HallRegions hall_regions;  // Of all data halls.
+  // A data hall receives nothing once its evacuation was requested this long ago; 0: as soon as
+  // it is known.
+  DurationMs evacuation_bound_ms = 0;
+  DurationMs record_period_ms = 1200;  // Upstreams write their records this often.
 };
 
 // Times that upstream selection depends on.
@@ -266,6 +277,7 @@
   std::vector<std::string> occupied;
   // Instances that may end soon: chosen only if the others are much busier.
   std::vector<std::string> risky;
+  AllowedRegions allowed_regions;
 };
 struct SendTo {
   std::string instance;
@@ -279,6 +291,7 @@
 struct NoUpstream {
   std::string reason;
   DurationMs retry_after_ms = 0;  // Until an upstream accepts requests again; 0: unknown.
+  std::string_view code = {};     // Names a cause other than the upstreams' state, for callers.
 };
 using PickResult = std::variant<SendTo, WaitFor, NoUpstream>;
 
@@ -319,23 +332,36 @@
   TimeMs sent_at_ = 0;                 // When it was last sent a request.
 };
 
+// The limit of a cold upstream that bears `requests_per_s` from all entries.
+RateLimit ColdLimit(double requests_per_s);
+
 // How an attempt ended, as far as it matters for the upstream's health.
 enum class AttemptOutcome { kServed, kRefused, kFailed, kUnreachable, kTimedOut, kCallerLeft };
 
 // An entry's state of all upstreams, and the choice among them.
 class UpstreamTable {
  public:
-  explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {}
+  explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {
+    evacuated_halls_.SetBound(options_.evacuation_bound_ms);
+  }
   // Movable: `holders_` points to rows, whose addresses survive a move of the table.
   UpstreamTable(const UpstreamTable&) = delete;
   UpstreamTable(UpstreamTable&&) = default;
 
+  std::set<std::string> evacuated_halls() const { return evacuated_halls_.halls(); }
+  void SetEvacuationBound(DurationMs bound_ms) { evacuated_halls_.SetBound(bound_ms); }
+  void SetRecordPeriod(DurationMs period_ms) { options_.record_period_ms = period_ms; }
+
   void SetPolicy(const PolicySettings& policy) { options_.policy = policy; }
   const PolicySettings& policy() const { return options_.policy; }
 
   // Applies a complete listing, as returned by ExpiredRecordKeeper. Returns the changes.
   std::vector<UpstreamChange> ApplyListing(const std::vector<UpstreamRecord>& listing, TimeMs now);
   void ApplyServices(const std::vector<ServiceSpec>& services);
+  // Applies all evacuated data halls, as read by a query sent at `as_of`. Upstreams of a hall that
+  // is given back count as cold until their records have been written and read again.
+  std::vector<EvacuatedHalls::Change> ApplyEvacuations(const std::set<std::string>& halls,
+                                                       TimeMs as_of, TimeMs now);
   void ApplyView(const EngineView& view, TimeMs now);
   void ForgetView(const std::string& instance);
 
@@ -355,10 +381,24 @@
                     AttemptOutcome end, TimeMs now);
   // Returns null if the upstream is not in the table.
   UpstreamThrottle* FindThrottle(const std::string& instance);
-  std::optional<double> LimitOf(const std::string& instance) const;
+  // An answer to a request sent at `sent_at` states this limit, or none. Returns whether that is
+  // new; UpdateLimits then returns the change.
+  bool OnLimitNotice(const std::string& instance, std::optional<double> per_s, TimeMs sent_at,
+                     TimeMs now);
+  // The rate limit in force: the one that the upstream states or, if that is lower, the one that
+  // applies while it is cold.
+  std::optional<RateLimit> LimitOf(const std::string& instance) const;
+  struct LimitChange {
+    std::string instance;
+    std::optional<RateLimit> limit;
+    bool is_cold = false;
+  };
+  // Returns the limits that changed since the last call. To be called a few times a second.
+  std::vector<LimitChange> UpdateLimits(TimeMs now);
   bool IsBackingOff(const std::string& instance, TimeMs now) const;
-  // Number of upstreams that state a limit.
+  // Number of upstreams with a limit in force.
   int CountLimited() const;
+  int CountCold(TimeMs now) const;
   // The upstream announced that it is leaving, whatever its record says. Returns whether
   // that is new.
   bool OnLeavingNotice(const std::string& instance, TimeMs now);
@@ -389,6 +429,18 @@
   const UpstreamRecord* Find(const std::string& instance) const;
   // Whether the upstream is listed for new requests, healthy or not.
   bool IsListed(const std::string& instance) const;
+  // Whether a request may be sent there now: it is listed, and its data hall is not closed.
+  bool MayReceive(const std::string& instance, TimeMs now) const;
+  // What operators see of a data hall.
+  struct HallState {
+    std::string hall;
+    std::string region;  // Empty if unknown.
+    int upstreams = 0;
+    int cold_upstreams = 0;
+    DurationMs closes_in_ms = -1;  // -1: not evacuated; 0: closed.
+  };
+  // All data halls that the settings name, that have upstreams, or that are evacuated.
+  std::vector<HallState> HallStates(TimeMs now) const;
   // Whether the upstream is known to have the model loaded.
   bool HasModel(const std::string& instance, const ModelRef& model, TimeMs now) const;
   bool HasFreshView(const std::string& instance, TimeMs now) const;
@@ -413,7 +465,10 @@
     std::map<ModelRef, TimeMs> load_overdue_until;  // The agent was asked and is overdue.
     std::vector<std::string> indexed_models;  // Models whose `holders_` entry contains the row.
     UpstreamThrottle throttle;
-    int failures = 0;  // Consecutive.
+    std::optional<RateLimit> limit;  // As last returned by UpdateLimits.
+    TimeMs cold_until = 0;           // At the latest.
+    TimeMs assumed_cold_until = 0;   // Its hall was given back; the record may be from before.
+    int failures = 0;                // Consecutive.
     TimeMs ejected_until = 0;
     int ejections = 0;
   };
@@ -436,13 +491,27 @@
   };
 
   static bool IsPresent(const Row& row, std::string_view service);
+  // Whether it is present and responds.
+  bool IsHealthy(const Row& row, std::string_view service, TimeMs now) const;
+  // Whether it is healthy, and its hall is not evacuated: for models to be loaded, and to count.
   bool IsUsable(const Row& row, std::string_view service, TimeMs now) const;
+  bool IsEvacuated(const Row& row) const {
+    return evacuated_halls_.IsEvacuated(row.record.data_hall);
+  }
+  // Whether the request may run there: its region is allowed, and the hall is not closed.
+  bool IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const;
+  NoUpstream ExplainNone(const PickRequest& request, std::string reason) const;
+  void UpdateCold(Row* row, TimeMs now);
+  std::optional<RateLimit> CurrentLimit(const Row& row, TimeMs now) const;
   struct Candidates {
     std::vector<Row*> available;
     std::vector<Row*> unavailable;  // Limited or backing off.
+    std::vector<Row*> evacuated;    // In halls that are evacuated and not closed yet.
+
+    void Add(Row* row, bool is_evacuated, TimeMs now);
   };
   Candidates FindHolders(const PickRequest& request, TimeMs now);
-  Candidates FindUsable(std::string_view service, TimeMs now);
+  Candidates FindUsable(const PickRequest& request, TimeMs now);
   // The one that accepts requests again first; null if the list is empty.
   static const Row* SoonestAvailable(const std::vector<Row*>& unavailable);
   bool IsFresh(const Row& row, TimeMs now) const;
@@ -485,6 +554,8 @@
                    TimeMs now) const;
   void AddReplicas(std::map<std::string, AgentDemand>* demands, const CountByModel& replicas,
                    TimeMs now);
+  void AddEvacuatedModels(const std::string& service, const CountByModel& replicas,
+                          std::map<std::string, AgentDemand>* demands, TimeMs now);
   // Whether the engines that have the model loaded are nearly full.
   bool IsNearCapacity(const std::string& model, TimeMs now) const;
   const Row* ChooseReplicaTarget(std::string_view service, const std::string& model, TimeMs now);
@@ -506,6 +577,9 @@
   // these while one of them can take the request.
   std::unordered_map<std::string, std::vector<Row*>> holders_;
 
+  EvacuatedHalls evacuated_halls_;
+  std::set<std::string> limited_;  // Instances that have, had or may have a limit.
+
   std::map<std::string, TimeMs> gone_after_leaving_;      // Gone instances, and when they went.
   std::map<std::string, std::deque<TimeMs>> departures_;  // Departure times, by service.
   std::map<std::string, ModelRate> rates_;
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -3,6 +3,7 @@
 #define JUNCTIONRAIL_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -104,6 +105,11 @@
   // Nothing is sent for a key later than so long after it was taken away, known here or not.
   // 0: as long as nothing is heard of it.
   DurationMs revoke_ms = 0;
+  // A data hall gets nothing new later than so long after its evacuation was asked for.
+  // 0: nothing once it is known.
+  DurationMs evacuate_ms = 0;
+  // The region of each data hall.
+  std::map<std::string, std::string> hall_regions;
   // An agent's.
   Endpoint link;
   Endpoint upstream;
--- a/include/junctionrail/tenancy.h
+++ b/include/junctionrail/tenancy.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "junctionrail/base.h"
+#include "junctionrail/places.h"
 #include "junctionrail/sha256.h"
 
 namespace junctionrail {
@@ -45,6 +46,7 @@
   std::vector<KeyDigest> keys;
   std::optional<int> priority;  // Overrides the priority of the route.
   Quota quota;
+  AllowedRegions allowed_regions;  // Apply together with those of the route.
 };
 
 // The organisations of one configuration.
@@ -118,6 +120,17 @@
   }
 };
 
+// Rate limit of an upstream, shared by all entries.
+struct RateLimit {
+  double per_s = 0;
+  double burst = 1;  // Capacity of the token bucket.
+
+  bool operator==(const RateLimit& other) const {
+    return per_s == other.per_s && burst == other.burst;
+  }
+  bool operator!=(const RateLimit& other) const { return !(*this == other); }
+};
+
 // All limits for which an entry has chosen an agent as allocator.
 struct QuotaRegistration {
   std::uint64_t version = 0;  // Configuration version.
@@ -271,8 +284,8 @@
   // Sets the rate limit of an upstream across all entries, or removes it with nullopt, which
   // admits the queued requests. When the limit changes, queued requests are refused and have to be
   // submitted again.
-  std::vector<Outcome> SetUpstreamLimit(const std::string& instance,
-                                        std::optional<double> rate_per_s, TimeMs now);
+  std::vector<Outcome> SetUpstreamLimit(const std::string& instance, std::optional<RateLimit> limit,
+                                        TimeMs now);
   // Removes idle upstream limits for which `has_limit` returns false.
   void RetainLimitedUpstreams(const std::function<bool(const std::string& instance)>& has_limit);
   // Like Acquire(), for one request against the limit of an upstream.
@@ -317,6 +330,7 @@
     TimeMs allocator_silent_until = 0;
     double local_level = 0;        // Local share, used while there is no allocator.
     TimeMs local_refilled_at = 0;  // Time of the last local refill.
+    TimeMs local_used_at = 0;      // Of an upstream's limit, when the last local share was used.
     TimeMs registered_at = 0;      // Time of the last registration with an allocator.
     // Time from which the local share may be used without a prior registration; 0 for never.
     TimeMs local_since = 0;
@@ -336,6 +350,8 @@
 
   void RemoveAccount(const std::string& account);
   Admission AcquireLocally(Account* account, double amount, TimeMs now) const;
+  bool IsLocalSlotOpen(const Account& account, double rate_per_s, TimeMs begin_at,
+                       TimeMs now) const;
   static Admission CountAdmission(Account* account, double amount, const Admission& admission);
   void ChooseAllocator(const std::string& organisation, Account* account, TimeMs now);
   std::map<std::string, QuotaRegistration> Registrations() const;
--- a/src/base/checked_json.cc
+++ b/src/base/checked_json.cc
@@ -163,6 +163,16 @@
   }
 }
 
+std::map<std::string, std::string> ObjectReader::StringMap(const char* key) {
+  std::map<std::string, std::string> map;
+  Object(key, [&map](ObjectReader& reader) {
+    for (const auto& [name, value] : reader.value_.items()) {
+      map[name] = reader.String(name.c_str(), std::nullopt);
+    }
+  });
+  return map;
+}
+
 void ObjectReader::Object(const char* key, const std::function<void(ObjectReader&)>& read) {
   const json* found = Take(key, false, "an object");
   if (found == nullptr) return;
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -94,6 +94,8 @@
   direct.leaving_ms = r.Integer("leaving_ms", 400, kLongestMs, direct.leaving_ms);
   direct.record_period_ms = r.Integer("record_period_ms", 1, kLongestMs, direct.record_period_ms);
   direct.revoke_ms = r.Integer("revoke_ms", 0, kLongestMs, direct.revoke_ms);
+  direct.evacuate_ms = r.Integer("evacuate_ms", 0, kLongestMs, direct.evacuate_ms);
+  direct.hall_regions = r.StringMap("hall_regions");
   return direct;
 }
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "commands.h"
+#include "places.h"
 #include "quarantine.h"
 #include "quotas.h"
 
@@ -41,6 +42,8 @@
     "  quarantine list           requests refused since upstreams end when they run them\n"
     "  quarantine release DIGEST let one be tried once more, alone; both with --entry=ADDRESS of\n"
     "                            an entry for peers (direct.peer)\n"
+    "  places                    data halls: regions, upstreams, evacuations; --entry as for\n"
+    "                            quarantine\n"
     "  quotas                    what organisations may send, and what this entry sent and "
     "refused\n"
     "                            of it; --entry as for quarantine\n"
@@ -101,6 +104,7 @@
   if (command == "apply") return junctionrail::cli::Apply(options);
   if (command == "get") return junctionrail::cli::Get(options);
   if (command == "status") return junctionrail::cli::Status(options);
+  if (command == "places") return junctionrail::cli::ListPlaces(options);
   if (command == "quotas") return junctionrail::cli::ListQuotas(options);
   return BadUsage("no command is called \"" + command + "\"");
 }
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -9,6 +9,7 @@
 #include "entry_hosting.h"
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
+#include "places_page.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
 #include "quarantine_page.h"
@@ -80,6 +81,9 @@
   options.routing.policy = direct.policy;
   options.entry_id = settings.id;
   options.key_revocation_ms = direct.revoke_ms;
+  options.routing.hall_regions = direct.hall_regions;
+  options.routing.evacuation_bound_ms = direct.evacuate_ms;
+  options.routing.record_period_ms = direct.record_period_ms;
   return options;
 }
 
@@ -141,6 +145,9 @@
       quarantine_->Reread();
     });
     gateway_.OnQuotaMessages([this](const QuotaClient::Message& it) { TellGiver(it); });
+    configuration_.OnEvacuations([this](const std::set<std::string>& halls, TimeMs as_of) {
+      gateway_.ApplyEvacuations(halls, as_of);
+    });
     configuration_.OnConfirmed([this](TimeMs as_of) { gateway_.ConfirmConfiguration(as_of); });
     BoundWord();
     upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
@@ -173,7 +180,10 @@
       direct.leaving_ms = settings.direct->leaving_ms;
       direct.policy = settings.direct->policy;
       direct.revoke_ms = settings.direct->revoke_ms;
+      direct.evacuate_ms = settings.direct->evacuate_ms;
       gateway_.SetRevokeMs(direct.revoke_ms);
+      gateway_.SetEvacuationBound(direct.evacuate_ms);
+      gateway_.SetRecordPeriod(settings.direct->record_period_ms);
       BoundWord();
       gateway_.SetPolicy(direct.policy);
       hosting_->SetPolicy(direct.policy);
@@ -346,15 +356,23 @@
     gateway_.SetQuotaAllocators(std::move(givers));
   }
 
+  // The shortest time within which what operators write has to be in force; 0: no bound is set.
+  DurationMs OperatorBound() const {
+    const DurationMs revoke_ms = settings_.direct->revoke_ms;
+    const DurationMs evacuate_ms = settings_.direct->evacuate_ms;
+    if (revoke_ms == 0 || evacuate_ms == 0) return std::max(revoke_ms, evacuate_ms);
+    return std::min(revoke_ms, evacuate_ms);
+  }
+
   void BoundWord() {
-    const auto bound_ms = static_cast<double>(settings_.direct->revoke_ms);
+    const auto bound_ms = static_cast<double>(OperatorBound());
     if (bound_ms > 0) configuration_.SetWatch(static_cast<DurationMs>(kConfirmPart * bound_ms));
   }
 
   // The store cannot be reached, or is slow: another entry may have its word. All are asked, as
   // some may be gone, and their words differ in age.
   void AskWord() {
-    const auto bound_ms = static_cast<double>(settings_.direct->revoke_ms);
+    const auto bound_ms = static_cast<double>(OperatorBound());
     const DurationMs age_ms = gateway_.ConfigurationAge();
     const bool is_old = age_ms < 0 || static_cast<double>(age_ms) > kAskWordPart * bound_ms;
     if (bound_ms <= 0 || !is_old) return;
@@ -369,6 +387,7 @@
   void OnWord(const Endpoint& peer, TimeMs asked_at, const std::string& text) {
     const auto word = ParseWord(text);
     if (!word) return log_.Write(MonotonicMs(), "word_malformed", {{"peer", peer.ToString()}});
+    gateway_.ApplyEvacuations(word->evacuated_halls, asked_at - word->age_ms);
     if (configuration_.OfferWord(word->version, asked_at, word->age_ms)) return;
     Ask(peer, "/known/configuration", [this, word = *word, asked_at](const std::string& document) {
       if (configuration_.Offer(document)) {
@@ -414,12 +433,18 @@
     if (request.target == "/known/word") {
       const DurationMs age_ms = gateway_.ConfigurationAge();
       if (age_ms < 0) return responder.Whole(404, {}, "");
-      return responder.Whole(200, {}, FormatWord({configuration_.word().version(), age_ms}));
+      return responder.Whole(200, {},
+                             FormatWord({configuration_.word().version(), age_ms,
+                                         gateway_.upstreams().evacuated_halls()}));
     }
     if (request.target == "/quotas") {
       return responder.Whole(200, {{"Content-Type", "application/json"}},
                              QuotaPage(gateway_.quotas(), MonotonicMs()));
     }
+    if (request.target == "/places") {
+      return responder.Whole(200, {{"Content-Type", "application/json"}},
+                             PlacesPage(gateway_.upstreams(), MonotonicMs()));
+    }
     if (request.target == "/known/upstreams") {
       return responder.Whole(200, {}, upstreams_.Document());
     }
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -103,8 +103,15 @@
              "Since the configuration is known to have been the newest; -1: it never was.",
              static_cast<double>(gateway.ConfigurationAge()));
   page.Gauge("junctionrail_limited_upstreams",
-             "Upstreams that name a limit of requests a second from all entries.",
+             "Upstreams with a limit of requests a second from all entries.",
              gateway.upstreams().CountLimited());
+  page.Gauge("junctionrail_cold_upstreams", "Upstreams that bear only a low rate of requests.",
+             gateway.upstreams().CountCold(MonotonicMs()));
+  page.Gauge("junctionrail_evacuated_halls", "Data halls that operators evacuate.",
+             static_cast<double>(gateway.upstreams().evacuated_halls().size()));
+  page.Counter("junctionrail_place_refusals_total",
+               "Refused, as no upstream is in a place where the request may run.",
+               it.place_refusals);
   page.Counter("junctionrail_held_by_limits_total",
                "Sends that found nothing left of an upstream's limit.", it.rate_limited_sends);
   page.Counter("junctionrail_upstream_rests_total", "Refusals of upstreams that ask for a rest.",
--- /dev/null
+++ b/src/daemon/places_page.cc
@@ -0,0 +1,23 @@
+#include "places_page.h"
+
+#include <nlohmann/json.hpp>
+
+namespace junctionrail::internal {
+
+std::string PlacesPage(const UpstreamTable& upstreams, TimeMs now) {
+  nlohmann::json halls = nlohmann::json::array();
+  for (const auto& it : upstreams.HallStates(now)) {
+    nlohmann::json hall = {{"hall", it.hall},
+                           {"region", it.region},
+                           {"upstreams", it.upstreams},
+                           {"cold", it.cold_upstreams},
+                           {"is_evacuated", it.closes_in_ms >= 0}};
+    if (it.closes_in_ms >= 0) hall["closes_in_ms"] = it.closes_in_ms;
+    halls.push_back(std::move(hall));
+  }
+  // Names of halls come from keys of the store, which may hold any bytes.
+  return nlohmann::json{{"halls", halls}}.dump(-1, ' ', false,
+                                               nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace junctionrail::internal
--- a/src/daemon/word_message.h
+++ b/src/daemon/word_message.h
@@ -1,9 +1,10 @@
-// What one entry tells another of the age of its configuration.
+// What one entry tells another of the age of its configuration and of evacuated data halls.
 #ifndef JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
 #define JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -12,11 +13,12 @@
 namespace junctionrail::internal {
 
 struct WordMessage {
-  std::uint64_t version = 0;  // Of the configuration in force.
-  DurationMs age_ms = 0;      // Since it is known to have been the newest.
+  std::uint64_t version = 0;                   // Of the configuration in force.
+  DurationMs age_ms = 0;                       // Since it is known to have been the newest.
+  std::set<std::string> evacuated_halls = {};  // At that time.
 };
 
-// Two whole numbers and a blank between.
+// Two whole numbers, and the names of evacuated halls in base64, separated by blanks.
 std::string FormatWord(const WordMessage& word);
 std::optional<WordMessage> ParseWord(std::string_view text);
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -25,6 +25,8 @@
 // How long a request waits for an agent to appear if there is none to ask for the model.
 constexpr DurationMs kNoAgentWaitMs = 1200;
 constexpr DurationMs kDefaultRetryAfterMs = 500;
+// Places change when operators change them, or when upstreams start there.
+constexpr DurationMs kPlaceRetryAfterMs = 2000;
 // A concurrent attempt of the same suspected request is over within this time: the wait for its
 // first event plus QuarantineLimits::harmless_after_ms.
 constexpr DurationMs kConcurrentSuspectWaitMs = 500;
@@ -130,7 +132,24 @@
     return;
   }
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
-  GiveUp(ExecutionSoFar(), std::get<NoUpstream>(choice).reason);
+  const auto& none = std::get<NoUpstream>(choice);
+  if (!none.code.empty()) return RefusePlace(none);
+  GiveUp(ExecutionSoFar(), none.reason);
+}
+
+// No upstream of the service is in a place where the request may run.
+void Exchange::RefusePlace(const NoUpstream& none) {
+  ++gateway_.counters.place_refusals;
+  const bool is_refusal = !is_response_begun_ && ExecutionSoFar() == Execution::kNotRun;
+  if (!is_refusal) return GiveUp(ExecutionSoFar(), none.reason);
+  Refuse(kUnavailable, none.code, none.reason, Execution::kNotRun, kPlaceRetryAfterMs);
+}
+
+// By the newest configuration, which may be newer than the one at the request's arrival.
+AllowedRegions Exchange::AllowedRegionsNow() const {
+  const Organisation* owner = KeyOwner();
+  return owner == nullptr ? route_->allowed_regions
+                          : Intersect(route_->allowed_regions, owner->allowed_regions);
 }
 
 // Computed only when there is something to compare it with, as it hashes the whole body.
@@ -189,6 +208,7 @@
   request.affinity = affinity_;
   request.request_id = request_id_;
   request.tried = tried_instances_;
+  request.allowed_regions = AllowedRegionsNow();
   if (!gateway_.quarantine.IsEmpty()) {
     const bool is_suspect = IsSuspect();
     // One attempt at a time, as callers may send the same request several times at once.
@@ -316,14 +336,16 @@
   return head;
 }
 
-// While the connection was being opened, the upstream may have left or asked for a backoff, the key
+// While the connection was being opened, the upstream may have left or asked for a backoff, its
+// data hall may have closed, the key
 // may have been revoked, and the caller may have disconnected.
 bool Exchange::MaySend() {
   const auto sink = sink_.lock();
   const bool is_key_good =
       !key_ || (KeyOwner() != nullptr && gateway_.AreKeysCurrent(MonotonicMs()));
-  const bool is_upstream_good = gateway_.upstreams.IsListed(instance_) &&
-                                !gateway_.upstreams.IsBackingOff(instance_, MonotonicMs());
+  const TimeMs now = MonotonicMs();
+  const bool is_upstream_good = gateway_.upstreams.MayReceive(instance_, now) &&
+                                !gateway_.upstreams.IsBackingOff(instance_, now);
   return sink && !sink->HasDisconnected() && is_key_good && is_upstream_good;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -102,6 +102,8 @@
   void ReturnQuota();
   void AttemptNext();
   PickResult ChooseUpstream(TimeMs now);
+  void RefusePlace(const NoUpstream& none);
+  AllowedRegions AllowedRegionsNow() const;
   const RequestDigest& Digest();
   QuarantineStatus CurrentQuarantineStatus();
   void RefuseQuarantined();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -50,10 +50,10 @@
 }
 
 // With enough digits to tell limits apart.
-std::string FormatLimit(std::optional<double> per_s) {
-  if (!per_s) return "none";
+std::string FormatLimit(const std::optional<RateLimit>& limit) {
+  if (!limit) return "none";
   char text[32];
-  std::snprintf(text, sizeof(text), "%.6g", *per_s);
+  std::snprintf(text, sizeof(text), "%.6g", limit->per_s);
   return text;
 }
 
@@ -129,6 +129,7 @@
     self->crash_detector.Expire(now);
     self->quarantine.Expire(now);
     self->ReportQuarantined();
+    self->ApplyLimitChanges();
     self->quotas.SetEntryCount(self->upstreams.CountEntries(now), now);
     self->quotas.RetainLimitedUpstreams(
         [&](const std::string& instance) { return self->upstreams.LimitOf(instance).has_value(); });
@@ -237,6 +238,30 @@
         now, EventName(it.kind),
         {{"upstream", it.instance}, {"service", it.service}, {"listing_age_ms", ListingAge(now)}});
   }
+  ApplyLimitChanges();
+}
+
+void Gateway::Impl::ApplyEvacuations(const std::set<std::string>& halls, TimeMs as_of) {
+  const TimeMs now = MonotonicMs();
+  const auto changes = upstreams.ApplyEvacuations(halls, as_of, now);
+  if (changes.empty()) return;
+  for (const auto& it : changes) {
+    log.Write(now, it.is_evacuated ? "hall_evacuated" : "hall_returned",
+              {{"hall", it.hall}, {"closes_in_ms", it.closes_in_ms}});
+  }
+  ApplyLimitChanges();
+  if (waiting_exchanges.empty()) return;
+  boost::asio::post(io, [self = shared_from_this()] { self->RetryWaiting(); });
+}
+
+void Gateway::Impl::ApplyLimitChanges() {
+  const TimeMs now = MonotonicMs();
+  for (const auto& it : upstreams.UpdateLimits(now)) {
+    log.Write(
+        now, "upstream_limit",
+        {{"upstream", it.instance}, {"per_s", FormatLimit(it.limit)}, {"is_cold", it.is_cold}});
+    SetUpstreamLimit(it.instance, it.limit);
+  }
 }
 
 void Gateway::Impl::OnUpstreamResponse(const std::string& instance,
@@ -251,11 +276,8 @@
               {{"upstream", instance}, {"reason", notice.malformed}});
   }
   const bool tells_limit = notice.malformed.empty();
-  if (tells_limit && terms->OnLimit(notice.limit_per_s, sent_at, now)) {
-    log.Write(now, "upstream_limit",
-              {{"upstream", instance}, {"per_s", FormatLimit(notice.limit_per_s)}});
-    SetUpstreamLimit(instance, notice.limit_per_s);
-  }
+  if (tells_limit && upstreams.OnLimitNotice(instance, notice.limit_per_s, sent_at, now))
+    ApplyLimitChanges();
   terms->OnBackoff(notice.backoff_ms, sent_at, now);
   if (notice.backoff_ms > 0) {
     ++counters.backoff_requests;
@@ -363,8 +385,8 @@
   });
 }
 
-void Gateway::Impl::SetUpstreamLimit(const std::string& instance, std::optional<double> per_s) {
-  auto outcomes = quotas.SetUpstreamLimit(instance, per_s, MonotonicMs());
+void Gateway::Impl::SetUpstreamLimit(const std::string& instance, std::optional<RateLimit> limit) {
+  auto outcomes = quotas.SetUpstreamLimit(instance, limit, MonotonicMs());
   // Deferred, as this may run within a call from an exchange.
   boost::asio::post(io, [self = shared_from_this(), outcomes = std::move(outcomes)] {
     self->DeliverQuotaOutcomes(outcomes);
@@ -486,6 +508,13 @@
 void Gateway::SetPolicy(const PolicySettings& policy) { impl_->upstreams.SetPolicy(policy); }
 
 void Gateway::ApplyListing(const UpstreamListing& listing) { impl_->ApplyListing(listing); }
+void Gateway::ApplyEvacuations(const std::set<std::string>& halls, TimeMs as_of) {
+  impl_->ApplyEvacuations(halls, as_of);
+}
+void Gateway::SetEvacuationBound(DurationMs bound_ms) {
+  impl_->upstreams.SetEvacuationBound(bound_ms);
+}
+void Gateway::SetRecordPeriod(DurationMs period_ms) { impl_->upstreams.SetRecordPeriod(period_ms); }
 
 void Gateway::ApplyView(const EngineView& view) {
   impl_->upstreams.ApplyView(view, MonotonicMs());
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -33,6 +33,7 @@
   void ContinueStop();
 
   void ApplyListing(const UpstreamListing& listing);
+  void ApplyEvacuations(const std::set<std::string>& halls, TimeMs as_of);
   // Time since the read of the current upstream list began; -1: unknown.
   DurationMs ListingAge(TimeMs now) const;
 
@@ -49,7 +50,8 @@
                                            const std::string& instance);
   void AwaitQuotaDecision(const std::shared_ptr<internal::Exchange>& exchange,
                           std::uint64_t ticket);
-  void SetUpstreamLimit(const std::string& instance, std::optional<double> per_s);
+  void ApplyLimitChanges();
+  void SetUpstreamLimit(const std::string& instance, std::optional<RateLimit> limit);
   void CancelQuotaRequest(std::uint64_t ticket);
   void DeliverQuotaOutcomes(const std::vector<QuotaClient::Outcome>& outcomes);
   void SendQuotaMessages();
--- /dev/null
+++ b/src/routing/places.cc
@@ -0,0 +1,187 @@
+// What the place of an upstream means for its requests: regions that are not allowed, data halls
+// that are evacuated, and upstreams that are cold.
+#include <algorithm>
+#include <utility>
+
+#include "junctionrail/routing.h"
+
+namespace junctionrail {
+namespace {
+
+// Requests that a cold upstream may receive at once, as the part of a second in which it would
+// receive them at its rate. Grants that arrive late add up to as much as half a second more.
+constexpr double kColdBurstS = 0.1;
+// A record written before a data hall was given back may still say that its upstream is warm. Two
+// periods cover the next write and a late reading of it.
+constexpr int kAssumedColdPeriods = 2;
+constexpr double kMsPerS = 1000;
+
+}  // namespace
+
+RateLimit ColdLimit(double requests_per_s) {
+  return {requests_per_s, std::max(1.0, kColdBurstS * requests_per_s)};
+}
+
+bool UpstreamTable::IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const {
+  const std::string& hall = row.record.data_hall;
+  return IsHallAllowed(request.allowed_regions, options_.hall_regions, hall) &&
+         !evacuated_halls_.IsClosed(hall, now);
+}
+
+bool UpstreamTable::MayReceive(const std::string& instance, TimeMs now) const {
+  const auto it = rows_.find(instance);
+  return it != rows_.end() && IsPresent(it->second, it->second.record.service) &&
+         !evacuated_halls_.IsClosed(it->second.record.data_hall, now);
+}
+
+// Says whether the service has upstreams in places where the request may not run.
+NoUpstream UpstreamTable::ExplainNone(const PickRequest& request, std::string reason) const {
+  bool has_evacuated = false;
+  bool has_other_region = false;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsPresent(row, request.service)) continue;
+    const std::string& hall = row.record.data_hall;
+    const bool is_allowed = IsHallAllowed(request.allowed_regions, options_.hall_regions, hall);
+    has_other_region |= !is_allowed;
+    has_evacuated |= is_allowed && evacuated_halls_.IsEvacuated(hall);
+  }
+  if (has_evacuated) return {"all data halls with upstreams are evacuated", 0, "evacuated"};
+  if (has_other_region) return {"no upstream in an allowed region", 0, "no_allowed_region"};
+  return {std::move(reason), 0};
+}
+
+std::vector<EvacuatedHalls::Change> UpstreamTable::ApplyEvacuations(
+    const std::set<std::string>& halls, TimeMs as_of, TimeMs now) {
+  auto changes = evacuated_halls_.Apply(halls, as_of, now);
+  for (const auto& change : changes) {
+    if (change.is_evacuated) continue;
+    for (auto& [instance, row] : rows_) {
+      if (row.record.data_hall != change.hall) continue;
+      row.assumed_cold_until = now + kAssumedColdPeriods * options_.record_period_ms;
+      UpdateCold(&row, now);
+    }
+  }
+  return changes;
+}
+
+void UpstreamTable::UpdateCold(Row* row, TimeMs now) {
+  const auto service = services_.find(row->record.service);
+  if (service == services_.end() || service->second.cold_requests_per_s <= 0) return;
+  const auto& cold_ms = row->record.cold_ms;
+  const TimeMs until = cold_ms ? now + *cold_ms : row->listed_at + service->second.cold_start_ms;
+  row->cold_until = std::max(until, row->assumed_cold_until);
+  if (row->cold_until > now) limited_.insert(row->record.instance);
+}
+
+std::optional<RateLimit> UpstreamTable::CurrentLimit(const Row& row, TimeMs now) const {
+  std::optional<RateLimit> limit;
+  const auto stated = row.throttle.limit_per_s();
+  if (stated) limit = RateLimit{*stated};
+  const auto service = services_.find(row.record.service);
+  if (row.cold_until <= now || service == services_.end()) return limit;
+  const double cold_per_s = service->second.cold_requests_per_s;
+  if (cold_per_s <= 0 || (limit && limit->per_s <= cold_per_s)) return limit;
+  return ColdLimit(cold_per_s);
+}
+
+bool UpstreamTable::OnLimitNotice(const std::string& instance, std::optional<double> per_s,
+                                  TimeMs sent_at, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end() || !it->second.throttle.OnLimit(per_s, sent_at, now)) return false;
+  limited_.insert(instance);
+  return true;
+}
+
+std::optional<RateLimit> UpstreamTable::LimitOf(const std::string& instance) const {
+  const auto it = rows_.find(instance);
+  return it == rows_.end() ? std::nullopt : it->second.limit;
+}
+
+std::vector<UpstreamTable::LimitChange> UpstreamTable::UpdateLimits(TimeMs now) {
+  std::vector<LimitChange> changes;
+  for (auto it = limited_.begin(); it != limited_.end();) {
+    const auto found = rows_.find(*it);
+    if (found == rows_.end()) {
+      it = limited_.erase(it);
+      continue;
+    }
+    Row& row = found->second;
+    const auto limit = CurrentLimit(row, now);
+    if (limit != row.limit) {
+      row.limit = limit;
+      changes.push_back({*it, limit, row.cold_until > now});
+    }
+    it = limit ? std::next(it) : limited_.erase(it);
+  }
+  return changes;
+}
+
+int UpstreamTable::CountLimited() const {
+  return static_cast<int>(
+      std::count_if(limited_.begin(), limited_.end(), [this](const std::string& instance) {
+        const auto row = rows_.find(instance);
+        return row != rows_.end() && row->second.limit && !row->second.is_gone;
+      }));
+}
+
+int UpstreamTable::CountCold(TimeMs now) const {
+  return static_cast<int>(
+      std::count_if(limited_.begin(), limited_.end(), [&](const std::string& instance) {
+        const auto row = rows_.find(instance);
+        return row != rows_.end() && row->second.cold_until > now && !row->second.is_gone;
+      }));
+}
+
+std::vector<UpstreamTable::HallState> UpstreamTable::HallStates(TimeMs now) const {
+  std::map<std::string, HallState> halls;
+  for (const auto& [hall, region] : options_.hall_regions) halls[hall].region = region;
+  for (const auto& hall : evacuated_halls_.halls()) halls[hall];
+  for (const auto& [instance, row] : rows_) {
+    if (!IsPresent(row, row.record.service)) continue;
+    HallState& state = halls[row.record.data_hall];
+    ++state.upstreams;
+    if (row.cold_until > now) ++state.cold_upstreams;
+  }
+  std::vector<HallState> states;
+  for (auto& [hall, state] : halls) {
+    state.hall = hall;
+    state.closes_in_ms = evacuated_halls_.ClosesIn(hall, now);
+    states.push_back(std::move(state));
+  }
+  return states;
+}
+
+// Asks for a replica elsewhere of each model that only evacuated halls have loaded, the most
+// requested first: when the halls close, its requests would wait for the whole load.
+void UpstreamTable::AddEvacuatedModels(const std::string& service, const CountByModel& replicas,
+                                       std::map<std::string, AgentDemand>* demands, TimeMs now) {
+  if (evacuated_halls_.halls().empty()) return;
+  RateByModel rates;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsEvacuated(row) || !IsHealthy(row, service, now) || !IsFresh(row, now)) continue;
+    for (const auto& [model, per_s] : row.view.requests_per_s) {
+      const bool is_only_there = per_s > 0 && replicas.count(model) == 0;
+      if (is_only_there) rates[model] = std::max(rates[model], per_s);
+    }
+  }
+  std::vector<std::pair<double, std::string_view>> by_rate;
+  for (const auto& [model, per_s] : rates) by_rate.emplace_back(-per_s, model);
+  std::sort(by_rate.begin(), by_rate.end());
+  const CountByModel pending = CountPendingReplicas(service, now);
+  for (const auto& [negative_per_s, model_name] : by_rate) {
+    const std::string model(model_name);
+    const auto rate = rates_.find(model);
+    const ModelSpec* spec = services_.at(service).engine->Find(model);
+    // Left to entries that get its requests.
+    if (pending.count(model_name) > 0 || spec == nullptr || rate == rates_.end()) continue;
+    const Row* target = ChooseReplicaTarget(service, model, now);
+    const auto demand = target == nullptr ? demands->end() : demands->find(target->record.instance);
+    if (demand == demands->end()) continue;
+    const double per_s = -negative_per_s;
+    const double late_callers = per_s * static_cast<double>(spec->store_load_ms) / kMsPerS;
+    demand->second.wanted.push_back(
+        ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0, per_s, late_callers});
+  }
+}
+
+}  // namespace junctionrail
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -102,6 +102,7 @@
                                                   per_s / replica_count,
                                                   is_late ? rate->second.LateCallers(per_s) : 0});
     }
+    AddEvacuatedModels(name, replicas, demands, now);
   }
 }
 
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -45,6 +45,8 @@
 // KV cache usage above which an engine soon preempts requests.
 constexpr double kFullKvShare = 0.9;
 constexpr double kFullKvLoad = 64;
+// An upstream that is cold is slower, and bears fewer requests than a warm one.
+constexpr double kColdLoad = 16;
 // A suspected request is running at the engine; if it crashes the engine, other requests
 // there lose their attempt. An engine with half a batch more load is preferred.
 constexpr double kRiskyLoad = 32;
@@ -108,6 +110,7 @@
     if (row.record.is_leaving && !was_leaving) add_change(UpstreamChangeKind::kLeaving, row.record);
     row.is_gone = false;
     Index(&row);
+    UpdateCold(&row, now);
   }
   for (auto it = rows_.begin(); it != rows_.end();) {
     Row& row = it->second;
@@ -162,6 +165,7 @@
 void UpstreamTable::ApplyServices(const std::vector<ServiceSpec>& services) {
   services_.clear();
   for (const auto& it : services) services_[it.name] = it;
+  for (auto& [instance, row] : rows_) UpdateCold(&row, row.listed_at);
 }
 
 void UpstreamTable::ApplyView(const EngineView& view, TimeMs now) {
@@ -218,10 +222,22 @@
          !row.is_gone && !row.record.is_unreadable;
 }
 
-bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
+bool UpstreamTable::IsHealthy(const Row& row, std::string_view service, TimeMs now) const {
   return IsPresent(row, service) && row.ejected_until <= now && !IsUnresponsive(row, now);
 }
 
+bool UpstreamTable::IsUsable(const Row& row, std::string_view service, TimeMs now) const {
+  return IsHealthy(row, service, now) && !IsEvacuated(row);
+}
+
+void UpstreamTable::Candidates::Add(Row* row, bool is_evacuated, TimeMs now) {
+  if (row->throttle.AvailableAt() > now) {
+    if (!is_evacuated) unavailable.push_back(row);
+  } else {
+    (is_evacuated ? evacuated : available).push_back(row);
+  }
+}
+
 const UpstreamTable::Row* UpstreamTable::SoonestAvailable(const std::vector<Row*>& unavailable) {
   const auto first =
       std::min_element(unavailable.begin(), unavailable.end(), [](const Row* a, const Row* b) {
@@ -265,6 +281,7 @@
   const bool is_far = row.record.data_hall != options_.data_hall;
   if (is_far && options_.policy.prefers_hall) load += kOtherDataHallLoad;
   if (Contains(request.risky, row.record.instance)) load += kRiskyLoad;
+  if (row.cold_until > now) load += kColdLoad;
   // Upstreams without recent failures are preferred.
   load += 16.0 * row.failures;
   if (!request.affinity.empty() && options_.policy.prefers_prompts) {
@@ -323,26 +340,23 @@
   if (known == holders_.end()) return holders;
   for (Row* it : known->second) {
     const bool is_untried = !Contains(request.tried, it->record.instance);
-    if (!is_untried || !IsUsable(*it, request.service, now)) continue;
-    if (it->throttle.AvailableAt() <= now) {
-      holders.available.push_back(it);
-    } else if (Holds(*it, *request.model, now)) {
-      holders.unavailable.push_back(it);
-    }
+    const bool may_serve = is_untried && IsHealthy(*it, request.service, now) &&
+                           IsPlaceAllowed(*it, request, now) && Holds(*it, *request.model, now);
+    if (may_serve) holders.Add(it, IsEvacuated(*it), now);
   }
   return holders;
 }
 
 // If all are ejected, any listed upstream that accepts requests is better than a refusal.
-UpstreamTable::Candidates UpstreamTable::FindUsable(std::string_view service, TimeMs now) {
+UpstreamTable::Candidates UpstreamTable::FindUsable(const PickRequest& request, TimeMs now) {
   Candidates usable;
   Candidates ejected;
   for (auto& [instance, row] : rows_) {
-    if (!IsPresent(row, service)) continue;
-    Candidates& group = IsUsable(row, service, now) ? usable : ejected;
-    (row.throttle.AvailableAt() > now ? group.unavailable : group.available).push_back(&row);
+    if (!IsPresent(row, request.service) || !IsPlaceAllowed(row, request, now)) continue;
+    const bool is_healthy = IsHealthy(row, request.service, now);
+    (is_healthy ? usable : ejected).Add(&row, IsEvacuated(row), now);
   }
-  if (!usable.available.empty()) return usable;
+  if (!usable.available.empty() || !usable.evacuated.empty()) return usable;
   ejected.unavailable.insert(ejected.unavailable.end(), usable.unavailable.begin(),
                              usable.unavailable.end());
   return ejected;
@@ -354,22 +368,33 @@
     const Candidates holders = FindHolders(request, now);
     const PickResult pick = ChooseHolder(request, holders.available, now);
     if (!std::holds_alternative<NoUpstream>(pick)) return pick;
+    const PickResult last_resort = ChooseHolder(request, holders.evacuated, now);
+    if (std::holds_alternative<SendTo>(last_resort)) return last_resort;
     const Row* row = SoonestAvailable(holders.unavailable);
     if (row != nullptr)
       reopening = WaitFor{row->record.instance, row->throttle.AvailableAt() - now, "closed", 0};
   }
-  const Candidates usable = FindUsable(request.service, now);
-  std::vector<Row*> untried;
-  std::copy_if(usable.available.begin(), usable.available.end(), std::back_inserter(untried),
-               [&](const Row* it) { return !Contains(request.tried, it->record.instance); });
+  const Candidates usable = FindUsable(request, now);
+  const auto untried_of = [&request](const std::vector<Row*>& rows) {
+    std::vector<Row*> untried;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(untried),
+                 [&](const Row* it) { return !Contains(request.tried, it->record.instance); });
+    return untried;
+  };
+  const std::vector<Row*> untried = untried_of(usable.available);
   const PickResult pick = ChooseHolder(request, untried, now);
   if (!std::holds_alternative<NoUpstream>(pick)) return pick;
   if (request.model && !untried.empty()) return ChooseLoadTarget(request, untried, reopening, now);
+  if (!request.model) {
+    const PickResult last_resort = ChooseHolder(request, untried_of(usable.evacuated), now);
+    if (!std::holds_alternative<NoUpstream>(last_resort)) return last_resort;
+  }
   if (reopening) return *reopening;
   const Row* row = SoonestAvailable(usable.unavailable);
   if (row != nullptr)
     return NoUpstream{"no upstream accepts requests now", row->throttle.AvailableAt() - now};
-  return NoUpstream{usable.available.empty() ? "no_upstream" : "all_tried", 0};
+  const bool has_any = !usable.available.empty() || (!request.model && !usable.evacuated.empty());
+  return has_any ? NoUpstream{"all_tried", 0} : ExplainNone(request, "no_upstream");
 }
 
 void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority,
@@ -462,22 +487,11 @@
   return it == rows_.end() ? nullptr : &it->second.throttle;
 }
 
-std::optional<double> UpstreamTable::LimitOf(const std::string& instance) const {
-  const auto it = rows_.find(instance);
-  return it == rows_.end() ? std::nullopt : it->second.throttle.limit_per_s();
-}
-
 bool UpstreamTable::IsBackingOff(const std::string& instance, TimeMs now) const {
   const auto it = rows_.find(instance);
   return it != rows_.end() && it->second.throttle.IsBackingOff(now);
 }
 
-int UpstreamTable::CountLimited() const {
-  return static_cast<int>(std::count_if(rows_.begin(), rows_.end(), [](const auto& it) {
-    return it.second.throttle.limit_per_s() && !it.second.is_gone;
-  }));
-}
-
 bool UpstreamTable::OnLeavingNotice(const std::string& instance, TimeMs now) {
   const auto it = rows_.find(instance);
   if (it == rows_.end() || it->second.record.is_leaving) return false;
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -23,17 +23,21 @@
 // Time since the last entry count that was not lower, after which a lower one is adopted.
 constexpr DurationMs kEntryCountHoldMs = 60000;
 constexpr double kMsPerS = 1000;
+// How long the slot is in which an entry may send its local share of an upstream's limit. All
+// entries together can then send what accrues in this time at once, besides the rate.
+constexpr DurationMs kLocalSlotMs = 400;
+constexpr double kHashRange = 18446744073709551616.0;  // 2^64.
 // Minimum number of entries assumed where there are no agents to count them.
 constexpr int kDefaultEntryCount = 8;
 // Lower bound for upstream limits: some requests must still be sent, as only the response to one
 // shows that an upstream accepts more again.
 constexpr double kMinUpstreamRatePerS = 0.05;
-constexpr double kUpstreamBurst = 1;
 
 // Contains spaces, which names of organisations do not. A changed limit gets a new account, as
 // messages about the previous limit may still be in flight.
-std::string UpstreamAccount(const std::string& instance, double rate_per_s) {
-  return "upstream " + instance + " " + std::to_string(rate_per_s);
+std::string UpstreamAccount(const std::string& instance, const RateLimit& limit) {
+  return "upstream " + instance + " " + std::to_string(limit.per_s) + " " +
+         std::to_string(limit.burst);
 }
 
 }  // namespace
@@ -59,7 +63,7 @@
 }
 
 std::vector<QuotaClient::Outcome> QuotaClient::SetUpstreamLimit(const std::string& instance,
-                                                                std::optional<double> rate_per_s,
+                                                                std::optional<RateLimit> limit,
                                                                 TimeMs now) {
   std::vector<Outcome> outcomes;
   const auto former = upstream_accounts_.find(instance);
@@ -68,19 +72,19 @@
     for (const auto* queued : {&account.requested, &account.queued}) {
       for (const auto& it : *queued) {
         // Refused so that they are submitted again under the new limit.
-        const Admission admission = rate_per_s ? Admission{Decision::kOverQuota, 0} : Admission{};
+        const Admission admission = limit ? Admission{Decision::kOverQuota, 0} : Admission{};
         if (it.ticket != 0) outcomes.push_back({it.ticket, admission});
       }
     }
     RemoveAccount(former->second);
     upstream_accounts_.erase(former);
   }
-  if (!rate_per_s) return outcomes;
-  const std::string name = UpstreamAccount(instance, *rate_per_s);
+  if (!limit) return outcomes;
+  const std::string name = UpstreamAccount(instance, *limit);
   upstream_accounts_[instance] = name;
   Account& account = accounts_[name];
   account.upstream = instance;
-  account.limit = {name, std::max(*rate_per_s, kMinUpstreamRatePerS), kUpstreamBurst};
+  account.limit = {name, std::max(limit->per_s, kMinUpstreamRatePerS), limit->burst};
   account.local_since = now;
   ChooseAllocator(name, &account, now);
   is_registration_changed_ = true;
@@ -211,10 +215,15 @@
   if (!has_local_share) return refused;
   const int entry_count =
       was_registered ? entry_count_ : std::max(entry_count_, kDefaultEntryCount);
+  const double rate_per_s = account->limit.rate_per_s / entry_count;
+  if (!account->upstream.empty()) {
+    const bool is_open = IsLocalSlotOpen(*account, rate_per_s, local_begin_at, now);
+    if (is_open) account->local_used_at = now;
+    return is_open ? Admission() : refused;
+  }
   const auto elapsed_ms =
       static_cast<double>(now - std::max(account->local_refilled_at, local_begin_at));
   account->local_refilled_at = now;
-  const double rate_per_s = account->limit.rate_per_s / entry_count;
   const double capacity = std::max(amount, account->limit.burst / entry_count);
   account->local_level =
       std::min(capacity, account->local_level + rate_per_s * elapsed_ms / kMsPerS);
@@ -223,6 +232,22 @@
   return {};
 }
 
+// A share of an upstream's limit is less than one request a second for most numbers of entries.
+// If each entry could save it up, all of them could send one request at the same moment, however
+// many they are. Each may therefore send one only in its own slot of each period, and the slots of
+// all entries are spread over the period.
+bool QuotaClient::IsLocalSlotOpen(const Account& account, double rate_per_s, TimeMs begin_at,
+                                  TimeMs now) const {
+  const double period_ms = kMsPerS / rate_per_s;
+  const auto hash = RendezvousScore(account.limit.organisation, entry_);
+  const double phase_ms = static_cast<double>(hash) / kHashRange * period_ms;
+  const double position_ms = static_cast<double>(now - begin_at) + phase_ms;
+  const double into_slot_ms = std::fmod(position_ms, period_ms);
+  const double slot_begin_at = static_cast<double>(now) - into_slot_ms;
+  return position_ms >= period_ms && into_slot_ms <= static_cast<double>(kLocalSlotMs) &&
+         static_cast<double>(account.local_used_at) < slot_begin_at;
+}
+
 std::optional<QuotaClient::Admission> QuotaClient::RefuseIfOverQuota(
     const std::string& organisation, double amount, TimeMs now) {
   const auto it = accounts_.find(organisation);
--- a/test/random_quota_test.cc
+++ b/test/random_quota_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "check.h"
+#include "junctionrail/routing.h"
 #include "junctionrail/tenancy.h"
 #include "random_run.h"
 
@@ -44,7 +45,23 @@
   static constexpr double kMaxPerWindow = 1.5 * kPerS * kWindowMs / 1000 + 5;
 
   static void SetLimit(QuotaClient* client, TimeMs now) {
-    client->SetUpstreamLimit("i-up", kPerS, now);
+    client->SetUpstreamLimit("i-up", RateLimit{kPerS}, now);
+  }
+  static QuotaClient::Admission Acquire(QuotaClient* client, std::uint64_t ticket, TimeMs now) {
+    return client->AcquireForUpstream("i-up", ticket, now);
+  }
+};
+
+// An upstream that is cold: a higher rate, and a bound on each second.
+template <int n>
+struct ColdUpstreamLimit {
+  static constexpr int kEntries = n;
+  static constexpr double kPerS = 11;
+  static constexpr DurationMs kWindowMs = 1000;
+  static constexpr double kMaxPerWindow = 1.5 * kPerS + 5;
+
+  static void SetLimit(QuotaClient* client, TimeMs now) {
+    client->SetUpstreamLimit("i-up", ColdLimit(kPerS), now);
   }
   static QuotaClient::Admission Acquire(QuotaClient* client, std::uint64_t ticket, TimeMs now) {
     return client->AcquireForUpstream("i-up", ticket, now);
@@ -307,6 +324,12 @@
   CHECK(RunRandomTest<QuotaSimulation<UpstreamLimit<25>>>("upstream limits, many entries"));
 }
 
+// Guards against a cold upstream that falls over because entries only bound their own requests.
+TEST(RandomQuota, BoundsTheTotalOfAllEntriesForAColdUpstream) {
+  CHECK(RunRandomTest<QuotaSimulation<ColdUpstreamLimit<4>>>("cold upstreams, few entries"));
+  CHECK(RunRandomTest<QuotaSimulation<ColdUpstreamLimit<25>>>("cold upstreams, many entries"));
+}
+
 TEST(RandomQuota, UsesTheWholeLimitUnderOverload) {
   SteadyLoad load;
   for (int n = 0; n < 40; ++n) load.Advance(0);
--- a/test/throttled_upstreams_test.cc
+++ b/test/throttled_upstreams_test.cc
@@ -56,12 +56,15 @@
 TEST(ThrottledUpstreams, LimitSurvivesAnswerToEarlierRequest) {
   TableFixture t;
   t.table.ApplyListing({MakeRecord("u1")}, t.now);
-  EXPECT_TRUE(t.Throttle("u1").OnLimit(2, t.now, t.now + 100), "the limit is new");
-  EXPECT_TRUE(!t.Throttle("u1").OnLimit(std::nullopt, t.now + 50, t.now + 200),
+  EXPECT_TRUE(t.table.OnLimitNotice("u1", 2, t.now, t.now + 100), "the limit is new");
+  EXPECT_NUMBER(1, t.table.UpdateLimits(t.now + 100).size(), "one change");
+  EXPECT_TRUE(!t.table.OnLimitNotice("u1", std::nullopt, t.now + 50, t.now + 200),
               "request sent before the limit was stated");
-  EXPECT_TRUE(t.table.LimitOf("u1") == 2, "the limit still applies");
-  EXPECT_TRUE(t.Throttle("u1").OnLimit(std::nullopt, t.now + 150, t.now + 200),
+  EXPECT_NUMBER(0, t.table.UpdateLimits(t.now + 200).size(), "no change");
+  EXPECT_TRUE(t.table.LimitOf("u1") == RateLimit{2}, "the limit still applies");
+  EXPECT_TRUE(t.table.OnLimitNotice("u1", std::nullopt, t.now + 150, t.now + 200),
               "request sent after the limit was stated");
+  EXPECT_NUMBER(1, t.table.UpdateLimits(t.now + 200).size(), "one change");
   EXPECT_TRUE(!t.table.LimitOf("u1"), "the limit is removed");
 }
 
