Cold upstreams: a limit that is used up holds whoever stated it

Cause: the time until which a limit is used up was only read where the upstream itself had stated the limit.

Change: it is read in any case, and cleared when the limit in force changes. The tests failed first: the process ended in the one over sockets.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -311,7 +311,7 @@
   // An answer to a request sent at `sent_at` states this limit, or none. Returns whether
   // the limit changed.
   bool OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now);
-  // All entries together have used up the limit until then.
+  // All entries together have used up the limit in force until then; 0: they have not.
   void OnLimitExhausted(TimeMs until) { limit_exhausted_until_ = until; }
   // An answer to a request sent at `sent_at` requests a backoff; 0: none.
   void OnBackoff(DurationMs backoff_ms, TimeMs sent_at, TimeMs now);
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -109,6 +109,7 @@
     const auto limit = CurrentLimit(row, now);
     if (limit != row.limit) {
       row.limit = limit;
+      row.throttle.OnLimitExhausted(0);
       changes.push_back({*it, limit, row.cold_until > now});
     }
     it = limit ? std::next(it) : limited_.erase(it);
--- a/src/routing/upstream_throttle.cc
+++ b/src/routing/upstream_throttle.cc
@@ -18,6 +18,7 @@
   if (per_s) limit_at_ = now;
   if (limit_per_s_ == per_s) return false;
   limit_per_s_ = per_s;
+  limit_exhausted_until_ = 0;
   return true;
 }
 
@@ -33,8 +34,7 @@
 // After a backoff a single request is sent first as a probe; otherwise all requests that
 // waited for its end could be rejected together.
 TimeMs UpstreamThrottle::AvailableAt() const {
-  TimeMs opens_at = backoff_until_;
-  if (limit_per_s_) opens_at = std::max(opens_at, limit_exhausted_until_);
+  TimeMs opens_at = std::max(backoff_until_, limit_exhausted_until_);
   const bool is_probe_in_flight = needs_probe_ && sent_at_ >= backoff_until_;
   if (is_probe_in_flight) opens_at = std::max(opens_at, sent_at_ + kProbeTimeoutMs);
   return opens_at;
--- a/test/places_test.cc
+++ b/test/places_test.cc
@@ -260,6 +260,41 @@
   EXPECT_TRUE(t.table.LimitOf("u2")->per_s == kColdPerS, "the stated one is higher");
 }
 
+TEST(ColdUpstreams, AreNotChosenWhileTheirLimitIsUsedUp) {
+  ColdFixture t;
+  t.cold_ms = 2000;
+  t.Relist();
+  t.table.UpdateLimits(t.now);
+  t.Throttle("u3").OnLimitExhausted(t.now + 90);
+  EXPECT_TEXT("wait u3", t.ChooseFor("a"), "until the limit allows the next request");
+  EXPECT_NUMBER(90, t.estimate_ms, "");
+  t.cold_ms = 0;
+  t.Relist();
+  t.table.UpdateLimits(t.now);
+  EXPECT_TEXT("send u3", t.ChooseFor("a"), "it is warm, so no limit holds back anything");
+}
+
+// Guards against an entry that chooses the same cold upstream again and again within one call.
+TEST(ColdUpstreams, WithoutAnAllocatorAreRefusedTruthfully) {
+  GatewayFixture t;
+  t.AddUpstream("u1", "plain",
+                [](const SeenRequest&, const Peer& peer) { peer->Write(OkResponse("ok")); });
+  RoutingConfiguration configuration;
+  configuration.version = 1;
+  configuration.routes = {MakeRoute("/a/", RequestKind::kIdempotent, "plain")};
+  configuration.services = {{"plain", 64, std::nullopt}};
+  configuration.services[0].cold_requests_per_s = 1;
+  t.gateway->ApplyConfiguration(configuration);
+  t.records[0].cold_ms = 5000;
+  t.gateway->ApplyListing({t.records, MonotonicMs()});
+  const std::string answer = t.Fetch(MakeRequest("GET /a/"));
+  EXPECT_TRUE(Contains(answer, " 503 ") && Contains(answer, "\"ran\":\"no\""), answer);
+  EXPECT_TRUE(Contains(answer, "Retry-After"), "tells when to retry");
+  t.records[0].cold_ms = 0;
+  t.gateway->ApplyListing({t.records, MonotonicMs()});
+  EXPECT_TRUE(Contains(t.Fetch(MakeRequest("GET /a/")), "200 OK"), "it is warm");
+}
+
 TEST(ColdUpstreams, GiveWayToWarmOnes) {
   ColdFixture t;
   std::vector<UpstreamRecord> records = {MakeRecord("u1"), MakeRecord("u2")};
