--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -5,8 +5,13 @@
 #define JUNCTIONRAIL_LISTING_H_
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "junctionrail/base.h"
@@ -45,8 +50,10 @@
   // How much longer the upstream bears only a low rate of requests, as of its last write to the
   // record; none: it does not say.
   std::optional<DurationMs> cold_ms = {};
+  std::vector<std::string> cached_models = {};  // Engines only: on disk or in host memory.
 
   const std::string& WireId() const { return id.empty() ? instance : id; }
+  bool operator==(const UpstreamRecord& other) const;
 };
 
 // Drops records whose address also appears in a newer record: the older upstream
@@ -78,6 +85,10 @@
   explicit PollSchedule(DurationMs period_ms) : period_ms_(period_ms) {}
   void SetPeriod(DurationMs period_ms) { period_ms_ = period_ms; }
 
+  // Another process polled successfully at `as_of`, and its answer was received. Returns false
+  // if a later one is known already.
+  bool OnRelayed(TimeMs as_of, TimeMs now);
+
   // When to start the next poll, regardless of the state of earlier ones.
   TimeMs NextAt() const { return next_at_; }
   Poll Begin(TimeMs now);
@@ -129,6 +140,8 @@
   // The store was restored from an older copy: records missing from the next poll may
   // not have been rewritten yet.
   void OnNewEra() { is_new_era_ = true; }
+  // Another process returned these records of a poll that started at `as_of`.
+  void OnRelayed(const std::vector<UpstreamRecord>& records, TimeMs as_of);
   // Initializes the state from another entry's list, before the first own poll.
   std::vector<UpstreamRecord> Seed(std::vector<UpstreamRecord> told);
   // When to poll the list for the missing records: by then they are back, or their
@@ -146,6 +159,130 @@
   bool has_missing_ = false;
 };
 
+// --- Relaying ---
+//
+// The list grows with the fleet, and so would the load on the store if every entry polled it.
+// Instead one agent, the relay, polls it and the configuration's version, and entries ask the
+// relay for what changed. The agents are ranked by rendezvous hashing; an entry asks the first one
+// that answers. An entry polls the store itself whenever what it knows gets too old.
+
+// What an entry asks the relay.
+struct RelayRequest {
+  std::string entry;
+  std::uint64_t number = 0;
+  std::string epoch;          // Of the last reply; empty: none.
+  std::uint64_t version = 0;  // Of the last reply.
+};
+
+struct RelayReply {
+  std::uint64_t number = 0;     // Of the request.
+  std::string epoch;            // Differs for each start of each relay.
+  std::uint64_t version = 0;    // Of the list.
+  DurationMs list_age_ms = -1;  // Since the poll of the list began; -1: no list is included.
+  bool is_whole = false;        // `changed` contains all records.
+  std::vector<UpstreamRecord> changed;
+  std::vector<std::string> removed;  // Instances.
+  std::uint64_t configuration_version = 0;
+  // Since that version, and these evacuations, are known to have been the newest; -1: unknown.
+  DurationMs configuration_age_ms = -1;
+  std::vector<std::string> evacuated_halls;
+  // The entry is one of the few that plan for the fleet as a whole.
+  bool is_planner = false;
+};
+
+// Each message has a distinct prefix, by which Is...() recognizes it.
+std::string EncodeRelayRequest(const RelayRequest& request);
+bool IsRelayRequest(std::string_view bytes);
+bool DecodeRelayRequest(std::string_view bytes, RelayRequest* request);
+std::string EncodeRelayReply(const RelayReply& reply);
+bool IsRelayReply(std::string_view bytes);
+bool DecodeRelayReply(std::string_view bytes, RelayReply* reply);
+
+// The relay's side: keeps the changes of the list and answers entries.
+class ListingRelay {
+ public:
+  explicit ListingRelay(std::string epoch) : epoch_(std::move(epoch)) {}
+
+  void ApplyListing(const UpstreamListing& listing);
+  void ConfirmConfiguration(std::uint64_t version, TimeMs as_of);
+  void ApplyEvacuations(std::vector<std::string> halls) { evacuated_halls_ = std::move(halls); }
+  RelayReply Answer(const RelayRequest& request, TimeMs now);
+  // Whether an entry has asked lately, so that the list has to be polled.
+  bool IsInUse(TimeMs now) const;
+
+ private:
+  struct VersionedRecord {
+    UpstreamRecord record;
+    std::uint64_t version = 0;  // When it last changed.
+  };
+  struct Removal {
+    std::string instance;
+    std::uint64_t version = 0;
+  };
+
+  bool IsPlanner(const std::string& entry, TimeMs now);
+  bool MaySendWholeList(TimeMs now);
+
+  std::string epoch_;
+  std::uint64_t version_ = 0;
+  TimeMs as_of_ = 0;                                // 0: no list yet.
+  std::map<std::string, VersionedRecord> records_;  // By instance.
+  std::deque<Removal> removals_;
+  std::uint64_t forgotten_version_ = 0;  // Removals up to this version are forgotten.
+  std::uint64_t configuration_version_ = 0;
+  TimeMs configuration_as_of_ = 0;
+  std::vector<std::string> evacuated_halls_;
+  std::map<std::string, TimeMs> asked_at_;  // By entry.
+  std::set<std::string> planners_;
+  TimeMs planners_chosen_at_ = 0;
+  TimeMs whole_lists_since_ = 0;
+  int whole_lists_sent_ = 0;  // Since then.
+};
+
+// An entry's side: chooses the relay to ask, and applies its replies.
+class RelayClient {
+ public:
+  // `period_ms`: from one request to the next.
+  RelayClient(std::string entry, DurationMs period_ms)
+      : entry_(std::move(entry)), period_ms_(period_ms) {}
+  void SetPeriod(DurationMs period_ms) { period_ms_ = period_ms; }
+
+  struct Ask {
+    std::string instance;  // Of the upstream whose agent is the relay.
+    RelayRequest request;
+  };
+  // Returns the request that is due, if any. `ranked`: upstreams with agents, best relay first. A
+  // relay that has not answered the last request is passed over for a while.
+  std::optional<Ask> NextAsk(const std::vector<std::string>& ranked, TimeMs now);
+
+  struct News {
+    std::optional<UpstreamListing> listing;
+    std::uint64_t configuration_version = 0;
+    TimeMs configuration_as_of = 0;  // 0: the relay confirms none.
+    std::set<std::string> evacuated_halls;
+    bool is_planner = false;
+  };
+  // `max_age_ms`: a relay whose list is older is passed over next time. Returns nullopt for a reply
+  // to another request than the last one.
+  std::optional<News> OnReply(const std::string& instance, const RelayReply& reply,
+                              DurationMs max_age_ms, TimeMs now);
+  // The relay that was asked last; empty: none.
+  const std::string& relay() const { return relay_; }
+
+ private:
+  std::string entry_;
+  DurationMs period_ms_;
+  std::string relay_;
+  TimeMs next_ask_at_ = 0;
+  std::uint64_t last_number_ = 0;
+  bool is_answered_ = true;
+  TimeMs asked_at_ = 0;
+  std::string epoch_;
+  std::uint64_t version_ = 0;
+  std::map<std::string, UpstreamRecord> records_;  // By instance.
+  std::map<std::string, TimeMs> passed_over_until_;
+};
+
 }  // namespace junctionrail
 
 #endif  // JUNCTIONRAIL_LISTING_H_
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -243,6 +243,8 @@
   DurationMs resend_interval_ms = 1000;
   // The entry accepts views that contain only the changed parts.
   bool accepts_view_updates = false;
+  // The entry observes all engines, so that it can judge the use of the weight store.
+  bool is_planner = true;
   // The entry wants to be told about ended upstreams.
   bool wants_upstream_ends = false;
 };
@@ -258,6 +260,7 @@
   // it is known.
   DurationMs evacuation_bound_ms = 0;
   DurationMs record_period_ms = 1200;  // Upstreams write their records this often.
+  std::string entry_id;  // Spreads the entries over the engines that each of them observes.
 };
 
 // Times that upstream selection depends on.
@@ -348,6 +351,18 @@
   UpstreamTable(const UpstreamTable&) = delete;
   UpstreamTable(UpstreamTable&&) = default;
 
+  // A planner observes all engines: it has links to their agents and gets their views. Other
+  // entries observe only engines that serve their requests or may do so soon, and judge the rest by
+  // their records.
+  void SetPlanner(bool is_planner) { is_planner_ = is_planner; }
+  bool is_planner() const { return is_planner_; }
+  // Observes the engine for a while.
+  void Observe(const std::string& instance, TimeMs now);
+  // Instances of engines whose agents may act for the fleet, best first; all entries rank them
+  // alike. At most `n`.
+  std::vector<std::string> RankAgents(std::size_t n) const;
+  std::vector<QuotaClient::Allocator> ListAgents() const;
+
   std::set<std::string> evacuated_halls() const { return evacuated_halls_.halls(); }
   void SetEvacuationBound(DurationMs bound_ms) { evacuated_halls_.SetBound(bound_ms); }
   void SetRecordPeriod(DurationMs period_ms) { options_.record_period_ms = period_ms; }
@@ -418,7 +433,7 @@
     TimeMs next_late_at = 0;     // When the next of the others becomes late.
   };
 
-  // The demand to send to each agent, by instance.
+  // The demand to send to the agents of observed engines, by instance.
   std::map<std::string, AgentDemand> BuildDemands(const std::vector<WaitingRequests>& waiting,
                                                   TimeMs now);
   // The part of that demand that comes from waiting requests, for one instance.
@@ -444,7 +459,7 @@
   // Whether the upstream is known to have the model loaded.
   bool HasModel(const std::string& instance, const ModelRef& model, TimeMs now) const;
   bool HasFreshView(const std::string& instance, TimeMs now) const;
-  // Listed engines without a view for `ms`.
+  // Observed engines without a view for `ms`.
   std::vector<Endpoint> EnginesWithoutView(DurationMs ms, TimeMs now) const;
   // Number of entries, from the agents' link counts; at least 1.
   int CountEntries(TimeMs now) const;
@@ -452,8 +467,10 @@
  private:
   struct Row {
     UpstreamRecord record;
-    TimeMs listed_at = 0;  // When first listed.
-    bool is_gone = false;  // No longer listed.
+    TimeMs listed_at = 0;       // When first listed.
+    TimeMs observed_at = 0;     // When its observation began.
+    TimeMs observed_until = 0;  // Does not matter to a planner.
+    bool is_gone = false;       // No longer listed.
     bool was_replaced = false;
     EngineView view;
     TimeMs view_at = 0;  // 0: no view.
@@ -515,6 +532,21 @@
   // The one that accepts requests again first; null if the list is empty.
   static const Row* SoonestAvailable(const std::vector<Row*>& unavailable);
   bool IsFresh(const Row& row, TimeMs now) const;
+  bool IsObserved(const Row& row, TimeMs now) const {
+    return is_planner_ || row.observed_until > now || row.in_flight > 0;
+  }
+  // Whether the state of the engine is known well enough to choose it for a load: by a view or, if
+  // no view has been asked for, by its record.
+  bool IsJudgeable(const Row& row, TimeMs now) const;
+  void Observe(Row* row, TimeMs now);
+  // The rows among which requests for the model are spread: with many replicas, only some.
+  std::vector<Row*> FindSpreadHolders(const std::string& model, TimeMs now) const;
+  // Engines that may be chosen to load the model.
+  std::vector<Row*> FindLoadCandidates(const std::string& model, const std::vector<Row*>& usable,
+                                       TimeMs now) const;
+  // The rate that this entry reports to each of the `replicas` that it observes, so that the sums
+  // over all entries are rates of the whole fleet.
+  double ReportedRate(const std::string& model, int replicas, TimeMs now) const;
   bool IsUnresponsive(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
   bool IsFull(const Row& row, TimeMs now) const;
@@ -547,18 +579,17 @@
   // Number of usable upstreams that have each model loaded, or will soon. The keys
   // point into the rows and are valid until a row changes.
   using CountByModel = std::unordered_map<std::string_view, int>;
-  CountByModel CountReplicas(TimeMs now) const;
+  CountByModel CountReplicas(std::string_view service, TimeMs now) const;
+  int CountReplicasOf(const std::string& model, TimeMs now) const;
   CountByModel CountPendingReplicas(std::string_view service, TimeMs now) const;
   ModelDemand ToModelDemand(const WaitingRequests& waiting, TimeMs now) const;
-  void AddModelUse(AgentDemand* demand, const Row& row, const CountByModel& replicas,
-                   TimeMs now) const;
-  void AddReplicas(std::map<std::string, AgentDemand>* demands, const CountByModel& replicas,
-                   TimeMs now);
-  void AddEvacuatedModels(const std::string& service, const CountByModel& replicas,
-                          std::map<std::string, AgentDemand>* demands, TimeMs now);
+  void AddModelUse(AgentDemand* demand, const Row& row, TimeMs now) const;
+  void AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now);
+  void AddEvacuatedModels(const std::string& service, std::map<std::string, AgentDemand>* demands,
+                          TimeMs now);
   // Whether the engines that have the model loaded are nearly full.
   bool IsNearCapacity(const std::string& model, TimeMs now) const;
-  const Row* ChooseReplicaTarget(std::string_view service, const std::string& model, TimeMs now);
+  Row* ChooseReplicaTarget(std::string_view service, const std::string& model, TimeMs now);
   struct StagingSurvey;
   StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
   void AddPreloads(std::map<std::string, AgentDemand>* demands, TimeMs now);
@@ -577,6 +608,7 @@
   // these while one of them can take the request.
   std::unordered_map<std::string, std::vector<Row*>> holders_;
 
+  bool is_planner_ = true;
   EvacuatedHalls evacuated_halls_;
   std::set<std::string> limited_;  // Instances that have, had or may have a limit.
 
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -99,6 +99,12 @@
   double retry_ratio = 0.2;     // The fleet's attempts beyond the first, of its requests.
   double retry_extra = 50;      // And so many more in a window.
   DurationMs retry_window_ms = 10000;
+  // The region of each data hall.
+  std::map<std::string, std::string> hall_regions;
+  // An agent's.
+  Endpoint link;
+  Endpoint upstream;
+  // Of both.
   DurationMs leaving_ms = 2000;  // An upstream that leaves gets nothing new after it.
   // Upstreams write their records anew so often.
   DurationMs record_period_ms = 1200;
@@ -108,13 +114,10 @@
   // A data hall gets nothing new later than so long after its evacuation was asked for.
   // 0: nothing once it is known.
   DurationMs evacuate_ms = 0;
-  // The region of each data hall.
-  std::map<std::string, std::string> hall_regions;
-  // An agent's.
-  Endpoint link;
-  Endpoint upstream;
-  // Of both.
   PolicySettings policy;
+
+  // The shortest time within which what operators write has to be in force; 0: none is set.
+  DurationMs OperatorBound() const;
 };
 
 struct Settings {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -78,6 +78,10 @@
   r.Object("policy", [&](ObjectReader& it) { direct.policy = ReadPolicy(it); });
   direct.store = ReadEndpoint(r, "store");
   direct.metrics = ReadEndpoint(r, "metrics");
+  direct.leaving_ms = r.Integer("leaving_ms", 400, kLongestMs, direct.leaving_ms);
+  direct.record_period_ms = r.Integer("record_period_ms", 1, kLongestMs, direct.record_period_ms);
+  direct.revoke_ms = r.Integer("revoke_ms", 0, kLongestMs, direct.revoke_ms);
+  direct.evacuate_ms = r.Integer("evacuate_ms", 0, kLongestMs, direct.evacuate_ms);
   if (role == Role::kAgent) {
     direct.link = ReadEndpoint(r, "link");
     direct.upstream = ReadEndpoint(r, "upstream");
@@ -91,10 +95,6 @@
   direct.retry_ratio = r.Number("retry_ratio", 0, 10, direct.retry_ratio);
   direct.retry_extra = r.Number("retry_extra", 0, 1e6, direct.retry_extra);
   direct.retry_window_ms = r.Integer("retry_window_ms", 1, kLongestMs, direct.retry_window_ms);
-  direct.leaving_ms = r.Integer("leaving_ms", 400, kLongestMs, direct.leaving_ms);
-  direct.record_period_ms = r.Integer("record_period_ms", 1, kLongestMs, direct.record_period_ms);
-  direct.revoke_ms = r.Integer("revoke_ms", 0, kLongestMs, direct.revoke_ms);
-  direct.evacuate_ms = r.Integer("evacuate_ms", 0, kLongestMs, direct.evacuate_ms);
   direct.hall_regions = r.StringMap("hall_regions");
   return direct;
 }
@@ -136,6 +136,11 @@
     {"leaves_silent", &PolicySettings::leaves_silent},
 };
 
+DurationMs DirectSettings::OperatorBound() const {
+  if (revoke_ms == 0 || evacuate_ms == 0) return std::max(revoke_ms, evacuate_ms);
+  return std::min(revoke_ms, evacuate_ms);
+}
+
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return false;
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <set>
 #include <utility>
 
 #include "direct_daemon.h"
@@ -20,6 +21,20 @@
 // An entry that gave this engine orders looks each second whether an agent listens;
 // from its last order on, engines must see no other holder for the lease's three.
 constexpr DurationMs kHandBackMs = 5000;
+// A relay polls what it passes on this often, as a part of the time within which an upstream that
+// leaves may get something new, and as a part of the bound on what operators write.
+constexpr double kRelayPart = 0.2;
+constexpr DurationMs kCheckRelayMs = 1000;
+
+DurationMs RelayPeriod(const DirectSettings& direct) {
+  return static_cast<DurationMs>(kRelayPart * static_cast<double>(direct.leaving_ms));
+}
+
+DurationMs RelayWatch(const DirectSettings& direct) {
+  const DurationMs bound_ms = direct.OperatorBound();
+  const auto part_ms = static_cast<DurationMs>(kRelayPart * static_cast<double>(bound_ms));
+  return bound_ms == 0 ? RelayPeriod(direct) : std::min(part_ms, RelayPeriod(direct));
+}
 
 }  // namespace
 
@@ -40,7 +55,9 @@
             io, store_, log_, platform::Freshness::kMayLag,
             [this](const RoutingConfiguration& it) { keeper_->SetServices(it.services); }),
         upstreams_(io, store_, log_, platform::Freshness::kMayLag, kListingMs,
-                   [this](const UpstreamListing& listing) { OnListing(listing.records); }) {}
+                   [this](const UpstreamListing& listing) { OnListing(listing); }),
+        relay_(settings_.id + "@" + std::to_string(UnixMs())),
+        relay_timer_(io) {}
 
   std::optional<ListenError> Start() {
     log_.Write(MonotonicMs(), "start",
@@ -58,8 +75,17 @@
     const auto metrics = metrics_->Listen();
     if (!metrics) return ListenError{"direct.metrics", metrics.error().sentence};
     keeper_->SetPolicy(settings_.direct->policy);
+    configuration_.SetWatch(RelayWatch(*settings_.direct));
+    configuration_.OnConfirmed([this](TimeMs as_of) {
+      if (is_relaying_) relay_.ConfirmConfiguration(configuration_.word().version(), as_of);
+    });
+    configuration_.OnEvacuations([this](const std::set<std::string>& halls, TimeMs) {
+      relay_.ApplyEvacuations({halls.begin(), halls.end()});
+    });
+    upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
     configuration_.Start();
     upstreams_.Start();
+    relay_timer_.Every(kCheckRelayMs, [this] { StopUnusedRelay(); });
     keeper_->Start();
     return std::nullopt;
   }
@@ -79,7 +105,16 @@
         !(settings.direct->store == direct.store) ||
         !(settings.direct->metrics == direct.metrics) || !(settings.direct->link == direct.link) ||
         !(settings.direct->upstream == direct.upstream);
-    if (settings.direct) keeper_->SetPolicy(settings.direct->policy);
+    if (settings.direct) {
+      keeper_->SetPolicy(settings.direct->policy);
+      settings_.direct->leaving_ms = settings.direct->leaving_ms;
+      settings_.direct->record_period_ms = settings.direct->record_period_ms;
+      settings_.direct->revoke_ms = settings.direct->revoke_ms;
+      settings_.direct->evacuate_ms = settings.direct->evacuate_ms;
+      configuration_.SetWatch(RelayWatch(*settings_.direct));
+      upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
+      if (is_relaying_) upstreams_.SetPeriod(RelayPeriod(*settings_.direct));
+    }
     log_.Write(MonotonicMs(), "reload", {{"waits_for_restart", must_restart}});
   }
 
@@ -111,9 +146,45 @@
     return callbacks;
   }
 
-  void OnListing(const std::vector<UpstreamRecord>& listing) {
+  void OnListing(const UpstreamListing& listing) {
     if (fence_ == 0) AskForHost();
-    keeper_->SetListing(listing);
+    if (is_relaying_) relay_.ApplyListing(listing);
+    keeper_->SetListing(listing.records);
+    // Once its record is known, the others matter only to a relay.
+    upstreams_.Narrow(is_relaying_ ? std::string() : keeper_->engine_id());
+  }
+
+  // An entry asks for what changed in the list. As long as some do, this agent polls the list and
+  // the configuration for all of them.
+  void OnRelayRequest(std::uint64_t link, std::string_view bytes) {
+    RelayRequest request;
+    if (!DecodeRelayRequest(bytes, &request)) {
+      log_.Write(MonotonicMs(), "relay_request_malformed", {});
+      return;
+    }
+    const RelayReply reply = relay_.Answer(request, MonotonicMs());
+    if (!is_relaying_) StartRelay();
+    links_.Send(link, EncodeRelayReply(reply));
+  }
+
+  void StartRelay() {
+    log_.Write(MonotonicMs(), "relay_started", {});
+    SetRelaying(true, platform::Freshness::kNewest, RelayPeriod(*settings_.direct));
+    upstreams_.ReadSoon();
+  }
+
+  void StopUnusedRelay() {
+    if (!is_relaying_ || relay_.IsInUse(MonotonicMs())) return;
+    log_.Write(MonotonicMs(), "relay_stopped", {});
+    SetRelaying(false, platform::Freshness::kMayLag, kListingMs);
+  }
+
+  void SetRelaying(bool is_relaying, platform::Freshness freshness, DurationMs period_ms) {
+    is_relaying_ = is_relaying;
+    configuration_.SetFreshness(freshness);
+    upstreams_.SetFreshness(freshness);
+    upstreams_.SetPeriod(period_ms);
+    upstreams_.Narrow({});
   }
 
   // While this agent was away an entry may have taken its place. It stops when it
@@ -140,6 +211,7 @@
   void OnDemand(std::uint64_t link, std::string_view bytes) {
     if (IsCrashMessage(bytes)) return OnEnd(bytes);
     if (IsQuotaRequest(bytes)) return OnQuotaAsk(link, bytes);
+    if (IsRelayRequest(bytes)) return OnRelayRequest(link, bytes);
     AgentDemand demand;
     if (!DecodeDemand(bytes, &demand)) {
       log_.Write(MonotonicMs(), "demand_malformed", {});
@@ -174,6 +246,9 @@
   std::int64_t fence_ = 0;  // The store's revision at the start.
   TimeMs may_order_at_ = 0;
   bool is_asking_host_ = false;
+  ListingRelay relay_;
+  Timer relay_timer_;
+  bool is_relaying_ = false;
 };
 
 DirectAgent::DirectAgent(boost::asio::io_context& io, Settings settings, int log_descriptor)
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -48,6 +48,17 @@
 constexpr DurationMs kAskWordMs = 500;
 // A giver of quotas is passed over when no view of its engine came for so long.
 constexpr DurationMs kGiverUnseenMs = 1500;
+// The relay polls the list of upstreams, and entries ask it, this often, as a part of the time
+// within which one that leaves may get something new. What an entry knows is then younger than the
+// age at which it polls the store itself.
+constexpr double kRelayPart = 0.2;
+// A confirmation of the configuration by the relay counts for this long, as a part of the same
+// time.
+constexpr double kRelayTrustPart = 0.6;
+// How often it is checked whether the relay is to be asked.
+constexpr DurationMs kAskRelayMs = 100;
+// Agents that may be asked for the list, one after the other.
+constexpr std::size_t kRelayCandidates = 4;
 // An entry that starts waits so long for what others have recorded of requests that end
 // upstreams, before it calls itself ready.
 constexpr DurationMs kQuarantineWaitMs = 1000;
@@ -57,6 +68,14 @@
           direct.retry_window_ms};
 }
 
+DurationMs RelayPeriod(const DirectSettings& direct) {
+  return static_cast<DurationMs>(kRelayPart * static_cast<double>(direct.leaving_ms));
+}
+
+DurationMs RelayTrust(const DirectSettings& direct) {
+  return static_cast<DurationMs>(kRelayTrustPart * static_cast<double>(direct.leaving_ms));
+}
+
 DurationMs ListingPeriod(const DirectSettings& direct) {
   return static_cast<DurationMs>(kListingPart * static_cast<double>(direct.leaving_ms));
 }
@@ -81,6 +100,7 @@
   options.routing.policy = direct.policy;
   options.entry_id = settings.id;
   options.key_revocation_ms = direct.revoke_ms;
+  options.routing.entry_id = settings.id;
   options.routing.hall_regions = direct.hall_regions;
   options.routing.evacuation_bound_ms = direct.evacuate_ms;
   options.routing.record_period_ms = direct.record_period_ms;
@@ -118,7 +138,9 @@
                      gateway_.ApplyListing(listing);
                      hosting_->SetListing(listing.records);
                    }),
+        relay_client_(settings_.id, RelayPeriod(*settings_.direct)),
         demand_timer_(io),
+        relay_timer_(io),
         urgent_timer_(io),
         peer_timer_(io),
         word_timer_(io) {}
@@ -149,12 +171,15 @@
       gateway_.ApplyEvacuations(halls, as_of);
     });
     configuration_.OnConfirmed([this](TimeMs as_of) { gateway_.ConfirmConfiguration(as_of); });
+    gateway_.upstreams().SetPlanner(false);
     BoundWord();
+    configuration_.RestWhileConfirmed(RelayTrust(*settings_.direct));
     upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
     configuration_.Start();
     upstreams_.Start();
     quarantine_->Start();
     demand_timer_.Every(kDemandMs, [this] { TellAgents(); });
+    relay_timer_.Every(kAskRelayMs, [this] { AskRelay(); });
     peer_timer_.After(kAskPeerMs, [this] { AskPeer(0); });
     word_timer_.Every(kAskWordMs, [this] { AskWord(); });
     return std::nullopt;
@@ -190,6 +215,8 @@
       gateway_.SetRetries(RetriesOf(direct));
       direct.record_period_ms = settings.direct->record_period_ms;
       upstreams_.SetPeriod(ListingPeriod(direct));
+      configuration_.RestWhileConfirmed(RelayTrust(direct));
+      relay_client_.SetPeriod(RelayPeriod(direct));
       upstreams_.SetWritePeriod(direct.record_period_ms);
     }
     log_.Write(MonotonicMs(), "reload",
@@ -260,6 +287,11 @@
       }
     }
     std::sort(others.rbegin(), others.rend());
+    // The relay has links to all entries.
+    const auto relay = std::find_if(others.begin(), others.end(), [this](const auto& it) {
+      return it.second == relay_client_.relay();
+    });
+    if (relay != others.end()) std::rotate(others.begin(), relay, relay + 1);
     std::size_t told = 0;
     for (const auto& [score, instance] : others) {
       if (told == kOtherRelays) return;
@@ -296,6 +328,7 @@
   void OnView(const std::string& source, std::string_view bytes) {
     if (IsCrashMessage(bytes)) return OnToldOfEnd(source, bytes);
     if (IsQuotaGrant(bytes)) return OnQuotaGrant(source, bytes);
+    if (IsRelayReply(bytes)) return OnRelayReply(source, bytes);
     EngineView& view = views_[source];
     if (!DecodeView(bytes, &view)) {
       log_.Write(MonotonicMs(), "view_malformed", {{"upstream", source}});
@@ -327,17 +360,55 @@
 
   // Over the link by which the agent is told of demand.
   void TellGiver(const QuotaClient::Message& message) {
-    const auto sent = sent_.find(message.instance);
     const UpstreamRecord* upstream = gateway_.upstreams().Find(message.instance);
-    const bool has_link = sent != sent_.end() && upstream != nullptr && sent->second.to.port != 0;
-    if (!has_link) return;
+    if (upstream == nullptr || reopen_at_.count(message.instance) > 0) return;
+    gateway_.upstreams().Observe(message.instance, MonotonicMs());
     if (hosting_->IsHosting(upstream->endpoint)) {
       return hosting_->OnQuotaAsk(upstream->endpoint, message.request);
     }
-    links_.Send(message.instance, sent->second.to, EncodeQuotaRequest(message.request));
+    links_.Send(message.instance, LinkTo(*upstream), EncodeQuotaRequest(message.request));
+  }
+
+  // To the engine's agent, or to the entry that gives orders in its place.
+  Endpoint LinkTo(const UpstreamRecord& upstream) const {
+    const Endpoint agent{upstream.endpoint.address, settings_.direct->link_port};
+    return hosting_->LinkOf(upstream.endpoint).value_or(agent);
   }
 
-  // All agents that entries are in touch with, or are yet to hear of: all entries that read
+  // Asks the relay what changed in the list of upstreams and in what operators wrote.
+  void AskRelay() {
+    const TimeMs now = MonotonicMs();
+    const auto ranked = gateway_.upstreams().RankAgents(kRelayCandidates);
+    const auto ask = relay_client_.NextAsk(ranked, now);
+    if (!ask) return;
+    const UpstreamRecord* upstream = gateway_.upstreams().Find(ask->instance);
+    if (upstream == nullptr || reopen_at_.count(ask->instance) > 0) return;
+    gateway_.upstreams().Observe(ask->instance, now);
+    links_.Send(ask->instance, LinkTo(*upstream), EncodeRelayRequest(ask->request));
+  }
+
+  void OnRelayReply(const std::string& source, std::string_view bytes) {
+    const TimeMs now = MonotonicMs();
+    RelayReply reply;
+    if (!DecodeRelayReply(bytes, &reply)) {
+      log_.Write(now, "relay_reply_malformed", {{"upstream", source}});
+      return;
+    }
+    const DurationMs max_age_ms = 2 * RelayPeriod(*settings_.direct);
+    const auto news = relay_client_.OnReply(source, reply, max_age_ms, now);
+    if (!news) return;
+    if (news->is_planner != gateway_.upstreams().is_planner()) {
+      log_.Write(now, "planner", {{"is_planner", news->is_planner}, {"relay", source}});
+      gateway_.upstreams().SetPlanner(news->is_planner);
+    }
+    if (news->configuration_as_of != 0) {
+      gateway_.ApplyEvacuations(news->evacuated_halls, news->configuration_as_of);
+      configuration_.OfferWord(news->configuration_version, news->configuration_as_of, 0);
+    }
+    if (news->listing) upstreams_.OfferRelayed(*news->listing);
+  }
+
+  // Agents that entries are in touch with, or have no reason to doubt: all entries that read
   // the same list choose the same ones.
   void FindGivers(TimeMs now) {
     const bool has_limits =
@@ -345,34 +416,26 @@
                                          gateway_.upstreams().CountLimited() > 0);
     if (!has_limits) return;
     const auto unseen = gateway_.upstreams().EnginesWithoutView(kGiverUnseenMs, now);
+    std::set<std::string> unseen_addresses;
+    for (const auto& it : unseen) unseen_addresses.insert(it.ToString());
     std::vector<QuotaClient::Allocator> givers;
-    for (const auto& [instance, sent] : sent_) {
-      const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
-      if (upstream == nullptr || upstream->is_leaving || reopen_at_.count(instance) > 0) continue;
+    for (auto& it : gateway_.upstreams().ListAgents()) {
       const bool is_giver =
-          std::find(unseen.begin(), unseen.end(), upstream->endpoint) == unseen.end();
-      if (is_giver) givers.push_back({instance, upstream->endpoint.ToString()});
+          reopen_at_.count(it.instance) == 0 && unseen_addresses.count(it.address) == 0;
+      if (is_giver) givers.push_back(std::move(it));
     }
     gateway_.SetQuotaAllocators(std::move(givers));
   }
 
-  // The shortest time within which what operators write has to be in force; 0: no bound is set.
-  DurationMs OperatorBound() const {
-    const DurationMs revoke_ms = settings_.direct->revoke_ms;
-    const DurationMs evacuate_ms = settings_.direct->evacuate_ms;
-    if (revoke_ms == 0 || evacuate_ms == 0) return std::max(revoke_ms, evacuate_ms);
-    return std::min(revoke_ms, evacuate_ms);
-  }
-
   void BoundWord() {
-    const auto bound_ms = static_cast<double>(OperatorBound());
+    const auto bound_ms = static_cast<double>(settings_.direct->OperatorBound());
     if (bound_ms > 0) configuration_.SetWatch(static_cast<DurationMs>(kConfirmPart * bound_ms));
   }
 
   // The store cannot be reached, or is slow: another entry may have its word. All are asked, as
   // some may be gone, and their words differ in age.
   void AskWord() {
-    const auto bound_ms = static_cast<double>(OperatorBound());
+    const auto bound_ms = static_cast<double>(settings_.direct->OperatorBound());
     const DurationMs age_ms = gateway_.ConfigurationAge();
     const bool is_old = age_ms < 0 || static_cast<double>(age_ms) > kAskWordPart * bound_ms;
     if (bound_ms <= 0 || !is_old) return;
@@ -505,10 +568,11 @@
   // Only what requests wait for there has changed: a round of demand to all agents each time a
   // request begins to wait would take milliseconds before thousands of engines.
   void TellUrgent(const std::string& instance) {
-    const auto sent = sent_.find(instance);
     const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
-    if (sent == sent_.end() || upstream == nullptr) return;
+    if (upstream == nullptr || reopen_at_.count(instance) > 0) return;
+    const auto [sent, is_new] = sent_.try_emplace(instance);
     AgentDemand& demand = sent->second.demand;
+    if (is_new) SetSender(instance, kRepeatDemandMs, &demand);
     auto& wanted = demand.wanted;
     wanted.erase(std::remove_if(wanted.begin(), wanted.end(),
                                 [](const ModelDemand& it) { return it.waiting > 0; }),
@@ -526,16 +590,22 @@
     TimeMs opened_at = MonotonicMs();
   };
 
+  void SetSender(const std::string& instance, DurationMs repeat_ms, AgentDemand* demand) const {
+    demand->entry = settings_.id;
+    demand->instance = instance;
+    demand->accepts_view_updates = true;
+    demand->wants_upstream_ends = true;
+    demand->is_planner = gateway_.upstreams().is_planner();
+    demand->resend_interval_ms = repeat_ms;
+  }
+
   void TellAgents() {
     const TimeMs now = MonotonicMs();
     auto demands = gateway_.Demands();
     const DurationMs repeat_ms =
         std::max(kRepeatDemandMs, kRepeatDemandEachMs * static_cast<DurationMs>(demands.size()));
     for (auto& [instance, demand] : demands) {
-      demand.entry = settings_.id;
-      demand.accepts_view_updates = true;
-      demand.wants_upstream_ends = true;
-      demand.resend_interval_ms = repeat_ms;
+      SetSender(instance, repeat_ms, &demand);
       const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
       if (upstream == nullptr || reopen_at_.count(instance) > 0) continue;
       Sent& sent = sent_[instance];
@@ -546,6 +616,7 @@
       Tell(*upstream, demand, &sent);
       sent.demand = std::move(demand);
     }
+    CloseUnused(demands);
     CloseSilent(now);
     FindGivers(now);
     for (auto it = reopen_at_.begin(); it != reopen_at_.end();) {
@@ -554,14 +625,12 @@
     hosting_->Tick(gateway_.upstreams().EnginesWithoutView(kUnseenMs, now));
   }
 
-  // To the engine's agent, or to the entry that gives orders in its place.
   void Tell(const UpstreamRecord& upstream, const AgentDemand& demand, Sent* sent) {
     if (hosting_->IsHosting(upstream.endpoint)) {
       links_.Close(upstream.instance, "hosted_here");
       return hosting_->OnDemand(upstream.endpoint, demand);
     }
-    const Endpoint agent{upstream.endpoint.address, settings_.direct->link_port};
-    const Endpoint to = hosting_->LinkOf(upstream.endpoint).value_or(agent);
+    const Endpoint to = LinkTo(upstream);
     if (!(sent->to == to) && sent->to.port != 0) links_.Close(upstream.instance, "moved");
     sent->to = to;
     links_.Send(upstream.instance, to, EncodeDemand(demand));
@@ -570,6 +639,7 @@
   static bool IsSame(const AgentDemand& a, const AgentDemand& b) {
     if (a.stage != b.stage || a.wanted.size() != b.wanted.size()) return false;
     if (a.may_load_from_store != b.may_load_from_store) return false;
+    if (a.is_planner != b.is_planner) return false;
     for (std::size_t n = 0; n < a.wanted.size(); ++n) {
       const bool is_same = a.wanted[n].ref == b.wanted[n].ref &&
                            (a.wanted[n].waiting > 0) == (b.wanted[n].waiting > 0);
@@ -584,6 +654,18 @@
     return true;
   }
 
+  // Links to agents of engines that are not observed any more.
+  void CloseUnused(const std::map<std::string, AgentDemand>& demands) {
+    for (auto it = sent_.begin(); it != sent_.end();) {
+      if (demands.count(it->first) > 0) {
+        ++it;
+        continue;
+      }
+      links_.Close(it->first, "unused");
+      it = sent_.erase(it);
+    }
+  }
+
   // A link on which nothing came for long may be cut without either end
   // knowing; it is opened again with the next demand.
   void CloseSilent(TimeMs now) {
@@ -618,7 +700,9 @@
   std::shared_ptr<EntryHosting> hosting_;
   platform::ConfigurationFollower configuration_;
   platform::UpstreamFollower upstreams_;
+  RelayClient relay_client_;
   Timer demand_timer_;
+  Timer relay_timer_;
   Timer urgent_timer_;
   Timer peer_timer_;
   Timer word_timer_;
--- a/src/daemon/engine_keeper.h
+++ b/src/daemon/engine_keeper.h
@@ -68,6 +68,8 @@
   void OnEnd(const UpstreamCrash& end);
   void OnLinkClosed(std::uint64_t link);
 
+  // The id under which the engine's record is listed; empty while it is unknown.
+  std::string engine_id() const { return core_.instance().empty() ? std::string() : engine_id_; }
   const AgentOrderCounters& counters() const { return counters_; }
 
  private:
--- a/src/listing/expired_record_keeper.cc
+++ b/src/listing/expired_record_keeper.cc
@@ -47,6 +47,12 @@
   return known_records_;
 }
 
+void ExpiredRecordKeeper::OnRelayed(const std::vector<UpstreamRecord>& records, TimeMs as_of) {
+  known_records_ = records;
+  last_read_as_of_ = as_of;
+  has_missing_ = false;
+}
+
 std::vector<UpstreamRecord> ExpiredRecordKeeper::Seed(std::vector<UpstreamRecord> told) {
   known_records_ = std::move(told);
   return known_records_;
--- /dev/null
+++ b/src/listing/listing_relay.cc
@@ -0,0 +1,116 @@
+#include <algorithm>
+#include <utility>
+
+#include "junctionrail/listing.h"
+
+namespace junctionrail {
+namespace {
+
+// An entry that has not asked for this long has ended or asks another relay.
+constexpr DurationMs kAskerTtlMs = 5000;
+// Entries that observe all engines and plan replicas, staging and the use of the weight store for
+// the whole fleet. Several, as some may be cut off, and their number does not grow with the fleet.
+constexpr std::size_t kPlanners = 8;
+constexpr DurationMs kChoosePlannersMs = 500;
+// An entry that is further behind gets the whole list.
+constexpr std::size_t kMaxRemovals = 4096;
+// When all entries ask another relay, each needs the whole list. Sent at once these would take
+// most of an agent's memory.
+constexpr int kWholeListsPerS = 100;
+constexpr DurationMs kSecondMs = 1000;
+
+}  // namespace
+
+void ListingRelay::ApplyListing(const UpstreamListing& listing) {
+  if (listing.as_of < as_of_) return;
+  as_of_ = listing.as_of;
+  const std::uint64_t version = version_ + 1;
+  std::set<std::string> listed;
+  for (const auto& it : listing.records) {
+    listed.insert(it.instance);
+    VersionedRecord& known = records_[it.instance];
+    if (known.version != 0 && known.record == it) continue;
+    known = {it, version};
+    version_ = version;
+  }
+  for (auto it = records_.begin(); it != records_.end();) {
+    if (listed.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    removals_.push_back({it->first, version});
+    version_ = version;
+    it = records_.erase(it);
+  }
+  while (removals_.size() > kMaxRemovals) {
+    forgotten_version_ = removals_.front().version;
+    removals_.pop_front();
+  }
+}
+
+void ListingRelay::ConfirmConfiguration(std::uint64_t version, TimeMs as_of) {
+  configuration_version_ = version;
+  configuration_as_of_ = as_of;
+}
+
+RelayReply ListingRelay::Answer(const RelayRequest& request, TimeMs now) {
+  asked_at_[request.entry] = now;
+  RelayReply reply;
+  reply.number = request.number;
+  reply.epoch = epoch_;
+  reply.version = request.epoch == epoch_ ? request.version : 0;
+  reply.is_planner = IsPlanner(request.entry, now);
+  if (configuration_as_of_ != 0) {
+    reply.configuration_version = configuration_version_;
+    reply.configuration_age_ms = now - configuration_as_of_;
+    reply.evacuated_halls = evacuated_halls_;
+  }
+  const bool knows_base = request.epoch == epoch_ && request.version >= forgotten_version_ &&
+                          request.version != 0 && request.version <= version_;
+  if (as_of_ == 0 || (!knows_base && !MaySendWholeList(now))) return reply;
+  reply.list_age_ms = now - as_of_;
+  reply.version = version_;
+  reply.is_whole = !knows_base;
+  const std::uint64_t base = knows_base ? request.version : 0;
+  if (base == version_) return reply;
+  for (const auto& [instance, it] : records_) {
+    if (it.version > base) reply.changed.push_back(it.record);
+  }
+  if (reply.is_whole) return reply;
+  for (auto it = removals_.rbegin(); it != removals_.rend() && it->version > base; ++it) {
+    if (records_.count(it->instance) == 0) reply.removed.push_back(it->instance);
+  }
+  return reply;
+}
+
+bool ListingRelay::IsInUse(TimeMs now) const {
+  return std::any_of(asked_at_.begin(), asked_at_.end(),
+                     [now](const auto& it) { return now - it.second <= kAskerTtlMs; });
+}
+
+bool ListingRelay::IsPlanner(const std::string& entry, TimeMs now) {
+  const bool is_due = planners_chosen_at_ == 0 || now - planners_chosen_at_ >= kChoosePlannersMs;
+  if (!is_due && planners_.size() == kPlanners) return planners_.count(entry) > 0;
+  planners_chosen_at_ = now;
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (auto it = asked_at_.begin(); it != asked_at_.end();) {
+    const bool is_gone = now - it->second > kAskerTtlMs;
+    if (!is_gone) ranked.emplace_back(RendezvousScore("planner", it->first), it->first);
+    it = is_gone ? asked_at_.erase(it) : std::next(it);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  if (ranked.size() > kPlanners) ranked.resize(kPlanners);
+  planners_.clear();
+  for (auto& [score, name] : ranked) planners_.insert(std::move(name));
+  return planners_.count(entry) > 0;
+}
+
+bool ListingRelay::MaySendWholeList(TimeMs now) {
+  if (now - whole_lists_since_ >= kSecondMs) {
+    whole_lists_since_ = now;
+    whole_lists_sent_ = 0;
+  }
+  return whole_lists_sent_++ < kWholeListsPerS;
+}
+
+}  // namespace junctionrail
--- a/src/listing/poll_schedule.cc
+++ b/src/listing/poll_schedule.cc
@@ -50,6 +50,14 @@
   return true;
 }
 
+bool PollSchedule::OnRelayed(TimeMs as_of, TimeMs now) {
+  if (as_of <= as_of_) return false;
+  as_of_ = as_of;
+  unanswered_ = 0;
+  next_at_ = std::max(now, as_of + period_ms_);
+  return true;
+}
+
 void PollSchedule::OnConnectionLost(TimeMs now) {
   unanswered_ = 1;
   next_at_ = now + RetryDelay();
--- a/src/listing/upstream_record.cc
+++ b/src/listing/upstream_record.cc
@@ -1,11 +1,21 @@
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "junctionrail/listing.h"
 
 namespace junctionrail {
 
+bool UpstreamRecord::operator==(const UpstreamRecord& other) const {
+  const auto fields = [](const UpstreamRecord& it) {
+    return std::tie(it.instance, it.service, it.endpoint, it.data_hall, it.slots, it.is_leaving,
+                    it.loaded, it.generation, it.is_missing, it.id, it.started_unix_ms,
+                    it.is_unreadable, it.cold_ms, it.cached_models);
+  };
+  return fields(*this) == fields(other);
+}
+
 std::vector<UpstreamRecord> KeepLatestAtEachEndpoint(std::vector<UpstreamRecord> records) {
   std::map<std::string, std::int64_t> latest;
   for (const auto& it : records) {
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -196,7 +196,8 @@
                    {"f", demand.may_load_from_store},
                    {"p", demand.resend_interval_ms},
                    {"d", demand.accepts_view_updates},
-                   {"te", demand.wants_upstream_ends}});
+                   {"te", demand.wants_upstream_ends},
+                   {"pl", demand.is_planner}});
 }
 
 bool DecodeDemand(std::string_view bytes, AgentDemand* demand) {
@@ -228,6 +229,8 @@
     demand->resend_interval_ms = message.value("p", demand->resend_interval_ms);
     demand->accepts_view_updates = message.value("d", false);
     demand->wants_upstream_ends = message.value("te", false);
+    // An entry of an older version observes all engines.
+    demand->is_planner = message.value("pl", true);
     return true;
   });
 }
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -383,13 +383,18 @@
   return best->name;
 }
 
-// Each entry grants the weight store's capacity by the views it has, and views reach entries at
-// different moments. At least half of the entries must agree: when any single one was enough,
-// ten loads began where four were intended.
+// Each planner grants the weight store's capacity by the views it has, and views reach planners at
+// different moments. At least half of them must agree: when any single one was enough, ten loads
+// began where four were intended. Without a planner the other entries' demand is enough.
 bool PlacementCore::MayLoadFromStore() const {
-  const auto n = std::count_if(demands_.begin(), demands_.end(),
-                               [](const auto& it) { return it.second.demand.may_load_from_store; });
-  return n > 0 && static_cast<std::size_t>(n) * 2 >= demands_.size();
+  std::size_t planners = 0;
+  std::size_t grants = 0;
+  for (const auto& [link, it] : demands_) {
+    planners += it.demand.is_planner ? 1 : 0;
+    grants += it.demand.is_planner && it.demand.may_load_from_store ? 1 : 0;
+  }
+  if (planners == 0) return !demands_.empty();
+  return grants > 0 && grants * 2 >= planners;
 }
 
 bool PlacementCore::MustWaitForStore(const std::string& model, bool is_waited_for, double weight,
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -163,15 +163,15 @@
 PickResult UpstreamTable::ChooseLoadTarget(const PickRequest& request,
                                            const std::vector<Row*>& usable,
                                            const std::optional<WaitFor>& reopening, TimeMs now) {
-  const Row* best = nullptr;
+  Row* best = nullptr;
   DurationMs best_ms = 0;
   std::uint64_t best_score = 0;
   const std::string key = request.model->ToString();
   const std::string asked = PendingLoadInstance(*request.model, now);
   const bool wants_adapter = !request.model->adapter.empty();
   const StoreUse store = CurrentStoreUse(now);
-  for (const Row* row : usable) {
-    if (!IsFresh(*row, now)) continue;
+  for (Row* row : usable) {
+    if (!IsJudgeable(*row, now)) continue;
     DurationMs estimate = EstimateLoad(*row, *request.model, store, now);
     if (row->record.instance == asked) {
       // The cost to others was considered when the agent was asked, and by now includes
@@ -200,13 +200,13 @@
   if (best == nullptr) return WaitFor{{}, 0, {}, 0};
   const DurationMs estimate = EstimateLoad(*best, *request.model, store, now);
   if (reopening && reopening->estimate_ms <= estimate) return *reopening;
+  Observe(best, now);
   RecordLoadRequest(*request.model, best->record.instance, estimate, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
                  CostToOthers(*best, *request.model)};
 }
 
-void UpstreamTable::AddModelUse(AgentDemand* demand, const Row& row, const CountByModel& replicas,
-                                TimeMs now) const {
+void UpstreamTable::AddModelUse(AgentDemand* demand, const Row& row, TimeMs now) const {
   const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
   for (const auto& it : loaded) {
     ModelUse use;
@@ -216,9 +216,8 @@
       use.in_flight += n;
       if (!ref.adapter.empty()) use.adapters_in_use.push_back(ref.adapter);
     }
-    use.requests_per_s = RequestRate(it.name, now);
-    const auto count = replicas.find(it.name);
-    if (count != replicas.end()) use.replicas = count->second;
+    use.replicas = CountReplicasOf(it.name, now);
+    use.requests_per_s = ReportedRate(it.name, use.replicas, now);
     const auto rate = rates_.find(it.name);
     use.idle_ms = rate == rates_.end() ? -1 : now - rate->second.last_request;
     if (rate != rates_.end()) {
@@ -250,20 +249,22 @@
 std::map<std::string, AgentDemand> UpstreamTable::BuildDemands(
     const std::vector<WaitingRequests>& waiting, TimeMs now) {
   std::map<std::string, AgentDemand> demands;
-  const CountByModel replicas = CountReplicas(now);
   for (const auto& [instance, row] : rows_) {
+    if (!IsObserved(row, now)) continue;
     const auto service = services_.find(row.record.service);
     if (service == services_.end() || !service->second.engine) continue;
     if (!IsPresent(row, row.record.service)) continue;
     AgentDemand& demand = demands[instance];
     demand.instance = instance;
-    AddModelUse(&demand, row, replicas, now);
+    demand.is_planner = is_planner_;
+    AddModelUse(&demand, row, now);
   }
   for (const auto& it : waiting) {
     const auto demand = demands.find(it.asked_instance);
     if (demand != demands.end()) demand->second.wanted.push_back(ToModelDemand(it, now));
   }
-  if (options_.policy.adds_replicas) AddReplicas(&demands, replicas, now);
+  if (options_.policy.adds_replicas) AddReplicas(&demands, now);
+  if (!is_planner_) return demands;
   if (options_.policy.stages || options_.policy.spares) AddPreloads(&demands, now);
   if (options_.policy.shares_store) ShareWeightStore(&demands, now);
   return demands;
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -154,9 +154,10 @@
 
 // Asks for a replica elsewhere of each model that only evacuated halls have loaded, the most
 // requested first: when the halls close, its requests would wait for the whole load.
-void UpstreamTable::AddEvacuatedModels(const std::string& service, const CountByModel& replicas,
+void UpstreamTable::AddEvacuatedModels(const std::string& service,
                                        std::map<std::string, AgentDemand>* demands, TimeMs now) {
   if (evacuated_halls_.halls().empty()) return;
+  const CountByModel replicas = CountReplicas(service, now);
   RateByModel rates;
   for (const auto& [instance, row] : rows_) {
     if (!IsEvacuated(row) || !IsHealthy(row, service, now) || !IsFresh(row, now)) continue;
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -30,10 +30,11 @@
 
 }  // namespace
 
-UpstreamTable::CountByModel UpstreamTable::CountReplicas(TimeMs now) const {
+UpstreamTable::CountByModel UpstreamTable::CountReplicas(std::string_view service,
+                                                         TimeMs now) const {
   CountByModel replicas;
   for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, row.record.service, now)) continue;
+    if (!IsUsable(row, service, now)) continue;
     const auto& loaded = IsFresh(row, now) ? row.view.loaded : row.record.loaded;
     for (const auto& it : loaded) {
       if (Holds(row, ModelRef{it.name, {}}, now)) ++replicas[it.name];
@@ -42,6 +43,16 @@
   return replicas;
 }
 
+int UpstreamTable::CountReplicasOf(const std::string& model, TimeMs now) const {
+  const auto holders = holders_.find(model);
+  if (holders == holders_.end()) return 0;
+  const ModelRef ref{model, {}};
+  return static_cast<int>(
+      std::count_if(holders->second.begin(), holders->second.end(), [&](const Row* row) {
+        return IsUsable(*row, row->record.service, now) && Holds(*row, ref, now);
+      }));
+}
+
 // Each entry reports its request rate for a model to every agent that has it loaded, so
 // each of those agents knows the sum. An entry's own rate is too inaccurate: scaled to
 // 28 entries, a single request would look like six a second.
@@ -71,8 +82,7 @@
 
 // Adds replicas one at a time while a model's callers are late at the existing ones; a
 // busy model keeps a second replica in any case.
-void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands,
-                                const CountByModel& replicas, TimeMs now) {
+void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now) {
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
     int engines = 0;
@@ -83,8 +93,7 @@
       const std::string model(model_name);
       const auto rate = rates_.find(model);
       if (rate == rates_.end()) continue;  // Left to entries that get its requests.
-      const auto count = replicas.find(model);
-      const int replica_count = count == replicas.end() ? 0 : count->second;
+      const int replica_count = CountReplicasOf(model, now);
       const bool is_late = rate->second.LateShare() > kMaxLateShare;
       const bool needs_replica = is_late || IsNearCapacity(model, now);
       const int needed = needs_replica ? std::max(kMinReplicas, replica_count + 1) : kMinReplicas;
@@ -102,7 +111,7 @@
                                                   per_s / replica_count,
                                                   is_late ? rate->second.LateCallers(per_s) : 0});
     }
-    AddEvacuatedModels(name, replicas, demands, now);
+    AddEvacuatedModels(name, demands, now);
   }
 }
 
@@ -144,17 +153,23 @@
 // entries choose the same one, as they see the same views. The choice is kept until the
 // model is loaded: the engine looks busier while it evicts another model, and otherwise
 // a different engine would be asked instead.
-const UpstreamTable::Row* UpstreamTable::ChooseReplicaTarget(std::string_view service,
-                                                             const std::string& model, TimeMs now) {
+UpstreamTable::Row* UpstreamTable::ChooseReplicaTarget(std::string_view service,
+                                                       const std::string& model, TimeMs now) {
   const auto asked = replica_requests_.find(model);
   const bool is_asked =
       asked != replica_requests_.end() && now - asked->second.at < kKeepReplicaTargetMs;
   const ModelRef ref{model, {}};
   const StoreUse store = CurrentStoreUse(now);
-  const Row* best = nullptr;
+  std::vector<Row*> usable;
+  for (auto& [instance, row] : rows_) {
+    if (IsUsable(row, service, now)) usable.push_back(&row);
+  }
+  Row* best = nullptr;
   std::pair<double, std::uint64_t> best_rank;
-  for (const auto& [instance, row] : rows_) {
-    if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
+  for (Row* it : FindLoadCandidates(model, usable, now)) {
+    Row& row = *it;
+    const std::string& instance = row.record.instance;
+    if (!IsJudgeable(row, now)) continue;
     if (HoldsModel(row.view.loaded, model) || row.view.loading == model) continue;
     if (row.throttle.limit_per_s()) continue;
     if (is_asked && asked->second.instance == instance) return &row;
@@ -166,7 +181,9 @@
     best = &row;
     best_rank = rank;
   }
-  if (best != nullptr) replica_requests_[model] = ReplicaRequest{best->record.instance, now};
+  if (best == nullptr) return nullptr;
+  Observe(best, now);
+  replica_requests_[model] = ReplicaRequest{best->record.instance, now};
   return best;
 }
 
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -104,6 +104,11 @@
     // A store restored from an older copy may list a leaving upstream as ready.
     const bool was_leaving = row.record.is_leaving || gone_after_leaving_.count(it.instance) > 0;
     row.record = it;
+    // Until a view comes, the record is the best that is known.
+    if (row.view_at == 0) {
+      row.view.loaded = it.loaded;
+      row.view.cached_models = it.cached_models;
+    }
     row.record.is_leaving = it.is_leaving || was_leaving;
     if (is_new) add_change(UpstreamChangeKind::kListed, row.record);
     if (it.is_missing && !was_missing) add_change(UpstreamChangeKind::kMissing, row.record);
@@ -179,7 +184,11 @@
 
 void UpstreamTable::ForgetView(const std::string& instance) {
   const auto it = rows_.find(instance);
-  if (it != rows_.end()) it->second.view_at = 0;
+  if (it == rows_.end()) return;
+  it->second.view = EngineView();
+  it->second.view.loaded = it->second.record.loaded;
+  it->second.view.cached_models = it->second.record.cached_models;
+  it->second.view_at = 0;
 }
 
 bool UpstreamTable::IsFresh(const Row& row, TimeMs now) const {
@@ -202,8 +211,9 @@
   for (const auto& [instance, row] : rows_) {
     const auto service = services_.find(row.record.service);
     const bool is_engine = service != services_.end() && service->second.engine.has_value();
-    if (!is_engine || !IsPresent(row, row.record.service)) continue;
-    if (now - std::max(row.view_at, row.listed_at) >= ms) engines.push_back(row.record.endpoint);
+    if (!is_engine || !IsPresent(row, row.record.service) || !IsObserved(row, now)) continue;
+    const TimeMs expected_since = std::max({row.view_at, row.listed_at, row.observed_at});
+    if (now - expected_since >= ms) engines.push_back(row.record.endpoint);
   }
   return engines;
 }
@@ -273,9 +283,10 @@
   if (IsFresh(row, now)) {
     load = row.view.running + row.view.waiting + row.sent_since_view;
     if (row.view.kv_usage > kFullKvShare) load += kFullKvLoad;
-    if (options_.policy.spreads) {
-      load += kSpreadLoad * HashFraction(request.request_id, row.record.instance);
-    }
+  }
+  const bool is_shared = IsFresh(row, now) || !IsObserved(row, now);
+  if (is_shared && options_.policy.spreads) {
+    load += kSpreadLoad * HashFraction(request.request_id, row.record.instance);
   }
   load = load * 64 / std::max(1, row.record.slots);
   const bool is_far = row.record.data_hall != options_.data_hall;
@@ -336,9 +347,7 @@
 
 UpstreamTable::Candidates UpstreamTable::FindHolders(const PickRequest& request, TimeMs now) {
   Candidates holders;
-  const auto known = holders_.find(request.model->model);
-  if (known == holders_.end()) return holders;
-  for (Row* it : known->second) {
+  for (Row* it : FindSpreadHolders(request.model->model, now)) {
     const bool is_untried = !Contains(request.tried, it->record.instance);
     const bool may_serve = is_untried && IsHealthy(*it, request.service, now) &&
                            IsPlaceAllowed(*it, request, now) && Holds(*it, *request.model, now);
@@ -384,7 +393,10 @@
   const std::vector<Row*> untried = untried_of(usable.available);
   const PickResult pick = ChooseHolder(request, untried, now);
   if (!std::holds_alternative<NoUpstream>(pick)) return pick;
-  if (request.model && !untried.empty()) return ChooseLoadTarget(request, untried, reopening, now);
+  if (request.model && !untried.empty()) {
+    const auto targets = FindLoadCandidates(request.model->model, untried, now);
+    return ChooseLoadTarget(request, targets, reopening, now);
+  }
   if (!request.model) {
     const PickResult last_resort = ChooseHolder(request, untried_of(usable.evacuated), now);
     if (!std::holds_alternative<NoUpstream>(last_resort)) return last_resort;
@@ -409,6 +421,8 @@
   rate.last_request = now;
   rate.priority = priority;
   rate.target_ms = target_ms;
+  if (is_planner_) return;
+  for (Row* it : FindSpreadHolders(model->model, now)) Observe(it, now);
 }
 
 double UpstreamTable::RequestRate(const std::string& model, TimeMs now) const {
--- /dev/null
+++ b/test/listing_relay_test.cc
@@ -0,0 +1,197 @@
+// The relay of the list of upstreams, and the entries that ask it.
+#include "check.h"
+#include "junctionrail/listing.h"
+#include "routing_world.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::MakeRecord;
+
+constexpr TimeMs kStart = 1000000;
+constexpr DurationMs kMaxAgeMs = 1000;
+
+// A relay and one entry that asks it.
+struct RelayFixture {
+  explicit RelayFixture(std::string epoch = "epoch-1") : relay(std::move(epoch)) {}
+
+  void List(std::vector<UpstreamRecord> records) { relay.ApplyListing({std::move(records), now}); }
+
+  std::optional<RelayClient::News> Ask() {
+    now += 300;
+    const auto ask = client.NextAsk({"agent-1", "agent-2"}, now);
+    if (!ask) return std::nullopt;
+    reply = relay.Answer(ask->request, now);
+    return client.OnReply(ask->instance, reply, kMaxAgeMs, now);
+  }
+
+  std::string Known() {
+    const auto news = Ask();
+    if (!news || !news->listing) return "none";
+    std::string names;
+    for (const auto& it : news->listing->records) names += it.instance + " ";
+    return names;
+  }
+
+  ListingRelay relay;
+  RelayClient client{"entry-1", 0};
+  RelayReply reply;
+  TimeMs now = kStart;
+};
+
+}  // namespace
+
+TEST_GROUP(ListingRelay){};
+
+TEST(ListingRelay, SendsTheWholeListOnceAndThenWhatChanged) {
+  RelayFixture t;
+  EXPECT_TEXT("none", t.Known(), "it has not polled the list yet");
+  t.List({MakeRecord("u1"), MakeRecord("u2")});
+  EXPECT_TEXT("u1 u2 ", t.Known(), "");
+  EXPECT_TRUE(t.reply.is_whole && t.reply.changed.size() == 2, "the whole list");
+  EXPECT_TEXT("u1 u2 ", t.Known(), "");
+  EXPECT_TRUE(!t.reply.is_whole && t.reply.changed.empty(), "nothing has changed");
+  UpstreamRecord leaving = MakeRecord("u2");
+  leaving.is_leaving = true;
+  t.List({leaving, MakeRecord("u3")});
+  EXPECT_TEXT("u2 u3 ", t.Known(), "u1 is gone");
+  EXPECT_TRUE(t.reply.changed.size() == 2 && t.reply.removed.size() == 1, "only the changes");
+  t.List({MakeRecord("u1"), leaving, MakeRecord("u3")});
+  EXPECT_TEXT("u1 u2 u3 ", t.Known(), "u1 is back");
+}
+
+TEST(ListingRelay, StartsAnewForAnEntryThatAskedAnother) {
+  RelayFixture t;
+  t.List({MakeRecord("u1")});
+  t.Ask();
+  t.relay = ListingRelay("epoch-2");
+  t.List({MakeRecord("u2")});
+  EXPECT_TEXT("u2 ", t.Known(), "versions of another relay say nothing");
+  EXPECT_TRUE(t.reply.is_whole, "");
+}
+
+TEST(ListingRelay, IgnoresAnOlderList) {
+  RelayFixture t;
+  t.List({MakeRecord("u1")});
+  t.relay.ApplyListing({{}, kStart - 1});
+  EXPECT_TEXT("u1 ", t.Known(), "");
+}
+
+TEST(ListingRelay, SendsABoundedNumberOfWholeListsASecond) {
+  ListingRelay relay("epoch-1");
+  relay.ApplyListing({{MakeRecord("u1")}, kStart});
+  int whole = 0;
+  for (int n = 0; n < 300; ++n) {
+    whole += relay.Answer({"e" + std::to_string(n), 1, "", 0}, kStart + 100).is_whole ? 1 : 0;
+  }
+  EXPECT_NUMBER(100, whole, "at once");
+  EXPECT_TRUE(relay.Answer({"e299", 2, "", 0}, kStart + 1200).is_whole, "in the next second");
+}
+
+TEST(ListingRelay, IsInUseWhileEntriesAsk) {
+  ListingRelay relay("epoch-1");
+  EXPECT_TRUE(!relay.IsInUse(kStart), "");
+  relay.Answer({"e1", 1, "", 0}, kStart);
+  EXPECT_TRUE(relay.IsInUse(kStart + 5000) && !relay.IsInUse(kStart + 5001), "");
+}
+
+TEST_GROUP(RelayClient){};
+
+TEST(RelayClient, CountsAgesFromItsRequest) {
+  RelayFixture t;
+  t.List({MakeRecord("u1")});
+  t.relay.ConfirmConfiguration(7, kStart - 300);
+  t.now += 400;
+  const auto ask = t.client.NextAsk({"agent-1"}, t.now);
+  const RelayReply reply = t.relay.Answer(ask->request, t.now + 50);
+  const auto news = t.client.OnReply("agent-1", reply, kMaxAgeMs, t.now + 3000);
+  EXPECT_NUMBER(kStart - 50, news->listing->as_of, "however long the reply was on its way");
+  EXPECT_NUMBER(kStart - 350, news->configuration_as_of, "");
+  EXPECT_NUMBER(7, news->configuration_version, "");
+}
+
+TEST(RelayClient, PassesOverARelayThatDoesNotAnswer) {
+  RelayClient client("entry-1", 1000);
+  const std::vector<std::string> ranked = {"agent-1", "agent-2"};
+  EXPECT_TEXT("agent-1", client.NextAsk(ranked, kStart)->instance, "the first one");
+  EXPECT_TEXT("agent-2", client.NextAsk(ranked, kStart + 400)->instance, "no answer");
+  EXPECT_TRUE(!client.NextAsk(ranked, kStart + 800), "nor here");
+  EXPECT_TEXT("agent-1", client.NextAsk(ranked, kStart + 5400)->instance, "it is asked again");
+}
+
+TEST(RelayClient, AsksOnceInEachPeriod) {
+  RelayFixture t;
+  t.client.SetPeriod(1000);
+  t.List({MakeRecord("u1")});
+  t.Ask();
+  EXPECT_TRUE(!t.client.NextAsk({"agent-1"}, t.now + 999), "not due");
+  EXPECT_TRUE(t.client.NextAsk({"agent-1"}, t.now + 1000).has_value(), "due");
+}
+
+TEST(RelayClient, PassesOverARelayWhoseListIsOld) {
+  RelayFixture t;
+  t.List({MakeRecord("u1")});
+  t.now += kMaxAgeMs + 1;
+  EXPECT_TRUE(t.Ask()->listing.has_value(), "better than nothing");
+  EXPECT_TEXT("agent-2", t.client.NextAsk({"agent-1", "agent-2"}, t.now)->instance, "");
+}
+
+TEST(RelayClient, TakesNoReplyToAnEarlierRequest) {
+  RelayFixture t;
+  t.List({MakeRecord("u1")});
+  const auto first = t.client.NextAsk({"agent-1"}, t.now);
+  const RelayReply reply = t.relay.Answer(first->request, t.now);
+  t.client.NextAsk({"agent-1", "agent-2"}, t.now + 400);
+  EXPECT_TRUE(!t.client.OnReply("agent-1", reply, kMaxAgeMs, t.now + 500), "the second was asked");
+}
+
+TEST_GROUP(RelayMessages){};
+
+TEST(RelayMessages, RoundTrip) {
+  RelayReply reply;
+  reply.number = 9;
+  reply.epoch = "epoch-1";
+  reply.version = 4;
+  reply.list_age_ms = 250;
+  reply.is_whole = true;
+  reply.changed = {MakeRecord("u1"), MakeRecord("u2", "hall-2")};
+  reply.changed[0].loaded = {{"a", {"a1"}}};
+  reply.changed[0].cached_models = {"b"};
+  reply.changed[0].cold_ms = 1200;
+  reply.changed[1].is_missing = true;
+  reply.changed[1].is_unreadable = true;
+  reply.removed = {"u3"};
+  reply.configuration_version = 12;
+  reply.configuration_age_ms = 30;
+  reply.evacuated_halls = {"hall-3"};
+  reply.is_planner = true;
+  RelayReply read;
+  const std::string bytes = EncodeRelayReply(reply);
+  EXPECT_TRUE(IsRelayReply(bytes) && !IsRelayRequest(bytes), "recognized by its prefix");
+  EXPECT_TRUE(DecodeRelayReply(bytes, &read), "");
+  EXPECT_TRUE(read.changed == reply.changed && read.removed == reply.removed, "the list");
+  EXPECT_TRUE(read.number == 9 && read.epoch == "epoch-1" && read.version == 4 && read.is_whole &&
+                  read.list_age_ms == 250 && read.is_planner,
+              "");
+  EXPECT_TRUE(read.configuration_version == 12 && read.configuration_age_ms == 30 &&
+                  read.evacuated_halls == reply.evacuated_halls,
+              "the configuration");
+  RelayRequest request;
+  EXPECT_TRUE(DecodeRelayRequest(EncodeRelayRequest({"e1", 3, "epoch-1", 4}), &request), "");
+  EXPECT_TRUE(request.entry == "e1" && request.number == 3 && request.epoch == "epoch-1" &&
+                  request.version == 4,
+              "");
+}
+
+TEST(RelayMessages, RejectMalformedInput) {
+  const std::string bytes = EncodeRelayReply({1, "epoch-1", 1, 0, true, {MakeRecord("u1")}});
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    RelayReply reply;
+    EXPECT_TRUE(!DecodeRelayReply(bytes.substr(0, n), &reply), "cut short");
+  }
+  RelayRequest request;
+  EXPECT_TRUE(!DecodeRelayRequest(EncodeRelayRequest({"", 1, "", 0}), &request), "no entry");
+  EXPECT_TRUE(!DecodeRelayRequest("\xa1\x65relay\x80", &request), "no fields");
+}
+
+}  // namespace junctionrail
