--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -196,10 +196,13 @@
     const std::string key = HostKey(settings_.direct->upstream);
     platform::ReadOptions options;
     options.limit_ms = platform::kRepeatedCallMs;
-    store_.ReadKey(key, options, [this, key](auto read) {
+    // Unlike a reading of the key, this one tells the store's revision where there is no claim.
+    store_.ReadBelow(key, options, [this, key](auto read) {
       is_asking_host_ = false;
       if (!read || fence_ != 0) return;
-      const bool has_host = !read.value().items.empty();
+      const auto& items = read.value().items;
+      const bool has_host = std::any_of(items.begin(), items.end(),
+                                        [&key](const auto& it) { return it.key == key; });
       if (has_host) {
         may_order_at_ = MonotonicMs() + kHandBackMs;
         log_.Write(MonotonicMs(), "engine_taken_back", {{"wait_ms", kHandBackMs}});
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -57,8 +57,10 @@
 constexpr double kRelayTrustPart = 0.6;
 // How often it is checked whether the relay is to be asked.
 constexpr DurationMs kAskRelayMs = 100;
-// Agents that may be asked for the list, one after the other.
-constexpr std::size_t kRelayCandidates = 4;
+// Agents that may be asked for the list, one after the other; some engines may have none.
+constexpr std::size_t kRelayCandidates = 16;
+// Without a relay for this long, an entry plans for the fleet itself.
+constexpr DurationMs kNoRelayMs = 5000;
 // An entry that starts waits so long for what others have recorded of requests that end
 // upstreams, before it calls itself ready.
 constexpr DurationMs kQuarantineWaitMs = 1000;
@@ -378,6 +380,7 @@
   // Asks the relay what changed in the list of upstreams and in what operators wrote.
   void AskRelay() {
     const TimeMs now = MonotonicMs();
+    if (now - relay_answered_at_ > kNoRelayMs) SetPlanner(true, "none");
     const auto ranked = gateway_.upstreams().RankAgents(kRelayCandidates);
     const auto ask = relay_client_.NextAsk(ranked, now);
     if (!ask) return;
@@ -397,10 +400,8 @@
     const DurationMs max_age_ms = 2 * RelayPeriod(*settings_.direct);
     const auto news = relay_client_.OnReply(source, reply, max_age_ms, now);
     if (!news) return;
-    if (news->is_planner != gateway_.upstreams().is_planner()) {
-      log_.Write(now, "planner", {{"is_planner", news->is_planner}, {"relay", source}});
-      gateway_.upstreams().SetPlanner(news->is_planner);
-    }
+    relay_answered_at_ = now;
+    SetPlanner(news->is_planner, source);
     if (news->configuration_as_of != 0) {
       gateway_.ApplyEvacuations(news->evacuated_halls, news->configuration_as_of);
       configuration_.OfferWord(news->configuration_version, news->configuration_as_of, 0);
@@ -408,6 +409,12 @@
     if (news->listing) upstreams_.OfferRelayed(*news->listing);
   }
 
+  void SetPlanner(bool is_planner, const std::string& relay) {
+    if (is_planner == gateway_.upstreams().is_planner()) return;
+    log_.Write(MonotonicMs(), "planner", {{"is_planner", is_planner}, {"relay", relay}});
+    gateway_.upstreams().SetPlanner(is_planner);
+  }
+
   // Agents that entries are in touch with, or have no reason to doubt: all entries that read
   // the same list choose the same ones.
   void FindGivers(TimeMs now) {
@@ -701,6 +708,7 @@
   platform::ConfigurationFollower configuration_;
   platform::UpstreamFollower upstreams_;
   RelayClient relay_client_;
+  TimeMs relay_answered_at_ = MonotonicMs();  // Or the start.
   Timer demand_timer_;
   Timer relay_timer_;
   Timer urgent_timer_;
