--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -174,14 +175,20 @@
   std::uint64_t version = 0;  // Of the last reply.
 };
 
+// What changed in the list between two versions.
+struct ListingChanges {
+  std::vector<UpstreamRecord> changed;
+  std::vector<std::string> removed;  // Instances.
+};
+
 struct RelayReply {
   std::uint64_t number = 0;     // Of the request.
   std::string epoch;            // Differs for each start of each relay.
   std::uint64_t version = 0;    // Of the list.
   DurationMs list_age_ms = -1;  // Since the poll of the list began; -1: no list is included.
-  bool is_whole = false;        // `changed` contains all records.
-  std::vector<UpstreamRecord> changed;
-  std::vector<std::string> removed;  // Instances.
+  bool is_whole = false;        // `changes` contains all records.
+  // As EncodeListingChanges returns them; null: no list is included.
+  std::shared_ptr<const std::string> changes;
   std::uint64_t configuration_version = 0;
   // Since that version, and these evacuations, are known to have been the newest; -1: unknown.
   DurationMs configuration_age_ms = -1;
@@ -194,6 +201,8 @@
 std::string EncodeRelayRequest(const RelayRequest& request);
 bool IsRelayRequest(std::string_view bytes);
 bool DecodeRelayRequest(std::string_view bytes, RelayRequest* request);
+std::string EncodeListingChanges(const ListingChanges& changes);
+bool DecodeListingChanges(std::string_view bytes, ListingChanges* changes);
 std::string EncodeRelayReply(const RelayReply& reply);
 bool IsRelayReply(std::string_view bytes);
 bool DecodeRelayReply(std::string_view bytes, RelayReply* reply);
@@ -220,6 +229,7 @@
     std::uint64_t version = 0;
   };
 
+  std::shared_ptr<const std::string> ChangesSince(std::uint64_t base);
   bool IsPlanner(const std::string& entry, TimeMs now);
   bool MaySendWholeList(TimeMs now);
 
@@ -228,6 +238,9 @@
   TimeMs as_of_ = 0;                                // 0: no list yet.
   std::map<std::string, VersionedRecord> records_;  // By instance.
   std::deque<Removal> removals_;
+  // Encoded changes up to `version_`, by the version that they start from: most entries ask for the
+  // same ones.
+  std::map<std::uint64_t, std::shared_ptr<const std::string>> encoded_changes_;
   std::uint64_t forgotten_version_ = 0;  // Removals up to this version are forgotten.
   std::uint64_t configuration_version_ = 0;
   TimeMs configuration_as_of_ = 0;
@@ -263,7 +276,7 @@
     bool is_planner = false;
   };
   // `max_age_ms`: a relay whose list is older is passed over next time. Returns nullopt for a reply
-  // to another request than the last one.
+  // to another request than the last one, and for one whose changes cannot be decoded.
   std::optional<News> OnReply(const std::string& instance, const RelayReply& reply,
                               DurationMs max_age_ms, TimeMs now);
   // The relay that was asked last; empty: none.
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -106,7 +106,7 @@
   Endpoint upstream;
   // Of both.
   DurationMs leaving_ms = 2000;  // An upstream that leaves gets nothing new after it.
-  // Upstreams write their records anew so often.
+  // The interval at which upstreams write their records.
   DurationMs record_period_ms = 1200;
   // Nothing is sent for a key later than so long after it was taken away, known here or not.
   // 0: as long as nothing is heard of it.
--- a/src/daemon/word_message.h
+++ b/src/daemon/confirmation_message.h
@@ -1,6 +1,6 @@
 // What one entry tells another of the age of its configuration and of evacuated data halls.
-#ifndef JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
-#define JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
+#ifndef JUNCTIONRAIL_DAEMON_CONFIRMATION_MESSAGE_H_
+#define JUNCTIONRAIL_DAEMON_CONFIRMATION_MESSAGE_H_
 
 #include <cstdint>
 #include <optional>
@@ -12,16 +12,16 @@
 
 namespace junctionrail::internal {
 
-struct WordMessage {
+struct ConfirmationMessage {
   std::uint64_t version = 0;                   // Of the configuration in force.
   DurationMs age_ms = 0;                       // Since it is known to have been the newest.
   std::set<std::string> evacuated_halls = {};  // At that time.
 };
 
 // Two whole numbers, and the names of evacuated halls in base64, separated by blanks.
-std::string FormatWord(const WordMessage& word);
-std::optional<WordMessage> ParseWord(std::string_view text);
+std::string FormatConfirmation(const ConfirmationMessage& message);
+std::optional<ConfirmationMessage> ParseConfirmation(std::string_view text);
 
 }  // namespace junctionrail::internal
 
-#endif  // JUNCTIONRAIL_DAEMON_WORD_MESSAGE_H_
+#endif  // JUNCTIONRAIL_DAEMON_CONFIRMATION_MESSAGE_H_
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -49,7 +49,7 @@
         recorder_(std::make_shared<QuarantineRecorder>(io, store_, log_, settings_.id)),
         keeper_(std::make_shared<EngineKeeper>(
             io, http_, log_, KeeperOptions{settings_.id, settings_.direct->upstream},
-            KeepsEngine())),
+            MakeKeeperCallbacks())),
         links_(io, LinkCallbacks()),
         configuration_(
             io, store_, log_, platform::Freshness::kMayLag,
@@ -77,7 +77,7 @@
     keeper_->SetPolicy(settings_.direct->policy);
     configuration_.SetWatch(RelayWatch(*settings_.direct));
     configuration_.OnConfirmed([this](TimeMs as_of) {
-      if (is_relaying_) relay_.ConfirmConfiguration(configuration_.word().version(), as_of);
+      if (is_relaying_) relay_.ConfirmConfiguration(configuration_.confirmation().version(), as_of);
     });
     configuration_.OnEvacuations([this](const std::set<std::string>& halls, TimeMs) {
       relay_.ApplyEvacuations({halls.begin(), halls.end()});
@@ -134,7 +134,7 @@
   }
 
   // Without a token from the store no order is given.
-  KeeperCallbacks KeepsEngine() {
+  KeeperCallbacks MakeKeeperCallbacks() {
     KeeperCallbacks callbacks;
     callbacks.send = [this](std::uint64_t link, const std::string& bytes) {
       links_.Send(link, bytes);
@@ -147,7 +147,7 @@
   }
 
   void OnListing(const UpstreamListing& listing) {
-    if (fence_ == 0) AskForHost();
+    if (fence_ == 0) ReadHostClaim();
     if (is_relaying_) relay_.ApplyListing(listing);
     keeper_->SetListing(listing.records);
     // Once its record is known, the others matter only to a relay.
@@ -190,7 +190,7 @@
   // While this agent was away an entry may have taken its place. It stops when it
   // finds this process listening, which was so before the claim is read; a later one
   // would find it too and give no order. Until this is answered none is given here.
-  void AskForHost() {
+  void ReadHostClaim() {
     if (is_asking_host_) return;
     is_asking_host_ = true;
     const std::string key = HostKey(settings_.direct->upstream);
@@ -201,8 +201,8 @@
       is_asking_host_ = false;
       if (!read || fence_ != 0) return;
       const auto& items = read.value().items;
-      const bool has_host = std::any_of(items.begin(), items.end(),
-                                        [&key](const auto& it) { return it.key == key; });
+      const bool has_host =
+          std::any_of(items.begin(), items.end(), [&key](const auto& it) { return it.key == key; });
       if (has_host) {
         may_order_at_ = MonotonicMs() + kHandBackMs;
         log_.Write(MonotonicMs(), "engine_taken_back", {{"wait_ms", kHandBackMs}});
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "confirmation_message.h"
 #include "direct_daemon.h"
 #include "direct_metrics.h"
 #include "entry_hosting.h"
@@ -14,21 +15,20 @@
 #include "quarantine_keeper.h"
 #include "quarantine_page.h"
 #include "quota_page.h"
-#include "word_message.h"
 
 namespace junctionrail::internal {
 namespace {
 
-// Upstreams are listed so often, as a part of the time within which one that
-// leaves may get something new. What is left is for two calls without an answer, which
-// take 750 ms, and for the way of the last request.
+// Age of the list of upstreams at which it is polled, as a part of the time within which one that
+// leaves may get something new. The rest covers two polls without an answer, which take 750 ms, and
+// the way of the last request.
 constexpr double kListingPart = 0.45;
-// Agents are told of demand so often, and at once when a request begins to
-// wait for a model nobody was asked for.
+// Interval at which changed demand is sent to agents. It is sent at once when a request begins to
+// wait for a model that no agent was asked for.
 constexpr DurationMs kDemandMs = 250;
 constexpr DurationMs kUrgentDemandMs = 5;
-// What has not changed is said again after a second, or, before many engines, so
-// that these messages stay within a hundred a second.
+// Unchanged demand is sent again after a second or, with many links, after so long that these
+// messages stay within a hundred a second.
 constexpr DurationMs kRepeatDemandMs = 1000;
 constexpr DurationMs kRepeatDemandEachMs = 10;
 // Entries to ask, while neither the store nor one of them has answered.
@@ -37,17 +37,17 @@
 // Of the fleet's retry budget so much is spent: an entry's requests are not
 // spread evenly over the window, and entries may be one more than counted.
 constexpr double kBudgetMargin = 0.8;
-// An end is told to the agent of the upstream that ended, and to so many others, since that
+// A crash is reported to the agent of the upstream that crashed, and to this many others, as that
 // VM may be gone.
 constexpr std::size_t kOtherRelays = 1;
-// The store confirms the configuration so often, as a part of the time for which an entry may
-// act on it unconfirmed. Its word is at most twice as old, and one answer may be lost.
+// Interval at which the store confirms the configuration, as a part of the time for which an entry
+// may act on it unconfirmed: a confirmation is at most twice as old, and one may be lost.
 constexpr double kConfirmPart = 0.3;
-// From this age on, as a part of the same time, other entries are asked for their word.
-constexpr double kAskWordPart = 0.65;
-constexpr DurationMs kAskWordMs = 500;
+// Age of the last confirmation, as a part of the same time, from which other entries are asked.
+constexpr double kAskPeersPart = 0.65;
+constexpr DurationMs kAskPeersMs = 500;
 // A giver of quotas is passed over when no view of its engine came for so long.
-constexpr DurationMs kGiverUnseenMs = 1500;
+constexpr DurationMs kAllocatorUnseenMs = 1500;
 // The relay polls the list of upstreams, and entries ask it, this often, as a part of the time
 // within which one that leaves may get something new. What an entry knows is then younger than the
 // age at which it polls the store itself.
@@ -145,7 +145,7 @@
         relay_timer_(io),
         urgent_timer_(io),
         peer_timer_(io),
-        word_timer_(io) {}
+        confirmation_timer_(io) {}
 
   std::optional<ListenError> Start() {
     log_.Write(MonotonicMs(), "start", {{"role", "entry"}, {"data_hall", settings_.data_hall}});
@@ -155,35 +155,35 @@
     if (!error) error = Serve(settings_.direct->peer, "direct.peer");
     if (!error) error = Serve(settings_.direct->metrics, "direct.metrics");
     if (error) return error;
-    gateway_.OnNewDemand([this](const std::string& instance) { TellSoon(instance); });
+    gateway_.OnNewDemand([this](const std::string& instance) { ScheduleUrgentDemand(instance); });
     gateway_.OnVmResumed([this] {
       upstreams_.ReadSoon();
       configuration_.Reread();
       quarantine_->Reread();
     });
     store_.OnNewEra([this] { RecordRefusalsAgain(); });
-    gateway_.OnUpstreamCrash([this](const UpstreamCrash& end) { TellOfEnd(end); });
+    gateway_.OnUpstreamCrash([this](const UpstreamCrash& end) { ReportCrash(end); });
     gateway_.OnRequestQuarantined([this](const RequestDigest& it) { recorder_->Record(it); });
     upstreams_.OnRegained([this] {
       configuration_.Reread();
       quarantine_->Reread();
     });
-    gateway_.OnQuotaMessages([this](const QuotaClient::Message& it) { TellGiver(it); });
+    gateway_.OnQuotaMessages([this](const QuotaClient::Message& it) { SendQuotaRequest(it); });
     configuration_.OnEvacuations([this](const std::set<std::string>& halls, TimeMs as_of) {
       gateway_.ApplyEvacuations(halls, as_of);
     });
     configuration_.OnConfirmed([this](TimeMs as_of) { gateway_.ConfirmConfiguration(as_of); });
     gateway_.upstreams().SetPlanner(false);
-    BoundWord();
+    SetConfirmationInterval();
     configuration_.RestWhileConfirmed(RelayTrust(*settings_.direct));
     upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
     configuration_.Start();
     upstreams_.Start();
     quarantine_->Start();
-    demand_timer_.Every(kDemandMs, [this] { TellAgents(); });
+    demand_timer_.Every(kDemandMs, [this] { SendDemands(); });
     relay_timer_.Every(kAskRelayMs, [this] { AskRelay(); });
     peer_timer_.After(kAskPeerMs, [this] { AskPeer(0); });
-    word_timer_.Every(kAskWordMs, [this] { AskWord(); });
+    confirmation_timer_.Every(kAskPeersMs, [this] { AskPeersForConfirmation(); });
     return std::nullopt;
   }
 
@@ -211,7 +211,7 @@
       gateway_.SetRevokeMs(direct.revoke_ms);
       gateway_.SetEvacuationBound(direct.evacuate_ms);
       gateway_.SetRecordPeriod(settings.direct->record_period_ms);
-      BoundWord();
+      SetConfirmationInterval();
       gateway_.SetPolicy(direct.policy);
       hosting_->SetPolicy(direct.policy);
       gateway_.SetRetries(RetriesOf(direct));
@@ -243,7 +243,7 @@
     callbacks.closed = [this](const std::string& instance, bool was_open) {
       gateway_.ForgetView(instance);
       views_.erase(instance);
-      sent_.erase(instance);
+      agent_links_.erase(instance);
       gateway_.OnQuotaLinkClosed(instance);
       if (!was_open) reopen_at_[instance] = MonotonicMs() + kReopenMs;
     };
@@ -274,16 +274,16 @@
     return callbacks;
   }
 
-  // Over the links that stand already: an agent passes it on to all entries and writes it to the
-  // store. Where the upstream's own agent cannot, this entry writes it.
-  void TellOfEnd(UpstreamCrash end) {
+  // Sends the crash on links that are open already: an agent passes it on to all entries linked to
+  // it and writes it to the store. If the upstream's own agent cannot, this entry writes it.
+  void ReportCrash(UpstreamCrash end) {
     end.should_record = true;
     const std::string ended = QuarantineTable::InstanceOfCrash(end.instance);
-    const bool is_recorded = TellRelay(ended, end);
+    const bool is_recorded = SendCrash(ended, end);
     if (!is_recorded) recorder_->Record(end);
     end.should_record = false;
     std::vector<std::pair<std::uint64_t, std::string>> others;
-    for (const auto& [instance, sent] : sent_) {
+    for (const auto& [instance, link] : agent_links_) {
       if (instance != ended) {
         others.emplace_back(RendezvousScore(end.instance, instance), instance);
       }
@@ -297,7 +297,7 @@
     std::size_t told = 0;
     for (const auto& [score, instance] : others) {
       if (told == kOtherRelays) return;
-      if (TellRelay(instance, end)) ++told;
+      if (SendCrash(instance, end)) ++told;
     }
   }
 
@@ -308,12 +308,12 @@
     }
   }
 
-  // False when there is no link to whoever gives that engine its orders, or it passes
-  // nothing on.
-  bool TellRelay(const std::string& instance, const UpstreamCrash& end) {
-    const auto sent = sent_.find(instance);
+  // Returns false if there is no link to the process that gives that engine its orders, or if it
+  // passes nothing on.
+  bool SendCrash(const std::string& instance, const UpstreamCrash& end) {
+    const auto link = agent_links_.find(instance);
     const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
-    if (sent == sent_.end() || upstream == nullptr) return false;
+    if (link == agent_links_.end() || upstream == nullptr) return false;
     if (hosting_->IsHosting(upstream->endpoint)) {
       hosting_->OnEnd(upstream->endpoint, end);
       return true;
@@ -322,13 +322,13 @@
     const bool is_relay = view != views_.end() && view->second.relays_upstream_ends &&
                           gateway_.upstreams().HasFreshView(instance, MonotonicMs());
     if (!is_relay) return false;
-    links_.Send(instance, sent->second.to, EncodeCrash(end));
+    links_.Send(instance, link->second.endpoint, EncodeCrash(end));
     return true;
   }
 
   // `source` is the link's instance, or the address of an engine kept here.
   void OnView(const std::string& source, std::string_view bytes) {
-    if (IsCrashMessage(bytes)) return OnToldOfEnd(source, bytes);
+    if (IsCrashMessage(bytes)) return OnCrashMessage(source, bytes);
     if (IsQuotaGrant(bytes)) return OnQuotaGrant(source, bytes);
     if (IsRelayReply(bytes)) return OnRelayReply(source, bytes);
     EngineView& view = views_[source];
@@ -342,7 +342,7 @@
     gateway_.ApplyView(view);
   }
 
-  void OnToldOfEnd(const std::string& source, std::string_view bytes) {
+  void OnCrashMessage(const std::string& source, std::string_view bytes) {
     UpstreamCrash end;
     if (!DecodeCrash(bytes, &end)) {
       log_.Write(MonotonicMs(), "end_malformed", {{"upstream", source}});
@@ -360,8 +360,8 @@
     gateway_.ApplyQuotaGrant(grant);
   }
 
-  // Over the link by which the agent is told of demand.
-  void TellGiver(const QuotaClient::Message& message) {
+  // On the link on which demand is sent to the agent.
+  void SendQuotaRequest(const QuotaClient::Message& message) {
     const UpstreamRecord* upstream = gateway_.upstreams().Find(message.instance);
     if (upstream == nullptr || reopen_at_.count(message.instance) > 0) return;
     gateway_.upstreams().Observe(message.instance, MonotonicMs());
@@ -399,12 +399,12 @@
     }
     const DurationMs max_age_ms = 2 * RelayPeriod(*settings_.direct);
     const auto news = relay_client_.OnReply(source, reply, max_age_ms, now);
-    if (!news) return;
+    if (!news) return;  // Late, or malformed: another relay is asked then.
     relay_answered_at_ = now;
     SetPlanner(news->is_planner, source);
     if (news->configuration_as_of != 0) {
       gateway_.ApplyEvacuations(news->evacuated_halls, news->configuration_as_of);
-      configuration_.OfferWord(news->configuration_version, news->configuration_as_of, 0);
+      configuration_.OfferConfirmation(news->configuration_version, news->configuration_as_of, 0);
     }
     if (news->listing) upstreams_.OfferRelayed(*news->listing);
   }
@@ -417,12 +417,12 @@
 
   // Agents that entries are in touch with, or have no reason to doubt: all entries that read
   // the same list choose the same ones.
-  void FindGivers(TimeMs now) {
+  void UpdateQuotaAllocators(TimeMs now) {
     const bool has_limits =
         gateway_.has_configuration() && (gateway_.configuration().organisations.has_value() ||
                                          gateway_.upstreams().CountLimited() > 0);
     if (!has_limits) return;
-    const auto unseen = gateway_.upstreams().EnginesWithoutView(kGiverUnseenMs, now);
+    const auto unseen = gateway_.upstreams().EnginesWithoutView(kAllocatorUnseenMs, now);
     std::set<std::string> unseen_addresses;
     for (const auto& it : unseen) unseen_addresses.insert(it.ToString());
     std::vector<QuotaClient::Allocator> givers;
@@ -434,34 +434,34 @@
     gateway_.SetQuotaAllocators(std::move(givers));
   }
 
-  void BoundWord() {
+  void SetConfirmationInterval() {
     const auto bound_ms = static_cast<double>(settings_.direct->OperatorBound());
     if (bound_ms > 0) configuration_.SetWatch(static_cast<DurationMs>(kConfirmPart * bound_ms));
   }
 
-  // The store cannot be reached, or is slow: another entry may have its word. All are asked, as
-  // some may be gone, and their words differ in age.
-  void AskWord() {
+  // The store cannot be reached, or is slow: another entry may have a later confirmation. All are
+  // asked, as some may be gone, and their confirmations differ in age.
+  void AskPeersForConfirmation() {
     const auto bound_ms = static_cast<double>(settings_.direct->OperatorBound());
     const DurationMs age_ms = gateway_.ConfigurationAge();
-    const bool is_old = age_ms < 0 || static_cast<double>(age_ms) > kAskWordPart * bound_ms;
+    const bool is_old = age_ms < 0 || static_cast<double>(age_ms) > kAskPeersPart * bound_ms;
     if (bound_ms <= 0 || !is_old) return;
     for (const auto& peer : settings_.direct->peers) {
       if (peer == settings_.direct->peer) continue;
       Ask(peer, "/known/word", [this, peer, asked_at = MonotonicMs()](const std::string& text) {
-        OnWord(peer, asked_at, text);
+        OnPeerConfirmation(peer, asked_at, text);
       });
     }
   }
 
-  void OnWord(const Endpoint& peer, TimeMs asked_at, const std::string& text) {
-    const auto word = ParseWord(text);
-    if (!word) return log_.Write(MonotonicMs(), "word_malformed", {{"peer", peer.ToString()}});
-    gateway_.ApplyEvacuations(word->evacuated_halls, asked_at - word->age_ms);
-    if (configuration_.OfferWord(word->version, asked_at, word->age_ms)) return;
-    Ask(peer, "/known/configuration", [this, word = *word, asked_at](const std::string& document) {
+  void OnPeerConfirmation(const Endpoint& peer, TimeMs asked_at, const std::string& text) {
+    const auto told = ParseConfirmation(text);
+    if (!told) return log_.Write(MonotonicMs(), "word_malformed", {{"peer", peer.ToString()}});
+    gateway_.ApplyEvacuations(told->evacuated_halls, asked_at - told->age_ms);
+    if (configuration_.OfferConfirmation(told->version, asked_at, told->age_ms)) return;
+    Ask(peer, "/known/configuration", [this, told = *told, asked_at](const std::string& document) {
       if (configuration_.Offer(document)) {
-        configuration_.OfferWord(word.version, asked_at, word.age_ms);
+        configuration_.OfferConfirmation(told.version, asked_at, told.age_ms);
       }
     });
   }
@@ -504,8 +504,8 @@
       const DurationMs age_ms = gateway_.ConfigurationAge();
       if (age_ms < 0) return responder.Whole(404, {}, "");
       return responder.Whole(200, {},
-                             FormatWord({configuration_.word().version(), age_ms,
-                                         gateway_.upstreams().evacuated_halls()}));
+                             FormatConfirmation({configuration_.confirmation().version(), age_ms,
+                                                 gateway_.upstreams().evacuated_halls()}));
     }
     if (request.target == "/quotas") {
       return responder.Whole(200, {{"Content-Type", "application/json"}},
@@ -562,23 +562,23 @@
     });
   }
 
-  void TellSoon(const std::string& instance) {
+  void ScheduleUrgentDemand(const std::string& instance) {
     const bool is_armed = !urgent_.empty();
     urgent_.insert(instance);
     if (is_armed) return;
     urgent_timer_.After(kUrgentDemandMs, [this] {
       const auto all = std::exchange(urgent_, {});
-      for (const auto& it : all) TellUrgent(it);
+      for (const auto& it : all) SendUrgentDemand(it);
     });
   }
 
-  // Only what requests wait for there has changed: a round of demand to all agents each time a
-  // request begins to wait would take milliseconds before thousands of engines.
-  void TellUrgent(const std::string& instance) {
+  // Only the demand of waiting requests there has changed: building the demand for all agents each
+  // time a request begins to wait would take milliseconds.
+  void SendUrgentDemand(const std::string& instance) {
     const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
     if (upstream == nullptr || reopen_at_.count(instance) > 0) return;
-    const auto [sent, is_new] = sent_.try_emplace(instance);
-    AgentDemand& demand = sent->second.demand;
+    const auto [link, is_new] = agent_links_.try_emplace(instance);
+    AgentDemand& demand = link->second.demand;
     if (is_new) SetSender(instance, kRepeatDemandMs, &demand);
     auto& wanted = demand.wanted;
     wanted.erase(std::remove_if(wanted.begin(), wanted.end(),
@@ -586,14 +586,14 @@
                  wanted.end());
     auto waiting = gateway_.WaitingDemandFor(instance);
     wanted.insert(wanted.begin(), waiting.begin(), waiting.end());
-    sent->second.at = MonotonicMs();
-    Tell(*upstream, demand, &sent->second);
+    link->second.demand_sent_at = MonotonicMs();
+    SendDemand(*upstream, demand, &link->second);
   }
 
-  struct Sent {
+  struct AgentLink {
     AgentDemand demand;
-    Endpoint to;
-    TimeMs at = 0;
+    Endpoint endpoint;
+    TimeMs demand_sent_at = 0;
     TimeMs opened_at = MonotonicMs();
   };
 
@@ -606,7 +606,7 @@
     demand->resend_interval_ms = repeat_ms;
   }
 
-  void TellAgents() {
+  void SendDemands() {
     const TimeMs now = MonotonicMs();
     auto demands = gateway_.Demands();
     const DurationMs repeat_ms =
@@ -615,31 +615,32 @@
       SetSender(instance, repeat_ms, &demand);
       const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
       if (upstream == nullptr || reopen_at_.count(instance) > 0) continue;
-      Sent& sent = sent_[instance];
+      AgentLink& link = agent_links_[instance];
       // Ages grow by themselves; what is wanted is compared without them.
-      const bool is_same = IsSame(sent.demand, demand);
-      if (is_same && now - sent.at < repeat_ms) continue;
-      sent.at = now;
-      Tell(*upstream, demand, &sent);
-      sent.demand = std::move(demand);
+      const bool is_same = IsSame(link.demand, demand);
+      if (is_same && now - link.demand_sent_at < repeat_ms) continue;
+      link.demand_sent_at = now;
+      SendDemand(*upstream, demand, &link);
+      link.demand = std::move(demand);
     }
     CloseUnused(demands);
     CloseSilent(now);
-    FindGivers(now);
+    UpdateQuotaAllocators(now);
     for (auto it = reopen_at_.begin(); it != reopen_at_.end();) {
       it = it->second <= now ? reopen_at_.erase(it) : std::next(it);
     }
     hosting_->Tick(gateway_.upstreams().EnginesWithoutView(kUnseenMs, now));
   }
 
-  void Tell(const UpstreamRecord& upstream, const AgentDemand& demand, Sent* sent) {
+  void SendDemand(const UpstreamRecord& upstream, const AgentDemand& demand, AgentLink* link) {
     if (hosting_->IsHosting(upstream.endpoint)) {
       links_.Close(upstream.instance, "hosted_here");
       return hosting_->OnDemand(upstream.endpoint, demand);
     }
     const Endpoint to = LinkTo(upstream);
-    if (!(sent->to == to) && sent->to.port != 0) links_.Close(upstream.instance, "moved");
-    sent->to = to;
+    if (!(link->endpoint == to) && link->endpoint.port != 0)
+      links_.Close(upstream.instance, "moved");
+    link->endpoint = to;
     links_.Send(upstream.instance, to, EncodeDemand(demand));
   }
 
@@ -663,20 +664,20 @@
 
   // Links to agents of engines that are not observed any more.
   void CloseUnused(const std::map<std::string, AgentDemand>& demands) {
-    for (auto it = sent_.begin(); it != sent_.end();) {
+    for (auto it = agent_links_.begin(); it != agent_links_.end();) {
       if (demands.count(it->first) > 0) {
         ++it;
         continue;
       }
       links_.Close(it->first, "unused");
-      it = sent_.erase(it);
+      it = agent_links_.erase(it);
     }
   }
 
-  // A link on which nothing came for long may be cut without either end
-  // knowing; it is opened again with the next demand.
+  // A link that has carried nothing for long may have been cut without either end noticing. The
+  // next demand opens it again.
   void CloseSilent(TimeMs now) {
-    for (auto it = sent_.begin(); it != sent_.end();) {
+    for (auto it = agent_links_.begin(); it != agent_links_.end();) {
       const bool is_gone = gateway_.upstreams().Find(it->first) == nullptr;
       const bool is_silent = !gateway_.upstreams().HasFreshView(it->first, now) &&
                              now - it->second.opened_at > kSilentLinkMs;
@@ -684,7 +685,7 @@
         it->second.opened_at = now;
         links_.Close(it->first, "silent");
       }
-      it = is_gone ? sent_.erase(it) : std::next(it);
+      it = is_gone ? agent_links_.erase(it) : std::next(it);
     }
   }
 
@@ -713,12 +714,12 @@
   Timer relay_timer_;
   Timer urgent_timer_;
   Timer peer_timer_;
-  Timer word_timer_;
+  Timer confirmation_timer_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
-  std::map<std::string, Sent> sent_;
+  std::map<std::string, AgentLink> agent_links_;
   std::map<std::string, TimeMs> reopen_at_;  // Of links that could not be opened.
   std::map<std::string, EngineView> views_;  // The last of each link, which updates change.
-  std::set<std::string> urgent_;             // Agents to tell soon.
+  std::set<std::string> urgent_;             // Instances whose agents get demand soon.
   TimeMs started_at_ = MonotonicMs();
   bool is_stopping_ = false;
 };
--- a/src/daemon/engine_keeper.h
+++ b/src/daemon/engine_keeper.h
@@ -28,7 +28,7 @@
 struct KeeperOptions {
   std::string holder;  // This VM, as the engine is told.
   Endpoint engine;
-  // The engine is asked so often while something is under way, else as often as
+  // Intervals at which the engine is asked: while something is under way, else as often as
   // views go out, or more seldom while no entry has said anything.
   DurationMs active_report_ms = 50;
   DurationMs quiet_report_ms = 500;
--- a/src/daemon/entry_hosting.cc
+++ b/src/daemon/entry_hosting.cc
@@ -10,8 +10,8 @@
 // Short, so that another entry takes over soon; kept three times within it.
 constexpr DurationMs kLeaseMs = 3000;
 constexpr DurationMs kKeepLeaseMs = 1000;
-// While engines have no agent claims are read so often: a tenth of a call each, or a
-// whole one for an entry that hosts, as it must not miss that its claim was removed.
+// Interval at which claims are read while engines have no agent. Such a reading costs a tenth of a
+// call, or a whole one for an entry that hosts, as it must not miss that its claim was removed.
 constexpr DurationMs kReadClaimsMs = 1000;
 constexpr DurationMs kHostReadClaimsMs = 2000;
 constexpr DurationMs kLookTimeoutMs = 800;
--- a/src/listing/listing_relay.cc
+++ b/src/listing/listing_relay.cc
@@ -42,6 +42,7 @@
     version_ = version;
     it = records_.erase(it);
   }
+  if (version_ == version) encoded_changes_.clear();
   while (removals_.size() > kMaxRemovals) {
     forgotten_version_ = removals_.front().version;
     removals_.pop_front();
@@ -71,16 +72,23 @@
   reply.list_age_ms = now - as_of_;
   reply.version = version_;
   reply.is_whole = !knows_base;
-  const std::uint64_t base = knows_base ? request.version : 0;
-  if (base == version_) return reply;
+  reply.changes = ChangesSince(knows_base ? request.version : 0);
+  return reply;
+}
+
+std::shared_ptr<const std::string> ListingRelay::ChangesSince(std::uint64_t base) {
+  auto& encoded = encoded_changes_[base];
+  if (encoded) return encoded;
+  ListingChanges changes;
   for (const auto& [instance, it] : records_) {
-    if (it.version > base) reply.changed.push_back(it.record);
+    if (it.version > base) changes.changed.push_back(it.record);
   }
-  if (reply.is_whole) return reply;
   for (auto it = removals_.rbegin(); it != removals_.rend() && it->version > base; ++it) {
-    if (records_.count(it->instance) == 0) reply.removed.push_back(it->instance);
+    const bool is_needed = base != 0 && records_.count(it->instance) == 0;
+    if (is_needed) changes.removed.push_back(it->instance);
   }
-  return reply;
+  encoded = std::make_shared<const std::string>(EncodeListingChanges(changes));
+  return encoded;
 }
 
 bool ListingRelay::IsInUse(TimeMs now) const {
--- a/src/listing/relay_client.cc
+++ b/src/listing/relay_client.cc
@@ -51,10 +51,12 @@
   const bool is_old = reply.list_age_ms > max_age_ms;
   if (is_old) passed_over_until_[instance] = now + kPassOverMs;
   const bool has_base = reply.is_whole || reply.epoch == epoch_;
-  if (reply.list_age_ms < 0 || !has_base) return news;
+  if (reply.list_age_ms < 0 || !has_base || !reply.changes) return news;
+  ListingChanges changes;
+  if (!DecodeListingChanges(*reply.changes, &changes)) return std::nullopt;
   if (reply.is_whole) records_.clear();
-  for (const auto& it : reply.removed) records_.erase(it);
-  for (const auto& it : reply.changed) records_[it.instance] = it;
+  for (const auto& it : changes.removed) records_.erase(it);
+  for (const auto& it : changes.changed) records_[it.instance] = it;
   next_ask_at_ = asked_at_ + period_ms_;
   epoch_ = reply.epoch;
   version_ = reply.version;
--- a/src/listing/relay_messages.cc
+++ b/src/listing/relay_messages.cc
@@ -87,17 +87,33 @@
   });
 }
 
-std::string EncodeRelayReply(const RelayReply& reply) {
+std::string EncodeListingChanges(const ListingChanges& changes) {
   json changed = json::array();
-  for (const auto& it : reply.changed) changed.push_back(ToJson(it));
+  for (const auto& it : changes.changed) changed.push_back(ToJson(it));
+  return PackCbor(json{{"c", std::move(changed)}, {"r", changes.removed}});
+}
+
+bool DecodeListingChanges(std::string_view bytes, ListingChanges* changes) {
+  return UnpackCbor(bytes, [changes](const json& message) {
+    for (const auto& record : message.at("c")) {
+      changes->changed.emplace_back();
+      if (!ReadRecord(record, &changes->changed.back())) return false;
+    }
+    changes->removed = message.at("r").get<std::vector<std::string>>();
+    return true;
+  });
+}
+
+std::string EncodeRelayReply(const RelayReply& reply) {
+  json::binary_t changes;
+  if (reply.changes) changes.assign(reply.changes->begin(), reply.changes->end());
   return PackCbor(json{{kReplyKey,
                         {{"n", reply.number},
                          {"e", reply.epoch},
                          {"v", reply.version},
                          {"a", reply.list_age_ms},
                          {"w", reply.is_whole},
-                         {"c", std::move(changed)},
-                         {"r", reply.removed},
+                         {"c", json::binary(std::move(changes))},
                          {"cv", reply.configuration_version},
                          {"ca", reply.configuration_age_ms},
                          {"h", reply.evacuated_halls},
@@ -116,11 +132,9 @@
     reply->version = it.at("v").get<std::uint64_t>();
     reply->list_age_ms = it.at("a").get<DurationMs>();
     reply->is_whole = it.at("w").get<bool>();
-    for (const auto& record : it.at("c")) {
-      reply->changed.emplace_back();
-      if (!ReadRecord(record, &reply->changed.back())) return false;
-    }
-    reply->removed = it.at("r").get<std::vector<std::string>>();
+    const auto& changes = it.at("c").get_binary();
+    if (!changes.empty())
+      reply->changes = std::make_shared<const std::string>(changes.begin(), changes.end());
     reply->configuration_version = it.at("cv").get<std::uint64_t>();
     reply->configuration_age_ms = it.at("ca").get<DurationMs>();
     reply->evacuated_halls = it.at("h").get<std::vector<std::string>>();
--- a/test/growth_test.cc
+++ b/test/growth_test.cc
@@ -96,7 +96,9 @@
     if (!ask || !are_relays_up_ || !relays_[ask->instance].is_up) return;
     const RelayReply reply = relays_[ask->instance].relay->Answer(ask->request, now_);
     whole_lists += reply.is_whole ? 1 : 0;
-    records_sent += static_cast<int>(reply.changed.size());
+    ListingChanges changes;
+    if (reply.changes) DecodeListingChanges(*reply.changes, &changes);
+    records_sent += static_cast<int>(changes.changed.size());
     const auto news = it->client.OnReply(ask->instance, reply, 2 * kRelayMs, now_);
     if (!news || !news->listing) return;
     if (!it->schedule.OnRelayed(news->listing->as_of, now_)) return;
--- a/test/listing_relay_test.cc
+++ b/test/listing_relay_test.cc
@@ -22,6 +22,8 @@
     const auto ask = client.NextAsk({"agent-1", "agent-2"}, now);
     if (!ask) return std::nullopt;
     reply = relay.Answer(ask->request, now);
+    changes = {};
+    if (reply.changes) DecodeListingChanges(*reply.changes, &changes);
     return client.OnReply(ask->instance, reply, kMaxAgeMs, now);
   }
 
@@ -36,6 +38,7 @@
   ListingRelay relay;
   RelayClient client{"entry-1", 0};
   RelayReply reply;
+  ListingChanges changes;  // Of the reply.
   TimeMs now = kStart;
 };
 
@@ -48,14 +51,14 @@
   EXPECT_TEXT("none", t.Known(), "it has not polled the list yet");
   t.List({MakeRecord("u1"), MakeRecord("u2")});
   EXPECT_TEXT("u1 u2 ", t.Known(), "");
-  EXPECT_TRUE(t.reply.is_whole && t.reply.changed.size() == 2, "the whole list");
+  EXPECT_TRUE(t.reply.is_whole && t.changes.changed.size() == 2, "the whole list");
   EXPECT_TEXT("u1 u2 ", t.Known(), "");
-  EXPECT_TRUE(!t.reply.is_whole && t.reply.changed.empty(), "nothing has changed");
+  EXPECT_TRUE(!t.reply.is_whole && t.changes.changed.empty(), "nothing has changed");
   UpstreamRecord leaving = MakeRecord("u2");
   leaving.is_leaving = true;
   t.List({leaving, MakeRecord("u3")});
   EXPECT_TEXT("u2 u3 ", t.Known(), "u1 is gone");
-  EXPECT_TRUE(t.reply.changed.size() == 2 && t.reply.removed.size() == 1, "only the changes");
+  EXPECT_TRUE(t.changes.changed.size() == 2 && t.changes.removed.size() == 1, "only the changes");
   t.List({MakeRecord("u1"), leaving, MakeRecord("u3")});
   EXPECT_TEXT("u1 u2 u3 ", t.Known(), "u1 is back");
 }
@@ -154,13 +157,15 @@
   reply.version = 4;
   reply.list_age_ms = 250;
   reply.is_whole = true;
-  reply.changed = {MakeRecord("u1"), MakeRecord("u2", "hall-2")};
-  reply.changed[0].loaded = {{"a", {"a1"}}};
-  reply.changed[0].cached_models = {"b"};
-  reply.changed[0].cold_ms = 1200;
-  reply.changed[1].is_missing = true;
-  reply.changed[1].is_unreadable = true;
-  reply.removed = {"u3"};
+  ListingChanges changes;
+  changes.changed = {MakeRecord("u1"), MakeRecord("u2", "hall-2")};
+  changes.changed[0].loaded = {{"a", {"a1"}}};
+  changes.changed[0].cached_models = {"b"};
+  changes.changed[0].cold_ms = 1200;
+  changes.changed[1].is_missing = true;
+  changes.changed[1].is_unreadable = true;
+  changes.removed = {"u3"};
+  reply.changes = std::make_shared<const std::string>(EncodeListingChanges(changes));
   reply.configuration_version = 12;
   reply.configuration_age_ms = 30;
   reply.evacuated_halls = {"hall-3"};
@@ -169,7 +174,10 @@
   const std::string bytes = EncodeRelayReply(reply);
   EXPECT_TRUE(IsRelayReply(bytes) && !IsRelayRequest(bytes), "recognized by its prefix");
   EXPECT_TRUE(DecodeRelayReply(bytes, &read), "");
-  EXPECT_TRUE(read.changed == reply.changed && read.removed == reply.removed, "the list");
+  ListingChanges read_changes;
+  EXPECT_TRUE(read.changes && DecodeListingChanges(*read.changes, &read_changes), "");
+  EXPECT_TRUE(read_changes.changed == changes.changed && read_changes.removed == changes.removed,
+              "the list");
   EXPECT_TRUE(read.number == 9 && read.epoch == "epoch-1" && read.version == 4 && read.is_whole &&
                   read.list_age_ms == 250 && read.is_planner,
               "");
@@ -184,7 +192,12 @@
 }
 
 TEST(RelayMessages, RejectMalformedInput) {
-  const std::string bytes = EncodeRelayReply({1, "epoch-1", 1, 0, true, {MakeRecord("u1")}});
+  const std::string changes = EncodeListingChanges({{MakeRecord("u1")}, {}});
+  for (std::size_t n = 0; n < changes.size(); ++n) {
+    ListingChanges read;
+    EXPECT_TRUE(!DecodeListingChanges(changes.substr(0, n), &read), "cut short");
+  }
+  const std::string bytes = EncodeRelayReply({1, "epoch-1", 1, 0, true, nullptr});
   for (std::size_t n = 0; n < bytes.size(); ++n) {
     RelayReply reply;
     EXPECT_TRUE(!DecodeRelayReply(bytes.substr(0, n), &reply), "cut short");
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -165,6 +165,23 @@
       "a key of 1 MB is a key");
 }
 
+TEST(Documents, OfUpstreamsAreEqualWhateverTheOrderOfTheirModels) {
+  const auto record = [](const std::string& models, const std::string& copies) {
+    return DecodeUpstream("i-1",
+                          R"({"service":"s1","address":"10.1.0.40:8145","zone":"hall-1",
+        "state":"ready","models":[)" +
+                              models + R"(],"atHand":{"inMemory":["m2"],"onDisk":[)" + copies +
+                              "]}}",
+                          1);
+  };
+  const auto first =
+      record(R"({"name":"m1","adapters":["a1","a2"]},{"name":"m2"})", R"("m1","m3")");
+  const auto second =
+      record(R"({"name":"m2"},{"name":"m1","adapters":["a2","a1"]})", R"("m3","m1")");
+  EXPECT_TRUE(first && second && first.value() == second.value(), "listed by their last use");
+  EXPECT_NUMBER(3, first.value().cached_models.size(), "on disk or in memory, each once");
+}
+
 TEST(Documents, BecomeUpstreamsAndReports) {
   const auto upstream = DecodeUpstream("i-1", kUpstream, 42);
   EXPECT_TRUE(upstream.has_value(), "");
@@ -246,12 +263,13 @@
   const TimeMs last_at = confirmed_at;
   RunFor(world.io, 400);
   EXPECT_NUMBER(last_at, confirmed_at, "a watch that stands proves nothing");
-  EXPECT_TRUE(world.configuration->OfferWord(3, last_at + 300, 100), "another entry knows more");
+  EXPECT_TRUE(world.configuration->OfferConfirmation(3, last_at + 300, 100),
+              "another entry knows more");
   EXPECT_NUMBER(last_at + 200, confirmed_at, "and its word counts from the question");
-  EXPECT_TRUE(!world.configuration->OfferWord(4, last_at + 400, 0), "there is a newer one");
+  EXPECT_TRUE(!world.configuration->OfferConfirmation(4, last_at + 400, 0), "there is a newer one");
   EXPECT_NUMBER(last_at + 200, confirmed_at, "so this one is not confirmed");
   EXPECT_TRUE(world.configuration->Offer(Configuration(4)) &&
-                  world.configuration->OfferWord(4, last_at + 400, 0),
+                  world.configuration->OfferConfirmation(4, last_at + 400, 0),
               "once it is in force");
 }
 
@@ -264,12 +282,12 @@
   RunFor(world.io, 100);
   world.store.Put("op/config", "{");
   RunFor(world.io, 50);
-  const TimeMs before = world.configuration->word().as_of();
+  const TimeMs before = world.configuration->confirmation().as_of();
   RunFor(world.io, 300);
-  EXPECT_NUMBER(before, world.configuration->word().as_of(), "it may have taken keys away");
+  EXPECT_NUMBER(before, world.configuration->confirmation().as_of(), "it may have taken keys away");
   world.store.Put("op/config", Configuration(6));
   EXPECT_TRUE(world.AwaitVersion(6), "");
-  EXPECT_TRUE(world.configuration->word().as_of() > before, "confirmed again");
+  EXPECT_TRUE(world.configuration->confirmation().as_of() > before, "confirmed again");
 }
 
 TEST(FollowsConfiguration, WhenTheStoreForgetsItsHistory) {
--- /dev/null
+++ b/test/relayed_listing_test.cc
@@ -0,0 +1,182 @@
+// Entries and an agent that relays the list of upstreams to them, over real sockets: which calls
+// the platform's store gets, and what entries know while they make none.
+#include <boost/asio/io_context.hpp>
+
+#include "check.h"
+#include "direct_daemon.h"
+#include "junctionrail/net.h"
+#include "loopback.h"
+#include "platform_standin.h"
+
+namespace junctionrail::internal {
+namespace {
+
+using testing::OwnAddress;
+using testing::RunFor;
+using testing::RunUntil;
+using testing::ScriptedUpstream;
+using testing::SeenRequest;
+using testing::SilentLog;
+using testing::StandinStore;
+using testing::TestCaller;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr std::uint16_t kPort = 8260;
+constexpr DurationMs kLeavingMs = 2000;
+
+std::string Configuration(int version, const std::string& prefix) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+    {"name":"r1","hostname":"shop.example","pathPrefix":")" +
+         prefix + R"(","kind":"idempotent",
+     "timeoutMs":2000,"targetLatencyMs":500,"service":"s2"}],
+    "services":[{"name":"s1","maxConns":100,"engine":{"weightsMb":100.0,"adapterSlots":2,
+      "models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0}]}},{"name":"s2","maxConns":100}]})";
+}
+
+struct World {
+  explicit World(int entry_count) {
+    store.Put("op/config", Configuration(1, "/a/"));
+    engine = std::make_unique<ScriptedUpstream>(
+        io,
+        [](const SeenRequest&, const Peer& peer) {
+          const std::string report =
+              R"({"models":[],"busyCount":false,"sequence":0,"waiting":0,"running":0})";
+          peer->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(report.size()) +
+                      "\r\n\r\n" + report);
+        },
+        Endpoint{OwnAddress(60), kPort});
+    service = std::make_unique<ScriptedUpstream>(io, [](const SeenRequest& it, const Peer& peer) {
+      peer->Write("HTTP/1.1 200 OK\r\nAttempt-Id: " + it.Field("Attempt-Id") +
+                  "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+    });
+    List("i-1", "s1", *engine, "ready");
+    List("i-2", "s2", *service, "ready");
+    StartAgent();
+    for (int n = 0; n < entry_count; ++n) StartEntry(n);
+  }
+
+  ~World() {
+    for (auto& it : entries) it->Stop();
+    if (agent) agent->Stop();
+    RunFor(io, 50);
+  }
+
+  void List(const std::string& id, const std::string& name, const ScriptedUpstream& upstream,
+            const std::string& state) {
+    store.Put("servers/" + id, R"({"service":")" + name + R"(","address":")" +
+                                   upstream.endpoint().ToString() +
+                                   R"(","zone":"hall-1","slots":8,"state":")" + state + R"("})");
+  }
+
+  void StartAgent() {
+    Settings settings;
+    settings.role = Role::kAgent;
+    settings.id = "agent-1";
+    settings.direct.emplace();
+    settings.direct->store = store.endpoint();
+    settings.direct->metrics = {OwnAddress(60), kPort + 1};
+    settings.direct->link = {OwnAddress(60), kPort + 4};
+    settings.direct->upstream = engine->endpoint();
+    settings.direct->leaving_ms = kLeavingMs;
+    agent = std::make_unique<DirectAgent>(io, settings, SilentLog());
+    const auto error = agent->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+  }
+
+  void StartEntry(int n) {
+    Settings settings;
+    settings.id = "entry-" + std::to_string(n);
+    settings.data_hall = "hall-1";
+    settings.drain_ms = 0;
+    settings.direct.emplace();
+    DirectSettings& direct = *settings.direct;
+    direct.store = store.endpoint();
+    direct.callers = {OwnAddress(61 + n), kPort};
+    direct.metrics = {OwnAddress(61 + n), kPort + 1};
+    direct.health = {OwnAddress(61 + n), kPort + 2};
+    direct.peer = {OwnAddress(61 + n), kPort + 3};
+    direct.link_port = kPort + 4;
+    direct.leaving_ms = kLeavingMs;
+    entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
+    const auto error = entries.back()->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+  }
+
+  std::string Fetch(int n, const std::string& path) {
+    TestCaller caller(io, Endpoint{OwnAddress(61 + n), kPort});
+    caller.Send("GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: r" +
+                std::to_string(++last_id) + "\r\nDeadline-Ms: 1000\r\nConnection: close\r\n\r\n");
+    caller.AwaitEnd();
+    return caller.received();
+  }
+
+  // Calls to the store by their path, with what they read.
+  std::map<std::string, int> CountCalls(DurationMs ms) {
+    store.calls.clear();
+    RunFor(io, ms);
+    std::map<std::string, int> calls;
+    for (const auto& it : store.calls) ++calls[it.substr(0, it.find_first_of("&"))];
+    return calls;
+  }
+
+  boost::asio::io_context io;
+  StandinStore store{io};
+  std::unique_ptr<ScriptedUpstream> engine;
+  std::unique_ptr<ScriptedUpstream> service;
+  std::unique_ptr<DirectAgent> agent;
+  std::vector<std::unique_ptr<DirectEntry>> entries;
+  int last_id = 0;
+};
+
+bool HasText(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(RelayedListings){};
+
+TEST(RelayedListings, CostTheStoreAsManyCallsForSixEntriesAsForTwo) {
+  std::map<int, int> totals;
+  for (const int n : {2, 6}) {
+    World world(n);
+    RunFor(world.io, 2500);
+    for (const auto& [call, count] : world.CountCalls(4000)) totals[n] += count;
+  }
+  EXPECT_TRUE(totals[6] <= totals[2] + 4,
+              "expected about " + std::to_string(totals[2]) + ", got " + std::to_string(totals[6]));
+}
+
+TEST(RelayedListings, TellEntriesOfLeavingUpstreamsAndNewConfigurations) {
+  World world(2);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return HasText(world.Fetch(0, "/a/"), "200 OK"); }), "");
+  RunFor(world.io, 2500);
+  world.store.calls.clear();
+  world.List("i-2", "s2", *world.service, "draining");
+  RunFor(world.io, kLeavingMs - 200);
+  EXPECT_TRUE(HasText(world.Fetch(0, "/a/"), " 503 "), "the only upstream leaves");
+  EXPECT_TRUE(HasText(world.Fetch(1, "/a/"), " 503 "), "as the other entry knows too");
+  world.List("i-2", "s2", *world.service, "ready");
+  world.store.Put("op/config", Configuration(2, "/b/"));
+  RunFor(world.io, kLeavingMs / 2);
+  for (const int n : {0, 1}) {
+    EXPECT_TRUE(HasText(world.Fetch(n, "/a/"), " 404 ") && !HasText(world.Fetch(n, "/b/"), " 404 "),
+                "the newer configuration is in force");
+  }
+}
+
+TEST(RelayedListings, AreReplacedByPollsOfTheStoreWhenTheAgentEnds) {
+  World world(2);
+  RunFor(world.io, 2500);
+  world.agent->Stop();
+  world.io.restart();
+  RunFor(world.io, 500);
+  world.List("i-2", "s2", *world.service, "draining");
+  RunFor(world.io, kLeavingMs - 100);
+  EXPECT_TRUE(HasText(world.Fetch(0, "/a/"), " 503 "), "the only upstream leaves");
+  world.store.Put("op/config", Configuration(2, "/b/"));
+  RunFor(world.io, kLeavingMs);
+  EXPECT_TRUE(!HasText(world.Fetch(1, "/b/"), " 404 "), "the newer configuration is in force");
+}
+
+}  // namespace junctionrail::internal
--- a/test/vouching_test.cc
+++ b/test/vouching_test.cc
@@ -3,11 +3,11 @@
 #include <boost/asio/io_context.hpp>
 
 #include "check.h"
+#include "confirmation_message.h"
 #include "direct_daemon.h"
 #include "junctionrail/net.h"
 #include "loopback.h"
 #include "platform_standin.h"
-#include "word_message.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -113,15 +113,15 @@
 }
 
 TEST(PeerConfirmation, MessageRoundTrip) {
-  const auto read = ParseWord(FormatWord({7, 1200}));
+  const auto read = ParseConfirmation(FormatConfirmation({7, 1200}));
   EXPECT_TRUE(read && read->version == 7 && read->age_ms == 1200, "version and age");
   EXPECT_TRUE(read->evacuated_halls.empty(), "no hall is evacuated");
   const std::set<std::string> halls = {"hall 1,\n", "hall-2"};
-  const auto with_halls = ParseWord(FormatWord({7, 1200, halls}));
+  const auto with_halls = ParseConfirmation(FormatConfirmation({7, 1200, halls}));
   EXPECT_TRUE(with_halls && with_halls->evacuated_halls == halls, "names of any bytes");
   for (const char* it :
        {"", "7", "7 ", "7 x", "7 -1", "7 1 2", "7 1  ", "-7 1", "7 99999999999999999999"}) {
-    EXPECT_TRUE(!ParseWord(it), it);
+    EXPECT_TRUE(!ParseConfirmation(it), it);
   }
 }
 
