Polls: the first one is repeated once a second until it is answered

Cause: 982 processes read a list of some 0.5 MB when they start at once, four seconds of the store's link.

Change: until a process has its first answer it repeats the poll once a second.

--- a/src/listing/poll_schedule.cc
+++ b/src/listing/poll_schedule.cc
@@ -19,6 +19,9 @@
 // until these have passed, upstreams that left still receive requests.
 constexpr DurationMs kSecondRetryDelayMs = 500;
 constexpr DurationMs kLaterRetryDelayMs = 600;
+// Until the first answer. Processes may all have started at once, and the whole list is on its way
+// to each of them: polls repeated sooner would only add to what the store has to send.
+constexpr DurationMs kFirstAnswerRetryMs = 1000;
 // If the last answered poll began more than this many periods before the next one although
 // no poll failed, this process was stalled.
 constexpr int kStallPeriods = 2;
@@ -33,6 +36,7 @@
 }
 
 DurationMs PollSchedule::RetryDelay() const {
+  if (as_of_ == 0) return kFirstAnswerRetryMs;
   if (unanswered_ > 2) return kLaterRetryDelayMs;
   if (unanswered_ == 2) return kSecondRetryDelayMs;
   return std::clamp(kRetryDelayFactor * answer_ms_, kMinRetryDelayMs, kMaxRetryDelayMs);
--- a/test/poll_schedule_test.cc
+++ b/test/poll_schedule_test.cc
@@ -81,6 +81,19 @@
                   std::to_string(store.max_age_ms) + " ms old");
 }
 
+// Guards against a store that sends the whole list again and again to processes that all started at
+// once.
+TEST(PollSchedule, RepeatsTheFirstPollOnceASecond) {
+  PollSchedule schedule(900);
+  schedule.Begin(1000);
+  EXPECT_NUMBER(2000, schedule.NextAt(), "no answer yet");
+  const auto second = schedule.Begin(2000);
+  EXPECT_NUMBER(3000, schedule.NextAt(), "no answer yet");
+  schedule.OnAnswer(second, 2600);
+  schedule.Begin(2900);
+  EXPECT_TRUE(schedule.NextAt() - 2900 >= 250 && schedule.NextAt() - 2900 <= 1000, "as usual");
+}
+
 TEST(PollSchedule, WaitsForSlowStore) {
   SimulatedStore store;
   store.answer_ms = 1200;
