--- a/bench/bench_direct.cc
+++ b/bench/bench_direct.cc
@@ -31,7 +31,7 @@
 
 void Measure(int engines, int models) {
   RoutingOptions options;
-  options.data_hall = "hall";
+  options.topology = Topology("hall", {});
   UpstreamTable table(options);
   EngineSpec spec;
   spec.accelerator_mb = 230;
--- a/include/junctionrail/places.h
+++ b/include/junctionrail/places.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "junctionrail/base.h"
@@ -24,6 +25,29 @@
 bool IsHallAllowed(const AllowedRegions& allowed, const HallRegions& regions,
                    const std::string& hall);
 
+enum class Distance { kSameHall, kSameRegion, kOtherRegion };
+
+// How far the data halls are from the one that this process runs in.
+class Topology {
+ public:
+  Topology() = default;
+  Topology(std::string hall, HallRegions regions)
+      : hall_(std::move(hall)), regions_(std::move(regions)) {}
+
+  const std::string& hall() const { return hall_; }
+  const HallRegions& regions() const { return regions_; }
+  // Returns an empty string if the region of the hall is unknown.
+  std::string RegionOf(const std::string& hall) const;
+  // A hall whose region is unknown counts as in the same region.
+  Distance DistanceTo(const std::string& hall) const;
+  // Whether the halls are in more than one region.
+  bool HasRegions() const;
+
+ private:
+  std::string hall_;
+  HallRegions regions_;
+};
+
 // The data halls that operators evacuate, as last read, and when each closes to new requests.
 class EvacuatedHalls {
  public:
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -1,13 +1,11 @@
-// Routing for entries that connect to upstreams directly: routes, the table of
-// upstreams, the choice among them, the retry budget, and the demand for models
-// that agents are told. Pure decision logic: the caller passes the time in, and
-// nothing here opens a socket.
+// Routing for entries that connect to upstreams directly: the table of upstreams, the choice among
+// them, and the demand for models that agents are told. Pure decision logic: the caller passes the
+// time in, and nothing here opens a socket.
 #ifndef JUNCTIONRAIL_ROUTING_H_
 #define JUNCTIONRAIL_ROUTING_H_
 
 #include <cstdint>
 #include <deque>
-#include <initializer_list>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,147 +18,13 @@
 #include "junctionrail/base.h"
 #include "junctionrail/listing.h"
 #include "junctionrail/places.h"
+#include "junctionrail/routes.h"
 #include "junctionrail/settings.h"
 #include "junctionrail/tenancy.h"
+#include "junctionrail/throttling.h"
 
 namespace junctionrail {
 
-// Whether a request may be executed more than once.
-enum class RequestKind {
-  kIdempotent,     // Any number of times.
-  kNonIdempotent,  // At most once.
-  kStreaming,      // Answered by a stream of events; retryable only if the route is resumable.
-};
-
-struct WeightedService {
-  std::string service;
-  std::uint32_t weight = 1;
-};
-
-// An operator's rule: which services handle the requests for a host and path, and
-// their latency targets and timeouts.
-struct Route {
-  std::string name;
-  std::string host;
-  std::string path_prefix;  // Starts and ends with a slash.
-  RequestKind kind = RequestKind::kNonIdempotent;
-  bool is_resumable = false;            // Streams only: may be resumed at another upstream.
-  DurationMs timeout_ms = 0;            // Longest time that a request may be held.
-  DurationMs first_byte_target_ms = 0;  // Target latency of the first response byte.
-  DurationMs stream_gap_target_ms = 0;  // Target for the longest gap in a stream.
-  DurationMs caller_timeout_ms = 0;     // Callers give up after this long without data.
-  int max_attempts = 1;                 // Upstreams that one request may be sent to.
-  int priority = 0;                     // 0 is the highest.
-  bool is_public = false;               // No API key required.
-  AllowedRegions allowed_regions;       // Apply together with those of the organisation.
-  std::vector<WeightedService> traffic_split;
-
-  bool IsRetryable() const { return kind == RequestKind::kIdempotent || is_resumable; }
-};
-
-// A model that operators have declared for an engine service.
-struct ModelSpec {
-  std::string name;
-  double size_mb = 0;
-  double adapter_mb = 0;
-  DurationMs store_load_ms = 0;   // From the weight store at full speed.
-  DurationMs disk_load_ms = 0;    // From the upstream's own disk.
-  DurationMs memory_load_ms = 0;  // From the upstream's host memory.
-};
-
-// The models of a service, with constant-time lookup by name: each load estimate
-// looks up several of them, and there may be thousands.
-class ModelCatalog {
- public:
-  ModelCatalog() = default;
-  ModelCatalog(std::initializer_list<ModelSpec> models);
-
-  // If two models share a name, Find returns the one added first.
-  void push_back(ModelSpec spec);  // NOLINT(readability-identifier-naming): as in containers.
-  // Returns null if there is no model of that name.
-  const ModelSpec* Find(std::string_view model) const;
-  std::vector<ModelSpec>::const_iterator begin() const { return models_.begin(); }  // NOLINT
-  std::vector<ModelSpec>::const_iterator end() const { return models_.end(); }      // NOLINT
-  const ModelSpec& at(std::size_t n) const { return models_.at(n); }                // NOLINT
-  std::size_t size() const { return models_.size(); }                               // NOLINT
-
- private:
-  std::vector<ModelSpec> models_;
-  std::unordered_map<std::string, std::size_t> index_;  // By name.
-};
-
-// Capacity and models of a service's engines; the same on all its upstreams.
-struct EngineSpec {
-  double accelerator_mb = 0;  // Weights and adapters together.
-  int adapter_slots = 0;
-  double disk_mb = 0;
-  ModelCatalog models;
-
-  const ModelSpec* Find(std::string_view model) const { return models.Find(model); }
-};
-
-struct ServiceSpec {
-  std::string name;
-  int max_connections = 0;  // To one upstream, across all callers.
-  std::optional<EngineSpec> engine;
-  // An upstream that is cold bears this many requests a second from all entries; 0: as many as
-  // a warm one.
-  double cold_requests_per_s = 0;
-  DurationMs cold_start_ms = 0;  // An upstream stays cold this long after its start.
-};
-
-// Limits on caller input.
-struct CallerLimits {
-  std::uint32_t max_header_bytes = 16 << 10;
-  std::uint64_t max_body_bytes = 4 << 20;
-  DurationMs header_timeout_ms = 5000;
-  DurationMs idle_timeout_ms = 15000;
-};
-
-struct RoutingConfiguration {
-  std::uint64_t version = 0;
-  std::vector<Route> routes;
-  std::vector<ServiceSpec> services;
-  CallerLimits limits;
-  // None: callers need no API key.
-  std::optional<OrganisationTable> organisations;
-
-  const ServiceSpec* FindService(std::string_view name) const;
-};
-
-// Finds the route of a request by host and longest matching path prefix.
-class RouteTable {
- public:
-  RouteTable() = default;
-  explicit RouteTable(RoutingConfiguration configuration);
-
-  // `path` excludes the query. Returns null if no route matches.
-  const Route* Find(std::string_view host, std::string_view path) const;
-  const RoutingConfiguration& configuration() const { return configuration_; }
-
- private:
-  RoutingConfiguration configuration_;
-  std::unordered_map<std::string, std::vector<std::size_t>> by_host_;  // Longest prefix first.
-};
-
-// Picks the service for a request according to the route's weights. The result is
-// deterministic for a request id.
-std::string_view PickService(const Route& route, std::string_view request_id);
-
-// A model, or an adapter of it.
-struct ModelRef {
-  std::string model;
-  std::string adapter;  // Empty for the base model.
-
-  std::string ToString() const { return adapter.empty() ? model : model + "/" + adapter; }
-  bool operator<(const ModelRef& other) const {
-    return std::tie(model, adapter) < std::tie(other.model, other.adapter);
-  }
-  bool operator==(const ModelRef& other) const {
-    return model == other.model && adapter == other.adapter;
-  }
-};
-
 // How a listing changed the state of an upstream.
 enum class UpstreamChangeKind {
   kListed,   // New, or listed again.
@@ -250,12 +114,11 @@
 };
 
 struct RoutingOptions {
-  std::string data_hall;
+  Topology topology;
   // Concurrent loads that the weight store serves at full speed. The store does not
   // report this: too low a value delays loads, too high a value slows each of them.
   int parallel_store_loads = 4;
   PolicySettings policy;
-  HallRegions hall_regions;  // Of all data halls.
   // A data hall receives nothing once its evacuation was requested this long ago; 0: as soon as
   // it is known.
   DurationMs evacuation_bound_ms = 0;
@@ -298,46 +161,6 @@
 };
 using PickResult = std::variant<SendTo, WaitFor, NoUpstream>;
 
-// Flow-control information that an upstream attaches to an answer.
-struct UpstreamNotice {
-  // Requests a second it accepts from all entries together; none: unlimited.
-  std::optional<double> limit_per_s;
-  // How long this entry should send it nothing; 0: no backoff requested.
-  DurationMs backoff_ms = 0;
-  bool is_leaving = false;
-  std::string malformed;  // The field that could not be parsed, with its name; empty: none.
-};
-
-// The rate limit and backoff that an upstream has requested, and when it accepts requests again.
-class UpstreamThrottle {
- public:
-  // An answer to a request sent at `sent_at` states this limit, or none. Returns whether
-  // the limit changed.
-  bool OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now);
-  // All entries together have used up the limit in force until then; 0: they have not.
-  void OnLimitExhausted(TimeMs until) { limit_exhausted_until_ = until; }
-  // An answer to a request sent at `sent_at` requests a backoff; 0: none.
-  void OnBackoff(DurationMs backoff_ms, TimeMs sent_at, TimeMs now);
-  void OnSent(TimeMs now) { sent_at_ = now; }
-
-  std::optional<double> limit_per_s() const { return limit_per_s_; }
-  // Whether a requested backoff is still in effect.
-  bool IsBackingOff(TimeMs now) const { return backoff_until_ > now; }
-  // When it accepts requests again.
-  TimeMs AvailableAt() const;
-
- private:
-  std::optional<double> limit_per_s_;  // For all entries together.
-  TimeMs limit_at_ = 0;                // When it last stated one.
-  TimeMs limit_exhausted_until_ = 0;   // The limit is used up until then.
-  TimeMs backoff_until_ = 0;           // End of the requested backoff.
-  bool needs_probe_ = false;           // No request has succeeded since that backoff.
-  TimeMs sent_at_ = 0;                 // When it was last sent a request.
-};
-
-// The limit of a cold upstream that bears `requests_per_s` from all entries.
-RateLimit ColdLimit(double requests_per_s);
-
 // How an attempt ended, as far as it matters for the upstream's health.
 enum class AttemptOutcome { kServed, kRefused, kFailed, kUnreachable, kTimedOut, kCallerLeft };
 
@@ -631,36 +454,6 @@
   std::map<std::string, ReplicaRequest> replica_requests_;  // By model.
 };
 
-// Limits retries to a share of a service's requests. Each entry spends only its own
-// share, so that the bound holds for the fleet without coordination.
-class RetryBudget {
- public:
-  struct Options {
-    double ratio = 0.15;        // Retries per request of this entry in the window.
-    double fixed_attempts = 4;  // Retries allowed in any window regardless of requests.
-    DurationMs window_ms = 10000;
-  };
-  explicit RetryBudget(Options options) : options_(options) {}
-
-  void SetOptions(Options options) { options_ = options; }
-  void OnRequest(const std::string& service, TimeMs now);
-  // Sets how many entries share the fixed allowance.
-  void SetEntries(int entries) { entries_ = entries; }
-  // Consumes one retry if the budget allows it.
-  bool TryConsume(const std::string& service, TimeMs now);
-
- private:
-  struct Window {
-    std::deque<TimeMs> requests;
-    std::deque<TimeMs> retries;
-  };
-  void Expire(Window* window, TimeMs now) const;
-
-  Options options_;
-  int entries_ = 1;
-  std::map<std::string, Window> windows_;
-};
-
 }  // namespace junctionrail
 
 #endif  // JUNCTIONRAIL_ROUTING_H_
--- /dev/null
+++ b/include/junctionrail/throttling.h
@@ -0,0 +1,89 @@
+// How much an entry may send to upstreams: the limits and backoffs that upstreams request, the
+// limit of cold upstreams, and the budget for retries. Pure decision logic: the caller passes the
+// time in.
+#ifndef JUNCTIONRAIL_THROTTLING_H_
+#define JUNCTIONRAIL_THROTTLING_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "junctionrail/base.h"
+#include "junctionrail/tenancy.h"
+
+namespace junctionrail {
+
+// Flow-control information that an upstream attaches to an answer.
+struct UpstreamNotice {
+  // Requests a second it accepts from all entries together; none: unlimited.
+  std::optional<double> limit_per_s;
+  // How long this entry should send it nothing; 0: no backoff requested.
+  DurationMs backoff_ms = 0;
+  bool is_leaving = false;
+  std::string malformed;  // The field that could not be parsed, with its name; empty: none.
+};
+
+// The rate limit and backoff that an upstream has requested, and when it accepts requests again.
+class UpstreamThrottle {
+ public:
+  // An answer to a request sent at `sent_at` states this limit, or none. Returns whether
+  // the limit changed.
+  bool OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now);
+  // All entries together have used up the limit in force until then; 0: they have not.
+  void OnLimitExhausted(TimeMs until) { limit_exhausted_until_ = until; }
+  // An answer to a request sent at `sent_at` requests a backoff; 0: none.
+  void OnBackoff(DurationMs backoff_ms, TimeMs sent_at, TimeMs now);
+  void OnSent(TimeMs now) { sent_at_ = now; }
+
+  std::optional<double> limit_per_s() const { return limit_per_s_; }
+  // Whether a requested backoff is still in effect.
+  bool IsBackingOff(TimeMs now) const { return backoff_until_ > now; }
+  // When it accepts requests again.
+  TimeMs AvailableAt() const;
+
+ private:
+  std::optional<double> limit_per_s_;  // For all entries together.
+  TimeMs limit_at_ = 0;                // When it last stated one.
+  TimeMs limit_exhausted_until_ = 0;   // The limit is used up until then.
+  TimeMs backoff_until_ = 0;           // End of the requested backoff.
+  bool needs_probe_ = false;           // No request has succeeded since that backoff.
+  TimeMs sent_at_ = 0;                 // When it was last sent a request.
+};
+
+// The limit of a cold upstream that bears `requests_per_s` from all entries.
+RateLimit ColdLimit(double requests_per_s);
+
+// Limits retries to a share of a service's requests. Each entry spends only its own
+// share, so that the bound holds for the fleet without coordination.
+class RetryBudget {
+ public:
+  struct Options {
+    double ratio = 0.15;        // Retries per request of this entry in the window.
+    double fixed_attempts = 4;  // Retries allowed in any window regardless of requests.
+    DurationMs window_ms = 10000;
+  };
+  explicit RetryBudget(Options options) : options_(options) {}
+
+  void SetOptions(Options options) { options_ = options; }
+  void OnRequest(const std::string& service, TimeMs now);
+  // Sets how many entries share the fixed allowance.
+  void SetEntries(int entries) { entries_ = entries; }
+  // Consumes one retry if the budget allows it.
+  bool TryConsume(const std::string& service, TimeMs now);
+
+ private:
+  struct Window {
+    std::deque<TimeMs> requests;
+    std::deque<TimeMs> retries;
+  };
+  void Expire(Window* window, TimeMs now) const;
+
+  Options options_;
+  int entries_ = 1;
+  std::map<std::string, Window> windows_;
+};
+
+}  // namespace junctionrail
+
+#endif  // JUNCTIONRAIL_THROTTLING_H_
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -98,12 +98,11 @@
   options.header_names = platform::HeaderNames();
   options.read_notice = platform::ReadNotice;
   options.retry_budget = RetriesOf(direct);
-  options.routing.data_hall = settings.data_hall;
+  options.routing.topology = Topology(settings.data_hall, direct.hall_regions);
   options.routing.policy = direct.policy;
   options.entry_id = settings.id;
   options.key_revocation_ms = direct.revoke_ms;
   options.routing.entry_id = settings.id;
-  options.routing.hall_regions = direct.hall_regions;
   options.routing.evacuation_bound_ms = direct.evacuate_ms;
   options.routing.record_period_ms = direct.record_period_ms;
   return options;
--- a/src/routing/route_table.cc
+++ b/src/routes/route_table.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cctype>
 
-#include "junctionrail/routing.h"
+#include "junctionrail/routes.h"
 
 namespace junctionrail {
 namespace {
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -8,9 +8,6 @@
 namespace junctionrail {
 namespace {
 
-// Requests that a cold upstream may receive at once, as the part of a second in which it would
-// receive them at its rate. Grants that arrive late add up to as much as half a second more.
-constexpr double kColdBurstS = 0.1;
 // A record written before a data hall was given back may still say that its upstream is warm. Two
 // periods cover the next write and a late reading of it.
 constexpr int kAssumedColdPeriods = 2;
@@ -18,13 +15,9 @@
 
 }  // namespace
 
-RateLimit ColdLimit(double requests_per_s) {
-  return {requests_per_s, std::max(1.0, kColdBurstS * requests_per_s)};
-}
-
 bool UpstreamTable::IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const {
   const std::string& hall = row.record.data_hall;
-  return IsHallAllowed(request.allowed_regions, options_.hall_regions, hall) &&
+  return IsHallAllowed(request.allowed_regions, options_.topology.regions(), hall) &&
          !evacuated_halls_.IsClosed(hall, now);
 }
 
@@ -41,7 +34,8 @@
   for (const auto& [instance, row] : rows_) {
     if (!IsPresent(row, request.service)) continue;
     const std::string& hall = row.record.data_hall;
-    const bool is_allowed = IsHallAllowed(request.allowed_regions, options_.hall_regions, hall);
+    const bool is_allowed =
+        IsHallAllowed(request.allowed_regions, options_.topology.regions(), hall);
     has_other_region |= !is_allowed;
     has_evacuated |= is_allowed && evacuated_halls_.IsEvacuated(hall);
   }
@@ -135,7 +129,7 @@
 
 std::vector<UpstreamTable::HallState> UpstreamTable::HallStates(TimeMs now) const {
   std::map<std::string, HallState> halls;
-  for (const auto& [hall, region] : options_.hall_regions) halls[hall].region = region;
+  for (const auto& [hall, region] : options_.topology.regions()) halls[hall].region = region;
   for (const auto& hall : evacuated_halls_.halls()) halls[hall];
   for (const auto& [instance, row] : rows_) {
     if (!IsPresent(row, row.record.service)) continue;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -289,7 +289,7 @@
     load += kSpreadLoad * HashFraction(request.request_id, row.record.instance);
   }
   load = load * 64 / std::max(1, row.record.slots);
-  const bool is_far = row.record.data_hall != options_.data_hall;
+  const bool is_far = options_.topology.DistanceTo(row.record.data_hall) != Distance::kSameHall;
   if (is_far && options_.policy.prefers_hall) load += kOtherDataHallLoad;
   if (Contains(request.risky, row.record.instance)) load += kRiskyLoad;
   if (row.cold_until > now) load += kColdLoad;
--- a/src/routing/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "junctionrail/routing.h"
+#include "junctionrail/throttling.h"
 
 namespace junctionrail {
 
--- a/src/routing/upstream_throttle.cc
+++ b/src/throttling/upstream_throttle.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "junctionrail/routing.h"
+#include "junctionrail/throttling.h"
 
 namespace junctionrail {
 namespace {
@@ -8,9 +8,16 @@
 // The request that probes whether an upstream accepts requests again holds up other
 // requests for at most this long.
 constexpr DurationMs kProbeTimeoutMs = 1000;
+// Requests that a cold upstream may receive at once, as the part of a second in which it would
+// receive them at its rate. Grants that arrive late add up to as much as half a second more.
+constexpr double kColdBurstS = 0.1;
 
 }  // namespace
 
+RateLimit ColdLimit(double requests_per_s) {
+  return {requests_per_s, std::max(1.0, kColdBurstS * requests_per_s)};
+}
+
 // Answers on different connections may arrive out of order: only an answer to a request
 // sent after the limit was last stated can remove the limit.
 bool UpstreamThrottle::OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now) {
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -67,7 +67,7 @@
  public:
   Fleet() {
     RoutingOptions options;
-    options.data_hall = "hall-1";
+    options.topology = Topology("hall-1", {});
     options.policy.stages = false;
     std::vector<UpstreamRecord> listing;
     for (int n = 0; n < kEngines; ++n) {
--- a/test/growth_test.cc
+++ b/test/growth_test.cc
@@ -158,7 +158,7 @@
   static std::string Model(int n) { return "m" + std::to_string(n); }
   static RoutingOptions Options() {
     RoutingOptions options;
-    options.data_hall = "hall-1";
+    options.topology = Topology("hall-1", {});
     options.entry_id = "entry-1";
     return options;
   }
--- a/test/places_test.cc
+++ b/test/places_test.cc
@@ -350,7 +350,8 @@
 
   static GatewayOptions WithRegions() {
     GatewayOptions options;
-    options.routing.hall_regions = {{"hall-1", "west"}, {"hall-2", "north"}, {"hall-3", "east"}};
+    options.routing.topology =
+        Topology({}, {{"hall-1", "west"}, {"hall-2", "north"}, {"hall-3", "east"}});
     options.routing.evacuation_bound_ms = 600;
     return options;
   }
--- a/test/support/fleet_simulation.cc
+++ b/test/support/fleet_simulation.cc
@@ -61,7 +61,7 @@
     }
   }
   RoutingOptions options;
-  options.data_hall = "hall-1";
+  options.topology = Topology("hall-1", {});
   options.policy = fleet_.policy;
   for (int n = 0; n < fleet_.entries; ++n) {
     entries_.push_back(
--- a/test/support/routing_world.h
+++ b/test/support/routing_world.h
@@ -40,7 +40,7 @@
   }
   static RoutingOptions Options(bool stages, bool spares) {
     RoutingOptions options;
-    options.data_hall = "hall-1";
+    options.topology = Topology("hall-1", {});
     options.policy.stages = stages;
     options.policy.spares = spares;
     return options;
