Routing: in a fleet of up to 80 engines every entry observes all of them and plans

Cause: an entry that is no planner knows most engines by their records only, which don't say what an engine is swapping. It takes them for idle, sends requests for rare models to wait there, spreads over four replicas only, and asks for replicas by what few views it has. Change: RoutingOptions::small_fleet_engines, 80 in entries: as many links as an entry has in a large fleet, so links stay bounded. GrowthOfLinks.AreThoseOfAllEnginesInASmallFleet fails without it.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -124,6 +125,8 @@
   DurationMs evacuation_bound_ms = 0;
   DurationMs record_period_ms = 1200;  // Upstreams write their records this often.
   std::string entry_id;  // Spreads the entries over the engines that each of them observes.
+  // In a fleet with no more engines than this every entry observes all of them and plans.
+  int small_fleet_engines = 0;
 };
 
 // Times that upstream selection depends on.
@@ -177,8 +180,10 @@
   // A planner observes all engines: it has links to their agents and gets their views. Other
   // entries observe only engines that serve their requests or may do so soon, and judge the rest by
   // their records.
-  void SetPlanner(bool is_planner) { is_planner_ = is_planner; }
-  bool is_planner() const { return is_planner_; }
+  // Returns whether that is new.
+  bool SetPlanner(bool is_planner) { return std::exchange(is_planner_, is_planner) != is_planner; }
+  // In a small fleet every entry is a planner.
+  bool is_planner() const { return is_planner_ || is_small_fleet_; }
   // Observes the engine for a while.
   void Observe(const std::string& instance, TimeMs now);
   // Instances of engines whose agents may act for the fleet, best first; all entries rank them
@@ -356,7 +361,7 @@
   static const Row* SoonestAvailable(const std::vector<Row*>& unavailable);
   bool IsFresh(const Row& row, TimeMs now) const;
   bool IsObserved(const Row& row, TimeMs now) const {
-    return is_planner_ || row.observed_until > now || row.in_flight > 0;
+    return is_planner() || row.observed_until > now || row.in_flight > 0;
   }
   // Whether the state of the engine is known well enough to choose it for a load: by a view or, if
   // no view has been asked for, by its record.
@@ -412,6 +417,7 @@
                           TimeMs now);
   // Whether the engines that have the model loaded are nearly full.
   bool IsNearCapacity(const std::string& model, TimeMs now) const;
+  int CountEngines() const;
   Row* ChooseReplicaTarget(std::string_view service, const std::string& model, TimeMs now);
   struct StagingSurvey;
   StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
@@ -432,6 +438,7 @@
   std::unordered_map<std::string, std::vector<Row*>> holders_;
 
   bool is_planner_ = true;
+  bool is_small_fleet_ = false;
   EvacuatedHalls evacuated_halls_;
   std::set<std::string> limited_;  // Instances that have, had or may have a limit.
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -65,6 +65,11 @@
 // upstreams, before it calls itself ready.
 constexpr DurationMs kQuarantineWaitMs = 1000;
 
+// An entry has as many links in a large fleet, to the replicas of twenty models. In a fleet of no
+// more engines it observes all: an engine that is judged by its record alone looks idle while it
+// swaps models, and requests for rare models are then sent to wait there.
+constexpr int kSmallFleetEngines = 80;
+
 RetryBudget::Options RetriesOf(const DirectSettings& direct) {
   return {direct.retry_ratio * kBudgetMargin, direct.retry_extra * kBudgetMargin,
           direct.retry_window_ms};
@@ -103,6 +108,7 @@
   options.entry_id = settings.id;
   options.key_revocation_ms = direct.revoke_ms;
   options.routing.entry_id = settings.id;
+  options.routing.small_fleet_engines = kSmallFleetEngines;
   options.routing.evacuation_bound_ms = direct.evacuate_ms;
   options.routing.record_period_ms = direct.record_period_ms;
   return options;
@@ -409,9 +415,8 @@
   }
 
   void SetPlanner(bool is_planner, const std::string& relay) {
-    if (is_planner == gateway_.upstreams().is_planner()) return;
+    if (!gateway_.upstreams().SetPlanner(is_planner)) return;
     log_.Write(MonotonicMs(), "planner", {{"is_planner", is_planner}, {"relay", relay}});
-    gateway_.upstreams().SetPlanner(is_planner);
   }
 
   // Agents that entries are in touch with, or have no reason to doubt: all entries that read
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -256,7 +256,7 @@
     if (!IsPresent(row, row.record.service)) continue;
     AgentDemand& demand = demands[instance];
     demand.instance = instance;
-    demand.is_planner = is_planner_;
+    demand.is_planner = is_planner();
     AddModelUse(&demand, row, now);
   }
   for (const auto& it : waiting) {
@@ -264,7 +264,7 @@
     if (demand != demands.end()) demand->second.wanted.push_back(ToModelDemand(it, now));
   }
   if (options_.policy.adds_replicas) AddReplicas(&demands, now);
-  if (!is_planner_) return demands;
+  if (!is_planner()) return demands;
   if (options_.policy.stages || options_.policy.spares) AddPreloads(&demands, now);
   if (options_.policy.shares_store) ShareWeightStore(&demands, now);
   return demands;
--- a/src/routing/observation.cc
+++ b/src/routing/observation.cc
@@ -37,7 +37,7 @@
 
 bool UpstreamTable::IsJudgeable(const Row& row, TimeMs now) const {
   if (IsFresh(row, now)) return true;
-  if (is_planner_) return false;
+  if (is_planner()) return false;
   return !IsObserved(row, now) || now - row.observed_at < kFirstViewMs;
 }
 
@@ -55,7 +55,7 @@
                                                                   TimeMs now) const {
   const auto holders = holders_.find(model);
   if (holders == holders_.end()) return {};
-  if (is_planner_ || holders->second.size() <= kSpreadHolders) return holders->second;
+  if (is_planner() || holders->second.size() <= kSpreadHolders) return holders->second;
   std::vector<std::pair<std::uint64_t, Row*>> scored;
   const std::string key = options_.entry_id + model;
   for (Row* it : holders->second) {
@@ -72,13 +72,13 @@
   constexpr auto kSpread = static_cast<int>(kSpreadHolders);
   const double rate = RequestRate(model, now);
   // Each replica hears from that part of the entries that spread their requests over it.
-  return is_planner_ || replicas <= kSpread ? rate : rate * replicas / kSpread;
+  return is_planner() || replicas <= kSpread ? rate : rate * replicas / kSpread;
 }
 
 std::vector<UpstreamTable::Row*> UpstreamTable::FindLoadCandidates(const std::string& model,
                                                                    const std::vector<Row*>& usable,
                                                                    TimeMs now) const {
-  if (is_planner_ || usable.size() <= kLoadCandidates) return usable;
+  if (is_planner() || usable.size() <= kLoadCandidates) return usable;
   std::vector<Row*> candidates;
   std::vector<std::pair<std::uint64_t, Row*>> others;
   for (Row* it : usable) {
@@ -96,6 +96,15 @@
   return candidates;
 }
 
+int UpstreamTable::CountEngines() const {
+  return static_cast<int>(std::count_if(rows_.begin(), rows_.end(), [this](const auto& it) {
+    const Row& row = it.second;
+    const auto service = services_.find(row.record.service);
+    return service != services_.end() && service->second.engine.has_value() &&
+           IsPresent(row, row.record.service);
+  }));
+}
+
 std::vector<QuotaClient::Allocator> UpstreamTable::ListAgents() const {
   std::vector<QuotaClient::Allocator> agents;
   for (const auto& [instance, row] : rows_) {
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -129,6 +129,7 @@
     if (is_over) Unindex(&row);
     it = is_over ? rows_.erase(it) : std::next(it);
   }
+  is_small_fleet_ = CountEngines() <= options_.small_fleet_engines;
   return changes;
 }
 
@@ -171,6 +172,7 @@
   services_.clear();
   for (const auto& it : services) services_[it.name] = it;
   for (auto& [instance, row] : rows_) UpdateCold(&row, row.listed_at);
+  is_small_fleet_ = CountEngines() <= options_.small_fleet_engines;
 }
 
 void UpstreamTable::ApplyView(const EngineView& view, TimeMs now) {
@@ -421,7 +423,7 @@
   rate.last_request = now;
   rate.priority = priority;
   rate.target_ms = target_ms;
-  if (is_planner_) return;
+  if (is_planner()) return;
   for (Row* it : FindSpreadHolders(model->model, now)) Observe(it, now);
 }
 
--- a/test/growth_test.cc
+++ b/test/growth_test.cc
@@ -116,7 +116,8 @@
 // One entry before many engines, with a request for one of `models` models each second.
 class ObservingEntry {
  public:
-  ObservingEntry(int engines, bool is_planner) : table_(Options()) {
+  ObservingEntry(int engines, bool is_planner, int small_fleet_engines = 0)
+      : table_(Options(small_fleet_engines)) {
     table_.SetPlanner(is_planner);
     EngineSpec spec = testing::MakeSpec();
     for (int n = 0; n < kModels; ++n) spec.models.push_back({Model(n), 72, 1, 6000, 800, 400});
@@ -156,8 +157,9 @@
  private:
   static constexpr int kModels = 100;
   static std::string Model(int n) { return "m" + std::to_string(n); }
-  static RoutingOptions Options() {
+  static RoutingOptions Options(int small_fleet_engines) {
     RoutingOptions options;
+    options.small_fleet_engines = small_fleet_engines;
     options.topology = Topology("hall-1", {});
     options.entry_id = "entry-1";
     return options;
@@ -240,6 +242,15 @@
   EXPECT_NUMBER(200, planner.Run(), "it plans for the whole fleet");
 }
 
+// Guards against rare models that wait at an engine which swaps others: an entry that knows it only
+// by its record takes it for idle.
+TEST(GrowthOfLinks, AreThoseOfAllEnginesInASmallFleet) {
+  ObservingEntry small(80, false, 80);
+  ObservingEntry larger(81, false, 80);
+  EXPECT_NUMBER(80, small.Run(), "links to all engines");
+  EXPECT_TRUE(larger.Run() < 81, "links by use in a larger fleet");
+}
+
 TEST_GROUP(GrowthOfPlanning){};
 
 TEST(GrowthOfPlanning, IsLeftToAFewEntries) {
