Topology: round-trip times to data halls, measured and expiring

Distance was known by class only, from the settings. Topology now takes the time that connections took to open, by hall, and returns the smallest of the last 30 s with its age, or the default of the class (0, 2 or 40 ms). Six slots of 5 s keep one sample each, for at most 64 halls. A sample above the default counts only with a second one in the window, as one connection may be accepted late.

--- a/include/junctionrail/places.h
+++ b/include/junctionrail/places.h
@@ -3,10 +3,12 @@
 #ifndef JUNCTIONRAIL_PLACES_H_
 #define JUNCTIONRAIL_PLACES_H_
 
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,8 +28,42 @@
                    const std::string& hall);
 
 enum class Distance { kSameHall, kSameRegion, kOtherRegion };
+constexpr std::size_t kDistances = 3;
+// The name of the distance class in pages and metrics.
+std::string_view NameOf(Distance distance);
+
+// The time that a packet takes to a data hall and back.
+struct RoundTrip {
+  double ms = 0;
+  DurationMs age_ms = -1;  // Since it was measured; -1: it is the default of the distance class.
+};
+
+// Measured round-trip times to one data hall, in time slots that expire one by one.
+class RoundTripWindow {
+ public:
+  void Add(double ms, TimeMs now);
+  // The smallest sample of the last 30 s; none if there is no sample, or if the only one is above
+  // `default_ms`: a single connection may be slow because the upstream accepts it late.
+  std::optional<RoundTrip> Smallest(double default_ms, TimeMs now) const;
+  bool IsExpired(TimeMs now) const;
+
+ private:
+  static constexpr std::size_t kSlots = 6;
+  // Only the smallest sample of a slot counts, so that no other one is kept.
+  struct Slot {
+    TimeMs number = 0;  // Of its interval, counted from time 0.
+    int samples = 0;    // At most 2 are counted; 0: never used.
+    double smallest_ms = 0;
+    TimeMs measured_at = 0;  // Of the smallest sample.
+  };
+  static TimeMs NumberAt(TimeMs now);
+  static bool IsCurrent(const Slot& slot, TimeMs now);
+
+  std::array<Slot, kSlots> slots_;
+};
 
-// How far the data halls are from the one that this process runs in.
+// How far the data halls are from the one that this process runs in: by the settings, and by the
+// round-trip times that this process measures.
 class Topology {
  public:
   Topology() = default;
@@ -43,9 +79,17 @@
   // Whether the halls are in more than one region.
   bool HasRegions() const;
 
+  // A connection to an upstream in the hall took `ms` to open.
+  void AddRoundTrip(const std::string& hall, double ms, TimeMs now);
+  // As measured in the last 30 s, or else the default of the distance class.
+  RoundTrip RoundTripTo(const std::string& hall, TimeMs now) const;
+
  private:
+  void ForgetExpired(TimeMs now);
+
   std::string hall_;
   HallRegions regions_;
+  std::map<std::string, RoundTripWindow> round_trips_;  // By hall.
 };
 
 // The data halls that operators evacuate, as last read, and when each closes to new requests.
--- a/src/places/topology.cc
+++ b/src/places/topology.cc
@@ -1,8 +1,44 @@
 #include <algorithm>
+#include <iterator>
 
 #include "junctionrail/places.h"
 
 namespace junctionrail {
+namespace {
+
+// Assumed until round trips are measured. Far regions are assumed to be slow, so that an entry that
+// has just started prefers its own region.
+constexpr double kSameHallMs = 0;
+constexpr double kSameRegionMs = 2;
+constexpr double kOtherRegionMs = 40;
+// Halls with measurements. Fleets have some ten halls; names come from records, which may be wrong.
+constexpr std::size_t kMaxMeasuredHalls = 64;
+
+double DefaultMs(Distance distance) {
+  switch (distance) {
+    case Distance::kSameHall:
+      return kSameHallMs;
+    case Distance::kSameRegion:
+      return kSameRegionMs;
+    case Distance::kOtherRegion:
+      return kOtherRegionMs;
+  }
+  return kSameRegionMs;
+}
+
+}  // namespace
+
+std::string_view NameOf(Distance distance) {
+  switch (distance) {
+    case Distance::kSameHall:
+      return "same_hall";
+    case Distance::kSameRegion:
+      return "same_region";
+    case Distance::kOtherRegion:
+      return "other_region";
+  }
+  return "same_region";
+}
 
 std::string Topology::RegionOf(const std::string& hall) const {
   const auto it = regions_.find(hall);
@@ -18,9 +54,28 @@
 }
 
 bool Topology::HasRegions() const {
-  return std::any_of(regions_.begin(), regions_.end(), [this](const auto& it) {
-    return it.second != regions_.begin()->second;
-  });
+  return std::any_of(regions_.begin(), regions_.end(),
+                     [this](const auto& it) { return it.second != regions_.begin()->second; });
+}
+
+void Topology::AddRoundTrip(const std::string& hall, double ms, TimeMs now) {
+  if (round_trips_.count(hall) == 0) ForgetExpired(now);
+  if (round_trips_.count(hall) == 0 && round_trips_.size() >= kMaxMeasuredHalls) return;
+  round_trips_[hall].Add(ms, now);
+}
+
+void Topology::ForgetExpired(TimeMs now) {
+  for (auto it = round_trips_.begin(); it != round_trips_.end();) {
+    it = it->second.IsExpired(now) ? round_trips_.erase(it) : std::next(it);
+  }
+}
+
+RoundTrip Topology::RoundTripTo(const std::string& hall, TimeMs now) const {
+  const double default_ms = DefaultMs(DistanceTo(hall));
+  const auto it = round_trips_.find(hall);
+  const auto measured =
+      it == round_trips_.end() ? std::nullopt : it->second.Smallest(default_ms, now);
+  return measured ? *measured : RoundTrip{default_ms, -1};
 }
 
 }  // namespace junctionrail
