Routing: upstreams in other regions cost more, by their round-trip time

An upstream 20 ms away had the same cost as one in the next hall of the region.

The engine to load a model is chosen with the round trip added to its estimate. An entry that uses four of many replicas uses three of its own region.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -209,6 +209,9 @@
   void OnArrival(const std::optional<ModelRef>& model, int priority, DurationMs target_ms,
                  TimeMs now);
   void OnSent(const std::string& instance, const std::optional<ModelRef>& model, TimeMs now);
+  // Opening a connection to the upstream took `round_trip_ms`.
+  void OnConnected(const std::string& instance, double round_trip_ms, TimeMs now);
+  const Topology& topology() const { return options_.topology; }
   // The upstream sent any part of an answer.
   void OnResponseData(const std::string& instance, TimeMs now);
   // A request waited this long at an upstream for its first event, whether or not it came.
@@ -273,8 +276,11 @@
   struct HallState {
     std::string hall;
     std::string region;  // Empty if unknown.
+    Distance distance = Distance::kSameHall;
+    RoundTrip round_trip;
     int upstreams = 0;
     int cold_upstreams = 0;
+    int reachable_upstreams = 0;   // It or its agent sent something in the last 10 s.
     DurationMs closes_in_ms = -1;  // -1: not evacuated; 0: closed.
   };
   // All data halls that the settings name, that have upstreams, or that are evacuated.
@@ -308,6 +314,7 @@
     std::optional<RateLimit> limit;  // As last returned by UpdateLimits.
     TimeMs cold_until = 0;           // At the latest.
     TimeMs assumed_cold_until = 0;   // Its hall was given back; the record may be from before.
+    TimeMs received_at = 0;          // When it last accepted a connection or sent data.
     int failures = 0;                // Consecutive.
     TimeMs ejected_until = 0;
     int ejections = 0;
@@ -380,6 +387,7 @@
   PickResult ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders,
                           TimeMs now) const;
   double LoadScore(const Row& row, const PickRequest& request, TimeMs now) const;
+  double DistanceLoad(const Row& row, bool is_load_shared, TimeMs now) const;
   // Returns `reopening` if that is sooner than any load.
   PickResult ChooseLoadTarget(const PickRequest& request, const std::vector<Row*>& usable,
                               const std::optional<WaitFor>& reopening, TimeMs now);
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -1,6 +1,7 @@
 // Models that no upstream has loaded: which agent is asked to load them, the estimated
 // load time, and the demand reported to agents.
 #include <algorithm>
+#include <cmath>
 
 #include "routing_impl.h"
 
@@ -170,6 +171,7 @@
   const std::string asked = PendingLoadInstance(*request.model, now);
   const bool wants_adapter = !request.model->adapter.empty();
   const StoreUse store = CurrentStoreUse(now);
+  const bool has_regions = options_.topology.HasRegions();
   for (Row* row : usable) {
     if (!IsJudgeable(*row, now)) continue;
     DurationMs estimate = EstimateLoad(*row, *request.model, store, now);
@@ -188,6 +190,10 @@
       estimate += kOverdueCostMs;
     // Adapters are spread by rendezvous hashing over upstreams with the base model loaded.
     if (wants_adapter && estimate <= kAdapterLoadMs) estimate = 0;
+    // In whole milliseconds, so that engines in one hall remain equal to each other, and mostly to
+    // those in another hall of the region: entries then choose the same one.
+    if (has_regions)
+      estimate += std::llround(options_.topology.RoundTripTo(row->record.data_hall, now).ms);
     const std::uint64_t score = RendezvousScore(key, row->record.instance);
     const bool is_better =
         best == nullptr || estimate < best_ms || (estimate == best_ms && score > best_score);
--- a/src/routing/observation.cc
+++ b/src/routing/observation.cc
@@ -20,6 +20,9 @@
 // Requests of one entry for a model are spread over this many of its replicas. Entries choose
 // different ones, so that all replicas are used.
 constexpr std::size_t kSpreadHolders = 4;
+// Of these, how many are in other regions if there are enough in the entry's own. One is enough to
+// take what those cannot; other entries choose other ones.
+constexpr std::size_t kFarSpreadHolders = 1;
 // Engines without a copy of the model that may be chosen to load it. All entries consider the same
 // ones, so that they mostly choose the same one.
 constexpr std::size_t kLoadCandidates = 16;
@@ -56,15 +59,21 @@
   const auto holders = holders_.find(model);
   if (holders == holders_.end()) return {};
   if (is_planner_ || holders->second.size() <= kSpreadHolders) return holders->second;
-  std::vector<std::pair<std::uint64_t, Row*>> scored;
+  std::vector<std::pair<std::uint64_t, Row*>> near;
+  std::vector<std::pair<std::uint64_t, Row*>> far;
   const std::string key = options_.entry_id + model;
   for (Row* it : holders->second) {
-    if (IsHealthy(*it, it->record.service, now))
-      scored.emplace_back(RendezvousScore(key, it->record.instance), it);
+    if (!IsHealthy(*it, it->record.service, now)) continue;
+    const Distance distance = options_.topology.DistanceTo(it->record.data_hall);
+    auto& scored = distance == Distance::kOtherRegion ? far : near;
+    scored.emplace_back(RendezvousScore(key, it->record.instance), it);
   }
-  KeepBest(kSpreadHolders, &scored);
+  KeepBest(far.empty() ? kSpreadHolders : kSpreadHolders - kFarSpreadHolders, &near);
+  KeepBest(kSpreadHolders - near.size(), &far);
   std::vector<Row*> spread;
-  for (const auto& [score, row] : scored) spread.push_back(row);
+  for (const auto* scored : {&near, &far}) {
+    for (const auto& [score, row] : *scored) spread.push_back(row);
+  }
   return spread;
 }
 
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -13,8 +13,48 @@
 constexpr int kAssumedColdPeriods = 2;
 constexpr double kMsPerS = 1000;
 
+// Cost of sending a request to another data hall, in units of queued requests at an upstream with
+// 64 slots: traffic between halls is charged for, while one more request in a batch hardly slows
+// it.
+constexpr double kOtherDataHallLoad = 10;
+// Further cost of another region, in the same unit: traffic between regions costs far more, and
+// each request waits for the round trip. At 40 ms the sum is 64, a full batch: half of the requests
+// leave the region when all slots there are in use, none while fewer than half of them are.
+constexpr double kOtherRegionLoad = 32;
+constexpr double kLoadPerRoundTripMs = 0.55;
+// The maximum of that cost. With a higher one, near upstreams would queue half a batch, their
+// limit, while far ones are idle.
+constexpr double kMaxOtherRegionLoad = 62;
+// The part of that cost that applies where only this entry's requests are known: the other entries
+// of the region send about as many, so that the upstreams are loaded several times as much. With
+// five entries in each of two halls, 64 requests are then at each near upstream before far ones are
+// used.
+constexpr double kOwnLoadShare = 1.0 / 40;
+
+// An upstream of which nothing was received for this long does not count as reachable. Views arrive
+// twice a second; idle plain upstreams get a request every few seconds.
+constexpr DurationMs kReachableMs = 10000;
+
 }  // namespace
 
+double UpstreamTable::DistanceLoad(const Row& row, bool is_load_shared, TimeMs now) const {
+  const std::string& hall = row.record.data_hall;
+  const Distance distance = options_.topology.DistanceTo(hall);
+  if (distance == Distance::kSameHall) return 0;
+  if (distance == Distance::kSameRegion) return kOtherDataHallLoad;
+  const double round_trip_ms = options_.topology.RoundTripTo(hall, now).ms;
+  const double region_load =
+      std::min(kOtherRegionLoad + kLoadPerRoundTripMs * round_trip_ms, kMaxOtherRegionLoad);
+  return kOtherDataHallLoad + (is_load_shared ? region_load : region_load * kOwnLoadShare);
+}
+
+void UpstreamTable::OnConnected(const std::string& instance, double round_trip_ms, TimeMs now) {
+  const auto it = rows_.find(instance);
+  if (it == rows_.end()) return;
+  it->second.received_at = now;
+  options_.topology.AddRoundTrip(it->second.record.data_hall, round_trip_ms, now);
+}
+
 bool UpstreamTable::IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const {
   const std::string& hall = row.record.data_hall;
   return IsHallAllowed(request.allowed_regions, options_.topology.regions(), hall) &&
@@ -136,10 +176,14 @@
     HallState& state = halls[row.record.data_hall];
     ++state.upstreams;
     if (row.cold_until > now) ++state.cold_upstreams;
+    const TimeMs received_at = std::max(row.received_at, row.view_at);
+    if (received_at != 0 && now - received_at <= kReachableMs) ++state.reachable_upstreams;
   }
   std::vector<HallState> states;
   for (auto& [hall, state] : halls) {
     state.hall = hall;
+    state.distance = options_.topology.DistanceTo(hall);
+    state.round_trip = options_.topology.RoundTripTo(hall, now);
     state.closes_in_ms = evacuated_halls_.ClosesIn(hall, now);
     states.push_back(std::move(state));
   }
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -22,10 +22,7 @@
 // An upstream answered that a model listed by its agent is not loaded; the agent's next
 // view arrives well within this time.
 constexpr DurationMs kNotLoadedMs = 400;
-// Cost of sending a request to another data hall, in units of queued requests: traffic
-// between halls is charged for, while one more request in a batch hardly slows it.
-constexpr double kOtherDataHallLoad = 10;
-// Bonus, in the same unit, for the upstream that has processed the prompt before.
+// Bonus, in units of queued requests, for the upstream that has processed the prompt before.
 constexpr double kAffinityLoad = 8;
 // All entries see the same views, which are up to half a second old. A random load of up
 // to this much is added per request and engine; otherwise all entries would send to the
@@ -289,8 +286,7 @@
     load += kSpreadLoad * HashFraction(request.request_id, row.record.instance);
   }
   load = load * 64 / std::max(1, row.record.slots);
-  const bool is_far = options_.topology.DistanceTo(row.record.data_hall) != Distance::kSameHall;
-  if (is_far && options_.policy.prefers_hall) load += kOtherDataHallLoad;
+  if (options_.policy.prefers_hall) load += DistanceLoad(row, is_shared, now);
   if (Contains(request.risky, row.record.instance)) load += kRiskyLoad;
   if (row.cold_until > now) load += kColdLoad;
   // Upstreams without recent failures are preferred.
@@ -462,6 +458,7 @@
   const auto it = rows_.find(instance);
   if (it == rows_.end()) return;
   it->second.unanswered_since = it->second.in_flight > 1 ? now : 0;
+  it->second.received_at = now;
 }
 
 void UpstreamTable::OnAttemptEnd(const std::string& instance, const std::optional<ModelRef>& model,
