Entries: show round-trip times and traffic by distance

The gateway measures each connection that it opens to an upstream, and counts requests sent and bytes received by distance class. `/places` and `junctionrail places` show for each hall its distance, round-trip time, the age of that, and how many upstreams are reachable, so that a hall that cannot be reached differs from an empty one. New metrics: junctionrail_upstream_requests_total and junctionrail_upstream_received_bytes_total, by distance.

Regions.ShowDistancesRoundTripsAndTraffic passes over loopback sockets.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -4,6 +4,7 @@
 #ifndef JUNCTIONRAIL_GATEWAY_H_
 #define JUNCTIONRAIL_GATEWAY_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,6 +57,23 @@
   DurationMs balancer_delay_ms = 2500;
 };
 
+// Traffic with upstreams at one distance.
+struct DistanceTraffic {
+  std::uint64_t requests_sent = 0;
+  std::uint64_t bytes_received = 0;  // Of responses, with their heads.
+};
+
+class TrafficByDistance {
+ public:
+  DistanceTraffic& Of(Distance distance) { return traffic_[static_cast<std::size_t>(distance)]; }
+  const DistanceTraffic& Of(Distance distance) const {
+    return traffic_[static_cast<std::size_t>(distance)];
+  }
+
+ private:
+  std::array<DistanceTraffic, kDistances> traffic_;
+};
+
 struct GatewayCounters {
   std::uint64_t connections = 0;
   std::uint64_t requests = 0;
@@ -81,6 +99,7 @@
   std::uint64_t malformed_notices = 0;
   std::uint64_t surplus_responses = 0;
   std::uint64_t upstream_connections = 0;
+  TrafficByDistance traffic;
 };
 
 // Upper bounds of the histogram buckets in ms; the last bucket is unbounded. They are the same in
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -54,6 +54,19 @@
   }
 }
 
+void AddTraffic(const TrafficByDistance& traffic, MetricsPage* page) {
+  for (const Distance it : {Distance::kSameHall, Distance::kSameRegion, Distance::kOtherRegion}) {
+    page->Counter("junctionrail_upstream_requests_total",
+                  "Requests sent to upstreams, by distance.", traffic.Of(it).requests_sent,
+                  {{"distance", NameOf(it)}});
+  }
+  for (const Distance it : {Distance::kSameHall, Distance::kSameRegion, Distance::kOtherRegion}) {
+    page->Counter("junctionrail_upstream_received_bytes_total",
+                  "Bytes of responses received from upstreams, by distance.",
+                  traffic.Of(it).bytes_received, {{"distance", NameOf(it)}});
+  }
+}
+
 }  // namespace
 
 std::string EntryMetrics(const Gateway& gateway, const platform::StoreClient& store,
@@ -80,6 +93,7 @@
                it.surplus_responses);
   page.Counter("junctionrail_upstream_connections_total", "Connections opened to upstreams.",
                it.upstream_connections);
+  AddTraffic(it.traffic, &page);
   const QuarantineTable& quarantine = gateway.quarantine();
   page.Counter("junctionrail_upstreams_ended_total",
                "Ended with requests under way that may have caused it.", it.upstreams_crashed);
--- a/src/daemon/places_page.cc
+++ b/src/daemon/places_page.cc
@@ -11,7 +11,11 @@
                            {"region", it.region},
                            {"upstreams", it.upstreams},
                            {"cold", it.cold_upstreams},
+                           {"reachable", it.reachable_upstreams},
+                           {"distance", NameOf(it.distance)},
+                           {"round_trip_ms", it.round_trip.ms},
                            {"is_evacuated", it.closes_in_ms >= 0}};
+    if (it.round_trip.age_ms >= 0) hall["round_trip_age_ms"] = it.round_trip.age_ms;
     if (it.closes_in_ms >= 0) hall["closes_in_ms"] = it.closes_in_ms;
     halls.push_back(std::move(hall));
   }
--- a/src/daemon/places_page.h
+++ b/src/daemon/places_page.h
@@ -8,8 +8,8 @@
 
 namespace junctionrail::internal {
 
-// A JSON document: each data hall with its region, its upstreams, how many of them are cold, and
-// whether it is evacuated.
+// A JSON document: each data hall with its region, its distance and round-trip time, its upstreams,
+// how many of them are cold and reachable, and whether it is evacuated.
 std::string PlacesPage(const UpstreamTable& upstreams, TimeMs now);
 
 }  // namespace junctionrail::internal
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -305,8 +305,9 @@
   message.body = request_.body;
   message.request_id = request_id_;
   message.is_head_method = request_.method == "HEAD";
-  call_ = gateway_.pool.Start(*upstream, gateway_.MaxConnections(*upstream), std::move(message),
-                              shared_from_this());
+  call_ = gateway_.pool.Start(
+      *upstream, gateway_.upstreams.topology().DistanceTo(upstream->data_hall),
+      gateway_.MaxConnections(*upstream), std::move(message), shared_from_this());
   ArmTimer();
 }
 
@@ -336,6 +337,10 @@
   return head;
 }
 
+void Exchange::OnConnected(double round_trip_ms) {
+  gateway_.upstreams.OnConnected(instance_, round_trip_ms, MonotonicMs());
+}
+
 // While the connection was being opened, the upstream may have left or asked for a backoff, its
 // data hall may have closed, the key
 // may have been revoked, and the caller may have disconnected.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,7 @@
   void OnUpstreamQuotaRequested(std::uint64_t ticket, const std::string& instance);
   void OnQuotaDecision(std::uint64_t ticket, const QuotaClient::Admission& verdict);
 
+  void OnConnected(double round_trip_ms) override;
   bool MaySend() override;
   void OnHead(UpstreamHead head) override;
   void OnBody(std::string_view data) override;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -581,6 +581,7 @@
 
 const GatewayCounters& Gateway::counters() const {
   impl_->counters.surplus_responses = impl_->pool.counters().surplus_responses;
+  impl_->counters.traffic = impl_->pool.counters().traffic;
   impl_->counters.upstream_connections = impl_->pool.counters().opened_connections;
   return impl_->counters;
 }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -73,10 +73,11 @@
 class UpstreamPool::Connection : public UpstreamCall,
                                  public std::enable_shared_from_this<Connection> {
  public:
-  Connection(std::shared_ptr<Impl> pool, std::string instance, Endpoint endpoint)
+  Connection(std::shared_ptr<Impl> pool, const UpstreamRecord& upstream, Distance distance)
       : pool_(std::move(pool)),
-        instance_(std::move(instance)),
-        endpoint_(std::move(endpoint)),
+        instance_(upstream.instance),
+        endpoint_(upstream.endpoint),
+        distance_(distance),
         socket_(pool_->io_),
         timer_(pool_->io_) {
     ++pool_->upstreams_[instance_].open;
@@ -136,10 +137,13 @@
  private:
   bool IsCurrent(std::uint64_t use) const { return use == generation_ && listener_ != nullptr; }
 
+  DistanceTraffic& Traffic() { return pool_->counters_.traffic.Of(distance_); }
+
   void Connect() {
     ++pool_->counters_.opened_connections;
     error_code ec;
     const auto address = asio::ip::make_address(endpoint_.address, ec);
+    connect_started_at_ = std::chrono::steady_clock::now();
     timer_.expires_after(std::chrono::milliseconds(kConnectTimeoutMs));
     timer_.async_wait([self = shared_from_this(), use = generation_](error_code timer_ec) {
       if (timer_ec || !self->IsCurrent(use) || self->is_connected_) return;
@@ -156,6 +160,9 @@
     timer_.cancel();
     if (ec) return Fail(UpstreamFailure::kNoConnection, ec.message());
     is_connected_ = true;
+    const std::chrono::duration<double, std::milli> round_trip =
+        std::chrono::steady_clock::now() - connect_started_at_;
+    listener_->OnConnected(round_trip.count());
     error_code option_ec;
     socket_.set_option(tcp::no_delay(true), option_ec);
     socket_.non_blocking(true, option_ec);
@@ -167,6 +174,7 @@
   void Send() {
     if (!listener_->MaySend())
       return Fail(UpstreamFailure::kWithheld, "withdrawn before it was sent");
+    ++Traffic().requests_sent;
     parser_.reset();
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(message_.head),
                                                      asio::buffer(*message_.body)};
@@ -194,6 +202,7 @@
 
   void OnRead(error_code ec, std::size_t n) {
     buffer_.commit(n);
+    Traffic().bytes_received += n;
     if (ec == asio::error::eof) return OnEof();
     if (ec) return Fail(UpstreamFailure::kBroken, ec.message());
     Parse();
@@ -307,6 +316,8 @@
   std::shared_ptr<Impl> pool_;
   std::string instance_;
   Endpoint endpoint_;
+  Distance distance_;
+  std::chrono::steady_clock::time_point connect_started_at_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
@@ -341,7 +352,7 @@
     : impl_(std::make_shared<Impl>(io, std::move(request_id_field))) {}
 UpstreamPool::~UpstreamPool() = default;
 
-std::shared_ptr<UpstreamCall> UpstreamPool::Start(const UpstreamRecord& upstream,
+std::shared_ptr<UpstreamCall> UpstreamPool::Start(const UpstreamRecord& upstream, Distance distance,
                                                   int max_connections, UpstreamMessage message,
                                                   std::shared_ptr<UpstreamListener> listener) {
   auto connection = impl_->TakeIdle(upstream.instance, MonotonicMs());
@@ -354,7 +365,7 @@
       });
       return nullptr;
     }
-    connection = std::make_shared<Connection>(impl_, upstream.instance, upstream.endpoint);
+    connection = std::make_shared<Connection>(impl_, upstream, distance);
   }
   connection->Begin(std::move(message), std::move(listener));
   return connection;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
 #include "junctionrail/routing.h"
 
@@ -30,6 +31,8 @@
 class UpstreamListener {
  public:
   virtual ~UpstreamListener() = default;
+  // Called when a new connection is established, with the time that it took.
+  virtual void OnConnected(double round_trip_ms) = 0;
   // Called once the connection is established, which may take 500 ms: whether to still send the
   // request.
   virtual bool MaySend() = 0;
@@ -56,6 +59,7 @@
 };
 
 struct UpstreamPoolCounters {
+  TrafficByDistance traffic;
   std::uint64_t opened_connections = 0;
   std::uint64_t surplus_responses = 0;
 };
@@ -65,9 +69,9 @@
   UpstreamPool(boost::asio::io_context& io, std::string request_id_field);
   ~UpstreamPool();
 
-  // Does not call the listener before returning.
-  std::shared_ptr<UpstreamCall> Start(const UpstreamRecord& upstream, int max_connections,
-                                      UpstreamMessage message,
+  // Does not call the listener before returning. The traffic counts for `distance`.
+  std::shared_ptr<UpstreamCall> Start(const UpstreamRecord& upstream, Distance distance,
+                                      int max_connections, UpstreamMessage message,
                                       std::shared_ptr<UpstreamListener> listener);
   // Closes connections that have been idle for too long, were closed by the upstream, or lead to
   // instances for which `is_known` is false.
--- a/test/places_test.cc
+++ b/test/places_test.cc
@@ -1,9 +1,13 @@
 // Data halls that are evacuated, upstreams that are cold, and regions where a request may run.
 #include "junctionrail/places.h"
 
+#include <nlohmann/json.hpp>
+
 #include "check.h"
+#include "direct_metrics.h"
 #include "gateway_fixture.h"
 #include "junctionrail/tenancy.h"
+#include "places_page.h"
 #include "platform.h"
 #include "platform_standin.h"
 #include "routing_world.h"
@@ -448,6 +452,41 @@
   EXPECT_TRUE(Contains(t.Send("GET /a/"), "200 OK"), "the hall is given back");
 }
 
+// Guards against a page on which a hall that cannot be reached looks like one that is in use, and
+// against traffic between regions that nobody sees.
+TEST(Regions, ShowDistancesRoundTripsAndTraffic) {
+  RegionsFixture t;
+  t.Configure(2, Halls{"east"}, std::nullopt);
+  for (int n = 0; n < 3; ++n) EXPECT_TRUE(Contains(t.Send("GET /a/"), "200 OK"), "served");
+  const TrafficByDistance& traffic = t.gateway->counters().traffic;
+  EXPECT_NUMBER(3, traffic.Of(Distance::kOtherRegion).requests_sent, "to another region");
+  const std::string answer = OkResponse("ok", "r1");
+  EXPECT_NUMBER(3 * answer.size(), traffic.Of(Distance::kOtherRegion).bytes_received, "whole");
+  EXPECT_NUMBER(0, traffic.Of(Distance::kSameHall).requests_sent, "none to its own hall");
+  const auto page =
+      nlohmann::json::parse(internal::PlacesPage(t.gateway->upstreams(), MonotonicMs()));
+  EXPECT_NUMBER(3, page["halls"].size(), page.dump());
+  const auto& own = page["halls"][0];
+  const auto& far = page["halls"][2];
+  EXPECT_TEXT("same_hall", own["distance"].get<std::string>(), page.dump());
+  EXPECT_NUMBER(0, own["reachable"].get<int>(), "nothing was sent there");
+  EXPECT_TRUE(!own.contains("round_trip_age_ms"), "not measured: " + page.dump());
+  EXPECT_TEXT("other_region", far["distance"].get<std::string>(), page.dump());
+  EXPECT_TEXT("east", far["region"].get<std::string>(), page.dump());
+  EXPECT_NUMBER(2, far["upstreams"].get<int>(), page.dump());
+  EXPECT_NUMBER(1, far["reachable"].get<int>(), "the plain one answered");
+  EXPECT_TRUE(far["round_trip_ms"].get<double>() < 40, "measured: " + page.dump());
+  EXPECT_TRUE(far["round_trip_age_ms"].get<int>() >= 0, page.dump());
+  testing::StandinStore store(t.io);
+  HttpClient http(t.io);
+  const platform::StoreClient client(http, store.endpoint());
+  const std::string metrics = internal::EntryMetrics(*t.gateway, client, t.log);
+  EXPECT_TRUE(
+      Contains(metrics, "junctionrail_upstream_requests_total{distance=\"other_region\"} 3"),
+      metrics);
+  EXPECT_TRUE(Contains(metrics, "junctionrail_upstream_received_bytes_total{distance="), metrics);
+}
+
 // Guards against a request that waits for a model in a hall that closes meanwhile.
 TEST(Evacuations, SendWaitingRequestsElsewhere) {
   RegionsFixture t;
