--- a/src/cli/places.cc
+++ b/src/cli/places.cc
@@ -20,6 +20,7 @@
 }
 
 std::string AgeOf(const nlohmann::json& hall) {
+  if (!hall.contains("round_trip_ms")) return "-";
   if (!hall.contains("round_trip_age_ms")) return "default";
   char text[32];
   std::snprintf(text, sizeof(text), "%.1f s", hall.value("round_trip_age_ms", 0.0) / kMsPerS);
