Rare models: requests leave an engine's queue for another one with a copy sooner

Cause: an engine that was asked for a model was kept unless another could load it 1.5 s sooner, which is more than a whole load from disk. Requests so waited behind swaps for other models while another engine with a copy was free.

Change: 800 ms for a model on the asked engine's disk. Loads from the weight store keep 1,500 ms: with 800 ms for both, LargeFleets' LimitConcurrentLoadsFromWeightStore began more than five loads.

--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -16,8 +16,12 @@
 // An adapter loads within milliseconds once its base model is loaded.
 constexpr DurationMs kAdapterLoadMs = 30;
 // A model stays with the agent already asked unless another is this much faster, so that
-// requests for one model do not start two loads.
-constexpr DurationMs kKeepLoadTargetMs = 1500;
+// requests for one model do not start two loads. A load from the weight store that is repeated
+// elsewhere slows all others.
+constexpr DurationMs kKeepStoreLoadMs = 1500;
+// With 1,500 ms, requests for models on disk stayed in the queue of an engine that swapped other
+// models while another engine with a copy was free.
+constexpr DurationMs kKeepDiskLoadMs = 800;
 // Other agents are preferred for this long to one that was overdue.
 constexpr DurationMs kOverdueAvoidMs = 5000;
 // Added to the estimate of an overdue agent: more than a load from the weight store takes at
@@ -172,7 +176,8 @@
     if (row->record.instance == asked) {
       // The cost to others was considered when the agent was asked, and by now includes
       // the wait for this model.
-      estimate -= kKeepLoadTargetMs;
+      estimate -= Contains(row->view.cached_models, request.model->model) ? kKeepDiskLoadMs
+                                                                          : kKeepStoreLoadMs;
     } else if (best == nullptr || estimate <= best_ms) {
       // The agent evicts a model once the waiting callers have lost as much time as the
       // eviction would cost the callers of that model: the cost to others is therefore also
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -391,6 +391,22 @@
   EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}), "u1 stays avoided");
 }
 
+TEST(ColdModels, LeavesQueueForFreeEngineWithCopy) {
+  // Guards against waiting at an engine that swaps other models while another one with a copy is
+  // free: requests stayed for 1.5 s at the engine that was asked first.
+  TableFixture t;
+  t.table.ApplyListing({MakeRecord("u1"), MakeRecord("u2")}, t.now);
+  t.table.ApplyView(MakeView("u1", {}, {"a"}), t.now);
+  t.table.ApplyView(MakeView("u2"), t.now);
+  EXPECT_TEXT("wait u1", t.Choose("engine", ModelRef{"a", ""}), "weights are on its disk");
+  EngineView busy = MakeView("u1", {}, {"a"});
+  busy.loading = "b";
+  busy.load_remaining_ms = 1200;
+  t.table.ApplyView(busy, t.now);
+  t.table.ApplyView(MakeView("u2", {}, {"a"}), t.now);
+  EXPECT_TEXT("wait u2", t.Choose("engine", ModelRef{"a", ""}), "it can load 1.2 s sooner");
+}
+
 TEST(ColdModels, GivesMoreTimeToAgentAtWork) {
   // Guards against a second load elsewhere while the agent waits for requests on the model that it
   // evicts, and against waiting for long at an agent that only seems to be at work.
