Entry: relay, pages, peers and agent links are files of their own

The relay's part is now relay_follower, the HTTP pages entry_pages, questions to other entries peer_client, demand and links to agents agent_links. kRelayPart and RelayPeriod stood in both direct_entry.cc and direct_agent.cc; they are DirectSettings::RelayPeriod and RelayWatch now. AskRelay ranked all agents at each check, ten times a second; it asks RelayClient::IsDue first.

--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -264,6 +264,8 @@
     std::string instance;  // Of the upstream whose agent is the relay.
     RelayRequest request;
   };
+  // Whether a request is due, so that the relays have to be ranked.
+  bool IsDue(TimeMs now) const { return now >= next_ask_at_; }
   // Returns the request that is due, if any. `ranked`: upstreams with agents, best relay first. A
   // relay that has not answered the last request is passed over for a while.
   std::optional<Ask> NextAsk(const std::vector<std::string>& ranked, TimeMs now);
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -118,6 +118,10 @@
 
   // The shortest time within which what operators write has to be in force; 0: none is set.
   DurationMs OperatorBound() const;
+  // How often the relay polls the list of upstreams, and entries ask it.
+  DurationMs RelayPeriod() const;
+  // How often the relay confirms what operators write.
+  DurationMs RelayWatch() const;
 };
 
 struct Settings {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
+// The relay polls the list of upstreams, and entries ask it, this often, as a part of the time
+// within which one that leaves may get something new. What an entry knows is then younger than the
+// age at which it polls the store itself. The relay confirms what operators write as often, as a
+// part of the bound on it.
+constexpr double kRelayPart = 0.2;
 constexpr char kEndpointForm[] = "an IP number and a port such as \"127.0.0.1:8080\"";
 
 bool IsAddress(const std::string& text) {
@@ -141,6 +146,16 @@
   return std::min(revoke_ms, evacuate_ms);
 }
 
+DurationMs DirectSettings::RelayPeriod() const {
+  return static_cast<DurationMs>(kRelayPart * static_cast<double>(leaving_ms));
+}
+
+DurationMs DirectSettings::RelayWatch() const {
+  const DurationMs bound_ms = OperatorBound();
+  const auto part_ms = static_cast<DurationMs>(kRelayPart * static_cast<double>(bound_ms));
+  return bound_ms == 0 ? RelayPeriod() : std::min(part_ms, RelayPeriod());
+}
+
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return false;
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -21,21 +21,8 @@
 // An entry that gave this engine orders looks each second whether an agent listens;
 // from its last order on, engines must see no other holder for the lease's three.
 constexpr DurationMs kHandBackMs = 5000;
-// A relay polls what it passes on this often, as a part of the time within which an upstream that
-// leaves may get something new, and as a part of the bound on what operators write.
-constexpr double kRelayPart = 0.2;
 constexpr DurationMs kCheckRelayMs = 1000;
 
-DurationMs RelayPeriod(const DirectSettings& direct) {
-  return static_cast<DurationMs>(kRelayPart * static_cast<double>(direct.leaving_ms));
-}
-
-DurationMs RelayWatch(const DirectSettings& direct) {
-  const DurationMs bound_ms = direct.OperatorBound();
-  const auto part_ms = static_cast<DurationMs>(kRelayPart * static_cast<double>(bound_ms));
-  return bound_ms == 0 ? RelayPeriod(direct) : std::min(part_ms, RelayPeriod(direct));
-}
-
 }  // namespace
 
 class DirectAgent::Impl : public std::enable_shared_from_this<DirectAgent::Impl> {
@@ -75,7 +62,7 @@
     const auto metrics = metrics_->Listen();
     if (!metrics) return ListenError{"direct.metrics", metrics.error().sentence};
     keeper_->SetPolicy(settings_.direct->policy);
-    configuration_.SetWatch(RelayWatch(*settings_.direct));
+    configuration_.SetWatch(settings_.direct->RelayWatch());
     configuration_.OnConfirmed([this](TimeMs as_of) {
       if (is_relaying_) relay_.ConfirmConfiguration(configuration_.confirmation().version(), as_of);
     });
@@ -111,9 +98,9 @@
       settings_.direct->record_period_ms = settings.direct->record_period_ms;
       settings_.direct->revoke_ms = settings.direct->revoke_ms;
       settings_.direct->evacuate_ms = settings.direct->evacuate_ms;
-      configuration_.SetWatch(RelayWatch(*settings_.direct));
+      configuration_.SetWatch(settings_.direct->RelayWatch());
       upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
-      if (is_relaying_) upstreams_.SetPeriod(RelayPeriod(*settings_.direct));
+      if (is_relaying_) upstreams_.SetPeriod(settings_.direct->RelayPeriod());
     }
     log_.Write(MonotonicMs(), "reload", {{"waits_for_restart", must_restart}});
   }
@@ -169,7 +156,7 @@
 
   void StartRelay() {
     log_.Write(MonotonicMs(), "relay_started", {});
-    SetRelaying(true, platform::Freshness::kNewest, RelayPeriod(*settings_.direct));
+    SetRelaying(true, platform::Freshness::kNewest, settings_.direct->RelayPeriod());
     upstreams_.ReadSoon();
   }
 
--- /dev/null
+++ b/src/daemon/relay_follower.h
@@ -0,0 +1,54 @@
+// An entry's side of the relay: which agent is asked for the list of upstreams and for what
+// operators wrote, when, what its reply changes, and when the entry plans for the fleet by itself.
+#ifndef JUNCTIONRAIL_DAEMON_RELAY_FOLLOWER_H_
+#define JUNCTIONRAIL_DAEMON_RELAY_FOLLOWER_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "junctionrail/event_log.h"
+#include "junctionrail/gateway.h"
+#include "junctionrail/listing.h"
+#include "junctionrail/net.h"
+#include "platform.h"
+
+namespace junctionrail::internal {
+
+class RelayFollower {
+ public:
+  // What replies are applied to.
+  struct Targets {
+    Gateway& gateway;
+    platform::ConfigurationFollower& configuration;
+    platform::UpstreamFollower& upstreams;
+  };
+  // Sends to the agent of that instance; does nothing if it cannot be reached now.
+  using Send = std::function<void(const std::string& instance, std::string bytes)>;
+
+  RelayFollower(boost::asio::io_context& io, EventLog& log, const std::string& entry,
+                DurationMs period_ms, Targets targets, Send send);
+
+  void Start();
+  void SetPeriod(DurationMs period_ms);
+  // `source` is the instance whose agent sent the reply.
+  void OnReply(const std::string& source, std::string_view bytes);
+  // The relay that was asked last; empty: none.
+  const std::string& relay() const { return client_.relay(); }
+
+ private:
+  void AskIfDue();
+  void SetPlanner(bool is_planner, const std::string& relay);
+
+  EventLog& log_;
+  Targets targets_;
+  Send send_;
+  DurationMs period_ms_;
+  RelayClient client_;
+  TimeMs answered_at_ = MonotonicMs();  // Or the start.
+  Timer timer_;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_DAEMON_RELAY_FOLLOWER_H_
--- a/src/listing/relay_client.cc
+++ b/src/listing/relay_client.cc
@@ -14,7 +14,7 @@
 
 std::optional<RelayClient::Ask> RelayClient::NextAsk(const std::vector<std::string>& ranked,
                                                      TimeMs now) {
-  if (now < next_ask_at_) return std::nullopt;
+  if (!IsDue(now)) return std::nullopt;
   if (!is_answered_ && !relay_.empty()) passed_over_until_[relay_] = now + kPassOverMs;
   relay_.clear();
   for (const auto& instance : ranked) {
