Relays: each region has its own, and its share of the planners

One relay sent the list of upstreams to the entries of all regions. A partitioned region waited for its relay to time out, and all replies crossed regions. With one region the ranking is that of before.

The eight planners are divided among the regions. A request states the entry's region and the number of regions in two further elements, only where there are several; older relays read the first four elements and ignore them, and entries that state none are a group with eight planners.

A relay that is passed over is asked again after a time that differs among entries and grows with failures, only with several regions.

--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -164,8 +164,9 @@
 //
 // The list grows with the fleet, and so would the load on the store if every entry polled it.
 // Instead one agent, the relay, polls it and the configuration's version, and entries ask the
-// relay for what changed. The agents are ranked by rendezvous hashing; an entry asks the first one
-// that answers. An entry polls the store itself whenever what it knows gets too old.
+// relay for what changed. The agents are ranked by rendezvous hashing, those of the entry's own
+// region first, so that each region has its own relay; an entry asks the first one that answers. An
+// entry polls the store itself whenever what it knows gets too old.
 
 // What an entry asks the relay.
 struct RelayRequest {
@@ -173,6 +174,10 @@
   std::uint64_t number = 0;
   std::string epoch;          // Of the last reply; empty: none.
   std::uint64_t version = 0;  // Of the last reply.
+  // The entry's region and the number of regions, from its settings. Not sent with a single region,
+  // nor by entries of an older version.
+  std::string region = {};
+  int regions = 1;
 };
 
 // What changed in the list between two versions.
@@ -230,7 +235,16 @@
   };
 
   std::shared_ptr<const std::string> ChangesSince(std::uint64_t base);
+  // An entry that asked lately.
+  struct Asker {
+    TimeMs asked_at = 0;
+    std::string region;
+    int regions = 1;
+  };
+
   bool IsPlanner(const std::string& entry, TimeMs now);
+  void ChoosePlanners();
+  void ForgetGoneAskers(TimeMs now);
   bool MaySendWholeList(TimeMs now);
 
   std::string epoch_;
@@ -245,9 +259,10 @@
   std::uint64_t configuration_version_ = 0;
   TimeMs configuration_as_of_ = 0;
   std::vector<std::string> evacuated_halls_;
-  std::map<std::string, TimeMs> asked_at_;  // By entry.
+  std::map<std::string, Asker> askers_;  // By entry.
   std::set<std::string> planners_;
   TimeMs planners_chosen_at_ = 0;
+  bool is_planner_missing_ = true;  // A region has fewer entries that ask than planners.
   TimeMs whole_lists_since_ = 0;
   int whole_lists_sent_ = 0;  // Since then.
 };
@@ -259,6 +274,10 @@
   RelayClient(std::string entry, DurationMs period_ms)
       : entry_(std::move(entry)), period_ms_(period_ms) {}
   void SetPeriod(DurationMs period_ms) { period_ms_ = period_ms; }
+  // The entry's region, if there are several. A relay that is passed over is then asked again at a
+  // time that differs among the entries, so that they do not all return to it, and fetch a whole
+  // list, within one period.
+  void SetRegion(std::string region, int regions);
 
   struct Ask {
     std::string instance;  // Of the upstream whose agent is the relay.
@@ -286,7 +305,18 @@
 
  private:
   std::string entry_;
+  // A relay that did not answer, or whose list was old.
+  struct PassedOver {
+    TimeMs until = 0;
+    int failures = 0;  // Since its last good answer.
+  };
+
+  void PassOver(const std::string& relay, TimeMs now);
+  const std::string* FindBest(const std::vector<std::string>& ranked, TimeMs now) const;
+
   DurationMs period_ms_;
+  std::string region_;
+  int regions_ = 1;
   std::string relay_;
   TimeMs next_ask_at_ = 0;
   std::uint64_t last_number_ = 0;
@@ -295,7 +325,7 @@
   std::string epoch_;
   std::uint64_t version_ = 0;
   std::map<std::string, UpstreamRecord> records_;  // By instance.
-  std::map<std::string, TimeMs> passed_over_until_;
+  std::map<std::string, PassedOver> passed_over_;  // By instance.
 };
 
 }  // namespace junctionrail
--- a/include/junctionrail/places.h
+++ b/include/junctionrail/places.h
@@ -40,6 +40,7 @@
   std::string RegionOf(const std::string& hall) const;
   // A hall whose region is unknown counts as in the same region.
   Distance DistanceTo(const std::string& hall) const;
+  std::size_t CountRegions() const;
   // Whether the halls are in more than one region.
   bool HasRegions() const;
 
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -107,7 +107,8 @@
   DurationMs resend_interval_ms = 1000;
   // The entry accepts views that contain only the changed parts.
   bool accepts_view_updates = false;
-  // The entry observes all engines, so that it can judge the use of the weight store.
+  // The entry observes all engines, so that it can judge the use of the weight store. Not set for
+  // an engine of another region while no view of it arrives.
   bool is_planner = true;
   // The entry wants to be told about ended upstreams.
   bool wants_upstream_ends = false;
@@ -181,8 +182,8 @@
   bool is_planner() const { return is_planner_; }
   // Observes the engine for a while.
   void Observe(const std::string& instance, TimeMs now);
-  // Instances of engines whose agents may act for the fleet, best first; all entries rank them
-  // alike. At most `n`.
+  // Instances of engines whose agents may act for the fleet, best first: those of the entry's own
+  // region before the others. All entries of a region rank them alike. At most `n`.
   std::vector<std::string> RankAgents(std::size_t n) const;
   std::vector<QuotaClient::Allocator> ListAgents() const;
 
--- a/src/daemon/agent_links.cc
+++ b/src/daemon/agent_links.cc
@@ -117,7 +117,10 @@
   if (!CanOpen(instance)) return;
   const auto [link, is_new] = links_.try_emplace(instance);
   AgentDemand& demand = link->second.demand;
-  if (is_new) SetSender(instance, kRepeatDemandMs, &demand);
+  if (is_new) {
+    SetSender(instance, kRepeatDemandMs, &demand);
+    demand.is_planner = gateway_.upstreams().is_planner();
+  }
   auto& wanted = demand.wanted;
   wanted.erase(std::remove_if(wanted.begin(), wanted.end(),
                               [](const ModelDemand& it) { return it.waiting > 0; }),
@@ -134,7 +137,6 @@
   demand->instance = instance;
   demand->accepts_view_updates = true;
   demand->wants_upstream_ends = true;
-  demand->is_planner = gateway_.upstreams().is_planner();
   demand->resend_interval_ms = repeat_ms;
 }
 
--- a/src/listing/listing_relay.cc
+++ b/src/listing/listing_relay.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "junctionrail/listing.h"
@@ -10,7 +12,9 @@
 constexpr DurationMs kAskerTtlMs = 5000;
 // Entries that observe all engines and plan replicas, staging and the use of the weight store for
 // the whole fleet. Several, as some may be cut off, and their number does not grow with the fleet.
-constexpr std::size_t kPlanners = 8;
+// With several regions they are divided among these, so that each has some that no partition
+// between regions cuts off.
+constexpr int kPlanners = 8;
 constexpr DurationMs kChoosePlannersMs = 500;
 // An entry that is further behind gets the whole list.
 constexpr std::size_t kMaxRemovals = 4096;
@@ -19,6 +23,27 @@
 constexpr int kWholeListsPerS = 100;
 constexpr DurationMs kSecondMs = 1000;
 
+// Rounded up: 3 for each of three regions.
+std::size_t PlannersPerRegion(int regions) {
+  const int n = std::clamp(regions, 1, kPlanners);
+  return static_cast<std::size_t>((kPlanners + n - 1) / n);
+}
+
+struct RankedEntry {
+  std::uint64_t score = 0;
+  std::string entry;
+
+  bool operator>(const RankedEntry& other) const {
+    return std::tie(score, entry) > std::tie(other.score, other.entry);
+  }
+};
+
+// The entries of one region that ask.
+struct RegionAskers {
+  std::vector<RankedEntry> ranked;
+  int regions = 1;  // The most that one of them knows.
+};
+
 }  // namespace
 
 void ListingRelay::ApplyListing(const UpstreamListing& listing) {
@@ -55,7 +80,7 @@
 }
 
 RelayReply ListingRelay::Answer(const RelayRequest& request, TimeMs now) {
-  asked_at_[request.entry] = now;
+  askers_[request.entry] = {now, request.region, request.regions};
   RelayReply reply;
   reply.number = request.number;
   reply.epoch = epoch_;
@@ -92,27 +117,46 @@
 }
 
 bool ListingRelay::IsInUse(TimeMs now) const {
-  return std::any_of(asked_at_.begin(), asked_at_.end(),
-                     [now](const auto& it) { return now - it.second <= kAskerTtlMs; });
+  return std::any_of(askers_.begin(), askers_.end(),
+                     [now](const auto& it) { return now - it.second.asked_at <= kAskerTtlMs; });
 }
 
 bool ListingRelay::IsPlanner(const std::string& entry, TimeMs now) {
   const bool is_due = planners_chosen_at_ == 0 || now - planners_chosen_at_ >= kChoosePlannersMs;
-  if (!is_due && planners_.size() == kPlanners) return planners_.count(entry) > 0;
-  planners_chosen_at_ = now;
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  for (auto it = asked_at_.begin(); it != asked_at_.end();) {
-    const bool is_gone = now - it->second > kAskerTtlMs;
-    if (!is_gone) ranked.emplace_back(RendezvousScore("planner", it->first), it->first);
-    it = is_gone ? asked_at_.erase(it) : std::next(it);
+  if (is_due || is_planner_missing_) {
+    planners_chosen_at_ = now;
+    ForgetGoneAskers(now);
+    ChoosePlanners();
   }
-  std::sort(ranked.rbegin(), ranked.rend());
-  if (ranked.size() > kPlanners) ranked.resize(kPlanners);
-  planners_.clear();
-  for (auto& [score, name] : ranked) planners_.insert(std::move(name));
   return planners_.count(entry) > 0;
 }
 
+void ListingRelay::ForgetGoneAskers(TimeMs now) {
+  for (auto it = askers_.begin(); it != askers_.end();) {
+    it = now - it->second.asked_at > kAskerTtlMs ? askers_.erase(it) : std::next(it);
+  }
+}
+
+// Entries that state no region are a group of their own.
+void ListingRelay::ChoosePlanners() {
+  std::map<std::string, RegionAskers> by_region;
+  for (const auto& [entry, it] : askers_) {
+    RegionAskers& group = by_region[it.region];
+    group.ranked.push_back({RendezvousScore("planner", entry), entry});
+    group.regions = std::max(group.regions, it.regions);
+  }
+  planners_.clear();
+  is_planner_missing_ = false;
+  for (auto& [region, group] : by_region) {
+    auto& ranked = group.ranked;
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    const std::size_t wanted = PlannersPerRegion(group.regions);
+    is_planner_missing_ |= ranked.size() < wanted;
+    for (std::size_t k = 0; k < std::min(ranked.size(), wanted); ++k)
+      planners_.insert(std::move(ranked[k].entry));
+  }
+}
+
 bool ListingRelay::MaySendWholeList(TimeMs now) {
   if (now - whole_lists_since_ >= kSecondMs) {
     whole_lists_since_ = now;
--- a/src/listing/relay_client.cc
+++ b/src/listing/relay_client.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "junctionrail/listing.h"
@@ -7,30 +8,57 @@
 
 // A relay that does not answer, or whose list is old, is asked again after this long.
 constexpr DurationMs kPassOverMs = 5000;
+// With several regions this doubles with each failure, twice, and is up to three times as long,
+// different for each entry. With a constant time, all 40 entries of a simulated region fetched a
+// whole list within one period after a partition of 60 s.
+constexpr int kMaxDoublings = 2;
+constexpr DurationMs kSpreadFactor = 2;
+// What is known of a relay is forgotten this long after it may be asked again.
+constexpr DurationMs kForgetMs = 60000;
 // A request without an answer, or without a list in it, is followed by another one this much later.
 constexpr DurationMs kRetryMs = 300;
 
 }  // namespace
 
+void RelayClient::SetRegion(std::string region, int regions) {
+  region_ = std::move(region);
+  regions_ = regions;
+}
+
+void RelayClient::PassOver(const std::string& relay, TimeMs now) {
+  PassedOver& it = passed_over_[relay];
+  const int doublings = std::min(it.failures++, kMaxDoublings);
+  it.until = now + kPassOverMs;
+  if (regions_ <= 1) return;
+  const DurationMs shortest_ms = kPassOverMs << doublings;
+  // Includes the attempt: entries that return at the same time once do not do so each time.
+  const auto score = RendezvousScore(relay + std::to_string(last_number_), entry_);
+  const auto spread_ms = static_cast<std::uint64_t>(shortest_ms * kSpreadFactor);
+  it.until = now + shortest_ms + static_cast<DurationMs>(score % spread_ms);
+}
+
+const std::string* RelayClient::FindBest(const std::vector<std::string>& ranked, TimeMs now) const {
+  const auto best = std::find_if(ranked.begin(), ranked.end(), [&](const auto& instance) {
+    const auto it = passed_over_.find(instance);
+    return it == passed_over_.end() || it->second.until <= now;
+  });
+  return best == ranked.end() ? nullptr : &*best;
+}
+
 std::optional<RelayClient::Ask> RelayClient::NextAsk(const std::vector<std::string>& ranked,
                                                      TimeMs now) {
   if (!IsDue(now)) return std::nullopt;
-  if (!is_answered_ && !relay_.empty()) passed_over_until_[relay_] = now + kPassOverMs;
-  relay_.clear();
-  for (const auto& instance : ranked) {
-    const auto it = passed_over_until_.find(instance);
-    if (it != passed_over_until_.end() && it->second > now) continue;
-    relay_ = instance;
-    break;
-  }
-  for (auto it = passed_over_until_.begin(); it != passed_over_until_.end();) {
-    it = it->second <= now ? passed_over_until_.erase(it) : std::next(it);
+  if (!is_answered_ && !relay_.empty()) PassOver(relay_, now);
+  const std::string* best = FindBest(ranked, now);
+  relay_ = best == nullptr ? std::string() : *best;
+  for (auto it = passed_over_.begin(); it != passed_over_.end();) {
+    it = it->second.until + kForgetMs <= now ? passed_over_.erase(it) : std::next(it);
   }
   if (relay_.empty()) return std::nullopt;
   is_answered_ = false;
   asked_at_ = now;
   next_ask_at_ = now + kRetryMs;
-  return Ask{relay_, {entry_, ++last_number_, epoch_, version_}};
+  return Ask{relay_, {entry_, ++last_number_, epoch_, version_, region_, regions_}};
 }
 
 // Ages count from the request: the way of the reply, or a pause of the relay before it answered,
@@ -49,7 +77,11 @@
     news.evacuated_halls.insert(reply.evacuated_halls.begin(), reply.evacuated_halls.end());
   }
   const bool is_old = reply.list_age_ms > max_age_ms;
-  if (is_old) passed_over_until_[instance] = now + kPassOverMs;
+  if (is_old) {
+    PassOver(instance, now);
+  } else {
+    passed_over_.erase(instance);
+  }
   const bool has_base = reply.is_whole || reply.epoch == epoch_;
   if (reply.list_age_ms < 0 || !has_base || !reply.changes) return news;
   ListingChanges changes;
--- a/src/listing/relay_messages.cc
+++ b/src/listing/relay_messages.cc
@@ -17,6 +17,8 @@
 constexpr std::string_view kRequestPrefix =
     "\xa1\x65"
     "relay";
+// Of a request of an entry with several regions; others end before the region.
+constexpr std::size_t kRequestFieldsWithRegion = 6;
 constexpr char kReplyKey[] = "list";
 constexpr std::string_view kReplyPrefix =
     "\xa1\x64"
@@ -68,8 +70,12 @@
 }  // namespace
 
 std::string EncodeRelayRequest(const RelayRequest& request) {
-  return PackCbor(
-      json{{kRequestKey, {request.entry, request.number, request.epoch, request.version}}});
+  json fields = {request.entry, request.number, request.epoch, request.version};
+  if (request.regions > 1) {
+    fields.push_back(request.region);
+    fields.push_back(request.regions);
+  }
+  return PackCbor(json{{kRequestKey, std::move(fields)}});
 }
 
 bool IsRelayRequest(std::string_view bytes) {
@@ -83,6 +89,10 @@
     request->number = it.at(1).get<std::uint64_t>();
     request->epoch = it.at(2).get<std::string>();
     request->version = it.at(3).get<std::uint64_t>();
+    if (it.size() >= kRequestFieldsWithRegion) {
+      request->region = it.at(4).get<std::string>();
+      request->regions = it.at(5).get<int>();
+    }
     return !request->entry.empty();
   });
 }
--- a/src/places/topology.cc
+++ b/src/places/topology.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "junctionrail/places.h"
 
 namespace junctionrail {
@@ -17,10 +15,12 @@
   return is_other ? Distance::kOtherRegion : Distance::kSameRegion;
 }
 
-bool Topology::HasRegions() const {
-  return std::any_of(regions_.begin(), regions_.end(), [this](const auto& it) {
-    return it.second != regions_.begin()->second;
-  });
+std::size_t Topology::CountRegions() const {
+  std::set<std::string> regions;
+  for (const auto& [hall, region] : regions_) regions.insert(region);
+  return regions.size();
 }
 
+bool Topology::HasRegions() const { return CountRegions() > 1; }
+
 }  // namespace junctionrail
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -256,7 +256,11 @@
     if (!IsPresent(row, row.record.service)) continue;
     AgentDemand& demand = demands[instance];
     demand.instance = instance;
-    demand.is_planner = is_planner_;
+    // A planner that is cut off from another region cannot grant loads there. Agents that still
+    // receive its demand must not count it among those of which half must agree.
+    const bool is_other_region =
+        options_.topology.DistanceTo(row.record.data_hall) == Distance::kOtherRegion;
+    demand.is_planner = is_planner_ && (!is_other_region || IsFresh(row, now));
     AddModelUse(&demand, row, now);
   }
   for (const auto& it : waiting) {
--- a/src/routing/observation.cc
+++ b/src/routing/observation.cc
@@ -2,6 +2,8 @@
 // engines that serve its requests or may do so soon: its links, and the views on them, grow with
 // its requests and not with the fleet.
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "routing_impl.h"
@@ -33,6 +35,15 @@
   scored->resize(n);
 }
 
+struct RankedAgent {
+  std::uint64_t score = 0;
+  std::string instance;
+
+  bool operator>(const RankedAgent& other) const {
+    return std::tie(score, instance) > std::tie(other.score, other.instance);
+  }
+};
+
 }  // namespace
 
 bool UpstreamTable::IsJudgeable(const Row& row, TimeMs now) const {
@@ -108,14 +119,25 @@
   return agents;
 }
 
+// Agents of the entry's own region come first. They get at most half of the places, so that a
+// region whose agents are all gone asks another one before it asks the first one again.
 std::vector<std::string> UpstreamTable::RankAgents(std::size_t n) const {
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  for (auto& it : ListAgents())
-    ranked.emplace_back(RendezvousScore("listing relay", it.address), std::move(it.instance));
-  std::sort(ranked.rbegin(), ranked.rend());
-  if (ranked.size() > n) ranked.resize(n);
+  std::vector<RankedAgent> own;
+  std::vector<RankedAgent> others;
+  for (auto& it : ListAgents()) {
+    const std::string& hall = rows_.at(it.instance).record.data_hall;
+    const bool is_other = options_.topology.DistanceTo(hall) == Distance::kOtherRegion;
+    const std::uint64_t score = RendezvousScore("listing relay", it.address);
+    (is_other ? others : own).push_back({score, std::move(it.instance)});
+  }
+  std::sort(own.begin(), own.end(), std::greater<>());
+  std::sort(others.begin(), others.end(), std::greater<>());
+  const std::size_t of_others = std::min(others.size(), n / 2);
+  if (own.size() > n - of_others) own.resize(n - of_others);
+  if (others.size() > n - own.size()) others.resize(n - own.size());
   std::vector<std::string> instances;
-  for (auto& [score, instance] : ranked) instances.push_back(std::move(instance));
+  for (auto& it : own) instances.push_back(std::move(it.instance));
+  for (auto& it : others) instances.push_back(std::move(it.instance));
   return instances;
 }
 
--- a/test/listing_relay_test.cc
+++ b/test/listing_relay_test.cc
@@ -131,6 +131,34 @@
   EXPECT_TRUE(t.client.NextAsk({"agent-1"}, t.now + 1000).has_value(), "due");
 }
 
+// The agents were ranked at each check, ten times as often as a request is due.
+TEST(RelayClient, SaysWhetherARequestIsDue) {
+  RelayFixture t;
+  t.client.SetPeriod(1000);
+  t.List({MakeRecord("u1")});
+  EXPECT_TRUE(t.client.IsDue(t.now), "at the start");
+  t.Ask();
+  EXPECT_TRUE(!t.client.IsDue(t.now + 999) && t.client.IsDue(t.now + 1000), "once each period");
+}
+
+// Entries that had passed over a relay at the same time returned to it at the same time.
+TEST(RelayClient, ReturnsAtATimeOfItsOwnWithSeveralRegions) {
+  const std::vector<std::string> ranked = {"agent-1", "agent-2"};
+  std::map<TimeMs, int> returns;  // By second.
+  for (int n = 0; n < 100; ++n) {
+    RelayClient client("entry-" + std::to_string(n), 1000);
+    client.SetRegion("north", 3);
+    client.NextAsk(ranked, kStart);
+    TimeMs now = kStart + 300;
+    client.NextAsk(ranked, now);
+    while (!client.NextAsk({"agent-1"}, now)) now += 100;
+    EXPECT_TRUE(now >= kStart + 5300 && now <= kStart + 15400, std::to_string(now - kStart));
+    ++returns[now / 1000];
+  }
+  for (const auto& [second, n] : returns) EXPECT_TRUE(n <= 25, std::to_string(n) + " of 100");
+  EXPECT_TRUE(returns.size() >= 9, "over ten seconds");
+}
+
 TEST(RelayClient, PassesOverARelayWhoseListIsOld) {
   RelayFixture t;
   t.List({MakeRecord("u1")});
@@ -191,6 +219,22 @@
               "");
 }
 
+// Relays of an older version read the first four fields; entries of an older version send no more.
+TEST(RelayMessages, StateTheRegionOnlyWhereThereAreSeveral) {
+  const std::string plain = EncodeRelayRequest({"e1", 3, "epoch-1", 4});
+  RelayRequest request;
+  EXPECT_TRUE(DecodeRelayRequest(plain, &request) && request.region.empty(), "");
+  EXPECT_NUMBER(1, request.regions, "as an entry of an older version");
+  EXPECT_TEXT(plain, EncodeRelayRequest({"e1", 3, "epoch-1", 4, "north", 1}), "a single region");
+  const std::string regional = EncodeRelayRequest({"e1", 3, "epoch-1", 4, "north", 3});
+  const std::size_t fields = plain.find("\x84");
+  EXPECT_TEXT(plain.substr(fields + 1), regional.substr(fields + 1, plain.size() - fields - 1),
+              "the first four fields are the same");
+  EXPECT_TRUE(DecodeRelayRequest(regional, &request), "");
+  EXPECT_TEXT("north", request.region, "");
+  EXPECT_NUMBER(3, request.regions, "");
+}
+
 TEST(RelayMessages, RejectMalformedInput) {
   const std::string changes = EncodeListingChanges({{MakeRecord("u1")}, {}});
   for (std::size_t n = 0; n < changes.size(); ++n) {
