Entries: state their region to the relay; metrics and log of the relay

An operator could not see which agent is an entry's relay, nor that it is in another region, which costs bytes between regions. RelayFollower states the region in requests where the settings name several regions, logs relay_changed, and counts replies by region. Metrics: relay_in_use, relay_in_other_region, relay_changes_total, relay_replies_total. The label of relay_in_use is a name from the store, so MetricsPage escapes labels.

--- a/src/base/telemetry.cc
+++ b/src/base/telemetry.cc
@@ -84,11 +84,26 @@
   text_ += fmt::format("# HELP {} {}\n# TYPE {} {}\n", name, help, name, type);
 }
 
+namespace {
+
+// Names of upstreams come from keys of the store and may hold any character.
+std::string EscapeLabel(std::string_view value) {
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') escaped += '\\';
+    escaped += c == '\n' ? "\\n" : std::string(1, c);
+  }
+  return escaped;
+}
+
+}  // namespace
+
 void MetricsPage::Line(std::string_view name, const std::vector<MetricLabel>& labels,
                        double value) {
   text_ += name;
   for (std::size_t n = 0; n < labels.size(); ++n) {
-    text_ += fmt::format("{}{}=\"{}\"", n == 0 ? "{" : ",", labels[n].name, labels[n].value);
+    text_ += fmt::format("{}{}=\"{}\"", n == 0 ? "{" : ",", labels[n].name,
+                         EscapeLabel(labels[n].value));
   }
   if (!labels.empty()) text_ += "}";
   text_ += fmt::format(" {}\n", value);
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -114,12 +114,11 @@
         links_(io, gateway_, *hosting_, {settings_.id, settings_.direct->link_port},
                LinkCallbacks()),
         peers_(io, http_, log_, *settings_.direct, {gateway_, configuration_, upstreams_}),
-        relay_(io, log_, settings_.id, settings_.direct->RelayPeriod(),
-               {gateway_, configuration_, upstreams_},
+        relay_(io, log_, settings_, {gateway_, configuration_, upstreams_},
                [this](const std::string& instance, std::string bytes) {
                  links_.Send(instance, std::move(bytes));
                }),
-        pages_(log_, {gateway_, store_, configuration_, upstreams_, *recorder_,
+        pages_(log_, {gateway_, store_, configuration_, upstreams_, *recorder_, relay_,
                       [this] { return IsReady(); }}) {}
 
   std::optional<ListenError> Start() {
@@ -266,7 +265,8 @@
       }
     }
     std::sort(others.rbegin(), others.rend());
-    // The relay has links to all entries.
+    // The relay has links to all entries, or to all of the region. Those of other regions learn of
+    // the crash from its record.
     const auto relay = std::find_if(others.begin(), others.end(),
                                     [this](const auto& it) { return it.second == relay_.relay(); });
     if (relay != others.end()) std::rotate(others.begin(), relay, relay + 1);
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -54,10 +54,26 @@
   }
 }
 
+void AddRelay(const RelayUse& use, MetricsPage* page) {
+  page->Gauge("junctionrail_relay_in_use", "1 for the relay that answered last; 0 for none.",
+              use.relay.empty() ? 0 : 1,
+              {{"relay", use.relay.empty() ? std::string_view("none") : use.relay}});
+  page->Gauge("junctionrail_relay_in_other_region", "Whether that relay is in another region.",
+              use.is_in_other_region ? 1 : 0);
+  page->Counter("junctionrail_relay_changes_total", "Changes of the relay, its loss included.",
+                use.changes);
+  const auto replies = [page](std::string_view region, std::uint64_t n) {
+    page->Counter("junctionrail_relay_replies_total", "Replies of relays by their region.", n,
+                  {{"region", region}});
+  };
+  replies("own", use.replies_of_own_region);
+  replies("other", use.replies_of_other_regions);
+}
+
 }  // namespace
 
-std::string EntryMetrics(const Gateway& gateway, const platform::StoreClient& store,
-                         const EventLog& log) {
+std::string EntryMetrics(const Gateway& gateway, const RelayUse& relay,
+                         const platform::StoreClient& store, const EventLog& log) {
   MetricsPage page;
   const GatewayCounters& it = gateway.counters();
   page.Counter("junctionrail_connections_total", "Connections of callers.", it.connections);
@@ -118,6 +134,7 @@
                it.backoff_requests);
   page.Counter("junctionrail_malformed_notices_total",
                "Answers of upstreams with a notice that could not be read.", it.malformed_notices);
+  AddRelay(relay, &page);
   AddQuotas(gateway.quotas(), &page);
   AddHistogram("junctionrail_first_answer_ms",
                "From a request's arrival to the first byte of its answer.",
--- a/src/daemon/direct_metrics.h
+++ b/src/daemon/direct_metrics.h
@@ -8,6 +8,7 @@
 #include "junctionrail/event_log.h"
 #include "junctionrail/gateway.h"
 #include "platform.h"
+#include "relay_follower.h"
 
 namespace junctionrail::internal {
 
@@ -16,8 +17,8 @@
   std::uint64_t orders_not_accepted = 0;
 };
 
-std::string EntryMetrics(const Gateway& gateway, const platform::StoreClient& store,
-                         const EventLog& log);
+std::string EntryMetrics(const Gateway& gateway, const RelayUse& relay,
+                         const platform::StoreClient& store, const EventLog& log);
 std::string AgentMetrics(const AgentOrderCounters& counters, const platform::StoreClient& store,
                          const EventLog& log);
 
--- a/src/daemon/entry_pages.cc
+++ b/src/daemon/entry_pages.cc
@@ -23,8 +23,9 @@
 void EntryPages::Answer(const HttpRequest& request, std::shared_ptr<HttpResponder> shared) {
   if (request.target == "/ready") return shared->Whole(sources_.is_ready() ? 200 : 503, {}, "");
   if (request.target == "/metrics") {
-    return shared->Whole(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                         EntryMetrics(sources_.gateway, sources_.store, log_));
+    return shared->Whole(
+        200, {{"Content-Type", "text/plain; version=0.0.4"}},
+        EntryMetrics(sources_.gateway, sources_.relay.use(), sources_.store, log_));
   }
   if (request.target.rfind("/known/", 0) == 0) return AnswerPeer(request, shared.get());
   AnswerOperator(request, std::move(shared));
--- a/src/daemon/entry_pages.h
+++ b/src/daemon/entry_pages.h
@@ -11,6 +11,7 @@
 #include "junctionrail/net.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
+#include "relay_follower.h"
 
 namespace junctionrail::internal {
 
@@ -23,6 +24,7 @@
     const platform::ConfigurationFollower& configuration;
     const platform::UpstreamFollower& upstreams;
     QuarantineRecorder& recorder;
+    const RelayFollower& relay;
     std::function<bool()> is_ready;
   };
 
--- a/src/daemon/relay_follower.cc
+++ b/src/daemon/relay_follower.cc
@@ -16,14 +16,19 @@
 
 }  // namespace
 
-RelayFollower::RelayFollower(boost::asio::io_context& io, EventLog& log, const std::string& entry,
-                             DurationMs period_ms, Targets targets, Send send)
+RelayFollower::RelayFollower(boost::asio::io_context& io, EventLog& log, const Settings& settings,
+                             Targets targets, Send send)
     : log_(log),
       targets_(targets),
       send_(std::move(send)),
-      period_ms_(period_ms),
-      client_(entry, period_ms),
-      timer_(io) {}
+      topology_(settings.data_hall, settings.direct->hall_regions),
+      period_ms_(settings.direct->RelayPeriod()),
+      client_(settings.id, period_ms_),
+      timer_(io) {
+  const std::string region = topology_.RegionOf(settings.data_hall);
+  if (region.empty() || !topology_.HasRegions()) return;
+  client_.SetRegion(region, static_cast<int>(topology_.CountRegions()));
+}
 
 void RelayFollower::Start() {
   timer_.Every(kCheckMs, [this] { AskIfDue(); });
@@ -36,7 +41,10 @@
 
 void RelayFollower::AskIfDue() {
   const TimeMs now = MonotonicMs();
-  if (now - answered_at_ > kNoRelayMs) SetPlanner(true, "none");
+  if (now - answered_at_ > kNoRelayMs) {
+    SetInUse("", false);
+    SetPlanner(true, "none");
+  }
   if (!client_.IsDue(now)) return;
   const auto ask = client_.NextAsk(targets_.gateway.upstreams().RankAgents(kCandidates), now);
   if (ask) send_(ask->instance, EncodeRelayRequest(ask->request));
@@ -52,6 +60,9 @@
   const auto news = client_.OnReply(source, reply, kMaxAgePeriods * period_ms_, now);
   if (!news) return;  // Late, or malformed: another relay is asked then.
   answered_at_ = now;
+  const bool is_in_other_region = IsInOtherRegion(source);
+  ++(is_in_other_region ? use_.replies_of_other_regions : use_.replies_of_own_region);
+  SetInUse(source, is_in_other_region);
   SetPlanner(news->is_planner, source);
   if (news->configuration_as_of != 0) {
     targets_.gateway.ApplyEvacuations(news->evacuated_halls, news->configuration_as_of);
@@ -61,6 +72,23 @@
   if (news->listing) targets_.upstreams.OfferRelayed(*news->listing);
 }
 
+bool RelayFollower::IsInOtherRegion(const std::string& instance) const {
+  const UpstreamRecord* upstream = targets_.gateway.upstreams().Find(instance);
+  return upstream != nullptr && topology_.DistanceTo(upstream->data_hall) == Distance::kOtherRegion;
+}
+
+void RelayFollower::SetInUse(const std::string& relay, bool is_in_other_region) {
+  use_.is_in_other_region = is_in_other_region;
+  if (relay == use_.relay) return;
+  const auto name = [](const std::string& it) { return it.empty() ? std::string("none") : it; };
+  log_.Write(MonotonicMs(), "relay_changed",
+             {{"relay", name(relay)},
+              {"previous", name(use_.relay)},
+              {"is_in_other_region", is_in_other_region}});
+  use_.relay = relay;
+  ++use_.changes;
+}
+
 void RelayFollower::SetPlanner(bool is_planner, const std::string& relay) {
   UpstreamTable& upstreams = targets_.gateway.upstreams();
   if (is_planner == upstreams.is_planner()) return;
--- a/test/relayed_listing_test.cc
+++ b/test/relayed_listing_test.cc
@@ -5,6 +5,7 @@
 #include "check.h"
 #include "direct_daemon.h"
 #include "junctionrail/net.h"
+#include "junctionrail/telemetry.h"
 #include "loopback.h"
 #include "platform_standin.h"
 
@@ -83,10 +84,11 @@
     EXPECT_TRUE(!error, error ? error->sentence : "");
   }
 
-  void StartEntry(int n) {
+  void StartEntry(int n, const std::string& hall = "hall-1",
+                  const std::map<std::string, std::string>& hall_regions = {}) {
     Settings settings;
     settings.id = "entry-" + std::to_string(n);
-    settings.data_hall = "hall-1";
+    settings.data_hall = hall;
     settings.drain_ms = 0;
     settings.direct.emplace();
     DirectSettings& direct = *settings.direct;
@@ -97,6 +99,7 @@
     direct.peer = {OwnAddress(61 + n), kPort + 3};
     direct.link_port = kPort + 4;
     direct.leaving_ms = kLeavingMs;
+    direct.hall_regions = hall_regions;
     entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
     const auto error = entries.back()->Start();
     EXPECT_TRUE(!error, error ? error->sentence : "");
@@ -110,6 +113,13 @@
     return caller.received();
   }
 
+  std::string Metrics(int n) {
+    TestCaller caller(io, Endpoint{OwnAddress(61 + n), kPort + 1});
+    caller.Send("GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    caller.AwaitEnd();
+    return caller.received();
+  }
+
   // Calls to the store by their path, with what they read.
   std::map<std::string, int> CountCalls(DurationMs ms) {
     store.calls.clear();
@@ -179,4 +189,35 @@
   EXPECT_TRUE(!HasText(world.Fetch(1, "/b/"), " 404 "), "the newer configuration is in force");
 }
 
+// The instance of an upstream is a label, and comes from a key of the store.
+TEST(RelayedListings, CannotBreakThePageOfMetrics) {
+  MetricsPage page;
+  page.Gauge("relay", "The relay.", 1, {{"relay", "a\"b\\c\nd"}});
+  EXPECT_TRUE(HasText(page.text(), "relay{relay=\"a\\\"b\\\\c\\nd\"} 1\n"), page.text());
+}
+
+TEST(RelayedListings, AreShownInMetricsWithTheirRelay) {
+  const std::map<std::string, std::string> regions = {{"hall-1", "north"}, {"hall-2", "south"}};
+  World world(0);
+  world.StartEntry(0, "hall-1", regions);
+  world.StartEntry(1, "hall-2", regions);
+  RunFor(world.io, 2500);
+  for (const int n : {0, 1}) {
+    const std::string page = world.Metrics(n);
+    EXPECT_TRUE(HasText(page, "junctionrail_relay_in_use{relay=\"i-1\"} 1\n"), page);
+    EXPECT_TRUE(HasText(page, "junctionrail_relay_changes_total 1\n"), page);
+    const std::string is_other = n == 1 ? "1" : "0";
+    EXPECT_TRUE(HasText(page, "junctionrail_relay_in_other_region " + is_other + "\n"), page);
+    const std::string unused = n == 1 ? "own" : "other";
+    EXPECT_TRUE(HasText(page, "junctionrail_relay_replies_total{region=\"" + unused + "\"} 0\n"),
+                page);
+  }
+  world.agent->Stop();
+  world.io.restart();
+  RunFor(world.io, 6000);
+  const std::string page = world.Metrics(1);
+  EXPECT_TRUE(HasText(page, "junctionrail_relay_in_use{relay=\"none\"} 0\n"), page);
+  EXPECT_TRUE(HasText(page, "junctionrail_relay_changes_total 2\n"), page);
+}
+
 }  // namespace junctionrail::internal
