--- a/src/places/topology.cc
+++ b/src/places/topology.cc
@@ -1,5 +1,5 @@
-#include <algorithm>
 #include <iterator>
+#include <set>
 
 #include "junctionrail/places.h"
 
@@ -53,11 +53,6 @@
   return is_other ? Distance::kOtherRegion : Distance::kSameRegion;
 }
 
-bool Topology::HasRegions() const {
-  return std::any_of(regions_.begin(), regions_.end(),
-                     [this](const auto& it) { return it.second != regions_.begin()->second; });
-}
-
 void Topology::AddRoundTrip(const std::string& hall, double ms, TimeMs now) {
   if (round_trips_.count(hall) == 0) ForgetExpired(now);
   if (round_trips_.count(hall) == 0 && round_trips_.size() >= kMaxMeasuredHalls) return;
@@ -78,4 +73,12 @@
   return measured ? *measured : RoundTrip{default_ms, -1};
 }
 
+std::size_t Topology::CountRegions() const {
+  std::set<std::string> regions;
+  for (const auto& [hall, region] : regions_) regions.insert(region);
+  return regions.size();
+}
+
+bool Topology::HasRegions() const { return CountRegions() > 1; }
+
 }  // namespace junctionrail
