--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -12,6 +12,7 @@
 using boost::system::error_code;
 
 constexpr DurationMs kPaceMs = 25;
+constexpr DurationMs kEagerPaceMs = 3;
 constexpr DurationMs kDeadlineMs = 4000;
 constexpr DurationMs kAfterRefusalMs = 150;
 constexpr DurationMs kAfterBreakMs = 80;
@@ -33,7 +34,7 @@
 }  // namespace
 
 Caller::Caller(asio::io_context& io, Judge& judge, Random& random, std::string name,
-               std::vector<Endpoint> entries, std::string organisation, bool is_deadly)
+               std::vector<Endpoint> entries, std::string organisation, CallerHabit habit)
     : io_(io),
       judge_(judge),
       random_(random),
@@ -42,7 +43,7 @@
       organisation_(std::move(organisation)),
       pace_(io),
       patience_(io),
-      is_deadly_(is_deadly) {}
+      habit_(habit) {}
 
 void Caller::Start() { Again(static_cast<DurationMs>(random_() % 200)); }
 
@@ -65,8 +66,7 @@
 void Caller::Next() {
   ++round_;
   id_ = name_ + "-" + std::to_string(++requests_);
-  constexpr std::array<const char*, 4> kKinds = {"once", "repeatable", "resumable", "stream"};
-  kind_ = is_deadly_ ? "resumable" : kKinds[random_() % kKinds.size()];
+  route_ = &ChooseRoute();
   head_.clear();
   text_.clear();
   patience_.After(kDeadlineMs + 500,
@@ -74,6 +74,12 @@
   is_connected_ ? Send() : Connect();
 }
 
+const RouteSpec& Caller::ChooseRoute() {
+  if (IsDeadly()) return RouteOf("POST /resumable/");
+  if (habit_ == CallerHabit::kEager) return RouteOf("GET /repeatable/");
+  return Routes()[random_() % Routes().size()];
+}
+
 void Caller::Connect() {
   socket_ = std::make_shared<tcp::socket>(io_);
   entry_ = static_cast<int>(random_() % entries_.size());
@@ -89,21 +95,19 @@
 }
 
 void Caller::Send() {
-  judge_.OnSent(id_, entry_, organisation_);
-  const bool is_plain = kind_ == "once" || kind_ == "repeatable";
-  std::string request = kind_ == "repeatable" ? "GET" : "POST";
-  request += " /" + kind_ + "/" + (is_deadly_ ? "x" : id_) +
+  judge_.OnSent(id_, entry_, organisation_, AllowedHalls(*route_, organisation_));
+  const bool is_get = !route_->is_stream && route_->may_repeat;
+  std::string request = is_get ? "GET" : "POST";
+  request += " /" + route_->name + "/" + (IsDeadly() ? "x" : id_) +
              " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + id_ +
              "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " +
              organisation_ + "\r\n";
-  if (!is_plain) {
-    const std::string model = kModels[is_deadly_ ? 0 : random_() % std::size(kModels)];
+  if (route_->is_stream) {
+    const std::string model = kModels[IsDeadly() ? 0 : random_() % std::size(kModels)];
     request += "Model: " + model + (random_() % 4 == 0 ? "/a1" : "") + "\r\n";
   }
-  const std::string body = is_deadly_ ? kDeadlyBody : "body of " + id_;
-  request += kind_ == "repeatable"
-                 ? "\r\n"
-                 : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string body = IsDeadly() ? kDeadlyBody : "body of " + id_;
+  request += is_get ? "\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   const auto text = std::make_shared<std::string>(std::move(request));
   asio::async_write(*socket_, asio::buffer(*text), [text](error_code, std::size_t) {});
 }
@@ -144,14 +148,14 @@
     if (head.Field("Response-Seal") != "seal-" + id_) {
       judge_.Complain("request " + id_ + " got a success with another's seal");
     }
-    kind_ == "resumable" || kind_ == "stream" ? CheckStream(body) : CheckPlain(body);
+    route_->is_stream ? CheckStream(body) : CheckPlain(body);
     return Served();
   }
-  if (!is_deadly_ && body.find("ends_upstreams") != std::string::npos) {
+  if (!IsDeadly() && body.find("ends_upstreams") != std::string::npos) {
     judge_.Complain("request " + id_ + " was refused as one that ends upstreams");
   }
   const bool is_refused = status == 503 || status == 429 || status == 408;
-  is_refused ? judge_.OnRefused(id_) : judge_.OnFailed(kind_);
+  is_refused ? judge_.OnRefused(id_) : judge_.OnFailed(id_, route_->name);
   Again(kAfterRefusalMs);
 }
 
@@ -175,8 +179,8 @@
 
 void Caller::Served() {
   ++served_;
-  judge_.OnServed(kind_);
-  Again(kPaceMs);
+  judge_.OnServed(id_, route_->name);
+  Again(habit_ == CallerHabit::kEager ? kEagerPaceMs : kPaceMs);
 }
 
 void Caller::Broken(const std::string&) {
@@ -185,7 +189,7 @@
   is_connected_ = false;
   error_code ec;
   if (socket_) socket_->close(ec);
-  judge_.OnFailed(kind_);
+  judge_.OnFailed(id_, route_->name);
   Again(kAfterBreakMs);
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -15,10 +15,17 @@
 
 namespace junctionrail::soak {
 
+enum class CallerHabit {
+  kMixed,   // Any route, at a moderate rate.
+  kEager,   // Repeatable requests to the plain service, as soon as the last one was answered.
+  kDeadly,  // Comes again and again with the request that ends engines.
+};
+
 class Caller : public std::enable_shared_from_this<Caller> {
  public:
   Caller(boost::asio::io_context& io, Judge& judge, Random& random, std::string name,
-         std::vector<Endpoint> entries, std::string organisation, bool is_deadly = false);
+         std::vector<Endpoint> entries, std::string organisation,
+         CallerHabit habit = CallerHabit::kMixed);
 
   void Start();
   void Stop();
@@ -36,6 +43,8 @@
   void Served();
   void Broken(const std::string& why);
   void Again(DurationMs delay);
+  bool IsDeadly() const { return habit_ == CallerHabit::kDeadly; }
+  const RouteSpec& ChooseRoute();
 
   boost::asio::io_context& io_;
   Judge& judge_;
@@ -50,12 +59,12 @@
   Timer patience_;
   std::string text_;
   std::string id_;
-  std::string kind_;
+  const RouteSpec* route_ = nullptr;
   std::string head_;
   std::uint64_t round_ = 0;
   int requests_ = 0;
   int served_ = 0;
-  bool is_deadly_;  // Comes again and again with the request that ends engines.
+  CallerHabit habit_;
   bool is_stopped_ = false;
   bool is_connected_ = false;
 };
--- /dev/null
+++ b/soak/faults.cc
@@ -0,0 +1,190 @@
+#include "faults.h"
+
+#include <csignal>
+#include <iterator>
+#include <utility>
+
+namespace junctionrail::soak {
+namespace {
+
+using Mood = testing::StandinStore::Mood;
+
+// Bytes that are no text and no document.
+const std::string kUnreadable("\xff\x00{[\xc3", 5);
+
+}  // namespace
+
+Faults::Faults(Site& site, const std::string& log_file)
+    : site_(site), random_(site.random), log_(log_file) {
+  kinds_ = {
+      {"kill", [this] { HarmProcess(SIGKILL); }},
+      {"term", [this] { HarmProcess(SIGTERM); }},
+      {"hup", [this] { Any(site_.processes).Signal(SIGHUP); }},
+      {"pause", [this] { PauseProcess(); }},
+      {"slow path", [this] { HarmPath(PathState::kSlow); }},
+      {"silent path", [this] { HarmPath(PathState::kSilent); }},
+      {"one-way path", [this] { HarmPath(PathState::kOneWay); }},
+      {"reset", [this] { HarmConnections(&Proxy::Reset); }},
+      {"silent connections", [this] { HarmConnections(&Proxy::SilenceOpen); }},
+      {"store", [this] { HarmStore(); }},
+      {"configuration", [this] { ChangeConfiguration(); }},
+      {"upstream", [this] { HarmUpstream(); }},
+      {"limit or rest", [this] { LimitUpstream(); }},
+      {"misbehaviour", [this] { MisguideUpstream(); }},
+      {"evacuation", [this] { Evacuate(); }},
+      {"partition", [this] { Partition(); }},
+      {"slow regions", [this] { SlowRegions(); }},
+      {"spoiled record", [this] { Any(site_.upstreams).SpoilRecord(); }},
+      {"spoiled record", [this] { Any(site_.upstreams).SpoilRecord(); }},
+      {"stray key", [this] { WriteStrayKeys(); }},
+      {"spoiled configuration", [this] { SpoilConfiguration(); }},
+  };
+}
+
+void Faults::Begin() {
+  const Kind& kind = kinds_[random_() % kinds_.size()];
+  log_ << MonotonicMs() << ' ' << kind.name << std::endl;
+  kind.begin();
+  site_.ExcuseEntries();
+}
+
+void Faults::Later(DurationMs delay, std::function<void()> call) {
+  auto timer = std::make_shared<Timer>(site_.io);
+  timer->After(delay, [timer, call = std::move(call)] { call(); });
+}
+
+void Faults::HarmProcess(int signal) {
+  Process& process = Any(site_.processes);
+  process.HoldDown(MonotonicMs() + Between(0, 800));
+  process.Signal(signal);
+}
+
+void Faults::PauseProcess() {
+  Process& process = Any(site_.processes);
+  process.Pause();
+  Later(Between(100, 2500), [&process] { process.Resume(); });
+}
+
+void Faults::HarmPath(PathState state) {
+  const Path& harmed = AnyPath();
+  site_.Excuse(harmed);
+  Proxy& path = *harmed.proxy;
+  path.Set(state);
+  Later(Between(200, 2500), [&path] { path.Set(PathState::kOpen); });
+}
+
+void Faults::HarmConnections(void (Proxy::*harm)()) {
+  const Path& path = AnyPath();
+  site_.Excuse(path);
+  (path.proxy.get()->*harm)();
+}
+
+void Faults::HarmStore() {
+  site_.store.mood = random_() % 2 == 0 ? Mood::kBusy : Mood::kSilent;
+  Later(Between(300, 2500), [this] { site_.store.mood = Mood::kFine; });
+}
+
+void Faults::ChangeConfiguration() {
+  site_.store.SilenceWatches();
+  site_.Configure(random_() % 3 != 0);
+  site_.store.ForgetHistory();
+  site_.store.CutWatches();
+}
+
+void Faults::HarmUpstream() {
+  Upstream& upstream = Any(site_.upstreams);
+  if (random_() % 2 == 0) return upstream.Drain(random_() % 2 == 0);
+  upstream.Crash();
+  Later(Between(100, 1500), [&upstream] {
+    if (!upstream.is_running()) upstream.Start();
+  });
+}
+
+void Faults::LimitUpstream() {
+  Upstream& upstream = Any(site_.upstreams);
+  const bool is_limit = random_() % 2 == 0;
+  upstream.SetNeed(is_limit ? 0.25 * static_cast<double>(1 + random_() % 3) : 0, is_limit ? 0 : 60);
+  Later(Between(3000, 9000), [&upstream] { upstream.SetNeed(0, 0); });
+}
+
+void Faults::MisguideUpstream() {
+  Upstream& upstream = Any(site_.upstreams);
+  upstream.misbehaviour = {10, 10, 10, 30};
+  Later(Between(500, 3000), [&upstream] { upstream.misbehaviour = {}; });
+}
+
+// Long enough for the hall to close, or given back before. A hall that was closed may return cold.
+void Faults::Evacuate() {
+  const std::string hall = Halls()[random_() % Halls().size()].name;
+  if (!evacuated_.insert(hall).second) return;
+  site_.judge.OnEvacuation(hall, true);
+  site_.store.Put("op/evacuate/" + hall, random_() % 2 == 0 ? "" : kUnreadable);
+  const bool closes = random_() % 4 != 0;
+  const bool is_cold = closes && random_() % 2 == 0;
+  Later(closes ? Between(4000, 8000) : Between(200, 3000),
+        [this, hall, is_cold] { GiveBack(hall, is_cold); });
+}
+
+// `hall` is a copy, as its element of `evacuated_` goes.
+void Faults::GiveBack(std::string hall, bool is_cold) {
+  if (evacuated_.erase(hall) == 0) return;
+  for (auto& it : site_.upstreams) {
+    if (is_cold && it->is_running() && it->hall() == hall) it->GoCold(true);
+  }
+  site_.store.Remove("op/evacuate/" + hall);
+  site_.judge.OnEvacuation(hall, false);
+}
+
+// A region from the others, in half of the cases from the store too.
+void Faults::Partition() {
+  if (partitioned_until_ != 0) return;
+  const DurationMs lasts_ms = Between(10000, 13000);
+  partitioned_until_ = MonotonicMs() + lasts_ms;
+  site_.network.Partition(Regions()[random_() % Regions().size()], random_() % 2 == 0);
+  Later(lasts_ms, [this] {
+    site_.network.Heal();
+    partitioned_until_ = 0;
+  });
+}
+
+void Faults::SlowRegions() {
+  site_.network.SetDelay(Between(40, 150));
+  Later(Between(500, 4000), [this] { site_.network.SetDelay(kRegionDelayMs); });
+}
+
+// Keys that name no upstream, hall, end or claim.
+void Faults::WriteStrayKeys() {
+  constexpr const char* kPrefixes[] = {"servers/", "op/", "op/evacuate/", "quarantine/", "hosts/"};
+  const std::string values[] = {kUnreadable,
+                                "",
+                                "[]",
+                                "null",
+                                "{}",
+                                R"({"service":"plain"})",
+                                R"({"address":"127.0.0.1:1","state":17,"slots":1e300})"};
+  const std::string key = kPrefixes[random_() % std::size(kPrefixes)];
+  site_.store.Put(key + "stray-" + std::to_string(++stray_keys_),
+                  values[random_() % std::size(values)]);
+}
+
+void Faults::SpoilConfiguration() {
+  site_.store.Put("op/config", random_() % 2 == 0 ? kUnreadable : R"({"version":"next"})");
+  Later(Between(200, 1500), [this] { site_.Configure(); });
+}
+
+void Faults::Heal() {
+  site_.network.Heal();
+  site_.network.SetDelay(kRegionDelayMs);
+  while (!evacuated_.empty()) GiveBack(*evacuated_.begin(), false);
+  for (auto& it : site_.processes) it->Resume();
+  for (auto& it : site_.paths) it.proxy->Set(PathState::kOpen);
+  site_.store.mood = Mood::kFine;
+  site_.Configure();
+  for (auto& it : site_.upstreams) {
+    it->misbehaviour = {};
+    it->SetNeed(0, 0);
+    if (!it->is_running()) it->Start();
+  }
+}
+
+}  // namespace junctionrail::soak
--- /dev/null
+++ b/soak/faults.h
@@ -0,0 +1,70 @@
+// The faults of a run, drawn from its seed; they begin while earlier ones last.
+#ifndef JUNCTIONRAIL_SOAK_FAULTS_H_
+#define JUNCTIONRAIL_SOAK_FAULTS_H_
+
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "site.h"
+
+namespace junctionrail::soak {
+
+class Faults {
+ public:
+  // Writes what it begins, and when, to `log_file`.
+  Faults(Site& site, const std::string& log_file);
+
+  // Begins one fault.
+  void Begin();
+  // When the partition that lasts ends; 0 without one.
+  TimeMs partitioned_until() const { return partitioned_until_; }
+  // Ends all of them; everything runs.
+  void Heal();
+
+ private:
+  void HarmProcess(int signal);
+  void PauseProcess();
+  void HarmPath(PathState state);
+  void HarmConnections(void (Proxy::*harm)());
+  void HarmStore();
+  void ChangeConfiguration();
+  void HarmUpstream();
+  void LimitUpstream();
+  void MisguideUpstream();
+  void Evacuate();
+  void GiveBack(std::string hall, bool is_cold);
+  void Partition();
+  void SlowRegions();
+  void WriteStrayKeys();
+  void SpoilConfiguration();
+
+  template <class T>
+  T& Any(std::vector<std::unique_ptr<T>>& list) {
+    return *list[random_() % list.size()];
+  }
+  Path& AnyPath() { return site_.paths[random_() % site_.paths.size()]; }
+  DurationMs Between(int low, int high) {
+    return low + static_cast<DurationMs>(random_() % static_cast<std::uint64_t>(high - low));
+  }
+  void Later(DurationMs delay, std::function<void()> call);
+
+  Site& site_;
+  Random& random_;
+  std::ofstream log_;
+  struct Kind {
+    const char* name;
+    std::function<void()> begin;
+  };
+  std::vector<Kind> kinds_;
+  std::set<std::string> evacuated_;
+  TimeMs partitioned_until_ = 0;
+  int stray_keys_ = 0;
+};
+
+}  // namespace junctionrail::soak
+
+#endif  // JUNCTIONRAIL_SOAK_FAULTS_H_
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -1,8 +1,7 @@
 #include "judge.h"
 
 #include <algorithm>
-
-#include "junctionrail/net.h"
+#include <utility>
 
 namespace junctionrail::soak {
 namespace {
@@ -11,8 +10,6 @@
 // its way then is let pass.
 constexpr DurationMs kLeavingMs = 2000;
 constexpr DurationMs kOnItsWayMs = 500;
-// From an entry that has been in touch with the store and the upstream for so long.
-constexpr DurationMs kInTouchMs = 3000;
 // A request that has ended three engines reaches others three times more at most.
 constexpr int kEndsToKnow = 3;
 constexpr int kMostDeadlyLate = 3;
@@ -34,6 +31,7 @@
 
 void Judge::OnRun(const std::string& request, const std::string& instance, bool may_repeat) {
   CheckLeaving(request, instance);
+  last_runs_[request] = {instance, clock_()};
   const int n = ++runs_[request];
   if (may_repeat) return;
   at_most_once_.insert(request);
@@ -44,10 +42,10 @@
   Limit& limit = limits_[instance];
   if (limit.since == 0) {
     ++limits_named_;
-    limit.since = MonotonicMs();
+    limit.since = clock_();
     limit.per_s = per_s;
   }
-  limit.told.emplace(sent_[request].entry, MonotonicMs());
+  limit.told.emplace(sent_[request].entry, clock_());
 }
 
 void Judge::OnLimitLifted(const std::string& instance) { limits_.erase(instance); }
@@ -55,20 +53,20 @@
 void Judge::OnRestAsked(const std::string& request, const std::string& instance,
                         DurationMs rest_ms) {
   ++rests_asked_;
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   Rest& rest = rests_[{instance, sent_[request].entry}];
   if (now < rest.until) return;
   rest = {now, now + rest_ms, 0};
 }
 
 void Judge::OnSaidLeaving(const std::string& request, const std::string& instance) {
-  said_leaving_.emplace(AtEntry{instance, sent_[request].entry}, MonotonicMs());
+  said_leaving_.emplace(AtEntry{instance, sent_[request].entry}, clock_());
 }
 
-void Judge::OnEntryStopped(int entry) { entry_stopped_[entry] = MonotonicMs(); }
+void Judge::OnEntryStopped(int entry) { entry_stopped_[entry] = clock_(); }
 
 bool Judge::WasStopped(int entry, DurationMs within_ms) const {
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   const auto stopped = entry_stopped_.find(entry);
   const bool was_stopped = stopped != entry_stopped_.end() && now - stopped->second <= within_ms;
   return was_stopped || now - busy_at_ <= within_ms;
@@ -79,13 +77,16 @@
   CheckLimit(instance, entry);
   CheckRest(instance, entry);
   CheckSaidLeaving(request, instance);
+  CheckRegion(request, instance);
+  CheckHall(request, instance);
+  CheckCold(instance, entry);
 }
 
 void Judge::CheckLimit(const std::string& instance, int entry) {
   const auto found = limits_.find(instance);
   if (found == limits_.end()) return;
   Limit& limit = found->second;
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   const auto told = limit.told.find(entry);
   const bool is_told = told != limit.told.end() && now - told->second >= kLimitToldMs;
   if (!is_told || now - limit.since < kLimitFromMs) return;
@@ -93,8 +94,10 @@
   while (limit.came.front().first <= now - kLimitWindowMs) limit.came.pop_front();
   // What a harmed way held up comes all at once.
   if (now - upstream_troubled_[instance] <= kLimitWindowMs) return;
-  const auto n = std::count_if(limit.came.begin(), limit.came.end(), [this](const auto& it) {
-    return !WasStopped(it.second, kLimitWindowMs);
+  const auto n = std::count_if(limit.came.begin(), limit.came.end(), [&](const auto& it) {
+    const auto way = way_troubled_.find({instance, it.second});
+    const bool was_cut = way != way_troubled_.end() && now - way->second <= kLimitWindowMs;
+    return !was_cut && !WasStopped(it.second, kLimitWindowMs);
   });
   const double allowed = kLimitTimes * limit.per_s * kLimitWindowMs / 1000.0 + kLimitExtra;
   if (static_cast<double>(n) <= allowed) return;
@@ -104,7 +107,7 @@
 
 void Judge::CheckRest(const std::string& instance, int entry) {
   const auto found = rests_.find({instance, entry});
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   if (found == rests_.end() || now >= found->second.until) return;
   Rest& rest = found->second;
   if (now - rest.since < kRestFromMs || WasStopped(entry, now - rest.since)) return;
@@ -118,26 +121,31 @@
   const auto said = said_leaving_.find({instance, entry});
   if (said == said_leaving_.end()) return;
   const DurationMs late = sent_[request].at - said->second;
-  if (late <= kLeavingMs || WasStopped(entry, MonotonicMs() - said->second)) return;
+  if (late <= kLeavingMs || WasStopped(entry, clock_() - said->second)) return;
   Complain("upstream " + instance + " got request " + request + " from entry " +
            std::to_string(entry) + ", sent " + std::to_string(late) +
            " ms after it had told it that it leaves");
 }
 
-void Judge::OnLeaving(const std::string& instance) { leaving_.emplace(instance, MonotonicMs()); }
-void Judge::OnEntryTroubled(int entry) { entry_troubled_[entry] = MonotonicMs(); }
+void Judge::OnLeaving(const std::string& instance) { leaving_.emplace(instance, clock_()); }
+void Judge::OnEntryTroubled(int entry) { entry_troubled_[entry] = clock_(); }
 void Judge::OnUpstreamTroubled(const std::string& instance) {
-  upstream_troubled_[instance] = MonotonicMs();
+  upstream_troubled_[instance] = clock_();
+}
+void Judge::OnBusyMachine() { busy_at_ = clock_(); }
+void Judge::OnSent(const std::string& request, int entry, const std::string& organisation,
+                   std::set<std::string> halls) {
+  sent_[request] = {entry, organisation, std::move(halls), clock_()};
 }
-void Judge::OnBusyMachine() { busy_at_ = MonotonicMs(); }
-void Judge::OnSent(const std::string& request, int entry, const std::string& organisation) {
-  sent_[request] = {entry, organisation, MonotonicMs()};
+int Judge::EntryOf(const std::string& request) const {
+  const auto sent = sent_.find(request);
+  return sent == sent_.end() ? -1 : sent->second.entry;
 }
 void Judge::OnKey(bool is_there) {
   if (is_there) {
     key_gone_at_ = 0;
   } else if (key_gone_at_ == 0) {
-    key_gone_at_ = MonotonicMs();
+    key_gone_at_ = clock_();
   }
 }
 
@@ -157,7 +165,7 @@
 
 void Judge::CheckQuota(const std::string& request) {
   if (!limited_.insert(request).second) return;
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   limited_at_.push_back(now);
   while (limited_at_.front() <= now - kQuotaWindowMs) limited_at_.pop_front();
   const double allowed = kLimitedPerS * kQuotaWindowMs / 1000.0 + kLimitedBurst;
@@ -169,11 +177,10 @@
 void Judge::CheckLeaving(const std::string& request, const std::string& instance) {
   const auto leaving = leaving_.find(instance);
   if (leaving == leaving_.end()) return;
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   const DurationMs late = now - leaving->second;
   const int entry = sent_[request].entry;
-  const TimeMs troubled =
-      std::max({entry_troubled_[entry], upstream_troubled_[instance], busy_at_});
+  const TimeMs troubled = TroubledAt(entry, instance);
   if (late <= kLeavingMs + kOnItsWayMs || now - troubled <= kInTouchMs) return;
   Complain("upstream " + instance + " got request " + request + " from entry " +
            std::to_string(entry) + " " + std::to_string(late) + " ms after it left");
@@ -194,11 +201,11 @@
 }
 
 void Judge::OnDeadlyEnd() {
-  if (++deadly_ends_ == kEndsToKnow) third_end_at_ = MonotonicMs();
+  if (++deadly_ends_ == kEndsToKnow) third_end_at_ = clock_();
 }
 
 void Judge::OnDeadlyRun(const std::string& request) {
-  const TimeMs now = MonotonicMs();
+  const TimeMs now = clock_();
   const int entry = sent_[request].entry;
   const TimeMs troubled = std::max(entry_troubled_[entry], busy_at_);
   const bool is_known = third_end_at_ != 0 && now - third_end_at_ > kInTouchMs;
@@ -210,8 +217,14 @@
   }
 }
 
-void Judge::OnServed(const std::string& kind) { ++served_[kind]; }
-void Judge::OnFailed(const std::string& kind) { ++failed_[kind]; }
+void Judge::OnServed(const std::string& request, const std::string& kind) {
+  ++served_[kind];
+  if (RanBesideSpoiledRecord(request)) ++checked_.unreadable;
+}
+void Judge::OnFailed(const std::string& request, const std::string& kind) {
+  ++failed_[kind];
+  CheckSpoiled(request);
+}
 
 void Judge::OnRefused(const std::string& request) { refused_.insert(request); }
 
@@ -232,6 +245,10 @@
   text += ", ended by a request " + std::to_string(deadly_ends_);
   text += ", limits named " + std::to_string(limits_named_);
   text += ", rests asked " + std::to_string(rests_asked_);
+  text += ", bound requests " + std::to_string(checked_.bound);
+  text += ", evacuations past the bound " + std::to_string(checked_.evacuated);
+  text += ", at cold upstreams " + std::to_string(checked_.cold);
+  text += ", beside spoiled records " + std::to_string(checked_.unreadable);
   return text + ", refused " + std::to_string(refused_.size());
 }
 
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -4,25 +4,30 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "junctionrail/base.h"
+#include "junctionrail/net.h"
+#include "world.h"
 
 namespace junctionrail::soak {
 
-// Organisations of callers: one without a limit, one that sends more than its limit, and one
-// whose key is taken away now and then.
-constexpr const char* kOrganisations[] = {"open", "limited", "fleeting"};
-constexpr double kLimitedPerS = 8;
-constexpr double kLimitedBurst = 8;
-// The entries' `revoke_ms`.
+// The entries' `revoke_ms` and `evacuate_ms`.
 constexpr DurationMs kRevokeMs = 3000;
+constexpr DurationMs kEvacuateMs = 3000;
+// Bounds on what is sent hold for an entry that has been in touch with the store and the upstream
+// for so long.
+constexpr DurationMs kInTouchMs = 3000;
 
 class Judge {
  public:
+  explicit Judge(std::function<TimeMs()> clock = MonotonicMs) : clock_(std::move(clock)) {}
+
   // --- What upstreams see ---
   // `may_repeat` is what the request's route says.
   void OnRun(const std::string& request, const std::string& instance, bool may_repeat);
@@ -44,6 +49,15 @@
   // The request that ends engines begins to run, and ends one.
   void OnDeadlyRun(const std::string& request);
   void OnDeadlyEnd();
+  // It starts, in that hall.
+  void OnStarted(const std::string& instance, const std::string& hall);
+  // It is cold for so long, after its start or because its hall was given back.
+  void OnCold(const std::string& instance, DurationMs cold_ms, bool is_return);
+
+  // --- What operators and other writers write to the store ---
+  void OnEvacuation(const std::string& hall, bool is_evacuated);
+  // The record of the upstream is overwritten with what cannot be read, or lacks something.
+  void OnSpoiledRecord(const std::string& instance);
 
   // --- What excuses an entry ---
   // Its way to the store, or to `instance`, is harmed, or its process is. To be told
@@ -52,33 +66,69 @@
   // Its process does not run, or is paused. To be told again while that lasts.
   void OnEntryStopped(int entry);
   void OnUpstreamTroubled(const std::string& instance);
+  // The entry's own way to the upstream is cut.
+  void OnWayTroubled(int entry, const std::string& instance);
+  // The upstream ends, or spoils an answer.
+  void OnHarmed(const std::string& instance);
   // The machine is too busy for times to tell anything.
   void OnBusyMachine();
 
   // --- What callers see ---
-  void OnSent(const std::string& request, int entry, const std::string& organisation);
+  // `halls`: where it may run.
+  void OnSent(const std::string& request, int entry, const std::string& organisation,
+              std::set<std::string> halls);
   // The key of "fleeting" is taken away, or comes back.
   void OnKey(bool is_there);
-  void OnServed(const std::string& kind);
+  void OnServed(const std::string& request, const std::string& kind);
   void OnRefused(const std::string& request);  // Said not to have run.
-  void OnFailed(const std::string& kind);      // Ended in any other way.
+  // Ended in any other way.
+  void OnFailed(const std::string& request, const std::string& kind);
   void Complain(const std::string& sentence);
 
   // Checks what only the end of a run shows. Returns all that was broken.
   std::vector<std::string> Finish();
   std::string Summary() const;
 
+  // The entry that the request was sent to; -1 if there is no such request.
+  int EntryOf(const std::string& request) const;
+
  private:
   void CheckLeaving(const std::string& request, const std::string& instance);
   void CheckQuota(const std::string& request);
   void CheckLimit(const std::string& instance, int entry);
   void CheckRest(const std::string& instance, int entry);
   void CheckSaidLeaving(const std::string& request, const std::string& instance);
+  void CheckRegion(const std::string& request, const std::string& instance);
+  void CheckHall(const std::string& request, const std::string& instance);
+  void CheckCold(const std::string& instance, int entry);
+  void CheckSpoiled(const std::string& request);
+  // Its last run was at an upstream whose record another writer has spoiled.
+  bool RanBesideSpoiledRecord(const std::string& request) const;
   bool WasStopped(int entry, DurationMs within_ms) const;
+  // The last trouble of the entry, the upstream, or the way between them.
+  TimeMs TroubledAt(int entry, const std::string& instance) const;
 
+  std::function<TimeMs()> clock_;
   struct Sent {
     int entry = 0;
     std::string organisation;
+    std::set<std::string> halls;
+    TimeMs at = 0;
+  };
+  struct Cold {
+    TimeMs until = 0;
+    bool is_return = false;
+    std::deque<TimeMs> came;
+  };
+  // What the checks of places had before them: without it a run shows nothing.
+  struct Checked {
+    int bound = 0;       // Requests bound to regions that arrived.
+    int evacuated = 0;   // Evacuations that lasted longer than their bound.
+    int cold = 0;        // Requests that arrived at cold upstreams.
+    int unreadable = 0;  // Runs that ended while the record of their upstream was spoiled.
+  };
+  struct LastRun {
+    std::string instance;
     TimeMs at = 0;
   };
   struct Limit {
@@ -96,6 +146,14 @@
   std::map<std::string, Limit> limits_;         // By upstream.
   std::map<AtEntry, Rest> rests_;
   std::map<AtEntry, TimeMs> said_leaving_;
+  std::map<AtEntry, TimeMs> way_troubled_;
+  std::map<std::string, std::string> halls_;  // By upstream.
+  std::map<std::string, TimeMs> evacuated_;   // By hall.
+  std::map<std::string, Cold> cold_;
+  std::map<std::string, TimeMs> spoiled_;
+  std::map<std::string, TimeMs> harmed_;
+  std::map<std::string, LastRun> last_runs_;  // By request.
+  Checked checked_;
   std::map<int, TimeMs> entry_stopped_;
   int limits_named_ = 0;
   int rests_asked_ = 0;
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -15,26 +16,36 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::chrono::milliseconds kSlow(120);
-constexpr std::chrono::milliseconds kHeldCheck(20);
+constexpr DurationMs kSlowMs = 120;
+constexpr DurationMs kHeldCheckMs = 20;
+
+bool WasReset(tcp::socket& socket) {
+  error_code ec;
+  char byte = 0;
+  socket.non_blocking(true, ec);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec && ec != asio::error::would_block && ec != asio::error::eof;
+}
 
 }  // namespace
 
 class Proxy::Impl : public std::enable_shared_from_this<Proxy::Impl> {
  public:
-  Impl(asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target)
+  Impl(asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target, Way way)
       : io_(io),
         target_(std::move(target)),
+        way_(std::move(way)),
         acceptor_(io, tcp::endpoint(asio::ip::make_address(listen.address), listen.port)) {}
 
   // One direction of one connection: read, hold as the path says, write.
   class Pump : public std::enable_shared_from_this<Pump> {
    public:
     Pump(std::shared_ptr<Impl> owner, std::shared_ptr<tcp::socket> from,
-         std::shared_ptr<tcp::socket> to, bool is_back)
+         std::shared_ptr<tcp::socket> to, std::shared_ptr<std::string> origin, bool is_back)
         : owner_(std::move(owner)),
           from_(std::move(from)),
           to_(std::move(to)),
+          origin_(std::move(origin)),
           timer_(owner_->io_),
           is_back_(is_back) {}
 
@@ -52,22 +63,45 @@
    private:
     bool IsHeld() const {
       const PathState state = owner_->state_;
-      return state == PathState::kSilent || (state == PathState::kOneWay && is_back_);
+      const bool is_silent =
+          state == PathState::kSilent || (state == PathState::kOneWay && is_back_);
+      const Network* network = owner_->way_.network;
+      return is_silent || (network != nullptr && network->IsCut(*origin_, owner_->way_.to));
+    }
+
+    // How long to wait before the chunk may pass; each is delayed once.
+    DurationMs HoldMs() {
+      if (IsHeld()) {
+        was_held_ = true;
+        return kHeldCheckMs;
+      }
+      if (was_delayed_) return 0;
+      was_delayed_ = true;
+      const Network* network = owner_->way_.network;
+      return (owner_->state_ == PathState::kSlow ? kSlowMs : 0) +
+             (network == nullptr ? 0 : network->DelayBetween(*origin_, owner_->way_.to));
+    }
+
+    void FindOrigin() {
+      if (is_back_ || !origin_->empty() || !owner_->way_.origin) return;
+      *origin_ = owner_->way_.origin({chunk_.data(), length_});
     }
 
     void Pass() {
       // The sockets stay open, so that neither end hears of it.
       if (is_dead_) return owner_->dead_.push_back(from_);
-      const bool is_slow = owner_->state_ == PathState::kSlow && !was_slowed_;
-      if (IsHeld() || is_slow) {
-        was_slowed_ = is_slow;
-        timer_.expires_after(is_slow ? kSlow : kHeldCheck);
+      FindOrigin();
+      const DurationMs hold_ms = HoldMs();
+      if (hold_ms > 0) {
+        timer_.expires_after(std::chrono::milliseconds(hold_ms));
         timer_.async_wait([self = shared_from_this()](error_code ec) {
           if (!ec) self->Pass();
         });
         return;
       }
-      was_slowed_ = false;
+      was_delayed_ = false;
+      // A sender that resets its connection discards what has not arrived.
+      if (std::exchange(was_held_, false) && WasReset(*from_)) return ResetSocket(*to_);
       error_code ec;
       if (ends_) {
         to_->shutdown(tcp::socket::shutdown_send, ec);
@@ -84,12 +118,14 @@
     std::shared_ptr<Impl> owner_;
     std::shared_ptr<tcp::socket> from_;
     std::shared_ptr<tcp::socket> to_;
+    std::shared_ptr<std::string> origin_;  // Of the connection; both directions share it.
     asio::steady_timer timer_;
     std::array<char, 8192> chunk_;
     std::size_t length_ = 0;
     bool ends_ = false;
     bool is_back_;
-    bool was_slowed_ = false;
+    bool was_held_ = false;
+    bool was_delayed_ = false;
     bool is_dead_ = false;
   };
 
@@ -109,14 +145,15 @@
                          if (ec) return ResetSocket(*near);
                          self->sockets_.push_back(near);
                          self->sockets_.push_back(far);
-                         self->StartPump(near, far, false);
-                         self->StartPump(far, near, true);
+                         const auto origin = std::make_shared<std::string>();
+                         self->StartPump(near, far, origin, false);
+                         self->StartPump(far, near, origin, true);
                        });
   }
 
   void StartPump(const std::shared_ptr<tcp::socket>& from, const std::shared_ptr<tcp::socket>& to,
-                 bool is_back) {
-    const auto pump = std::make_shared<Pump>(shared_from_this(), from, to, is_back);
+                 const std::shared_ptr<std::string>& origin, bool is_back) {
+    const auto pump = std::make_shared<Pump>(shared_from_this(), from, to, origin, is_back);
     pumps_.push_back(pump);
     pump->Read();
   }
@@ -145,6 +182,7 @@
 
   asio::io_context& io_;
   std::function<Endpoint()> target_;
+  Way way_;
   tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<tcp::socket>> sockets_;
   std::vector<std::weak_ptr<Pump>> pumps_;
@@ -152,8 +190,9 @@
   PathState state_ = PathState::kOpen;
 };
 
-Proxy::Proxy(asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target)
-    : impl_(std::make_shared<Impl>(io, listen, std::move(target))) {
+Proxy::Proxy(asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target,
+             Way way)
+    : impl_(std::make_shared<Impl>(io, listen, std::move(target), std::move(way))) {
   impl_->Accept();
 }
 Proxy::~Proxy() {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "junctionrail/settings.h"
+#include "network.h"
 
 namespace junctionrail::soak {
 
@@ -20,8 +21,10 @@
 
 class Proxy {
  public:
-  // Listens at `listen` (port 0: any) and connects to what `target` names then.
-  Proxy(boost::asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target);
+  // Listens at `listen` (port 0: any) and connects to what `target` names then. Without a `way`
+  // both ends are in one region.
+  Proxy(boost::asio::io_context& io, const Endpoint& listen, std::function<Endpoint()> target,
+        Way way = {});
   ~Proxy();
 
   Endpoint endpoint() const;
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <nlohmann/json.hpp>
+#include <iterator>
 
 namespace junctionrail::soak {
 namespace {
@@ -20,6 +20,7 @@
 // How long an upstream serves on after it said that it leaves; then it ends.
 constexpr DurationMs kLeavingMs = 4000;
 constexpr DurationMs kRestMs = 1500;
+constexpr DurationMs kRecordPeriodMs = 1000;
 constexpr int kLeastEvents = 5;
 constexpr int kMoreEvents = 25;
 
@@ -43,7 +44,8 @@
 }  // namespace
 
 Upstream::Upstream(boost::asio::io_context& io, testing::StandinStore& store, Judge& judge,
-                   Random& random, std::string name, bool is_engine, Endpoint inner)
+                   Random& random, std::string name, bool is_engine, Endpoint inner,
+                   std::string hall)
     : io_(io),
       store_(store),
       judge_(judge),
@@ -51,10 +53,17 @@
       name_(std::move(name)),
       is_engine_(is_engine),
       inner_(std::move(inner)),
-      address_(inner_) {}
+      address_(inner_),
+      hall_(std::move(hall)) {}
 
 bool Upstream::Happens(int percent) { return static_cast<int>(random_() % 100) < percent; }
 
+bool Upstream::HarmHappens(int percent) {
+  const bool happens = Happens(percent);
+  if (happens) judge_.OnHarmed(instance_);
+  return happens;
+}
+
 void Upstream::After(DurationMs delay, std::function<void()> call) {
   auto timer = std::make_shared<Timer>(io_);
   timer->After(delay, [timer, call = std::move(call), life = std::weak_ptr<int>(life_)] {
@@ -75,11 +84,27 @@
   listener_ = std::make_unique<testing::ScriptedUpstream>(
       io_, [this](const SeenRequest& request, const Peer& peer) { OnRequest(request, peer); },
       inner_);
+  judge_.OnStarted(instance_, hall_);
+  tells_cold_ = Happens(75);
+  cold_until_ = 0;
+  if (Happens(60)) GoCold(false);
+  RecordPeriodically();
+}
+
+void Upstream::GoCold(bool is_return) {
+  cold_until_ = MonotonicMs() + kColdMs;
+  judge_.OnCold(instance_, kColdMs, is_return);
+  Record();
+}
+
+void Upstream::RecordPeriodically() {
   Record();
+  After(kRecordPeriodMs, [this] { RecordPeriodically(); });
 }
 
 void Upstream::Crash() {
   if (!listener_) return;
+  judge_.OnHarmed(instance_);
   life_.reset();
   listener_->Crash();
   listener_.reset();
@@ -125,20 +150,53 @@
   After(kLeavingMs, [this] { boost::asio::post(io_, [this] { Start(); }); });
 }
 
-void Upstream::Record() {
-  if (!is_recorded_) return;
+json Upstream::RecordDocument() const {
   json models = json::array();
   for (const auto& [model, adapters] : loaded_) {
     models.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
   }
-  const json record = {{"service", is_engine_ ? kEngineService : kPlainService},
-                       {"address", address_.ToString()},
-                       {"zone", "hall-1"},
-                       {"slots", 16},
-                       {"state", drained_at_ != 0 ? "draining" : "ready"},
-                       {"models", models},
-                       {"sequence", sequence_}};
-  store_.Put("servers/" + instance_, record.dump());
+  json record = {{"service", is_engine_ ? kEngineService : kPlainService},
+                 {"address", address_.ToString()},
+                 {"zone", hall_},
+                 {"slots", 16},
+                 {"state", drained_at_ != 0 ? "draining" : "ready"},
+                 {"models", models},
+                 {"sequence", sequence_}};
+  const DurationMs cold_ms = std::max<DurationMs>(0, cold_until_ - MonotonicMs());
+  if (tells_cold_) record["coldRemainingMs"] = cold_ms;
+  return record;
+}
+
+void Upstream::Record() {
+  if (is_recorded_) store_.Put("servers/" + instance_, RecordDocument().dump());
+}
+
+// Bytes that cannot be read, a field of another type, or one that is missing.
+void Upstream::SpoilRecord() {
+  if (!is_running() || !is_recorded_) return;
+  constexpr const char* kFields[] = {"service", "address", "zone",           "slots",
+                                     "state",   "models",  "coldRemainingMs"};
+  const char* field = kFields[random_() % std::size(kFields)];
+  json record = RecordDocument();
+  std::string text;
+  switch (random_() % 4) {
+    case 0:
+      text = std::string("\xff\x00\xfe{", 4);
+      break;
+    case 1:
+      text = record.dump();
+      text.resize(text.size() / 2);
+      break;
+    case 2:
+      record.erase(field);
+      text = record.dump();
+      break;
+    default:
+      record[field] = record[field].is_string() ? json(17) : json("seventeen");
+      text = record.dump();
+  }
+  judge_.OnSpoiledRecord(instance_);
+  store_.Put("servers/" + instance_, text);
 }
 
 void Upstream::OnRequest(const SeenRequest& request, const Peer& peer) {
@@ -232,7 +290,7 @@
   if (!Holds(request.Field("Model"))) {
     return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
   }
-  const bool may_repeat = request.Line().rfind("POST /resumable/", 0) == 0;
+  const bool may_repeat = RouteOf(request.Line()).may_repeat;
   judge_.OnRun(id, instance_, may_repeat);
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (request.body == kDeadlyBody) {
@@ -243,7 +301,7 @@
       boost::asio::post(io_, [this] { Crash(); });
     });
   }
-  if (Happens(misbehaviour.losses)) return peer->Reset();
+  if (HarmHappens(misbehaviour.losses)) return peer->Reset();
   // The same request always has the same number of events, wherever it runs.
   const int count = kLeastEvents + static_cast<int>(RendezvousScore(id, "events") % kMoreEvents);
   const std::string last = request.Field("Last-Event-Id");
@@ -251,7 +309,7 @@
   peer->Write(Head(id, 200,
                    Notices(id) + "Response-Seal: seal-" + id +
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
-  Stream(id, next, count, peer, Happens(misbehaviour.cuts));
+  Stream(id, next, count, peer, HarmHappens(misbehaviour.cuts));
 }
 
 void Upstream::Stream(const std::string& id, int next, int count, const Peer& peer, bool is_cut) {
@@ -270,13 +328,13 @@
 
 void Upstream::RunPlain(const SeenRequest& request, const Peer& peer) {
   const std::string id = request.Field("Attempt-Id");
-  judge_.OnRun(id, instance_, request.Line().rfind("GET /repeatable/", 0) == 0);
+  judge_.OnRun(id, instance_, RouteOf(request.Line()).may_repeat);
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
-  if (Happens(misbehaviour.losses)) return peer->Reset();
+  if (HarmHappens(misbehaviour.losses)) return peer->Reset();
   const std::string answer =
       Whole(id, 200, Notices(id) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
-  const bool is_cut = Happens(misbehaviour.cuts);
-  const bool is_double = Happens(misbehaviour.surplus);
+  const bool is_cut = HarmHappens(misbehaviour.cuts);
+  const bool is_double = HarmHappens(misbehaviour.surplus);
   After(kPlainMs, [peer, answer, is_cut, is_double] {
     if (is_cut) {
       peer->Write(answer.substr(0, answer.size() - 3));
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -6,8 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -18,17 +18,9 @@
 
 namespace junctionrail::soak {
 
-// What the engines hold at most, and the models that the configuration names.
-constexpr int kEngineModels = 2;
-constexpr int kEnginePlaces = 2;
-constexpr char kModels[][3] = {"m1", "m2", "m3", "m4", "m5"};
-constexpr char kEngineService[] = "engines";
-constexpr char kPlainService[] = "plain";
 // An engine that begins to run it ends soon after.
 constexpr char kDeadlyBody[] = "ends whoever runs it";
 
-using Random = std::mt19937_64;
-
 // Chances of misbehaviour, in a hundred requests.
 struct Misbehaviour {
   int cuts = 0;     // Closes within the answer.
@@ -47,9 +39,9 @@
 class Upstream {
  public:
   Upstream(boost::asio::io_context& io, testing::StandinStore& store, Judge& judge, Random& random,
-           std::string name, bool is_engine, Endpoint inner);
+           std::string name, bool is_engine, Endpoint inner, std::string hall);
 
-  // Starts as a new instance; one that runs is crashed before.
+  // Starts as a new instance, cold or not; one that runs is crashed before.
   void Start();
   void Crash();
   // Records that it leaves, or only takes its record away; it ends after some time.
@@ -58,8 +50,12 @@
   bool is_running() const { return listener_ != nullptr; }
   // The address that others know, which a proxy may stand at.
   void SetAddress(const Endpoint& address) { address_ = address; }
-  Endpoint inner() const { return inner_; }
+  const std::string& hall() const { return hall_; }
   void Record();
+  // It is cold for kColdMs from now on.
+  void GoCold(bool is_return);
+  // Another writer overwrites its record until it writes it again.
+  void SpoilRecord();
   // Starts again if a request ended it and its time to start has come.
   void StartIfDue();
 
@@ -83,6 +79,10 @@
   void Stream(const std::string& id, int next, int count, const Peer& peer, bool is_cut);
   bool Holds(const std::string& model) const;
   bool Happens(int percent);
+  // As Happens, for what may end the request or its connection.
+  bool HarmHappens(int percent);
+  void RecordPeriodically();
+  nlohmann::json RecordDocument() const;
   void After(DurationMs delay, std::function<void()> call);
 
   boost::asio::io_context& io_;
@@ -93,10 +93,13 @@
   bool is_engine_;
   Endpoint inner_;
   Endpoint address_;
+  std::string hall_;
   std::string instance_;
   int starts_ = 0;
-  TimeMs restart_at_ = 0;    // After a request ended it; 0: none did.
-  TimeMs drained_at_ = 0;    // 0: not leaving.
+  TimeMs restart_at_ = 0;  // After a request ended it; 0: none did.
+  TimeMs drained_at_ = 0;  // 0: not leaving.
+  TimeMs cold_until_ = 0;
+  bool tells_cold_ = true;   // Whether its record says for how long it is cold.
   bool is_recorded_ = true;  // False once it has taken its record away.
   Need need_;
   std::unique_ptr<testing::ScriptedUpstream> listener_;
--- /dev/null
+++ b/test/soak_judge_test.cc
@@ -0,0 +1,215 @@
+// The soak's own checks and proxies: each check reports a violation that is planted here, and
+// none where the promise is kept.
+#include <boost/asio/io_context.hpp>
+
+#include "../soak/judge.h"
+#include "../soak/proxy.h"
+#include "check.h"
+#include "loopback.h"
+
+namespace junctionrail::soak {
+namespace {
+
+constexpr TimeMs kStart = 1000000;
+const std::set<std::string> kNorth = {"hall-1", "hall-2"};
+const std::set<std::string> kEverywhere = {"hall-1", "hall-2", "hall-3", "hall-4"};
+
+// A judge with a clock that the test sets, and an upstream in hall-1.
+struct Bench {
+  Bench() { judge.OnStarted("p1", "hall-1"); }
+
+  void Arrive(const std::string& request, int entry = 0,
+              const std::set<std::string>& halls = kEverywhere) {
+    judge.OnSent(request, entry, "open", halls);
+    judge.OnArrival(request, "p1");
+  }
+  // Requests that arrive 50 ms apart.
+  void ArriveOften(int count, int entry = 0) {
+    for (int n = 0; n < count; ++n, now += 50) Arrive("r" + std::to_string(n), entry);
+  }
+  std::string Complaint() {
+    const auto complaints = judge.Finish();
+    return complaints.empty() ? "" : complaints[0];
+  }
+
+  TimeMs now = kStart;
+  Judge judge{[this] { return now; }};
+};
+
+}  // namespace
+
+TEST_GROUP(SoakJudge){};
+
+// Guards against a check of regions that never objects.
+TEST(SoakJudge, ReportsARequestThatReachesAnUpstreamOutsideItsRegions) {
+  Bench allowed;
+  allowed.Arrive("r1", 0, kNorth);
+  EXPECT_TEXT("", allowed.Complaint(), "hall-1 is allowed");
+  Bench t;
+  t.Arrive("r1", 0, {"hall-4"});
+  EXPECT_TEXT("request r1 of open reached upstream p1 in hall-1, where it may not run",
+              t.Complaint(), "whatever excuses other checks");
+}
+
+// Guards against a check of evacuations that never objects, or objects before the bound.
+TEST(SoakJudge, ReportsARequestThatReachesAClosedHall) {
+  Bench t;
+  t.judge.OnEvacuation("hall-1", true);
+  t.now += kEvacuateMs;
+  t.Arrive("r1");
+  EXPECT_TEXT("", t.Complaint(), "within the bound");
+  t.now += 1;
+  t.Arrive("r2", 3);
+  EXPECT_TEXT("upstream p1 got request r2 from entry 3 3001 ms after the evacuation of hall-1",
+              t.Complaint(), "after the bound");
+}
+
+// Guards against objections to what an entry could not know, and to a hall that was given back.
+TEST(SoakJudge, ExcusesAnEntryThatCannotKnowOfAnEvacuation) {
+  Bench t;
+  t.judge.OnEvacuation("hall-1", true);
+  t.now += 2 * kEvacuateMs;
+  t.judge.OnEntryTroubled(0);
+  t.Arrive("r1", 0);
+  t.judge.OnWayTroubled(1, "p1");
+  t.Arrive("r2", 1);
+  EXPECT_TEXT("", t.Complaint(), "both were in trouble");
+  t.judge.OnEvacuation("hall-1", false);
+  t.Arrive("r3", 2);
+  EXPECT_TEXT("", t.Complaint(), "the hall is open again");
+}
+
+// Guards against a check of cold upstreams that never objects.
+TEST(SoakJudge, ReportsAColdUpstreamThatReceivesMoreThanItsRate) {
+  Bench t;
+  t.judge.OnCold("p1", kColdMs, false);
+  t.ArriveOften(8);
+  EXPECT_TEXT("", t.Complaint(), "1.5 times 2, and 5 more");
+  t.Arrive("r9");
+  EXPECT_TEXT("cold upstream p1 got 9 requests in a second", t.Complaint(), "one more");
+}
+
+// Guards against objections once an upstream is warm, to requests that a stopped entry sends all
+// at once, and to entries that had not heard that a hall was given back.
+TEST(SoakJudge, CountsOnlyWhatEntriesCouldHoldBackFromAColdUpstream) {
+  Bench warm;
+  warm.judge.OnCold("p1", kColdMs, false);
+  warm.now += kColdMs;
+  warm.ArriveOften(15);
+  EXPECT_TEXT("", warm.Complaint(), "it is warm");
+  Bench stopped;
+  stopped.judge.OnCold("p1", kColdMs, false);
+  stopped.judge.OnEntryStopped(0);
+  stopped.ArriveOften(15);
+  EXPECT_TEXT("", stopped.Complaint(), "the entry was stopped");
+  Bench returned;
+  returned.judge.OnCold("p1", kColdMs, true);
+  returned.judge.OnEntryTroubled(0);
+  returned.ArriveOften(15);
+  EXPECT_TEXT("", returned.Complaint(), "the entry had no way to the store");
+  returned.ArriveOften(9, 1);
+  EXPECT_TEXT("cold upstream p1 got 9 requests in a second", returned.Complaint(),
+              "another entry had");
+}
+
+// Guards against a check of spoiled records that never objects.
+TEST(SoakJudge, ReportsARequestThatEndsBecauseARecordWasSpoiled) {
+  Bench t;
+  t.Arrive("r1");
+  t.judge.OnRun("r1", "p1", true);
+  t.judge.OnFailed("r1", "resumable");
+  EXPECT_TEXT("", t.Complaint(), "no record was spoiled");
+  t.judge.OnSpoiledRecord("p1");
+  t.now += 100;
+  t.judge.OnFailed("r1", "resumable");
+  EXPECT_TEXT(
+      "request r1 ended while it ran at upstream p1, whose record another writer had spoiled",
+      t.Complaint(), "nothing else had happened");
+}
+
+// Guards against blaming a spoiled record for what another fault did.
+TEST(SoakJudge, ExcusesARequestThatAnotherFaultEndsBesideASpoiledRecord) {
+  const auto ends_with = [](const std::function<void(Bench&)>& fault) {
+    Bench t;
+    t.Arrive("r1");
+    t.judge.OnRun("r1", "p1", true);
+    t.judge.OnSpoiledRecord("p1");
+    t.now += 100;
+    fault(t);
+    t.judge.OnFailed("r1", "resumable");
+    return t.Complaint();
+  };
+  EXPECT_TEXT("", ends_with([](Bench& t) { t.judge.OnHarmed("p1"); }), "the upstream ended");
+  EXPECT_TEXT("", ends_with([](Bench& t) { t.judge.OnEntryTroubled(0); }), "the entry ended");
+  EXPECT_TEXT("", ends_with([](Bench& t) { t.judge.OnWayTroubled(0, "p1"); }), "a partition");
+  EXPECT_TEXT("", ends_with([](Bench& t) { t.now += 4000; }), "its deadline");
+}
+
+TEST_GROUP(SoakNetwork) {
+  boost::asio::io_context io;
+  Network network;
+  testing::ScriptedUpstream upstream{io, [](const auto&, const auto& peer) {
+                                       peer->Write("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+                                     }};
+  Proxy proxy{io,
+              {"127.0.0.1", 0},
+              [this] { return upstream.endpoint(); },
+              Way{&network, "east", [](std::string_view bytes) {
+                    return bytes.find("north") == std::string_view::npos ? "" : "north";
+                  }}};
+
+  // How long an answer takes; -1 if there is none within `limit_ms`.
+  DurationMs Answer(testing::TestCaller & caller, const std::string& from, DurationMs limit_ms) {
+    caller.Forget();
+    const TimeMs sent_at = MonotonicMs();
+    caller.Send("GET /" + from + " HTTP/1.1\r\n\r\n");
+    while (MonotonicMs() - sent_at < limit_ms) {
+      testing::RunFor(io, 5);
+      if (caller.received().find("200 X") != std::string::npos) return MonotonicMs() - sent_at;
+    }
+    return -1;
+  }
+};
+
+// Guards against a soak whose regions are all at one place.
+TEST(SoakNetwork, DelaysWhatCrossesRegionsBothWays) {
+  network.SetDelay(60);
+  testing::TestCaller far(io, proxy.endpoint());
+  const DurationMs took_ms = Answer(far, "north", 2000);
+  EXPECT_TRUE(took_ms >= 120, std::to_string(took_ms));
+  testing::TestCaller near(io, proxy.endpoint());
+  const DurationMs near_ms = Answer(near, "east", 2000);
+  EXPECT_TRUE(near_ms >= 0 && near_ms < 60, std::to_string(near_ms));
+}
+
+// Guards against partitions that let requests through, or never end.
+TEST(SoakNetwork, PassesNothingBetweenRegionsThatArePartitioned) {
+  testing::TestCaller caller(io, proxy.endpoint());
+  EXPECT_TRUE(Answer(caller, "north", 2000) >= 0, "before");
+  network.Partition("north", false);
+  EXPECT_NUMBER(-1, Answer(caller, "north", 200), "the regions are cut");
+  EXPECT_NUMBER(1, upstream.seen().size(), "nothing arrived");
+  testing::TestCaller near(io, proxy.endpoint());
+  EXPECT_TRUE(Answer(near, "east", 2000) >= 0, "within the region");
+  EXPECT_TRUE(!network.IsCut("north", kStorePlace), "the store is not cut off");
+  network.Partition("north", true);
+  EXPECT_TRUE(network.IsCut("north", kStorePlace), "with the store");
+  network.Heal();
+  EXPECT_TRUE(testing::RunUntil(io, [&] { return upstream.seen().size() == 3; }), "it arrives");
+}
+
+// Guards against requests that reach an upstream after a partition although their sender had
+// reset its connection, which no network would deliver.
+TEST(SoakNetwork, DropsWhatASenderHasResetMeanwhile) {
+  network.Partition("north", false);
+  Proxy sender{io, {"127.0.0.1", 0}, [this] { return proxy.endpoint(); }};
+  testing::TestCaller caller(io, sender.endpoint());
+  EXPECT_NUMBER(-1, Answer(caller, "north", 100), "the regions are cut");
+  sender.Reset();
+  testing::RunFor(io, 50);
+  network.Heal();
+  testing::RunFor(io, 200);
+  EXPECT_NUMBER(0, upstream.seen().size(), "nothing arrived");
+}
+
+}  // namespace junctionrail::soak
