Cold upstreams: a new configuration does not end their limit early

UpstreamTable::ApplyServices counted the remaining time of the last record from when the upstream was first listed; with each record that time is shorter, so any change of the configuration in the second half of a cold start ended the limit. Change: it counts from when the record was last listed.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -291,6 +291,7 @@
   struct Row {
     UpstreamRecord record;
     TimeMs listed_at = 0;       // When first listed.
+    TimeMs record_at = 0;       // When last listed.
     TimeMs observed_at = 0;     // When its observation began.
     TimeMs observed_until = 0;  // Does not matter to a planner.
     bool is_gone = false;       // No longer listed.
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -101,6 +101,7 @@
     const bool was_missing = row.record.is_missing;
     const bool is_new = row.listed_at == 0 || row.is_gone || (was_missing && !it.is_missing);
     if (row.listed_at == 0) row.listed_at = now;
+    row.record_at = now;
     // A store restored from an older copy may list a leaving upstream as ready.
     const bool was_leaving = row.record.is_leaving || gone_after_leaving_.count(it.instance) > 0;
     row.record = it;
@@ -170,7 +171,7 @@
 void UpstreamTable::ApplyServices(const std::vector<ServiceSpec>& services) {
   services_.clear();
   for (const auto& it : services) services_[it.name] = it;
-  for (auto& [instance, row] : rows_) UpdateCold(&row, row.listed_at);
+  for (auto& [instance, row] : rows_) UpdateCold(&row, row.record_at);
 }
 
 void UpstreamTable::ApplyView(const EngineView& view, TimeMs now) {
--- a/test/places_test.cc
+++ b/test/places_test.cc
@@ -190,7 +190,9 @@
 constexpr double kColdPerS = 11;
 
 struct ColdFixture : HallsFixture {
-  ColdFixture() {
+  ColdFixture() { Configure(); }
+
+  void Configure() {
     ServiceSpec engine{"engine", 100, MakeSpec()};
     engine.cold_requests_per_s = kColdPerS;
     engine.cold_start_ms = 3000;
@@ -223,6 +225,21 @@
   EXPECT_NUMBER(3, t.table.UpdateLimits(t.now).size(), "without another record");
 }
 
+// Guards against a limit that ends early (the soak's seed 20201): with a new configuration, the
+// remaining time of the last record was counted from when the upstream was first listed.
+TEST(ColdUpstreams, StayColdWhenTheConfigurationChanges) {
+  ColdFixture t;
+  t.now += 5000;
+  t.cold_ms = 2000;
+  t.Relist();
+  t.table.UpdateLimits(t.now);
+  t.Configure();
+  t.table.UpdateLimits(t.now + 1999);
+  EXPECT_TRUE(t.table.LimitOf("u1").has_value(), "its record says so");
+  t.table.UpdateLimits(t.now + 2000);
+  EXPECT_TRUE(!t.table.LimitOf("u1"), "not for longer");
+}
+
 TEST(ColdUpstreams, AreAssumedAfterAStartThatTheRecordDoesNotTellOf) {
   ColdFixture t;
   UpstreamRecord fresh = MakeRecord("u9");
