--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -228,7 +228,10 @@
 
 void Judge::OnRefused(const std::string& request) { refused_.insert(request); }
 
-void Judge::Complain(const std::string& sentence) { complaints_.push_back(sentence); }
+// With the time as logs of the processes have it in `mono`.
+void Judge::Complain(const std::string& sentence) {
+  complaints_.push_back("at " + std::to_string(clock_()) + ": " + sentence);
+}
 
 std::vector<std::string> Judge::Finish() {
   for (const auto& it : refused_) {
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -27,9 +27,10 @@
   void ArriveOften(int count, int entry = 0) {
     for (int n = 0; n < count; ++n, now += 50) Arrive("r" + std::to_string(n), entry);
   }
+  // The first one, without its time.
   std::string Complaint() {
     const auto complaints = judge.Finish();
-    return complaints.empty() ? "" : complaints[0];
+    return complaints.empty() ? "" : complaints[0].substr(complaints[0].find(": ") + 2);
   }
 
   TimeMs now = kStart;
