--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -140,6 +140,7 @@
   if (partitioned_until_ != 0) return;
   const DurationMs lasts_ms = Between(10000, 13000);
   partitioned_until_ = MonotonicMs() + lasts_ms;
+  ++partitions_;
   site_.network.Partition(Regions()[random_() % Regions().size()], random_() % 2 == 0);
   Later(lasts_ms, [this] {
     site_.network.Heal();
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -22,6 +22,7 @@
   void Begin();
   // When the partition that lasts ends; 0 without one.
   TimeMs partitioned_until() const { return partitioned_until_; }
+  int partitions() const { return partitions_; }
   // Ends all of them; everything runs.
   void Heal();
 
@@ -62,6 +63,7 @@
   std::vector<Kind> kinds_;
   std::set<std::string> evacuated_;
   TimeMs partitioned_until_ = 0;
+  int partitions_ = 0;
   int stray_keys_ = 0;
 };
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -65,7 +65,9 @@
     return site_.judge.Finish();
   }
 
-  std::string Summary() const { return site_.judge.Summary(); }
+  std::string Summary() const {
+    return site_.judge.Summary() + ", partitions " + std::to_string(faults_.partitions());
+  }
 
  private:
   void AddCaller(const std::string& name, const char* organisation, CallerHabit habit) {
