Tests: the gateway fixture keeps the regions that a test gives it

Cause: since routing takes a Topology, the fixture replaced the whole topology by one without regions, so every region was refused. Change: only the hall is set.

--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -34,7 +34,7 @@
       : options(std::move(given)) {
     options.listen_endpoint = {"127.0.0.1", 0};
     options.data_hall = "hall-1";
-    options.routing.topology = Topology("hall-1", {});
+    options.routing.topology = Topology("hall-1", options.routing.topology.regions());
     options.retry_budget = retries;
     gateway = std::make_unique<Gateway>(io, options, log);
     port = gateway->Listen().value();
