Routing: replicas are spread over halls and regions, and requests bound to regions count apart

Cause: both replicas of a busy model could be in one hall, and a replica in a region where a model's requests may not run counted as serving them. Change: ReplicaSpread (src/routing/replica_spread.cc) chooses the hall, then the region, with the fewest replicas, within a bound on extra cost. A model with all replicas in one hall gets one in another hall; until then the extra cost may be one load from the weight store. RegionDemand keeps the shares of a model's requests by the regions in which they may run; replicas, staged and spare copies are planned for each of these sets. A request bound to regions waits for a load of its own, and a non-planning entry spreads it over replicas in its regions only. ModelUse tells the replicas of the region; the last one there costs as much to evict as the last one of all. A request follows the regions of its route in the newest configuration: until now it kept those at its arrival, also if the configuration changed while it waited.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -18,12 +18,16 @@
 #include "junctionrail/base.h"
 #include "junctionrail/listing.h"
 #include "junctionrail/places.h"
+#include "junctionrail/region_demand.h"
 #include "junctionrail/routes.h"
 #include "junctionrail/settings.h"
 #include "junctionrail/tenancy.h"
 #include "junctionrail/throttling.h"
 
 namespace junctionrail {
+namespace internal {
+class ReplicaSpread;
+}  // namespace internal
 
 // How a listing changed the state of an upstream.
 enum class UpstreamChangeKind {
@@ -94,6 +98,9 @@
   std::vector<std::string> adapters_in_use;
   DurationMs target_ms = 0;  // First-event target of its last request; 0: unknown.
   int priority = 0;          // Priority of its last request.
+  // Upstreams in its region that have it loaded, if this entry's requests may run and are wanted
+  // there; 0: unknown, or not.
+  int region_replicas = 0;
 };
 struct AgentDemand {
   std::string entry;
@@ -161,6 +168,9 @@
 };
 using PickResult = std::variant<SendTo, WaitFor, NoUpstream>;
 
+// Where a further replica of a model was requested, compared with the existing ones.
+enum class ReplicaDomain { kSameHall, kOtherHall, kOtherRegion };
+
 // How an attempt ended, as far as it matters for the upstream's health.
 enum class AttemptOutcome { kServed, kRefused, kFailed, kUnreachable, kTimedOut, kCallerLeft };
 
@@ -207,7 +217,7 @@
 
   // `priority` and `target_ms`, the first-event target, are those of the request's route.
   void OnArrival(const std::optional<ModelRef>& model, int priority, DurationMs target_ms,
-                 TimeMs now);
+                 TimeMs now, const AllowedRegions& allowed = {});
   void OnSent(const std::string& instance, const std::optional<ModelRef>& model, TimeMs now);
   // The upstream sent any part of an answer.
   void OnResponseData(const std::string& instance, TimeMs now);
@@ -254,6 +264,7 @@
     std::string asked_instance;  // Instance whose agent was asked to load it.
     int late = 0;                // Requests beyond their targets.
     TimeMs next_late_at = 0;     // When the next of the others becomes late.
+    AllowedRegions allowed_regions = {};
   };
 
   // The demand to send to the agents of observed engines, by instance.
@@ -269,6 +280,7 @@
   bool IsListed(const std::string& instance) const;
   // Whether a request may be sent there now: it is listed, and its data hall is not closed.
   bool MayReceive(const std::string& instance, TimeMs now) const;
+  bool IsInRegions(const std::string& instance, const AllowedRegions& allowed) const;
   // What operators see of a data hall.
   struct HallState {
     std::string hall;
@@ -284,6 +296,8 @@
   bool HasFreshView(const std::string& instance, TimeMs now) const;
   // Observed engines without a view for `ms`.
   std::vector<Endpoint> EnginesWithoutView(DurationMs ms, TimeMs now) const;
+  // Further replicas requested since the start.
+  std::uint64_t CountReplicaRequests(ReplicaDomain domain) const;
   // Number of entries, from the agents' link counts; at least 1.
   int CountEntries(TimeMs now) const;
 
@@ -319,6 +333,7 @@
     int priority = 0;           // Of the last request.
     DurationMs target_ms = 0;   // Of the last request.
     double first_event_ms = 0;  // Average wait at upstreams for the first event.
+    RegionDemand regions;
 
     double LateShare() const;
     double LateCallers(double fleet_per_s) const;
@@ -340,6 +355,9 @@
   }
   // Whether the request may run there: its region is allowed, and the hall is not closed.
   bool IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const;
+  bool IsRegionAllowed(const Row& row, const AllowedRegions& allowed) const;
+  // The regions in which requests for the model may run, as far as this entry has received some.
+  AllowedRegions RegionsOf(const std::string& model) const;
   NoUpstream ExplainNone(const PickRequest& request, std::string reason) const;
   void UpdateCold(Row* row, TimeMs now);
   std::optional<RateLimit> CurrentLimit(const Row& row, TimeMs now) const;
@@ -363,7 +381,8 @@
   bool IsJudgeable(const Row& row, TimeMs now) const;
   void Observe(Row* row, TimeMs now);
   // The rows among which requests for the model are spread: with many replicas, only some.
-  std::vector<Row*> FindSpreadHolders(const std::string& model, TimeMs now) const;
+  std::vector<Row*> FindSpreadHolders(const std::string& model, const AllowedRegions& allowed,
+                                      TimeMs now) const;
   // Engines that may be chosen to load the model.
   std::vector<Row*> FindLoadCandidates(const std::string& model, const std::vector<Row*>& usable,
                                        TimeMs now) const;
@@ -383,9 +402,9 @@
   // Returns `reopening` if that is sooner than any load.
   PickResult ChooseLoadTarget(const PickRequest& request, const std::vector<Row*>& usable,
                               const std::optional<WaitFor>& reopening, TimeMs now);
-  std::string PendingLoadInstance(const ModelRef& model, TimeMs now);
-  void RecordLoadRequest(const ModelRef& model, const std::string& instance, DurationMs estimate,
-                         TimeMs now);
+  std::string PendingLoadInstance(const PickRequest& request, TimeMs now);
+  void RecordLoadRequest(const PickRequest& request, const std::string& instance,
+                         DurationMs estimate, TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, const StoreUse& store,
                           TimeMs now) const;
   double EvictionCost(const Row& row, const ModelRef& model) const;
@@ -403,23 +422,34 @@
   // point into the rows and are valid until a row changes.
   using CountByModel = std::unordered_map<std::string_view, int>;
   CountByModel CountReplicas(std::string_view service, TimeMs now) const;
-  int CountReplicasOf(const std::string& model, TimeMs now) const;
-  CountByModel CountPendingReplicas(std::string_view service, TimeMs now) const;
+  int CountReplicasOf(const std::string& model, const AllowedRegions& allowed, TimeMs now) const;
+  CountByModel CountPendingReplicas(std::string_view service, const AllowedRegions& allowed,
+                                    TimeMs now) const;
   ModelDemand ToModelDemand(const WaitingRequests& waiting, TimeMs now) const;
   void AddModelUse(AgentDemand* demand, const Row& row, TimeMs now) const;
+  int CountRegionReplicas(const Row& row, const std::string& model, TimeMs now) const;
   void AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now);
+  // Returns whether a replica is requested or pending.
+  bool AddReplica(const std::string& service, const std::string& model, double fleet_per_s,
+                  const RegionDemand::Scope& scope, std::map<std::string, AgentDemand>* demands,
+                  TimeMs now);
+  // The model's replicas in the allowed regions.
+  internal::ReplicaSpread FindReplicas(const std::string& model, const AllowedRegions& allowed,
+                                       TimeMs now) const;
   void AddEvacuatedModels(const std::string& service, std::map<std::string, AgentDemand>* demands,
                           TimeMs now);
   // Whether the engines that have the model loaded are nearly full.
-  bool IsNearCapacity(const std::string& model, TimeMs now) const;
-  Row* ChooseReplicaTarget(std::string_view service, const std::string& model, TimeMs now);
+  bool IsNearCapacity(const std::string& model, const AllowedRegions& allowed, TimeMs now) const;
+  Row* ChooseReplicaTarget(std::string_view service, const std::string& model,
+                           const AllowedRegions& allowed, TimeMs now);
   struct StagingSurvey;
   StagingSurvey SurveyForStaging(std::string_view service, TimeMs now) const;
   void AddPreloads(std::map<std::string, AgentDemand>* demands, TimeMs now);
   void AddStaging(const EngineSpec& spec, const StagingSurvey& survey,
                   std::map<std::string, AgentDemand>* demands, TimeMs now) const;
   double FreeMb(const Row& row) const;
-  int CountCopies(std::string_view service, std::string_view model, TimeMs now) const;
+  int CountCopies(std::string_view service, std::string_view model, const AllowedRegions& allowed,
+                  TimeMs now) const;
   void AddSpareCopies(std::string_view service, const StagingSurvey& survey,
                       std::map<std::string, AgentDemand>* demands, TimeMs now) const;
   double DepartureProbability(std::string_view service, int engines, TimeMs now) const;
@@ -445,13 +475,14 @@
     TimeMs overdue_at = 0;      // The load should be done well before then.
     TimeMs last_waited_at = 0;  // When a request last waited for the model.
   };
-  std::map<std::string, LoadRequest> load_requests_;  // By model.
+  std::map<std::string, LoadRequest> load_requests_;  // By model and allowed regions.
   // Where a further replica was requested.
   struct ReplicaRequest {
     std::string instance;
     TimeMs at = 0;
   };
   std::map<std::string, ReplicaRequest> replica_requests_;  // By model.
+  std::map<ReplicaDomain, std::uint64_t> replica_request_counts_;
 };
 
 }  // namespace junctionrail
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -73,8 +73,8 @@
       gateway_.quotas.RefuseIfOverQuota(organisation_, quota_amount_, request_.arrived_at);
   if (over) return RefuseOverQuota(*over);
   gateway_.retry_budget.OnRequest(service_, request_.arrived_at);
-  gateway_.upstreams.OnArrival(model_, priority_, route_->first_byte_target_ms,
-                               request_.arrived_at);
+  gateway_.upstreams.OnArrival(model_, priority_, route_->first_byte_target_ms, request_.arrived_at,
+                               AllowedRegionsNow());
   AttemptNext();
 }
 
@@ -145,11 +145,15 @@
   Refuse(kUnavailable, none.code, none.reason, Execution::kNotRun, kPlaceRetryAfterMs);
 }
 
-// By the newest configuration, which may be newer than the one at the request's arrival.
+// By the newest configuration, which may be newer than the one at the request's arrival. A request
+// whose route is no longer there keeps the route's last known regions.
 AllowedRegions Exchange::AllowedRegionsNow() const {
+  const std::string* host = FindField(request_.fields, "Host");
+  const Route* newest =
+      host == nullptr ? nullptr : gateway_.routes->Find(*host, PathOf(request_.target));
+  const AllowedRegions& of_route = (newest == nullptr ? route_ : newest)->allowed_regions;
   const Organisation* owner = KeyOwner();
-  return owner == nullptr ? route_->allowed_regions
-                          : Intersect(route_->allowed_regions, owner->allowed_regions);
+  return owner == nullptr ? of_route : Intersect(of_route, owner->allowed_regions);
 }
 
 // Computed only when there is something to compare it with, as it hashes the whole body.
@@ -337,14 +341,15 @@
 }
 
 // While the connection was being opened, the upstream may have left or asked for a backoff, its
-// data hall may have closed, the key
-// may have been revoked, and the caller may have disconnected.
+// data hall may have closed, its region may no longer be allowed, the key may have been revoked,
+// and the caller may have disconnected.
 bool Exchange::MaySend() {
   const auto sink = sink_.lock();
   const bool is_key_good =
       !key_ || (KeyOwner() != nullptr && gateway_.AreKeysCurrent(MonotonicMs()));
   const TimeMs now = MonotonicMs();
   const bool is_upstream_good = gateway_.upstreams.MayReceive(instance_, now) &&
+                                gateway_.upstreams.IsInRegions(instance_, AllowedRegionsNow()) &&
                                 !gateway_.upstreams.IsBackingOff(instance_, now);
   return sink && !sink->HasDisconnected() && is_key_good && is_upstream_good;
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -61,6 +61,7 @@
 
   const std::optional<ModelRef>& model() const { return model_; }
   const std::string& service() const { return service_; }
+  AllowedRegions AllowedRegionsNow() const;
   const std::string& asked_instance() const { return asked_instance_; }
   int priority() const { return priority_; }
   DurationMs target_ms() const { return route_->first_byte_target_ms; }
@@ -103,7 +104,6 @@
   void AttemptNext();
   PickResult ChooseUpstream(TimeMs now);
   void RefusePlace(const NoUpstream& none);
-  AllowedRegions AllowedRegionsNow() const;
   const RequestDigest& Digest();
   QuarantineStatus CurrentQuarantineStatus();
   void RefuseQuarantined();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -431,6 +431,7 @@
   waiting.since = since;
   waiting.next_late_at = exchange.first_byte_due_at();
   waiting.count = 1;
+  waiting.allowed_regions = exchange.AllowedRegionsNow();
   return waiting;
 }
 
@@ -446,12 +447,13 @@
       refused_waits.end());
   std::vector<UpstreamTable::WaitingRequests> each = refused_waits;
   for (const auto& it : waiting_exchanges) each.push_back(ToWaiting(*it, it->waiting_since()));
-  std::map<ModelRef, UpstreamTable::WaitingRequests> by_model;
+  // Requests for one model that may run in different regions wait for different engines.
+  std::map<std::pair<ModelRef, AllowedRegions>, UpstreamTable::WaitingRequests> by_model;
   for (auto& it : each) {
     const bool is_late = it.next_late_at <= now;
     if (is_late) it.next_late_at = kNeverLate;
     it.late = is_late ? it.count : 0;
-    const auto [found, is_first] = by_model.emplace(it.ref, it);
+    const auto [found, is_first] = by_model.emplace(std::make_pair(it.ref, it.allowed_regions), it);
     if (is_first) continue;
     UpstreamTable::WaitingRequests& waiting = found->second;
     waiting.count += it.count;
@@ -462,7 +464,7 @@
     waiting.asked_instance = it.asked_instance;
   }
   std::vector<UpstreamTable::WaitingRequests> all;
-  for (auto& [ref, waiting] : by_model) all.push_back(std::move(waiting));
+  for (auto& [key, waiting] : by_model) all.push_back(std::move(waiting));
   return all;
 }
 
--- a/src/placement/messages.cc
+++ b/src/placement/messages.cc
@@ -186,7 +186,7 @@
   json use = json::array();
   for (const auto& it : demand.use) {
     use.push_back({it.model, it.in_flight, it.requests_per_s, it.replicas, it.idle_ms,
-                   it.adapters_in_use, it.target_ms, it.priority});
+                   it.adapters_in_use, it.target_ms, it.priority, it.region_replicas});
   }
   return PackCbor({{"n", demand.entry},
                    {"i", demand.instance},
@@ -221,7 +221,7 @@
       demand->use.push_back(ModelUse{
           it.at(0).get<std::string>(), it.at(1).get<int>(), it.at(2).get<double>(),
           it.at(3).get<int>(), it.at(4).get<DurationMs>(), it.at(5).get<std::vector<std::string>>(),
-          ElementOr<DurationMs>(it, 6, 0), ElementOr<int>(it, 7, 0)});
+          ElementOr<DurationMs>(it, 6, 0), ElementOr<int>(it, 7, 0), ElementOr<int>(it, 8, 0)});
     }
     demand->stage = message.at("s").get<std::vector<std::string>>();
     // An entry of an older version, without the field, does not limit loads from the store.
--- a/src/placement/placement_core.cc
+++ b/src/placement/placement_core.cc
@@ -273,6 +273,7 @@
       use.in_flight += entry_use.in_flight;
       use.requests_per_s += entry_use.requests_per_s;
       use.replicas = std::max(use.replicas, entry_use.replicas);
+      use.region_replicas = std::max(use.region_replicas, entry_use.region_replicas);
       if (entry_use.idle_ms < 0) continue;
       use.priority =
           use.idle_ms < 0 ? entry_use.priority : std::min(use.priority, entry_use.priority);
@@ -333,7 +334,9 @@
 // Returns the cost to its callers of evicting a model. The model is reloaded on the next
 // request, if one arrives soon: that request waits for the whole reload, and those that arrive
 // meanwhile wait for the rest of it. If other replicas exist they take over this replica's
-// share of the requests, and the cost is what that share would have waited.
+// share of the requests, and the cost is what that share would have waited. The last replica of a
+// region with requests counts like the last one of all: callers bound to the region would wait for
+// a reload, and the others' answers would come from another region.
 double PlacementCore::EvictionCost(const std::string& model) const {
   if (!policy_.weighs_closing) return 0;
   const CombinedUse use = CombineUse(model);
@@ -341,7 +344,7 @@
   if (use.in_flight > 0) absence_ms += kUnloadEstimateMs;
   const double per_ms = use.requests_per_s / std::max(1, use.replicas) / 1000;
   double cost = per_ms * ArrivalWaitCost(absence_ms, use.target_ms);
-  if (use.replicas <= 1) {
+  if (use.replicas <= 1 || use.region_replicas == 1) {
     cost += (1 - std::exp(-per_ms * kDemandHorizonMs)) * WaitCost(absence_ms, use.target_ms);
   }
   return cost * PriorityWeight(use.priority);
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -36,6 +36,14 @@
   return HoldsModel(view.loaded, model) || view.loading == model;
 }
 
+// Requests for one model that may run in different regions wait for different loads.
+std::string LoadKey(const PickRequest& request) {
+  std::string key = request.model->ToString();
+  if (!request.allowed_regions) return key;
+  for (const auto& it : *request.allowed_regions) key += '@' + it;
+  return key;
+}
+
 std::string_view SourceOf(const EngineView& view, const ModelRef& model) {
   if (HoldsModel(view.loaded, model.model)) return "adapter";
   if (view.loading == model.model) return "under_load";
@@ -136,21 +144,21 @@
 
 // The instance whose agent has a pending load request for the model; empty if none. If
 // that agent is overdue, records this so that other agents are preferred for a while.
-std::string UpstreamTable::PendingLoadInstance(const ModelRef& model, TimeMs now) {
-  const auto asked = load_requests_.find(model.ToString());
+std::string UpstreamTable::PendingLoadInstance(const PickRequest& request, TimeMs now) {
+  const auto asked = load_requests_.find(LoadKey(request));
   if (asked == load_requests_.end() || now - asked->second.last_waited_at > kLoadRequestExpiryMs)
     return {};
   if (now < asked->second.overdue_at) return asked->second.instance;
   const auto row = rows_.find(asked->second.instance);
   if (row != rows_.end() && options_.policy.avoids_late_agents) {
-    row->second.load_overdue_until[model] = now + kOverdueAvoidMs;
+    row->second.load_overdue_until[*request.model] = now + kOverdueAvoidMs;
   }
   return {};
 }
 
-void UpstreamTable::RecordLoadRequest(const ModelRef& model, const std::string& instance,
+void UpstreamTable::RecordLoadRequest(const PickRequest& request, const std::string& instance,
                                       DurationMs estimate, TimeMs now) {
-  LoadRequest& asked = load_requests_[model.ToString()];
+  LoadRequest& asked = load_requests_[LoadKey(request)];
   const bool is_new = asked.instance != instance ||
                       now - asked.last_waited_at > kLoadRequestExpiryMs || now >= asked.overdue_at;
   if (is_new) {
@@ -167,7 +175,7 @@
   DurationMs best_ms = 0;
   std::uint64_t best_score = 0;
   const std::string key = request.model->ToString();
-  const std::string asked = PendingLoadInstance(*request.model, now);
+  const std::string asked = PendingLoadInstance(request, now);
   const bool wants_adapter = !request.model->adapter.empty();
   const StoreUse store = CurrentStoreUse(now);
   for (Row* row : usable) {
@@ -201,7 +209,7 @@
   const DurationMs estimate = EstimateLoad(*best, *request.model, store, now);
   if (reopening && reopening->estimate_ms <= estimate) return *reopening;
   Observe(best, now);
-  RecordLoadRequest(*request.model, best->record.instance, estimate, now);
+  RecordLoadRequest(request, best->record.instance, estimate, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
                  CostToOthers(*best, *request.model)};
 }
@@ -216,8 +224,12 @@
       use.in_flight += n;
       if (!ref.adapter.empty()) use.adapters_in_use.push_back(ref.adapter);
     }
-    use.replicas = CountReplicasOf(it.name, now);
-    use.requests_per_s = ReportedRate(it.name, use.replicas, now);
+    const AllowedRegions allowed = RegionsOf(it.name);
+    use.replicas = CountReplicasOf(it.name, allowed, now);
+    // Where its requests may not run, the model is of no use.
+    if (IsRegionAllowed(row, allowed))
+      use.requests_per_s = ReportedRate(it.name, use.replicas, now);
+    use.region_replicas = CountRegionReplicas(row, it.name, now);
     const auto rate = rates_.find(it.name);
     use.idle_ms = rate == rates_.end() ? -1 : now - rate->second.last_request;
     if (rate != rates_.end()) {
--- a/src/routing/observation.cc
+++ b/src/routing/observation.cc
@@ -52,6 +52,7 @@
 }
 
 std::vector<UpstreamTable::Row*> UpstreamTable::FindSpreadHolders(const std::string& model,
+                                                                  const AllowedRegions& allowed,
                                                                   TimeMs now) const {
   const auto holders = holders_.find(model);
   if (holders == holders_.end()) return {};
@@ -59,7 +60,7 @@
   std::vector<std::pair<std::uint64_t, Row*>> scored;
   const std::string key = options_.entry_id + model;
   for (Row* it : holders->second) {
-    if (IsHealthy(*it, it->record.service, now))
+    if (IsHealthy(*it, it->record.service, now) && IsRegionAllowed(*it, allowed))
       scored.emplace_back(RendezvousScore(key, it->record.instance), it);
   }
   KeepBest(kSpreadHolders, &scored);
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -16,9 +16,17 @@
 }  // namespace
 
 bool UpstreamTable::IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const {
-  const std::string& hall = row.record.data_hall;
-  return IsHallAllowed(request.allowed_regions, options_.topology.regions(), hall) &&
-         !evacuated_halls_.IsClosed(hall, now);
+  return IsRegionAllowed(row, request.allowed_regions) &&
+         !evacuated_halls_.IsClosed(row.record.data_hall, now);
+}
+
+bool UpstreamTable::IsRegionAllowed(const Row& row, const AllowedRegions& allowed) const {
+  return IsHallAllowed(allowed, options_.topology.regions(), row.record.data_hall);
+}
+
+AllowedRegions UpstreamTable::RegionsOf(const std::string& model) const {
+  const auto rate = rates_.find(model);
+  return rate == rates_.end() ? std::nullopt : rate->second.regions.Union();
 }
 
 bool UpstreamTable::MayReceive(const std::string& instance, TimeMs now) const {
@@ -27,17 +35,20 @@
          !evacuated_halls_.IsClosed(it->second.record.data_hall, now);
 }
 
+bool UpstreamTable::IsInRegions(const std::string& instance, const AllowedRegions& allowed) const {
+  const auto it = rows_.find(instance);
+  return it != rows_.end() && IsRegionAllowed(it->second, allowed);
+}
+
 // Says whether the service has upstreams in places where the request may not run.
 NoUpstream UpstreamTable::ExplainNone(const PickRequest& request, std::string reason) const {
   bool has_evacuated = false;
   bool has_other_region = false;
   for (const auto& [instance, row] : rows_) {
     if (!IsPresent(row, request.service)) continue;
-    const std::string& hall = row.record.data_hall;
-    const bool is_allowed =
-        IsHallAllowed(request.allowed_regions, options_.topology.regions(), hall);
+    const bool is_allowed = IsRegionAllowed(row, request.allowed_regions);
     has_other_region |= !is_allowed;
-    has_evacuated |= is_allowed && evacuated_halls_.IsEvacuated(hall);
+    has_evacuated |= is_allowed && IsEvacuated(row);
   }
   if (has_evacuated) return {"all data halls with upstreams are evacuated", 0, "evacuated"};
   if (has_other_region) return {"no upstream in an allowed region", 0, "no_allowed_region"};
@@ -152,25 +163,33 @@
                                        std::map<std::string, AgentDemand>* demands, TimeMs now) {
   if (evacuated_halls_.halls().empty()) return;
   const CountByModel replicas = CountReplicas(service, now);
+  const auto is_served = [&](const std::string& model) {
+    const AllowedRegions allowed = RegionsOf(model);
+    return allowed ? CountReplicasOf(model, allowed, now) > 0 : replicas.count(model) > 0;
+  };
   RateByModel rates;
   for (const auto& [instance, row] : rows_) {
     if (!IsEvacuated(row) || !IsHealthy(row, service, now) || !IsFresh(row, now)) continue;
     for (const auto& [model, per_s] : row.view.requests_per_s) {
-      const bool is_only_there = per_s > 0 && replicas.count(model) == 0;
+      const bool is_only_there = per_s > 0 && !is_served(model);
       if (is_only_there) rates[model] = std::max(rates[model], per_s);
     }
   }
   std::vector<std::pair<double, std::string_view>> by_rate;
   for (const auto& [model, per_s] : rates) by_rate.emplace_back(-per_s, model);
   std::sort(by_rate.begin(), by_rate.end());
-  const CountByModel pending = CountPendingReplicas(service, now);
+  const CountByModel pending = CountPendingReplicas(service, std::nullopt, now);
   for (const auto& [negative_per_s, model_name] : by_rate) {
     const std::string model(model_name);
     const auto rate = rates_.find(model);
     const ModelSpec* spec = services_.at(service).engine->Find(model);
     // Left to entries that get its requests.
-    if (pending.count(model_name) > 0 || spec == nullptr || rate == rates_.end()) continue;
-    const Row* target = ChooseReplicaTarget(service, model, now);
+    if (spec == nullptr || rate == rates_.end()) continue;
+    const AllowedRegions allowed = rate->second.regions.Union();
+    const bool is_pending = allowed ? CountPendingReplicas(service, allowed, now).count(model) > 0
+                                    : pending.count(model_name) > 0;
+    if (is_pending) continue;
+    const Row* target = ChooseReplicaTarget(service, model, allowed, now);
     const auto demand = target == nullptr ? demands->end() : demands->find(target->record.instance);
     if (demand == demands->end()) continue;
     const double per_s = -negative_per_s;
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <utility>
 
+#include "replica_spread.h"
 #include "routing_impl.h"
 
 namespace junctionrail {
@@ -27,6 +28,10 @@
 constexpr DurationMs kKeepReplicaTargetMs = 2500;
 // Approximate time of a load from disk, including the swap before it.
 constexpr DurationMs kQuickLoadMs = 1500;
+// A replica goes to a data hall with fewer replicas if that costs at most this much more, about as
+// much as a load from disk that waits for another one. While all replicas are in one hall, the
+// extra cost may be that of a load from the weight store, which the loss of the hall would cause.
+constexpr double kMaxSpreadCostMs = 1000;
 
 }  // namespace
 
@@ -43,16 +48,32 @@
   return replicas;
 }
 
-int UpstreamTable::CountReplicasOf(const std::string& model, TimeMs now) const {
+int UpstreamTable::CountReplicasOf(const std::string& model, const AllowedRegions& allowed,
+                                   TimeMs now) const {
   const auto holders = holders_.find(model);
   if (holders == holders_.end()) return 0;
   const ModelRef ref{model, {}};
   return static_cast<int>(
       std::count_if(holders->second.begin(), holders->second.end(), [&](const Row* row) {
-        return IsUsable(*row, row->record.service, now) && Holds(*row, ref, now);
+        return IsUsable(*row, row->record.service, now) && IsRegionAllowed(*row, allowed) &&
+               Holds(*row, ref, now);
       }));
 }
 
+// The model's replicas in the region of the row, for the agent there. An entry's requests are
+// wanted there if they may run there and either are bound to regions or come from that region.
+int UpstreamTable::CountRegionReplicas(const Row& row, const std::string& model, TimeMs now) const {
+  if (!options_.topology.HasRegions()) return 0;
+  const std::string region = options_.topology.RegionOf(row.record.data_hall);
+  const AllowedRegions allowed = RegionsOf(model);
+  const bool is_wanted =
+      allowed ? allowed->count(region) > 0
+              : options_.topology.DistanceTo(row.record.data_hall) != Distance::kOtherRegion;
+  const bool has_requests = is_wanted && rates_.count(model) > 0;
+  if (!has_requests || region.empty()) return 0;
+  return CountReplicasOf(model, std::set<std::string>{region}, now);
+}
+
 // Each entry reports its request rate for a model to every agent that has it loaded, so
 // each of those agents knows the sum. An entry's own rate is too inaccurate: scaled to
 // 28 entries, a single request would look like six a second.
@@ -81,47 +102,67 @@
 }
 
 // Adds replicas one at a time while a model's callers are late at the existing ones; a
-// busy model keeps a second replica in any case.
+// busy model keeps a second replica in any case, and one in another data hall. Requests that are
+// bound to regions are served only by replicas there.
 void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now) {
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
-    int engines = 0;
-    for (const auto& [instance, row] : rows_) engines += IsUsable(row, name, now) ? 1 : 0;
-    const CountByModel pending_replicas = CountPendingReplicas(name, now);
     for (const auto& [model_name, per_s] : FleetRates(name, now)) {
       if (per_s < kSecondReplicaPerS || service.engine->Find(model_name) == nullptr) continue;
       const std::string model(model_name);
       const auto rate = rates_.find(model);
       if (rate == rates_.end()) continue;  // Left to entries that get its requests.
-      const int replica_count = CountReplicasOf(model, now);
-      const bool is_late = rate->second.LateShare() > kMaxLateShare;
-      const bool needs_replica = is_late || IsNearCapacity(model, now);
-      const int needed = needs_replica ? std::max(kMinReplicas, replica_count + 1) : kMinReplicas;
-      const int wanted = std::min(needed, engines);
-      // Without any replica, the waiting requests cause the first load.
-      const auto pending = pending_replicas.find(model);
-      if (replica_count == 0 ||
-          replica_count + (pending == pending_replicas.end() ? 0 : pending->second) >= wanted)
-        continue;
-      const Row* target = ChooseReplicaTarget(name, model, now);
-      const auto demand =
-          target == nullptr ? demands->end() : demands->find(target->record.instance);
-      if (demand == demands->end()) continue;
-      demand->second.wanted.push_back(ModelDemand{ModelRef{model, {}}, 0, rate->second.priority, 0,
-                                                  per_s / replica_count,
-                                                  is_late ? rate->second.LateCallers(per_s) : 0});
+      for (const auto& scope : rate->second.regions.Scopes()) {
+        if (AddReplica(name, model, per_s, scope, demands, now)) break;
+      }
     }
     AddEvacuatedModels(name, demands, now);
   }
 }
 
-bool UpstreamTable::IsNearCapacity(const std::string& model, TimeMs now) const {
+bool UpstreamTable::AddReplica(const std::string& service, const std::string& model,
+                               double fleet_per_s, const RegionDemand::Scope& scope,
+                               std::map<std::string, AgentDemand>* demands, TimeMs now) {
+  const double per_s = fleet_per_s * scope.share;
+  const int replica_count = CountReplicasOf(model, scope.allowed, now);
+  // Without any replica, the waiting requests cause the first load.
+  if (per_s < kSecondReplicaPerS || replica_count == 0) return false;
+  const ModelRate& rate = rates_.at(model);
+  const bool is_late = rate.LateShare() > kMaxLateShare;
+  const bool is_in_one_hall = FindReplicas(model, scope.allowed, now).IsInOneHall();
+  const bool needs_replica = is_late || IsNearCapacity(model, scope.allowed, now);
+  if (replica_count >= kMinReplicas && !needs_replica && !is_in_one_hall) return false;
+  int engines = 0;
+  std::set<std::string_view> halls;
+  for (const auto& [instance, row] : rows_) {
+    if (!IsUsable(row, service, now) || !IsRegionAllowed(row, scope.allowed)) continue;
+    ++engines;
+    halls.insert(row.record.data_hall);
+  }
+  const bool needs_hall = is_in_one_hall && halls.size() > 1;
+  const int needed = std::max(kMinReplicas, replica_count + (needs_replica || needs_hall ? 1 : 0));
+  const CountByModel pending_replicas = CountPendingReplicas(service, scope.allowed, now);
+  const auto pending = pending_replicas.find(model);
+  const int pending_count = pending == pending_replicas.end() ? 0 : pending->second;
+  if (replica_count + pending_count >= std::min(needed, engines)) return pending_count > 0;
+  const Row* target = ChooseReplicaTarget(service, model, scope.allowed, now);
+  const auto demand = target == nullptr ? demands->end() : demands->find(target->record.instance);
+  if (demand == demands->end()) return false;
+  demand->second.wanted.push_back(ModelDemand{ModelRef{model, {}}, 0, rate.priority, 0,
+                                              per_s / replica_count,
+                                              is_late ? rate.LateCallers(per_s) : 0});
+  return true;
+}
+
+bool UpstreamTable::IsNearCapacity(const std::string& model, const AllowedRegions& allowed,
+                                   TimeMs now) const {
   const auto holders = holders_.find(model);
   if (holders == holders_.end()) return false;
   double used_slots = 0;
   double slots = 0;
   for (const Row* row : holders->second) {
     if (!IsUsable(*row, row->record.service, now) || !IsFresh(*row, now)) continue;
+    if (!IsRegionAllowed(*row, allowed)) continue;
     // An upstream that states a limit is overloaded and counts as full: requests beyond
     // the limit must be served elsewhere.
     used_slots +=
@@ -132,10 +173,12 @@
 }
 
 UpstreamTable::CountByModel UpstreamTable::CountPendingReplicas(std::string_view service,
+                                                                const AllowedRegions& allowed,
                                                                 TimeMs now) const {
   CountByModel pending_replicas;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
+    if (!IsRegionAllowed(row, allowed)) continue;
     // A load slower than one from disk is no reason to delay another replica.
     const bool is_slow =
         row.view.is_loading_from_store && row.view.load_remaining_ms > kQuickLoadMs;
@@ -149,12 +192,29 @@
   return pending_replicas;
 }
 
-// The engine where the model can be loaded soonest at the least cost to others. All
+internal::ReplicaSpread UpstreamTable::FindReplicas(const std::string& model,
+                                                    const AllowedRegions& allowed,
+                                                    TimeMs now) const {
+  internal::ReplicaSpread spread(options_.topology);
+  const auto holders = holders_.find(model);
+  if (holders == holders_.end()) return spread;
+  const ModelRef ref{model, {}};
+  for (const Row* row : holders->second) {
+    const bool is_replica = IsUsable(*row, row->record.service, now) &&
+                            IsRegionAllowed(*row, allowed) && Holds(*row, ref, now);
+    if (is_replica) spread.AddReplica(row->record.data_hall);
+  }
+  return spread;
+}
+
+// The engine where the model can be loaded soonest at the least cost to others, in the data hall
+// and region with the fewest replicas if that is not much dearer. All
 // entries choose the same one, as they see the same views. The choice is kept until the
 // model is loaded: the engine looks busier while it evicts another model, and otherwise
 // a different engine would be asked instead.
 UpstreamTable::Row* UpstreamTable::ChooseReplicaTarget(std::string_view service,
-                                                       const std::string& model, TimeMs now) {
+                                                       const std::string& model,
+                                                       const AllowedRegions& allowed, TimeMs now) {
   const auto asked = replica_requests_.find(model);
   const bool is_asked =
       asked != replica_requests_.end() && now - asked->second.at < kKeepReplicaTargetMs;
@@ -162,10 +222,14 @@
   const StoreUse store = CurrentStoreUse(now);
   std::vector<Row*> usable;
   for (auto& [instance, row] : rows_) {
-    if (IsUsable(row, service, now)) usable.push_back(&row);
+    if (IsUsable(row, service, now) && IsRegionAllowed(row, allowed)) usable.push_back(&row);
   }
-  Row* best = nullptr;
-  std::pair<double, std::uint64_t> best_rank;
+  internal::ReplicaSpread spread = FindReplicas(model, allowed, now);
+  for (const Row* row : usable) {
+    const bool is_pending = IsFresh(*row, now) && row->view.loading == model;
+    if (is_pending) spread.AddReplica(row->record.data_hall);
+  }
+  const ModelSpec* spec = services_.at(std::string(service)).engine->Find(model);
   for (Row* it : FindLoadCandidates(model, usable, now)) {
     Row& row = *it;
     const std::string& instance = row.record.instance;
@@ -174,17 +238,31 @@
     if (row.throttle.limit_per_s()) continue;
     if (is_asked && asked->second.instance == instance) return &row;
     double cost = static_cast<double>(EstimateLoad(row, ref, store, now));
-    if (best != nullptr && cost > best_rank.first) continue;
+    const auto lowest = spread.LowestCost(row.record.data_hall);
+    if (lowest && cost > *lowest) continue;
     cost += CostToOthers(row, ref);
-    const std::pair<double, std::uint64_t> rank(cost, ~RendezvousScore(model, instance));
-    if (best != nullptr && rank >= best_rank) continue;
-    best = &row;
-    best_rank = rank;
+    // For a replica without late callers the agent evicts no model in use. Such engines were chosen
+    // while the eviction cost less than a load from the weight store, and never loaded the model.
+    const bool is_refused = spread.IsInOneHall() && !spread.HasReplica(row.record.data_hall) &&
+                            EvictionCost(row, ref) > 0;
+    if (is_refused && spec != nullptr) cost += static_cast<double>(spec->store_load_ms);
+    spread.AddCandidate({instance, row.record.data_hall, cost, RendezvousScore(model, instance)});
   }
-  if (best == nullptr) return nullptr;
+  const bool protects_from_loss = spread.IsInOneHall() && spec != nullptr;
+  const auto choice =
+      spread.Choose(protects_from_loss ? static_cast<double>(spec->store_load_ms) + kMaxSpreadCostMs
+                                       : kMaxSpreadCostMs);
+  if (!choice) return nullptr;
+  ++replica_request_counts_[choice->domain];
+  Row* best = &rows_.at(choice->instance);
   Observe(best, now);
-  replica_requests_[model] = ReplicaRequest{best->record.instance, now};
+  replica_requests_[model] = ReplicaRequest{choice->instance, now};
   return best;
 }
 
+std::uint64_t UpstreamTable::CountReplicaRequests(ReplicaDomain domain) const {
+  const auto it = replica_request_counts_.find(domain);
+  return it == replica_request_counts_.end() ? 0 : it->second;
+}
+
 }  // namespace junctionrail
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -347,7 +347,7 @@
 
 UpstreamTable::Candidates UpstreamTable::FindHolders(const PickRequest& request, TimeMs now) {
   Candidates holders;
-  for (Row* it : FindSpreadHolders(request.model->model, now)) {
+  for (Row* it : FindSpreadHolders(request.model->model, request.allowed_regions, now)) {
     const bool is_untried = !Contains(request.tried, it->record.instance);
     const bool may_serve = is_untried && IsHealthy(*it, request.service, now) &&
                            IsPlaceAllowed(*it, request, now) && Holds(*it, *request.model, now);
@@ -410,7 +410,7 @@
 }
 
 void UpstreamTable::OnArrival(const std::optional<ModelRef>& model, int priority,
-                              DurationMs target_ms, TimeMs now) {
+                              DurationMs target_ms, TimeMs now, const AllowedRegions& allowed) {
   if (!model) return;
   if (first_arrival_ == 0) first_arrival_ = now;
   ModelRate& rate = rates_[model->model];
@@ -421,8 +421,9 @@
   rate.last_request = now;
   rate.priority = priority;
   rate.target_ms = target_ms;
+  rate.regions.Add(allowed, now);
   if (is_planner_) return;
-  for (Row* it : FindSpreadHolders(model->model, now)) Observe(it, now);
+  for (Row* it : FindSpreadHolders(model->model, allowed, now)) Observe(it, now);
 }
 
 double UpstreamTable::RequestRate(const std::string& model, TimeMs now) const {
--- a/src/routing/weight_store.cc
+++ b/src/routing/weight_store.cc
@@ -82,6 +82,7 @@
 
 // State of a service's engines that staging needs.
 struct UpstreamTable::StagingSurvey {
+  std::string_view service;
   // Models on any engine, now or soon; the names point into the rows.
   std::unordered_set<std::string_view> available_models;
   std::vector<const Row*> idle;  // Engines without loads in progress or queued.
@@ -92,6 +93,7 @@
 UpstreamTable::StagingSurvey UpstreamTable::SurveyForStaging(std::string_view service,
                                                              TimeMs now) const {
   StagingSurvey survey;
+  survey.service = service;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now)) continue;
     ++survey.engines;
@@ -121,10 +123,12 @@
 }
 
 // Number of engines that have the model loaded or on disk, or will soon.
-int UpstreamTable::CountCopies(std::string_view service, std::string_view model, TimeMs now) const {
+int UpstreamTable::CountCopies(std::string_view service, std::string_view model,
+                               const AllowedRegions& allowed, TimeMs now) const {
   int copies = 0;
   for (const auto& [instance, row] : rows_) {
     if (!IsUsable(row, service, now) || !IsFresh(row, now)) continue;
+    if (!IsRegionAllowed(row, allowed)) continue;
     const EngineView& view = row.view;
     const bool is_there = HoldsModel(view.loaded, model) || view.loading == model ||
                           Contains(view.cached_models, model) || Contains(view.queue, model);
@@ -149,15 +153,17 @@
   std::vector<std::tuple<double, std::uint64_t, std::string_view>> spares;
   for (const auto& [model, per_s] : FleetRates(service, now)) {
     if (per_s < kMinAtRiskPerS) continue;
-    const double at_risk = per_s * std::pow(chance, CountCopies(service, model, now));
+    const AllowedRegions allowed = RegionsOf(std::string(model));
+    const double at_risk = per_s * std::pow(chance, CountCopies(service, model, allowed, now));
     if (at_risk < kMinAtRiskPerS) continue;
     spares.emplace_back(-at_risk, RendezvousScore(model, "spare"), model);
   }
   std::sort(spares.begin(), spares.end());
   for (const auto& [at_risk, score, model] : spares) {
-    const auto has_room = [&, name = model](const Row* row) {
+    const auto has_room = [&, name = model,
+                           allowed = RegionsOf(std::string(model))](const Row* row) {
       const ModelSpec* spec = FindModelSpec(*row, name);
-      return spec != nullptr && FreeMb(*row) >= spec->size_mb &&
+      return spec != nullptr && IsRegionAllowed(*row, allowed) && FreeMb(*row) >= spec->size_mb &&
              !HoldsModel(row->view.loaded, name);
     };
     const auto target = std::find_if(with_room.begin(), with_room.end(), has_room);
@@ -202,14 +208,23 @@
                                std::map<std::string, AgentDemand>* demands, TimeMs now) const {
   std::vector<std::pair<std::uint64_t, std::string>> missing;
   for (const auto& it : spec.models) {
-    if (survey.available_models.count(it.name) > 0) continue;
+    const AllowedRegions allowed = RegionsOf(it.name);
+    const bool is_available = allowed ? CountCopies(survey.service, it.name, allowed, now) > 0
+                                      : survey.available_models.count(it.name) > 0;
+    if (is_available) continue;
     missing.emplace_back(RendezvousScore(it.name, "stage"), it.name);
   }
   std::sort(missing.begin(), missing.end());
   int free_loads = options_.parallel_store_loads - CurrentStoreUse(now).active_loads;
   std::vector<const Row*> idle = survey.idle;
   for (const auto& [score, model] : missing) {
-    if (free_loads-- <= 0 || idle.empty()) break;
+    if (free_loads <= 0 || idle.empty()) break;
+    const AllowedRegions allowed = RegionsOf(model);
+    // Engines in the allowed regions, in their order.
+    const auto end = std::stable_partition(
+        idle.begin(), idle.end(), [&](const Row* row) { return IsRegionAllowed(*row, allowed); });
+    if (end == idle.begin()) continue;
+    --free_loads;
     // The engine with the fewest cached models, then by rendezvous hashing.
     const std::string_view wanted = model;
     const auto rank = [wanted](const Row* row) {
@@ -217,7 +232,7 @@
                             ~RendezvousScore(wanted, row->record.instance));
     };
     const auto best = std::min_element(
-        idle.begin(), idle.end(), [&](const Row* a, const Row* b) { return rank(a) < rank(b); });
+        idle.begin(), end, [&](const Row* a, const Row* b) { return rank(a) < rank(b); });
     const auto demand = demands->find((*best)->record.instance);
     if (demand != demands->end()) demand->second.stage.push_back(model);
     idle.erase(best);
--- a/test/support/fleet_simulation.cc
+++ b/test/support/fleet_simulation.cc
@@ -17,6 +17,8 @@
 constexpr DurationMs kIdleReportMs = 500;
 constexpr double kModelMb = 72;
 
+std::string HallName(int n) { return "hall-" + std::to_string(n + 1); }
+
 std::string ModelName(int n) { return "m" + std::to_string(n); }
 
 EngineSpec SpecOf(const FleetConfig& fleet) {
@@ -61,9 +63,9 @@
     }
   }
   RoutingOptions options;
-  options.topology = Topology("hall-1", {});
   options.policy = fleet_.policy;
   for (int n = 0; n < fleet_.entries; ++n) {
+    options.topology = Topology(HallName(n % fleet_.halls), fleet_.hall_regions);
     entries_.push_back(
         Entry{UpstreamTable(options), {}, now_ + DurationMs{n} * 17 % kDemandMs, false, {}});
     entries_.back().table.ApplyServices({{kService, 100, SpecOf(fleet_)}});
@@ -73,10 +75,10 @@
 
 void FleetSimulation::ReplaceEngine(int n) {
   Engine& engine = engines_[static_cast<std::size_t>(n)];
-  for (const auto& it : engine.running) RecordOutcome(it, &WorkloadOutcome::abandoned);
-  for (const auto& it : engine.queue) RecordOutcome(it, &WorkloadOutcome::abandoned);
+  AbandonRequests(engine);
   by_instance_.erase(engine.instance);
   engine = Engine();
+  engine.hall = HallName(n % fleet_.halls);
   engine.instance = "e" + std::to_string(n) + "-" + std::to_string(++generation_);
   engine.next_report_at = now_ + DurationMs{n} * 13 % kIdleReportMs;
   engine.view_repeated_at = now_ - DurationMs{n} * 29 % kRepeatViewMs;
@@ -86,6 +88,35 @@
   if (!entries_.empty()) PublishListing();
 }
 
+void FleetSimulation::AbandonRequests(const Engine& engine) {
+  for (const auto& it : engine.running) RecordOutcome(it, &WorkloadOutcome::abandoned);
+  for (const auto& it : engine.queue) RecordOutcome(it, &WorkloadOutcome::abandoned);
+}
+
+void FleetSimulation::LoseHall(const std::string& hall) {
+  for (auto& engine : engines_) {
+    if (engine.hall != hall) continue;
+    AbandonRequests(engine);
+    by_instance_.erase(engine.instance);
+    engine = Engine();
+    engine.hall = hall;
+    engine.is_lost = true;
+  }
+  PublishListing();
+}
+
+std::map<std::string, int> FleetSimulation::ReplicasByHall(int model) const {
+  std::map<std::string, int> replicas;
+  for (const auto& engine : engines_) {
+    const auto& loaded = engine.report.loaded;
+    const bool has_model = std::any_of(loaded.begin(), loaded.end(), [&](const LoadedModel& it) {
+      return it.name == ModelName(model);
+    });
+    if (has_model) ++replicas[engine.hall];
+  }
+  return replicas;
+}
+
 void FleetSimulation::AddEngine() {
   engines_.emplace_back();
   ++fleet_.engines;
@@ -101,7 +132,8 @@
   std::vector<UpstreamRecord> listing;
   for (int n = 0; n < fleet_.engines; ++n) {
     const Engine& it = engines_[static_cast<std::size_t>(n)];
-    UpstreamRecord record{it.instance,  kService,      {"10.0.0.1", 80}, "hall-1",
+    if (it.is_lost) continue;
+    UpstreamRecord record{it.instance,  kService,      {"10.0.0.1", 80}, it.hall,
                           fleet_.slots, it.is_leaving, it.report.loaded};
     record.endpoint.port = static_cast<std::uint16_t>(n + 1);
     listing.push_back(std::move(record));
@@ -118,6 +150,7 @@
     const double speed =
         std::min(1.0, static_cast<double>(fleet_.store_loads) / std::max(1, loads));
     for (auto& it : engines_) {
+      if (it.is_lost) continue;
       Advance(it, it.is_from_store ? speed : 1);
       RunAgent(it);
     }
@@ -144,7 +177,7 @@
       request.entry = std::uniform_int_distribution<int>(0, fleet_.entries - 1)(random_);
       ++outcomes_[load.name].requests;
       entries_[static_cast<std::size_t>(request.entry)].table.OnArrival(
-          request.model, load.priority, load.target_ms, now_);
+          request.model, load.priority, load.target_ms, now_, load.allowed_regions);
       Dispatch(std::move(request), true);
     }
   }
@@ -158,6 +191,7 @@
   pick.service = kService;
   pick.model = request.model;
   pick.request_id = request.id;
+  pick.allowed_regions = request.load->allowed_regions;
   const PickResult choice = entry.table.Choose(pick, now_);
   if (const auto* to = std::get_if<SendTo>(&choice)) return Send(to->instance, std::move(request));
   const auto* wait = std::get_if<WaitFor>(&choice);
@@ -200,9 +234,9 @@
   if (now_ < entry.next_demand_at && !entry.has_new_target) return;
   if (now_ >= entry.next_demand_at) entry.next_demand_at = now_ + kDemandMs;
   entry.has_new_target = false;
-  std::map<ModelRef, UpstreamTable::WaitingRequests> waiting;
+  std::map<std::pair<ModelRef, AllowedRegions>, UpstreamTable::WaitingRequests> waiting;
   for (const auto& it : entry.parked) {
-    UpstreamTable::WaitingRequests& wait = waiting[it.model];
+    UpstreamTable::WaitingRequests& wait = waiting[{it.model, it.load->allowed_regions}];
     const bool is_first = wait.count++ == 0;
     const TimeMs late_at = it.arrived_at + it.load->target_ms;
     wait.ref = it.model;
@@ -217,7 +251,7 @@
     }
   }
   std::vector<UpstreamTable::WaitingRequests> list;
-  for (auto& [ref, it] : waiting) list.push_back(std::move(it));
+  for (auto& [key, it] : waiting) list.push_back(std::move(it));
   for (auto& [instance, demand] : entry.table.BuildDemands(list, now_)) {
     const auto engine = by_instance_.find(instance);
     if (engine == by_instance_.end()) continue;
--- a/test/support/fleet_simulation.h
+++ b/test/support/fleet_simulation.h
@@ -28,6 +28,7 @@
   DurationMs patience_ms = 0;  // Callers cancel after this long without an event.
   DurationMs service_ms = 0;   // From the start at the engine to the last event of the answer.
   int priority = 0;
+  AllowedRegions allowed_regions = {};
 };
 
 struct FleetConfig {
@@ -43,6 +44,8 @@
   int disk_copies = 1;  // Copies of each model on the engines' disks at the start.
   int busy_models = 0;  // The first models, which start on `busy_replicas` engines each.
   int busy_replicas = 1;
+  int halls = 1;  // "hall-1" and so on; engines and entries are spread over them in turn.
+  HallRegions hall_regions;  // What the entries know of the halls' regions.
   std::vector<Workload> loads;
   PolicySettings policy;
   std::uint64_t seed = 1;
@@ -71,12 +74,16 @@
   void AddEngine();
   // Makes an engine leave. Entries learn of it at once; the engine serves the requests it has.
   void MarkLeaving(int engine);
+  // Ends all engines of the hall at once. Entries learn of it at once; those in the hall go on.
+  void LoseHall(const std::string& hall);
 
   const WorkloadOutcome& Outcome(const std::string& load) const { return outcomes_.at(load); }
   // Counts since the start.
   int loads_from_disk() const { return loads_from_disk_; }
   int loads_from_store() const { return loads_from_store_; }
   int unloads() const { return unloads_; }
+  // Number of engines in each hall that have the model loaded.
+  std::map<std::string, int> ReplicasByHall(int model) const;
   TimeMs now() const { return now_; }
 
  private:
@@ -93,7 +100,9 @@
   };
   struct Engine {
     std::string instance;
+    std::string hall;
     bool is_leaving = false;
+    bool is_lost = false;
     PlacementCore core;
     EngineReport report;
     std::string loading;
@@ -119,6 +128,7 @@
   void Dispatch(Request request, bool is_new);
   void Send(const std::string& instance, Request request);
   void RecordOutcome(const Request& request, int WorkloadOutcome::*what);
+  void AbandonRequests(const Engine& engine);
   void RetryParked(int entry);
   void SendDemands(int entry);
   void RunAgent(Engine& engine);
