--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -33,6 +33,17 @@
   page->Histogram(name, help, cumulative, histogram.count, histogram.sum_ms);
 }
 
+void AddReplicaTargets(const UpstreamTable& upstreams, MetricsPage* page) {
+  const auto add = [&](std::string_view place, ReplicaDomain domain) {
+    page->Counter("junctionrail_replica_targets_total",
+                  "Engines chosen for a further replica, by where the others are.",
+                  upstreams.CountReplicaRequests(domain), {{"place", place}});
+  };
+  add("same_hall", ReplicaDomain::kSameHall);
+  add("other_hall", ReplicaDomain::kOtherHall);
+  add("other_region", ReplicaDomain::kOtherRegion);
+}
+
 // A page with a line for each of thousands would be read by nobody.
 constexpr std::size_t kMostOrganisations = 64;
 
@@ -118,6 +129,7 @@
                it.backoff_requests);
   page.Counter("junctionrail_malformed_notices_total",
                "Answers of upstreams with a notice that could not be read.", it.malformed_notices);
+  AddReplicaTargets(gateway.upstreams(), &page);
   AddQuotas(gateway.quotas(), &page);
   AddHistogram("junctionrail_first_answer_ms",
                "From a request's arrival to the first byte of its answer.",
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -340,6 +340,24 @@
               "forty requests wait for e now, but the memory was freed for d");
 }
 
+TEST(PlacementEviction, KeepsLastReplicaOfARegionWithRequests) {
+  // Guards against evicting the only copy in a region: with three replicas in the fleet it was the
+  // cheapest, and the requests of its region waited for a load.
+  Engine engine;
+  for (const char* it : {"a", "b", "c"}) engine.AddLoaded(it);
+  engine.SendReport();
+  std::vector<ModelUse> use = {MakeUse("a", 0, 1, 3), MakeUse("b", 0, 1.2, 3),
+                               MakeUse("c", 0, 5, 3)};
+  engine.SendDemand({MakeDemand("d", 9, 1)}, use);
+  const double before = engine.core.BuildView(engine.now).eviction_cost_ms.at("a");
+  EXPECT_TEXT("unload a", engine.NextOrder(), "the least requested one");
+  use[0].region_replicas = 1;
+  use[1].region_replicas = 2;
+  engine.SendDemand({MakeDemand("d", 9, 1)}, use);
+  EXPECT_TRUE(engine.core.BuildView(engine.now).eviction_cost_ms.at("a") > before, "dearer");
+  EXPECT_TEXT("unload b", engine.NextOrder(), "the region has another replica of it");
+}
+
 TEST_GROUP(PlacementAdapters){};
 
 TEST(PlacementAdapters, ReplaceUnusedAdapter) {
@@ -590,6 +608,7 @@
                      {"d"}, false};
   demand.use[0].adapters_in_use = {"x"};
   demand.use[0].target_ms = 300;
+  demand.use[0].region_replicas = 2;
   demand.wanted[0].late_callers = 2.5;
   demand.wanted[0].late = 1;
   demand.wanted[0].slack_ms = 700;
@@ -601,6 +620,7 @@
   EXPECT_TEXT("a/x", read_demand.wanted.at(0).ref.ToString(), "");
   EXPECT_TEXT("x", read_demand.use.at(0).adapters_in_use.at(0), "");
   EXPECT_NUMBER(300, read_demand.use.at(0).target_ms, "");
+  EXPECT_NUMBER(2, read_demand.use.at(0).region_replicas, "");
   EXPECT_TRUE(read_demand.wanted.at(0).late_callers == 2.5, "");
   EXPECT_NUMBER(1, read_demand.wanted.at(0).late, "");
   EXPECT_NUMBER(700, read_demand.wanted.at(0).slack_ms, "");
@@ -626,6 +646,7 @@
   EXPECT_NUMBER(2, demand.wanted.at(0).waiting, "");
   EXPECT_TRUE(demand.wanted.at(0).requests_per_s_per_replica == 0, "");
   EXPECT_NUMBER(0, demand.use.at(0).target_ms, "");
+  EXPECT_NUMBER(0, demand.use.at(0).region_replicas, "");
   EXPECT_TRUE(demand.may_load_from_store, "the sender does not limit loads from the store");
   EXPECT_NUMBER(1000, demand.resend_interval_ms, "the sender repeats its demand every second");
   EXPECT_TRUE(!demand.accepts_view_updates, "the sender accepts full views only");
