Merge replicas over halls and regions; switched by the settings

New setting tolerated_hall_losses, filled from the platform's fault tolerance: replicas are spread over halls only where a hall's loss is to be tolerated, and over regions where the halls name several. Elsewhere ReplicaSpread knows no replicas, and the cheapest engine is chosen as before.

--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -101,6 +101,9 @@
   DurationMs retry_window_ms = 10000;
   // The region of each data hall.
   std::map<std::string, std::string> hall_regions;
+  // Data halls that the fleet must be able to lose at once. From 1 on, replicas of busy models are
+  // spread over halls; over regions they are in any case.
+  std::uint32_t tolerated_hall_losses = 0;
   // An agent's.
   Endpoint link;
   Endpoint upstream;
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
+constexpr std::int64_t kMostHalls = 1000;
 // The relay polls the list of upstreams, and entries ask it, this often, as a part of the time
 // within which one that leaves may get something new. What an entry knows is then younger than the
 // age at which it polls the store itself. The relay confirms what operators write as often, as a
@@ -101,6 +102,8 @@
   direct.retry_extra = r.Number("retry_extra", 0, 1e6, direct.retry_extra);
   direct.retry_window_ms = r.Integer("retry_window_ms", 1, kLongestMs, direct.retry_window_ms);
   direct.hall_regions = r.StringMap("hall_regions");
+  direct.tolerated_hall_losses = static_cast<std::uint32_t>(
+      r.Integer("tolerated_hall_losses", 0, kMostHalls, direct.tolerated_hall_losses));
   return direct;
 }
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -77,6 +77,8 @@
   options.read_notice = platform::ReadNotice;
   options.retry_budget = RetriesOf(direct);
   options.routing.topology = Topology(settings.data_hall, direct.hall_regions);
+  options.routing.spreads_replicas =
+      direct.tolerated_hall_losses > 0 || options.routing.topology.HasRegions();
   options.routing.policy = direct.policy;
   options.entry_id = settings.id;
   options.key_revocation_ms = direct.revoke_ms;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -38,6 +38,14 @@
   return HoldsModel(view.loaded, model) || view.loading == model;
 }
 
+// Requests for one model that may run in different regions wait for different loads.
+std::string LoadKey(const PickRequest& request) {
+  std::string key = request.model->ToString();
+  if (!request.allowed_regions) return key;
+  for (const auto& it : *request.allowed_regions) key += '@' + it;
+  return key;
+}
+
 std::string_view SourceOf(const EngineView& view, const ModelRef& model) {
   if (HoldsModel(view.loaded, model.model)) return "adapter";
   if (view.loading == model.model) return "under_load";
@@ -138,24 +146,24 @@
 
 // The instance whose agent has a pending load request for the model; empty if none. If
 // that agent is overdue, records this so that other agents are preferred for a while.
-std::string UpstreamTable::PendingLoadInstance(const ModelRef& model, TimeMs now) {
-  const auto asked = load_requests_.find(model.ToString());
+std::string UpstreamTable::PendingLoadInstance(const PickRequest& request, TimeMs now) {
+  const auto asked = load_requests_.find(LoadKey(request));
   if (asked == load_requests_.end() || now - asked->second.last_waited_at > kLoadRequestExpiryMs)
     return {};
   const auto row = rows_.find(asked->second.instance);
   const bool is_at_work = row != rows_.end() && IsFresh(row->second, now);
   const DurationMs margin =
-      is_at_work ? internal::WorkMargin(row->second.view, model.model) : DurationMs{0};
+      is_at_work ? internal::WorkMargin(row->second.view, request.model->model) : DurationMs{0};
   if (now < asked->second.overdue_at + margin) return asked->second.instance;
   if (row != rows_.end() && options_.policy.avoids_late_agents) {
-    row->second.load_overdue_until[model] = now + kOverdueAvoidMs;
+    row->second.load_overdue_until[*request.model] = now + kOverdueAvoidMs;
   }
   return {};
 }
 
-void UpstreamTable::RecordLoadRequest(const ModelRef& model, const std::string& instance,
+void UpstreamTable::RecordLoadRequest(const PickRequest& request, const std::string& instance,
                                       DurationMs estimate, bool is_pending, TimeMs now) {
-  LoadRequest& asked = load_requests_[model.ToString()];
+  LoadRequest& asked = load_requests_[LoadKey(request)];
   if (!is_pending)
     asked = LoadRequest{instance, now + estimate + internal::OverdueMargin(estimate), now};
   asked.last_waited_at = now;
@@ -168,7 +176,7 @@
   DurationMs best_ms = 0;
   std::uint64_t best_score = 0;
   const std::string key = request.model->ToString();
-  const std::string asked = PendingLoadInstance(*request.model, now);
+  const std::string asked = PendingLoadInstance(request, now);
   const bool wants_adapter = !request.model->adapter.empty();
   const StoreUse store = CurrentStoreUse(now);
   const bool has_regions = options_.topology.HasRegions();
@@ -208,8 +216,7 @@
   const DurationMs estimate = EstimateLoad(*best, *request.model, store, now);
   if (reopening && reopening->estimate_ms <= estimate) return *reopening;
   Observe(best, now);
-  RecordLoadRequest(*request.model, best->record.instance, estimate, best->record.instance == asked,
-                    now);
+  RecordLoadRequest(request, best->record.instance, estimate, best->record.instance == asked, now);
   return WaitFor{best->record.instance, estimate, SourceOf(best->view, *request.model),
                  CostToOthers(*best, *request.model)};
 }
@@ -224,8 +231,12 @@
       use.in_flight += n;
       if (!ref.adapter.empty()) use.adapters_in_use.push_back(ref.adapter);
     }
-    use.replicas = CountReplicasOf(it.name, now);
-    use.requests_per_s = ReportedRate(it.name, use.replicas, now);
+    const AllowedRegions allowed = RegionsOf(it.name);
+    use.replicas = CountReplicasOf(it.name, allowed, now);
+    // Where its requests may not run, the model is of no use.
+    if (IsRegionAllowed(row, allowed))
+      use.requests_per_s = ReportedRate(it.name, use.replicas, now);
+    use.region_replicas = CountRegionReplicas(row, it.name, now);
     const auto rate = rates_.find(it.name);
     use.idle_ms = rate == rates_.end() ? -1 : now - rate->second.last_request;
     if (rate != rates_.end()) {
