--- a/src/routing/overdue_loads.cc
+++ b/src/routing/overdue_loads.cc
@@ -7,9 +7,8 @@
 
 constexpr DurationMs kMinOverdueMs = 1000;
 constexpr double kOverdueFactor = 0.5;
-// Without it 78% of the requests for rare models were on time in a simulated fleet, with it 84%. An
-// agent that sends orders to an engine that was replaced also
-// shows work, so the time must stay well below the 8 s for which callers then waited in vain.
+// Covers the end of the requests that use the evicted model. An agent whose engine was replaced
+// also shows work, so callers must not wait there for long.
 constexpr DurationMs kWorkMarginMs = 3000;
 
 }  // namespace
