--- a/include/junctionrail/engines.h
+++ b/include/junctionrail/engines.h
@@ -36,8 +36,8 @@
   int entries = 1;      // Entries linked to this agent.
   std::optional<StoreLoadRequest> store_load_request;
   std::map<std::string, double> requests_per_s;  // By loaded model, over all entries.
-  // By loaded model: total time beyond their targets that its callers would lose if
-  // it were evicted.
+  // By loaded model: total time beyond their targets that its callers would lose if it were
+  // evicted.
   std::map<std::string, double> eviction_cost_ms;
   double model_waits_per_s = 0;  // Rate at which requests start to wait for a model here.
   // The agent accepts entries' reports of ended upstreams and relays them.
@@ -51,14 +51,13 @@
   int priority = 0;       // Highest priority among them.
   DurationMs age_ms = 0;  // Age of the oldest of them.
   double requests_per_s_per_replica = 0;  // At each existing replica.
-  // Average number of callers beyond their target because they queue at the existing
-  // replicas.
+  // Average number of callers beyond their target because they queue at the existing replicas.
   double late_callers = 0;
   int late = 0;               // Waiting requests already beyond their targets.
   DurationMs slack_ms = 0;    // Time until the next of the others is late.
   double requests_per_s = 0;  // For the model, as seen by this entry.
-  // Requests a second, over all entries, that are expected to find no copy soon because
-  // the engines with one leave. Such copies only use free memory.
+  // Requests a second, over all entries, that are expected to find no copy soon because the engines
+  // with one leave. Such copies only use free memory.
   double at_risk_requests_per_s = 0;
 };
 struct ModelUse {
@@ -70,8 +69,8 @@
   std::vector<std::string> adapters_in_use;
   DurationMs target_ms = 0;  // First-event target of its last request; 0: unknown.
   int priority = 0;          // Priority of its last request.
-  // Upstreams in its region that have it loaded, if this entry's requests may run and are wanted
-  // there; 0: unknown, or not.
+  // Upstreams in the region of the agent's engine that have it loaded; 0: unknown, or this entry's
+  // requests do not belong in that region.
   int region_replicas = 0;
 };
 struct AgentDemand {
--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -235,7 +235,7 @@
   };
 
   std::shared_ptr<const std::string> ChangesSince(std::uint64_t base);
-  // An entry that asked lately.
+  // What is known of an entry that has asked recently.
   struct Asker {
     TimeMs asked_at = 0;
     std::string region;
@@ -262,7 +262,7 @@
   std::map<std::string, Asker> askers_;  // By entry.
   std::set<std::string> planners_;
   TimeMs planners_chosen_at_ = 0;
-  bool is_planner_missing_ = true;  // A region has fewer entries that ask than planners.
+  bool is_planner_missing_ = true;  // Some region has fewer askers than its share of planners.
   TimeMs whole_lists_since_ = 0;
   int whole_lists_sent_ = 0;  // Since then.
 };
@@ -274,9 +274,9 @@
   RelayClient(std::string entry, DurationMs period_ms)
       : entry_(std::move(entry)), period_ms_(period_ms) {}
   void SetPeriod(DurationMs period_ms) { period_ms_ = period_ms; }
-  // The entry's region, if there are several. A relay that is passed over is then asked again at a
-  // time that differs among the entries, so that they do not all return to it, and fetch a whole
-  // list, within one period.
+  // Sets the entry's region; only called if there are several. Each entry then waits for a time of
+  // its own before it asks a relay again that it passed over, so that entries do not all return,
+  // and fetch a whole list, within one period.
   void SetRegion(std::string region, int regions);
 
   struct Ask {
--- a/include/junctionrail/placement.h
+++ b/include/junctionrail/placement.h
@@ -109,7 +109,7 @@
     int in_flight = 0;
     double requests_per_s = 0;
     int replicas = 1;
-    int region_replicas = 0;   // In the engine's region, if it has requests; 0: unknown or none.
+    int region_replicas = 0;   // In the engine's region; 0: unknown, or no request belongs there.
     DurationMs idle_ms = -1;   // Since the last request; -1 if there was none.
     int priority = 0;          // The most urgent among the entries' last requests.
     DurationMs target_ms = 0;  // The shortest among the entries' last requests; 0 if unknown.
--- a/include/junctionrail/places.h
+++ b/include/junctionrail/places.h
@@ -49,7 +49,7 @@
 
  private:
   static constexpr std::size_t kSlots = 6;
-  // Only the smallest sample of a slot counts, so that no other one is kept.
+  // Of each slot, only the smallest sample is kept.
   struct Slot {
     TimeMs number = 0;  // Of its interval, counted from time 0.
     int samples = 0;    // At most 2 are counted; 0: never used.
@@ -62,8 +62,8 @@
   std::array<Slot, kSlots> slots_;
 };
 
-// How far the data halls are from the one that this process runs in: by the settings, and by the
-// round-trip times that this process measures.
+// Distances between the data hall that this process runs in and the others: the distance class
+// follows from the settings, the round-trip times are measured by this process.
 class Topology {
  public:
   Topology() = default;
--- a/include/junctionrail/region_demand.h
+++ b/include/junctionrail/region_demand.h
@@ -1,4 +1,4 @@
-// How the requests for a model divide into sets of regions in which they may run. Pure decision
+// Divides the requests for a model by the sets of regions in which they may run. Pure decision
 // logic: the caller passes the time in.
 #ifndef JUNCTIONRAIL_REGION_DEMAND_H_
 #define JUNCTIONRAIL_REGION_DEMAND_H_
@@ -14,20 +14,22 @@
   // Requests that need replicas in these regions.
   struct Scope {
     AllowedRegions allowed;
-    double share = 1;  // Of all requests, those that may run only in these regions.
+    double share = 1;  // Of all requests, the part that may run only in these regions.
   };
 
   // A request that may run only in the `allowed` regions has arrived.
   void Add(const AllowedRegions& allowed, TimeMs now);
-  // All regions in which the requests may run; none: in all of them, or no request is known.
+  // All regions in which the requests may run; nullopt if some may run in all, or if no request is
+  // known.
   AllowedRegions Union() const;
-  // The sets of regions that each need replicas of their own, and at the end their union.
+  // The sets of regions that each need replicas of their own, by increasing share. The last one is
+  // their union.
   std::vector<Scope> Scopes() const;
 
  private:
   struct Part {
     AllowedRegions allowed;
-    double weight = 0;  // Number of requests, the older the less, as of `at`.
+    double weight = 0;  // Exponentially decayed number of requests, as of `at`.
     TimeMs at = 0;
   };
   struct Share {
--- a/include/junctionrail/routes.h
+++ b/include/junctionrail/routes.h
@@ -31,8 +31,8 @@
   std::uint32_t weight = 1;
 };
 
-// An operator's rule: which services handle the requests for a host and path, and
-// their latency targets and timeouts.
+// An operator's rule: which services handle the requests for a host and path, and their latency
+// targets and timeouts.
 struct Route {
   std::string name;
   std::string host;
@@ -62,8 +62,8 @@
   DurationMs memory_load_ms = 0;  // From the upstream's host memory.
 };
 
-// The models of a service, with constant-time lookup by name: each load estimate
-// looks up several of them, and there may be thousands.
+// The models of a service, with constant-time lookup by name: each load estimate looks up several
+// of them, and there may be thousands.
 class ModelCatalog {
  public:
   ModelCatalog() = default;
@@ -97,8 +97,7 @@
   std::string name;
   int max_connections = 0;  // To one upstream, across all callers.
   std::optional<EngineSpec> engine;
-  // An upstream that is cold bears this many requests a second from all entries; 0: as many as
-  // a warm one.
+  // Requests a second from all entries that a cold upstream accepts; 0: as many as a warm one.
   double cold_requests_per_s = 0;
   DurationMs cold_start_ms = 0;  // An upstream stays cold this long after its start.
 };
@@ -137,8 +136,8 @@
   std::unordered_map<std::string, std::vector<std::size_t>> by_host_;  // Longest prefix first.
 };
 
-// Picks the service for a request according to the route's weights. The result is
-// deterministic for a request id.
+// Picks the service for a request according to the route's weights. The result is deterministic for
+// a request id.
 std::string_view PickService(const Route& route, std::string_view request_id);
 
 // A model, or an adapter of it.
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -55,7 +55,7 @@
   DurationMs evacuation_bound_ms = 0;
   DurationMs record_period_ms = 1200;  // Upstreams write their records this often.
   std::string entry_id;  // Spreads the entries over the engines that each of them observes.
-  // In a fleet with no more engines than this every entry observes all of them and plans.
+  // In a fleet with at most this many engines, every entry observes all of them and is a planner.
   int small_fleet_engines = 0;
   // Replicas of busy models are spread over data halls and regions.
   bool spreads_replicas = true;
@@ -114,8 +114,7 @@
 
   // A planner observes all engines: it has links to their agents and gets their views. Other
   // entries observe only engines that serve their requests or may do so soon, and judge the rest by
-  // their records.
-  // Returns whether that is new.
+  // their records. Returns whether the call changed the setting.
   bool SetPlanner(bool is_planner) { return std::exchange(is_planner_, is_planner) != is_planner; }
   // In a small fleet every entry is a planner.
   bool is_planner() const { return is_planner_ || is_small_fleet_; }
@@ -294,7 +293,7 @@
   // Whether the request may run there: its region is allowed, and the hall is not closed.
   bool IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const;
   bool IsRegionAllowed(const Row& row, const AllowedRegions& allowed) const;
-  // The regions in which requests for the model may run, as far as this entry has received some.
+  // The regions in which requests for the model may run, judged by those that this entry received.
   AllowedRegions RegionsOf(const std::string& model) const;
   NoUpstream ExplainNone(const PickRequest& request, std::string reason) const;
   void UpdateCold(Row* row, TimeMs now);
@@ -342,7 +341,7 @@
   PickResult ChooseLoadTarget(const PickRequest& request, const std::vector<Row*>& usable,
                               const std::optional<WaitFor>& reopening, TimeMs now);
   std::string PendingLoadInstance(const PickRequest& request, TimeMs now);
-  // `is_pending`: it was asked before, and is not overdue.
+  // `is_pending`: the instance was asked before and is not overdue.
   void RecordLoadRequest(const PickRequest& request, const std::string& instance,
                          DurationMs estimate, bool is_pending, TimeMs now);
   DurationMs EstimateLoad(const Row& row, const ModelRef& model, const StoreUse& store,
@@ -414,7 +413,7 @@
   // The agent last asked to load a model.
   struct LoadRequest {
     std::string instance;
-    TimeMs overdue_at = 0;      // Later while its view shows it at work on the load.
+    TimeMs overdue_at = 0;      // Extended while its view shows work on the load.
     TimeMs last_waited_at = 0;  // When a request last waited for the model.
   };
   std::map<std::string, LoadRequest> load_requests_;  // By model and allowed regions.
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -101,8 +101,8 @@
   DurationMs retry_window_ms = 10000;
   // The region of each data hall.
   std::map<std::string, std::string> hall_regions;
-  // Data halls that the fleet must be able to lose at once. From 1 on, replicas of busy models are
-  // spread over halls; over regions they are in any case.
+  // Data halls that the fleet must be able to lose at once. Replicas of busy models are spread over
+  // halls if this is at least 1 or if the halls are in several regions.
   std::uint32_t tolerated_hall_losses = 0;
   // An agent's.
   Endpoint link;
--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -51,11 +51,11 @@
   TimeMs sent_at_ = 0;                 // When it was last sent a request.
 };
 
-// The limit of a cold upstream that bears `requests_per_s` from all entries.
+// The rate limit of a cold upstream that accepts `requests_per_s` from all entries.
 RateLimit ColdLimit(double requests_per_s);
 
-// Limits retries to a share of a service's requests. Each entry spends only its own
-// share, so that the bound holds for the fleet without coordination.
+// Limits retries to a share of a service's requests. Each entry spends only its own share, so that
+// the bound holds for the fleet without coordination.
 class RetryBudget {
  public:
   struct Options {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -17,8 +17,8 @@
 
 enum class CallerHabit {
   kMixed,   // Any route, at a moderate rate.
-  kEager,   // Repeatable requests to the plain service, as soon as the last one was answered.
-  kDeadly,  // Comes again and again with the request that ends engines.
+  kEager,   // Repeatable requests to the plain service, shortly after the last answer.
+  kDeadly,  // Repeats the request that ends engines.
 };
 
 class Caller : public std::enable_shared_from_this<Caller> {
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -113,7 +113,8 @@
   Later(Between(500, 3000), [&upstream] { upstream.misbehaviour = {}; });
 }
 
-// Long enough for the hall to close, or given back before. A hall that was closed may return cold.
+// In three of four cases the evacuation lasts until the hall is closed; in half of these its
+// upstreams are cold when it is given back.
 void Faults::Evacuate() {
   const std::string hall = Halls()[random_() % Halls().size()].name;
   if (!evacuated_.insert(hall).second) return;
@@ -125,7 +126,7 @@
         [this, hall, is_cold] { GiveBack(hall, is_cold); });
 }
 
-// `hall` is a copy, as its element of `evacuated_` goes.
+// `hall` is passed by value, as the element of `evacuated_` that it may come from is erased.
 void Faults::GiveBack(std::string hall, bool is_cold) {
   if (evacuated_.erase(hall) == 0) return;
   for (auto& it : site_.upstreams) {
@@ -135,7 +136,7 @@
   site_.judge.OnEvacuation(hall, false);
 }
 
-// A region from the others, in half of the cases from the store too.
+// Cuts a region off from the others and, in half of the cases, from the store too.
 void Faults::Partition() {
   if (partitioned_until_ != 0) return;
   const DurationMs lasts_ms = Between(10000, 13000);
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -1,4 +1,4 @@
-// The faults of a run, drawn from its seed; they begin while earlier ones last.
+// The faults of a run, drawn from its seed. Several may last at the same time.
 #ifndef JUNCTIONRAIL_SOAK_FAULTS_H_
 #define JUNCTIONRAIL_SOAK_FAULTS_H_
 
@@ -20,10 +20,10 @@
 
   // Begins one fault.
   void Begin();
-  // When the partition that lasts ends; 0 without one.
+  // When the current partition ends; 0: there is none.
   TimeMs partitioned_until() const { return partitioned_until_; }
   int partitions() const { return partitions_; }
-  // Ends all of them; everything runs.
+  // Ends all faults and starts upstreams that are down.
   void Heal();
 
  private:
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -228,7 +228,7 @@
 
 void Judge::OnRefused(const std::string& request) { refused_.insert(request); }
 
-// With the time as logs of the processes have it in `mono`.
+// Adds the time of the clock that the logs of the processes show as `mono`.
 void Judge::Complain(const std::string& sentence) {
   complaints_.push_back("at " + std::to_string(clock_()) + ": " + sentence);
 }
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -20,8 +20,8 @@
 // The entries' `revoke_ms` and `evacuate_ms`.
 constexpr DurationMs kRevokeMs = 3000;
 constexpr DurationMs kEvacuateMs = 3000;
-// Bounds on what is sent hold for an entry that has been in touch with the store and the upstream
-// for so long.
+// Bounds on what an entry sends to an upstream are checked only if its connections to the store and
+// the upstream had no fault for this long.
 constexpr DurationMs kInTouchMs = 3000;
 
 class Judge {
@@ -49,14 +49,14 @@
   // The request that ends engines begins to run, and ends one.
   void OnDeadlyRun(const std::string& request);
   void OnDeadlyEnd();
-  // It starts, in that hall.
+  // The upstream starts in that hall.
   void OnStarted(const std::string& instance, const std::string& hall);
-  // It is cold for so long, after its start or because its hall was given back.
+  // The upstream is cold for `cold_ms`, after its start or because its hall was given back.
   void OnCold(const std::string& instance, DurationMs cold_ms, bool is_return);
 
   // --- What operators and other writers write to the store ---
   void OnEvacuation(const std::string& hall, bool is_evacuated);
-  // The record of the upstream is overwritten with what cannot be read, or lacks something.
+  // The record of the upstream is overwritten by one that cannot be read or lacks a field.
   void OnSpoiledRecord(const std::string& instance);
 
   // --- What excuses an entry ---
@@ -66,7 +66,7 @@
   // Its process does not run, or is paused. To be told again while that lasts.
   void OnEntryStopped(int entry);
   void OnUpstreamTroubled(const std::string& instance);
-  // The entry's own way to the upstream is cut.
+  // The path from that entry to the upstream is cut; other entries' paths need not be.
   void OnWayTroubled(int entry, const std::string& instance);
   // The upstream ends, or spoils an answer.
   void OnHarmed(const std::string& instance);
@@ -105,7 +105,7 @@
   // Its last run was at an upstream whose record another writer has spoiled.
   bool RanBesideSpoiledRecord(const std::string& request) const;
   bool WasStopped(int entry, DurationMs within_ms) const;
-  // The last trouble of the entry, the upstream, or the way between them.
+  // When the entry, the upstream, the path between them or the machine last had a fault.
   TimeMs TroubledAt(int entry, const std::string& instance) const;
 
   std::function<TimeMs()> clock_;
@@ -120,7 +120,7 @@
     bool is_return = false;
     std::deque<TimeMs> came;
   };
-  // What the checks of places had before them: without it a run shows nothing.
+  // How often the checks of places applied: a run in which one never did shows nothing about it.
   struct Checked {
     int bound = 0;       // Requests bound to regions that arrived.
     int evacuated = 0;   // Evacuations that lasted longer than their bound.
--- a/soak/judge_places.cc
+++ b/soak/judge_places.cc
@@ -10,7 +10,7 @@
 constexpr DurationMs kColdWindowMs = 1000;
 constexpr double kColdTimes = 1.5;
 constexpr double kColdExtra = 5;
-// An upstream writes its record this often, and so ends what another writer has done to it.
+// An upstream writes its record this often, and so replaces a spoiled one.
 constexpr DurationMs kRecordPeriodMs = 1000;
 // A request that runs for longer may have reached its deadline.
 constexpr DurationMs kBeforeDeadlineMs = 3000;
@@ -73,7 +73,8 @@
            evacuated->first);
 }
 
-// Counts what entries send that could know of it; what a harmed way held up comes all at once.
+// Counts only requests of entries that can know that the upstream is cold, and not those that a
+// fault on the path delayed, as they arrive all at once.
 void Judge::CheckCold(const std::string& instance, int entry) {
   const auto found = cold_.find(instance);
   const TimeMs now = clock_();
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -24,10 +24,10 @@
 namespace {
 
 constexpr int kCallers = 10;
-// Without them no upstream gets more than it bears cold.
+// The other callers alone send less than the rate of a cold upstream.
 constexpr int kEagerCallers = 4;
 constexpr DurationMs kStartMs = 1500;
-// The shortest partition: a run that is shorter ends it with the other faults.
+// The shortest partition. Runs at least this long wait until a partition ends by itself.
 constexpr DurationMs kPartitionMs = 10000;
 
 class Run {
@@ -77,8 +77,8 @@
 
   bool IsPartitioned() const { return faults_.partitioned_until() > MonotonicMs(); }
 
-  // After the last fault everything is back; then requests of all callers are served again within
-  // twenty seconds.
+  // After the last fault, whether each mixed caller has three requests served within twenty
+  // seconds.
   bool Recovers() {
     std::vector<int> served(kCallers);
     return testing::RunUntil(site_.io, [&] { return AllServed(&served); }) ||
--- a/soak/network.h
+++ b/soak/network.h
@@ -10,7 +10,7 @@
 
 namespace junctionrail::soak {
 
-// The place of the platform's store, which is in no region and equally near to all.
+// The place of the platform's store, which is in no region: paths to it are not delayed.
 constexpr char kStorePlace[] = "store";
 
 class Network {
@@ -23,7 +23,7 @@
   }
   void Heal() { partitioned_.clear(); }
 
-  // A region that is not known yet (empty) is near to all.
+  // No delay while the region of one side is not known yet (empty).
   DurationMs DelayBetween(const std::string& a, const std::string& b) const {
     const bool is_far = a != b && !a.empty() && a != kStorePlace && b != kStorePlace;
     return is_far ? delay_ms_ : 0;
@@ -40,7 +40,7 @@
   bool with_store_ = false;
 };
 
-// The regions that a proxy's connections join.
+// The regions at both ends of a proxy's connections.
 struct Way {
   const Network* network = nullptr;
   std::string to;
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -100,7 +100,7 @@
         return;
       }
       was_delayed_ = false;
-      // A sender that resets its connection discards what has not arrived.
+      // Data that has not arrived is lost when its sender resets the connection.
       if (std::exchange(was_held_, false) && WasReset(*from_)) return ResetSocket(*to_);
       error_code ec;
       if (ends_) {
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -11,10 +11,11 @@
 using nlohmann::json;
 
 constexpr std::uint16_t kPort = 8100;
-// Of each entry's own port for links one more, so that a proxy knows whose link it carries.
+// Port of agents for links. Entry n uses this plus n, with a proxy of its own in between, so that
+// the proxy knows whose link it carries.
 constexpr std::uint16_t kLinkPort = 8200;
 constexpr DurationMs kPollMs = 20;
-// A poll that comes so late says that the machine is busy with something else.
+// A poll that is later than this means that the machine is overloaded.
 constexpr DurationMs kBusyPollMs = 200;
 
 const Hall& HallOf(int n) { return Halls()[static_cast<std::size_t>(n) % Halls().size()]; }
@@ -31,7 +32,8 @@
 
 Site::Site(std::uint64_t seed, std::string daemon, std::string directory)
     : random(seed), daemon_(std::move(daemon)), directory_(std::move(directory)) {
-  // Loopback addresses of this process's own, so that runs do not meet.
+  // Loopback addresses of its own for each process and seed, so that concurrent runs do not
+  // conflict.
   net_ = "127." + std::to_string(10 + getpid() % 200) + "." + std::to_string(seed % 250) + ".";
   network.SetDelay(kRegionDelayMs);
   for (int n = 0; n < kEngines + kPlains; ++n) AddUpstream(n);
--- a/soak/site.h
+++ b/soak/site.h
@@ -27,8 +27,8 @@
 // A proxy that faults may harm.
 struct Path {
   std::unique_ptr<Proxy> proxy;
-  int entry = -1;     // Whose way to the store it is.
-  int upstream = -1;  // Whose way from all entries it is.
+  int entry = -1;     // The entry whose path to the store it is.
+  int upstream = -1;  // The upstream to which it is the path of all entries.
 };
 
 class Site {
@@ -40,9 +40,9 @@
   void Stop();
   // Writes a later configuration. `has_key`: the organisation "fleeting" has its key.
   void Configure(bool has_key = true);
-  // Tells the judge what `path` excuses.
+  // Tells the judge which entry or upstream a fault on `path` affects.
   void Excuse(const Path& path);
-  // Tells the judge which entries are not well, or have no way to the store or an upstream.
+  // Tells the judge which entries do not run normally, or cannot reach the store or an upstream.
   void ExcuseEntries();
   const std::vector<Endpoint>& entry_endpoints() const { return entry_endpoints_; }
 
@@ -64,7 +64,7 @@
                   nlohmann::json direct);
   // `entry` is -1 for an agent's.
   Endpoint AddStorePath(int entry, const Hall& hall);
-  // A proxy that only distance and partitions affect.
+  // A proxy that is affected only by delays and partitions between regions.
   Endpoint AddLink(const Endpoint& listen, const Endpoint& target, const Hall& from,
                    const Hall& to);
   std::string OriginOf(std::string_view bytes) const;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -41,7 +41,7 @@
   Upstream(boost::asio::io_context& io, testing::StandinStore& store, Judge& judge, Random& random,
            std::string name, bool is_engine, Endpoint inner, std::string hall);
 
-  // Starts as a new instance, cold or not; one that runs is crashed before.
+  // Starts as a new instance, which may be cold. If one is running, it crashes first.
   void Start();
   void Crash();
   // Records that it leaves, or only takes its record away; it ends after some time.
@@ -54,7 +54,7 @@
   void Record();
   // It is cold for kColdMs from now on.
   void GoCold(bool is_return);
-  // Another writer overwrites its record until it writes it again.
+  // Overwrites its record, as another writer would, until it writes it again.
   void SpoilRecord();
   // Starts again if a request ended it and its time to start has come.
   void StartIfDue();
--- a/soak/world.h
+++ b/soak/world.h
@@ -31,15 +31,15 @@
 constexpr double kLimitedPerS = 8;
 constexpr double kLimitedBurst = 8;
 
-// What the engines hold at most, and the models that the configuration names.
+// Capacity of an engine in models and adapters, and the models that the configuration names.
 constexpr int kEngineModels = 2;
 constexpr int kEnginePlaces = 2;
 constexpr char kModels[][3] = {"m1", "m2", "m3", "m4", "m5"};
 constexpr char kEngineService[] = "engines";
 constexpr char kPlainService[] = "plain";
 
-// An upstream that starts, and one of a hall that is given back cold, receives at most kColdPerS
-// requests per second for so long.
+// How long an upstream stays cold after its start or after its hall was given back, and the
+// requests a second that it may receive meanwhile.
 constexpr DurationMs kColdMs = 2000;
 constexpr double kColdPerS = 2;
 
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -10,10 +10,10 @@
 
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
 constexpr std::int64_t kMostHalls = 1000;
-// The relay polls the list of upstreams, and entries ask it, this often, as a part of the time
-// within which one that leaves may get something new. What an entry knows is then younger than the
-// age at which it polls the store itself. The relay confirms what operators write as often, as a
-// part of the bound on it.
+// Interval at which the relay polls the list of upstreams and entries ask the relay, as a part of
+// `leaving_ms`, the time within which a leaving upstream may still get new requests. At this value,
+// what an entry knows stays younger than the age at which it polls the store itself. Also the
+// interval at which the relay confirms what operators write, as a part of the bound on that.
 constexpr double kRelayPart = 0.2;
 constexpr char kEndpointForm[] = "an IP number and a port such as \"127.0.0.1:8080\"";
 
--- a/src/daemon/agent_links.cc
+++ b/src/daemon/agent_links.cc
@@ -10,16 +10,17 @@
 // wait for a model that no agent was asked for.
 constexpr DurationMs kDemandMs = 250;
 constexpr DurationMs kUrgentDemandMs = 5;
-// Unchanged demand is sent again after a second or, with many links, after so long that these
-// messages stay within a hundred a second.
+// Unchanged demand is sent again after a second or, if that is longer, 10 ms per link: an entry
+// then sends at most a hundred of these messages a second.
 constexpr DurationMs kRepeatDemandMs = 1000;
 constexpr DurationMs kRepeatDemandEachMs = 10;
 // Above the time in which a view counts as fresh.
 constexpr DurationMs kSilentLinkMs = 2000;
-// A link that could not be opened is tried again so much later.
+// A link that could not be opened is opened again after this long.
 constexpr DurationMs kReopenMs = 500;
 
-// Ages grow by themselves; what is wanted is compared without them.
+// Whether two demands ask the agent for the same. Ages and rates, which change all the time, are
+// not compared.
 bool IsSame(const AgentDemand& a, const AgentDemand& b) {
   if (a.stage != b.stage || a.wanted.size() != b.wanted.size()) return false;
   if (a.may_load_from_store != b.may_load_from_store) return false;
@@ -111,8 +112,8 @@
   });
 }
 
-// Only the demand of waiting requests there has changed: building the demand for all agents each
-// time a request begins to wait would take milliseconds.
+// Updates only the demand of waiting requests there: building the demand for all agents each time a
+// request begins to wait would take milliseconds.
 void AgentLinks::SendUrgentDemand(const std::string& instance) {
   if (!CanOpen(instance)) return;
   const auto [link, is_new] = links_.try_emplace(instance);
@@ -175,7 +176,7 @@
   client_.Send(upstream.instance, to, EncodeDemand(demand));
 }
 
-// Links to agents of engines that are not observed any more.
+// Closes links to agents of engines that are no longer observed.
 void AgentLinks::CloseUnused(const std::map<std::string, AgentDemand>& demands) {
   for (auto it = links_.begin(); it != links_.end();) {
     if (demands.count(it->first) > 0) {
@@ -187,8 +188,8 @@
   }
 }
 
-// A link that has carried nothing for long may have been cut without either end noticing. The
-// next demand opens it again.
+// Closes links without a fresh view: they may have been cut without either end noticing. The next
+// demand opens them again.
 void AgentLinks::CloseSilent(TimeMs now) {
   for (auto it = links_.begin(); it != links_.end();) {
     const bool is_gone = gateway_.upstreams().Find(it->first) == nullptr;
--- a/src/daemon/agent_links.h
+++ b/src/daemon/agent_links.h
@@ -34,7 +34,7 @@
              Callbacks callbacks);
 
   void Start();
-  // A request begins to wait for a model that no agent was asked for: sends the demand soon.
+  // Sends demand soon, as a request waits for a model that no agent has been asked for yet.
   void ScheduleUrgentDemand(const std::string& instance);
 
   // Whether the upstream is listed and the last attempt to open a link to its agent has not just
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -39,12 +39,14 @@
 // An entry that starts waits so long for what others have recorded of requests that end
 // upstreams, before it calls itself ready.
 constexpr DurationMs kQuarantineWaitMs = 1000;
-// Twice as long as a view counts as fresh: then it is found out why none comes.
+// An engine without a view for this long, twice as long as a view counts as fresh, is checked for
+// the reason.
 constexpr DurationMs kUnseenMs = 3000;
 
-// An entry has as many links in a large fleet, to the replicas of twenty models. In a fleet of no
-// more engines it observes all: an engine that is judged by its record alone looks idle while it
-// swaps models, and requests for rare models are then sent to wait there.
+// In a fleet of at most this many engines, an entry observes all of them: an engine that is judged
+// by its record alone looks idle while it swaps models, and requests for rare models would then be
+// sent to wait there. In a large fleet an entry has about as many links, to four replicas of each
+// of twenty models.
 constexpr int kSmallFleetEngines = 80;
 
 RetryBudget::Options RetriesOf(const DirectSettings& direct) {
@@ -273,8 +275,8 @@
       }
     }
     std::sort(others.rbegin(), others.rend());
-    // The relay has links to all entries, or to all of the region. Those of other regions learn of
-    // the crash from its record.
+    // The relay comes first, as it has links to all entries or to all of its region. Entries of
+    // other regions learn of the crash from its record.
     const auto relay = std::find_if(others.begin(), others.end(),
                                     [this](const auto& it) { return it.second == relay_.relay(); });
     if (relay != others.end()) std::rotate(others.begin(), relay, relay + 1);
--- a/src/daemon/entry_pages.cc
+++ b/src/daemon/entry_pages.cc
@@ -60,8 +60,8 @@
                                        sources_.gateway.upstreams().evacuated_halls()}));
 }
 
-// An operator lets a refused request be tried again: here at once, and at the other
-// entries as its record goes from the store.
+// Allows a quarantined request again for an operator: here at once, and at the other entries once
+// its record is removed from the store.
 void EntryPages::Release(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
   const auto digest = ReleasedDigest(request.target);
   if (request.method != "POST") return responder->Whole(405, {{"Allow", "POST"}}, "");
--- a/src/daemon/entry_pages.h
+++ b/src/daemon/entry_pages.h
@@ -1,5 +1,5 @@
-// The HTTP pages of an entry: readiness, metrics, pages for operators, and what it knows, for
-// entries that start or cannot reach the store.
+// The HTTP pages of an entry: readiness, metrics, pages for operators, and its configuration and
+// upstreams for other entries that start or cannot reach the store.
 #ifndef JUNCTIONRAIL_DAEMON_ENTRY_PAGES_H_
 #define JUNCTIONRAIL_DAEMON_ENTRY_PAGES_H_
 
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -7,11 +7,12 @@
 namespace junctionrail::internal {
 namespace {
 
-// Entries to ask, while neither the store nor one of them has answered.
+// Interval at which another entry is asked at the start, while neither the store nor an entry has
+// answered.
 constexpr DurationMs kAskAtStartMs = 300;
 constexpr DurationMs kAnswerMs = 500;
-// Age of the last confirmation, as a part of the time for which an entry may act on the
-// configuration unconfirmed, from which other entries are asked.
+// Age of the last confirmation from which other entries are asked, as a part of the time for which
+// an entry may act on the configuration unconfirmed.
 constexpr double kAskPart = 0.65;
 constexpr DurationMs kAskMs = 500;
 
@@ -31,8 +32,8 @@
   confirmation_timer_.Every(kAskMs, [this] { AskForConfirmation(); });
 }
 
-// Starting while the store is away: another entry knows what it last read,
-// which may only be behind.
+// Asks one entry after the other until there is a configuration. What another entry last read may
+// be outdated, but lets this one start while the store cannot be reached.
 void PeerClient::AskAtStart(std::size_t n) {
   const auto& peers = direct_.peers;
   if (targets_.gateway.has_configuration() || peers.empty()) return;
--- a/src/daemon/peer_client.h
+++ b/src/daemon/peer_client.h
@@ -1,5 +1,5 @@
-// What an entry asks other entries while the store cannot be reached: at its start all that they
-// know, later whether the configuration is still the newest.
+// Asks other entries while the store cannot be reached: at the start for the configuration and the
+// upstreams, later whether the configuration is still the newest.
 #ifndef JUNCTIONRAIL_DAEMON_PEER_CLIENT_H_
 #define JUNCTIONRAIL_DAEMON_PEER_CLIENT_H_
 
--- a/src/daemon/relay_follower.cc
+++ b/src/daemon/relay_follower.cc
@@ -5,9 +5,9 @@
 namespace junctionrail::internal {
 namespace {
 
-// How often it is checked whether the relay is to be asked.
+// Interval of the check whether the relay is due to be asked.
 constexpr DurationMs kCheckMs = 100;
-// Agents that may be asked for the list, one after the other; some engines may have none.
+// Number of agents considered as the relay, in order of rank; some engines may have none.
 constexpr std::size_t kCandidates = 16;
 // Without a relay for this long, an entry plans for the fleet itself.
 constexpr DurationMs kNoRelayMs = 5000;
--- a/src/daemon/relay_follower.h
+++ b/src/daemon/relay_follower.h
@@ -1,5 +1,5 @@
-// An entry's side of the relay: which agent is asked for the list of upstreams and for what
-// operators wrote, when, what its reply changes, and when the entry plans for the fleet by itself.
+// An entry's client of the relay: chooses the agent that is asked for the list of upstreams and for
+// what operators wrote, applies its replies, and makes the entry a planner when no relay answers.
 #ifndef JUNCTIONRAIL_DAEMON_RELAY_FOLLOWER_H_
 #define JUNCTIONRAIL_DAEMON_RELAY_FOLLOWER_H_
 
@@ -20,7 +20,7 @@
 
 // The relay in use, for metrics.
 struct RelayUse {
-  std::string relay;  // The last one that answered; empty: none answers.
+  std::string relay;  // The last one that answered; empty if none does.
   bool is_in_other_region = false;
   std::uint64_t replies_of_own_region = 0;
   std::uint64_t replies_of_other_regions = 0;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -69,7 +69,7 @@
   UpstreamPool(boost::asio::io_context& io, std::string request_id_field);
   ~UpstreamPool();
 
-  // Does not call the listener before returning. The traffic counts for `distance`.
+  // Does not call the listener before returning. The traffic is counted under `distance`.
   std::shared_ptr<UpstreamCall> Start(const UpstreamRecord& upstream, Distance distance,
                                       int max_connections, UpstreamMessage message,
                                       std::shared_ptr<UpstreamListener> listener);
--- a/src/listing/listing_relay.cc
+++ b/src/listing/listing_relay.cc
@@ -12,8 +12,8 @@
 constexpr DurationMs kAskerTtlMs = 5000;
 // Entries that observe all engines and plan replicas, staging and the use of the weight store for
 // the whole fleet. Several, as some may be cut off, and their number does not grow with the fleet.
-// With several regions they are divided among these, so that each has some that no partition
-// between regions cuts off.
+// With several regions, each gets its share of them, so that a partition between regions leaves
+// every region with planners of its own.
 constexpr int kPlanners = 8;
 constexpr DurationMs kChoosePlannersMs = 500;
 // An entry that is further behind gets the whole list.
@@ -38,10 +38,10 @@
   }
 };
 
-// The entries of one region that ask.
+// The entries of one region that ask the relay.
 struct RegionAskers {
   std::vector<RankedEntry> ranked;
-  int regions = 1;  // The most that one of them knows.
+  int regions = 1;  // The largest number that one of them states.
 };
 
 }  // namespace
@@ -137,7 +137,7 @@
   }
 }
 
-// Entries that state no region are a group of their own.
+// Entries that state no region form a group of their own.
 void ListingRelay::ChoosePlanners() {
   std::map<std::string, RegionAskers> by_region;
   for (const auto& [entry, it] : askers_) {
--- a/src/listing/relay_client.cc
+++ b/src/listing/relay_client.cc
@@ -8,12 +8,12 @@
 
 // A relay that does not answer, or whose list is old, is asked again after this long.
 constexpr DurationMs kPassOverMs = 5000;
-// With several regions this doubles with each failure, twice, and is up to three times as long,
-// different for each entry. With a constant time, all 40 entries of a simulated region fetched a
-// whole list within one period after a partition of 60 s.
+// With several regions, this time doubles with each further failure, at most this often, and each
+// entry waits for one to three times the result. With a constant time, all entries of a region
+// would fetch a whole list within one period after a partition.
 constexpr int kMaxDoublings = 2;
 constexpr DurationMs kSpreadFactor = 2;
-// What is known of a relay is forgotten this long after it may be asked again.
+// The failures of a relay are forgotten this long after it may be asked again.
 constexpr DurationMs kForgetMs = 60000;
 // A request without an answer, or without a list in it, is followed by another one this much later.
 constexpr DurationMs kRetryMs = 300;
@@ -31,7 +31,8 @@
   it.until = now + kPassOverMs;
   if (regions_ <= 1) return;
   const DurationMs shortest_ms = kPassOverMs << doublings;
-  // Includes the attempt: entries that return at the same time once do not do so each time.
+  // The number of the request is part of the key, so that entries that return at the same time once
+  // do not do so again.
   const auto score = RendezvousScore(relay + std::to_string(last_number_), entry_);
   const auto spread_ms = static_cast<std::uint64_t>(shortest_ms * kSpreadFactor);
   it.until = now + shortest_ms + static_cast<DurationMs>(score % spread_ms);
--- a/src/listing/relay_messages.cc
+++ b/src/listing/relay_messages.cc
@@ -17,7 +17,7 @@
 constexpr std::string_view kRequestPrefix =
     "\xa1\x65"
     "relay";
-// Of a request of an entry with several regions; others end before the region.
+// Number of fields in a request from an entry that knows several regions; others lack the last two.
 constexpr std::size_t kRequestFieldsWithRegion = 6;
 constexpr char kReplyKey[] = "list";
 constexpr std::string_view kReplyPrefix =
--- a/src/places/topology.cc
+++ b/src/places/topology.cc
@@ -6,12 +6,13 @@
 namespace junctionrail {
 namespace {
 
-// Assumed until round trips are measured. Far regions are assumed to be slow, so that an entry that
-// has just started prefers its own region.
+// Assumed until round trips are measured. Other regions are assumed to be slow, so that an entry
+// that has just started prefers its own region.
 constexpr double kSameHallMs = 0;
 constexpr double kSameRegionMs = 2;
 constexpr double kOtherRegionMs = 40;
-// Halls with measurements. Fleets have some ten halls; names come from records, which may be wrong.
+// Maximum number of halls with measurements, well above the ten or so of a fleet: names of halls
+// come from records, which may be wrong.
 constexpr std::size_t kMaxMeasuredHalls = 64;
 
 double DefaultMs(Distance distance) {
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -16,14 +16,13 @@
 constexpr DurationMs kSwapOverheadMs = 150;
 // An adapter loads within milliseconds once its base model is loaded.
 constexpr DurationMs kAdapterLoadMs = 30;
-// A model stays with the agent already asked unless another is this much faster, so that
-// requests for one model do not start two loads. A load from the weight store that is repeated
-// elsewhere slows all others.
+// A model stays with the agent already asked unless another is this much faster, so that requests
+// for one model do not start two loads. A second load from the weight store slows all others.
 constexpr DurationMs kKeepStoreLoadMs = 1500;
-// With 1,500 ms, requests for models on disk stayed in the queue of an engine that swapped other
-// models while another engine with a copy was free.
+// Shorter for models on disk: with 1,500 ms, requests stayed in the queue of an engine that was
+// swapping other models while another engine with a copy was free.
 constexpr DurationMs kKeepDiskLoadMs = 800;
-// Other agents are preferred for this long to one that was overdue.
+// An agent that was overdue is avoided for this long.
 constexpr DurationMs kOverdueAvoidMs = 5000;
 // Added to the estimate of an overdue agent: more than a load from the weight store takes at
 // another agent.
@@ -38,7 +37,8 @@
   return HoldsModel(view.loaded, model) || view.loading == model;
 }
 
-// Requests for one model that may run in different regions wait for different loads.
+// Identifies a load by its model and the allowed regions: requests that may run in different
+// regions wait for different loads.
 std::string LoadKey(const PickRequest& request) {
   std::string key = request.model->ToString();
   if (!request.allowed_regions) return key;
@@ -144,8 +144,8 @@
   return EvictionCost(row, model) + BlockingCost(row, model);
 }
 
-// The instance whose agent has a pending load request for the model; empty if none. If
-// that agent is overdue, records this so that other agents are preferred for a while.
+// The instance whose agent has a pending load request for the model; empty if none. If that agent
+// is overdue, records this so that other agents are preferred for a while.
 std::string UpstreamTable::PendingLoadInstance(const PickRequest& request, TimeMs now) {
   const auto asked = load_requests_.find(LoadKey(request));
   if (asked == load_requests_.end() || now - asked->second.last_waited_at > kLoadRequestExpiryMs)
@@ -199,8 +199,8 @@
       estimate += kOverdueCostMs;
     // Adapters are spread by rendezvous hashing over upstreams with the base model loaded.
     if (wants_adapter && estimate <= kAdapterLoadMs) estimate = 0;
-    // In whole milliseconds, so that engines in one hall remain equal to each other, and mostly to
-    // those in another hall of the region: entries then choose the same one.
+    // Rounded to milliseconds, so that engines in one hall, and mostly those in different halls of
+    // a region, remain equal and all entries choose the same one.
     if (has_regions)
       estimate += std::llround(options_.topology.RoundTripTo(row->record.data_hall, now).ms);
     const std::uint64_t score = RendezvousScore(key, row->record.instance);
@@ -233,7 +233,7 @@
     }
     const AllowedRegions allowed = RegionsOf(it.name);
     use.replicas = CountReplicasOf(it.name, allowed, now);
-    // Where its requests may not run, the model is of no use.
+    // Requests that may not run at this engine are no use of the model here.
     if (IsRegionAllowed(row, allowed))
       use.requests_per_s = ReportedRate(it.name, use.replicas, now);
     use.region_replicas = CountRegionReplicas(row, it.name, now);
@@ -275,8 +275,9 @@
     if (!IsPresent(row, row.record.service)) continue;
     AgentDemand& demand = demands[instance];
     demand.instance = instance;
-    // A planner that is cut off from another region cannot grant loads there. Agents that still
-    // receive its demand must not count it among those of which half must agree.
+    // A planner that is cut off from another region cannot grant loads there. Agents need the grant
+    // of at least half of the planners, so those that still receive its demand must not count it as
+    // one.
     const bool is_other_region =
         options_.topology.DistanceTo(row.record.data_hall) == Distance::kOtherRegion;
     demand.is_planner = is_planner() && (!is_other_region || IsFresh(row, now));
--- a/src/routing/observation.cc
+++ b/src/routing/observation.cc
@@ -22,8 +22,8 @@
 // Requests of one entry for a model are spread over this many of its replicas. Entries choose
 // different ones, so that all replicas are used.
 constexpr std::size_t kSpreadHolders = 4;
-// Of these, how many are in other regions if there are enough in the entry's own. One is enough to
-// take what those cannot; other entries choose other ones.
+// How many of these are in other regions if the entry's own region has enough for the rest. One is
+// enough to take what the near replicas cannot, as other entries choose other ones.
 constexpr std::size_t kFarSpreadHolders = 1;
 // Engines without a copy of the model that may be chosen to load it. All entries consider the same
 // ones, so that they mostly choose the same one.
@@ -138,8 +138,9 @@
   return agents;
 }
 
-// Agents of the entry's own region come first. They get at most half of the places, so that a
-// region whose agents are all gone asks another one before it asks the first one again.
+// Agents of the entry's own region come first. Up to half of the places are kept for other regions,
+// so that an entry whose own region has no agents left asks those before it asks the first one
+// again.
 std::vector<std::string> UpstreamTable::RankAgents(std::size_t n) const {
   std::vector<RankedAgent> own;
   std::vector<RankedAgent> others;
--- a/src/routing/overdue_loads.cc
+++ b/src/routing/overdue_loads.cc
@@ -5,10 +5,11 @@
 namespace junctionrail::internal {
 namespace {
 
+// The margin is half the estimate, but at least this long.
 constexpr DurationMs kMinOverdueMs = 1000;
 constexpr double kOverdueFactor = 0.5;
-// Covers the end of the requests that use the evicted model. An agent whose engine was replaced
-// also shows work, so callers must not wait there for long.
+// Covers the time until the requests that use the evicted model have ended. Bounded, as the view of
+// an agent whose engine was replaced also shows work.
 constexpr DurationMs kWorkMarginMs = 3000;
 
 }  // namespace
--- a/src/routing/overdue_loads.h
+++ b/src/routing/overdue_loads.h
@@ -1,9 +1,9 @@
 // When an agent that was asked to load a model counts as overdue, so that another one is asked.
 //
-// Answers the load pattern of many rarely requested models: nearly every engine swaps models, and
-// an agent first waits until the requests in flight on the model that it evicts have ended. No
-// estimate contains that wait. Asking another agent meanwhile starts a second load of the model and
-// puts its callers at the end of another queue.
+// With many rarely requested models, nearly every engine swaps models, and an agent first waits
+// until the requests in flight on the model that it evicts have ended. Estimates do not contain
+// that wait. Asking another agent meanwhile would start a second load of the model and put its
+// callers at the end of another queue.
 #ifndef JUNCTIONRAIL_ROUTING_OVERDUE_LOADS_H_
 #define JUNCTIONRAIL_ROUTING_OVERDUE_LOADS_H_
 
@@ -17,8 +17,8 @@
 // complete it.
 DurationMs OverdueMargin(DurationMs estimate);
 
-// The further time that an agent gets while `view` shows it at work on the load: the model is in
-// its queue or loading, or memory is being freed.
+// The additional time that an agent gets while `view` shows it at work on the load: the model is
+// loading or in its queue, where it also is while memory is being freed for it.
 DurationMs WorkMargin(const EngineView& view, std::string_view model);
 
 }  // namespace junctionrail::internal
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -22,13 +22,13 @@
 // leave the region when all slots there are in use, none while fewer than half of them are.
 constexpr double kOtherRegionLoad = 32;
 constexpr double kLoadPerRoundTripMs = 0.55;
-// The maximum of that cost. With a higher one, near upstreams would queue half a batch, their
-// limit, while far ones are idle.
+// The maximum of that cost. With a higher one, near upstreams would queue as many requests as they
+// may, half as many as they have slots, while those of other regions are idle.
 constexpr double kMaxOtherRegionLoad = 62;
-// The part of that cost that applies where only this entry's requests are known: the other entries
-// of the region send about as many, so that the upstreams are loaded several times as much. With
-// five entries in each of two halls, 64 requests are then at each near upstream before far ones are
-// used.
+// The part of that cost that applies to upstreams of which only this entry's own requests are
+// known: other entries of the region send about as many, so that the real load is several times as
+// high. With five entries in each of two halls, each near upstream has 64 requests before those of
+// other regions are used.
 constexpr double kOwnLoadShare = 1.0 / 40;
 
 // An upstream of which nothing was received for this long does not count as reachable. Views arrive
--- a/src/routing/replicas.cc
+++ b/src/routing/replicas.cc
@@ -29,8 +29,8 @@
 // Approximate time of a load from disk, including the swap before it.
 constexpr DurationMs kQuickLoadMs = 1500;
 // A replica goes to a data hall with fewer replicas if that costs at most this much more, about as
-// much as a load from disk that waits for another one. While all replicas are in one hall, the
-// extra cost may be that of a load from the weight store, which the loss of the hall would cause.
+// much as a load from disk that waits for another one. While all replicas are in one hall, the cost
+// of a load from the weight store is allowed in addition, as the loss of that hall would cause one.
 constexpr double kMaxSpreadCostMs = 1000;
 
 }  // namespace
@@ -60,8 +60,8 @@
       }));
 }
 
-// The model's replicas in the region of the row, for the agent there. An entry's requests are
-// wanted there if they may run there and either are bound to regions or come from that region.
+// Counts the model's replicas in the region of the row if this entry's requests belong there: they
+// may run there, and either are bound to regions or the entry is in that region too. Otherwise 0.
 int UpstreamTable::CountRegionReplicas(const Row& row, const std::string& model, TimeMs now) const {
   if (!options_.topology.HasRegions()) return 0;
   const std::string region = options_.topology.RegionOf(row.record.data_hall);
@@ -101,9 +101,9 @@
   return fleet_per_s / 1000 * first_event_ms * LateShare();
 }
 
-// Adds replicas one at a time while a model's callers are late at the existing ones; a
-// busy model keeps a second replica in any case, and one in another data hall. Requests that are
-// bound to regions are served only by replicas there.
+// Adds replicas one at a time while a model's callers are late at the existing ones. A busy model
+// keeps a second replica in any case, and one in another data hall if replicas are spread. Each set
+// of regions that requests are bound to is considered by itself.
 void UpstreamTable::AddReplicas(std::map<std::string, AgentDemand>* demands, TimeMs now) {
   for (const auto& [name, service] : services_) {
     if (!service.engine) continue;
@@ -209,10 +209,9 @@
 }
 
 // The engine where the model can be loaded soonest at the least cost to others, in the data hall
-// and region with the fewest replicas if that is not much dearer. All
-// entries choose the same one, as they see the same views. The choice is kept until the
-// model is loaded: the engine looks busier while it evicts another model, and otherwise
-// a different engine would be asked instead.
+// and region with the fewest replicas if that costs little more. All entries choose the same one,
+// as they see the same views. The choice is kept until the model is loaded: the engine looks busier
+// while it evicts another model, and otherwise a different engine would be asked instead.
 UpstreamTable::Row* UpstreamTable::ChooseReplicaTarget(std::string_view service,
                                                        const std::string& model,
                                                        const AllowedRegions& allowed, TimeMs now) {
@@ -243,8 +242,8 @@
     const auto lowest = spread.LowestCost(row.record.data_hall);
     if (lowest && cost > *lowest) continue;
     cost += CostToOthers(row, ref);
-    // For a replica without late callers the agent evicts no model in use. Such engines were chosen
-    // while the eviction cost less than a load from the weight store, and never loaded the model.
+    // An agent evicts no model in use for a replica without late callers. Without this cost, such
+    // an engine would be chosen and would never load the model.
     const bool is_refused = spread.IsInOneHall() && !spread.HasReplica(row.record.data_hall) &&
                             EvictionCost(row, ref) > 0;
     if (is_refused && spec != nullptr) cost += static_cast<double>(spec->store_load_ms);
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -29,8 +29,8 @@
 // least loaded engine until the next view, and some twenty prompts processed at once
 // cause a gap in every stream on that engine.
 constexpr double kSpreadLoad = 24;
-// Its maximum in fleets of several regions, as a share of the engine's slots. With more, the
-// random load of engines with few slots would outweigh the cost of another region.
+// The maximum of that load in fleets of several regions, as a share of the engine's slots: with
+// more, the random load of engines with few slots would outweigh the cost of another region.
 constexpr double kMaxSpreadShare = 0.5;
 // An engine serves as many concurrent requests as it has slots; half as many more may
 // queue there, so that no slot stays empty between two views.
--- a/src/routing/weight_store.cc
+++ b/src/routing/weight_store.cc
@@ -220,7 +220,7 @@
   for (const auto& [score, model] : missing) {
     if (free_loads <= 0 || idle.empty()) break;
     const AllowedRegions allowed = RegionsOf(model);
-    // Engines in the allowed regions, in their order.
+    // Moves engines in the allowed regions to the front, without changing their order.
     const auto end = std::stable_partition(
         idle.begin(), idle.end(), [&](const Row* row) { return IsRegionAllowed(*row, allowed); });
     if (end == idle.begin()) continue;
--- a/src/throttling/upstream_throttle.cc
+++ b/src/throttling/upstream_throttle.cc
@@ -5,11 +5,11 @@
 namespace junctionrail {
 namespace {
 
-// The request that probes whether an upstream accepts requests again holds up other
-// requests for at most this long.
+// The request that probes whether an upstream accepts requests again holds up other requests for at
+// most this long.
 constexpr DurationMs kProbeTimeoutMs = 1000;
-// Requests that a cold upstream may receive at once, as the part of a second in which it would
-// receive them at its rate. Grants that arrive late add up to as much as half a second more.
+// Burst of a cold upstream, in seconds at its rate. Grants that arrive late can add up to as much
+// as half a second more.
 constexpr double kColdBurstS = 0.1;
 
 }  // namespace
@@ -18,8 +18,8 @@
   return {requests_per_s, std::max(1.0, kColdBurstS * requests_per_s)};
 }
 
-// Answers on different connections may arrive out of order: only an answer to a request
-// sent after the limit was last stated can remove the limit.
+// Answers on different connections may arrive out of order: only an answer to a request sent after
+// the limit was last stated can remove the limit.
 bool UpstreamThrottle::OnLimit(std::optional<double> per_s, TimeMs sent_at, TimeMs now) {
   if (!per_s && sent_at < limit_at_) return false;
   if (per_s) limit_at_ = now;
--- a/test/bound_requests_test.cc
+++ b/test/bound_requests_test.cc
@@ -56,8 +56,8 @@
 TEST_GROUP(BoundRequests){};
 
 TEST(BoundRequests, WaitOnlyInTheirRegionsThroughChangesOfTheConfiguration) {
-  // Guards against the regions that a route had at the request's arrival: a waiting request was
-  // sent to a region that was no longer allowed.
+  // Guards against using the regions that a route had at the request's arrival: a waiting request
+  // would be sent to a region that is no longer allowed.
   BoundFixture t;
   t.Configure(2, Regions{"east"}, std::nullopt);
   t.ShowViews();
@@ -77,8 +77,8 @@
 }
 
 TEST(BoundRequests, ForOneModelWaitInEachOfTheirRegions) {
-  // Guards against one load for all requests for a model: those of the other region waited for a
-  // copy where they may not run.
+  // Guards against one load for all requests for a model: those of the other region would wait for
+  // a copy where they may not run.
   BoundFixture t;
   t.Configure(2, std::nullopt, Regions{"west"});
   t.ShowViews();
@@ -159,7 +159,7 @@
 }
 
 TEST(BoundRequests, AreWithheldWhenTheConfigurationChangesWhileTheConnectionIsOpened) {
-  // Guards against a check of the region at the choice only.
+  // Guards against checking the region only when the upstream is chosen.
   BoundFixture t;
   t.Configure(2, Regions{"north"}, std::nullopt);
   TestCaller caller(t.io, t.port);
--- a/test/fleet_simulation_test.cc
+++ b/test/fleet_simulation_test.cc
@@ -89,8 +89,8 @@
 
 namespace {
 
-// The load of a deployment in one region: the demand of a group of busy models moves to other
-// models every 8 s, by `kMovedModels` of them. Nearly every engine swaps rare models all the time.
+// A load modelled on a deployment in one region: the demand for a group of busy models moves on by
+// `kMovedModels` models every 8 s. Nearly every engine swaps rare models all the time.
 constexpr int kMovedModels = 12;
 
 FleetConfig MakeShiftingFleet(std::uint64_t seed) {
@@ -140,11 +140,10 @@
 TEST_GROUP(RareModels){};
 
 TEST(RareModels, AreServedOnTimeWhileDemandMoves) {
-  // Guards against two faults. Requests moved to another engine while the agent that was asked
-  // waited for the end of requests that use the evicted model: 55 of 466 loads were repeated
-  // elsewhere within 3 s, and 78% of the requests for rare models were on time. They stayed in the
-  // queue of an engine when another one was free sooner: 85%. Now 87% are, each on average over at
-  // least two seeds.
+  // Guards against loads that are repeated elsewhere while the agent that was asked waits for the
+  // end of requests that use the evicted model, and against requests that stay in the queue of an
+  // engine while another one is free sooner. Each lowers the share of rare requests that are on
+  // time.
   double sum = 0;
   for (const std::uint64_t seed : {1, 6}) {
     FleetSimulation fleet(MakeShiftingFleet(seed));
@@ -161,7 +160,7 @@
 }
 
 TEST(RareModels, AreServedOnTimeBesideSteadyDemand) {
-  // Guards against the same fault where most engines are idle: 96.4% were on time, now 99.5%.
+  // Guards against repeated loads in a fleet whose engines are mostly idle.
   FleetSimulation fleet(MakeSteadyFleet(3));
   fleet.Run(30000);
   const auto& rare = fleet.Outcome("rare");
--- a/test/growth_test.cc
+++ b/test/growth_test.cc
@@ -242,8 +242,8 @@
   EXPECT_NUMBER(200, planner.Run(), "it plans for the whole fleet");
 }
 
-// Guards against rare models that wait at an engine which swaps others: an entry that knows it only
-// by its record takes it for idle.
+// Guards against requests for rare models that wait at an engine which is swapping others: an entry
+// that knows it only by its record takes it for idle.
 TEST(GrowthOfLinks, AreThoseOfAllEnginesInASmallFleet) {
   ObservingEntry small(80, false, 80);
   ObservingEntry larger(81, false, 80);
--- a/test/hall_loss_test.cc
+++ b/test/hall_loss_test.cc
@@ -61,7 +61,7 @@
 }  // namespace
 
 TEST(HallLoss, LeavesReplicasOfModelsInSteadyUse) {
-  // Guards against both replicas of a busy model in one hall: when it was lost, the requests waited
+  // Guards against both replicas of a busy model in one hall: after its loss, requests would wait
   // for loads from the weight store, or for swaps. The fleet starts with all replicas of each model
   // in one hall.
   for (const char* lost : {"hall-1", "hall-2", "hall-3"}) {
@@ -81,7 +81,7 @@
 }
 
 TEST(HallLoss, IsPreparedForWithFewFurtherLoads) {
-  // Guards against replicas that move to and fro between halls: at most 5% more loads.
+  // Guards against replicas that keep moving between halls: at most 5% more loads.
   constexpr int kSeeds = 12;
   Loads one_hall;
   Loads three_halls;
--- a/test/listing_relay_test.cc
+++ b/test/listing_relay_test.cc
@@ -131,7 +131,7 @@
   EXPECT_TRUE(t.client.NextAsk({"agent-1"}, t.now + 1000).has_value(), "due");
 }
 
-// The agents were ranked at each check, ten times as often as a request is due.
+// Guards against ranking the agents at each check, which is ten times as often as a request is due.
 TEST(RelayClient, SaysWhetherARequestIsDue) {
   RelayFixture t;
   t.client.SetPeriod(1000);
@@ -141,7 +141,7 @@
   EXPECT_TRUE(!t.client.IsDue(t.now + 999) && t.client.IsDue(t.now + 1000), "once each period");
 }
 
-// Entries that had passed over a relay at the same time returned to it at the same time.
+// Guards against entries that pass over a relay at the same time and return to it at the same time.
 TEST(RelayClient, ReturnsAtATimeOfItsOwnWithSeveralRegions) {
   const std::vector<std::string> ranked = {"agent-1", "agent-2"};
   std::map<TimeMs, int> returns;  // By second.
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -341,8 +341,8 @@
 }
 
 TEST(PlacementEviction, KeepsLastReplicaOfARegionWithRequests) {
-  // Guards against evicting the only copy in a region: with three replicas in the fleet it was the
-  // cheapest, and the requests of its region waited for a load.
+  // Guards against evicting the only copy in a region because the fleet has three replicas:
+  // requests of that region would wait for a load.
   Engine engine;
   for (const char* it : {"a", "b", "c"}) engine.AddLoaded(it);
   engine.SendReport();
--- a/test/places_test.cc
+++ b/test/places_test.cc
@@ -231,8 +231,8 @@
   EXPECT_NUMBER(3, t.table.UpdateLimits(t.now).size(), "without another record");
 }
 
-// Guards against a limit that ends early (the soak's seed 20201): with a new configuration, the
-// remaining time of the last record was counted from when the upstream was first listed.
+// Guards against a limit that ends early: a new configuration must not count the remaining time of
+// the last record from when the upstream was first listed.
 TEST(ColdUpstreams, StayColdWhenTheConfigurationChanges) {
   ColdFixture t;
   t.now += 5000;
--- a/test/region_fleet_test.cc
+++ b/test/region_fleet_test.cc
@@ -25,7 +25,7 @@
 constexpr DurationMs kSampleMs = 5000;
 constexpr DurationMs kServiceMs = 1000;
 constexpr int kSlots = 48;
-// By then the first event of a busy model's answer should come.
+// Target for the first event of a busy model's answer.
 constexpr DurationMs kTargetMs = 600;
 constexpr const char* kServices[] = {"engine", "plain"};
 std::string HallName(int hall) { return "hall-" + std::to_string(hall); }
@@ -62,8 +62,8 @@
     int refused = 0;  // No upstream could be chosen.
     int waited = 0;   // Found all upstreams full.
     int queued = 0;   // Waited at an upstream for a slot.
-    DurationMs longest_ms =
-        0;  // From the arrival to the start at an upstream, without the way there.
+    // From the arrival to the start at an upstream, without the time to reach it.
+    DurationMs longest_ms = 0;
 
     std::string Describe() const {
       return std::to_string(requests) + " requests, far " + std::to_string(far) + ", refused " +
@@ -233,8 +233,8 @@
 
 TEST_GROUP(RegionFleet){};
 
-// Guards against sending requests to other regions while the own one has room, which cost four
-// times as many bytes between regions as between halls and doubled the time to the first event.
+// Guards against sending requests to other regions while the own one has room, which adds traffic
+// between regions and delays the first event.
 TEST(RegionFleet, KeepsRequestsInTheirRegionWhileItHasRoom) {
   for (const char* service : kServices) {
     RegionFleet fleet(service);
@@ -247,8 +247,8 @@
   }
 }
 
-// Guards against a random load, by which entries spread requests, that outweighs the distance: with
-// 8 slots to an engine 35 of 123 requests left their region.
+// Guards against a random load, by which entries spread requests, that outweighs the distance when
+// engines have few slots.
 TEST(RegionFleet, KeepsThemThereWithFewSlotsToo) {
   for (const char* service : kServices) {
     RegionFleet fleet(service, 8);
@@ -258,8 +258,8 @@
     }
     const auto busy = fleet.Run(60000, {1.5, 0.2, 0.2})[0];
     EXPECT_TRUE(busy.far * 10 >= busy.requests * 3, busy.Describe());
-    // One wait of 1.6 s was seen without the cost of distance too: eight requests fill an upstream
-    // between two views.
+    // The bound is two service times: eight requests fill an upstream between two views, also
+    // without the cost of distance.
     EXPECT_TRUE(busy.refused == 0 && busy.longest_ms <= 2 * kServiceMs, busy.Describe());
   }
 }
--- a/test/region_selection_test.cc
+++ b/test/region_selection_test.cc
@@ -17,8 +17,8 @@
 
 constexpr TimeMs kStart = 100000;
 
-// Takes random choices of one entry before nine engines and three plain upstreams in three data
-// halls, and digests them (FNV-1a).
+// Returns a digest (FNV-1a) of the choices of one entry for random requests, among nine engines and
+// three plain upstreams in three data halls.
 std::uint64_t DigestOfChoices(const HallRegions& regions, bool has_samples) {
   RoutingOptions options;
   options.topology = Topology("hall-1", regions);
@@ -172,8 +172,9 @@
 
 TEST_GROUP(OneRegion){};
 
-// Guards against a change of selection where the settings name no region or one. The digest is that
-// of a build without measured distances; a change of another decision moves all four alike.
+// Guards against distances that affect the selection where the settings name no region or one. The
+// digest is that of selection by data hall alone. If another change of the selection alters it, it
+// alters all four alike.
 TEST(OneRegion, SelectsAsBeforeDistancesWereMeasured) {
   constexpr std::uint64_t kDigest = 3724677061882860836ULL;
   const HallRegions one = {{"hall-1", "west"}, {"hall-2", "west"}, {"hall-3", "west"}};
--- a/test/regional_relay_test.cc
+++ b/test/regional_relay_test.cc
@@ -1,12 +1,13 @@
-// Relays of the list of upstreams in several regions, over the production decisions in simulated
-// time: what crosses regions, what a partitioned region knows, and what happens after it heals.
+// Relays of the list of upstreams in several regions, with the production decision code in
+// simulated time: traffic between regions, what a partitioned region knows, and what happens after
+// it heals.
 #include "check.h"
 #include "regional_fleet.h"
 
 namespace junctionrail::testing {
 namespace {
 
-// Of a minute in which nothing fails.
+// Returns the traffic of a minute without faults.
 Traffic MinuteOf(const Shape& shape) {
   RegionalFleet fleet(shape);
   fleet.Run(kWarmUpMs);
@@ -41,7 +42,8 @@
   EXPECT_NUMBER(0, after.messages, "");
 }
 
-// A single relay for all regions left the others to find a relay and poll the store themselves.
+// Guards against a single relay for all regions: during a partition, entries of the others would
+// have to find another relay and poll the store themselves.
 TEST(RegionalRelays, KeepAPartitionedRegionFresh) {
   RegionalFleet fleet({4, 8, true});
   fleet.Run(kWarmUpMs);
@@ -85,8 +87,8 @@
               std::to_string(traffic.store_polls));
 }
 
-// After a partition each entry of a region without agents returns to the relay in another region.
-// All of them had been passed over at the same time, and returned within one period.
+// Guards against entries of a region without agents that all return to the relay in another region
+// within one period after a partition.
 TEST(RegionalRelays, AreReturnedToOneByOneAfterAPartition) {
   constexpr int kEntries = 40;
   RegionalFleet fleet({2, kEntries, true});
--- a/test/relayed_listing_test.cc
+++ b/test/relayed_listing_test.cc
@@ -189,7 +189,8 @@
   EXPECT_TRUE(!HasText(world.Fetch(1, "/b/"), " 404 "), "the newer configuration is in force");
 }
 
-// The instance of an upstream is a label, and comes from a key of the store.
+// Guards against metrics that cannot be parsed: the instance of an upstream is a label, and comes
+// from a key of the store, which may hold any character.
 TEST(RelayedListings, CannotBreakThePageOfMetrics) {
   MetricsPage page;
   page.Gauge("relay", "The relay.", 1, {{"relay", "a\"b\\c\nd"}});
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -392,8 +392,8 @@
 }
 
 TEST(ColdModels, LeavesQueueForFreeEngineWithCopy) {
-  // Guards against waiting at an engine that swaps other models while another one with a copy is
-  // free: requests stayed for 1.5 s at the engine that was asked first.
+  // Guards against waiting at an engine that is swapping other models while another one with a copy
+  // is free.
   TableFixture t;
   t.table.ApplyListing({MakeRecord("u1"), MakeRecord("u2")}, t.now);
   t.table.ApplyView(MakeView("u1", {}, {"a"}), t.now);
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -27,7 +27,7 @@
   void ArriveOften(int count, int entry = 0) {
     for (int n = 0; n < count; ++n, now += 50) Arrive("r" + std::to_string(n), entry);
   }
-  // The first one, without its time.
+  // Returns the first complaint, without its time.
   std::string Complaint() {
     const auto complaints = judge.Finish();
     return complaints.empty() ? "" : complaints[0].substr(complaints[0].find(": ") + 2);
@@ -41,7 +41,7 @@
 
 TEST_GROUP(SoakJudge){};
 
-// Guards against a check of regions that never objects.
+// Guards against a check of regions that never reports a violation.
 TEST(SoakJudge, ReportsARequestThatReachesAnUpstreamOutsideItsRegions) {
   Bench allowed;
   allowed.Arrive("r1", 0, kNorth);
@@ -52,7 +52,8 @@
               t.Complaint(), "whatever excuses other checks");
 }
 
-// Guards against a check of evacuations that never objects, or objects before the bound.
+// Guards against a check of evacuations that never reports a violation, or reports one before the
+// bound.
 TEST(SoakJudge, ReportsARequestThatReachesAClosedHall) {
   Bench t;
   t.judge.OnEvacuation("hall-1", true);
@@ -65,7 +66,7 @@
               t.Complaint(), "after the bound");
 }
 
-// Guards against objections to what an entry could not know, and to a hall that was given back.
+// Guards against false reports of what an entry could not know, and of a hall that was given back.
 TEST(SoakJudge, ExcusesAnEntryThatCannotKnowOfAnEvacuation) {
   Bench t;
   t.judge.OnEvacuation("hall-1", true);
@@ -80,7 +81,7 @@
   EXPECT_TEXT("", t.Complaint(), "the hall is open again");
 }
 
-// Guards against a check of cold upstreams that never objects.
+// Guards against a check of cold upstreams that never reports a violation.
 TEST(SoakJudge, ReportsAColdUpstreamThatReceivesMoreThanItsRate) {
   Bench t;
   t.judge.OnCold("p1", kColdMs, false);
@@ -90,8 +91,8 @@
   EXPECT_TEXT("cold upstream p1 got 9 requests in a second", t.Complaint(), "one more");
 }
 
-// Guards against objections once an upstream is warm, to requests that a stopped entry sends all
-// at once, and to entries that had not heard that a hall was given back.
+// Guards against false reports once an upstream is warm, of requests that a stopped entry sends all
+// at once, and of entries that had not heard that a hall was given back.
 TEST(SoakJudge, CountsOnlyWhatEntriesCouldHoldBackFromAColdUpstream) {
   Bench warm;
   warm.judge.OnCold("p1", kColdMs, false);
@@ -113,7 +114,7 @@
               "another entry had");
 }
 
-// Guards against a check of spoiled records that never objects.
+// Guards against a check of spoiled records that never reports a violation.
 TEST(SoakJudge, ReportsARequestThatEndsBecauseARecordWasSpoiled) {
   Bench t;
   t.Arrive("r1");
@@ -172,7 +173,7 @@
   }
 };
 
-// Guards against a soak whose regions are all at one place.
+// Guards against regions without a delay between them.
 TEST(SoakNetwork, DelaysWhatCrossesRegionsBothWays) {
   network.SetDelay(60);
   testing::TestCaller far(io, proxy.endpoint());
--- a/test/support/regional_fleet.h
+++ b/test/support/regional_fleet.h
@@ -1,5 +1,5 @@
-// Simulates, in virtual time and over the production decisions, how entries and agents of several
-// regions pass on the list of upstreams and the configuration.
+// Simulates, in virtual time and with the production decision code, how entries and agents of
+// several regions pass on the list of upstreams and the configuration.
 #ifndef JUNCTIONRAIL_TEST_SUPPORT_REGIONAL_FLEET_H_
 #define JUNCTIONRAIL_TEST_SUPPORT_REGIONAL_FLEET_H_
 
@@ -64,7 +64,7 @@
   int messages = 0;  // Between regions.
   std::size_t bytes = 0;
   int whole_lists = 0;
-  // Of entries, as no relay confirmed the configuration.
+  // By entries, because no relay had confirmed the configuration.
   int configuration_reads = 0;
 };
 
--- a/test/topology_test.cc
+++ b/test/topology_test.cc
@@ -36,7 +36,7 @@
   EXPECT_TRUE(expired.ms == 40 && expired.age_ms == -1, "all have, as if the hall is unreachable");
 }
 
-// Guards against a sample that is never expired because it is older than the process's clock.
+// Guards against a hall without samples that counts as measured while the clock is near 0.
 TEST(RoundTrips, HaveDefaultsRightAfterTheStartOfTheMachine) {
   const Topology topology("hall-1", kTwoRegions);
   EXPECT_TRUE(topology.RoundTripTo("hall-3", 10).ms == 40, "no sample at time 0");
