--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -115,9 +115,11 @@
   // A planner observes all engines: it has links to their agents and gets their views. Other
   // entries observe only engines that serve their requests or may do so soon, and judge the rest by
   // their records. Returns whether the call changed the setting.
-  bool SetPlanner(bool is_planner) { return std::exchange(is_planner_, is_planner) != is_planner; }
+  bool SetPlanner(bool is_planner) {
+    return std::exchange(is_designated_planner_, is_planner) != is_planner;
+  }
   // In a small fleet every entry is a planner.
-  bool is_planner() const { return is_planner_ || is_small_fleet_; }
+  bool is_planner() const { return is_designated_planner_ || is_small_fleet_; }
   // Observes the engine for a while.
   void Observe(const std::string& instance, TimeMs now);
   // Instances of engines whose agents may act for the fleet, best first: those of the entry's own
@@ -401,7 +403,7 @@
   // these while one of them can take the request.
   std::unordered_map<std::string, std::vector<Row*>> holders_;
 
-  bool is_planner_ = true;
+  bool is_designated_planner_ = true;
   bool is_small_fleet_ = false;
   EvacuatedHalls evacuated_halls_;
   std::set<std::string> limited_;  // Instances that have, had or may have a limit.
