Topology: regions are counted once

Cause: HasRegions() built a set of region names at each call, and LoadScore asks it for each candidate of each request; ChooseLoadTarget and the replica plan ask it too. Change: the constructor counts; the settings don't change afterwards. No behaviour changes. Processor time not measured.

--- a/include/junctionrail/places.h
+++ b/include/junctionrail/places.h
@@ -67,8 +67,7 @@
 class Topology {
  public:
   Topology() = default;
-  Topology(std::string hall, HallRegions regions)
-      : hall_(std::move(hall)), regions_(std::move(regions)) {}
+  Topology(std::string hall, HallRegions regions);
 
   const std::string& hall() const { return hall_; }
   const HallRegions& regions() const { return regions_; }
@@ -76,9 +75,9 @@
   std::string RegionOf(const std::string& hall) const;
   // A hall whose region is unknown counts as in the same region.
   Distance DistanceTo(const std::string& hall) const;
-  std::size_t CountRegions() const;
+  std::size_t CountRegions() const { return region_count_; }
   // Whether the halls are in more than one region.
-  bool HasRegions() const;
+  bool HasRegions() const { return region_count_ > 1; }
 
   // A connection to an upstream in the hall took `ms` to open.
   void AddRoundTrip(const std::string& hall, double ms, TimeMs now);
@@ -90,6 +89,7 @@
 
   std::string hall_;
   HallRegions regions_;
+  std::size_t region_count_ = 0;
   std::map<std::string, RoundTripWindow> round_trips_;  // By hall.
 };
 
--- a/src/places/topology.cc
+++ b/src/places/topology.cc
@@ -1,5 +1,6 @@
 #include <iterator>
 #include <set>
+#include <utility>
 
 #include "junctionrail/places.h"
 
@@ -41,6 +42,14 @@
   return "same_region";
 }
 
+// The regions are counted once, as selection asks for each candidate of a request.
+Topology::Topology(std::string hall, HallRegions regions)
+    : hall_(std::move(hall)), regions_(std::move(regions)) {
+  std::set<std::string> distinct;
+  for (const auto& [name, region] : regions_) distinct.insert(region);
+  region_count_ = distinct.size();
+}
+
 std::string Topology::RegionOf(const std::string& hall) const {
   const auto it = regions_.find(hall);
   return it == regions_.end() ? std::string() : it->second;
@@ -74,12 +83,4 @@
   return measured ? *measured : RoundTrip{default_ms, -1};
 }
 
-std::size_t Topology::CountRegions() const {
-  std::set<std::string> regions;
-  for (const auto& [hall, region] : regions_) regions.insert(region);
-  return regions.size();
-}
-
-bool Topology::HasRegions() const { return CountRegions() > 1; }
-
 }  // namespace junctionrail
