Observability: lag of the event loop, and what is known of newer configurations

A refusal by an outdated configuration has three suspected causes that no log told apart: a process that is told of a newer version but cannot read it, one without processor time, and a confirmation that is not true. No decision is changed.

--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -9,6 +9,7 @@
 #include "entry_hosting.h"
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
+#include "loop_monitor.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
 
@@ -44,7 +45,8 @@
         upstreams_(io, store_, log_, platform::Freshness::kMayLag, kListingMs,
                    [this](const UpstreamListing& listing) { OnListing(listing); }),
         relay_(settings_.id + "@" + std::to_string(UnixMs())),
-        relay_timer_(io) {}
+        relay_timer_(io),
+        loop_(io, log_) {}
 
   std::optional<ListenError> Start() {
     log_.Write(MonotonicMs(), "start",
@@ -57,7 +59,7 @@
         io_, options, [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
           if (request.target != "/metrics") return responder->Whole(404, {}, "");
           responder->Whole(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                           AgentMetrics(keeper_->counters(), store_, log_));
+                           AgentMetrics(keeper_->counters(), store_, loop_, log_));
         });
     const auto metrics = metrics_->Listen();
     if (!metrics) return ListenError{"direct.metrics", metrics.error().sentence};
@@ -74,6 +76,7 @@
     upstreams_.Start();
     relay_timer_.Every(kCheckRelayMs, [this] { StopUnusedRelay(); });
     keeper_->Start();
+    loop_.Start();
     return std::nullopt;
   }
 
@@ -238,6 +241,7 @@
   bool is_asking_host_ = false;
   ListingRelay relay_;
   Timer relay_timer_;
+  LoopMonitor loop_;
   bool is_relaying_ = false;
 };
 
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -10,6 +10,7 @@
 #include "entry_pages.h"
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
+#include "loop_monitor.h"
 #include "peer_client.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
@@ -128,7 +129,8 @@
                [this](const std::string& instance, std::string bytes) {
                  links_.Send(instance, std::move(bytes));
                }),
-        pages_(log_, {gateway_, store_, configuration_, upstreams_, *recorder_, relay_,
+        loop_(io, log_),
+        pages_(log_, {gateway_, store_, configuration_, upstreams_, *recorder_, relay_, loop_,
                       [this] { return IsReady(); }}) {}
 
   std::optional<ListenError> Start() {
@@ -168,6 +170,7 @@
     links_.Start();
     relay_.Start();
     peers_.Start();
+    loop_.Start();
     return std::nullopt;
   }
 
@@ -410,6 +413,7 @@
   AgentLinks links_;
   PeerClient peers_;
   RelayFollower relay_;
+  LoopMonitor loop_;
   EntryPages pages_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::map<std::string, EngineView> views_;  // The last of each link, which updates change.
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -33,6 +33,10 @@
   page->Histogram(name, help, cumulative, histogram.count, histogram.sum_ms);
 }
 
+void AddLoop(const LoopMonitor& loop, MetricsPage* page) {
+  AddHistogram("junctionrail_loop_lag_ms", "Delay of a timer of the event loop.", loop.lag(), page);
+}
+
 void AddReplicaTargets(const UpstreamTable& upstreams, MetricsPage* page) {
   const auto add = [&](std::string_view place, ReplicaDomain domain) {
     page->Counter("junctionrail_replica_targets_total",
@@ -96,8 +100,8 @@
 
 }  // namespace
 
-std::string EntryMetrics(const Gateway& gateway, const RelayUse& relay,
-                         const platform::StoreClient& store, const EventLog& log) {
+std::string EntryMetrics(const EntryMetricsSources& sources) {
+  const Gateway& gateway = sources.gateway;
   MetricsPage page;
   const GatewayCounters& it = gateway.counters();
   page.Counter("junctionrail_connections_total", "Connections of callers.", it.connections);
@@ -143,6 +147,11 @@
   page.Gauge("junctionrail_configuration_age_ms",
              "Since the configuration is known to have been the newest; -1: it never was.",
              static_cast<double>(gateway.ConfigurationAge()));
+  page.Gauge("junctionrail_configuration_version", "Version of the configuration in force.",
+             static_cast<double>(sources.configuration.confirmation().version()));
+  page.Gauge("junctionrail_configuration_behind_ms",
+             "Since another process told of a later version; 0: none is known of.",
+             static_cast<double>(sources.configuration.BehindMs()));
   page.Gauge("junctionrail_limited_upstreams",
              "Upstreams with a limit of requests a second from all entries.",
              gateway.upstreams().CountLimited());
@@ -159,7 +168,7 @@
                it.backoff_requests);
   page.Counter("junctionrail_malformed_notices_total",
                "Answers of upstreams with a notice that could not be read.", it.malformed_notices);
-  AddRelay(relay, &page);
+  AddRelay(sources.relay, &page);
   AddReplicaTargets(gateway.upstreams(), &page);
   AddQuotas(gateway.quotas(), &page);
   AddHistogram("junctionrail_first_answer_ms",
@@ -168,16 +177,18 @@
   AddHistogram("junctionrail_listing_age_ms",
                "Age of the list of upstreams by which an attempt was sent.", gateway.listing_age(),
                &page);
-  AddStore(store, log, &page);
+  AddLoop(sources.loop, &page);
+  AddStore(sources.store, sources.log, &page);
   return page.text();
 }
 
 std::string AgentMetrics(const AgentOrderCounters& counters, const platform::StoreClient& store,
-                         const EventLog& log) {
+                         const LoopMonitor& loop, const EventLog& log) {
   MetricsPage page;
   page.Counter("junctionrail_orders_total", "Orders given to the engine.", counters.orders);
   page.Counter("junctionrail_orders_not_accepted_total", "Of these, not accepted.",
                counters.orders_not_accepted);
+  AddLoop(loop, &page);
   AddStore(store, log, &page);
   return page.text();
 }
--- a/src/daemon/direct_metrics.h
+++ b/src/daemon/direct_metrics.h
@@ -7,6 +7,7 @@
 
 #include "junctionrail/event_log.h"
 #include "junctionrail/gateway.h"
+#include "loop_monitor.h"
 #include "platform.h"
 #include "relay_follower.h"
 
@@ -17,10 +18,19 @@
   std::uint64_t orders_not_accepted = 0;
 };
 
-std::string EntryMetrics(const Gateway& gateway, const RelayUse& relay,
-                         const platform::StoreClient& store, const EventLog& log);
+// What the page of an entry shows.
+struct EntryMetricsSources {
+  const Gateway& gateway;
+  const RelayUse& relay;
+  const platform::ConfigurationFollower& configuration;
+  const platform::StoreClient& store;
+  const LoopMonitor& loop;
+  const EventLog& log;
+};
+
+std::string EntryMetrics(const EntryMetricsSources& sources);
 std::string AgentMetrics(const AgentOrderCounters& counters, const platform::StoreClient& store,
-                         const EventLog& log);
+                         const LoopMonitor& loop, const EventLog& log);
 
 }  // namespace junctionrail::internal
 
--- a/src/daemon/entry_pages.cc
+++ b/src/daemon/entry_pages.cc
@@ -25,7 +25,8 @@
   if (request.target == "/metrics") {
     return shared->Whole(
         200, {{"Content-Type", "text/plain; version=0.0.4"}},
-        EntryMetrics(sources_.gateway, sources_.relay.use(), sources_.store, log_));
+        EntryMetrics({sources_.gateway, sources_.relay.use(), sources_.configuration,
+                      sources_.store, sources_.loop, log_}));
   }
   if (request.target.rfind("/known/", 0) == 0) return AnswerPeer(request, shared.get());
   AnswerOperator(request, std::move(shared));
--- a/src/daemon/entry_pages.h
+++ b/src/daemon/entry_pages.h
@@ -9,6 +9,7 @@
 #include "junctionrail/event_log.h"
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
+#include "loop_monitor.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
 #include "relay_follower.h"
@@ -25,6 +26,7 @@
     const platform::UpstreamFollower& upstreams;
     QuarantineRecorder& recorder;
     const RelayFollower& relay;
+    const LoopMonitor& loop;
     std::function<bool()> is_ready;
   };
 
--- a/test/places_test.cc
+++ b/test/places_test.cc
@@ -433,8 +433,12 @@
   EXPECT_TRUE(far["round_trip_age_ms"].get<int>() >= 0, page.dump());
   testing::StandinStore store(t.io);
   HttpClient http(t.io);
-  const platform::StoreClient client(http, store.endpoint());
-  const std::string metrics = internal::EntryMetrics(*t.gateway, {}, client, t.log);
+  platform::StoreClient client(http, store.endpoint());
+  const platform::ConfigurationFollower configuration(
+      t.io, client, t.log, platform::Freshness::kNewest, [](const RoutingConfiguration&) {});
+  const internal::LoopMonitor loop(t.io, t.log);
+  const std::string metrics =
+      internal::EntryMetrics({*t.gateway, {}, configuration, client, loop, t.log});
   EXPECT_TRUE(
       Contains(metrics, "junctionrail_upstream_requests_total{distance=\"other_region\"} 3"),
       metrics);
