Refusals: what an entry does not find is unknown only by a current configuration

A new setting, apply_ms, holds the bound within which a configuration is in force everywhere. An entry that had no confirmation within it, or that was told of a later version, answers 503 old_configuration with Retry-After. Confirmations count from the question, so that a refusal that stands cannot be by a version that was replaced longer ago than the bound, however slow the process is. The store also confirms the configuration each 0.3 of this bound where no relay does; other entries are asked as before, by the bounds of keys and halls.

OutdatedConfigurations.*: 2 tests. Before the change the gateway answered 404 and 401 there whatever the age.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -52,6 +52,9 @@
   // Requests with a key are refused once the configuration may have been superseded for this
   // long; 0: no limit.
   DurationMs key_revocation_ms = 0;
+  // A route or key that is not found counts as unknown only if the configuration was confirmed as
+  // the newest within this long; 0: no limit.
+  DurationMs configuration_bound_ms = 0;
   // The load balancer may open connections for this long after Stop: it notices after two
   // health checks, one second apart.
   DurationMs balancer_delay_ms = 2500;
@@ -87,15 +90,16 @@
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
   std::uint64_t model_waits = 0;
-  std::uint64_t invalid_key_refusals = 0;          // Key missing or unknown.
-  std::uint64_t stale_configuration_refusals = 0;  // Key may have been revoked.
-  std::uint64_t over_quota_refusals = 0;           // Organisation's quota used up.
-  std::uint64_t quota_unavailable_refusals = 0;    // No quota allocator answered.
-  std::uint64_t place_refusals = 0;                // No upstream in a place that is allowed.
-  std::uint64_t quarantine_refusals = 0;           // Running them crashes upstreams.
-  std::uint64_t upstreams_crashed = 0;             // With requests of this entry in flight.
-  std::uint64_t rate_limited_sends = 0;            // Sends held back by an upstream's rate limit.
-  std::uint64_t backoff_requests = 0;              // Upstream refusals that asked for a backoff.
+  std::uint64_t invalid_key_refusals = 0;  // Key missing or unknown.
+  // A key may have been revoked, or a route or key may have been added.
+  std::uint64_t stale_configuration_refusals = 0;
+  std::uint64_t over_quota_refusals = 0;         // Organisation's quota used up.
+  std::uint64_t quota_unavailable_refusals = 0;  // No quota allocator answered.
+  std::uint64_t place_refusals = 0;              // No upstream in a place that is allowed.
+  std::uint64_t quarantine_refusals = 0;         // Running them crashes upstreams.
+  std::uint64_t upstreams_crashed = 0;           // With requests of this entry in flight.
+  std::uint64_t rate_limited_sends = 0;          // Sends held back by an upstream's rate limit.
+  std::uint64_t backoff_requests = 0;            // Upstream refusals that asked for a backoff.
   std::uint64_t malformed_notices = 0;
   std::uint64_t surplus_responses = 0;
   std::uint64_t upstream_connections = 0;
@@ -130,7 +134,10 @@
   void ApplyConfiguration(RoutingConfiguration configuration);
   // The current configuration was the newest one at `as_of`.
   void ConfirmConfiguration(TimeMs as_of);
+  // Another process knows of this version; until it is in force here, nothing counts as unknown.
+  void ExpectConfiguration(std::uint64_t version);
   void SetRevokeMs(DurationMs revoke_ms);
+  void SetConfigurationBound(DurationMs bound_ms);
   void SetRetries(RetryBudget::Options options);
   void SetPolicy(const PolicySettings& policy);
   void ApplyListing(const UpstreamListing& listing);
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -111,6 +111,8 @@
   DurationMs leaving_ms = 2000;  // An upstream that leaves gets nothing new after it.
   // The interval at which upstreams write their records.
   DurationMs record_period_ms = 1200;
+  // A configuration is in force everywhere within so long of being written; 0: no bound is set.
+  DurationMs apply_ms = 0;
   // Nothing is sent for a key later than so long after it was taken away, known here or not.
   // 0: as long as nothing is heard of it.
   DurationMs revoke_ms = 0;
@@ -121,6 +123,8 @@
 
   // The shortest time within which what operators write has to be in force; 0: none is set.
   DurationMs OperatorBound() const;
+  // For how long an entry may act unconfirmed on what operators can take away; 0: for ever.
+  DurationMs ExpiryBound() const;
   // How often the relay polls the list of upstreams, and entries ask it.
   DurationMs RelayPeriod() const;
   // How often the relay confirms what operators write.
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -86,6 +86,7 @@
   direct.metrics = ReadEndpoint(r, "metrics");
   direct.leaving_ms = r.Integer("leaving_ms", 400, kLongestMs, direct.leaving_ms);
   direct.record_period_ms = r.Integer("record_period_ms", 1, kLongestMs, direct.record_period_ms);
+  direct.apply_ms = r.Integer("apply_ms", 0, kLongestMs, direct.apply_ms);
   direct.revoke_ms = r.Integer("revoke_ms", 0, kLongestMs, direct.revoke_ms);
   direct.evacuate_ms = r.Integer("evacuate_ms", 0, kLongestMs, direct.evacuate_ms);
   if (role == Role::kAgent) {
@@ -107,6 +108,11 @@
   return direct;
 }
 
+// Of two bounds of which either may be 0, for none.
+DurationMs ShorterBound(DurationMs a, DurationMs b) {
+  return a == 0 || b == 0 ? std::max(a, b) : std::min(a, b);
+}
+
 // What the path through agents needs and the direct one does not.
 void ReadAgentPath(ObjectReader& r, Settings* settings) {
   settings->incarnation = r.String("incarnation", std::nullopt);
@@ -144,10 +150,9 @@
     {"leaves_silent", &PolicySettings::leaves_silent},
 };
 
-DurationMs DirectSettings::OperatorBound() const {
-  if (revoke_ms == 0 || evacuate_ms == 0) return std::max(revoke_ms, evacuate_ms);
-  return std::min(revoke_ms, evacuate_ms);
-}
+DurationMs DirectSettings::ExpiryBound() const { return ShorterBound(revoke_ms, evacuate_ms); }
+
+DurationMs DirectSettings::OperatorBound() const { return ShorterBound(apply_ms, ExpiryBound()); }
 
 DurationMs DirectSettings::RelayPeriod() const {
   return static_cast<DurationMs>(kRelayPart * static_cast<double>(leaving_ms));
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -101,6 +101,7 @@
       settings_.direct->record_period_ms = settings.direct->record_period_ms;
       settings_.direct->revoke_ms = settings.direct->revoke_ms;
       settings_.direct->evacuate_ms = settings.direct->evacuate_ms;
+      settings_.direct->apply_ms = settings.direct->apply_ms;
       configuration_.SetWatch(settings_.direct->RelayWatch());
       upstreams_.SetWritePeriod(settings_.direct->record_period_ms);
       if (is_relaying_) upstreams_.SetPeriod(settings_.direct->RelayPeriod());
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -85,6 +85,7 @@
   options.routing.policy = direct.policy;
   options.entry_id = settings.id;
   options.key_revocation_ms = direct.revoke_ms;
+  options.configuration_bound_ms = direct.apply_ms;
   options.routing.entry_id = settings.id;
   options.routing.small_fleet_engines = kSmallFleetEngines;
   options.routing.evacuation_bound_ms = direct.evacuate_ms;
@@ -160,6 +161,7 @@
       gateway_.ApplyEvacuations(halls, as_of);
     });
     configuration_.OnConfirmed([this](TimeMs as_of) { gateway_.ConfirmConfiguration(as_of); });
+    configuration_.OnTold([this](std::uint64_t version) { gateway_.ExpectConfiguration(version); });
     gateway_.upstreams().SetPlanner(false);
     SetConfirmationInterval();
     configuration_.RestWhileConfirmed(RelayTrust(*settings_.direct));
@@ -195,6 +197,8 @@
       direct.policy = settings.direct->policy;
       direct.revoke_ms = settings.direct->revoke_ms;
       direct.evacuate_ms = settings.direct->evacuate_ms;
+      direct.apply_ms = settings.direct->apply_ms;
+      gateway_.SetConfigurationBound(direct.apply_ms);
       gateway_.SetRevokeMs(direct.revoke_ms);
       gateway_.SetEvacuationBound(direct.evacuate_ms);
       gateway_.SetRecordPeriod(settings.direct->record_period_ms);
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -139,7 +139,8 @@
   page.Counter("junctionrail_unknown_keys_total", "Refused for a missing or unknown key.",
                it.invalid_key_refusals);
   page.Counter("junctionrail_old_configuration_total",
-               "Refused, as the key may have been taken away.", it.stale_configuration_refusals);
+               "Refused, as a key may have been taken away, or a route or key added.",
+               it.stale_configuration_refusals);
   page.Counter("junctionrail_over_quota_total", "Refused, as the quota is used up.",
                it.over_quota_refusals);
   page.Counter("junctionrail_without_giver_total", "Refused, as nobody grants quotas.",
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -49,7 +49,7 @@
 // The store cannot be reached, or is slow: another entry may have a later confirmation. All are
 // asked, as some may be gone, and their confirmations differ in age.
 void PeerClient::AskForConfirmation() {
-  const auto bound_ms = static_cast<double>(direct_.OperatorBound());
+  const auto bound_ms = static_cast<double>(direct_.ExpiryBound());
   const DurationMs age_ms = targets_.gateway.ConfigurationAge();
   const bool is_old = age_ms < 0 || static_cast<double>(age_ms) > kAskPart * bound_ms;
   if (bound_ms <= 0 || !is_old) return;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -65,8 +65,7 @@
                   Execution::kNotRun, kDefaultRetryAfterMs);
   }
   if (!FindRoute()) {
-    return Refuse(kNotFound, "no_route", "no route matches this host and path", Execution::kNotRun,
-                  0);
+    return RefuseUnknown(kNotFound, "no_route", "no route matches this host and path");
   }
   if (!ReadFields() || !ReadKey() || !ReadQuotaAmount()) return;
   const auto over =
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,6 +96,8 @@
   bool ReadQuotaAmount();
   const Organisation* KeyOwner() const;
   bool RecheckKey();
+  void RefuseUnknown(unsigned status, std::string_view code, std::string_view sentence);
+  void RefuseUnconfirmed(std::string_view sentence);
   bool AcquireQuota();
   bool AcquireUpstreamQuota(const std::string& instance);
   void OnUpstreamQuotaDecision(const QuotaClient::Admission& verdict);
--- a/src/gateway/exchange_access.cc
+++ b/src/gateway/exchange_access.cc
@@ -50,10 +50,9 @@
   }
   ++gateway_.counters.invalid_key_refusals;
   if (key_) {
-    Refuse(kUnauthorized, "unknown_key", "the key is unknown", Execution::kNotRun, 0);
+    RefuseUnknown(kUnauthorized, "unknown_key", "the key is unknown");
   } else {
-    Refuse(kUnauthorized, "no_key", "expected a header " + name + ", found none",
-           Execution::kNotRun, 0);
+    RefuseUnknown(kUnauthorized, "no_key", "expected a header " + name + ", found none");
   }
   return false;
 }
@@ -108,21 +107,34 @@
     if (may_have_run) {
       GiveUp(Execution::kMayHaveRun, kReason);
     } else {
-      Refuse(kUnauthorized, "unknown_key", kReason, Execution::kNotRun, 0);
+      RefuseUnknown(kUnauthorized, "unknown_key", kReason);
     }
     return false;
   }
-  ++gateway_.counters.stale_configuration_refusals;
   constexpr char kReason[] = "this entry cannot confirm that the key is still valid";
   if (may_have_run) {
+    ++gateway_.counters.stale_configuration_refusals;
     GiveUp(Execution::kMayHaveRun, kReason);
   } else {
-    Refuse(kUnavailable, "old_configuration", kReason, Execution::kNotRun,
-           kOldConfigurationRetryMs);
+    RefuseUnconfirmed(kReason);
   }
   return false;
 }
 
+// Callers do not repeat a request whose route or key does not exist. An entry that may lack a later
+// configuration has them come back instead.
+void Exchange::RefuseUnknown(unsigned status, std::string_view code, std::string_view sentence) {
+  if (gateway_.IsConfigurationCurrent(MonotonicMs())) {
+    return Refuse(status, code, sentence, Execution::kNotRun, 0);
+  }
+  RefuseUnconfirmed("this entry may lack a later configuration: " + std::string(sentence));
+}
+
+void Exchange::RefuseUnconfirmed(std::string_view sentence) {
+  ++gateway_.counters.stale_configuration_refusals;
+  Refuse(kUnavailable, "old_configuration", sentence, Execution::kNotRun, kOldConfigurationRetryMs);
+}
+
 // Takes the organisation's quota once, before the first send. Returns false while an allocator is
 // asked and if it refused the request.
 bool Exchange::AcquireQuota() {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -354,6 +354,13 @@
          now - configuration_confirmed_at <= options.key_revocation_ms - kKeyCheckMarginMs;
 }
 
+bool Gateway::Impl::IsConfigurationCurrent(TimeMs now) const {
+  if (expected_configuration > routes->configuration().version) return false;
+  if (options.configuration_bound_ms == 0) return true;
+  return configuration_confirmed_at != 0 &&
+         now - configuration_confirmed_at <= options.configuration_bound_ms;
+}
+
 QuotaClient::Admission Gateway::Impl::TakeQuota(const std::shared_ptr<internal::Exchange>& exchange,
                                                 const std::string& organisation, double amount) {
   const std::uint64_t ticket = ++last_ticket;
@@ -501,6 +508,14 @@
 
 void Gateway::SetRevokeMs(DurationMs revoke_ms) { impl_->options.key_revocation_ms = revoke_ms; }
 
+void Gateway::SetConfigurationBound(DurationMs bound_ms) {
+  impl_->options.configuration_bound_ms = bound_ms;
+}
+
+void Gateway::ExpectConfiguration(std::uint64_t version) {
+  impl_->expected_configuration = std::max(impl_->expected_configuration, version);
+}
+
 void Gateway::ConfirmConfiguration(TimeMs as_of) {
   impl_->configuration_confirmed_at = std::max(impl_->configuration_confirmed_at, as_of);
 }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -40,6 +40,8 @@
   // Time since the configuration was last confirmed as the newest; -1: never confirmed.
   DurationMs ConfigurationAge(TimeMs now) const;
   bool AreKeysCurrent(TimeMs now) const;
+  // Whether what the configuration lacks is known not to exist.
+  bool IsConfigurationCurrent(TimeMs now) const;
 
   // Takes from the organisation's quota. If an allocator has to be asked, the exchange is called
   // back.
@@ -99,7 +101,8 @@
   bool is_quota_send_scheduled = false;
   std::function<void(const QuotaClient::Message&)> on_quota_message;
   Timer quota_timer;
-  TimeMs configuration_confirmed_at = 0;  // 0: never confirmed.
+  TimeMs configuration_confirmed_at = 0;     // 0: never confirmed.
+  std::uint64_t expected_configuration = 0;  // The latest version that is known of.
   GatewayCounters counters;
   LatencyHistogram first_byte_latency;
   LatencyHistogram listing_age;
--- a/test/gateway_keys_test.cc
+++ b/test/gateway_keys_test.cc
@@ -152,6 +152,48 @@
   EXPECT_TRUE(was_refused == (fixture.Seen() == seen), "refused if and only if it was not sent");
 }
 
+TEST_GROUP(OutdatedConfigurations){};
+
+// Guards against callers that are told for good that a route or key does not exist by an entry that
+// has not heard of the configuration that adds it.
+TEST(OutdatedConfigurations, AreNoReasonToCallARouteOrKeyUnknown) {
+  GatewayOptions options;
+  options.configuration_bound_ms = 600;
+  KeysFixture fixture(options);
+  const auto expect = [&](const std::string& fields, const std::string& path,
+                          const std::string& code, const std::string& status) {
+    const std::string answer = fixture.Fetch(MakeRequest("GET " + path, fields));
+    EXPECT_TRUE(Contains(answer, status) && Contains(answer, code), answer);
+    EXPECT_TRUE(Contains(answer, "Retry-After") == Contains(status, "503"), answer);
+  };
+  const auto expect_unconfirmed = [&] {
+    expect(kKey, "/new/", "old_configuration", "503 ");
+    expect("Junctionrail-Key: new\r\n", "/a/", "old_configuration", "503 ");
+    expect("", "/a/", "old_configuration", "503 ");
+    expect(kKey, "/a/", "ok", "200 ");
+  };
+  expect_unconfirmed();
+  fixture.gateway->ConfirmConfiguration(MonotonicMs());
+  expect(kKey, "/new/", "no_route", "404 ");
+  expect("Junctionrail-Key: new\r\n", "/a/", "unknown_key", "401 ");
+  expect("", "/a/", "no_key", "401 ");
+  RunFor(fixture.io, 700);
+  expect_unconfirmed();
+}
+
+// Guards against the same refusal by an entry that knows that a later configuration exists.
+TEST(OutdatedConfigurations, AreThoseOfWhichALaterOneIsKnown) {
+  KeysFixture fixture;
+  fixture.gateway->ExpectConfiguration(3);
+  EXPECT_TRUE(Contains(fixture.Fetch(MakeRequest("GET /new/", kKey)), "old_configuration"),
+              "version 1 is in force");
+  fixture.Configure(2);
+  EXPECT_TRUE(Contains(fixture.Fetch(MakeRequest("GET /new/", kKey)), "old_configuration"),
+              "version 2 is not the one that is known of");
+  fixture.Configure(3);
+  EXPECT_TRUE(Contains(fixture.Fetch(MakeRequest("GET /new/", kKey)), "no_route"), "now it is");
+}
+
 TEST_GROUP(GatewayQuotas){};
 
 namespace {
