Relay: gives the configuration's document to entries that the store turns away

The relay watches the store for all entries and has the document. A request of an entry that knows of a later version and has lost the store now names the version in force there, and the reply has the document. Both fields are left out otherwise, and processes of the version before pass over them.

RelayedListings.BringTheConfigurationToEntriesThatTheStoreTurnsAway: with the document left out of the reply the added route gets 503 after 3 s, with it 200. RelayMessages.HoldTheConfigurationOnlyWhereItIsAskedFor.

--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -178,6 +178,9 @@
   // nor by entries of an older version.
   std::string region = {};
   int regions = 1;
+  // The version of the configuration in force at an entry that knows of a later one and gets no
+  // answer from the store; 0: no document is asked for.
+  std::uint64_t outdated_configuration = 0;
 };
 
 // What changed in the list between two versions.
@@ -198,6 +201,8 @@
   // Since that version, and these evacuations, are known to have been the newest; -1: unknown.
   DurationMs configuration_age_ms = -1;
   std::vector<std::string> evacuated_halls;
+  // The document of that version; null: it is not included.
+  std::shared_ptr<const std::string> configuration;
   // The entry is one of the few that plan for the fleet as a whole.
   bool is_planner = false;
 };
@@ -218,7 +223,8 @@
   explicit ListingRelay(std::string epoch) : epoch_(std::move(epoch)) {}
 
   void ApplyListing(const UpstreamListing& listing);
-  void ConfirmConfiguration(std::uint64_t version, TimeMs as_of);
+  // `document` is that of `version`, which was the newest one at `as_of`.
+  void ConfirmConfiguration(std::uint64_t version, const std::string& document, TimeMs as_of);
   void ApplyEvacuations(std::vector<std::string> halls) { evacuated_halls_ = std::move(halls); }
   RelayReply Answer(const RelayRequest& request, TimeMs now);
   // Whether an entry has asked lately, so that the list has to be polled.
@@ -245,7 +251,7 @@
   bool IsPlanner(const std::string& entry, TimeMs now);
   void ChoosePlanners();
   void ForgetGoneAskers(TimeMs now);
-  bool MaySendWholeList(TimeMs now);
+  bool MaySendLargeReply(TimeMs now);
 
   std::string epoch_;
   std::uint64_t version_ = 0;
@@ -257,14 +263,15 @@
   std::map<std::uint64_t, std::shared_ptr<const std::string>> encoded_changes_;
   std::uint64_t forgotten_version_ = 0;  // Removals up to this version are forgotten.
   std::uint64_t configuration_version_ = 0;
+  std::shared_ptr<const std::string> configuration_;  // The document of that version.
   TimeMs configuration_as_of_ = 0;
   std::vector<std::string> evacuated_halls_;
   std::map<std::string, Asker> askers_;  // By entry.
   std::set<std::string> planners_;
   TimeMs planners_chosen_at_ = 0;
   bool is_planner_missing_ = true;  // Some region has fewer askers than its share of planners.
-  TimeMs whole_lists_since_ = 0;
-  int whole_lists_sent_ = 0;  // Since then.
+  TimeMs large_replies_since_ = 0;
+  int large_replies_sent_ = 0;  // Since then.
 };
 
 // An entry's side: chooses the relay to ask, and applies its replies.
@@ -279,6 +286,10 @@
   // and fetch a whole list, within one period.
   void SetRegion(std::string region, int regions);
 
+  // Requests ask for the configuration's document, the next one soon, while `outdated_version` is
+  // in force although a later one is known of; 0: no more.
+  void AskForConfiguration(std::uint64_t outdated_version);
+
   struct Ask {
     std::string instance;  // Of the upstream whose agent is the relay.
     RelayRequest request;
@@ -294,6 +305,8 @@
     std::uint64_t configuration_version = 0;
     TimeMs configuration_as_of = 0;  // 0: the relay confirms none.
     std::set<std::string> evacuated_halls;
+    // The document of that version; null: it was not sent.
+    std::shared_ptr<const std::string> configuration;
     bool is_planner = false;
   };
   // `max_age_ms`: a relay whose list is older is passed over next time. Returns nullopt for a reply
@@ -324,6 +337,7 @@
   TimeMs asked_at_ = 0;
   std::string epoch_;
   std::uint64_t version_ = 0;
+  std::uint64_t outdated_configuration_ = 0;
   std::map<std::string, UpstreamRecord> records_;  // By instance.
   std::map<std::string, PassedOver> passed_over_;  // By instance.
 };
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -66,7 +66,9 @@
     keeper_->SetPolicy(settings_.direct->policy);
     configuration_.SetWatch(settings_.direct->RelayWatch());
     configuration_.OnConfirmed([this](TimeMs as_of) {
-      if (is_relaying_) relay_.ConfirmConfiguration(configuration_.confirmation().version(), as_of);
+      if (!is_relaying_) return;
+      relay_.ConfirmConfiguration(configuration_.confirmation().version(),
+                                  configuration_.document(), as_of);
     });
     configuration_.OnEvacuations([this](const std::set<std::string>& halls, TimeMs) {
       relay_.ApplyEvacuations({halls.begin(), halls.end()});
--- a/src/daemon/relay_follower.cc
+++ b/src/daemon/relay_follower.cc
@@ -45,6 +45,10 @@
     SetInUse("", false);
     SetPlanner(true, "none");
   }
+  // Told of a later version by a relay, and without the store, the entry needs its document.
+  const auto& configuration = targets_.configuration;
+  const bool needs_document = configuration.BehindMs() > 0 && !configuration.is_in_touch();
+  client_.AskForConfiguration(needs_document ? configuration.confirmation().version() : 0);
   if (!client_.IsDue(now)) return;
   const auto ask = client_.NextAsk(targets_.gateway.upstreams().RankAgents(kCandidates), now);
   if (ask) send_(ask->instance, EncodeRelayRequest(ask->request));
@@ -66,6 +70,7 @@
   SetPlanner(news->is_planner, source);
   if (news->configuration_as_of != 0) {
     targets_.gateway.ApplyEvacuations(news->evacuated_halls, news->configuration_as_of);
+    if (news->configuration) targets_.configuration.Offer(*news->configuration);
     targets_.configuration.OfferConfirmation(news->configuration_version, news->configuration_as_of,
                                              0);
   }
--- a/src/listing/listing_relay.cc
+++ b/src/listing/listing_relay.cc
@@ -18,9 +18,9 @@
 constexpr DurationMs kChoosePlannersMs = 500;
 // An entry that is further behind gets the whole list.
 constexpr std::size_t kMaxRemovals = 4096;
-// When all entries ask another relay, each needs the whole list. Sent at once these would take
-// most of an agent's memory.
-constexpr int kWholeListsPerS = 100;
+// When all entries ask another relay, each needs the whole list, and when the store turns them
+// away, the configuration. Sent at once these would take most of an agent's memory.
+constexpr int kLargeRepliesPerS = 100;
 constexpr DurationMs kSecondMs = 1000;
 
 // Rounded up: 3 for each of three regions.
@@ -74,7 +74,9 @@
   }
 }
 
-void ListingRelay::ConfirmConfiguration(std::uint64_t version, TimeMs as_of) {
+void ListingRelay::ConfirmConfiguration(std::uint64_t version, const std::string& document,
+                                        TimeMs as_of) {
+  if (version != configuration_version_) configuration_ = std::make_shared<std::string>(document);
   configuration_version_ = version;
   configuration_as_of_ = as_of;
 }
@@ -91,9 +93,12 @@
     reply.configuration_age_ms = now - configuration_as_of_;
     reply.evacuated_halls = evacuated_halls_;
   }
+  const bool needs_configuration = request.outdated_configuration != 0 &&
+                                   request.outdated_configuration < configuration_version_;
+  if (needs_configuration && MaySendLargeReply(now)) reply.configuration = configuration_;
   const bool knows_base = request.epoch == epoch_ && request.version >= forgotten_version_ &&
                           request.version != 0 && request.version <= version_;
-  if (as_of_ == 0 || (!knows_base && !MaySendWholeList(now))) return reply;
+  if (as_of_ == 0 || (!knows_base && !MaySendLargeReply(now))) return reply;
   reply.list_age_ms = now - as_of_;
   reply.version = version_;
   reply.is_whole = !knows_base;
@@ -157,12 +162,12 @@
   }
 }
 
-bool ListingRelay::MaySendWholeList(TimeMs now) {
-  if (now - whole_lists_since_ >= kSecondMs) {
-    whole_lists_since_ = now;
-    whole_lists_sent_ = 0;
+bool ListingRelay::MaySendLargeReply(TimeMs now) {
+  if (now - large_replies_since_ >= kSecondMs) {
+    large_replies_since_ = now;
+    large_replies_sent_ = 0;
   }
-  return whole_lists_sent_++ < kWholeListsPerS;
+  return large_replies_sent_++ < kLargeRepliesPerS;
 }
 
 }  // namespace junctionrail
--- a/src/listing/relay_client.cc
+++ b/src/listing/relay_client.cc
@@ -25,6 +25,11 @@
   regions_ = regions;
 }
 
+void RelayClient::AskForConfiguration(std::uint64_t outdated_version) {
+  outdated_configuration_ = outdated_version;
+  if (outdated_version != 0) next_ask_at_ = std::min(next_ask_at_, asked_at_ + kRetryMs);
+}
+
 void RelayClient::PassOver(const std::string& relay, TimeMs now) {
   PassedOver& it = passed_over_[relay];
   const int doublings = std::min(it.failures++, kMaxDoublings);
@@ -59,7 +64,9 @@
   is_answered_ = false;
   asked_at_ = now;
   next_ask_at_ = now + kRetryMs;
-  return Ask{relay_, {entry_, ++last_number_, epoch_, version_, region_, regions_}};
+  return Ask{
+      relay_,
+      {entry_, ++last_number_, epoch_, version_, region_, regions_, outdated_configuration_}};
 }
 
 // Ages count from the request: the way of the reply, or a pause of the relay before it answered,
@@ -76,6 +83,7 @@
     news.configuration_version = reply.configuration_version;
     news.configuration_as_of = asked_at_ - reply.configuration_age_ms;
     news.evacuated_halls.insert(reply.evacuated_halls.begin(), reply.evacuated_halls.end());
+    news.configuration = reply.configuration;
   }
   const bool is_old = reply.list_age_ms > max_age_ms;
   if (is_old) {
--- a/src/listing/relay_messages.cc
+++ b/src/listing/relay_messages.cc
@@ -71,10 +71,12 @@
 
 std::string EncodeRelayRequest(const RelayRequest& request) {
   json fields = {request.entry, request.number, request.epoch, request.version};
-  if (request.regions > 1) {
+  const bool asks_for_configuration = request.outdated_configuration != 0;
+  if (request.regions > 1 || asks_for_configuration) {
     fields.push_back(request.region);
     fields.push_back(request.regions);
   }
+  if (asks_for_configuration) fields.push_back(request.outdated_configuration);
   return PackCbor(json{{kRequestKey, std::move(fields)}});
 }
 
@@ -93,6 +95,9 @@
       request->region = it.at(4).get<std::string>();
       request->regions = it.at(5).get<int>();
     }
+    if (it.size() > kRequestFieldsWithRegion) {
+      request->outdated_configuration = it.at(kRequestFieldsWithRegion).get<std::uint64_t>();
+    }
     return !request->entry.empty();
   });
 }
@@ -117,17 +122,21 @@
 std::string EncodeRelayReply(const RelayReply& reply) {
   json::binary_t changes;
   if (reply.changes) changes.assign(reply.changes->begin(), reply.changes->end());
-  return PackCbor(json{{kReplyKey,
-                        {{"n", reply.number},
-                         {"e", reply.epoch},
-                         {"v", reply.version},
-                         {"a", reply.list_age_ms},
-                         {"w", reply.is_whole},
-                         {"c", json::binary(std::move(changes))},
-                         {"cv", reply.configuration_version},
-                         {"ca", reply.configuration_age_ms},
-                         {"h", reply.evacuated_halls},
-                         {"p", reply.is_planner}}}});
+  json fields = {{"n", reply.number},
+                 {"e", reply.epoch},
+                 {"v", reply.version},
+                 {"a", reply.list_age_ms},
+                 {"w", reply.is_whole},
+                 {"c", json::binary(std::move(changes))},
+                 {"cv", reply.configuration_version},
+                 {"ca", reply.configuration_age_ms},
+                 {"h", reply.evacuated_halls},
+                 {"p", reply.is_planner}};
+  if (reply.configuration) {
+    const std::string& document = *reply.configuration;
+    fields["cd"] = json::binary(json::binary_t::container_type(document.begin(), document.end()));
+  }
+  return PackCbor(json{{kReplyKey, std::move(fields)}});
 }
 
 bool IsRelayReply(std::string_view bytes) {
@@ -149,6 +158,11 @@
     reply->configuration_age_ms = it.at("ca").get<DurationMs>();
     reply->evacuated_halls = it.at("h").get<std::vector<std::string>>();
     reply->is_planner = it.at("p").get<bool>();
+    const auto document = it.find("cd");
+    if (document != it.end()) {
+      const auto& text = document->get_binary();
+      reply->configuration = std::make_shared<const std::string>(text.begin(), text.end());
+    }
     return !reply->epoch.empty();
   });
 }
--- a/test/listing_relay_test.cc
+++ b/test/listing_relay_test.cc
@@ -103,7 +103,7 @@
 TEST(RelayClient, CountsAgesFromItsRequest) {
   RelayFixture t;
   t.List({MakeRecord("u1")});
-  t.relay.ConfirmConfiguration(7, kStart - 300);
+  t.relay.ConfirmConfiguration(7, "{}", kStart - 300);
   t.now += 400;
   const auto ask = t.client.NextAsk({"agent-1"}, t.now);
   const RelayReply reply = t.relay.Answer(ask->request, t.now + 50);
@@ -219,6 +219,27 @@
               "");
 }
 
+// Guards against a document that entries of an older version cannot read past, and against one that
+// is sent although nobody asks for it.
+TEST(RelayMessages, HoldTheConfigurationOnlyWhereItIsAskedFor) {
+  const std::string asking = EncodeRelayRequest({"e1", 3, "epoch-1", 4, "", 1, 11});
+  RelayRequest request;
+  EXPECT_TRUE(DecodeRelayRequest(asking, &request) && request.outdated_configuration == 11, "");
+  ListingRelay relay("epoch-1");
+  relay.ConfirmConfiguration(12, "{}", kStart);
+  const RelayReply reply = relay.Answer(request, kStart);
+  EXPECT_TRUE(reply.configuration && *reply.configuration == "{}", "version 11 is outdated");
+  request.outdated_configuration = 12;
+  EXPECT_TRUE(!relay.Answer(request, kStart).configuration, "version 12 is not");
+  request.outdated_configuration = 0;
+  EXPECT_TRUE(!relay.Answer(request, kStart).configuration, "not asked for");
+  RelayReply read;
+  EXPECT_TRUE(DecodeRelayReply(EncodeRelayReply(reply), &read) && read.configuration &&
+                  *read.configuration == "{}",
+              "");
+  EXPECT_TRUE(DecodeRelayReply(EncodeRelayReply({1, "epoch-1"}), &read), "");
+}
+
 // Relays of an older version read the first four fields; entries of an older version send no more.
 TEST(RelayMessages, StateTheRegionOnlyWhereThereAreSeveral) {
   const std::string plain = EncodeRelayRequest({"e1", 3, "epoch-1", 4});
--- a/test/relayed_listing_test.cc
+++ b/test/relayed_listing_test.cc
@@ -35,8 +35,11 @@
 }
 
 struct World {
-  explicit World(int entry_count) {
-    store.Put("op/config", Configuration(1, "/a/"));
+  // With `has_entry_store`, entries read a store of their own, which a test can take away from them
+  // alone.
+  explicit World(int entry_count, bool has_entry_store = false) {
+    if (has_entry_store) entry_store = std::make_unique<StandinStore>(io);
+    Put("op/config", Configuration(1, "/a/"));
     engine = std::make_unique<ScriptedUpstream>(
         io,
         [](const SeenRequest&, const Peer& peer) {
@@ -64,9 +67,14 @@
 
   void List(const std::string& id, const std::string& name, const ScriptedUpstream& upstream,
             const std::string& state) {
-    store.Put("servers/" + id, R"({"service":")" + name + R"(","address":")" +
-                                   upstream.endpoint().ToString() +
-                                   R"(","zone":"hall-1","slots":8,"state":")" + state + R"("})");
+    Put("servers/" + id, R"({"service":")" + name + R"(","address":")" +
+                             upstream.endpoint().ToString() +
+                             R"(","zone":"hall-1","slots":8,"state":")" + state + R"("})");
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    store.Put(key, value);
+    if (entry_store) entry_store->Put(key, value);
   }
 
   void StartAgent() {
@@ -92,7 +100,7 @@
     settings.drain_ms = 0;
     settings.direct.emplace();
     DirectSettings& direct = *settings.direct;
-    direct.store = store.endpoint();
+    direct.store = entry_store ? entry_store->endpoint() : store.endpoint();
     direct.callers = {OwnAddress(61 + n), kPort};
     direct.metrics = {OwnAddress(61 + n), kPort + 1};
     direct.health = {OwnAddress(61 + n), kPort + 2};
@@ -131,6 +139,7 @@
 
   boost::asio::io_context io;
   StandinStore store{io};
+  std::unique_ptr<StandinStore> entry_store;  // Null: entries read the agent's.
   std::unique_ptr<ScriptedUpstream> engine;
   std::unique_ptr<ScriptedUpstream> service;
   std::unique_ptr<DirectAgent> agent;
@@ -175,6 +184,23 @@
   }
 }
 
+// Guards against an entry that is told of a later configuration and goes on by the older one for as
+// long as the store turns it away, as it and its peers can get the document nowhere else.
+TEST(RelayedListings, BringTheConfigurationToEntriesThatTheStoreTurnsAway) {
+  constexpr DurationMs kApplyMs = 3000;
+  World world(2, true);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return HasText(world.Fetch(0, "/a/"), "200 OK"); }), "");
+  RunFor(world.io, 2500);
+  world.entry_store->mood = StandinStore::Mood::kBusy;
+  world.entry_store->CutWatches();
+  world.store.Put("op/config", Configuration(2, "/b/"));
+  RunFor(world.io, kApplyMs);
+  for (const int n : {0, 1}) {
+    const std::string added = world.Fetch(n, "/b/");
+    EXPECT_TRUE(HasText(added, "200 OK"), "the route that was added: " + added);
+  }
+}
+
 TEST(RelayedListings, AreReplacedByPollsOfTheStoreWhenTheAgentEnds) {
   World world(2);
   RunFor(world.io, 2500);
--- a/test/support/regional_fleet.h
+++ b/test/support/regional_fleet.h
@@ -184,7 +184,7 @@
     ++traffic_.store_polls;
     it->schedule.OnAnswer(it->schedule.Begin(now_), now_);
     it->relay->ApplyListing({records_, now_});
-    it->relay->ConfirmConfiguration(1, now_);
+    it->relay->ConfirmConfiguration(1, "{}", now_);
     it->relay->ApplyEvacuations(evacuated_halls_);
   }
 
