--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -134,7 +134,8 @@
   void ApplyConfiguration(RoutingConfiguration configuration);
   // The current configuration was the newest one at `as_of`.
   void ConfirmConfiguration(TimeMs as_of);
-  // Another process knows of this version; until it is in force here, nothing counts as unknown.
+  // Another process has this version. Until it is in force here, a route or key that is not found
+  // does not count as unknown.
   void ExpectConfiguration(std::uint64_t version);
   void SetRevokeMs(DurationMs revoke_ms);
   void SetConfigurationBound(DurationMs bound_ms);
--- a/src/daemon/loop_monitor.h
+++ b/src/daemon/loop_monitor.h
@@ -1,5 +1,5 @@
-// Measures how late the event loop of this process runs its timers. A process without processor
-// time acts late on all that it hears, whatever the age of its beliefs says.
+// Measures how late the event loop of this process runs its timers: a process that gets too little
+// processor time handles everything late, including the messages that keep its state up to date.
 #ifndef JUNCTIONRAIL_DAEMON_LOOP_MONITOR_H_
 #define JUNCTIONRAIL_DAEMON_LOOP_MONITOR_H_
 
--- a/src/daemon/relay_follower.cc
+++ b/src/daemon/relay_follower.cc
@@ -45,7 +45,7 @@
     SetInUse("", false);
     SetPlanner(true, "none");
   }
-  // Told of a later version by a relay, and without the store, the entry needs its document.
+  // Without an answer of the store, the relay is the source of the later configuration.
   const auto& configuration = targets_.configuration;
   const bool needs_document = configuration.BehindMs() > 0 && !configuration.is_in_touch();
   client_.AskForConfiguration(needs_document ? configuration.confirmation().version() : 0);
