Observability: the software version of upstreams, in records, lines and a metric

Nothing told at which version a stream began or went on: an upstream's record states the version of its software, which was not read, and the header that names the request which began a stream was in no line.

Records keep the version, and the relay passes it on. upstream_listed, attempt_ended, request_served and request_failed have it; the last two name the request that is resumed. A stream that goes on at another version within one response gets the line stream_version_changed and is counted. The choice of upstreams is the same as before.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -30,6 +30,8 @@
   std::string model = "Junctionrail-Model";
   std::string prompt_parts = "Junctionrail-Prompt-Parts";
   std::string last_event_id = "Last-Event-ID";
+  // The id of the request that began the stream, in a request that resumes it.
+  std::string resumed_request = "Junctionrail-Resumed-Request";
   std::string key = "Junctionrail-Key";                    // The caller's key; not forwarded.
   std::string organisation = "Junctionrail-Organisation";  // The key's owner; to an upstream.
   std::string token_usage = "Junctionrail-Token-Usage";    // Prompt tokens, maximum output tokens.
@@ -89,6 +91,7 @@
   std::uint64_t bad_requests = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
+  std::uint64_t version_changes = 0;  // Streams that went on at another software version.
   std::uint64_t model_waits = 0;
   std::uint64_t invalid_key_refusals = 0;  // Key missing or unknown.
   // A key may have been revoked, or a route or key may have been added.
--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -52,6 +52,7 @@
   // record; none: it does not say.
   std::optional<DurationMs> cold_ms = {};
   std::vector<std::string> cached_models = {};  // Engines only: on disk or in host memory.
+  std::string software_version = {};            // Of the upstream's program; empty: not stated.
 
   const std::string& WireId() const { return id.empty() ? instance : id; }
   bool operator==(const UpstreamRecord& other) const;
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -210,6 +210,8 @@
                                            TimeMs now) const;
 
   const UpstreamRecord* Find(const std::string& instance) const;
+  // The version of the upstream's software; empty if it is not stated.
+  std::string VersionOf(const std::string& instance) const;
   // Whether the upstream is listed for new requests, healthy or not.
   bool IsListed(const std::string& instance) const;
   // Whether a request may be sent there now: it is listed, and its data hall is not closed.
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -118,6 +118,9 @@
   page.Counter("junctionrail_bad_requests_total", "Not understood.", it.bad_requests);
   page.Counter("junctionrail_retries_total", "Attempts beyond the first.", it.retries);
   page.Counter("junctionrail_resumes_total", "Streams that went on elsewhere.", it.resumes);
+  page.Counter("junctionrail_version_changes_total",
+               "Streams that went on at another software version within one response.",
+               it.version_changes);
   page.Counter("junctionrail_model_waits_total", "Requests that waited for a load.",
                it.model_waits);
   page.Counter("junctionrail_surplus_answers_total", "Answers nobody asked for.",
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -290,6 +290,8 @@
   }
   instance_ = instance;
   upstream_wire_id_ = upstream->WireId();
+  upstream_version_ = upstream->software_version;
+  RecordVersionChange();
   tried_instances_.push_back(instance);
   response_head_.reset();
   response_body_.clear();
@@ -314,6 +316,22 @@
   ArmTimer();
 }
 
+// The id of the request that began the stream which this request resumes; empty: none.
+std::string_view Exchange::ResumedRequest() const {
+  const std::string* id = FindField(request_.fields, gateway_.options.header_names.resumed_request);
+  return id == nullptr ? std::string_view() : std::string_view(*id);
+}
+
+void Exchange::RecordVersionChange() {
+  if (!is_response_begun_ || upstream_version_ == stream_version_) return;
+  ++gateway_.counters.version_changes;
+  gateway_.log.Write(MonotonicMs(), "stream_version_changed",
+                     {{"request", request_id_},
+                      {"upstream", instance_},
+                      {"version", upstream_version_},
+                      {"begun_by_version", stream_version_}});
+}
+
 std::string Exchange::BuildRequestHead(const UpstreamRecord& upstream) const {
   const HttpHeaderNames& names = gateway_.options.header_names;
   std::string head = request_.method + " " + request_.target + " HTTP/1.1\r\n";
@@ -405,6 +423,7 @@
                       {"attempt_ms", now - attempt_started_at_},
                       {"listing_age_ms", listing_age_ms_},
                       {"last_event", events_.last_id()},
+                      {"version", upstream_version_},
                       {"digest", digest_ ? digest_->ToString() : std::string()},
                       {"left_ms", deadline_at_ - now}});
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -124,6 +124,8 @@
   void RelayStreamHead();
   void RecordEventTime();
   void RecordEventPause();
+  void RecordVersionChange();
+  std::string_view ResumedRequest() const;
   void RelayResponse();
   void Refuse(unsigned status, std::string_view code, std::string_view sentence, Execution ran,
               DurationMs retry_after_ms);
@@ -161,6 +163,8 @@
   std::shared_ptr<UpstreamCall> call_;
   std::string instance_;          // Of the current attempt.
   std::string upstream_wire_id_;  // The id that this upstream sends.
+  std::string upstream_version_;  // Of its software.
+  std::string stream_version_;    // Of the software that sent the first event of this response.
   std::vector<std::string> tried_instances_;
   int possibly_run_attempts_ = 0;  // Sent, unless known not to have run.
   int sent_attempts_ = 0;          // Sent, whether or not they ran.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -121,6 +121,7 @@
   const auto sink = sink_.lock();
   if (!sink) return;
   is_response_begun_ = true;
+  stream_version_ = upstream_version_;
   response_begun_at_ = MonotonicMs();
   gateway_.first_byte_latency.Add(response_begun_at_ - request_.arrived_at);
   if (model_) gateway_.upstreams.OnFirstEvent(*model_, response_begun_at_ - attempt_started_at_);
@@ -226,6 +227,8 @@
        {"organisation", organisation_},
        {"amount", static_cast<std::int64_t>(quota_amount_)},
        {"upstream", instance_},
+       {"version", upstream_version_},
+       {"resumes", ResumedRequest()},
        {"attempts", static_cast<std::int64_t>(sent_attempts_)},
        {"events", static_cast<std::int64_t>(events_.event_count())},
        {"waited_ms", waited_ms_},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -234,9 +234,11 @@
       crash_detector.OnUpstreamCrashed(it.instance, "record_gone", now);
     // In the first list all upstreams are new.
     if (is_first && it.kind == UpstreamChangeKind::kListed) continue;
-    log.Write(
-        now, EventName(it.kind),
-        {{"upstream", it.instance}, {"service", it.service}, {"listing_age_ms", ListingAge(now)}});
+    log.Write(now, EventName(it.kind),
+              {{"upstream", it.instance},
+               {"service", it.service},
+               {"version", upstreams.VersionOf(it.instance)},
+               {"listing_age_ms", ListingAge(now)}});
   }
   ApplyLimitChanges();
 }
--- a/src/listing/relay_messages.cc
+++ b/src/listing/relay_messages.cc
@@ -25,6 +25,8 @@
     "list";
 // In place of the time that a record does not state.
 constexpr DurationMs kNotStated = -1;
+// Records from processes of an older version lack the fields from here on.
+constexpr std::size_t kSoftwareVersionField = 14;
 
 json ToJson(const UpstreamRecord& it) {
   json loaded = json::array();
@@ -42,7 +44,8 @@
           it.started_unix_ms,
           it.is_unreadable,
           it.cold_ms.value_or(kNotStated),
-          it.cached_models};
+          it.cached_models,
+          it.software_version};
 }
 
 bool ReadRecord(const json& it, UpstreamRecord* record) {
@@ -64,6 +67,9 @@
   const auto cold_ms = it.at(12).get<DurationMs>();
   if (cold_ms >= 0) record->cold_ms = cold_ms;
   record->cached_models = it.at(13).get<std::vector<std::string>>();
+  if (it.size() > kSoftwareVersionField) {
+    record->software_version = it.at(kSoftwareVersionField).get<std::string>();
+  }
   return !record->instance.empty();
 }
 
--- a/src/listing/upstream_record.cc
+++ b/src/listing/upstream_record.cc
@@ -11,7 +11,7 @@
   const auto fields = [](const UpstreamRecord& it) {
     return std::tie(it.instance, it.service, it.endpoint, it.data_hall, it.slots, it.is_leaving,
                     it.loaded, it.generation, it.is_missing, it.id, it.started_unix_ms,
-                    it.is_unreadable, it.cold_ms, it.cached_models);
+                    it.is_unreadable, it.cold_ms, it.cached_models, it.software_version);
   };
   return fields(*this) == fields(other);
 }
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -532,6 +532,11 @@
   if (it != rows_.end()) it->second.not_loaded_until[model] = now + kNotLoadedMs;
 }
 
+std::string UpstreamTable::VersionOf(const std::string& instance) const {
+  const UpstreamRecord* upstream = Find(instance);
+  return upstream == nullptr ? std::string() : upstream->software_version;
+}
+
 const UpstreamRecord* UpstreamTable::Find(const std::string& instance) const {
   const auto it = rows_.find(instance);
   return it == rows_.end() ? nullptr : &it->second.record;
