Failing tests: streams go on at another software version than the one that began them

Four upstreams, two of each version, in one service. A stream whose first upstream breaks off goes on within the response at an upstream of the other version; a stream that its caller takes up at another entry goes on at any.

--- /dev/null
+++ b/test/stream_versions_test.cc
@@ -0,0 +1,260 @@
+// Regression tests for an incident with streams that hold events of two software versions.
+//
+// On one fleet 50 streams in one day went on at another software version of their upstream than the
+// one that began them: their callers had taken them up again after a broken connection, through
+// other entries. What two versions write does not fit together, and upstreams do not check it.
+// An entry did not read the version of an upstream's software, chose any upstream for a stream that
+// goes on, within a response too, and nothing told it where another entry's stream had begun.
+// The tests below failed before this was fixed.
+#include <boost/asio/post.hpp>
+
+#include "check.h"
+#include "direct_daemon.h"
+#include "junctionrail/net.h"
+#include "loopback.h"
+#include "platform_standin.h"
+
+namespace junctionrail::internal {
+namespace {
+
+using testing::OwnAddress;
+using testing::RunFor;
+using testing::RunUntil;
+using testing::ScriptedUpstream;
+using testing::SeenRequest;
+using testing::SilentLog;
+using testing::StandinStore;
+using testing::TestCaller;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr std::uint16_t kPort = 8150;
+constexpr std::uint16_t kLinkPort = 8250;
+constexpr int kEvents = 8;
+constexpr DurationMs kEventMs = 15;
+// Enough that a choice by chance does not pass.
+constexpr int kStreams = 10;
+
+constexpr char kServices[] = R"("services":[{"name":"s1","maxConns":100,"engine":{
+   "weightsMb":100.0,"adapterSlots":2,"diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,
+   "loadTimeS":6.0,"warmS":0.5,"diskS":0.8}]}},{"name":"s2","maxConns":100,"engine":{
+   "weightsMb":100.0,"adapterSlots":2,"diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,
+   "loadTimeS":6.0,"warmS":0.5,"diskS":0.8}]}}]})";
+
+std::string Configuration(const std::string& target) {
+  return R"({"version":1,"routes":[{"name":"r1","hostname":"shop.example","pathPrefix":"/s/",
+    "kind":"streaming","timeoutMs":6000,"targetLatencyMs":1000,"gapAimMs":500,"priority":1,)" +
+         target + R"(,"maxAttempts":3,"resumable":true}],)" + kServices;
+}
+
+constexpr char kReport[] =
+    R"({"models":[{"name":"m1","version":1,"adapters":[]}],"busyCount":false,"sequence":0,
+        "waiting":0,"running":0,"kvUsed":0,"kvTotal":9})";
+
+bool HasText(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", text.size());
+  return std::string(size) + "\r\n" + text + "\r\n";
+}
+
+// How long a wait may take in which nothing is expected to go wrong.
+constexpr DurationMs kStartupMs = 700;
+// An upstream that a test adds is listed by all entries within this time.
+constexpr DurationMs kListedMs = 2500;
+
+// Engines of several software versions that have the model loaded, each with an agent, and the
+// entries that a test adds. Each event of an engine names its service and version.
+struct World {
+  explicit World(const std::string& target = R"("service":"s1")") {
+    store.Put("op/config", Configuration(target));
+  }
+
+  ~World() {
+    for (auto& it : entries) it->Stop();
+    for (auto& it : agents) it->Stop();
+    RunFor(io, 50);
+  }
+
+  Settings BaseSettings(Role role, const std::string& id) const {
+    Settings settings;
+    settings.role = role;
+    settings.id = id;
+    settings.data_hall = "hall-1";
+    settings.drain_ms = 0;
+    settings.direct.emplace();
+    settings.direct->store = store.endpoint();
+    return settings;
+  }
+
+  // An engine of that version, and its agent.
+  void AddEngine(const std::string& version, const std::string& service = "s1") {
+    const std::size_t n = engines.size();
+    const Endpoint endpoint{OwnAddress(10 + static_cast<int>(n)), kPort};
+    const std::string label = service + "/" + version;
+    engines.push_back(std::make_unique<ScriptedUpstream>(
+        io, [this, label](const SeenRequest& it, const Peer& peer) { Handle(label, it, peer); },
+        endpoint));
+    instances.push_back("i-" + std::to_string(n));
+    store.Put("servers/" + instances.back(),
+              R"({"service":")" + service + R"(","address":")" + endpoint.ToString() +
+                  R"(","zone":"hall-1","version":")" + version +
+                  R"(","slots":64,"state":"ready","models":[{"name":"m1","version":1,
+                  "adapters":[]}]})");
+    Settings settings = BaseSettings(Role::kAgent, "agent-" + std::to_string(n));
+    settings.direct->metrics = {endpoint.address, kPort + 1};
+    settings.direct->link = {endpoint.address, kLinkPort};
+    settings.direct->upstream = endpoint;
+    agents.push_back(std::make_unique<DirectAgent>(io, settings, SilentLog()));
+    const auto error = agents.back()->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+  }
+
+  void RemoveEngine(std::size_t n) {
+    store.Remove("servers/" + instances[n]);
+    engines[n]->Crash();
+  }
+
+  void Handle(const std::string& label, const SeenRequest& request, const Peer& peer) {
+    if (request.Line() == "GET /report HTTP/1.1") {
+      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(sizeof(kReport) - 1) + "\r\n\r\n" + kReport);
+    }
+    const std::string id = request.Field("Attempt-Id");
+    const std::string last = request.Field("Last-Event-Id");
+    const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
+    peer->Write("HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    // A body asks the first upstream to break off.
+    Stream(label, next, request.body == kBreaksOff && next == 1, peer);
+  }
+
+  void Stream(const std::string& label, int next, bool breaks_off, const Peer& peer) {
+    if (peer->IsEnded()) return;
+    if (next > kEvents) return peer->Write("0\r\n\r\n");
+    if (breaks_off && next > kEvents / 2) return peer->Reset();
+    peer->Write(Chunk("id: " + std::to_string(next) + "\ndata: " + label + "\n\n"));
+    After(kEventMs,
+          [this, label, next, breaks_off, peer] { Stream(label, next + 1, breaks_off, peer); });
+  }
+
+  void After(DurationMs delay, std::function<void()> call) {
+    timers.push_back(std::make_unique<Timer>(io));
+    timers.back()->After(delay, std::move(call));
+  }
+
+  Endpoint EntryAddress(std::size_t n) const {
+    return {OwnAddress(60 + static_cast<int>(n)), kPort};
+  }
+
+  Settings EntrySettings(std::size_t n) const {
+    const Endpoint callers = EntryAddress(n);
+    Settings settings = BaseSettings(Role::kEntry, "entry-" + std::to_string(n));
+    settings.direct->callers = callers;
+    settings.direct->metrics = {callers.address, kPort + 1};
+    settings.direct->health = {callers.address, kPort + 2};
+    settings.direct->peer = {callers.address, kPort + 3};
+    settings.direct->link_port = kLinkPort;
+    settings.direct->retry_extra = 1000;
+    return settings;
+  }
+
+  void AddEntry() { AddEntry(EntrySettings(entries.size())); }
+
+  void AddEntry(const Settings& settings) {
+    entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
+    const auto error = entries.back()->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+    RunFor(io, kStartupMs);
+  }
+
+  // The entry ends at once, with all that it knows.
+  void KillEntry(std::size_t n) {
+    entries[n]->Stop();
+    RunFor(io, 100);
+    entries[n].reset();
+    entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(n));
+  }
+
+  std::string Request(const std::string& id, const std::string& fields,
+                      const std::string& body = "x") const {
+    return "POST /s/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
+           "\r\nModel: m1\r\nDeadline-Ms: 6000\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" +
+           body;
+  }
+
+  // Reads the first events of a new stream at that entry and leaves it; returns what came.
+  std::string Begin(const Endpoint& entry, const std::string& id) {
+    TestCaller caller(io, entry);
+    caller.Send(Request(id, ""));
+    EXPECT_TRUE(caller.AwaitText("id: 2\ndata: "), "two events of " + id + " arrive");
+    caller.Close();
+    return caller.received();
+  }
+
+  std::string Resume(const Endpoint& entry, const std::string& id, const std::string& begun) {
+    TestCaller caller(io, entry);
+    caller.Send(Request(id, "Last-Event-Id: 2\r\nResumes: " + begun + "\r\n"));
+    caller.AwaitEnd();
+    return caller.received();
+  }
+
+  static constexpr char kBreaksOff[] = "breaks off";
+
+  boost::asio::io_context io;
+  StandinStore store{io};
+  std::vector<std::string> instances;
+  std::vector<std::unique_ptr<Timer>> timers;
+  std::vector<std::unique_ptr<ScriptedUpstream>> engines;
+  std::vector<std::unique_ptr<DirectAgent>> agents;
+  std::vector<std::unique_ptr<DirectEntry>> entries;
+};
+
+// The service and version that sent the last event.
+std::string LabelOf(const std::string& answer) {
+  const std::size_t at = answer.rfind("data: ");
+  if (at == std::string::npos) return "";
+  return answer.substr(at + 6, answer.find('\n', at) - at - 6);
+}
+
+std::string Name(const std::string& kind, int n) { return kind + std::to_string(n); }
+
+}  // namespace
+
+TEST_GROUP(StreamVersions){};
+
+// Guards against streams that go on at another version within one response.
+TEST(StreamVersions, GoOnWithinAResponseOnlyAtTheVersionThatBeganThem) {
+  World world;
+  for (const char* version : {"v1", "v1", "v2", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  for (int n = 0; n < kStreams; ++n) {
+    TestCaller caller(world.io, world.EntryAddress(0));
+    caller.Send(world.Request(Name("a", n), "", World::kBreaksOff));
+    caller.AwaitEnd();
+    const std::string& answer = caller.received();
+    EXPECT_TRUE(HasText(answer, "id: 8\n"), "expected the whole stream, got " + answer);
+    const bool is_mixed = HasText(answer, "s1/v1") && HasText(answer, "s1/v2");
+    EXPECT_TRUE(!is_mixed, "expected events of one version, got " + answer);
+  }
+}
+
+// Guards against streams that go on at another version when callers resume them elsewhere.
+TEST(StreamVersions, GoOnThroughAnotherEntryOnlyAtTheVersionThatBeganThem) {
+  World world;
+  for (const char* version : {"v1", "v1", "v2", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  world.AddEntry();
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string begun = LabelOf(world.Begin(world.EntryAddress(0), Name("a", n)));
+    const std::string answer = world.Resume(world.EntryAddress(1), Name("b", n), Name("a", n));
+    EXPECT_TRUE(HasText(answer, "id: 8\n"), "expected the rest of the stream, got " + answer);
+    EXPECT_TEXT(begun, LabelOf(answer), "goes on at the version that began it");
+  }
+}
+
+}  // namespace junctionrail::internal
