--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -15,6 +15,7 @@
 #include "junctionrail/net.h"
 #include "junctionrail/quarantine.h"
 #include "junctionrail/routing.h"
+#include "junctionrail/stream_origins.h"
 
 namespace junctionrail {
 
@@ -62,6 +63,21 @@
   DurationMs balancer_delay_ms = 2500;
 };
 
+// A stream that a caller resumes at an entry that does not know its origin.
+struct UnknownStream {
+  std::uint64_t ticket = 0;           // Of the question.
+  std::string stream;                 // Empty: the caller does not name the stream.
+  std::vector<std::string> services;  // That the route leads to; the stream began at one of them.
+};
+
+// A stream that has sent its first event here.
+struct BegunStream {
+  std::string stream;
+  StreamOrigin origin;
+  // It could have begun at another service or version: nobody could infer where it did.
+  bool is_ambiguous = false;
+};
+
 // Traffic with upstreams at one distance.
 struct DistanceTraffic {
   std::uint64_t requests_sent = 0;
@@ -91,7 +107,10 @@
   std::uint64_t bad_requests = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
-  std::uint64_t version_changes = 0;  // Streams that went on at another software version.
+  std::uint64_t resumed_streams = 0;          // By callers, with a known origin.
+  std::uint64_t unknown_origin_refusals = 0;  // It was not known where the stream began.
+  std::uint64_t version_gone_refusals = 0;    // No upstream runs the version that began the stream.
+  std::uint64_t version_changes = 0;          // Streams that went on at another software version.
   std::uint64_t model_waits = 0;
   std::uint64_t invalid_key_refusals = 0;  // Key missing or unknown.
   // A key may have been revoked, or a route or key may have been added.
@@ -170,6 +189,13 @@
   void OnUpstreamCrash(std::function<void(const UpstreamCrash&)> call);
   // Called when this entry has found that a request crashes upstreams and refuses it from now on.
   void OnRequestQuarantined(std::function<void(const RequestDigest&)> call);
+  // Called when the first event of a resumable stream has arrived.
+  void OnStreamBegun(std::function<void(const BegunStream&)> call);
+  // Called for a stream whose origin has to be asked of others; ApplyStreamOrigin answers, without
+  // an origin if it cannot be found. Without this call, the origin is inferred if upstreams of a
+  // single software version are listed.
+  void OnOriginNeeded(std::function<void(const UnknownStream&)> call);
+  void ApplyStreamOrigin(std::uint64_t ticket, const std::optional<StreamOrigin>& origin);
   // Exchange with the quota allocators: messages to send, the allocators, and their replies.
   void OnQuotaMessages(std::function<void(const QuotaClient::Message&)> call);
   void SetQuotaAllocators(std::vector<QuotaClient::Allocator> allocators);
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -23,6 +23,7 @@
 #include "junctionrail/region_demand.h"
 #include "junctionrail/routes.h"
 #include "junctionrail/settings.h"
+#include "junctionrail/stream_origins.h"
 #include "junctionrail/tenancy.h"
 #include "junctionrail/throttling.h"
 
@@ -79,6 +80,8 @@
   // Instances that may end soon: chosen only if the others are much busier.
   std::vector<std::string> risky;
   AllowedRegions allowed_regions;
+  // The software version that began the stream which the request resumes; none: any will do.
+  std::optional<std::string> software_version = {};
 };
 struct SendTo {
   std::string instance;
@@ -199,6 +202,7 @@
     int late = 0;                // Requests beyond their targets.
     TimeMs next_late_at = 0;     // When the next of the others becomes late.
     AllowedRegions allowed_regions = {};
+    std::optional<std::string> software_version = {};  // As in PickRequest.
   };
 
   // The demand to send to the agents of observed engines, by instance.
@@ -212,6 +216,11 @@
   const UpstreamRecord* Find(const std::string& instance) const;
   // The version of the upstream's software; empty if it is not stated.
   std::string VersionOf(const std::string& instance) const;
+  // Whether upstreams of the service run several software versions.
+  bool HasSeveralVersions(std::string_view service) const;
+  // Where any stream of these services began, if all upstreams that are listed are of one service
+  // and software version.
+  std::optional<StreamOrigin> OnlyOrigin(const std::vector<std::string>& services) const;
   // Whether the upstream is listed for new requests, healthy or not.
   bool IsListed(const std::string& instance) const;
   // Whether a request may be sent there now: it is listed, and its data hall is not closed.
@@ -297,6 +306,10 @@
   // Whether the request may run there: its region is allowed, and the hall is not closed.
   bool IsPlaceAllowed(const Row& row, const PickRequest& request, TimeMs now) const;
   bool IsRegionAllowed(const Row& row, const AllowedRegions& allowed) const;
+  static bool IsVersionAllowed(const Row& row, const PickRequest& request);
+  // The load that new streams see on upstreams of a version which few upstreams run.
+  double ScarceVersionLoad(const Row& row, const PickRequest& request) const;
+  void CountVersions();
   // The regions in which requests for the model may run, judged by those that this entry received.
   AllowedRegions RegionsOf(const std::string& model) const;
   NoUpstream ExplainNone(const PickRequest& request, std::string reason) const;
@@ -332,7 +345,7 @@
   double ReportedRate(const std::string& model, int replicas, TimeMs now) const;
   bool IsUnresponsive(const Row& row, TimeMs now) const;
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
-  bool IsFull(const Row& row, TimeMs now) const;
+  bool IsFull(const Row& row, const PickRequest& request, TimeMs now) const;
   void RecordDeparture(const std::string& service, TimeMs now);
   void ForgetOldDepartures(TimeMs now);
   void Index(Row* row);
@@ -401,6 +414,8 @@
   RoutingOptions options_;
   std::map<std::string, ServiceSpec> services_;
   std::map<std::string, Row> rows_;  // By instance.
+  // Upstreams that may receive requests, by service and software version.
+  std::map<std::string, std::map<std::string, int>, std::less<>> version_counts_;
   // By model, the rows whose record or last view has it loaded: selection looks only at
   // these while one of them can take the request.
   std::unordered_map<std::string, std::vector<Row*>> holders_;
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -17,7 +17,14 @@
 constexpr DurationMs kAfterRefusalMs = 150;
 constexpr DurationMs kAfterBreakMs = 80;
 
-// The body of a chunked answer; false while it is not whole.
+// Of its streams a caller cuts one in so many, so long after it was sent.
+constexpr int kLeaveOneIn = 8;
+constexpr DurationMs kLeaveMs = 150;
+// A stream is taken up so often.
+constexpr int kMostTries = 3;
+
+// The body of a chunked answer; false while it is not whole. `body` has the whole chunks in any
+// case.
 bool Dechunk(const std::string& text, std::string* body) {
   std::size_t at = 0;
   while (true) {
@@ -43,6 +50,7 @@
       organisation_(std::move(organisation)),
       pace_(io),
       patience_(io),
+      leave_(io),
       habit_(habit) {}
 
 void Caller::Start() { Again(static_cast<DurationMs>(random_() % 200)); }
@@ -51,6 +59,7 @@
   is_stopped_ = true;
   pace_.Cancel();
   patience_.Cancel();
+  leave_.Cancel();
   error_code ec;
   if (socket_) socket_->close(ec);
 }
@@ -64,13 +73,30 @@
 }
 
 void Caller::Next() {
+  route_ = &ChooseRoute();
+  model_ = kModels[IsDeadly() ? 0 : random_() % std::size(kModels)];
+  if (random_() % 4 == 0) model_ += "/a1";
+  version_.clear();
+  last_event_ = 0;
+  tries_ = 0;
+  stream_ = name_ + "-" + std::to_string(requests_ + 1);
+  BeginRound();
+}
+
+void Caller::BeginRound() {
   ++round_;
+  ++tries_;
   id_ = name_ + "-" + std::to_string(++requests_);
-  route_ = &ChooseRoute();
   head_.clear();
   text_.clear();
   patience_.After(kDeadlineMs + 500,
                   [self = shared_from_this()] { self->Broken("no answer in time"); });
+  const bool leaves = route_->is_stream && route_->may_repeat && random_() % kLeaveOneIn == 0;
+  if (leaves && !IsDeadly()) {
+    leave_.After(kLeaveMs, [self = shared_from_this(), round = round_] {
+      if (round == self->round_) self->Broken("left");
+    });
+  }
   is_connected_ ? Send() : Connect();
 }
 
@@ -98,15 +124,17 @@
   judge_.OnSent(id_, entry_, organisation_, AllowedHalls(*route_, organisation_));
   const bool is_get = !route_->is_stream && route_->may_repeat;
   std::string request = is_get ? "GET" : "POST";
-  request += " /" + route_->name + "/" + (IsDeadly() ? "x" : id_) +
+  request += " /" + route_->name + "/" + (IsDeadly() ? "x" : stream_) +
              " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + id_ +
              "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " +
              organisation_ + "\r\n";
   if (route_->is_stream) {
-    const std::string model = kModels[IsDeadly() ? 0 : random_() % std::size(kModels)];
-    request += "Model: " + model + (random_() % 4 == 0 ? "/a1" : "") + "\r\n";
+    request += "Model: " + model_ + "\r\n";
+  }
+  if (last_event_ > 0) {
+    request += "Last-Event-Id: " + std::to_string(last_event_) + "\r\nResumes: " + stream_ + "\r\n";
   }
-  const std::string body = IsDeadly() ? kDeadlyBody : "body of " + id_;
+  const std::string body = IsDeadly() ? kDeadlyBody : "body of " + stream_;
   request += is_get ? "\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   const auto text = std::make_shared<std::string>(std::move(request));
   asio::async_write(*socket_, asio::buffer(*text), [text](error_code, std::size_t) {});
@@ -140,8 +168,11 @@
   } else if (!Dechunk(text_, &body)) {
     return;
   }
+  ++round_;  // The answer is whole: what happens to the connection from now on does not matter.
+  head_.clear();
+  text_.clear();
   if (head.Field("Connection") == "close") is_connected_ = false;
-  const int status = std::atoi(head_.substr(9, 3).c_str());
+  const int status = std::atoi(head.head.substr(9, 3).c_str());
   const std::string whose = head.Field("Attempt-Id");
   if (whose != id_) judge_.Complain("request " + id_ + " got the answer to " + whose);
   if (status == 200) {
@@ -154,8 +185,10 @@
   if (!IsDeadly() && body.find("ends_upstreams") != std::string::npos) {
     judge_.Complain("request " + id_ + " was refused as one that ends upstreams");
   }
+  if (tries_ > 1) judge_.OnResumed(false);
   const bool is_refused = status == 503 || status == 429 || status == 408;
   is_refused ? judge_.OnRefused(id_) : judge_.OnFailed(id_, route_->name);
+  last_event_ = 0;
   Again(kAfterRefusalMs);
 }
 
@@ -163,23 +196,57 @@
   if (body != "answer to " + id_) judge_.Complain("request " + id_ + " got \"" + body + "\"");
 }
 
-// A stream that ends as complete has every event once and in order.
+// Events come in order, each once, and from one software version, over all tries.
+void Caller::TakeEvents(const std::string& body) {
+  std::size_t at = 0;
+  while (true) {
+    const std::size_t end = body.find("\n\n", at);
+    if (end == std::string::npos) return;
+    const std::string event = body.substr(at, end - at);
+    at = end + 2;
+    const std::string expected = "id: " + std::to_string(last_event_ + 1) + "\ndata: " + stream_ +
+                                 " " + std::to_string(last_event_ + 1) + " of ";
+    const std::size_t by = event.find(" by ");
+    if (event.rfind(expected, 0) != 0 || by == std::string::npos) {
+      judge_.Complain("stream " + stream_ + " has other events than were made: " + event);
+      return;
+    }
+    ++last_event_;
+    const std::string version = event.substr(by + 4);
+    if (version_.empty()) version_ = version;
+    if (version != version_) {
+      judge_.Complain("stream " + stream_ + " holds events of " + version_ + " and " + version +
+                      " from event " + std::to_string(last_event_) + " on");
+      return;
+    }
+  }
+}
+
+// A stream that ends as complete has every event.
 void Caller::CheckStream(const std::string& body) {
-  const std::size_t of = body.find(" of ");
+  TakeEvents(body);
+  const std::size_t of = body.rfind(" of ");
   const int count = of == std::string::npos ? -1 : std::atoi(body.c_str() + of + 4);
-  std::string expected;
-  for (int n = 1; n <= count; ++n) {
-    expected += "id: " + std::to_string(n) + "\ndata: " + id_ + " " + std::to_string(n) + " of " +
-                std::to_string(count) + "\n\n";
-  }
-  if (body != expected) {
-    judge_.Complain("stream " + id_ + " ended as complete with other events than were made");
-  }
+  const bool is_whole = count == -1 ? last_event_ > 0 : last_event_ == count;
+  if (!is_whole) judge_.Complain("stream " + stream_ + " ended as complete too early");
+}
+
+bool Caller::ShouldResume() const {
+  return route_ != nullptr && route_->is_stream && route_->may_repeat && last_event_ > 0 &&
+         tries_ < kMostTries;
+}
+
+// At another entry than before, most of the time.
+void Caller::Resume() {
+  if (is_stopped_) return;
+  BeginRound();
 }
 
 void Caller::Served() {
   ++served_;
   judge_.OnServed(id_, route_->name);
+  if (tries_ > 1) judge_.OnResumed(true);
+  last_event_ = 0;
   Again(habit_ == CallerHabit::kEager ? kEagerPaceMs : kPaceMs);
 }
 
@@ -189,8 +256,19 @@
   is_connected_ = false;
   error_code ec;
   if (socket_) socket_->close(ec);
+  socket_.reset();  // What its handlers still say does not matter.
   judge_.OnFailed(id_, route_->name);
-  Again(kAfterBreakMs);
+  const int had = last_event_;
+  std::string body;
+  const bool is_stream_of_events = head_.rfind("HTTP/1.1 200", 0) == 0 && route_->is_stream;
+  if (is_stream_of_events) {
+    Dechunk(text_, &body);
+    TakeEvents(body);
+  }
+  if (tries_ > 1) judge_.OnResumed(last_event_ > had);
+  if (!ShouldResume()) return Again(kAfterBreakMs);
+  patience_.Cancel();
+  pace_.After(kAfterBreakMs, [self = shared_from_this()] { self->Resume(); });
 }
 
 }  // namespace junctionrail::soak
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -40,6 +40,11 @@
   void OnText();
   void CheckPlain(const std::string& body);
   void CheckStream(const std::string& body);
+  // Takes what has come of a stream and checks its order and version.
+  void TakeEvents(const std::string& body);
+  bool ShouldResume() const;
+  void Resume();
+  void BeginRound();
   void Served();
   void Broken(const std::string& why);
   void Again(DurationMs delay);
@@ -57,8 +62,15 @@
   std::array<char, 8192> chunk_;
   Timer pace_;
   Timer patience_;
+  Timer leave_;  // Cuts its connection within a stream, to take the stream up again.
   std::string text_;
   std::string id_;
+  // Of a stream, over all tries.
+  std::string stream_;  // The id of the first one.
+  std::string model_;
+  std::string version_;  // Of the upstream that sent the events so far; empty: none has come.
+  int last_event_ = 0;
+  int tries_ = 0;
   const RouteSpec* route_ = nullptr;
   std::string head_;
   std::uint64_t round_ = 0;
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -200,6 +200,11 @@
   Complain("engine " + engine + " was told to hold more than it can");
 }
 
+void Judge::OnResumed(bool goes_on) {
+  ++resumed_;
+  if (goes_on) ++went_on_;
+}
+
 void Judge::OnDeadlyEnd() {
   if (++deadly_ends_ == kEndsToKnow) third_end_at_ = clock_();
 }
@@ -245,6 +250,8 @@
   std::string text;
   for (const auto& [kind, n] : served_) text += " " + kind + " served " + std::to_string(n);
   for (const auto& [kind, n] : failed_) text += " " + kind + " failed " + std::to_string(n);
+  text += ", streams taken up " + std::to_string(resumed_) + " (went on " +
+          std::to_string(went_on_) + ")";
   text += ", ended by a request " + std::to_string(deadly_ends_);
   text += ", limits named " + std::to_string(limits_named_);
   text += ", rests asked " + std::to_string(rests_asked_);
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -80,6 +80,8 @@
   // The key of "fleeting" is taken away, or comes back.
   void OnKey(bool is_there);
   void OnServed(const std::string& request, const std::string& kind);
+  // A caller takes up a stream of which it has events; it goes on, or not.
+  void OnResumed(bool goes_on);
   void OnRefused(const std::string& request);  // Said not to have run.
   // Ended in any other way.
   void OnFailed(const std::string& request, const std::string& kind);
@@ -166,6 +168,8 @@
   std::set<std::string> limited_;     // Requests of "limited" that ran,
   std::deque<TimeMs> limited_at_;     // and when they first did, within a window.
   TimeMs busy_at_ = 0;
+  int resumed_ = 0;  // Streams that callers took up, and those that went on.
+  int went_on_ = 0;
   int deadly_ends_ = 0;
   int deadly_late_ = 0;  // Runs from entries in touch, once all must know it.
   TimeMs third_end_at_ = 0;
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -21,6 +21,7 @@
 constexpr DurationMs kLeavingMs = 4000;
 constexpr DurationMs kRestMs = 1500;
 constexpr DurationMs kRecordPeriodMs = 1000;
+constexpr char kVersions[][3] = {"v1", "v2"};
 constexpr int kLeastEvents = 5;
 constexpr int kMoreEvents = 25;
 
@@ -75,6 +76,7 @@
   Crash();
   life_ = std::make_shared<int>(0);
   instance_ = name_ + "-" + std::to_string(++starts_);
+  version_ = kVersions[random_() % std::size(kVersions)];
   drained_at_ = 0;
   is_recorded_ = true;
   need_ = {};
@@ -158,6 +160,7 @@
   json record = {{"service", is_engine_ ? kEngineService : kPlainService},
                  {"address", address_.ToString()},
                  {"zone", hall_},
+                 {"version", version_},
                  {"slots", 16},
                  {"state", drained_at_ != 0 ? "draining" : "ready"},
                  {"models", models},
@@ -302,28 +305,35 @@
     });
   }
   if (HarmHappens(misbehaviour.losses)) return peer->Reset();
-  // The same request always has the same number of events, wherever it runs.
-  const int count = kLeastEvents + static_cast<int>(RendezvousScore(id, "events") % kMoreEvents);
+  const std::string resumed = request.Field("Resumes");
+  const std::string stream = resumed == "(none)" ? id : resumed;
+  // A stream always has the same number of events, wherever it runs.
+  const int count =
+      kLeastEvents + static_cast<int>(RendezvousScore(stream, "events") % kMoreEvents);
   const std::string last = request.Field("Last-Event-Id");
   const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
   peer->Write(Head(id, 200,
                    Notices(id) + "Response-Seal: seal-" + id +
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
-  Stream(id, next, count, peer, HarmHappens(misbehaviour.cuts));
+  Stream(stream, next, count, peer, HarmHappens(misbehaviour.cuts));
 }
 
-void Upstream::Stream(const std::string& id, int next, int count, const Peer& peer, bool is_cut) {
+// Each event names the version that sent it.
+void Upstream::Stream(const std::string& stream, int next, int count, const Peer& peer,
+                      bool is_cut) {
   if (peer->IsEnded()) return;
   if (next > count) return peer->Write("0\r\n\r\n");
-  const std::string event = "id: " + std::to_string(next) + "\ndata: " + id + " " +
-                            std::to_string(next) + " of " + std::to_string(count) + "\n\n";
+  const std::string event = "id: " + std::to_string(next) + "\ndata: " + stream + " " +
+                            std::to_string(next) + " of " + std::to_string(count) + " by " +
+                            version_ + "\n\n";
   if (is_cut && next > count / 2) {
     peer->Write(Chunk(event.substr(0, event.size() / 2)));
     return peer->Reset();
   }
   peer->Write(Chunk(event));
-  After(kEventMs,
-        [this, id, next, count, peer, is_cut] { Stream(id, next + 1, count, peer, is_cut); });
+  After(kEventMs, [this, stream, next, count, peer, is_cut] {
+    Stream(stream, next + 1, count, peer, is_cut);
+  });
 }
 
 void Upstream::RunPlain(const SeenRequest& request, const Peer& peer) {
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -51,6 +51,8 @@
   // The address that others know, which a proxy may stand at.
   void SetAddress(const Endpoint& address) { address_ = address; }
   const std::string& hall() const { return hall_; }
+  // Of its software; drawn at each start.
+  const std::string& version() const { return version_; }
   void Record();
   // It is cold for kColdMs from now on.
   void GoCold(bool is_return);
@@ -76,7 +78,7 @@
             std::int64_t expected);
   void Run(const testing::SeenRequest& request, const Peer& peer);
   void RunPlain(const testing::SeenRequest& request, const Peer& peer);
-  void Stream(const std::string& id, int next, int count, const Peer& peer, bool is_cut);
+  void Stream(const std::string& stream, int next, int count, const Peer& peer, bool is_cut);
   bool Holds(const std::string& model) const;
   bool Happens(int percent);
   // As Happens, for what may end the request or its connection.
@@ -95,6 +97,7 @@
   Endpoint address_;
   std::string hall_;
   std::string instance_;
+  std::string version_;
   int starts_ = 0;
   TimeMs restart_at_ = 0;  // After a request ended it; 0: none did.
   TimeMs drained_at_ = 0;  // 0: not leaving.
--- a/src/daemon/direct_agent.cc
+++ b/src/daemon/direct_agent.cc
@@ -9,6 +9,7 @@
 #include "entry_hosting.h"
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
+#include "junctionrail/stream_origins.h"
 #include "loop_monitor.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
@@ -208,6 +209,7 @@
     if (IsCrashMessage(bytes)) return OnEnd(bytes);
     if (IsQuotaRequest(bytes)) return OnQuotaAsk(link, bytes);
     if (IsRelayRequest(bytes)) return OnRelayRequest(link, bytes);
+    if (StreamOriginHolder::IsForHolder(bytes)) return OnOriginMessage(link, bytes);
     AgentDemand demand;
     if (!DecodeDemand(bytes, &demand)) {
       log_.Write(MonotonicMs(), "demand_malformed", {});
@@ -216,6 +218,14 @@
     keeper_->OnDemand(link, std::move(demand));
   }
 
+  void OnOriginMessage(std::uint64_t link, std::string_view bytes) {
+    const TimeMs now = MonotonicMs();
+    bool is_valid = false;
+    auto reply = stream_origins_.OnMessage(bytes, now, &is_valid);
+    if (!is_valid) return log_.Write(now, "origin_malformed", {});
+    if (reply) links_.Send(link, std::move(*reply));
+  }
+
   void OnQuotaAsk(std::uint64_t link, std::string_view bytes) {
     QuotaRequest ask;
     if (!DecodeQuotaRequest(bytes, &ask)) return log_.Write(MonotonicMs(), "quota_malformed", {});
@@ -242,6 +252,7 @@
   std::int64_t fence_ = 0;  // The store's revision at the start.
   TimeMs may_order_at_ = 0;
   bool is_asking_host_ = false;
+  StreamOriginHolder stream_origins_;
   ListingRelay relay_;
   Timer relay_timer_;
   LoopMonitor loop_;
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -11,10 +11,12 @@
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
 #include "loop_monitor.h"
+#include "origin_client.h"
 #include "peer_client.h"
 #include "platform.h"
 #include "quarantine_keeper.h"
 #include "relay_follower.h"
+#include "version_ledger.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -122,6 +124,7 @@
                    [this](const UpstreamListing& listing) {
                      gateway_.ApplyListing(listing);
                      hosting_->SetListing(listing.records);
+                     RecordStreamVersions(listing);
                    }),
         links_(io, gateway_, *hosting_, {settings_.id, settings_.direct->link_port},
                LinkCallbacks()),
@@ -130,6 +133,8 @@
                [this](const std::string& instance, std::string bytes) {
                  links_.Send(instance, std::move(bytes));
                }),
+        ledger_(std::make_shared<VersionLedger>(io, store_, log_, settings_.id)),
+        origins_(io, log_, gateway_, ledger_, OriginCallbacks()),
         loop_(io, log_),
         pages_(log_, {gateway_, store_, configuration_, upstreams_, *recorder_, relay_, loop_,
                       [this] { return IsReady(); }}) {}
@@ -149,7 +154,10 @@
       configuration_.Reread();
       quarantine_->Reread();
     });
-    store_.OnNewEra([this] { RecordRefusalsAgain(); });
+    store_.OnNewEra([this] {
+      RecordRefusalsAgain();
+      ledger_->OnNewEra();
+    });
     gateway_.OnUpstreamCrash([this](const UpstreamCrash& end) { ReportCrash(end); });
     gateway_.OnRequestQuarantined([this](const RequestDigest& it) { recorder_->Record(it); });
     upstreams_.OnRegained([this] {
@@ -171,6 +179,7 @@
     quarantine_->Start();
     links_.Start();
     relay_.Start();
+    origins_.Start();
     peers_.Start();
     loop_.Start();
     return std::nullopt;
@@ -234,6 +243,7 @@
       gateway_.ForgetView(instance);
       views_.erase(instance);
       gateway_.OnQuotaLinkClosed(instance);
+      origins_.OnLinkClosed(instance);
     };
     callbacks.demands_sent = [this] {
       const TimeMs now = MonotonicMs();
@@ -259,6 +269,35 @@
     return callbacks;
   }
 
+  OriginClient::Callbacks OriginCallbacks() {
+    OriginClient::Callbacks callbacks;
+    callbacks.can_send = [this](const std::string& instance) { return links_.CanOpen(instance); };
+    callbacks.send = [this](const std::string& instance, std::string bytes) {
+      SendOriginMessage(instance, std::move(bytes));
+    };
+    return callbacks;
+  }
+
+  // On the link on which demand is sent to the agent.
+  void SendOriginMessage(const std::string& instance, std::string bytes) {
+    const UpstreamRecord* upstream = gateway_.upstreams().Find(instance);
+    if (upstream == nullptr) return;
+    if (!hosting_->IsHosting(upstream->endpoint)) return links_.Send(instance, std::move(bytes));
+    const auto reply = hosting_->OnOriginMessage(bytes);
+    if (reply) origins_.OnReply(instance, *reply);
+  }
+
+  // Services of routes on which callers may resume streams.
+  void RecordStreamVersions(const UpstreamListing& listing) {
+    if (!gateway_.has_configuration()) return;
+    std::set<std::string> services;
+    for (const auto& route : gateway_.configuration().routes) {
+      if (!route.is_resumable) continue;
+      for (const auto& it : route.traffic_split) services.insert(it.service);
+    }
+    ledger_->SetListing(listing.records, services);
+  }
+
   QuarantineFollower::Callbacks QuarantineCallbacks() {
     QuarantineFollower::Callbacks callbacks;
     callbacks.ended = [this](const UpstreamCrash& end) { gateway_.AddUpstreamCrash(end); };
@@ -321,6 +360,7 @@
     if (IsCrashMessage(bytes)) return OnCrashMessage(source, bytes);
     if (IsQuotaGrant(bytes)) return OnQuotaGrant(source, bytes);
     if (IsRelayReply(bytes)) return relay_.OnReply(source, bytes);
+    if (IsOriginReply(bytes)) return origins_.OnReply(source, bytes);
     EngineView& view = views_[source];
     if (!DecodeView(bytes, &view)) {
       log_.Write(MonotonicMs(), "view_malformed", {{"upstream", source}});
@@ -417,6 +457,8 @@
   AgentLinks links_;
   PeerClient peers_;
   RelayFollower relay_;
+  std::shared_ptr<VersionLedger> ledger_;
+  OriginClient origins_;
   LoopMonitor loop_;
   EntryPages pages_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -118,6 +118,14 @@
   page.Counter("junctionrail_bad_requests_total", "Not understood.", it.bad_requests);
   page.Counter("junctionrail_retries_total", "Attempts beyond the first.", it.retries);
   page.Counter("junctionrail_resumes_total", "Streams that went on elsewhere.", it.resumes);
+  page.Counter("junctionrail_resumed_streams_total",
+               "Streams that callers resumed and whose origin was known.", it.resumed_streams);
+  page.Counter("junctionrail_unknown_origin_total",
+               "Requests to resume a stream that were refused as its origin was unknown.",
+               it.unknown_origin_refusals);
+  page.Counter("junctionrail_version_gone_total",
+               "Streams that could not go on as no upstream runs the version that began them.",
+               it.version_gone_refusals);
   page.Counter("junctionrail_version_changes_total",
                "Streams that went on at another software version within one response.",
                it.version_changes);
--- a/src/daemon/entry_hosting.cc
+++ b/src/daemon/entry_hosting.cc
@@ -120,6 +120,11 @@
 void EntryHosting::OnLinkDemand(std::uint64_t link, std::string_view bytes) {
   if (IsCrashMessage(bytes)) return OnLinkEnd(link, bytes);
   if (IsQuotaRequest(bytes)) return OnLinkQuotaAsk(link, bytes);
+  if (StreamOriginHolder::IsForHolder(bytes)) {
+    auto reply = OnOriginMessage(bytes);
+    if (reply) links_.Send(link, std::move(*reply));
+    return;
+  }
   AgentDemand demand;
   if (!DecodeDemand(bytes, &demand)) {
     log_.Write(MonotonicMs(), "demand_malformed", {});
@@ -351,6 +356,14 @@
   if (it != hosted_.end()) it->second.keeper->OnQuotaAsk(kOwnLink, ask);
 }
 
+std::optional<std::string> EntryHosting::OnOriginMessage(std::string_view bytes) {
+  const TimeMs now = MonotonicMs();
+  bool is_valid = false;
+  auto reply = stream_origins_.OnMessage(bytes, now, &is_valid);
+  if (!is_valid) log_.Write(now, "origin_malformed", {});
+  return reply;
+}
+
 std::optional<Endpoint> EntryHosting::LinkOf(const Endpoint& engine) const {
   const HostClaim* claim = election_.FindClaim(engine.ToString());
   if (claim == nullptr) return std::nullopt;
--- a/src/daemon/entry_hosting.h
+++ b/src/daemon/entry_hosting.h
@@ -16,6 +16,7 @@
 #include "junctionrail/event_log.h"
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
+#include "junctionrail/stream_origins.h"
 #include "platform.h"
 
 namespace junctionrail::internal {
@@ -55,6 +56,9 @@
   void OnDemand(const Endpoint& engine, const AgentDemand& demand);
   void OnEnd(const Endpoint& engine, const UpstreamCrash& end);
   void OnQuotaAsk(const Endpoint& engine, const QuotaRequest& ask);
+  // A message about the origins of streams, to the agent of an engine that is hosted here. Returns
+  // the reply, if there is one.
+  std::optional<std::string> OnOriginMessage(std::string_view bytes);
   // Where demand for the engine goes in place of its agent.
   std::optional<Endpoint> LinkOf(const Endpoint& engine) const;
 
@@ -88,6 +92,7 @@
   Options options_;
   Callbacks callbacks_;
   HostElection election_;
+  StreamOriginHolder stream_origins_;
   LinkServer links_;
   std::map<std::string, Hosted> hosted_;              // By engine.
   std::map<std::uint64_t, std::string> link_engine_;  // Which engine a link is for.
--- /dev/null
+++ b/src/daemon/version_ledger.cc
@@ -0,0 +1,153 @@
+#include "version_ledger.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "junctionrail/stream_origins.h"
+
+namespace junctionrail::internal {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "stream-versions/";
+// Entries record a new version one after the other, so that most of them find it recorded.
+constexpr DurationMs kSpreadMs = 200;
+constexpr DurationMs kRetryMs = 500;
+// A caller waits for this reading.
+constexpr DurationMs kReadMs = 400;
+
+std::string KeyOf(const std::string& service) { return std::string(kPrefix) + service; }
+
+std::string ToText(const VersionLedger::Versions& versions) {
+  return json{{"versions", versions}}.dump();
+}
+
+// Returns nullopt if the text is malformed.
+std::optional<VersionLedger::Versions> FromText(const std::string& text) {
+  const json document = json::parse(text, nullptr, false);
+  try {
+    return document.at("versions").get<VersionLedger::Versions>();
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+// What is recorded, and the revision for a change of it.
+struct Recorded {
+  VersionLedger::Versions versions;
+  std::int64_t revision = 0;  // 0: nothing is recorded.
+};
+
+// Nothing is known from a text that is malformed; it is written again.
+Recorded FromRead(const platform::StoreRead& read) {
+  if (read.items.empty()) return Recorded{};
+  const platform::StoreItem& item = read.items.front();
+  return {FromText(item.value).value_or(VersionLedger::Versions()), item.revision};
+}
+
+}  // namespace
+
+VersionLedger::VersionLedger(boost::asio::io_context& io, platform::StoreClient& store,
+                             EventLog& log, std::string entry)
+    : io_(io), store_(store), log_(log), entry_(std::move(entry)) {}
+
+void VersionLedger::SetListing(const std::vector<UpstreamRecord>& records,
+                               const std::set<std::string>& services) {
+  const TimeMs now = MonotonicMs();
+  for (const auto& it : records) {
+    if (services.count(it.service) > 0) services_[it.service].listed_at[it.software_version] = now;
+  }
+  for (const auto& [name, service] : services_) {
+    if (service.is_writing || !NeedsWrite(service, now)) continue;
+    const auto delay = static_cast<DurationMs>(RendezvousScore(entry_, name) % kSpreadMs);
+    ScheduleWrite(name, delay);
+  }
+}
+
+void VersionLedger::OnNewEra() {
+  for (auto& [name, service] : services_) service.recorded.clear();
+}
+
+// A version that is no longer listed stays for as long as a stream may be resumed.
+VersionLedger::Versions VersionLedger::Expected(const Service& service, TimeMs now) const {
+  Versions versions;
+  for (const auto& [version, listed_at] : service.listed_at) {
+    if (now - listed_at < StreamOriginLimits().ttl_ms) versions.insert(version);
+  }
+  return versions;
+}
+
+bool VersionLedger::NeedsWrite(const Service& service, TimeMs now) const {
+  return Expected(service, now) != service.recorded;
+}
+
+void VersionLedger::ScheduleWrite(const std::string& name, DurationMs delay) {
+  services_[name].is_writing = true;
+  const auto timer = std::make_shared<Timer>(io_);
+  timer->After(delay, [self = weak_from_this(), timer, name] {
+    if (const auto ledger = self.lock()) ledger->Write(name);
+  });
+}
+
+void VersionLedger::Write(const std::string& name) {
+  platform::ReadOptions options;
+  options.limit_ms = platform::kRepeatedCallMs;
+  store_.ReadKey(KeyOf(name), options, [self = shared_from_this(), name](auto read) {
+    if (!read) return self->ScheduleWrite(name, kRetryMs);
+    const Recorded recorded = FromRead(read.value());
+    const TimeMs now = MonotonicMs();
+    Service& service = self->services_[name];
+    // Another entry may have seen a version that this one has not: it stays until this one has
+    // missed it for long enough.
+    for (const auto& it : recorded.versions) service.listed_at.try_emplace(it, now);
+    const Versions versions = self->Expected(service, now);
+    if (versions == recorded.versions) {
+      service.recorded = versions;
+      service.is_writing = false;
+      return;
+    }
+    platform::StoreCommit commit;
+    commit.conditions.push_back({KeyOf(name), recorded.revision});
+    commit.writes.push_back({KeyOf(name), ToText(versions), 0});
+    self->store_.Commit(commit, [self, name, versions](platform::CommitAnswer answer) {
+      self->OnWritten(name, versions, answer.outcome);
+    });
+  });
+}
+
+void VersionLedger::OnWritten(const std::string& name, const Versions& versions,
+                              platform::CommitOutcome outcome) {
+  if (outcome != platform::CommitOutcome::kDone) return ScheduleWrite(name, kRetryMs);
+  Service& service = services_[name];
+  service.recorded = versions;
+  service.is_writing = false;
+  std::string all;
+  for (const auto& it : versions) all += (all.empty() ? "" : " ") + it;
+  log_.Write(MonotonicMs(), "stream_versions_recorded", {{"service", name}, {"versions", all}});
+}
+
+void VersionLedger::Read(const std::string& name, Done done) {
+  Service& service = services_[name];
+  if (!service.waiting.empty()) {
+    service.waiting_next.push_back(std::move(done));
+    return;
+  }
+  service.waiting.push_back(std::move(done));
+  BeginReading(name);
+}
+
+void VersionLedger::BeginReading(const std::string& name) {
+  platform::ReadOptions options;
+  options.limit_ms = kReadMs;
+  store_.ReadKey(KeyOf(name), options, [self = shared_from_this(), name](auto read) {
+    Service& service = self->services_[name];
+    const auto waiting = std::exchange(service.waiting, std::exchange(service.waiting_next, {}));
+    if (!service.waiting.empty()) self->BeginReading(name);
+    std::optional<Versions> versions;
+    if (read) versions = FromRead(read.value()).versions;
+    for (const auto& it : waiting) it(versions);
+  });
+}
+
+}  // namespace junctionrail::internal
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -71,6 +71,11 @@
   const auto over =
       gateway_.quotas.RefuseIfOverQuota(organisation_, quota_amount_, request_.arrived_at);
   if (over) return RefuseOverQuota(*over);
+  if (IsResumption()) return ResolveOrigin();
+  BeginAttempts();
+}
+
+void Exchange::BeginAttempts() {
   gateway_.retry_budget.OnRequest(service_, request_.arrived_at);
   gateway_.upstreams.OnArrival(model_, priority_, route_->first_byte_target_ms, request_.arrived_at,
                                AllowedRegionsNow());
@@ -93,7 +98,7 @@
            Execution::kNotRun, 0);
     return false;
   }
-  service_ = std::string(PickService(*route_, request_id_));
+  SetService(std::string(PickService(*route_, request_id_)));
   std::int64_t deadline_ms = route_->timeout_ms;
   const std::string* deadline = FindField(request_.fields, names.deadline_ms);
   if (deadline != nullptr && !ParseWholeNumber(*deadline, &deadline_ms)) {
@@ -108,18 +113,23 @@
     wait_deadline_at_ =
         std::min(wait_deadline_at_, request_.arrived_at + route_->caller_timeout_ms);
   }
-  const ServiceSpec* service = routes_->configuration().FindService(service_);
-  const std::string* model = FindField(request_.fields, names.model);
-  if (service != nullptr && service->engine && model != nullptr) {
-    const std::size_t slash = model->find('/');
-    model_ = ModelRef{model->substr(0, slash),
-                      slash == std::string::npos ? std::string() : model->substr(slash + 1)};
-  }
   const std::string* parts = FindField(request_.fields, names.prompt_parts);
   if (parts != nullptr) affinity_ = std::string(SharedPromptParts(*parts));
   return true;
 }
 
+// Also reads the model, which only engine services have.
+void Exchange::SetService(std::string service) {
+  service_ = std::move(service);
+  model_.reset();
+  const ServiceSpec* spec = routes_->configuration().FindService(service_);
+  const std::string* model = FindField(request_.fields, gateway_.options.header_names.model);
+  if (spec == nullptr || !spec->engine || model == nullptr) return;
+  const std::size_t slash = model->find('/');
+  model_ = ModelRef{model->substr(0, slash),
+                    slash == std::string::npos ? std::string() : model->substr(slash + 1)};
+}
+
 void Exchange::AttemptNext() {
   const TimeMs now = MonotonicMs();
   if (now >= deadline_at_) return GiveUp(ExecutionSoFar(), "deadline");
@@ -136,9 +146,10 @@
   GiveUp(ExecutionSoFar(), none.reason);
 }
 
-// No upstream of the service is in a place where the request may run.
+// No upstream of the service is in a place where the request may run, or of the version that began
+// its stream.
 void Exchange::RefusePlace(const NoUpstream& none) {
-  ++gateway_.counters.place_refusals;
+  ++(origin_ ? gateway_.counters.version_gone_refusals : gateway_.counters.place_refusals);
   const bool is_refusal = !is_response_begun_ && ExecutionSoFar() == Execution::kNotRun;
   if (!is_refusal) return GiveUp(ExecutionSoFar(), none.reason);
   Refuse(kUnavailable, none.code, none.reason, Execution::kNotRun, kPlaceRetryAfterMs);
@@ -212,6 +223,7 @@
   request.request_id = request_id_;
   request.tried = tried_instances_;
   request.allowed_regions = AllowedRegionsNow();
+  request.software_version = bound_version();
   if (!gateway_.quarantine.IsEmpty()) {
     const bool is_suspect = IsSuspect();
     // One attempt at a time, as callers may send the same request several times at once.
@@ -316,20 +328,14 @@
   ArmTimer();
 }
 
-// The id of the request that began the stream which this request resumes; empty: none.
-std::string_view Exchange::ResumedRequest() const {
-  const std::string* id = FindField(request_.fields, gateway_.options.header_names.resumed_request);
-  return id == nullptr ? std::string_view() : std::string_view(*id);
-}
-
 void Exchange::RecordVersionChange() {
-  if (!is_response_begun_ || upstream_version_ == stream_version_) return;
+  if (!origin_ || upstream_version_ == origin_->version) return;
   ++gateway_.counters.version_changes;
   gateway_.log.Write(MonotonicMs(), "stream_version_changed",
                      {{"request", request_id_},
                       {"upstream", instance_},
                       {"version", upstream_version_},
-                      {"begun_by_version", stream_version_}});
+                      {"begun_by_version", origin_->version}});
 }
 
 std::string Exchange::BuildRequestHead(const UpstreamRecord& upstream) const {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,6 +73,13 @@
   // run there for long enough to be harmless.
   std::optional<Suspect> AsSuspect(TimeMs now);
 
+  // The software version that the request is bound to, as the stream that it resumes began there.
+  std::optional<std::string> bound_version() const {
+    return origin_ ? std::optional<std::string>(origin_->version) : std::nullopt;
+  }
+  // Goes on with a stream that began there; refuses to if that is not known.
+  void ApplyOrigin(const std::optional<StreamOrigin>& origin);
+
   // An allocator was asked for the organisation's quota under `ticket`.
   void OnQuotaRequested(std::uint64_t ticket) { quota_ticket_ = ticket; }
   // An allocator was asked for a part of the upstream's rate limit under `ticket`.
@@ -90,6 +97,13 @@
   // Whether a request may have run at an upstream that sent no complete response.
   enum class Execution { kNotRun, kMayHaveRun };
 
+  void BeginAttempts();
+  std::string_view ResumedRequest() const;
+  bool IsResumption() const;
+  std::vector<std::string> RouteServices() const;
+  void ResolveOrigin();
+  void RecordOrigin();
+  void SetService(std::string service);
   bool FindRoute();
   bool ReadFields();
   bool ReadKey();
@@ -125,7 +139,6 @@
   void RecordEventTime();
   void RecordEventPause();
   void RecordVersionChange();
-  std::string_view ResumedRequest() const;
   void RelayResponse();
   void Refuse(unsigned status, std::string_view code, std::string_view sentence, Execution ran,
               DurationMs retry_after_ms);
@@ -164,7 +177,9 @@
   std::string instance_;          // Of the current attempt.
   std::string upstream_wire_id_;  // The id that this upstream sends.
   std::string upstream_version_;  // Of its software.
-  std::string stream_version_;    // Of the software that sent the first event of this response.
+  // Where the stream began, once its first event has arrived or if the request resumes it.
+  std::optional<StreamOrigin> origin_;
+  bool is_resolving_origin_ = false;
   std::vector<std::string> tried_instances_;
   int possibly_run_attempts_ = 0;  // Sent, unless known not to have run.
   int sent_attempts_ = 0;          // Sent, whether or not they ran.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -91,6 +91,7 @@
     if (!sink) return;
     RecordEventPause();
     RecordEventTime();
+    RecordOrigin();
     if (!is_response_begun_) {
       RelayStreamHead();
       if (is_finished_) return;
@@ -121,7 +122,6 @@
   const auto sink = sink_.lock();
   if (!sink) return;
   is_response_begun_ = true;
-  stream_version_ = upstream_version_;
   response_begun_at_ = MonotonicMs();
   gateway_.first_byte_latency.Add(response_begun_at_ - request_.arrived_at);
   if (model_) gateway_.upstreams.OnFirstEvent(*model_, response_begun_at_ - attempt_started_at_);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "caller_connection.h"
@@ -441,6 +442,7 @@
   waiting.next_late_at = exchange.first_byte_due_at();
   waiting.count = 1;
   waiting.allowed_regions = exchange.AllowedRegionsNow();
+  waiting.software_version = exchange.bound_version();
   return waiting;
 }
 
@@ -456,13 +458,16 @@
       refused_waits.end());
   std::vector<UpstreamTable::WaitingRequests> each = refused_waits;
   for (const auto& it : waiting_exchanges) each.push_back(ToWaiting(*it, it->waiting_since()));
-  // Requests for one model that may run in different regions wait for different engines.
-  std::map<std::pair<ModelRef, AllowedRegions>, UpstreamTable::WaitingRequests> by_model;
+  // Requests for one model that may run in different regions, or only at one software version, wait
+  // for different engines.
+  using LoadKey = std::tuple<ModelRef, AllowedRegions, std::optional<std::string>>;
+  std::map<LoadKey, UpstreamTable::WaitingRequests> by_model;
   for (auto& it : each) {
     const bool is_late = it.next_late_at <= now;
     if (is_late) it.next_late_at = kNeverLate;
     it.late = is_late ? it.count : 0;
-    const auto [found, is_first] = by_model.emplace(std::make_pair(it.ref, it.allowed_regions), it);
+    const auto [found, is_first] =
+        by_model.emplace(LoadKey{it.ref, it.allowed_regions, it.software_version}, it);
     if (is_first) continue;
     UpstreamTable::WaitingRequests& waiting = found->second;
     waiting.count += it.count;
@@ -477,6 +482,27 @@
   return all;
 }
 
+void Gateway::Impl::AskForOrigin(const std::shared_ptr<internal::Exchange>& exchange,
+                                 UnknownStream unknown) {
+  unknown.ticket = ++last_ticket;
+  awaiting_origin.emplace(unknown.ticket, exchange);
+  on_origin_needed(unknown);
+}
+
+void Gateway::Impl::ApplyStreamOrigin(std::uint64_t ticket,
+                                      const std::optional<StreamOrigin>& origin) {
+  const auto it = awaiting_origin.find(ticket);
+  if (it == awaiting_origin.end()) return;
+  const auto exchange = it->second.lock();
+  awaiting_origin.erase(it);
+  if (exchange) exchange->ApplyOrigin(origin);
+}
+
+void Gateway::Impl::OnStreamBegun(const BegunStream& begun) {
+  stream_origins.Add(begun.stream, begun.origin, MonotonicMs());
+  if (on_stream_begun) on_stream_begun(begun);
+}
+
 int Gateway::Impl::MaxConnections(const UpstreamRecord& upstream) const {
   if (!routes) return kMinConnections;
   const ServiceSpec* service = routes->configuration().FindService(upstream.service);
@@ -580,6 +606,15 @@
 bool Gateway::ReleaseRequest(const RequestDigest& digest) {
   return impl_->quarantine.Release(digest, MonotonicMs());
 }
+void Gateway::OnStreamBegun(std::function<void(const BegunStream&)> call) {
+  impl_->on_stream_begun = std::move(call);
+}
+void Gateway::OnOriginNeeded(std::function<void(const UnknownStream&)> call) {
+  impl_->on_origin_needed = std::move(call);
+}
+void Gateway::ApplyStreamOrigin(std::uint64_t ticket, const std::optional<StreamOrigin>& origin) {
+  impl_->ApplyStreamOrigin(ticket, origin);
+}
 void Gateway::OnQuotaMessages(std::function<void(const QuotaClient::Message&)> call) {
   impl_->on_quota_message = std::move(call);
 }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -82,6 +82,11 @@
   void RetrySuspects();
   void CheckForSuspension();
 
+  // Asks others where the stream began; the exchange is called back.
+  void AskForOrigin(const std::shared_ptr<internal::Exchange>& exchange, UnknownStream unknown);
+  void ApplyStreamOrigin(std::uint64_t ticket, const std::optional<StreamOrigin>& origin);
+  void OnStreamBegun(const BegunStream& begun);
+
   // This entry's share of the connections to one upstream; 0: no limit.
   int MaxConnections(const UpstreamRecord& upstream) const;
 
@@ -95,6 +100,10 @@
   QuarantineTable quarantine;
   SuspectIsolation suspect_isolation;
   internal::CrashDetector crash_detector;
+  StreamOriginTable stream_origins;
+  std::map<std::uint64_t, std::weak_ptr<internal::Exchange>> awaiting_origin;  // By ticket.
+  std::function<void(const BegunStream&)> on_stream_begun;
+  std::function<void(const UnknownStream&)> on_origin_needed;
   QuotaClient quotas;
   std::map<std::uint64_t, std::weak_ptr<internal::Exchange>> pending_quota_requests;  // By ticket.
   std::uint64_t last_ticket = 0;
--- a/src/routing/cold_models.cc
+++ b/src/routing/cold_models.cc
@@ -37,10 +37,11 @@
   return HoldsModel(view.loaded, model) || view.loading == model;
 }
 
-// Identifies a load by its model and the allowed regions: requests that may run in different
-// regions wait for different loads.
+// Identifies a load by its model, the software version and the allowed regions: requests that may
+// run at different engines wait for different loads.
 std::string LoadKey(const PickRequest& request) {
   std::string key = request.model->ToString();
+  if (request.software_version) key += '#' + *request.software_version;
   if (!request.allowed_regions) return key;
   for (const auto& it : *request.allowed_regions) key += '@' + it;
   return key;
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -82,14 +82,19 @@
 
 // Says whether the service has upstreams in places where the request may not run.
 NoUpstream UpstreamTable::ExplainNone(const PickRequest& request, std::string reason) const {
+  bool has_version = false;
   bool has_evacuated = false;
   bool has_other_region = false;
   for (const auto& [instance, row] : rows_) {
-    if (!IsPresent(row, request.service)) continue;
+    if (!IsPresent(row, request.service) || !IsVersionAllowed(row, request)) continue;
+    has_version = true;
     const bool is_allowed = IsRegionAllowed(row, request.allowed_regions);
     has_other_region |= !is_allowed;
     has_evacuated |= is_allowed && IsEvacuated(row);
   }
+  if (request.software_version && !has_version) {
+    return {"no upstream runs the software version that began the stream", 0, "version_gone"};
+  }
   if (has_evacuated) return {"all data halls with upstreams are evacuated", 0, "evacuated"};
   if (has_other_region) return {"no upstream in an allowed region", 0, "no_allowed_region"};
   return {std::move(reason), 0};
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -35,6 +35,12 @@
 // An engine serves as many concurrent requests as it has slots; half as many more may
 // queue there, so that no slot stays empty between two views.
 constexpr double kQueueFactor = 1.5;
+// The same for streams that may run anywhere while several software versions serve: the rest is
+// left to streams that can only go on at the engine's version.
+constexpr double kSeveralVersionsQueueFactor = 1.25;
+// The most that is added to the load of an upstream, for new streams, because few others run its
+// software version: these upstreams are needed for the streams that the version has begun.
+constexpr double kScarceVersionLoad = 16;
 // The minimum that an entry may send to an engine that is not full between two views.
 constexpr double kMinEntryShare = 3;
 // The next view of a full engine arrives within this time.
@@ -104,7 +110,10 @@
     row.record_at = now;
     // A store restored from an older copy may list a leaving upstream as ready.
     const bool was_leaving = row.record.is_leaving || gone_after_leaving_.count(it.instance) > 0;
+    const std::string known_version = row.record.software_version;
     row.record = it;
+    // An instance runs one version, whoever overwrites its record without it.
+    if (row.record.software_version.empty()) row.record.software_version = known_version;
     // Until a view comes, the record is the best that is known.
     if (row.view_at == 0) {
       row.view.loaded = it.loaded;
@@ -131,6 +140,7 @@
     it = is_over ? rows_.erase(it) : std::next(it);
   }
   is_small_fleet_ = CountEngines() <= options_.small_fleet_engines;
+  CountVersions();
   return changes;
 }
 
@@ -235,6 +245,45 @@
          !row.is_gone && !row.record.is_unreadable;
 }
 
+void UpstreamTable::CountVersions() {
+  version_counts_.clear();
+  for (const auto& [instance, row] : rows_) {
+    const UpstreamRecord& record = row.record;
+    if (IsPresent(row, record.service)) ++version_counts_[record.service][record.software_version];
+  }
+}
+
+bool UpstreamTable::HasSeveralVersions(std::string_view service) const {
+  const auto it = version_counts_.find(service);
+  return it != version_counts_.end() && it->second.size() > 1;
+}
+
+std::optional<StreamOrigin> UpstreamTable::OnlyOrigin(
+    const std::vector<std::string>& services) const {
+  std::optional<StreamOrigin> only;
+  for (const auto& name : services) {
+    const auto counts = version_counts_.find(name);
+    if (counts == version_counts_.end()) continue;
+    if (only || counts->second.size() > 1) return std::nullopt;
+    only = StreamOrigin{name, counts->second.begin()->first};
+  }
+  return only;
+}
+
+double UpstreamTable::ScarceVersionLoad(const Row& row, const PickRequest& request) const {
+  if (request.software_version || !HasSeveralVersions(request.service)) return 0;
+  const auto& counts = version_counts_.find(request.service)->second;
+  const auto own = counts.find(row.record.software_version);
+  if (own == counts.end()) return kScarceVersionLoad;
+  int all = 0;
+  for (const auto& [version, n] : counts) all += n;
+  return kScarceVersionLoad * (all - own->second) / all;
+}
+
+bool UpstreamTable::IsVersionAllowed(const Row& row, const PickRequest& request) {
+  return !request.software_version || *request.software_version == row.record.software_version;
+}
+
 bool UpstreamTable::IsHealthy(const Row& row, std::string_view service, TimeMs now) const {
   return IsPresent(row, service) && row.ejected_until <= now && !IsUnresponsive(row, now);
 }
@@ -298,6 +347,7 @@
   if (options_.policy.prefers_hall) load += DistanceLoad(row, is_shared, now);
   if (Contains(request.risky, row.record.instance)) load += kRiskyLoad;
   if (row.cold_until > now) load += kColdLoad;
+  load += ScarceVersionLoad(row, request);
   // Upstreams without recent failures are preferred.
   load += 16.0 * row.failures;
   if (!request.affinity.empty() && options_.policy.prefers_prompts) {
@@ -309,9 +359,11 @@
 // Whether an engine has as many requests as it can serve soon. An entry sees the other
 // entries' requests only in the next view, so it uses only its share of the slots that
 // were free in the last one.
-bool UpstreamTable::IsFull(const Row& row, TimeMs now) const {
+bool UpstreamTable::IsFull(const Row& row, const PickRequest& request, TimeMs now) const {
   if (!IsFresh(row, now) || row.record.slots <= 0) return false;
-  const double places = kQueueFactor * row.record.slots;
+  const bool leaves_places = !request.software_version && HasSeveralVersions(request.service);
+  const double places =
+      (leaves_places ? kSeveralVersionsQueueFactor : kQueueFactor) * row.record.slots;
   const double free = places - row.view.running - row.view.waiting;
   const double entry_share = std::max(kMinEntryShare, free / std::max(1, row.view.entries));
   return free <= 0 ? row.sent_since_view >= 1 : row.sent_since_view >= entry_share;
@@ -327,7 +379,7 @@
   double best_load = 0;
   for (const Row* it : holders) {
     if (request.model && !Holds(*it, *request.model, now)) continue;
-    if (request.model && IsFull(*it, now)) {
+    if (request.model && IsFull(*it, request, now)) {
       full = it;
       continue;
     }
@@ -355,7 +407,8 @@
   for (Row* it : FindSpreadHolders(request.model->model, request.allowed_regions, now)) {
     const bool is_untried = !Contains(request.tried, it->record.instance);
     const bool may_serve = is_untried && IsHealthy(*it, request.service, now) &&
-                           IsPlaceAllowed(*it, request, now) && Holds(*it, *request.model, now);
+                           IsPlaceAllowed(*it, request, now) && IsVersionAllowed(*it, request) &&
+                           Holds(*it, *request.model, now);
     if (may_serve) holders.Add(it, IsEvacuated(*it), now);
   }
   return holders;
@@ -366,7 +419,9 @@
   Candidates usable;
   Candidates ejected;
   for (auto& [instance, row] : rows_) {
-    if (!IsPresent(row, request.service) || !IsPlaceAllowed(row, request, now)) continue;
+    const bool may_serve = IsPresent(row, request.service) && IsVersionAllowed(row, request) &&
+                           IsPlaceAllowed(row, request, now);
+    if (!may_serve) continue;
     const bool is_healthy = IsHealthy(row, request.service, now);
     (is_healthy ? usable : ejected).Add(&row, IsEvacuated(row), now);
   }
@@ -518,12 +573,15 @@
   if (it == rows_.end() || it->second.record.is_leaving) return false;
   it->second.record.is_leaving = true;
   RecordDeparture(it->second.record.service, now);
+  CountVersions();
   return true;
 }
 
 void UpstreamTable::OnInstanceReplaced(const std::string& instance) {
   const auto it = rows_.find(instance);
-  if (it != rows_.end()) it->second.was_replaced = true;
+  if (it == rows_.end()) return;
+  it->second.was_replaced = true;
+  CountVersions();
 }
 
 void UpstreamTable::OnModelNotLoaded(const std::string& instance, const ModelRef& model,
--- a/test/stream_versions_test.cc
+++ b/test/stream_versions_test.cc
@@ -65,6 +65,9 @@
 // An upstream that a test adds is listed by all entries within this time.
 constexpr DurationMs kListedMs = 2500;
 
+// What an entry tells of its streams has arrived within this time.
+constexpr DurationMs kReportedMs = 700;
+
 // Engines of several software versions that have the model loaded, each with an agent, and the
 // entries that a test adds. Each event of an engine names its service and version.
 struct World {
@@ -171,11 +174,12 @@
     RunFor(io, kStartupMs);
   }
 
-  // The entry ends at once, with all that it knows.
-  void KillEntry(std::size_t n) {
+  // The entry stops, and nobody asks it any more. It stays in memory, as links that are open cannot
+  // be destroyed while `io` runs.
+  void StopEntry(std::size_t n) {
     entries[n]->Stop();
     RunFor(io, 100);
-    entries[n].reset();
+    stopped_entries.push_back(std::move(entries[n]));
     entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(n));
   }
 
@@ -212,6 +216,7 @@
   std::vector<std::unique_ptr<ScriptedUpstream>> engines;
   std::vector<std::unique_ptr<DirectAgent>> agents;
   std::vector<std::unique_ptr<DirectEntry>> entries;
+  std::vector<std::unique_ptr<DirectEntry>> stopped_entries;
 };
 
 // The service and version that sent the last event.
@@ -257,4 +262,112 @@
   }
 }
 
+// Guards against origins that only the entry knew which began the stream.
+TEST(StreamVersions, GoOnAtTheirVersionAfterTheEntryThatBeganThemHasEnded) {
+  World world;
+  for (const char* version : {"v1", "v1", "v2", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  world.AddEntry();
+  std::vector<std::string> begun;
+  for (int n = 0; n < kStreams; ++n) {
+    begun.push_back(LabelOf(world.Begin(world.EntryAddress(0), Name("a", n))));
+  }
+  RunFor(world.io, kReportedMs);
+  world.StopEntry(0);
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string answer = world.Resume(world.EntryAddress(1), Name("b", n), Name("a", n));
+    EXPECT_TEXT(begun[static_cast<std::size_t>(n)], LabelOf(answer), answer);
+  }
+}
+
+// Guards against a choice by the versions that serve now, when a stream began before the second.
+TEST(StreamVersions, GoOnAtTheFirstVersionIfTheSecondCameAfterTheBreak) {
+  World world;
+  world.AddEngine("v1");
+  world.AddEngine("v1");
+  world.AddEntry();
+  world.AddEntry();
+  for (int n = 0; n < kStreams; ++n) world.Begin(world.EntryAddress(0), Name("a", n));
+  RunFor(world.io, kReportedMs);
+  world.StopEntry(0);
+  for (int n = 0; n < 3; ++n) world.AddEngine("v2");
+  RunFor(world.io, kListedMs);
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string answer = world.Resume(world.EntryAddress(1), Name("b", n), Name("a", n));
+    EXPECT_TEXT("s1/v1", LabelOf(answer), answer);
+  }
+}
+
+// Guards against streams that wait, or go on elsewhere, once their version serves no more.
+TEST(StreamVersions, AreRefusedAtOnceOnceTheirVersionHasLeft) {
+  World world;
+  for (const char* version : {"v1", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  world.AddEntry();
+  std::string begun;
+  for (int n = 0; n < kStreams && begun.empty(); ++n) {
+    const std::string label = LabelOf(world.Begin(world.EntryAddress(0), Name("a", n)));
+    if (label == "s1/v1") begun = Name("a", n);
+  }
+  EXPECT_TRUE(!begun.empty(), "a stream begins at v1");
+  RunFor(world.io, kReportedMs);
+  world.RemoveEngine(0);
+  RunFor(world.io, kListedMs);
+  const TimeMs began_at = MonotonicMs();
+  const std::string answer = world.Resume(world.EntryAddress(1), "b", begun);
+  EXPECT_TRUE(HasText(answer, " 503 ") && HasText(answer, "\"ran\":\"no\"") &&
+                  HasText(answer, "version_gone"),
+              answer);
+  EXPECT_TRUE(MonotonicMs() - began_at < 1000, "the refusal does not wait for the deadline");
+}
+
+// Guards against an unknown origin that is taken for any.
+TEST(StreamVersions, AreRefusedIfTheirOriginIsUnknown) {
+  World world;
+  for (const char* version : {"v1", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  for (const char* begun : {"never-seen", ""}) {
+    const std::string answer = world.Resume(world.EntryAddress(0), "b", begun);
+    EXPECT_TRUE(HasText(answer, " 503 ") && HasText(answer, "unknown_origin") &&
+                    HasText(answer, "Retry-After"),
+                answer);
+  }
+}
+
+// Guards against refusals where all streams began at one version, whoever has forgotten them.
+TEST(StreamVersions, GoOnAtTheOnlyVersionThatIsRecorded) {
+  World world;
+  world.AddEngine("v1");
+  world.AddEntry();
+  const std::string answer = world.Resume(world.EntryAddress(0), "b", "forgotten");
+  EXPECT_TRUE(HasText(answer, "id: 8\n"), answer);
+}
+
+// Guards against an entry that has seen one version only because it has been cut off.
+TEST(StreamVersions, AreRefusedByAnEntryThatIsCutOffFromThoseWhoKnow) {
+  World world;
+  world.AddEngine("v1");
+  Settings settings = world.EntrySettings(0);
+  settings.direct->link_port = kLinkPort + 1;  // No agent listens there.
+  world.AddEntry(settings);
+  world.store.mood = StandinStore::Mood::kBusy;
+  world.AddEngine("v2");
+  const std::string answer = world.Resume(world.EntryAddress(0), "b", "a");
+  EXPECT_TRUE(HasText(answer, " 503 ") && HasText(answer, "unknown_origin"), answer);
+}
+
+// Guards against a new draw of the service by the id of the request that resumes the stream.
+TEST(StreamVersions, GoOnAtTheServiceThatBeganThemOnAWeightedRoute) {
+  World world(R"("trafficSplit":[{"service":"s1","weight":1},{"service":"s2","weight":1}])");
+  for (const char* service : {"s1", "s2"}) world.AddEngine("v1", service);
+  world.AddEntry();
+  world.AddEntry();
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string begun = LabelOf(world.Begin(world.EntryAddress(0), Name("a", n)));
+    RunFor(world.io, kReportedMs);
+    const std::string answer = world.Resume(world.EntryAddress(1), Name("b", n), Name("a", n));
+    EXPECT_TEXT(begun, LabelOf(answer), answer);
+  }
+}
+
 }  // namespace junctionrail::internal
