Observability: prompt parts of suspects, and responses that end with their connection

The lines could tell neither what the requests under which upstreams end have in common, nor whether an end was taken for the end of a response.

upstream_ended has the parts of the suspects' prompts with their counts, request_served and request_failed have ended_by_close, and a metric counts such responses. Decisions are the same as before.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -120,6 +120,7 @@
   std::uint64_t place_refusals = 0;              // No upstream in a place that is allowed.
   std::uint64_t quarantine_refusals = 0;         // Running them crashes upstreams.
   std::uint64_t upstreams_crashed = 0;           // With requests of this entry in flight.
+  std::uint64_t responses_ended_by_close = 0;    // With neither a length nor chunks.
   std::uint64_t rate_limited_sends = 0;          // Sends held back by an upstream's rate limit.
   std::uint64_t backoff_requests = 0;            // Upstream refusals that asked for a backoff.
   std::uint64_t malformed_notices = 0;
--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -47,6 +47,11 @@
 
 RequestDigest DigestOf(const RequestIdentity& identity);
 
+// Digests of the parts of a prompt that other requests may share: all but the last of the
+// comma-separated ID:TOKENS pairs, by their ids, each once. At most the first kMaxPromptParts.
+constexpr std::size_t kMaxPromptParts = 16;
+std::vector<RequestDigest> DigestsOfSharedParts(std::string_view prompt_parts);
+
 // A request that was running on an upstream when it crashed, and had not run long enough to be
 // ruled out as the cause.
 struct Suspect {
@@ -54,6 +59,7 @@
   bool has_sent_event = false;  // A part of its response had arrived.
   // It was already a suspect when it was sent, and the only suspect on the upstream.
   bool was_isolated = false;
+  std::vector<RequestDigest> parts = {};  // Of its prompt, that other requests may share.
 };
 
 // A crash of an upstream, as observed by one process or merged from several.
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -136,6 +136,8 @@
   page.Counter("junctionrail_upstream_connections_total", "Connections opened to upstreams.",
                it.upstream_connections);
   AddTraffic(it.traffic, &page);
+  page.Counter("junctionrail_responses_ended_by_close_total",
+               "Responses with neither a length nor chunks.", it.responses_ended_by_close);
   const QuarantineTable& quarantine = gateway.quarantine();
   page.Counter("junctionrail_upstreams_ended_total",
                "Ended with requests under way that may have caused it.", it.upstreams_crashed);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -114,7 +114,10 @@
         std::min(wait_deadline_at_, request_.arrived_at + route_->caller_timeout_ms);
   }
   const std::string* parts = FindField(request_.fields, names.prompt_parts);
-  if (parts != nullptr) affinity_ = std::string(SharedPromptParts(*parts));
+  if (parts != nullptr) {
+    affinity_ = std::string(SharedPromptParts(*parts));
+    parts_ = DigestsOfSharedParts(*parts);
+  }
   return true;
 }
 
@@ -193,7 +196,7 @@
   const bool is_harmless =
       has_event && now - attempt_first_event_at_ >= QuarantineLimits().harmless_after_ms;
   if (is_harmless) return std::nullopt;
-  return Suspect{Digest(), has_event, is_isolated_suspect_};
+  return Suspect{Digest(), has_event, is_isolated_suspect_, parts_};
 }
 
 // Refuses at once and without Retry-After, as a retry would not help. Not a 4xx status, as the
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,7 +90,7 @@
   bool MaySend() override;
   void OnHead(UpstreamHead head) override;
   void OnBody(std::string_view data) override;
-  void OnEnd() override;
+  void OnEnd(ResponseEnd end) override;
   void OnFailed(UpstreamFailure failure, std::string_view reason) override;
 
  private:
@@ -186,6 +186,7 @@
   int unsent_attempts_ = 0;
   TimeMs attempt_started_at_ = 0;
   std::optional<RequestDigest> digest_;  // Computed on first use.
+  std::vector<RequestDigest> parts_;     // Of the prompt, that other requests may share.
   bool is_isolated_suspect_ = false;     // Sent as the only suspect at its upstream.
   TimeMs attempt_first_event_at_ = 0;    // 0: no event yet.
   TimeMs last_activity_at_ = 0;          // Of the upstream; the silence timeout counts from here.
@@ -201,6 +202,7 @@
 
   std::optional<UpstreamHead> response_head_;  // Of the current attempt.
   std::string response_body_;
+  bool is_ended_by_close_ = false;  // The last response ended with its connection.
   EventStreamReader events_;
   bool is_event_stream_ = false;
   bool is_response_begun_ = false;  // Its head was sent to the caller.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -129,8 +129,10 @@
   ArmTimer();
 }
 
-void Exchange::OnEnd() {
+void Exchange::OnEnd(ResponseEnd end) {
   call_ = nullptr;
+  is_ended_by_close_ = end == ResponseEnd::kClosed;
+  if (is_ended_by_close_) ++gateway_.counters.responses_ended_by_close;
   ClearSuspicion();
   if (!is_event_stream_) return RelayResponse();
   if (!events_.partial_event().empty()) {
@@ -229,6 +231,7 @@
        {"upstream", instance_},
        {"version", upstream_version_},
        {"resumes", ResumedRequest()},
+       {"ended_by_close", is_ended_by_close_},
        {"attempts", static_cast<std::int64_t>(sent_attempts_)},
        {"events", static_cast<std::int64_t>(events_.event_count())},
        {"waited_ms", waited_ms_},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -298,18 +298,26 @@
   constexpr std::size_t kShortDigits = 8;
   ++counters.upstreams_crashed;
   std::string suspects;
+  std::map<RequestDigest, int> part_counts;
   for (const auto& it : crash.suspects) {
     if (!suspects.empty()) suspects += ' ';
     suspects += it.digest.ToString().substr(0, kShortDigits);
     if (it.has_sent_event) suspects += '+';
     if (it.was_isolated) suspects += '!';
+    for (const auto& part : it.parts) ++part_counts[part];
+  }
+  std::string parts;
+  for (const auto& [part, n] : part_counts) {
+    if (!parts.empty()) parts += ' ';
+    parts += part.ToString().substr(0, kShortDigits) + "x" + std::to_string(n);
   }
   log.Write(MonotonicMs(), "upstream_ended",
             {{"upstream", crash.instance},
              {"evidence", evidence},
              {"age_ms", crash.age_ms},
              {"count", static_cast<std::int64_t>(crash.suspects.size())},
-             {"suspects", suspects}});
+             {"suspects", suspects},
+             {"parts", parts}});
   quarantine.Add(crash, MonotonicMs());
   ReportQuarantined();
   if (on_upstream_crash) on_upstream_crash(crash);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -296,7 +296,7 @@
     } else {
       Close();
     }
-    listener->OnEnd();
+    listener->OnEnd(has_length ? ResponseEnd::kFramed : ResponseEnd::kClosed);
   }
 
   void ReturnToPool() {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -27,6 +27,12 @@
   std::vector<HttpHeader> fields;
 };
 
+// How the end of a response is known.
+enum class ResponseEnd {
+  kFramed,  // By its length, or its last chunk.
+  kClosed,  // It has neither: by the end of its connection.
+};
+
 // Receives the progress of a call. OnEnd or OnFailed is the last callback.
 class UpstreamListener {
  public:
@@ -38,7 +44,7 @@
   virtual bool MaySend() = 0;
   virtual void OnHead(UpstreamHead head) = 0;
   virtual void OnBody(std::string_view data) = 0;
-  virtual void OnEnd() = 0;
+  virtual void OnEnd(ResponseEnd end) = 0;
   virtual void OnFailed(UpstreamFailure failure, std::string_view reason) = 0;
 };
 
--- a/src/quarantine/request_digest.cc
+++ b/src/quarantine/request_digest.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -50,6 +51,35 @@
   return {ReadUint64(bytes.data()), ReadUint64(bytes.data() + 8)};
 }
 
+namespace {
+
+// The leading text keeps the digests of parts apart from those of requests.
+RequestDigest DigestOfPart(std::string_view id) {
+  Sha256 hash;
+  AddPart(&hash, "prompt part");
+  AddPart(&hash, id);
+  const Sha256Digest bytes = hash.Finish();
+  return {ReadUint64(bytes.data()), ReadUint64(bytes.data() + 8)};
+}
+
+}  // namespace
+
+std::vector<RequestDigest> DigestsOfSharedParts(std::string_view prompt_parts) {
+  std::vector<RequestDigest> digests;
+  while (digests.size() < kMaxPromptParts) {
+    const std::size_t end = prompt_parts.find(',');
+    if (end == std::string_view::npos) break;  // The last part is the request's own.
+    std::string_view id = prompt_parts.substr(0, std::min(end, prompt_parts.find(':')));
+    prompt_parts.remove_prefix(end + 1);
+    while (!id.empty() && id.front() == ' ') id.remove_prefix(1);
+    if (id.empty()) continue;
+    const RequestDigest digest = DigestOfPart(id);
+    const bool is_new = std::find(digests.begin(), digests.end(), digest) == digests.end();
+    if (is_new) digests.push_back(digest);
+  }
+  return digests;
+}
+
 std::string RequestDigest::ToString() const {
   char buf[kHexDigits + 1];
   std::snprintf(buf, sizeof(buf), "%016llx%016llx", static_cast<unsigned long long>(high),
