--- /dev/null
+++ b/test/prompt_parts_test.cc
@@ -0,0 +1,293 @@
+// Regression tests for an incident with a prompt part that crashes the upstreams that answer it.
+//
+// On one fleet each upstream that began to write an answer on one part of a prompt crashed, and
+// such requests, no two alike, came through all entries: 28 of them were sent on after the fifth
+// crash, and 42 upstreams crashed in all, each with the requests of other callers. An entry knew a
+// request again by its method, target, caller and whole body, so that no two of these had anything
+// in common, and a response that ends with its connection hid the crash under it. The tests below
+// failed before this was fixed.
+#include <boost/asio/post.hpp>
+#include <map>
+
+#include "check.h"
+#include "direct_daemon.h"
+#include "junctionrail/net.h"
+#include "loopback.h"
+#include "platform_standin.h"
+
+namespace junctionrail::internal {
+namespace {
+
+using testing::OwnAddress;
+using testing::RunFor;
+using testing::RunUntil;
+using testing::ScriptedUpstream;
+using testing::SeenRequest;
+using testing::SilentLog;
+using testing::StandinStore;
+using testing::TestCaller;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr std::uint16_t kPort = 8170;
+constexpr std::uint16_t kLinkPort = 8270;
+constexpr char kCrashingPart[] = "dead";
+constexpr DurationMs kEventMs = 15;
+constexpr int kEvents = 4;
+constexpr DurationMs kRestartMs = 600;
+constexpr DurationMs kStartupMs = 700;
+// By then all entries know of a crash.
+constexpr DurationMs kKnownMs = 3000;
+// The users' rule: from kKnownMs after so many crashes on, at most three requests with the part are
+// sent to upstreams.
+constexpr int kCrashesToKnow = 5;
+constexpr int kMaxLate = 3;
+
+constexpr char kConfiguration[] = R"({"version":1,"routes":[
+  {"name":"r1","hostname":"shop.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":6000,
+   "targetLatencyMs":1000,"gapAimMs":500,"priority":1,"service":"s1","maxAttempts":2,
+   "resumable":true}],
+  "services":[{"name":"s1","maxConns":100,"engine":{"weightsMb":100.0,"adapterSlots":2,
+   "diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0,"warmS":0.5,
+   "diskS":0.8}]}}]})";
+
+constexpr char kReport[] =
+    R"({"models":[{"name":"m1","version":1,"adapters":[]}],"busyCount":false,"sequence":0,
+        "waiting":0,"running":0,"kvUsed":0,"kvTotal":9})";
+
+bool HasText(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// How an engine frames its streams.
+enum class Framing { kChunks, kClose };
+
+// Engines that have the model loaded, each with an agent, and crash when they begin to answer a
+// request with kCrashingPart; and the entries that a test adds.
+struct World {
+  explicit World(int engine_count, Framing engine_framing = Framing::kChunks)
+      : framing(engine_framing) {
+    store.Put("op/config", kConfiguration);
+    for (int n = 0; n < engine_count; ++n) AddEngine(n);
+  }
+
+  ~World() {
+    for (auto& it : entries) it->Stop();
+    for (auto& it : agents) it->Stop();
+    RunFor(io, 50);
+  }
+
+  Settings BaseSettings(Role role, const std::string& id) const {
+    Settings settings;
+    settings.role = role;
+    settings.id = id;
+    settings.data_hall = "hall-1";
+    settings.drain_ms = 0;
+    settings.direct.emplace();
+    settings.direct->store = store.endpoint();
+    return settings;
+  }
+
+  void AddEngine(int n) {
+    StartEngine(n);
+    const Endpoint endpoint{OwnAddress(10 + n), kPort};
+    Settings settings = BaseSettings(Role::kAgent, "agent-" + std::to_string(n));
+    settings.direct->metrics = {endpoint.address, kPort + 1};
+    settings.direct->link = {endpoint.address, kLinkPort};
+    settings.direct->upstream = endpoint;
+    agents.push_back(std::make_unique<DirectAgent>(io, settings, SilentLog()));
+    const auto error = agents.back()->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+  }
+
+  // Starts a new instance at the same address.
+  void StartEngine(int n) {
+    const Endpoint endpoint{OwnAddress(10 + n), kPort};
+    const auto index = static_cast<std::size_t>(n);
+    if (index >= engines.size()) engines.resize(index + 1);
+    engines[index] = std::make_unique<ScriptedUpstream>(
+        io, [this, n](const SeenRequest& it, const Peer& peer) { Handle(n, it, peer); }, endpoint);
+    const std::string instance = "i-" + std::to_string(n) + "-" + std::to_string(++starts);
+    const std::string old = std::exchange(instances[n], instance);
+    if (!old.empty()) store.Remove("servers/" + old);
+    store.Put("servers/" + instance,
+              R"({"service":"s1","address":")" + endpoint.ToString() +
+                  R"(","zone":"hall-1","slots":64,"state":"ready","models":[{"name":"m1",
+                  "version":1,"adapters":[]}]})");
+  }
+
+  void Handle(int n, const SeenRequest& request, const Peer& peer) {
+    if (request.Line() == "GET /report HTTP/1.1") {
+      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(sizeof(kReport) - 1) + "\r\n\r\n" + kReport);
+    }
+    const bool is_crashing = HasText(request.Field("Prompt-Prefix"), kCrashingPart);
+    if (is_crashing && crashes >= kCrashesToKnow && MonotonicMs() - fifth_crash_at > kKnownMs) {
+      ++late_runs;
+    }
+    const bool is_chunked = framing == Framing::kChunks;
+    peer->Write("HTTP/1.1 200 OK\r\nAttempt-Id: " + request.Field("Attempt-Id") +
+                "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n" +
+                (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n"));
+    Stream(n, 1, is_crashing, peer);
+  }
+
+  void Stream(int n, int next, bool is_crashing, const Peer& peer) {
+    if (peer->IsEnded()) return;
+    const bool is_chunked = framing == Framing::kChunks;
+    if (next > kEvents) return is_chunked ? peer->Write("0\r\n\r\n") : peer->Close();
+    // Between two events, and with the connection closed in order.
+    if (is_crashing && next > 2) {
+      if (!is_chunked) peer->Close();
+      return Crash(n, instances[n]);
+    }
+    const std::string event = "id: " + std::to_string(next) + "\ndata: x\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+    peer->Write(is_chunked ? size + event + "\r\n" : event);
+    After(kEventMs, [this, n, next, is_crashing, peer] { Stream(n, next + 1, is_crashing, peer); });
+  }
+
+  // Another request may have crashed the instance already.
+  void Crash(int n, const std::string& instance) {
+    if (instances[n] != instance || !crashed_instances.insert(instance).second) return;
+    if (++crashes == kCrashesToKnow) fifth_crash_at = MonotonicMs();
+    // Not within a call from the engine.
+    boost::asio::post(io, [this, n] { engines[static_cast<std::size_t>(n)]->Crash(); });
+    After(kRestartMs, [this, n] { StartEngine(n); });
+  }
+
+  void After(DurationMs delay, std::function<void()> call) {
+    timers.push_back(std::make_unique<Timer>(io));
+    timers.back()->After(delay, std::move(call));
+  }
+
+  Endpoint EntryAddress(std::size_t n) const {
+    return {OwnAddress(60 + static_cast<int>(n)), kPort};
+  }
+
+  // Returns when the entry has a configuration, and views of the engines.
+  void AddEntry() {
+    const Endpoint callers = EntryAddress(entries.size());
+    Settings settings = BaseSettings(Role::kEntry, "entry-" + std::to_string(entries.size()));
+    settings.direct->callers = callers;
+    settings.direct->metrics = {callers.address, kPort + 1};
+    settings.direct->health = {callers.address, kPort + 2};
+    settings.direct->peer = {callers.address, kPort + 3};
+    settings.direct->link_port = kLinkPort;
+    settings.direct->retry_extra = 1000;
+    entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
+    const auto error = entries.back()->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+    RunFor(io, kStartupMs);
+  }
+
+  // Sends a request whose prompt has these parts before its own; no two requests are alike.
+  std::unique_ptr<TestCaller> Send(std::size_t entry, const std::string& parts) {
+    const std::string id = "r" + std::to_string(++requests);
+    auto caller = std::make_unique<TestCaller>(io, EntryAddress(entry % entries.size()));
+    caller->Send("POST /s/" + id + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
+                 "\r\nModel: m1\r\nDeadline-Ms: 6000\r\nPrompt-Prefix: " + parts + ",o" + id +
+                 ":20\r\nContent-Length: " + std::to_string(id.size()) +
+                 "\r\nConnection: close\r\n\r\n" + id);
+    return caller;
+  }
+
+  std::string Call(std::size_t entry, const std::string& parts) {
+    const auto caller = Send(entry, parts);
+    caller->AwaitEnd();
+    return caller->received();
+  }
+
+  boost::asio::io_context io;
+  StandinStore store{io};
+  Framing framing;
+  std::map<int, std::string> instances;
+  std::vector<std::unique_ptr<Timer>> timers;
+  std::vector<std::unique_ptr<ScriptedUpstream>> engines;
+  std::vector<std::unique_ptr<DirectAgent>> agents;
+  std::vector<std::unique_ptr<DirectEntry>> entries;
+  std::set<std::string> crashed_instances;
+  int starts = 0;
+  int requests = 0;
+  int crashes = 0;
+  int late_runs = 0;  // Of requests with the part, when all entries must know it.
+  TimeMs fifth_crash_at = 0;
+};
+
+constexpr char kCrashing[] = "f1:100,dead:50";
+
+// One of three prompts that share their first part, and one of them another, with the crashing one.
+std::string SoundParts(int n) {
+  constexpr const char* kParts[] = {"f1:100,g1:30", "f1:100,g2:30", "f1:100,g3:30"};
+  return kParts[n % 3];
+}
+
+bool IsWhole(const std::string& answer) {
+  return HasText(answer, "id: 4\n") && HasText(answer, "\r\n0\r\n\r\n");
+}
+
+// Requests with the crashing part through all entries in turn, among sound ones, for some seconds.
+struct Attack {
+  explicit Attack(World* attacked) : world(*attacked) {}
+
+  void Run(DurationMs duration_ms) {
+    const TimeMs until = MonotonicMs() + duration_ms;
+    const TimeMs late_from = until - kLastMs;
+    for (std::size_t n = 0; MonotonicMs() < until; ++n) {
+      const bool is_late = MonotonicMs() > late_from;
+      crashing.push_back(world.Send(n, kCrashing));
+      for (int i = 0; i < 2; ++i) {
+        auto& sound = is_late ? last_sound : first_sound;
+        sound.push_back(world.Send(n + static_cast<std::size_t>(i), SoundParts(i + sent++)));
+      }
+      RunFor(world.io, kPaceMs);
+    }
+    for (const auto* all : {&crashing, &first_sound, &last_sound}) {
+      for (const auto& it : *all) it->AwaitEnd();
+    }
+  }
+
+  static int CountWhole(const std::vector<std::unique_ptr<TestCaller>>& callers) {
+    int n = 0;
+    for (const auto& it : callers) n += IsWhole(it->received()) ? 1 : 0;
+    return n;
+  }
+
+  static constexpr DurationMs kPaceMs = 60;
+  static constexpr DurationMs kLastMs = 1500;
+  World& world;
+  int sent = 0;
+  std::vector<std::unique_ptr<TestCaller>> crashing;
+  std::vector<std::unique_ptr<TestCaller>> first_sound;
+  std::vector<std::unique_ptr<TestCaller>> last_sound;
+};
+
+}  // namespace
+
+TEST_GROUP(PromptParts){};
+
+// Guards against requests, no two alike, whose common prompt part crashes one upstream after the
+// other.
+TEST(PromptParts, ThatCrashUpstreamsAreRefusedAndThoseBesideThemServed) {
+  World world(6);
+  for (int n = 0; n < 3; ++n) world.AddEntry();
+  for (std::size_t n = 0; n < 9; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
+  Attack attack(&world);
+  attack.Run(8000);
+  EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
+                                               std::to_string(world.late_runs) + "; " +
+                                               std::to_string(world.crashes) + " crashes");
+  EXPECT_TRUE(HasText(attack.crashing.back()->received(), "ends_upstreams"),
+              attack.crashing.back()->received());
+  const int all = static_cast<int>(attack.last_sound.size());
+  const int whole = Attack::CountWhole(attack.last_sound);
+  EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
+                                         std::to_string(whole) + " of " + std::to_string(all));
+  for (const auto* callers : {&attack.first_sound, &attack.last_sound}) {
+    for (const auto& it : *callers) {
+      EXPECT_TRUE(!HasText(it->received(), "ends_upstreams"), "a sound request is refused");
+    }
+  }
+}
+
+}  // namespace junctionrail::internal
