Quarantine: prompt parts that crash upstreams are found and refused

An entry knew a request again only by its whole bytes, so no crash ever counted twice; what the suspects of the crashes had in common was not looked at. Beside it, a response that ends with its connection hid the crash under it: it was taken for whole, and cleared the request that caused it.

Suspects carry the parts of their prompts that no entry has seen answered; entries tell each other which of the others' they have. Requests with a suspected part go one at a time per entry. A part is refused once it was at three crashes, of three requests, two of which were sent alone and are explained by no other part; a part that was answered never is, and one that is answered after all is released. The crashes of a part that was found say nothing about other requests. The end of a response without length or chunks counts once the upstream's port is seen to be open.

The soak has a caller with such a part and streams without chunks; its proxy passes resets on and refuses while its target is down.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -197,6 +197,8 @@
   // single software version are listed.
   void OnOriginNeeded(std::function<void(const UnknownStream&)> call);
   void ApplyStreamOrigin(std::uint64_t ticket, const std::optional<StreamOrigin>& origin);
+  // Called when a request was answered although this entry refused it: the refusal was wrong.
+  void OnRequestReleased(std::function<void(const RequestDigest&)> call);
   // Exchange with the quota allocators: messages to send, the allocators, and their replies.
   void OnQuotaMessages(std::function<void(const QuotaClient::Message&)> call);
   void SetQuotaAllocators(std::vector<QuotaClient::Allocator> allocators);
--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,7 +60,10 @@
   bool has_sent_event = false;  // A part of its response had arrived.
   // It was already a suspect when it was sent, and the only suspect on the upstream.
   bool was_isolated = false;
-  std::vector<RequestDigest> parts = {};  // Of its prompt, that other requests may share.
+  // Of its prompt, those that other requests may share and that the reporting process has not seen
+  // answered; and whether it has seen others of them answered.
+  std::vector<RequestDigest> parts = {};
+  bool has_sound_part = false;
 };
 
 // A crash of an upstream, as observed by one process or merged from several.
@@ -67,6 +71,8 @@
   std::string instance;
   DurationMs age_ms = 0;
   std::vector<Suspect> suspects;
+  // Parts of the suspects' prompts that a process has seen answered without a crash.
+  std::vector<RequestDigest> sound_parts = {};
   // In a message to an agent: asks it to write the crash to the store.
   bool should_record = false;
 };
@@ -123,10 +129,16 @@
   // Records a confirmed crash and merges reports of it from several processes. Returns true if the
   // report adds information.
   bool Add(const UpstreamCrash& crash, TimeMs now);
+  // The crash is due to a prompt part that was found: it says nothing about the requests there.
+  void Explain(const std::string& crash) { RemoveCrash(crash); }
   // Clears a request that ran without crashing its upstream.
   void Clear(const RequestDigest& digest, TimeMs now);
   // Adopts a refusal by another process.
   void Refuse(const RequestDigest& digest, TimeMs now);
+  // This process has found that requests with the prompt part cause crashes.
+  void RefusePart(const RequestDigest& part, int crashes, TimeMs now);
+  bool IsRefused(const RequestDigest& digest, TimeMs now) const;
+  bool HasRefusals() const { return !refused_.empty(); }
   // Lifts a refusal on behalf of an operator: the request is tried in isolation, and one more
   // crash refuses it again. Returns false if it was not refused.
   bool Release(const RequestDigest& digest, TimeMs now);
@@ -162,6 +174,7 @@
     TimeMs crashed_at = 0;
     bool is_pending = false;
     std::vector<Suspect> suspects;
+    std::vector<RequestDigest> sound_parts;
   };
   // Links one request to one crash.
   struct Evidence {
@@ -193,6 +206,85 @@
   std::uint64_t cleared_count_ = 0;
 };
 
+struct PromptPartLimits {
+  DurationMs suspicion_ttl_ms = 60000;
+  // Time in which a part that was answered counts as sound.
+  DurationMs sound_ttl_ms = 600000;
+  // See QuarantineLimits.
+  DurationMs common_cause_window_ms = 15;
+  DurationMs report_window_ms = 50;
+  std::size_t max_crashes = 32;
+  std::size_t max_parts = 128;  // Of all suspects of a crash.
+  std::size_t max_sound_parts = 16384;
+};
+
+// Finds prompt parts that crash the upstreams that answer them, whatever else a request holds. A
+// part of a request that was answered is sound. The other parts of the suspects of a crash are
+// suspected, and those that cause further crashes are told apart by sending requests with suspected
+// parts one at a time.
+class PromptPartTable {
+ public:
+  explicit PromptPartTable(PromptPartLimits limits = {}) : limits_(limits) {}
+
+  // A request with these parts was answered, and its upstream did not crash.
+  void AddSound(const std::vector<RequestDigest>& parts, TimeMs now);
+  // Records a confirmed crash and merges reports of it.
+  void Add(const UpstreamCrash& crash, TimeMs now);
+  // Parts in the recorded crash that this process knows to be sound and no report has said so.
+  // Returns each once.
+  std::vector<RequestDigest> TakeSoundParts(const std::string& crash, TimeMs now);
+  // Those of the parts that are not known to be sound.
+  std::vector<RequestDigest> WithoutSound(const std::vector<RequestDigest>& parts,
+                                          TimeMs now) const;
+  // Those of the parts that may have caused a crash, the most likely one first.
+  std::vector<RequestDigest> Suspected(const std::vector<RequestDigest>& parts, TimeMs now) const;
+  // Whether one of the parts was at two crashes or more, and the reports of the last one may not
+  // all have arrived: another attempt would most likely crash another upstream.
+  bool AwaitsReports(const std::vector<RequestDigest>& parts, TimeMs now) const;
+  struct Finding {
+    RequestDigest part;
+    std::vector<std::string> crashes;  // That it caused.
+  };
+  // Parts that are found by now to cause crashes.
+  std::vector<Finding> Judge(TimeMs now);
+  void Expire(TimeMs now);
+  bool HasCrashes() const { return !crashes_.empty(); }
+
+ private:
+  struct SuspectParts {
+    RequestDigest request;
+    std::vector<RequestDigest> parts;
+    bool was_isolated = false;
+    bool has_sound_part = false;
+  };
+  struct Crash {
+    std::string name;
+    TimeMs crashed_at = 0;
+    std::vector<SuspectParts> suspects;
+    std::vector<RequestDigest> reported_sound;
+    std::size_t part_count = 0;  // Of all suspects.
+    bool is_explained = false;   // By a part that was found.
+  };
+  using Parts = std::set<RequestDigest>;
+
+  Crash* Find(const std::string& name);
+  bool IsSound(const RequestDigest& part, TimeMs now) const;
+  void AddSound(const RequestDigest& part, TimeMs now);
+  Parts AllPartsOf(const Crash& crash, TimeMs now) const;
+  std::vector<const Crash*> CrashesWith(const RequestDigest& part, TimeMs now) const;
+  // Crashes at about the same time have one cause.
+  int CountCauses(const std::vector<const Crash*>& crashes) const;
+  static bool HasCommonRequest(const std::vector<const Crash*>& crashes, const RequestDigest& part);
+  std::vector<RequestDigest> ExplainedRequests(const Crash& crash, const RequestDigest& part,
+                                               int causes, TimeMs now) const;
+  bool IsProven(const RequestDigest& part, TimeMs now) const;
+
+  PromptPartLimits limits_;
+  std::deque<Crash> crashes_;              // Oldest first.
+  std::map<RequestDigest, TimeMs> sound_;  // When last answered.
+  std::map<RequestDigest, TimeMs> found_;
+};
+
 // Tracks which suspect is on which upstream. Each upstream has at most one, so that the next crash
 // tells them apart and harmless suspects are not affected by the crash of another.
 class SuspectIsolation {
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -17,6 +17,7 @@
 constexpr DurationMs kAfterRefusalMs = 150;
 constexpr DurationMs kAfterBreakMs = 80;
 
+constexpr int kSharedParts = 3;
 // Of its streams a caller cuts one in so many, so long after it was sent.
 constexpr int kLeaveOneIn = 8;
 constexpr DurationMs kLeaveMs = 150;
@@ -92,16 +93,16 @@
   patience_.After(kDeadlineMs + 500,
                   [self = shared_from_this()] { self->Broken("no answer in time"); });
   const bool leaves = route_->is_stream && route_->may_repeat && random_() % kLeaveOneIn == 0;
-  if (leaves && !IsDeadly()) {
+  if (leaves && !IsDeadly() && !HasDeadlyPart()) {
     leave_.After(kLeaveMs, [self = shared_from_this(), round = round_] {
-      if (round == self->round_) self->Broken("left");
+      if (round == self->round_) self->Leave();
     });
   }
   is_connected_ ? Send() : Connect();
 }
 
 const RouteSpec& Caller::ChooseRoute() {
-  if (IsDeadly()) return RouteOf("POST /resumable/");
+  if (IsDeadly() || HasDeadlyPart()) return RouteOf("POST /resumable/");
   if (habit_ == CallerHabit::kEager) return RouteOf("GET /repeatable/");
   return Routes()[random_() % Routes().size()];
 }
@@ -129,7 +130,11 @@
              "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " +
              organisation_ + "\r\n";
   if (route_->is_stream) {
-    request += "Model: " + model_ + "\r\n";
+    // Sound requests share the first part with those that end engines.
+    const std::string second =
+        HasDeadlyPart() ? kDeadlyPart : "g" + std::to_string(requests_ % kSharedParts);
+    request += "Model: " + model_ + "\r\nPrompt-Prefix: first:100," + second + ":20,own-" +
+               stream_ + ":5\r\n";
   }
   if (last_event_ > 0) {
     request += "Last-Event-Id: " + std::to_string(last_event_) + "\r\nResumes: " + stream_ + "\r\n";
@@ -182,7 +187,7 @@
     route_->is_stream ? CheckStream(body) : CheckPlain(body);
     return Served();
   }
-  if (!IsDeadly() && body.find("ends_upstreams") != std::string::npos) {
+  if (!IsDeadly() && !HasDeadlyPart() && body.find("ends_upstreams") != std::string::npos) {
     judge_.Complain("request " + id_ + " was refused as one that ends upstreams");
   }
   if (tries_ > 1) judge_.OnResumed(false);
@@ -252,12 +257,21 @@
 
 void Caller::Broken(const std::string&) {
   if (is_stopped_) return;
+  judge_.OnFailed(id_, route_->name);
+  TakeUpOrGoOn();
+}
+
+void Caller::Leave() {
+  if (!is_stopped_) TakeUpOrGoOn();
+}
+
+// Closes the connection, and takes the stream up if events of it have come.
+void Caller::TakeUpOrGoOn() {
   ++round_;
   is_connected_ = false;
   error_code ec;
   if (socket_) socket_->close(ec);
   socket_.reset();  // What its handlers still say does not matter.
-  judge_.OnFailed(id_, route_->name);
   const int had = last_event_;
   std::string body;
   const bool is_stream_of_events = head_.rfind("HTTP/1.1 200", 0) == 0 && route_->is_stream;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -16,9 +16,10 @@
 namespace junctionrail::soak {
 
 enum class CallerHabit {
-  kMixed,   // Any route, at a moderate rate.
-  kEager,   // Repeatable requests to the plain service, shortly after the last answer.
-  kDeadly,  // Repeats the request that ends engines.
+  kMixed,       // Any route, at a moderate rate.
+  kEager,       // Repeatable requests to the plain service, shortly after the last answer.
+  kDeadly,      // Repeats the request that ends engines.
+  kDeadlyPart,  // Sends requests, no two alike, with the prompt part that ends engines.
 };
 
 class Caller : public std::enable_shared_from_this<Caller> {
@@ -47,8 +48,12 @@
   void BeginRound();
   void Served();
   void Broken(const std::string& why);
+  // Cuts the connection within a stream.
+  void Leave();
+  void TakeUpOrGoOn();
   void Again(DurationMs delay);
   bool IsDeadly() const { return habit_ == CallerHabit::kDeadly; }
+  bool HasDeadlyPart() const { return habit_ == CallerHabit::kDeadlyPart; }
   const RouteSpec& ChooseRoute();
 
   boost::asio::io_context& io_;
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -10,8 +10,10 @@
 // its way then is let pass.
 constexpr DurationMs kLeavingMs = 2000;
 constexpr DurationMs kOnItsWayMs = 500;
-// A request that has ended three engines reaches others three times more at most.
+// A request that has ended three engines, or requests with a prompt part that has ended five, reach
+// others three times more at most.
 constexpr int kEndsToKnow = 3;
+constexpr int kEndsToKnowPart = 5;
 constexpr int kMostDeadlyLate = 3;
 // As on the users' sheet.
 constexpr DurationMs kQuotaWindowMs = 8000;
@@ -205,20 +207,24 @@
   if (goes_on) ++went_on_;
 }
 
-void Judge::OnDeadlyEnd() {
-  if (++deadly_ends_ == kEndsToKnow) third_end_at_ = clock_();
+void Judge::OnDeadlyEnd(Deadly kind) {
+  Ends& ends = ends_[kind];
+  const int to_know = kind == Deadly::kPart ? kEndsToKnowPart : kEndsToKnow;
+  if (++ends.count == to_know) ends.known_from = clock_();
 }
 
-void Judge::OnDeadlyRun(const std::string& request) {
+void Judge::OnDeadlyRun(Deadly kind, const std::string& request) {
   const TimeMs now = clock_();
   const int entry = sent_[request].entry;
   const TimeMs troubled = std::max(entry_troubled_[entry], busy_at_);
-  const bool is_known = third_end_at_ != 0 && now - third_end_at_ > kInTouchMs;
+  Ends& ends = ends_[kind];
+  const bool is_known = ends.known_from != 0 && now - ends.known_from > kInTouchMs;
   if (!is_known || now - troubled <= kInTouchMs) return;
-  if (++deadly_late_ > kMostDeadlyLate) {
-    Complain("the request that ends engines ran again at an engine, from entry " +
-             std::to_string(entry) + ", " + std::to_string(now - third_end_at_) +
-             " ms after the third had ended");
+  if (++ends.late_runs > kMostDeadlyLate) {
+    const char* what = kind == Deadly::kPart ? "a request with the part" : "the request";
+    Complain(std::string(what) + " that ends engines ran again at an engine, from entry " +
+             std::to_string(entry) + ", " + std::to_string(now - ends.known_from) +
+             " ms after enough had ended");
   }
 }
 
@@ -252,7 +258,11 @@
   for (const auto& [kind, n] : failed_) text += " " + kind + " failed " + std::to_string(n);
   text += ", streams taken up " + std::to_string(resumed_) + " (went on " +
           std::to_string(went_on_) + ")";
-  text += ", ended by a request " + std::to_string(deadly_ends_);
+  const auto count = [this](Deadly kind) {
+    const auto it = ends_.find(kind);
+    return std::to_string(it == ends_.end() ? 0 : it->second.count);
+  };
+  text += ", ended by a request " + count(Deadly::kRequest) + ", by a part " + count(Deadly::kPart);
   text += ", limits named " + std::to_string(limits_named_);
   text += ", rests asked " + std::to_string(rests_asked_);
   text += ", bound requests " + std::to_string(checked_.bound);
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -46,9 +46,11 @@
   void OnArrival(const std::string& request, const std::string& instance);
   void OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence);
   void OnOverfilled(const std::string& engine);
-  // The request that ends engines begins to run, and ends one.
-  void OnDeadlyRun(const std::string& request);
-  void OnDeadlyEnd();
+  // What ends engines: one request that is repeated, or a part of the prompts of many.
+  enum class Deadly { kRequest, kPart };
+  // Such a request begins to run, and ends an engine.
+  void OnDeadlyRun(Deadly kind, const std::string& request);
+  void OnDeadlyEnd(Deadly kind);
   // The upstream starts in that hall.
   void OnStarted(const std::string& instance, const std::string& hall);
   // The upstream is cold for `cold_ms`, after its start or because its hall was given back.
@@ -170,9 +172,12 @@
   TimeMs busy_at_ = 0;
   int resumed_ = 0;  // Streams that callers took up, and those that went on.
   int went_on_ = 0;
-  int deadly_ends_ = 0;
-  int deadly_late_ = 0;  // Runs from entries in touch, once all must know it.
-  TimeMs third_end_at_ = 0;
+  struct Ends {
+    int count = 0;
+    int late_runs = 0;      // From entries in touch, once all must know of them.
+    TimeMs known_from = 0;  // When enough had ended; 0: not yet.
+  };
+  std::map<Deadly, Ends> ends_;
   std::set<std::string> at_most_once_;
   std::set<std::string> refused_;
   std::map<std::string, std::string> holders_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -43,6 +43,7 @@
       AddCaller("eager" + std::to_string(n), kOrganisations[0], CallerHabit::kEager);
     }
     AddCaller("deadly", kOrganisations[0], CallerHabit::kDeadly);
+    AddCaller("deadly-part", kOrganisations[0], CallerHabit::kDeadlyPart);
   }
 
   // Returns what was broken.
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -18,6 +18,7 @@
 
 constexpr DurationMs kSlowMs = 120;
 constexpr DurationMs kHeldCheckMs = 20;
+constexpr DurationMs kTargetCheckMs = 10;
 
 bool WasReset(tcp::socket& socket) {
   error_code ec;
@@ -35,7 +36,9 @@
       : io_(io),
         target_(std::move(target)),
         way_(std::move(way)),
-        acceptor_(io, tcp::endpoint(asio::ip::make_address(listen.address), listen.port)) {}
+        acceptor_(io, tcp::endpoint(asio::ip::make_address(listen.address), listen.port)),
+        endpoint_(acceptor_.local_endpoint()),
+        listen_timer_(io) {}
 
   // One direction of one connection: read, hold as the path says, write.
   class Pump : public std::enable_shared_from_this<Pump> {
@@ -56,6 +59,7 @@
                              [self = shared_from_this()](error_code ec, std::size_t n) {
                                self->length_ = n;
                                self->ends_ = static_cast<bool>(ec);
+                               self->is_reset_ = ec && ec != asio::error::eof;
                                self->Pass();
                              });
     }
@@ -102,6 +106,10 @@
       was_delayed_ = false;
       // Data that has not arrived is lost when its sender resets the connection.
       if (std::exchange(was_held_, false) && WasReset(*from_)) return ResetSocket(*to_);
+      if (is_reset_) {
+        owner_->RefuseWhileTargetIsDown();
+        return ResetSocket(*to_);
+      }
       error_code ec;
       if (ends_) {
         to_->shutdown(tcp::socket::shutdown_send, ec);
@@ -123,6 +131,7 @@
     std::array<char, 8192> chunk_;
     std::size_t length_ = 0;
     bool ends_ = false;
+    bool is_reset_ = false;
     bool is_back_;
     bool was_held_ = false;
     bool was_delayed_ = false;
@@ -142,7 +151,10 @@
     const Endpoint target = target_();
     far->async_connect(tcp::endpoint(asio::ip::make_address(target.address), target.port),
                        [self = shared_from_this(), near, far](error_code ec) {
-                         if (ec) return ResetSocket(*near);
+                         if (ec) {
+                           self->RefuseWhileTargetIsDown();
+                           return ResetSocket(*near);
+                         }
                          self->sockets_.push_back(near);
                          self->sockets_.push_back(far);
                          const auto origin = std::make_shared<std::string>();
@@ -151,6 +163,46 @@
                        });
   }
 
+  // Whether the target accepts connections; on loopback the answer is immediate.
+  bool IsTargetUp() {
+    const Endpoint target = target_();
+    tcp::socket probe(io_);
+    error_code ec;
+    probe.connect(tcp::endpoint(asio::ip::make_address(target.address), target.port), ec);
+    return !ec;
+  }
+
+  // As the port of a process that has ended.
+  void RefuseWhileTargetIsDown() {
+    if (is_closed_ || !acceptor_.is_open() || IsTargetUp()) return;
+    error_code ec;
+    acceptor_.close(ec);
+    ListenOnceTargetIsUp();
+  }
+
+  void ListenOnceTargetIsUp() {
+    listen_timer_.expires_after(std::chrono::milliseconds(kTargetCheckMs));
+    listen_timer_.async_wait([self = shared_from_this()](error_code timer_ec) {
+      if (timer_ec || self->is_closed_) return;
+      if (!self->IsTargetUp()) return self->ListenOnceTargetIsUp();
+      error_code ec;
+      self->acceptor_.open(self->endpoint_.protocol(), ec);
+      self->acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+      self->acceptor_.bind(self->endpoint_, ec);
+      self->acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+      if (ec) return self->ListenOnceTargetIsUp();
+      self->Accept();
+    });
+  }
+
+  void Close() {
+    is_closed_ = true;
+    listen_timer_.cancel();
+    error_code ec;
+    acceptor_.close(ec);
+    Reset();
+  }
+
   void StartPump(const std::shared_ptr<tcp::socket>& from, const std::shared_ptr<tcp::socket>& to,
                  const std::shared_ptr<std::string>& origin, bool is_back) {
     const auto pump = std::make_shared<Pump>(shared_from_this(), from, to, origin, is_back);
@@ -184,6 +236,9 @@
   std::function<Endpoint()> target_;
   Way way_;
   tcp::acceptor acceptor_;
+  tcp::endpoint endpoint_;
+  asio::steady_timer listen_timer_;
+  bool is_closed_ = false;
   std::vector<std::weak_ptr<tcp::socket>> sockets_;
   std::vector<std::weak_ptr<Pump>> pumps_;
   std::vector<std::shared_ptr<tcp::socket>> dead_;
@@ -195,14 +250,9 @@
     : impl_(std::make_shared<Impl>(io, listen, std::move(target), std::move(way))) {
   impl_->Accept();
 }
-Proxy::~Proxy() {
-  error_code ec;
-  impl_->acceptor_.close(ec);
-  impl_->Reset();
-}
+Proxy::~Proxy() { impl_->Close(); }
 Endpoint Proxy::endpoint() const {
-  const auto local = impl_->acceptor_.local_endpoint();
-  return {local.address().to_string(), local.port()};
+  return {impl_->endpoint_.address().to_string(), impl_->endpoint_.port()};
 }
 void Proxy::Set(PathState state) { impl_->state_ = state; }
 bool Proxy::is_open() const { return impl_->state_ == PathState::kOpen; }
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -22,6 +22,8 @@
 constexpr DurationMs kRestMs = 1500;
 constexpr DurationMs kRecordPeriodMs = 1000;
 constexpr char kVersions[][3] = {"v1", "v2"};
+// The other streams have neither a length nor chunks.
+constexpr int kChunkedPercent = 75;
 constexpr int kLeastEvents = 5;
 constexpr int kMoreEvents = 25;
 
@@ -297,12 +299,8 @@
   judge_.OnRun(id, instance_, may_repeat);
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (request.body == kDeadlyBody) {
-    judge_.OnDeadlyRun(id);
-    return After(kDeadlyRunMs, [this] {
-      judge_.OnDeadlyEnd();
-      restart_at_ = MonotonicMs() + kRestartMs;
-      boost::asio::post(io_, [this] { Crash(); });
-    });
+    judge_.OnDeadlyRun(Judge::Deadly::kRequest, id);
+    return EndByRequest(Judge::Deadly::kRequest);
   }
   if (HarmHappens(misbehaviour.losses)) return peer->Reset();
   const std::string resumed = request.Field("Resumes");
@@ -312,28 +310,43 @@
       kLeastEvents + static_cast<int>(RendezvousScore(stream, "events") % kMoreEvents);
   const std::string last = request.Field("Last-Event-Id");
   const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
+  StreamWay way{stream, count, peer, HarmHappens(misbehaviour.cuts), Happens(kChunkedPercent)};
   peer->Write(Head(id, 200,
                    Notices(id) + "Response-Seal: seal-" + id +
-                       "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
-  Stream(stream, next, count, peer, HarmHappens(misbehaviour.cuts));
+                       "\r\nContent-Type: text/event-stream\r\n" +
+                       (way.is_chunked ? "Transfer-Encoding: chunked\r\n" : "")));
+  if (request.Field("Prompt-Prefix").find(kDeadlyPart) != std::string::npos) {
+    judge_.OnDeadlyRun(Judge::Deadly::kPart, id);
+    EndByRequest(Judge::Deadly::kPart);
+  }
+  Stream(way, next);
+}
+
+// The engine ends soon, and starts again later.
+void Upstream::EndByRequest(Judge::Deadly kind) {
+  After(kDeadlyRunMs, [this, kind] {
+    judge_.OnDeadlyEnd(kind);
+    restart_at_ = MonotonicMs() + kRestartMs;
+    boost::asio::post(io_, [this] { Crash(); });
+  });
 }
 
 // Each event names the version that sent it.
-void Upstream::Stream(const std::string& stream, int next, int count, const Peer& peer,
-                      bool is_cut) {
-  if (peer->IsEnded()) return;
-  if (next > count) return peer->Write("0\r\n\r\n");
-  const std::string event = "id: " + std::to_string(next) + "\ndata: " + stream + " " +
-                            std::to_string(next) + " of " + std::to_string(count) + " by " +
+void Upstream::Stream(const StreamWay& way, int next) {
+  if (way.peer->IsEnded()) return;
+  if (next > way.count) return way.is_chunked ? way.peer->Write("0\r\n\r\n") : way.peer->Close();
+  const std::string event = "id: " + std::to_string(next) + "\ndata: " + way.stream + " " +
+                            std::to_string(next) + " of " + std::to_string(way.count) + " by " +
                             version_ + "\n\n";
-  if (is_cut && next > count / 2) {
-    peer->Write(Chunk(event.substr(0, event.size() / 2)));
-    return peer->Reset();
+  const auto write = [&way](const std::string& text) {
+    way.peer->Write(way.is_chunked ? Chunk(text) : text);
+  };
+  if (way.is_cut && next > way.count / 2) {
+    write(event.substr(0, event.size() / 2));
+    return way.peer->Reset();
   }
-  peer->Write(Chunk(event));
-  After(kEventMs, [this, stream, next, count, peer, is_cut] {
-    Stream(stream, next + 1, count, peer, is_cut);
-  });
+  write(event);
+  After(kEventMs, [this, way, next] { Stream(way, next + 1); });
 }
 
 void Upstream::RunPlain(const SeenRequest& request, const Peer& peer) {
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -21,6 +21,9 @@
 // An engine that begins to run it ends soon after.
 constexpr char kDeadlyBody[] = "ends whoever runs it";
 
+// An engine that begins to answer a request with it ends soon after.
+constexpr char kDeadlyPart[] = "deadly";
+
 // Chances of misbehaviour, in a hundred requests.
 struct Misbehaviour {
   int cuts = 0;     // Closes within the answer.
@@ -78,7 +81,16 @@
             std::int64_t expected);
   void Run(const testing::SeenRequest& request, const Peer& peer);
   void RunPlain(const testing::SeenRequest& request, const Peer& peer);
-  void Stream(const std::string& stream, int next, int count, const Peer& peer, bool is_cut);
+  // A stream's way to the entry, and what becomes of it.
+  struct StreamWay {
+    std::string stream;
+    int count = 0;
+    Peer peer;
+    bool is_cut = false;
+    bool is_chunked = true;  // Otherwise it ends with its connection.
+  };
+  void Stream(const StreamWay& way, int next);
+  void EndByRequest(Judge::Deadly kind);
   bool Holds(const std::string& model) const;
   bool Happens(int percent);
   // As Happens, for what may end the request or its connection.
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -160,6 +160,8 @@
     });
     gateway_.OnUpstreamCrash([this](const UpstreamCrash& end) { ReportCrash(end); });
     gateway_.OnRequestQuarantined([this](const RequestDigest& it) { recorder_->Record(it); });
+    gateway_.OnRequestReleased(
+        [this](const RequestDigest& it) { recorder_->Release(it, [](bool) {}); });
     upstreams_.OnRegained([this] {
       configuration_.Reread();
       quarantine_->Reread();
@@ -308,11 +310,12 @@
 
   // Sends the crash on links that are open already: an agent passes it on to all entries linked to
   // it and writes it to the store. If the upstream's own agent cannot, this entry writes it.
+  // A report without suspects only clears parts, for which no record is kept.
   void ReportCrash(UpstreamCrash end) {
-    end.should_record = true;
+    end.should_record = !end.suspects.empty();
     const std::string ended = QuarantineTable::InstanceOfCrash(end.instance);
-    const bool is_recorded = SendCrash(ended, end);
-    if (!is_recorded) recorder_->Record(end);
+    const bool is_sent = SendCrash(ended, end);
+    if (!is_sent && end.should_record) recorder_->Record(end);
     end.should_record = false;
     std::vector<std::pair<std::uint64_t, std::string>> others;
     for (const auto& instance : links_.OpenInstances()) {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -31,6 +31,9 @@
 // first event plus QuarantineLimits::harmless_after_ms.
 constexpr DurationMs kConcurrentSuspectWaitMs = 500;
 
+// Reports of a crash have arrived, and are judged, within this time.
+constexpr DurationMs kReportsWaitMs = 100;
+
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadGateway = 502;
@@ -185,8 +188,24 @@
 }
 
 QuarantineStatus Exchange::CurrentQuarantineStatus() {
-  if (gateway_.quarantine.IsEmpty()) return QuarantineStatus::kClear;
-  return gateway_.quarantine.StatusOf(Digest(), MonotonicMs());
+  if (!gateway_.HasSuspicions()) return QuarantineStatus::kClear;
+  const TimeMs now = MonotonicMs();
+  const QuarantineTable& quarantine = gateway_.quarantine;
+  const bool has_refused_part =
+      std::any_of(parts_.begin(), parts_.end(),
+                  [&](const RequestDigest& it) { return quarantine.IsRefused(it, now); });
+  if (has_refused_part) return QuarantineStatus::kRefused;
+  const auto status =
+      quarantine.IsEmpty() ? QuarantineStatus::kClear : quarantine.StatusOf(Digest(), now);
+  if (status != QuarantineStatus::kClear) return status;
+  const bool is_suspected = !gateway_.prompt_parts.Suspected(parts_, now).empty();
+  return is_suspected ? QuarantineStatus::kSuspect : QuarantineStatus::kClear;
+}
+
+// Requests with a suspected prompt part are told apart by that part, as no two need be alike.
+RequestDigest Exchange::IsolationKey() {
+  const auto suspected = gateway_.prompt_parts.Suspected(parts_, MonotonicMs());
+  return suspected.empty() ? Digest() : suspected.front();
 }
 
 bool Exchange::IsSuspect() { return CurrentQuarantineStatus() != QuarantineStatus::kClear; }
@@ -196,7 +215,9 @@
   const bool is_harmless =
       has_event && now - attempt_first_event_at_ >= QuarantineLimits().harmless_after_ms;
   if (is_harmless) return std::nullopt;
-  return Suspect{Digest(), has_event, is_isolated_suspect_, parts_};
+  auto parts = gateway_.prompt_parts.WithoutSound(parts_, now);
+  const bool has_sound_part = parts.size() < parts_.size();
+  return Suspect{Digest(), has_event, is_isolated_suspect_, std::move(parts), has_sound_part};
 }
 
 // Refuses at once and without Retry-After, as a retry would not help. Not a 4xx status, as the
@@ -214,10 +235,15 @@
   gateway_.quarantine.Clear(*digest_, MonotonicMs());
   if (!is_isolated_suspect_) return;
   is_isolated_suspect_ = false;
-  gateway_.suspect_isolation.Release(instance_, *digest_);
+  gateway_.suspect_isolation.Release(instance_, isolation_key_);
   gateway_.RetrySuspects();
 }
 
+void Exchange::AddSoundParts() {
+  if (std::exchange(has_sound_parts_, true)) return;
+  gateway_.AddSoundParts(parts_);
+}
+
 PickResult Exchange::ChooseUpstream(TimeMs now) {
   PickRequest request;
   request.service = service_;
@@ -227,17 +253,21 @@
   request.tried = tried_instances_;
   request.allowed_regions = AllowedRegionsNow();
   request.software_version = bound_version();
-  if (!gateway_.quarantine.IsEmpty()) {
-    const bool is_suspect = IsSuspect();
-    // One attempt at a time, as callers may send the same request several times at once.
-    const auto other_try =
-        is_suspect && model_ ? gateway_.suspect_isolation.Find(Digest()) : std::nullopt;
+  const bool is_suspect = gateway_.HasSuspicions() && IsSuspect();
+  if (is_suspect) {
+    const RequestDigest key = IsolationKey();
+    // One attempt at a time, as callers may send such requests several times at once.
+    const auto other_try = model_ ? gateway_.suspect_isolation.Find(key) : std::nullopt;
     if (other_try) return WaitFor{*other_try, kConcurrentSuspectWaitMs, "alone", 0};
-    auto& besides = is_suspect ? request.occupied : request.risky;
-    besides = is_suspect ? gateway_.suspect_isolation.OccupiedByOthers(Digest())
-                         : gateway_.suspect_isolation.Occupied();
+    request.occupied = gateway_.suspect_isolation.OccupiedByOthers(key);
+  } else {
+    request.risky = gateway_.suspect_isolation.Occupied();
   }
   PickResult pick = gateway_.upstreams.Choose(request, now);
+  const auto* to = std::get_if<SendTo>(&pick);
+  const bool must_wait =
+      is_suspect && model_ && to != nullptr && gateway_.prompt_parts.AwaitsReports(parts_, now);
+  if (must_wait) return WaitFor{to->instance, kReportsWaitMs, "alone", 0};
   const auto* none = std::get_if<NoUpstream>(&pick);
   upstream_opens_in_ms_ = none == nullptr ? 0 : none->retry_after_ms;
   return pick;
@@ -319,7 +349,10 @@
   gateway_.upstreams.OnSent(instance, model_, attempt_started_at_);
   gateway_.crash_detector.OnAttemptBegun(instance, this);
   attempt_first_event_at_ = 0;
-  is_isolated_suspect_ = IsSuspect() && gateway_.suspect_isolation.Reserve(instance, Digest());
+  if (IsSuspect()) {
+    isolation_key_ = IsolationKey();
+    is_isolated_suspect_ = gateway_.suspect_isolation.Reserve(instance, isolation_key_);
+  }
   UpstreamMessage message;
   message.head = BuildRequestHead(*upstream);
   message.body = request_.body;
@@ -415,10 +448,11 @@
   gateway_.upstreams.OnAttemptEnd(instance_, model_, end, now);
   gateway_.crash_detector.OnAttemptOver(instance_, this);
   if (std::exchange(is_isolated_suspect_, false)) {
-    gateway_.suspect_isolation.Release(instance_, Digest());
+    gateway_.suspect_isolation.Release(instance_, isolation_key_);
     gateway_.RetrySuspects();
   }
   call_ = nullptr;
+  is_confirming_end_ = false;
 }
 
 void Exchange::LogAttempt(Execution ran, std::string_view reason) const {
@@ -496,12 +530,15 @@
          0);
 }
 
+void Exchange::CancelAttempt(AttemptOutcome end) {
+  if (!call_ && !is_confirming_end_) return;
+  if (call_) call_->Cancel();
+  EndAttempt(end);
+}
+
 void Exchange::OnCallerDisconnected() {
   if (is_finished_) return;
-  if (call_) {
-    call_->Cancel();
-    EndAttempt(AttemptOutcome::kCallerLeft);
-  }
+  CancelAttempt(AttemptOutcome::kCallerLeft);
   Finish("cancelled", 0);
 }
 
@@ -515,10 +552,7 @@
 
 void Exchange::OnStop() {
   if (is_finished_) return;
-  if (call_) {
-    call_->Cancel();
-    EndAttempt(AttemptOutcome::kCallerLeft);
-  }
+  CancelAttempt(AttemptOutcome::kCallerLeft);
   GiveUp(ExecutionSoFar(), "the entry is shutting down");
 }
 
@@ -551,10 +585,7 @@
 void Exchange::OnTimer() {
   const TimeMs now = MonotonicMs();
   if (now >= deadline_at_) {
-    if (call_) {
-      call_->Cancel();
-      EndAttempt(AttemptOutcome::kTimedOut);
-    }
+    CancelAttempt(AttemptOutcome::kTimedOut);
     return GiveUp(ExecutionSoFar(), "no response before the deadline");
   }
   if (is_waiting_for_model_ && now >= wait_deadline_at_ &&
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -124,7 +124,14 @@
   const RequestDigest& Digest();
   QuarantineStatus CurrentQuarantineStatus();
   void RefuseQuarantined();
+  RequestDigest IsolationKey();
   void ClearSuspicion();
+  void AddSoundParts();
+  void ConfirmEnd();
+  void OnEndConfirmed(PortState state);
+  void OnBrokenOff(std::string_view reason);
+  void CompleteResponse();
+  void CancelAttempt(AttemptOutcome end);
   void SendRequest(const std::string& instance);
   void WaitForModel(const WaitFor& wait);
   std::string BuildRequestHead(const UpstreamRecord& upstream) const;
@@ -188,6 +195,9 @@
   std::optional<RequestDigest> digest_;  // Computed on first use.
   std::vector<RequestDigest> parts_;     // Of the prompt, that other requests may share.
   bool is_isolated_suspect_ = false;     // Sent as the only suspect at its upstream.
+  RequestDigest isolation_key_;          // Under which it was.
+  bool has_sound_parts_ = false;         // Its answer has shown that its parts are sound.
+  bool is_confirming_end_ = false;       // Whether the upstream lives, whose response has ended.
   TimeMs attempt_first_event_at_ = 0;    // 0: no event yet.
   TimeMs last_activity_at_ = 0;          // Of the upstream; the silence timeout counts from here.
   // Age of the upstream list at the last attempt; -1: no attempt, or unknown.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr DurationMs kMinRetryAfterMs = 200;
+// A request whose answer has gone on for this long does not crash upstreams with what it holds.
+// Slow upstreams take several times as long as others until they crash.
+constexpr DurationMs kSoundAfterMs = 1500;
+// Within a region a port responds within a few milliseconds.
+constexpr DurationMs kConfirmEndMs = 400;
 
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirectedRequest = 421;
@@ -109,6 +114,7 @@
   const bool is_harmless =
       last_event_at_ - attempt_first_event_at_ >= QuarantineLimits().harmless_after_ms;
   if (is_isolated_suspect_ && is_harmless) ClearSuspicion();
+  if (last_event_at_ - attempt_first_event_at_ >= kSoundAfterMs) AddSoundParts();
 }
 
 void Exchange::RecordEventPause() {
@@ -133,12 +139,47 @@
   call_ = nullptr;
   is_ended_by_close_ = end == ResponseEnd::kClosed;
   if (is_ended_by_close_) ++gateway_.counters.responses_ended_by_close;
+  if (is_event_stream_ && !events_.partial_event().empty()) {
+    return OnBrokenOff("the stream ended within an event");
+  }
+  if (is_ended_by_close_) return ConfirmEnd();
+  CompleteResponse();
+}
+
+// An upstream that crashes closes its connections too, and the response would look complete. One
+// that leaves may end once it has answered.
+void Exchange::ConfirmEnd() {
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
+  const bool may_end = upstream == nullptr || !gateway_.upstreams.IsListed(instance_);
+  if (may_end) return CompleteResponse();
+  is_confirming_end_ = true;
+  LookAtPort(gateway_.io, upstream->endpoint, kConfirmEndMs,
+             [self = weak_from_this()](PortState state) {
+               const auto exchange = self.lock();
+               if (exchange && exchange->is_confirming_end_) exchange->OnEndConfirmed(state);
+             });
+}
+
+void Exchange::OnEndConfirmed(PortState state) {
+  if (state == PortState::kRefused) return OnBrokenOff("the upstream ended with the response");
+  is_confirming_end_ = false;
+  CompleteResponse();
+}
+
+void Exchange::OnBrokenOff(std::string_view reason) {
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
+  if (upstream != nullptr && gateway_.upstreams.IsListed(instance_)) {
+    gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, attempt_started_at_,
+                                               MonotonicMs());
+  }
+  EndAttempt(AttemptOutcome::kFailed);
+  AfterAttempt(Execution::kMayHaveRun, true, reason);
+}
+
+void Exchange::CompleteResponse() {
   ClearSuspicion();
+  if (response_head_->status / 100 == 2) AddSoundParts();
   if (!is_event_stream_) return RelayResponse();
-  if (!events_.partial_event().empty()) {
-    EndAttempt(AttemptOutcome::kFailed);
-    return AfterAttempt(Execution::kMayHaveRun, true, "the stream ended within an event");
-  }
   EndAttempt(AttemptOutcome::kServed);
   const auto sink = sink_.lock();
   if (!sink) return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -76,6 +76,7 @@
       upstreams(options.routing),
       retry_budget(options.retry_budget),
       pool(io, options.header_names.request_id),
+      judge_timer(io),
       crash_detector(io, quarantine,
                      [this](const UpstreamCrash& crash, std::string_view evidence) {
                        OnUpstreamCrashed(crash, evidence);
@@ -129,6 +130,8 @@
     self->RetryWaiting();
     self->crash_detector.Expire(now);
     self->quarantine.Expire(now);
+    self->prompt_parts.Expire(now);
+    self->JudgeParts();
     self->ReportQuarantined();
     self->ApplyLimitChanges();
     self->quotas.SetEntryCount(self->upstreams.CountEntries(now), now);
@@ -318,17 +321,64 @@
              {"count", static_cast<std::int64_t>(crash.suspects.size())},
              {"suspects", suspects},
              {"parts", parts}});
-  quarantine.Add(crash, MonotonicMs());
+  const TimeMs now = MonotonicMs();
+  quarantine.Add(crash, now);
+  prompt_parts.Add(crash, now);
   ReportQuarantined();
-  if (on_upstream_crash) on_upstream_crash(crash);
+  JudgePartsSoon();
+  UpstreamCrash report = crash;
+  report.sound_parts = prompt_parts.TakeSoundParts(crash.instance, now);
+  if (on_upstream_crash) on_upstream_crash(report);
   RetrySuspects();
 }
 
 void Gateway::Impl::AddUpstreamCrash(const UpstreamCrash& crash) {
   const TimeMs now = MonotonicMs();
   crash_detector.OnCrashReported(crash, now);
-  if (!quarantine.Add(crash, now)) return;
+  const bool is_news = quarantine.Add(crash, now);
+  prompt_parts.Add(crash, now);
+  // What this entry has seen answered clears parts at the entries that have not.
+  const auto sound = prompt_parts.TakeSoundParts(crash.instance, now);
+  if (!sound.empty() && on_upstream_crash) {
+    on_upstream_crash({crash.instance, crash.age_ms, {}, sound, false});
+  }
+  if (!is_news) return;
   ReportQuarantined();
+  JudgePartsSoon();
+  RetrySuspects();
+}
+
+void Gateway::Impl::JudgePartsSoon() {
+  judge_timer.After(PromptPartLimits().report_window_ms, [self = shared_from_this()] {
+    self->JudgeParts();
+    self->RetrySuspects();
+  });
+}
+
+void Gateway::Impl::JudgeParts() {
+  if (!prompt_parts.HasCrashes()) return;
+  const TimeMs now = MonotonicMs();
+  const auto found = prompt_parts.Judge(now);
+  for (const auto& it : found) {
+    const auto n = static_cast<int>(it.crashes.size());
+    log.Write(now, "prompt_part_quarantined",
+              {{"digest", it.part.ToString()}, {"ends", std::int64_t{n}}});
+    quarantine.RefusePart(it.part, n, now);
+    for (const auto& crash : it.crashes) quarantine.Explain(crash);
+  }
+  if (!found.empty()) ReportQuarantined();
+}
+
+void Gateway::Impl::AddSoundParts(const std::vector<RequestDigest>& parts) {
+  if (parts.empty()) return;
+  const TimeMs now = MonotonicMs();
+  prompt_parts.AddSound(parts, now);
+  if (!HasSuspicions()) return;
+  for (const auto& it : parts) {
+    if (!quarantine.Release(it, now)) continue;
+    log.Write(now, "prompt_part_released", {{"digest", it.ToString()}});
+    if (on_request_released) on_request_released(it);
+  }
   RetrySuspects();
 }
 
@@ -611,6 +661,9 @@
   impl_->quarantine.Refuse(digest, MonotonicMs());
   impl_->RetrySuspects();
 }
+void Gateway::OnRequestReleased(std::function<void(const RequestDigest&)> call) {
+  impl_->on_request_released = std::move(call);
+}
 bool Gateway::ReleaseRequest(const RequestDigest& digest) {
   return impl_->quarantine.Release(digest, MonotonicMs());
 }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -77,6 +77,11 @@
   void OnUpstreamCrashed(const UpstreamCrash& crash, std::string_view evidence);
   void AddUpstreamCrash(const UpstreamCrash& crash);
   void ReportQuarantined();
+  // Refuses prompt parts that are found to crash upstreams, now and once all reports have arrived.
+  void JudgeParts();
+  void JudgePartsSoon();
+  bool HasSuspicions() const { return !quarantine.IsEmpty() || prompt_parts.HasCrashes(); }
+  void AddSoundParts(const std::vector<RequestDigest>& parts);
   // Retries waiting suspects: an upstream without another suspect may be available, or they may be
   // refused now.
   void RetrySuspects();
@@ -98,6 +103,8 @@
   RetryBudget retry_budget;
   internal::UpstreamPool pool;
   QuarantineTable quarantine;
+  PromptPartTable prompt_parts;
+  Timer judge_timer;
   SuspectIsolation suspect_isolation;
   internal::CrashDetector crash_detector;
   StreamOriginTable stream_origins;
@@ -123,6 +130,7 @@
   std::function<void(const std::string& instance)> on_new_demand;
   std::function<void(const UpstreamCrash&)> on_upstream_crash;
   std::function<void(const RequestDigest&)> on_request_quarantined;
+  std::function<void(const RequestDigest&)> on_request_released;
   bool is_stopping = false;
   TimeMs stop_started_at = 0;
   TimeMs stop_deadline = 0;
--- a/src/quarantine/crash_messages.cc
+++ b/src/quarantine/crash_messages.cc
@@ -15,12 +15,37 @@
     "\xa1\x63"
     "end";
 
+// A suspect of an older version, or one without parts, has fewer fields.
+constexpr std::size_t kPartsField = 3;
+
+json ToJson(const std::vector<RequestDigest>& digests) {
+  json list = json::array();
+  for (const auto& it : digests) list.push_back(it.ToString());
+  return list;
+}
+
 json ToJson(const UpstreamCrash& crash) {
   json suspects = json::array();
   for (const auto& it : crash.suspects) {
-    suspects.push_back({it.digest.ToString(), it.has_sent_event, it.was_isolated});
+    json fields = {it.digest.ToString(), it.has_sent_event, it.was_isolated};
+    if (!it.parts.empty()) {
+      fields.push_back(ToJson(it.parts));
+      fields.push_back(it.has_sound_part);
+    }
+    suspects.push_back(std::move(fields));
+  }
+  json content = {{"i", crash.instance}, {"s", suspects}};
+  if (!crash.sound_parts.empty()) content["p"] = ToJson(crash.sound_parts);
+  return content;
+}
+
+bool ReadDigests(const json& list, std::vector<RequestDigest>* digests) {
+  for (const auto& it : list) {
+    const auto digest = RequestDigest::Parse(it.get<std::string>());
+    if (!digest) return false;
+    digests->push_back(*digest);
   }
-  return {{"i", crash.instance}, {"s", suspects}};
+  return true;
 }
 
 // Throws json::exception if a field is missing or has the wrong type.
@@ -29,8 +54,14 @@
   for (const auto& suspect : it.at("s")) {
     const auto digest = RequestDigest::Parse(suspect.at(0).get<std::string>());
     if (!digest) return false;
-    crash->suspects.push_back({*digest, suspect.at(1).get<bool>(), suspect.at(2).get<bool>()});
+    crash->suspects.push_back(
+        {*digest, suspect.at(1).get<bool>(), suspect.at(2).get<bool>(), {}, false});
+    if (suspect.size() <= kPartsField) continue;
+    if (!ReadDigests(suspect.at(kPartsField), &crash->suspects.back().parts)) return false;
+    crash->suspects.back().has_sound_part = suspect.at(kPartsField + 1).get<bool>();
   }
+  const auto sound = it.find("p");
+  if (sound != it.end() && !ReadDigests(*sound, &crash->sound_parts)) return false;
   return !crash->instance.empty();
 }
 
--- a/src/quarantine/quarantine_table.cc
+++ b/src/quarantine/quarantine_table.cc
@@ -37,7 +37,7 @@
 bool QuarantineTable::AddCrash(const UpstreamCrash& crash, bool is_pending, TimeMs now) {
   const TimeMs crashed_at = now - std::max<DurationMs>(0, crash.age_ms);
   if (now - crashed_at >= limits_.suspicion_ttl_ms) return false;
-  const auto [it, is_new] = crashes_.emplace(crash.instance, Crash{crashed_at, is_pending, {}});
+  const auto [it, is_new] = crashes_.emplace(crash.instance, Crash{crashed_at, is_pending, {}, {}});
   Crash& known = it->second;
   if (is_new) crash_order_.push_back(crash.instance);
   bool is_new_information = known.is_pending && !is_pending;
@@ -51,6 +51,13 @@
     known.suspects.push_back(suspect);
     is_new_information = true;
   }
+  for (const auto& part : crash.sound_parts) {
+    auto& sound = known.sound_parts;
+    if (std::find(sound.begin(), sound.end(), part) != sound.end()) continue;
+    if (sound.size() >= limits_.max_suspects) break;
+    sound.push_back(part);
+    is_new_information = true;
+  }
   for (const auto& suspect : known.suspects) {
     auto& evidence = evidence_[suspect.digest];
     auto item = std::find_if(evidence.begin(), evidence.end(), [&](const Evidence& other) {
@@ -155,6 +162,18 @@
   refused_.emplace(digest, Refusal{digest, now, 0});
 }
 
+void QuarantineTable::RefusePart(const RequestDigest& part, int crashes, TimeMs now) {
+  if (refused_.count(part) > 0) return;
+  Refuse(part, now);
+  refused_[part].crashes = crashes;
+  newly_refused_.push_back(part);
+}
+
+bool QuarantineTable::IsRefused(const RequestDigest& digest, TimeMs now) const {
+  const auto it = refused_.find(digest);
+  return it != refused_.end() && now - it->second.since < limits_.refusal_ttl_ms;
+}
+
 bool QuarantineTable::Release(const RequestDigest& digest, TimeMs now) {
   if (refused_.erase(digest) == 0) return false;
   // One crash is kept on record, so that the request is isolated and the next crash refuses it.
@@ -182,10 +201,7 @@
 }
 
 QuarantineStatus QuarantineTable::StatusOf(const RequestDigest& digest, TimeMs now) const {
-  const auto refused = refused_.find(digest);
-  if (refused != refused_.end() && now - refused->second.since < limits_.refusal_ttl_ms) {
-    return QuarantineStatus::kRefused;
-  }
+  if (IsRefused(digest, now)) return QuarantineStatus::kRefused;
   const auto it = evidence_.find(digest);
   if (it == evidence_.end()) return QuarantineStatus::kClear;
   const auto& evidence = it->second;
@@ -227,7 +243,8 @@
 std::optional<UpstreamCrash> QuarantineTable::Find(const std::string& instance, TimeMs now) const {
   const auto it = crashes_.find(instance);
   if (it == crashes_.end() || it->second.is_pending) return std::nullopt;
-  return UpstreamCrash{instance, now - it->second.crashed_at, it->second.suspects, false};
+  const Crash& crash = it->second;
+  return UpstreamCrash{instance, now - crash.crashed_at, crash.suspects, crash.sound_parts, false};
 }
 
 std::vector<RequestDigest> QuarantineTable::TakeNewRefusals() {
--- a/test/prompt_parts_test.cc
+++ b/test/prompt_parts_test.cc
@@ -290,4 +290,53 @@
   }
 }
 
+// Guards against a crash that is taken for the end of the response which caused it, and clears it.
+TEST(PromptParts, ThatCrashUpstreamsAreRefusedIfResponsesEndWithTheirConnection) {
+  World world(6, Framing::kClose);
+  for (int n = 0; n < 3; ++n) world.AddEntry();
+  for (std::size_t n = 0; n < 9; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
+  Attack attack(&world);
+  attack.Run(8000);
+  EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
+                                               std::to_string(world.late_runs) + "; " +
+                                               std::to_string(world.crashes) + " crashes");
+  for (const auto& it : attack.crashing) {
+    EXPECT_TRUE(!HasText(it->received(), "\r\n0\r\n\r\n"),
+                "a stream that a crash cut off looks complete: " + it->received());
+  }
+  const int all = static_cast<int>(attack.last_sound.size());
+  const int whole = Attack::CountWhole(attack.last_sound);
+  EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
+                                         std::to_string(whole) + " of " + std::to_string(all));
+}
+
+// Guards against a shared first part that is refused as no entry has seen it answered yet.
+TEST(PromptParts, ThatNoEntryHasSeenAnsweredAreToldApart) {
+  World world(6);
+  for (int n = 0; n < 3; ++n) world.AddEntry();
+  Attack attack(&world);
+  attack.Run(8000);
+  EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
+                                               std::to_string(world.late_runs) + "; " +
+                                               std::to_string(world.crashes) + " crashes");
+  const int all = static_cast<int>(attack.last_sound.size());
+  const int whole = Attack::CountWhole(attack.last_sound);
+  EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
+                                         std::to_string(whole) + " of " + std::to_string(all));
+}
+
+// Guards against an entry that starts later, or is told by the store alone, and tries again.
+TEST(PromptParts, ThatCrashUpstreamsAreRefusedByAnEntryThatStartsLater) {
+  World world(6);
+  for (int n = 0; n < 2; ++n) world.AddEntry();
+  for (std::size_t n = 0; n < 6; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
+  Attack attack(&world);
+  attack.Run(2000);
+  const int crashes = world.crashes;
+  world.AddEntry();
+  const std::string answer = world.Call(2, kCrashing);
+  EXPECT_TRUE(HasText(answer, "ends_upstreams"), answer);
+  EXPECT_NUMBER(crashes, world.crashes, "no further crash");
+}
+
 }  // namespace junctionrail::internal
