Tests: what the tests with whole fleets share stands once

DirectFleet has the stand-in store, the agents, the entries and their settings; StreamVersions and PromptParts say what their engines do. Both groups pass as before, 9 and 4 tests.

--- a/test/prompt_parts_test.cc
+++ b/test/prompt_parts_test.cc
@@ -8,23 +8,22 @@
 // failed before this was fixed.
 #include <boost/asio/post.hpp>
 #include <map>
+#include <set>
 
 #include "check.h"
-#include "direct_daemon.h"
-#include "junctionrail/net.h"
+#include "direct_fleet.h"
 #include "loopback.h"
 #include "platform_standin.h"
 
 namespace junctionrail::internal {
 namespace {
 
-using testing::OwnAddress;
+using testing::Chunk;
+using testing::DirectFleet;
+using testing::HasText;
 using testing::RunFor;
-using testing::RunUntil;
 using testing::ScriptedUpstream;
 using testing::SeenRequest;
-using testing::SilentLog;
-using testing::StandinStore;
 using testing::TestCaller;
 using Peer = std::shared_ptr<testing::UpstreamPeer>;
 
@@ -34,7 +33,6 @@
 constexpr DurationMs kEventMs = 15;
 constexpr int kEvents = 4;
 constexpr DurationMs kRestartMs = 600;
-constexpr DurationMs kStartupMs = 700;
 // By then all entries know of a crash.
 constexpr DurationMs kKnownMs = 3000;
 // The users' rule: from kKnownMs after so many crashes on, at most three requests with the part are
@@ -50,76 +48,37 @@
    "diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0,"warmS":0.5,
    "diskS":0.8}]}}]})";
 
-constexpr char kReport[] =
-    R"({"models":[{"name":"m1","version":1,"adapters":[]}],"busyCount":false,"sequence":0,
-        "waiting":0,"running":0,"kvUsed":0,"kvTotal":9})";
-
-bool HasText(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 // How an engine frames its streams.
 enum class Framing { kChunks, kClose };
 
 // Engines that have the model loaded, each with an agent, and crash when they begin to answer a
 // request with kCrashingPart; and the entries that a test adds.
-struct World {
+struct World : DirectFleet {
   explicit World(int engine_count, Framing engine_framing = Framing::kChunks)
-      : framing(engine_framing) {
+      : DirectFleet(kPort, kLinkPort), framing(engine_framing) {
     store.Put("op/config", kConfiguration);
-    for (int n = 0; n < engine_count; ++n) AddEngine(n);
-  }
-
-  ~World() {
-    for (auto& it : entries) it->Stop();
-    for (auto& it : agents) it->Stop();
-    RunFor(io, 50);
-  }
-
-  Settings BaseSettings(Role role, const std::string& id) const {
-    Settings settings;
-    settings.role = role;
-    settings.id = id;
-    settings.data_hall = "hall-1";
-    settings.drain_ms = 0;
-    settings.direct.emplace();
-    settings.direct->store = store.endpoint();
-    return settings;
-  }
-
-  void AddEngine(int n) {
-    StartEngine(n);
-    const Endpoint endpoint{OwnAddress(10 + n), kPort};
-    Settings settings = BaseSettings(Role::kAgent, "agent-" + std::to_string(n));
-    settings.direct->metrics = {endpoint.address, kPort + 1};
-    settings.direct->link = {endpoint.address, kLinkPort};
-    settings.direct->upstream = endpoint;
-    agents.push_back(std::make_unique<DirectAgent>(io, settings, SilentLog()));
-    const auto error = agents.back()->Start();
-    EXPECT_TRUE(!error, error ? error->sentence : "");
+    for (int n = 0; n < engine_count; ++n) {
+      StartEngine(n);
+      AddAgent(static_cast<std::size_t>(n));
+    }
   }
+  ~World() override { Stop(); }
 
   // Starts a new instance at the same address.
   void StartEngine(int n) {
-    const Endpoint endpoint{OwnAddress(10 + n), kPort};
     const auto index = static_cast<std::size_t>(n);
     if (index >= engines.size()) engines.resize(index + 1);
     engines[index] = std::make_unique<ScriptedUpstream>(
-        io, [this, n](const SeenRequest& it, const Peer& peer) { Handle(n, it, peer); }, endpoint);
+        io, [this, n](const SeenRequest& it, const Peer& peer) { Handle(n, it, peer); },
+        EngineAddress(index));
     const std::string instance = "i-" + std::to_string(n) + "-" + std::to_string(++starts);
     const std::string old = std::exchange(instances[n], instance);
     if (!old.empty()) store.Remove("servers/" + old);
-    store.Put("servers/" + instance,
-              R"({"service":"s1","address":")" + endpoint.ToString() +
-                  R"(","zone":"hall-1","slots":64,"state":"ready","models":[{"name":"m1",
-                  "version":1,"adapters":[]}]})");
+    PutRecord(instance, index, "s1", "v1");
   }
 
   void Handle(int n, const SeenRequest& request, const Peer& peer) {
-    if (request.Line() == "GET /report HTTP/1.1") {
-      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                         std::to_string(sizeof(kReport) - 1) + "\r\n\r\n" + kReport);
-    }
+    if (AnswerReport(request, peer)) return;
     const bool is_crashing = HasText(request.Field("Prompt-Prefix"), kCrashingPart);
     if (is_crashing && crashes >= kCrashesToKnow && MonotonicMs() - fifth_crash_at > kKnownMs) {
       ++late_runs;
@@ -141,9 +100,7 @@
       return Crash(n, instances[n]);
     }
     const std::string event = "id: " + std::to_string(next) + "\ndata: x\n\n";
-    char size[16];
-    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-    peer->Write(is_chunked ? size + event + "\r\n" : event);
+    peer->Write(is_chunked ? Chunk(event) : event);
     After(kEventMs, [this, n, next, is_crashing, peer] { Stream(n, next + 1, is_crashing, peer); });
   }
 
@@ -156,31 +113,6 @@
     After(kRestartMs, [this, n] { StartEngine(n); });
   }
 
-  void After(DurationMs delay, std::function<void()> call) {
-    timers.push_back(std::make_unique<Timer>(io));
-    timers.back()->After(delay, std::move(call));
-  }
-
-  Endpoint EntryAddress(std::size_t n) const {
-    return {OwnAddress(60 + static_cast<int>(n)), kPort};
-  }
-
-  // Returns when the entry has a configuration, and views of the engines.
-  void AddEntry() {
-    const Endpoint callers = EntryAddress(entries.size());
-    Settings settings = BaseSettings(Role::kEntry, "entry-" + std::to_string(entries.size()));
-    settings.direct->callers = callers;
-    settings.direct->metrics = {callers.address, kPort + 1};
-    settings.direct->health = {callers.address, kPort + 2};
-    settings.direct->peer = {callers.address, kPort + 3};
-    settings.direct->link_port = kLinkPort;
-    settings.direct->retry_extra = 1000;
-    entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
-    const auto error = entries.back()->Start();
-    EXPECT_TRUE(!error, error ? error->sentence : "");
-    RunFor(io, kStartupMs);
-  }
-
   // Sends a request whose prompt has these parts before its own; no two requests are alike.
   std::unique_ptr<TestCaller> Send(std::size_t entry, const std::string& parts) {
     const std::string id = "r" + std::to_string(++requests);
@@ -198,14 +130,9 @@
     return caller->received();
   }
 
-  boost::asio::io_context io;
-  StandinStore store{io};
   Framing framing;
   std::map<int, std::string> instances;
-  std::vector<std::unique_ptr<Timer>> timers;
   std::vector<std::unique_ptr<ScriptedUpstream>> engines;
-  std::vector<std::unique_ptr<DirectAgent>> agents;
-  std::vector<std::unique_ptr<DirectEntry>> entries;
   std::set<std::string> crashed_instances;
   int starts = 0;
   int requests = 0;
@@ -247,6 +174,20 @@
     }
   }
 
+  void ExpectFewLateRuns() const {
+    EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
+                                                 std::to_string(world.late_runs) + "; " +
+                                                 std::to_string(world.crashes) + " crashes");
+  }
+
+  // Of the sound requests of the last seconds, 9 in 10.
+  void ExpectSoundServed() const {
+    const int all = static_cast<int>(last_sound.size());
+    const int whole = CountWhole(last_sound);
+    EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
+                                           std::to_string(whole) + " of " + std::to_string(all));
+  }
+
   static int CountWhole(const std::vector<std::unique_ptr<TestCaller>>& callers) {
     int n = 0;
     for (const auto& it : callers) n += IsWhole(it->received()) ? 1 : 0;
@@ -274,15 +215,10 @@
   for (std::size_t n = 0; n < 9; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
   Attack attack(&world);
   attack.Run(8000);
-  EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
-                                               std::to_string(world.late_runs) + "; " +
-                                               std::to_string(world.crashes) + " crashes");
+  attack.ExpectFewLateRuns();
   EXPECT_TRUE(HasText(attack.crashing.back()->received(), "ends_upstreams"),
               attack.crashing.back()->received());
-  const int all = static_cast<int>(attack.last_sound.size());
-  const int whole = Attack::CountWhole(attack.last_sound);
-  EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
-                                         std::to_string(whole) + " of " + std::to_string(all));
+  attack.ExpectSoundServed();
   for (const auto* callers : {&attack.first_sound, &attack.last_sound}) {
     for (const auto& it : *callers) {
       EXPECT_TRUE(!HasText(it->received(), "ends_upstreams"), "a sound request is refused");
@@ -297,17 +233,12 @@
   for (std::size_t n = 0; n < 9; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
   Attack attack(&world);
   attack.Run(8000);
-  EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
-                                               std::to_string(world.late_runs) + "; " +
-                                               std::to_string(world.crashes) + " crashes");
+  attack.ExpectFewLateRuns();
   for (const auto& it : attack.crashing) {
     EXPECT_TRUE(!HasText(it->received(), "\r\n0\r\n\r\n"),
                 "a stream that a crash cut off looks complete: " + it->received());
   }
-  const int all = static_cast<int>(attack.last_sound.size());
-  const int whole = Attack::CountWhole(attack.last_sound);
-  EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
-                                         std::to_string(whole) + " of " + std::to_string(all));
+  attack.ExpectSoundServed();
 }
 
 // Guards against a shared first part that is refused as no entry has seen it answered yet.
@@ -316,13 +247,8 @@
   for (int n = 0; n < 3; ++n) world.AddEntry();
   Attack attack(&world);
   attack.Run(8000);
-  EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
-                                               std::to_string(world.late_runs) + "; " +
-                                               std::to_string(world.crashes) + " crashes");
-  const int all = static_cast<int>(attack.last_sound.size());
-  const int whole = Attack::CountWhole(attack.last_sound);
-  EXPECT_TRUE(whole >= all * 9 / 10, "expected 9 in 10 sound requests to be served, got " +
-                                         std::to_string(whole) + " of " + std::to_string(all));
+  attack.ExpectFewLateRuns();
+  attack.ExpectSoundServed();
 }
 
 // Guards against an entry that starts later, or is told by the store alone, and tries again.
--- a/test/stream_versions_test.cc
+++ b/test/stream_versions_test.cc
@@ -6,23 +6,20 @@
 // An entry did not read the version of an upstream's software, chose any upstream for a stream that
 // goes on, within a response too, and nothing told it where another entry's stream had begun.
 // The tests below failed before this was fixed.
-#include <boost/asio/post.hpp>
-
 #include "check.h"
-#include "direct_daemon.h"
-#include "junctionrail/net.h"
+#include "direct_fleet.h"
 #include "loopback.h"
 #include "platform_standin.h"
 
 namespace junctionrail::internal {
 namespace {
 
-using testing::OwnAddress;
+using testing::Chunk;
+using testing::DirectFleet;
+using testing::HasText;
 using testing::RunFor;
-using testing::RunUntil;
 using testing::ScriptedUpstream;
 using testing::SeenRequest;
-using testing::SilentLog;
 using testing::StandinStore;
 using testing::TestCaller;
 using Peer = std::shared_ptr<testing::UpstreamPeer>;
@@ -46,22 +43,6 @@
          target + R"(,"maxAttempts":3,"resumable":true}],)" + kServices;
 }
 
-constexpr char kReport[] =
-    R"({"models":[{"name":"m1","version":1,"adapters":[]}],"busyCount":false,"sequence":0,
-        "waiting":0,"running":0,"kvUsed":0,"kvTotal":9})";
-
-bool HasText(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-std::string Chunk(const std::string& text) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx", text.size());
-  return std::string(size) + "\r\n" + text + "\r\n";
-}
-
-// How long a wait may take in which nothing is expected to go wrong.
-constexpr DurationMs kStartupMs = 700;
 // An upstream that a test adds is listed by all entries within this time.
 constexpr DurationMs kListedMs = 2500;
 
@@ -70,49 +51,22 @@
 
 // Engines of several software versions that have the model loaded, each with an agent, and the
 // entries that a test adds. Each event of an engine names its service and version.
-struct World {
-  explicit World(const std::string& target = R"("service":"s1")") {
+struct World : DirectFleet {
+  explicit World(const std::string& target = R"("service":"s1")") : DirectFleet(kPort, kLinkPort) {
     store.Put("op/config", Configuration(target));
   }
-
-  ~World() {
-    for (auto& it : entries) it->Stop();
-    for (auto& it : agents) it->Stop();
-    RunFor(io, 50);
-  }
-
-  Settings BaseSettings(Role role, const std::string& id) const {
-    Settings settings;
-    settings.role = role;
-    settings.id = id;
-    settings.data_hall = "hall-1";
-    settings.drain_ms = 0;
-    settings.direct.emplace();
-    settings.direct->store = store.endpoint();
-    return settings;
-  }
+  ~World() override { Stop(); }
 
   // An engine of that version, and its agent.
   void AddEngine(const std::string& version, const std::string& service = "s1") {
     const std::size_t n = engines.size();
-    const Endpoint endpoint{OwnAddress(10 + static_cast<int>(n)), kPort};
     const std::string label = service + "/" + version;
     engines.push_back(std::make_unique<ScriptedUpstream>(
         io, [this, label](const SeenRequest& it, const Peer& peer) { Handle(label, it, peer); },
-        endpoint));
+        EngineAddress(n)));
     instances.push_back("i-" + std::to_string(n));
-    store.Put("servers/" + instances.back(),
-              R"({"service":")" + service + R"(","address":")" + endpoint.ToString() +
-                  R"(","zone":"hall-1","version":")" + version +
-                  R"(","slots":64,"state":"ready","models":[{"name":"m1","version":1,
-                  "adapters":[]}]})");
-    Settings settings = BaseSettings(Role::kAgent, "agent-" + std::to_string(n));
-    settings.direct->metrics = {endpoint.address, kPort + 1};
-    settings.direct->link = {endpoint.address, kLinkPort};
-    settings.direct->upstream = endpoint;
-    agents.push_back(std::make_unique<DirectAgent>(io, settings, SilentLog()));
-    const auto error = agents.back()->Start();
-    EXPECT_TRUE(!error, error ? error->sentence : "");
+    PutRecord(instances.back(), n, service, version);
+    AddAgent(n);
   }
 
   void RemoveEngine(std::size_t n) {
@@ -121,10 +75,7 @@
   }
 
   void Handle(const std::string& label, const SeenRequest& request, const Peer& peer) {
-    if (request.Line() == "GET /report HTTP/1.1") {
-      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                         std::to_string(sizeof(kReport) - 1) + "\r\n\r\n" + kReport);
-    }
+    if (AnswerReport(request, peer)) return;
     const std::string id = request.Field("Attempt-Id");
     const std::string last = request.Field("Last-Event-Id");
     const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
@@ -144,45 +95,6 @@
           [this, label, next, breaks_off, peer] { Stream(label, next + 1, breaks_off, peer); });
   }
 
-  void After(DurationMs delay, std::function<void()> call) {
-    timers.push_back(std::make_unique<Timer>(io));
-    timers.back()->After(delay, std::move(call));
-  }
-
-  Endpoint EntryAddress(std::size_t n) const {
-    return {OwnAddress(60 + static_cast<int>(n)), kPort};
-  }
-
-  Settings EntrySettings(std::size_t n) const {
-    const Endpoint callers = EntryAddress(n);
-    Settings settings = BaseSettings(Role::kEntry, "entry-" + std::to_string(n));
-    settings.direct->callers = callers;
-    settings.direct->metrics = {callers.address, kPort + 1};
-    settings.direct->health = {callers.address, kPort + 2};
-    settings.direct->peer = {callers.address, kPort + 3};
-    settings.direct->link_port = kLinkPort;
-    settings.direct->retry_extra = 1000;
-    return settings;
-  }
-
-  void AddEntry() { AddEntry(EntrySettings(entries.size())); }
-
-  void AddEntry(const Settings& settings) {
-    entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
-    const auto error = entries.back()->Start();
-    EXPECT_TRUE(!error, error ? error->sentence : "");
-    RunFor(io, kStartupMs);
-  }
-
-  // The entry stops, and nobody asks it any more. It stays in memory, as links that are open cannot
-  // be destroyed while `io` runs.
-  void StopEntry(std::size_t n) {
-    entries[n]->Stop();
-    RunFor(io, 100);
-    stopped_entries.push_back(std::move(entries[n]));
-    entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(n));
-  }
-
   std::string Request(const std::string& id, const std::string& fields,
                       const std::string& body = "x") const {
     return "POST /s/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
@@ -209,14 +121,8 @@
 
   static constexpr char kBreaksOff[] = "breaks off";
 
-  boost::asio::io_context io;
-  StandinStore store{io};
   std::vector<std::string> instances;
-  std::vector<std::unique_ptr<Timer>> timers;
   std::vector<std::unique_ptr<ScriptedUpstream>> engines;
-  std::vector<std::unique_ptr<DirectAgent>> agents;
-  std::vector<std::unique_ptr<DirectEntry>> entries;
-  std::vector<std::unique_ptr<DirectEntry>> stopped_entries;
 };
 
 // The service and version that sent the last event.
