Streams: a version that is listed but not recorded yet forbids the inference

An entry that finds one version of a service recorded inferred from it where a stream began, also if its own list had another version, which is recorded up to some 200 ms after it is listed. The origin counts as unknown then. version_gone has a metric of its own whatever else a bound stream is refused for.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -97,6 +97,8 @@
   DurationMs retry_after_ms = 0;  // Until an upstream accepts requests again; 0: unknown.
   std::string_view code = {};     // Names a cause other than the upstreams' state, for callers.
 };
+// The code of NoUpstream if no upstream runs the required software version.
+constexpr std::string_view kVersionGone = "version_gone";
 using PickResult = std::variant<SendTo, WaitFor, NoUpstream>;
 
 // Where a further replica of a model was requested, compared with the existing ones.
--- a/include/junctionrail/stream_origins.h
+++ b/include/junctionrail/stream_origins.h
@@ -34,7 +34,7 @@
 };
 
 struct StreamOriginLimits {
-  // Longer than callers try to resume a stream: their deadlines are at most a minute.
+  // Longer than the deadlines within which callers resume a stream.
   DurationMs ttl_ms = 120000;
   std::size_t max_streams = 65536;  // The oldest ones are forgotten first.
   std::size_t max_id_bytes = 64;    // Streams with longer ids are not kept.
--- a/src/daemon/origin_client.cc
+++ b/src/daemon/origin_client.cc
@@ -118,8 +118,8 @@
   if (it->second.asked.empty()) InferFromLedger(it->second.unknown);
 }
 
-// With a single version recorded by a reading that began after the request had arrived, the stream
-// began there, whoever knew it.
+// With a single version recorded by a reading that began after the request had arrived, and no
+// other one listed since, the stream began there, whoever knew it.
 void OriginClient::InferFromLedger(const UnknownStream& unknown) {
   const std::uint64_t ticket = unknown.ticket;
   if (unknown.services.size() != 1) return Answer(ticket, std::nullopt, "several_services");
@@ -128,7 +128,12 @@
                              const std::optional<VersionLedger::Versions>& versions) {
     if (life.expired()) return;
     if (!versions) return Answer(ticket, std::nullopt, "store_unavailable");
-    if (versions->size() != 1) return Answer(ticket, std::nullopt, "several_versions");
+    const auto listed = gateway_.upstreams().OnlyOrigin({service});
+    const bool is_other_listed = gateway_.upstreams().HasSeveralVersions(service) ||
+                                 (listed && versions->count(listed->version) == 0);
+    if (versions->size() != 1 || is_other_listed) {
+      return Answer(ticket, std::nullopt, "several_versions");
+    }
     Answer(ticket, StreamOrigin{service, *versions->begin()}, "only_version");
   });
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -155,7 +155,8 @@
 // No upstream of the service is in a place where the request may run, or of the version that began
 // its stream.
 void Exchange::RefusePlace(const NoUpstream& none) {
-  ++(origin_ ? gateway_.counters.version_gone_refusals : gateway_.counters.place_refusals);
+  const bool is_version_gone = none.code == kVersionGone;
+  ++(is_version_gone ? gateway_.counters.version_gone_refusals : gateway_.counters.place_refusals);
   const bool is_refusal = !is_response_begun_ && ExecutionSoFar() == Execution::kNotRun;
   if (!is_refusal) return GiveUp(ExecutionSoFar(), none.reason);
   Refuse(kUnavailable, none.code, none.reason, Execution::kNotRun, kPlaceRetryAfterMs);
--- a/src/routing/places.cc
+++ b/src/routing/places.cc
@@ -93,7 +93,7 @@
     has_evacuated |= is_allowed && IsEvacuated(row);
   }
   if (request.software_version && !has_version) {
-    return {"no upstream runs the software version that began the stream", 0, "version_gone"};
+    return {"no upstream runs the software version that began the stream", 0, kVersionGone};
   }
   if (has_evacuated) return {"all data halls with upstreams are evacuated", 0, "evacuated"};
   if (has_other_region) return {"no upstream in an allowed region", 0, "no_allowed_region"};
