Quarantine: a part beside other suspects that were sent alone is not found

An end counts for a part only if no request without it was sent alone there. The ends of a part are looked up without building sets.

--- a/src/quarantine/prompt_part_table.cc
+++ b/src/quarantine/prompt_part_table.cc
@@ -117,7 +117,10 @@
   std::vector<const Crash*> with;
   for (const auto& it : crashes_) {
     if (it.is_explained || now - it.crashed_at >= limits_.suspicion_ttl_ms) continue;
-    if (AllPartsOf(it, now).count(part) > 0) with.push_back(&it);
+    const bool has_part =
+        std::any_of(it.suspects.begin(), it.suspects.end(),
+                    [&](const SuspectParts& suspect) { return Contains(suspect.parts, part); });
+    if (has_part) with.push_back(&it);
   }
   return with;
 }
@@ -173,15 +176,17 @@
                      [&](const auto& it) { return it.second == crashes.size(); });
 }
 
-// The requests at the crash that were sent alone and that only this part explains: each other part
-// is sound or was at fewer crashes. As long as none of its parts is known to be sound, a part that
-// all requests share looks like the cause.
+// The requests with the part that were sent alone, if the crash says something about it: entries
+// may each have sent a request alone to one upstream, and any of them may be the cause. As long as
+// none of a request's parts is known to be sound, a part that all requests share looks like the
+// cause.
 std::vector<RequestDigest> PromptPartTable::ExplainedRequests(const Crash& crash,
                                                               const RequestDigest& part, int causes,
                                                               TimeMs now) const {
   std::vector<RequestDigest> requests;
   for (const auto& it : crash.suspects) {
-    if (!it.was_isolated || !Contains(it.parts, part)) continue;
+    if (!it.was_isolated) continue;
+    if (!Contains(it.parts, part)) return {};
     const auto candidates = WithoutSound(it.parts, now);
     const bool has_sound_part = it.has_sound_part || candidates.size() < it.parts.size();
     const bool is_explained =
--- a/test/prompt_part_table_test.cc
+++ b/test/prompt_part_table_test.cc
@@ -107,6 +107,26 @@
   EXPECT_TEXT("", table.Found(kIds), "f is in all of them, and so may another part be");
 }
 
+// Guards against the refusal of a part whose requests several entries sent alone beside those that
+// crash upstreams.
+TEST(PromptPartTable, DoesNotFindAPartThatWasBesideTheCause) {
+  Table table;
+  table.Crash({"q:1"});
+  for (int n = 0; n < 2; ++n) {
+    UpstreamCrash crash;
+    crash.instance = "i-shared-" + std::to_string(n);
+    for (const char* it : {"k:1", "q:1"}) {
+      const auto digest = DigestOf({"", "", "", "", it + std::to_string(n)});
+      crash.suspects.push_back({digest, false, true, Parts(it), true});
+    }
+    table.table.Add(crash, table.now);
+    table.now += kReportedMs;
+  }
+  EXPECT_TEXT("", table.Found(kIds), "k and q are at as many crashes, or q at more");
+  for (int n = 0; n < 2; ++n) table.Crash({"k:1"}, true);
+  EXPECT_TEXT("k", table.Found(kIds), "k is at more crashes, and alone");
+}
+
 // Guards against a request that is repeated and counts for its part, as others crash with it.
 TEST(PromptPartTable, CountsARepeatedRequestOnce) {
   Table table;
