--- a/src/daemon/origin_client.cc
+++ b/src/daemon/origin_client.cc
@@ -145,7 +145,7 @@
   log_.Write(MonotonicMs(), origin ? "origin_found" : "origin_unknown",
              {{"stream", it->second.unknown.stream},
               {"source", source},
-              {"version", origin ? std::string_view(origin->version) : std::string_view()}});
+              {"version", origin ? std::string_view{origin->version} : std::string_view{}}});
   questions_.erase(it);
   gateway_.ApplyStreamOrigin(ticket, origin);
 }
--- a/src/gateway/exchange_resume.cc
+++ b/src/gateway/exchange_resume.cc
@@ -19,7 +19,7 @@
 // The id of the request that began the stream which this request resumes; empty: none is named.
 std::string_view Exchange::ResumedRequest() const {
   const std::string* id = FindField(request_.fields, gateway_.options.header_names.resumed_request);
-  return id == nullptr ? std::string_view() : std::string_view(*id);
+  return id == nullptr ? std::string_view{} : std::string_view{*id};
 }
 
 bool Exchange::IsResumption() const {
