Quarantine: sound parts are the last field of a crash

random_quarantine_test.cc builds a crash from a list of its fields and did not compile since; neither the fleet nor the direct tests show it. random_tests builds again.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -71,10 +71,10 @@
   std::string instance;
   DurationMs age_ms = 0;
   std::vector<Suspect> suspects;
-  // Parts of the suspects' prompts that a process has seen answered without a crash.
-  std::vector<RequestDigest> sound_parts = {};
   // In a message to an agent: asks it to write the crash to the store.
   bool should_record = false;
+  // Parts of the suspects' prompts that a process has seen answered without a crash.
+  std::vector<RequestDigest> sound_parts = {};
 };
 
 // Encoding for messages between entries and agents. A distinct prefix tells them apart from views
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -340,7 +340,7 @@
   // What this entry has seen answered clears parts at the entries that have not.
   const auto sound = prompt_parts.TakeSoundParts(crash.instance, now);
   if (!sound.empty() && on_upstream_crash) {
-    on_upstream_crash({crash.instance, crash.age_ms, {}, sound, false});
+    on_upstream_crash({crash.instance, crash.age_ms, {}, false, sound});
   }
   if (!is_news) return;
   ReportQuarantined();
--- a/src/quarantine/quarantine_table.cc
+++ b/src/quarantine/quarantine_table.cc
@@ -244,7 +244,7 @@
   const auto it = crashes_.find(instance);
   if (it == crashes_.end() || it->second.is_pending) return std::nullopt;
   const Crash& crash = it->second;
-  return UpstreamCrash{instance, now - crash.crashed_at, crash.suspects, crash.sound_parts, false};
+  return UpstreamCrash{instance, now - crash.crashed_at, crash.suspects, false, crash.sound_parts};
 }
 
 std::vector<RequestDigest> QuarantineTable::TakeNewRefusals() {
