Gateway and quarantine: logic of this change that stood twice stands once

A broken connection is reported to the crash detector at one place, which OnFailed and OnBrokenOff call; an upstream that is listed is in the table, so nothing else is asked. The digests of requests and of prompt parts end in one function, the part table takes the windows of the quarantine in place of copies, and a flag that nothing read is gone.

No behaviour changes.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -207,12 +207,11 @@
 };
 
 struct PromptPartLimits {
-  DurationMs suspicion_ttl_ms = 60000;
+  DurationMs suspicion_ttl_ms = QuarantineLimits().suspicion_ttl_ms;
   // Time in which a part that was answered counts as sound.
   DurationMs sound_ttl_ms = 600000;
-  // See QuarantineLimits.
-  DurationMs common_cause_window_ms = 15;
-  DurationMs report_window_ms = 50;
+  DurationMs common_cause_window_ms = QuarantineLimits().common_cause_window_ms;
+  DurationMs report_window_ms = QuarantineLimits().report_window_ms;
   std::size_t max_crashes = 32;
   std::size_t max_parts = 128;  // Of all suspects of a crash.
   std::size_t max_sound_parts = 16384;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -419,15 +419,18 @@
   return sink && !sink->HasDisconnected() && is_key_good && is_upstream_good;
 }
 
+// An upstream that has announced that it leaves ends as planned.
+void Exchange::ReportBrokenConnection() {
+  if (!gateway_.upstreams.IsListed(instance_)) return;
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
+  gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, attempt_started_at_,
+                                             MonotonicMs());
+}
+
 void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
   call_ = nullptr;
   const bool was_sent = failure == UpstreamFailure::kBroken;
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
-  // An upstream that has announced that it leaves ends as planned.
-  if (was_sent && upstream != nullptr && gateway_.upstreams.IsListed(instance_)) {
-    gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, attempt_started_at_,
-                                               MonotonicMs());
-  }
+  if (was_sent) ReportBrokenConnection();
   // A withheld request is no evidence of a fault of the upstream.
   EndAttempt(was_sent                                ? AttemptOutcome::kFailed
              : failure == UpstreamFailure::kWithheld ? AttemptOutcome::kRefused
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -130,6 +130,7 @@
   void ConfirmEnd();
   void OnEndConfirmed(PortState state);
   void OnBrokenOff(std::string_view reason);
+  void ReportBrokenConnection();
   void CompleteResponse();
   void CancelAttempt(AttemptOutcome end);
   void SendRequest(const std::string& instance);
@@ -186,7 +187,6 @@
   std::string upstream_version_;  // Of its software.
   // Where the stream began, once its first event has arrived or if the request resumes it.
   std::optional<StreamOrigin> origin_;
-  bool is_resolving_origin_ = false;
   std::vector<std::string> tried_instances_;
   int possibly_run_attempts_ = 0;  // Sent, unless known not to have run.
   int sent_attempts_ = 0;          // Sent, whether or not they ran.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -149,11 +149,9 @@
 // An upstream that crashes closes its connections too, and the response would look complete. One
 // that leaves may end once it has answered.
 void Exchange::ConfirmEnd() {
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
-  const bool may_end = upstream == nullptr || !gateway_.upstreams.IsListed(instance_);
-  if (may_end) return CompleteResponse();
+  if (!gateway_.upstreams.IsListed(instance_)) return CompleteResponse();
   is_confirming_end_ = true;
-  LookAtPort(gateway_.io, upstream->endpoint, kConfirmEndMs,
+  LookAtPort(gateway_.io, gateway_.upstreams.Find(instance_)->endpoint, kConfirmEndMs,
              [self = weak_from_this()](PortState state) {
                const auto exchange = self.lock();
                if (exchange && exchange->is_confirming_end_) exchange->OnEndConfirmed(state);
@@ -167,11 +165,7 @@
 }
 
 void Exchange::OnBrokenOff(std::string_view reason) {
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
-  if (upstream != nullptr && gateway_.upstreams.IsListed(instance_)) {
-    gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, attempt_started_at_,
-                                               MonotonicMs());
-  }
+  ReportBrokenConnection();
   EndAttempt(AttemptOutcome::kFailed);
   AfterAttempt(Execution::kMayHaveRun, true, reason);
 }
--- a/src/gateway/exchange_resume.cc
+++ b/src/gateway/exchange_resume.cc
@@ -44,7 +44,6 @@
   if (!gateway_.on_origin_needed) {
     return ApplyOrigin(gateway_.upstreams.OnlyOrigin(RouteServices()));
   }
-  is_resolving_origin_ = true;
   ArmTimer();
   gateway_.AskForOrigin(shared_from_this(), {0, stream, RouteServices()});
 }
@@ -53,7 +52,6 @@
 // the one that began it.
 void Exchange::ApplyOrigin(const std::optional<StreamOrigin>& origin) {
   if (is_finished_) return;
-  is_resolving_origin_ = false;
   if (!origin) {
     ++gateway_.counters.unknown_origin_refusals;
     return Refuse(kUnavailable, "unknown_origin",
--- a/src/quarantine/request_digest.cc
+++ b/src/quarantine/request_digest.cc
@@ -37,33 +37,32 @@
   return value;
 }
 
-}  // namespace
-
-// The input is controlled by callers and the digests are exchanged between processes. This requires
-// a collision-resistant hash that needs no shared key.
-RequestDigest DigestOf(const RequestIdentity& identity) {
-  Sha256 hash;
-  for (const auto part :
-       {identity.method, identity.host, identity.target, identity.credential, identity.body}) {
-    AddPart(&hash, part);
-  }
-  const Sha256Digest bytes = hash.Finish();
+RequestDigest FinishDigest(Sha256* hash) {
+  const Sha256Digest bytes = hash->Finish();
   return {ReadUint64(bytes.data()), ReadUint64(bytes.data() + 8)};
 }
 
-namespace {
-
 // The leading text keeps the digests of parts apart from those of requests.
 RequestDigest DigestOfPart(std::string_view id) {
   Sha256 hash;
   AddPart(&hash, "prompt part");
   AddPart(&hash, id);
-  const Sha256Digest bytes = hash.Finish();
-  return {ReadUint64(bytes.data()), ReadUint64(bytes.data() + 8)};
+  return FinishDigest(&hash);
 }
 
 }  // namespace
 
+// The input is controlled by callers and the digests are exchanged between processes. This requires
+// a collision-resistant hash that needs no shared key.
+RequestDigest DigestOf(const RequestIdentity& identity) {
+  Sha256 hash;
+  for (const auto part :
+       {identity.method, identity.host, identity.target, identity.credential, identity.body}) {
+    AddPart(&hash, part);
+  }
+  return FinishDigest(&hash);
+}
+
 std::vector<RequestDigest> DigestsOfSharedParts(std::string_view prompt_parts) {
   std::vector<RequestDigest> digests;
   while (digests.size() < kMaxPromptParts) {
