--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -138,7 +138,6 @@
   // This process has found that requests with the prompt part cause crashes.
   void RefusePart(const RequestDigest& part, int crashes, TimeMs now);
   bool IsRefused(const RequestDigest& digest, TimeMs now) const;
-  bool HasRefusals() const { return !refused_.empty(); }
   // Lifts a refusal on behalf of an operator: the request is tried in isolation, and one more
   // crash refuses it again. Returns false if it was not refused.
   bool Release(const RequestDigest& digest, TimeMs now);
