Soak: the check of a stream is as strict as before, and its prompt stays the same

Since callers take streams up, a stream that ended as complete was no longer compared whole: the number of events that each event names, and bytes after the last one, were not looked at. They are again, over all tries. A stream that is taken up has the prompt that it began with; the second part changed with each try.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -1,5 +1,6 @@
 #include "callers.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <utility>
@@ -79,8 +80,13 @@
   if (random_() % 4 == 0) model_ += "/a1";
   version_.clear();
   last_event_ = 0;
+  event_count_ = 0;
   tries_ = 0;
   stream_ = name_ + "-" + std::to_string(requests_ + 1);
+  // Sound requests share the first part with those that end engines.
+  const std::string second =
+      HasDeadlyPart() ? kDeadlyPart : "g" + std::to_string(requests_ % kSharedParts);
+  prompt_ = "first:100," + second + ":20,own-" + stream_ + ":5";
   BeginRound();
 }
 
@@ -130,11 +136,7 @@
              "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " +
              organisation_ + "\r\n";
   if (route_->is_stream) {
-    // Sound requests share the first part with those that end engines.
-    const std::string second =
-        HasDeadlyPart() ? kDeadlyPart : "g" + std::to_string(requests_ % kSharedParts);
-    request += "Model: " + model_ + "\r\nPrompt-Prefix: first:100," + second + ":20,own-" +
-               stream_ + ":5\r\n";
+    request += "Model: " + model_ + "\r\nPrompt-Prefix: " + prompt_ + "\r\n";
   }
   if (last_event_ > 0) {
     request += "Last-Event-Id: " + std::to_string(last_event_) + "\r\nResumes: " + stream_ + "\r\n";
@@ -212,7 +214,11 @@
     const std::string expected = "id: " + std::to_string(last_event_ + 1) + "\ndata: " + stream_ +
                                  " " + std::to_string(last_event_ + 1) + " of ";
     const std::size_t by = event.find(" by ");
-    if (event.rfind(expected, 0) != 0 || by == std::string::npos) {
+    const int count = std::atoi(event.c_str() + std::min(event.size(), expected.size()));
+    if (event_count_ == 0) event_count_ = count;
+    const bool is_expected =
+        event.rfind(expected, 0) == 0 && by != std::string::npos && count == event_count_;
+    if (!is_expected) {
       judge_.Complain("stream " + stream_ + " has other events than were made: " + event);
       return;
     }
@@ -227,12 +233,12 @@
   }
 }
 
-// A stream that ends as complete has every event.
+// A stream that ends as complete has every event, and nothing after the last one.
 void Caller::CheckStream(const std::string& body) {
   TakeEvents(body);
-  const std::size_t of = body.rfind(" of ");
-  const int count = of == std::string::npos ? -1 : std::atoi(body.c_str() + of + 4);
-  const bool is_whole = count == -1 ? last_event_ > 0 : last_event_ == count;
+  const bool ends_with_event = body.size() >= 2 && body.compare(body.size() - 2, 2, "\n\n") == 0;
+  const bool is_whole =
+      last_event_ > 0 && last_event_ == event_count_ && (body.empty() || ends_with_event);
   if (!is_whole) judge_.Complain("stream " + stream_ + " ended as complete too early");
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -73,8 +73,10 @@
   // Of a stream, over all tries.
   std::string stream_;  // The id of the first one.
   std::string model_;
+  std::string prompt_;   // Its parts.
   std::string version_;  // Of the upstream that sent the events so far; empty: none has come.
   int last_event_ = 0;
+  int event_count_ = 0;  // As its events say; 0: none has come.
   int tries_ = 0;
   const RouteSpec* route_ = nullptr;
   std::string head_;
