Tests: the fleets whose engines crash share their engines

CrashingRequests and PromptParts had the same engines, which crash and start again, and the former its own agents, entries and configuration. CrashingFleet has them; each test says what its engines answer.

--- a/test/crashing_requests_test.cc
+++ b/test/crashing_requests_test.cc
@@ -9,28 +9,22 @@
 // that had it, and treated a repetition as a new request. It kept no state about an attempt after
 // the response to the caller, and did not distinguish a crash from any other broken connection, so
 // no entry could recognize the request. The tests below failed before this was fixed.
-#include <unistd.h>
-
-#include <boost/asio/post.hpp>
-
 #include "check.h"
-#include "direct_daemon.h"
-#include "junctionrail/net.h"
+#include "direct_fleet.h"
 #include "loopback.h"
 #include "platform_standin.h"
 
 namespace junctionrail::internal {
 namespace {
 
-using testing::OwnAddress;
+using testing::Chunk;
+using testing::CrashingFleet;
+using testing::HasText;
 using testing::RunFor;
 using testing::RunUntil;
-using testing::ScriptedUpstream;
 using testing::SeenRequest;
-using testing::SilentLog;
 using testing::StandinStore;
 using testing::TestCaller;
-using Peer = std::shared_ptr<testing::UpstreamPeer>;
 
 constexpr std::uint16_t kPort = 8120;
 constexpr std::uint16_t kLinkPort = 8220;
@@ -44,90 +38,18 @@
 // reaches the next entry before the report of the second crash does.
 constexpr int kMaxCrashesBeforePropagation = 3;
 
-constexpr char kConfiguration[] = R"({"version":1,"routes":[
-  {"name":"r1","hostname":"shop.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":6000,
-   "targetLatencyMs":1000,"gapAimMs":500,"priority":1,"service":"s1","maxAttempts":2,
-   "resumable":true}],
-  "services":[{"name":"s1","maxConns":100,"engine":{"weightsMb":100.0,"adapterSlots":2,
-   "diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0,"warmS":0.5,
-   "diskS":0.8}]}}]})";
-
-constexpr char kReport[] =
-    R"({"models":[{"name":"m1","version":1,"adapters":[]}],"busyCount":false,"sequence":0,
-        "waiting":0,"running":0,"kvUsed":0,"kvTotal":9})";
-
-bool HasText(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-std::string Chunk(const std::string& text) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx", text.size());
-  return std::string(size) + "\r\n" + text + "\r\n";
-}
-
 // A fleet of engines that have the model loaded and crash when they run kCrashingBody, with or
 // without agents, and the entries that a test adds.
-struct World {
-  explicit World(int engines, bool has_agents = true) {
-    store.Put("op/config", kConfiguration);
-    for (int n = 0; n < engines; ++n) AddEngine(n, has_agents);
-  }
-
-  ~World() {
-    for (auto& it : entries) it->Stop();
-    for (auto& it : agents) it->Stop();
-    RunFor(io, 50);
-  }
-
-  Settings BaseSettings(Role role, const std::string& id) const {
-    Settings settings;
-    settings.role = role;
-    settings.id = id;
-    settings.data_hall = "hall-1";
-    settings.drain_ms = 0;
-    settings.direct.emplace();
-    settings.direct->store = store.endpoint();
-    return settings;
-  }
-
-  void AddEngine(int n, bool has_agent) {
-    const Endpoint endpoint{OwnAddress(10 + n), kPort};
-    StartEngine(n);
-    if (!has_agent) return;
-    Settings settings = BaseSettings(Role::kAgent, "agent-" + std::to_string(n));
-    settings.direct->metrics = {endpoint.address, kPort + 1};
-    settings.direct->link = {endpoint.address, kLinkPort};
-    settings.direct->upstream = endpoint;
-    agents.push_back(std::make_unique<DirectAgent>(io, settings, SilentLog()));
-    const auto error = agents.back()->Start();
-    EXPECT_TRUE(!error, error ? error->sentence : "");
-  }
-
-  // Starts a new instance at the same address.
-  void StartEngine(int n) {
-    const Endpoint endpoint{OwnAddress(10 + n), kPort};
-    const auto index = static_cast<std::size_t>(n);
-    if (index >= engines.size()) engines.resize(index + 1);
-    const std::string instance = "i-" + std::to_string(n) + "-" + std::to_string(++starts);
-    engines[index] = std::make_unique<ScriptedUpstream>(
-        io, [this, n](const SeenRequest& it, const Peer& peer) { Handle(n, it, peer); }, endpoint);
-    const std::string old = std::exchange(instances[n], instance);
-    if (!old.empty()) store.Remove("servers/" + old);
-    store.Put("servers/" + instance,
-              R"({"service":"s1","address":")" + endpoint.ToString() +
-                  R"(","zone":"hall-1","slots":64,"state":"ready","models":[{"name":"m1",
-                  "version":1,"adapters":[]}]})");
+struct World : CrashingFleet {
+  explicit World(int engine_count, bool has_agents = true) : CrashingFleet(kPort, kLinkPort) {
+    AddEngines(engine_count, has_agents);
   }
+  ~World() override { Stop(); }
 
-  void Handle(int n, const SeenRequest& request, const Peer& peer) {
-    if (request.Line() == "GET /report HTTP/1.1") {
-      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                         std::to_string(sizeof(kReport) - 1) + "\r\n\r\n" + kReport);
-    }
+  void Handle(std::size_t n, const SeenRequest& request, const Peer& peer) override {
     if (request.body == kCrashingBody) {
       ++crashing_runs;
-      return After(kRunMs, [this, n, instance = instances[n]] { Crash(n, instance); });
+      return After(kRunMs, [this, n, instance = InstanceAt(n)] { Crash(n, instance); });
     }
     const std::string id = request.Field("Attempt-Id");
     After(kFirstEventMs, [peer, id] {
@@ -140,40 +62,6 @@
           [peer] { peer->Write(Chunk("id: 2\ndata: x\n\n") + "0\r\n\r\n"); });
   }
 
-  // Another request may have crashed the instance already.
-  void Crash(int n, const std::string& instance) {
-    if (instances[n] != instance || !crashed_instances.insert(instance).second) return;
-    ++crashes;
-    engines[static_cast<std::size_t>(n)]->Crash();
-    if (restart_ms == 0) return;
-    After(restart_ms, [this, n] { StartEngine(n); });
-  }
-
-  void After(DurationMs delay, std::function<void()> call) {
-    timers.push_back(std::make_unique<Timer>(io));
-    timers.back()->After(delay, std::move(call));
-  }
-
-  Endpoint EntryAddress(std::size_t n) const {
-    return {OwnAddress(60 + static_cast<int>(n)), kPort};
-  }
-
-  // Returns when the entry has a configuration, and views of the engines that have agents.
-  void AddEntry() {
-    const Endpoint callers = EntryAddress(entries.size());
-    Settings settings = BaseSettings(Role::kEntry, "entry-" + std::to_string(entries.size()));
-    settings.direct->callers = callers;
-    settings.direct->metrics = {callers.address, kPort + 1};
-    settings.direct->health = {callers.address, kPort + 2};
-    settings.direct->peer = {callers.address, kPort + 3};
-    settings.direct->link_port = kLinkPort;
-    settings.direct->retry_extra = 1000;
-    entries.push_back(std::make_unique<DirectEntry>(io, settings, SilentLog()));
-    const auto error = entries.back()->Start();
-    EXPECT_TRUE(!error, error ? error->sentence : "");
-    RunFor(io, kStartupMs);
-  }
-
   std::string SendRequest(std::size_t entry, const std::string& body,
                           const std::string& from = "") {
     TestCaller caller(io, EntryAddress(entry), from);
@@ -222,21 +110,8 @@
                                      " upstreams to crash, got " + std::to_string(crashes));
   }
 
-  static constexpr DurationMs kStartupMs = 700;
-
-  boost::asio::io_context io;
-  StandinStore store{io};
-  std::map<int, std::string> instances;
-  std::vector<std::unique_ptr<Timer>> timers;
-  std::vector<std::unique_ptr<ScriptedUpstream>> engines;
-  std::vector<std::unique_ptr<DirectAgent>> agents;
-  std::vector<std::unique_ptr<DirectEntry>> entries;
-  DurationMs restart_ms = 0;                // Delay of a restart after a crash; 0 for none.
-  std::set<std::string> crashed_instances;  // By instance.
-  int starts = 0;
   int requests = 0;
   int crashing_runs = 0;
-  int crashes = 0;
 };
 
 }  // namespace
--- a/test/prompt_parts_test.cc
+++ b/test/prompt_parts_test.cc
@@ -6,9 +6,6 @@
 // request again by its method, target, caller and whole body, so that no two of these had anything
 // in common, and a response that ends with its connection hid the crash under it. The tests below
 // failed before this was fixed.
-#include <boost/asio/post.hpp>
-#include <map>
-#include <set>
 
 #include "check.h"
 #include "direct_fleet.h"
@@ -19,13 +16,11 @@
 namespace {
 
 using testing::Chunk;
-using testing::DirectFleet;
+using testing::CrashingFleet;
 using testing::HasText;
 using testing::RunFor;
-using testing::ScriptedUpstream;
 using testing::SeenRequest;
 using testing::TestCaller;
-using Peer = std::shared_ptr<testing::UpstreamPeer>;
 
 constexpr std::uint16_t kPort = 8170;
 constexpr std::uint16_t kLinkPort = 8270;
@@ -40,45 +35,20 @@
 constexpr int kCrashesToKnow = 5;
 constexpr int kMaxLate = 3;
 
-constexpr char kConfiguration[] = R"({"version":1,"routes":[
-  {"name":"r1","hostname":"shop.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":6000,
-   "targetLatencyMs":1000,"gapAimMs":500,"priority":1,"service":"s1","maxAttempts":2,
-   "resumable":true}],
-  "services":[{"name":"s1","maxConns":100,"engine":{"weightsMb":100.0,"adapterSlots":2,
-   "diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0,"warmS":0.5,
-   "diskS":0.8}]}}]})";
-
 // How an engine frames its streams.
 enum class Framing { kChunks, kClose };
 
-// Engines that have the model loaded, each with an agent, and crash when they begin to answer a
-// request with kCrashingPart; and the entries that a test adds.
-struct World : DirectFleet {
+// Engines that crash when they begin to answer a request with kCrashingPart, each with an agent;
+// and the entries that a test adds.
+struct World : CrashingFleet {
   explicit World(int engine_count, Framing engine_framing = Framing::kChunks)
-      : DirectFleet(kPort, kLinkPort), framing(engine_framing) {
-    store.Put("op/config", kConfiguration);
-    for (int n = 0; n < engine_count; ++n) {
-      StartEngine(n);
-      AddAgent(static_cast<std::size_t>(n));
-    }
+      : CrashingFleet(kPort, kLinkPort), framing(engine_framing) {
+    restart_ms = kRestartMs;
+    AddEngines(engine_count, true);
   }
   ~World() override { Stop(); }
 
-  // Starts a new instance at the same address.
-  void StartEngine(int n) {
-    const auto index = static_cast<std::size_t>(n);
-    if (index >= engines.size()) engines.resize(index + 1);
-    engines[index] = std::make_unique<ScriptedUpstream>(
-        io, [this, n](const SeenRequest& it, const Peer& peer) { Handle(n, it, peer); },
-        EngineAddress(index));
-    const std::string instance = "i-" + std::to_string(n) + "-" + std::to_string(++starts);
-    const std::string old = std::exchange(instances[n], instance);
-    if (!old.empty()) store.Remove("servers/" + old);
-    PutRecord(instance, index, "s1", "v1");
-  }
-
-  void Handle(int n, const SeenRequest& request, const Peer& peer) {
-    if (AnswerReport(request, peer)) return;
+  void Handle(std::size_t n, const SeenRequest& request, const Peer& peer) override {
     const bool is_crashing = HasText(request.Field("Prompt-Prefix"), kCrashingPart);
     if (is_crashing && crashes >= kCrashesToKnow && MonotonicMs() - fifth_crash_at > kKnownMs) {
       ++late_runs;
@@ -90,29 +60,24 @@
     Stream(n, 1, is_crashing, peer);
   }
 
-  void Stream(int n, int next, bool is_crashing, const Peer& peer) {
+  void OnCrash() override {
+    if (crashes == kCrashesToKnow) fifth_crash_at = MonotonicMs();
+  }
+
+  void Stream(std::size_t n, int next, bool is_crashing, const Peer& peer) {
     if (peer->IsEnded()) return;
     const bool is_chunked = framing == Framing::kChunks;
     if (next > kEvents) return is_chunked ? peer->Write("0\r\n\r\n") : peer->Close();
     // Between two events, and with the connection closed in order.
     if (is_crashing && next > 2) {
       if (!is_chunked) peer->Close();
-      return Crash(n, instances[n]);
+      return Crash(n, InstanceAt(n));
     }
     const std::string event = "id: " + std::to_string(next) + "\ndata: x\n\n";
     peer->Write(is_chunked ? Chunk(event) : event);
     After(kEventMs, [this, n, next, is_crashing, peer] { Stream(n, next + 1, is_crashing, peer); });
   }
 
-  // Another request may have crashed the instance already.
-  void Crash(int n, const std::string& instance) {
-    if (instances[n] != instance || !crashed_instances.insert(instance).second) return;
-    if (++crashes == kCrashesToKnow) fifth_crash_at = MonotonicMs();
-    // Not within a call from the engine.
-    boost::asio::post(io, [this, n] { engines[static_cast<std::size_t>(n)]->Crash(); });
-    After(kRestartMs, [this, n] { StartEngine(n); });
-  }
-
   // Sends a request whose prompt has these parts before its own; no two requests are alike.
   std::unique_ptr<TestCaller> Send(std::size_t entry, const std::string& parts) {
     const std::string id = "r" + std::to_string(++requests);
@@ -131,12 +96,7 @@
   }
 
   Framing framing;
-  std::map<int, std::string> instances;
-  std::vector<std::unique_ptr<ScriptedUpstream>> engines;
-  std::set<std::string> crashed_instances;
-  int starts = 0;
   int requests = 0;
-  int crashes = 0;
   int late_runs = 0;  // Of requests with the part, when all entries must know it.
   TimeMs fifth_crash_at = 0;
 };
--- a/test/support/direct_fleet.h
+++ b/test/support/direct_fleet.h
@@ -4,9 +4,11 @@
 #ifndef JUNCTIONRAIL_TEST_SUPPORT_DIRECT_FLEET_H_
 #define JUNCTIONRAIL_TEST_SUPPORT_DIRECT_FLEET_H_
 
+#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -151,6 +153,72 @@
   std::vector<std::unique_ptr<internal::DirectEntry>> stopped_entries_;
 };
 
+// Engines with the model "m1" of the service "s1", that some requests crash and that start again.
+class CrashingFleet : public DirectFleet {
+ public:
+  CrashingFleet(std::uint16_t port, std::uint16_t link_port) : DirectFleet(port, link_port) {
+    store.Put("op/config", R"({"version":1,"routes":[
+      {"name":"r1","hostname":"shop.example","pathPrefix":"/s/","kind":"streaming",
+       "timeoutMs":6000,"targetLatencyMs":1000,"gapAimMs":500,"priority":1,"service":"s1",
+       "maxAttempts":2,"resumable":true}],
+      "services":[{"name":"s1","maxConns":100,"engine":{"weightsMb":100.0,"adapterSlots":2,
+       "diskMb":1000.0,"models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0,"warmS":0.5,
+       "diskS":0.8}]}}]})");
+  }
+
+  int crashes = 0;
+  DurationMs restart_ms = 0;  // Delay of a restart after a crash; 0 for none.
+
+ protected:
+  using Peer = std::shared_ptr<UpstreamPeer>;
+
+  // A request that the engine at place `n` runs.
+  virtual void Handle(std::size_t n, const SeenRequest& request, const Peer& peer) = 0;
+  virtual void OnCrash() {}
+
+  void AddEngines(int count, bool has_agents) {
+    engines_.resize(static_cast<std::size_t>(count));
+    instances_.resize(engines_.size());
+    for (std::size_t n = 0; n < engines_.size(); ++n) {
+      StartEngine(n);
+      if (has_agents) AddAgent(n);
+    }
+  }
+
+  const std::string& InstanceAt(std::size_t n) const { return instances_[n]; }
+
+  // Another request may have crashed the instance already.
+  void Crash(std::size_t n, const std::string& instance) {
+    if (instances_[n] != instance || !crashed_instances_.insert(instance).second) return;
+    ++crashes;
+    OnCrash();
+    // Not within a call from the engine.
+    boost::asio::post(io, [this, n] { engines_[n]->Crash(); });
+    if (restart_ms == 0) return;
+    After(restart_ms, [this, n] { StartEngine(n); });
+  }
+
+ private:
+  // Starts a new instance at the same address.
+  void StartEngine(std::size_t n) {
+    engines_[n] = std::make_unique<ScriptedUpstream>(
+        io,
+        [this, n](const SeenRequest& request, const Peer& peer) {
+          if (!AnswerReport(request, peer)) Handle(n, request, peer);
+        },
+        EngineAddress(n));
+    const std::string instance = "i-" + std::to_string(n) + "-" + std::to_string(++starts_);
+    const std::string old = std::exchange(instances_[n], instance);
+    if (!old.empty()) store.Remove("servers/" + old);
+    PutRecord(instance, n, "s1", "v1");
+  }
+
+  std::vector<std::unique_ptr<ScriptedUpstream>> engines_;
+  std::vector<std::string> instances_;  // By place.
+  std::set<std::string> crashed_instances_;
+  int starts_ = 0;
+};
+
 }  // namespace junctionrail::testing
 
 #endif  // JUNCTIONRAIL_TEST_SUPPORT_DIRECT_FLEET_H_
