--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -118,6 +118,21 @@
   EXPECT_TEXT("suspect", shared.StatusOf("a"), "the other one is still sent in isolation");
 }
 
+// Guards against the refusal of a request that was interrupted twice by the same other one, which
+// was not isolated as its responses had begun.
+TEST(Suspicion, RemainsIfAnotherRequestWasAtBothCrashes) {
+  TestTable it;
+  it.Add("i-1", {WithoutEvent("a"), WithEvent("deadly")});
+  it.now += 60;
+  it.Add("i-2", {Isolated("a"), WithEvent("deadly")});
+  EXPECT_TEXT("suspect", it.StatusOf("a"), "the other one explains both crashes as well");
+  it.AwaitReports();
+  EXPECT_NUMBER(0, it.table.TakeNewRefusals().size(), "no lasting refusal");
+  it.Add("i-3", {WithEvent("deadly")});
+  EXPECT_TEXT("refused", it.StatusOf("deadly"), "a third crash identifies it");
+  EXPECT_TEXT("suspect", it.StatusOf("a"), "the other one is still sent in isolation");
+}
+
 TEST(Suspicion, IsNotProvenBeforeOtherEntriesHaveReported) {
   // Found by the property tests: an entry refused its own suspect permanently although another
   // entry had a suspect on the same upstream.
