--- a/test/prompt_parts_test.cc
+++ b/test/prompt_parts_test.cc
@@ -27,6 +27,7 @@
 constexpr char kCrashingPart[] = "dead";
 constexpr DurationMs kEventMs = 15;
 constexpr int kEvents = 4;
+constexpr DurationMs kCrashAfterAnswerMs = 20;
 constexpr DurationMs kRestartMs = 600;
 // By then all entries know of a crash.
 constexpr DurationMs kKnownMs = 3000;
@@ -67,9 +68,13 @@
   void Stream(std::size_t n, int next, bool is_crashing, const Peer& peer) {
     if (peer->IsEnded()) return;
     const bool is_chunked = framing == Framing::kChunks;
-    if (next > kEvents) return is_chunked ? peer->Write("0\r\n\r\n") : peer->Close();
+    if (next > kEvents) {
+      if (is_crashing)
+        After(kCrashAfterAnswerMs, [this, n, name = InstanceAt(n)] { Crash(n, name); });
+      return is_chunked ? peer->Write("0\r\n\r\n") : peer->Close();
+    }
     // Between two events, and with the connection closed in order.
-    if (is_crashing && next > 2) {
+    if (is_crashing && next > 2 && !crashes_after_answers) {
       if (!is_chunked) peer->Close();
       return Crash(n, InstanceAt(n));
     }
@@ -98,6 +103,8 @@
   Framing framing;
   int requests = 0;
   int late_runs = 0;  // Of requests with the part, when all entries must know it.
+  // Whether engines crash soon after a whole answer to the part, in place of during one.
+  bool crashes_after_answers = false;
   TimeMs fifth_crash_at = 0;
 };
 
@@ -211,6 +218,23 @@
   attack.ExpectSoundServed();
 }
 
+// Guards against a part that is taken for a sound one as a short answer to it was whole before its
+// upstream crashed.
+TEST(PromptParts, ThatCrashUpstreamsAreRefusedThoughShortAnswersToThemWereWhole) {
+  World world(6);
+  for (int n = 0; n < 3; ++n) world.AddEntry();
+  for (std::size_t n = 0; n < 9; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
+  world.crashes_after_answers = true;
+  for (std::size_t n = 0; n < 3; ++n) world.Call(n, kCrashing);
+  RunFor(world.io, kRestartMs);
+  EXPECT_NUMBER(3, world.crashes, "crashes after whole answers");
+  world.crashes_after_answers = false;
+  Attack attack(&world);
+  attack.Run(8000);
+  attack.ExpectFewLateRuns();
+  attack.ExpectSoundServed();
+}
+
 // Guards against an entry that starts later, or is told by the store alone, and tries again.
 TEST(PromptParts, ThatCrashUpstreamsAreRefusedByAnEntryThatStartsLater) {
   World world(6);
