Quarantine: a request is not the cause if another one was at both crashes too

Cause: a request that was at one crash and then alone, by its entry's knowledge, at a second one was refused. Another suspect there counted only if its entry had isolated it, too, and requests whose responses had started are not isolated for a single crash: one that ends upstreams after its first events, and is taken up elsewhere, made a refused request of whichever sound one it met twice. Change: the second crash proves nothing as long as another suspect there was at other crashes as well. Three crashes are sufficient, as before.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -108,7 +108,7 @@
   // request on each upstream: in the same day no two crashes were less than 25 ms apart.
   DurationMs common_cause_window_ms = 15;
   // Time in which all reachable entries report the suspects that they had on a crashed upstream.
-  // Before it has passed, a crash does not prove that a suspect was the only isolated one there.
+  // Before it has passed, a crash does not prove that a suspect was the only likely one there.
   DurationMs report_window_ms = 50;
   std::size_t max_crashes = 64;
   // Per crash: twice the 96 requests that an engine with 64 slots runs and queues.
@@ -193,7 +193,9 @@
   enum class Proof { kProvisional, kFinal };
   bool IsProven(const RequestDigest& digest, const std::vector<Evidence>& evidence, Proof proof,
                 TimeMs now) const;
-  bool IsOnlyIsolatedSuspect(const RequestDigest& digest, const std::string& instance) const;
+  bool IsOnlyLikelySuspect(const RequestDigest& digest, const std::string& instance) const;
+  // Whether it was at several crashes.
+  bool HasRepeated(const RequestDigest& digest) const;
 
   QuarantineLimits limits_;
   std::map<std::string, Crash> crashes_;  // By instance.
--- a/src/quarantine/quarantine_table.cc
+++ b/src/quarantine/quarantine_table.cc
@@ -106,9 +106,9 @@
   evidence_.erase(it);
 }
 
-// A suspect is proven if it was present at a crash with another cause and then was the only
-// isolated suspect at a later one. It counts as the only one if no other entry has reported another
-// isolated suspect within report_window_ms. Three crashes are sufficient regardless of other
+// A suspect is proven if it was present at a crash with another cause and then was the only likely
+// suspect at a later one, which it was sent to in isolation; see IsOnlyLikelySuspect. What other
+// entries report counts within report_window_ms. Three crashes are sufficient regardless of other
 // requests: each further crash interrupts up to 64 unrelated streams, while a wrong refusal affects
 // a single request.
 bool QuarantineTable::IsProven(const RequestDigest& digest, const std::vector<Evidence>& evidence,
@@ -130,17 +130,26 @@
     if (!is_same_cause) ++causes;
     const bool is_reported = !is_final || now - it->crashed_at >= limits_.report_window_ms;
     was_isolated |= is_reported && causes >= kCrashesIfIsolated && it->was_isolated &&
-                    IsOnlyIsolatedSuspect(digest, it->instance);
+                    IsOnlyLikelySuspect(digest, it->instance);
   }
   return causes >= kCrashesToRefuse || was_isolated;
 }
 
-bool QuarantineTable::IsOnlyIsolatedSuspect(const RequestDigest& digest,
-                                            const std::string& instance) const {
+// Another suspect is as likely a cause if its entry isolated it too, or if it was at other crashes
+// as well: requests whose responses had started are not isolated for a single crash.
+bool QuarantineTable::IsOnlyLikelySuspect(const RequestDigest& digest,
+                                          const std::string& instance) const {
   const auto crash = crashes_.find(instance);
   if (crash == crashes_.end()) return false;
-  return std::none_of(crash->second.suspects.begin(), crash->second.suspects.end(),
-                      [&](const Suspect& it) { return it.was_isolated && !(it.digest == digest); });
+  const auto& suspects = crash->second.suspects;
+  return std::none_of(suspects.begin(), suspects.end(), [&](const Suspect& it) {
+    return !(it.digest == digest) && (it.was_isolated || HasRepeated(it.digest));
+  });
+}
+
+bool QuarantineTable::HasRepeated(const RequestDigest& digest) const {
+  const auto it = evidence_.find(digest);
+  return it != evidence_.end() && it->second.size() >= kCrashesIfIsolated;
 }
 
 void QuarantineTable::RefuseIfProven(const RequestDigest& digest, TimeMs now) {
@@ -211,10 +220,9 @@
   if (IsProven(digest, evidence, Proof::kProvisional, now)) return QuarantineStatus::kRefused;
   // A request whose response had started is an unlikely cause: no response to a recorded cause had
   // started. It is not isolated for a single crash.
-  const bool has_repeated = evidence.size() >= kCrashesIfIsolated;
   const bool is_suspect =
-      has_repeated || std::any_of(evidence.begin(), evidence.end(),
-                                  [](const Evidence& item) { return !item.has_sent_event; });
+      HasRepeated(digest) || std::any_of(evidence.begin(), evidence.end(),
+                                         [](const Evidence& item) { return !item.has_sent_event; });
   return is_suspect ? QuarantineStatus::kSuspect : QuarantineStatus::kClear;
 }
 
