Quarantine: a short answer makes its parts sound once its upstream outlives it

Cause: a part was sound for ten minutes as soon as a response to a request with it was whole. An upstream that crashes tens of milliseconds after it has begun to answer still completes a short response, one of two events at the end of a stream that was taken up, say; the part that crashed it was declared sound and could not be suspected any more. Change: a whole response that began less than 150 ms ago and has parts that are not yet known to be sound shows that they are once its upstream's port is seen to be open after that time; answers of one upstream within 25 ms share one look. Nothing changes for longer responses and for parts known to be sound.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -245,6 +245,16 @@
   gateway_.AddSoundParts(parts_);
 }
 
+void Exchange::OnPartsAnswered() {
+  const TimeMs now = MonotonicMs();
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
+  if (upstream == nullptr || gateway_.prompt_parts.WithoutSound(parts_, now).empty()) {
+    return AddSoundParts();
+  }
+  const TimeMs begun_at = attempt_first_event_at_ != 0 ? attempt_first_event_at_ : now;
+  gateway_.short_answers.Add({instance_, upstream->endpoint}, parts_, begun_at, now);
+}
+
 PickResult Exchange::ChooseUpstream(TimeMs now) {
   PickRequest request;
   request.service = service_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -127,6 +127,8 @@
   RequestDigest IsolationKey();
   void ClearSuspicion();
   void AddSoundParts();
+  // The response is whole.
+  void OnPartsAnswered();
   void ConfirmEnd();
   void OnEndConfirmed(PortState state);
   void OnBrokenOff(std::string_view reason);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -172,7 +172,7 @@
 
 void Exchange::CompleteResponse() {
   ClearSuspicion();
-  if (response_head_->status / 100 == 2) AddSoundParts();
+  if (response_head_->status / 100 == 2) OnPartsAnswered();
   if (!is_event_stream_) return RelayResponse();
   EndAttempt(AttemptOutcome::kServed);
   const auto sink = sink_.lock();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,6 +81,8 @@
                      [this](const UpstreamCrash& crash, std::string_view evidence) {
                        OnUpstreamCrashed(crash, evidence);
                      }),
+      short_answers(io, quarantine,
+                    [this](const std::vector<RequestDigest>& parts) { AddSoundParts(parts); }),
       quotas(options.entry_id),
       quota_timer(io),
       acceptor(io),
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -13,6 +13,7 @@
 
 #include "crash_detector.h"
 #include "junctionrail/gateway.h"
+#include "short_answers.h"
 #include "upstream_pool.h"
 
 namespace junctionrail::internal {
@@ -107,6 +108,7 @@
   Timer judge_timer;
   SuspectIsolation suspect_isolation;
   internal::CrashDetector crash_detector;
+  internal::ShortAnswers short_answers;
   StreamOriginTable stream_origins;
   std::map<std::uint64_t, std::weak_ptr<internal::Exchange>> awaiting_origin;  // By ticket.
   std::function<void(const BegunStream&)> on_stream_begun;
