Failing test: a request is refused with the one that interrupted it three times

The other request had been sent alone twice, the stream once, and the entry that refused the stream had not yet had the report of the third end by the entry that had sent the other one. Result: fails, a lasting refusal right after the third crash.

--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -133,6 +133,25 @@
   EXPECT_TEXT("suspect", it.StatusOf("a"), "the other one is still sent in isolation");
 }
 
+// Guards against the refusal of a stream that another request interrupted three times, since its
+// caller resumed it as often as the other caller.
+TEST(Suspicion, RemainsIfAnotherRequestWasAtThreeCrashesAndIsolatedMoreOften) {
+  TestTable it;
+  it.Add("i-1", {WithEvent("a"), WithEvent("deadly")});
+  it.now += 60;
+  it.Add("i-2", {WithEvent("a"), Isolated("deadly")});
+  it.AwaitReports();
+  it.Add("i-3", {Isolated("a")});
+  EXPECT_NUMBER(0, it.table.TakeNewRefusals().size(), "other entries may still report a suspect");
+  it.now += 5;
+  it.Add("i-3", {Isolated("deadly")}, 5);
+  EXPECT_TEXT("suspect", it.StatusOf("a"), "isolated once at the three crashes");
+  EXPECT_TEXT("refused", it.StatusOf("deadly"), "isolated twice");
+  it.AwaitReports();
+  const auto refusals = it.table.TakeNewRefusals();
+  EXPECT_TRUE(refusals.size() == 1 && refusals.front() == DigestFor("deadly"), "only the cause");
+}
+
 TEST(Suspicion, IsNotProvenBeforeOtherEntriesHaveReported) {
   // Found by the property tests: an entry refused its own suspect permanently although another
   // entry had a suspect on the same upstream.
