Quarantine: three crashes refuse no request beside a likelier one

Cause: a request that was at three crashes was refused whatever else was there, at once and for good, and so was a stream whose caller had resumed it each time beside the request that crashed its upstreams. What other entries had to report on the third crash was not waited for. Change: a request is not refused for three crashes if another one was at all of them and was isolated at more of them; a lasting refusal waits for the reports of the last crash, as that for two does. A request for a model that is refused provisionally waits for the reports, 50 ms, or for the confirmation of the crash, 450 ms, in place of being refused.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -110,6 +110,8 @@
   // Time in which all reachable entries report the suspects that they had on a crashed upstream.
   // Before it has passed, a crash does not prove that a suspect was the only likely one there.
   DurationMs report_window_ms = 50;
+  // Time in which a crash is confirmed if its upstream's VM responds.
+  DurationMs confirmation_window_ms = 450;
   std::size_t max_crashes = 64;
   // Per crash: twice the 96 requests that an engine with 64 slots runs and queues.
   std::size_t max_suspects = 192;
@@ -145,6 +147,9 @@
   void Expire(TimeMs now);
 
   QuarantineStatus StatusOf(const RequestDigest& digest, TimeMs now) const;
+  // Whether it is refused only provisionally, and reports or the confirmation of a crash may still
+  // clear it: another attempt would most likely crash another upstream.
+  bool AwaitsReports(const RequestDigest& digest, TimeMs now) const;
   // True if there are no suspects and no refusals, so that no digest has to be computed.
   bool IsEmpty() const { return evidence_.empty() && refused_.empty(); }
   bool IsKnown(const std::string& instance) const { return crashes_.count(instance) > 0; }
@@ -196,6 +201,12 @@
   bool IsOnlyLikelySuspect(const RequestDigest& digest, const std::string& instance) const;
   // Whether it was at several crashes.
   bool HasRepeated(const RequestDigest& digest) const;
+  // Whether another suspect was at all of the crashes, and isolated at more of them.
+  bool HasLikelierSuspect(const RequestDigest& digest,
+                          const std::vector<const Evidence*>& crashes) const;
+  // At how many of the crashes it was isolated; 0 if it was not at all of them.
+  int CountIsolations(const RequestDigest& digest,
+                      const std::vector<const Evidence*>& crashes) const;
 
   QuarantineLimits limits_;
   std::map<std::string, Crash> crashes_;  // By instance.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -140,7 +140,8 @@
   const TimeMs now = MonotonicMs();
   if (now >= deadline_at_) return GiveUp(ExecutionSoFar(), "deadline");
   if (quota_ticket_ != 0 || upstream_quota_ticket_ != 0 || !RecheckKey()) return;
-  if (CurrentQuarantineStatus() == QuarantineStatus::kRefused) return RefuseQuarantined();
+  const bool is_refused = CurrentQuarantineStatus() == QuarantineStatus::kRefused;
+  if (is_refused && !IsRefusedProvisionally(now)) return RefuseQuarantined();
   const PickResult choice = ChooseUpstream(now);
   if (const auto* to = std::get_if<SendTo>(&choice)) {
     if (AcquireQuota() && AcquireUpstreamQuota(to->instance)) SendRequest(to->instance);
@@ -211,6 +212,11 @@
 
 bool Exchange::IsSuspect() { return CurrentQuarantineStatus() != QuarantineStatus::kClear; }
 
+// Only requests for a model can wait.
+bool Exchange::IsRefusedProvisionally(TimeMs now) {
+  return model_ && gateway_.quarantine.AwaitsReports(Digest(), now);
+}
+
 std::optional<Suspect> Exchange::AsSuspect(TimeMs now) {
   const bool has_event = attempt_first_event_at_ != 0;
   const bool is_harmless =
@@ -277,7 +283,8 @@
   PickResult pick = gateway_.upstreams.Choose(request, now);
   const auto* to = std::get_if<SendTo>(&pick);
   const bool must_wait =
-      is_suspect && model_ && to != nullptr && gateway_.prompt_parts.AwaitsReports(parts_, now);
+      is_suspect && model_ && to != nullptr &&
+      (gateway_.prompt_parts.AwaitsReports(parts_, now) || IsRefusedProvisionally(now));
   if (must_wait) return WaitFor{to->instance, kReportsWaitMs, "alone", 0};
   const auto* none = std::get_if<NoUpstream>(&pick);
   upstream_opens_in_ms_ = none == nullptr ? 0 : none->retry_after_ms;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -123,6 +123,8 @@
   void RefusePlace(const NoUpstream& none);
   const RequestDigest& Digest();
   QuarantineStatus CurrentQuarantineStatus();
+  // Whether reports on the last crash may still clear it.
+  bool IsRefusedProvisionally(TimeMs now);
   void RefuseQuarantined();
   RequestDigest IsolationKey();
   void ClearSuspicion();
--- a/src/quarantine/quarantine_table.cc
+++ b/src/quarantine/quarantine_table.cc
@@ -6,8 +6,8 @@
 namespace junctionrail {
 namespace {
 
-// Two crashes identify a request only if it was the only suspect at the second one; three are
-// sufficient regardless of other requests.
+// Two crashes identify a request only if it was the only likely suspect at the second one; three
+// are sufficient unless another request is the likelier cause of all of them.
 constexpr int kCrashesIfIsolated = 2;
 constexpr int kCrashesToRefuse = 3;
 // Separates an instance from the number of its restarts since it was listed.
@@ -108,9 +108,9 @@
 
 // A suspect is proven if it was present at a crash with another cause and then was the only likely
 // suspect at a later one, which it was sent to in isolation; see IsOnlyLikelySuspect. What other
-// entries report counts within report_window_ms. Three crashes are sufficient regardless of other
-// requests: each further crash interrupts up to 64 unrelated streams, while a wrong refusal affects
-// a single request.
+// entries report counts within report_window_ms. Three crashes are sufficient even if it was never
+// alone: each further crash interrupts up to 64 unrelated streams, while a wrong refusal affects a
+// single request. Only a suspect that is likelier, and thus refused, keeps it from being refused.
 bool QuarantineTable::IsProven(const RequestDigest& digest, const std::vector<Evidence>& evidence,
                                Proof proof, TimeMs now) const {
   const bool is_final = proof == Proof::kFinal;
@@ -121,6 +121,7 @@
   std::sort(crashes.begin(), crashes.end(),
             [](const Evidence* a, const Evidence* b) { return a->crashed_at < b->crashed_at; });
   int causes = 0;
+  int reported_causes = 0;
   bool was_isolated = false;
   TimeMs last_at = 0;
   for (const Evidence* it : crashes) {
@@ -129,10 +130,50 @@
     last_at = it->crashed_at;
     if (!is_same_cause) ++causes;
     const bool is_reported = !is_final || now - it->crashed_at >= limits_.report_window_ms;
-    was_isolated |= is_reported && causes >= kCrashesIfIsolated && it->was_isolated &&
+    if (!is_reported) continue;
+    reported_causes = causes;
+    was_isolated |= causes >= kCrashesIfIsolated && it->was_isolated &&
                     IsOnlyLikelySuspect(digest, it->instance);
   }
-  return causes >= kCrashesToRefuse || was_isolated;
+  if (was_isolated) return true;
+  return reported_causes >= kCrashesToRefuse && !HasLikelierSuspect(digest, crashes);
+}
+
+// Callers that send a stream again after each crash may meet the cause three times.
+bool QuarantineTable::HasLikelierSuspect(const RequestDigest& digest,
+                                         const std::vector<const Evidence*>& crashes) const {
+  const auto first = crashes_.find(crashes.front()->instance);
+  if (first == crashes_.end()) return false;
+  const int isolations = CountIsolations(digest, crashes);
+  const auto& suspects = first->second.suspects;
+  return std::any_of(suspects.begin(), suspects.end(), [&](const Suspect& it) {
+    return CountIsolations(it.digest, crashes) > isolations;
+  });
+}
+
+int QuarantineTable::CountIsolations(const RequestDigest& digest,
+                                     const std::vector<const Evidence*>& crashes) const {
+  const auto evidence = evidence_.find(digest);
+  if (evidence == evidence_.end()) return 0;
+  int isolations = 0;
+  for (const Evidence* crash : crashes) {
+    const auto it = std::find_if(evidence->second.begin(), evidence->second.end(),
+                                 [&](const Evidence& o) { return o.instance == crash->instance; });
+    if (it == evidence->second.end()) return 0;
+    isolations += it->was_isolated ? 1 : 0;
+  }
+  return isolations;
+}
+
+bool QuarantineTable::AwaitsReports(const RequestDigest& digest, TimeMs now) const {
+  const auto it = evidence_.find(digest);
+  if (it == evidence_.end() || IsRefused(digest, now)) return false;
+  if (!IsProven(digest, it->second, Proof::kProvisional, now)) return false;
+  return std::any_of(it->second.begin(), it->second.end(), [&](const Evidence& crash) {
+    const DurationMs window =
+        crash.is_pending ? limits_.confirmation_window_ms : limits_.report_window_ms;
+    return now - crash.crashed_at < window;
+  });
 }
 
 // Another suspect is as likely a cause if its entry isolated it too, or if it was at other crashes
--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -143,8 +143,10 @@
   it.AwaitReports();
   it.Add("i-3", {Isolated("a")});
   EXPECT_NUMBER(0, it.table.TakeNewRefusals().size(), "other entries may still report a suspect");
+  EXPECT_TRUE(it.table.AwaitsReports(DigestFor("a"), it.now), "refused provisionally");
   it.now += 5;
   it.Add("i-3", {Isolated("deadly")}, 5);
+  EXPECT_TRUE(!it.table.AwaitsReports(DigestFor("a"), it.now), "no longer");
   EXPECT_TEXT("suspect", it.StatusOf("a"), "isolated once at the three crashes");
   EXPECT_TEXT("refused", it.StatusOf("deadly"), "isolated twice");
   it.AwaitReports();
