--- a/soak/main.cc
+++ b/soak/main.cc
@@ -113,6 +113,7 @@
   std::fflush(stdout);
   const std::string keep = absl::GetFlag(FLAGS_keep);
   if (!broken.empty() && !keep.empty()) {
+    std::filesystem::create_directories(keep);
     std::filesystem::copy(directory, keep + "/seed-" + std::to_string(seed),
                           std::filesystem::copy_options::recursive);
   }
