--- a/test/prompt_part_table_test.cc
+++ b/test/prompt_part_table_test.cc
@@ -92,6 +92,25 @@
   EXPECT_TEXT("k", table.Found(kIds), "two other requests, too");
 }
 
+// Guards against the refusal of a sound part that is also in a request which crashes upstreams, as
+// other requests with it were there.
+TEST(PromptPartTable, DoesNotFindAPartIfTwoRequestsExplainItsCrashes) {
+  Table table;
+  table.Crash({"q:1"});
+  const auto repeated = DigestOf({"", "", "", "", "repeated"});
+  for (const char* other : {"a", "b"}) {
+    UpstreamCrash crash;
+    crash.instance = std::string("i-") + other;
+    crash.suspects.push_back({repeated, false, true, Parts("q:1"), true});
+    crash.suspects.push_back({DigestOf({"", "", "", "", other}), false, true, Parts("q:1"), true});
+    table.table.Add(crash, table.now);
+    table.now += kReportedMs;
+  }
+  EXPECT_TEXT("", table.Found(kIds), "the repeated request and the one at the first crash");
+  table.Crash({"q:1"}, true);
+  EXPECT_TEXT("q", table.Found(kIds), "a third request, too");
+}
+
 // Guards against the refusal of a part that all requests share, before any was answered.
 TEST(PromptPartTable, DoesNotFindAPartOfRequestsOfWhichNoneIsSound) {
   Table table;
--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -154,6 +154,20 @@
   EXPECT_TRUE(refusals.size() == 1 && refusals.front() == DigestFor("deadly"), "only the cause");
 }
 
+// Guards against the refusal of a request beside the cause at both crashes, if the report that the
+// cause was at the second one is late.
+TEST(Suspicion, RemainsIfAnotherRequestWasIsolatedAtTheFirstCrash) {
+  TestTable it;
+  it.Add("i-1", {WithoutEvent("a"), Isolated("deadly")});
+  it.now += 60;
+  it.Add("i-2", {Isolated("a")});
+  EXPECT_TEXT("suspect", it.StatusOf("a"), "the first crash says little about it");
+  it.AwaitReports();
+  EXPECT_NUMBER(0, it.table.TakeNewRefusals().size(), "no lasting refusal");
+  it.Add("i-3", {Isolated("a")});
+  EXPECT_TEXT("refused", it.StatusOf("a"), "a third crash identifies it");
+}
+
 TEST(Suspicion, IsNotProvenBeforeOtherEntriesHaveReported) {
   // Found by the property tests: an entry refused its own suspect permanently although another
   // entry had a suspect on the same upstream.
