Quarantine: a crash with another isolated suspect says little about a request

Change: a crash at which only other suspects were isolated does not count towards a refusal for two crashes; it counts as one of three, as before. The rule for two and that for three have a function each.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -198,6 +198,12 @@
   enum class Proof { kProvisional, kFinal };
   bool IsProven(const RequestDigest& digest, const std::vector<Evidence>& evidence, Proof proof,
                 TimeMs now) const;
+  // Of crashes in the order of their times.
+  bool IsProvenByIsolation(const RequestDigest& digest,
+                           const std::vector<const Evidence*>& crashes) const;
+  // Crashes at about the same time have one cause.
+  int CountCauses(const std::vector<const Evidence*>& crashes) const;
+  bool HasOtherIsolatedSuspect(const RequestDigest& digest, const std::string& instance) const;
   bool IsOnlyLikelySuspect(const RequestDigest& digest, const std::string& instance) const;
   // Whether it was at several crashes.
   bool HasRepeated(const RequestDigest& digest) const;
--- a/src/quarantine/quarantine_table.cc
+++ b/src/quarantine/quarantine_table.cc
@@ -107,36 +107,55 @@
 }
 
 // A suspect is proven if it was present at a crash with another cause and then was the only likely
-// suspect at a later one, which it was sent to in isolation; see IsOnlyLikelySuspect. What other
-// entries report counts within report_window_ms. Three crashes are sufficient even if it was never
-// alone: each further crash interrupts up to 64 unrelated streams, while a wrong refusal affects a
-// single request. Only a suspect that is likelier, and thus refused, keeps it from being refused.
+// suspect at a later one, which it was sent to in isolation. What other entries report counts
+// within report_window_ms. Three crashes are sufficient even if it was never alone: each further
+// crash interrupts up to 64 unrelated streams, while a wrong refusal affects a single request. Only
+// a suspect that is likelier, and thus refused, keeps it from being refused.
 bool QuarantineTable::IsProven(const RequestDigest& digest, const std::vector<Evidence>& evidence,
                                Proof proof, TimeMs now) const {
   const bool is_final = proof == Proof::kFinal;
   std::vector<const Evidence*> crashes;
   for (const auto& it : evidence) {
-    if (!is_final || !it.is_pending) crashes.push_back(&it);
+    const bool is_reported = now - it.crashed_at >= limits_.report_window_ms;
+    if (!is_final || (is_reported && !it.is_pending)) crashes.push_back(&it);
   }
   std::sort(crashes.begin(), crashes.end(),
             [](const Evidence* a, const Evidence* b) { return a->crashed_at < b->crashed_at; });
+  if (IsProvenByIsolation(digest, crashes)) return true;
+  return CountCauses(crashes) >= kCrashesToRefuse && !HasLikelierSuspect(digest, crashes);
+}
+
+// A crash at which only another suspect was isolated says little about this one.
+bool QuarantineTable::IsProvenByIsolation(const RequestDigest& digest,
+                                          const std::vector<const Evidence*>& crashes) const {
+  std::vector<const Evidence*> so_far;
+  for (const Evidence* it : crashes) {
+    if (!it->was_isolated && HasOtherIsolatedSuspect(digest, it->instance)) continue;
+    so_far.push_back(it);
+    const bool was_only_one = it->was_isolated && IsOnlyLikelySuspect(digest, it->instance);
+    if (was_only_one && CountCauses(so_far) >= kCrashesIfIsolated) return true;
+  }
+  return false;
+}
+
+int QuarantineTable::CountCauses(const std::vector<const Evidence*>& crashes) const {
   int causes = 0;
-  int reported_causes = 0;
-  bool was_isolated = false;
   TimeMs last_at = 0;
   for (const Evidence* it : crashes) {
-    const bool is_same_cause =
-        causes > 0 && it->crashed_at - last_at < limits_.common_cause_window_ms;
+    const bool is_same = causes > 0 && it->crashed_at - last_at < limits_.common_cause_window_ms;
     last_at = it->crashed_at;
-    if (!is_same_cause) ++causes;
-    const bool is_reported = !is_final || now - it->crashed_at >= limits_.report_window_ms;
-    if (!is_reported) continue;
-    reported_causes = causes;
-    was_isolated |= causes >= kCrashesIfIsolated && it->was_isolated &&
-                    IsOnlyLikelySuspect(digest, it->instance);
+    if (!is_same) ++causes;
   }
-  if (was_isolated) return true;
-  return reported_causes >= kCrashesToRefuse && !HasLikelierSuspect(digest, crashes);
+  return causes;
+}
+
+bool QuarantineTable::HasOtherIsolatedSuspect(const RequestDigest& digest,
+                                              const std::string& instance) const {
+  const auto crash = crashes_.find(instance);
+  if (crash == crashes_.end()) return false;
+  const auto& suspects = crash->second.suspects;
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [&](const Suspect& it) { return it.was_isolated && !(it.digest == digest); });
 }
 
 // Callers that send a stream again after each crash may meet the cause three times.
@@ -181,10 +200,10 @@
 bool QuarantineTable::IsOnlyLikelySuspect(const RequestDigest& digest,
                                           const std::string& instance) const {
   const auto crash = crashes_.find(instance);
-  if (crash == crashes_.end()) return false;
+  if (crash == crashes_.end() || HasOtherIsolatedSuspect(digest, instance)) return false;
   const auto& suspects = crash->second.suspects;
   return std::none_of(suspects.begin(), suspects.end(), [&](const Suspect& it) {
-    return !(it.digest == digest) && (it.was_isolated || HasRepeated(it.digest));
+    return !(it.digest == digest) && HasRepeated(it.digest);
   });
 }
 
