Quarantine: a part is not found if two requests explain its crashes

Cause: a part counted as the cause of three crashes of three requests with it, also if one of them was at two of the crashes: the request that ends upstreams and has a sound part, beside others with it that were sent alone, and one more crash of another cause, made a sound part refused in all requests. Change: crashes that one or two requests with the part were at are explained by those. This takes the place of the count of requests and of the rule for one common request.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -291,7 +291,8 @@
   std::vector<const Crash*> CrashesWith(const RequestDigest& part, TimeMs now) const;
   // Crashes at about the same time have one cause.
   int CountCauses(const std::vector<const Crash*>& crashes) const;
-  static bool HasCommonRequest(const std::vector<const Crash*>& crashes, const RequestDigest& part);
+  static bool AreExplainedByRequests(const std::vector<const Crash*>& crashes,
+                                     const RequestDigest& part);
   std::vector<RequestDigest> ExplainedRequests(const Crash& crash, const RequestDigest& part,
                                                int causes, TimeMs now) const;
   bool IsProven(const RequestDigest& part, TimeMs now) const;
--- a/src/quarantine/prompt_part_table.cc
+++ b/src/quarantine/prompt_part_table.cc
@@ -5,8 +5,8 @@
 namespace junctionrail {
 namespace {
 
-// A part is found to cause crashes once it was at this many, of as many different requests. One
-// request that is repeated explains its crashes by itself.
+// A part is found to cause crashes once it was at this many, of as many different requests. Fewer
+// requests that are repeated explain their crashes by themselves.
 constexpr int kCausesToFind = 3;
 // So many of them happened to requests that were sent alone. Upstreams crash of themselves too, and
 // a part that is new may be in the only request there.
@@ -162,18 +162,31 @@
   });
 }
 
-// A request that was at all crashes of its part explains them by itself; what becomes of it is up
-// to QuarantineTable.
-bool PromptPartTable::HasCommonRequest(const std::vector<const Crash*>& crashes,
-                                       const RequestDigest& part) {
-  std::map<RequestDigest, std::size_t> counts;
-  for (const Crash* crash : crashes) {
-    for (const auto& it : crash->suspects) {
-      if (Contains(it.parts, part)) ++counts[it.request];
+// Requests that are repeated and were at all crashes of their part explain them by themselves, be
+// it one or a pair; what becomes of those is up to QuarantineTable.
+bool PromptPartTable::AreExplainedByRequests(const std::vector<const Crash*>& crashes,
+                                             const RequestDigest& part) {
+  using CrashSet = std::vector<bool>;  // By position in `crashes`.
+  std::map<RequestDigest, CrashSet> by_request;
+  for (std::size_t n = 0; n < crashes.size(); ++n) {
+    for (const auto& it : crashes[n]->suspects) {
+      if (!Contains(it.parts, part)) continue;
+      CrashSet& set = by_request[it.request];
+      set.resize(crashes.size());
+      set[n] = true;
     }
   }
-  return std::any_of(counts.begin(), counts.end(),
-                     [&](const auto& it) { return it.second == crashes.size(); });
+  std::set<CrashSet> sets;
+  for (const auto& [request, set] : by_request) sets.insert(set);
+  const auto cover = [&](const CrashSet& a, const CrashSet& b) {
+    for (std::size_t n = 0; n < crashes.size(); ++n) {
+      if (!a[n] && !b[n]) return false;
+    }
+    return true;
+  };
+  return std::any_of(sets.begin(), sets.end(), [&](const CrashSet& a) {
+    return std::any_of(sets.begin(), sets.end(), [&](const CrashSet& b) { return cover(a, b); });
+  });
 }
 
 // The requests with the part that were sent alone, if the crash says something about it: entries
@@ -200,17 +213,11 @@
 
 bool PromptPartTable::IsProven(const RequestDigest& part, TimeMs now) const {
   std::vector<const Crash*> reported;
-  std::set<RequestDigest> requests;
   for (const Crash* it : CrashesWith(part, now)) {
-    if (now - it->crashed_at < limits_.report_window_ms) continue;
-    reported.push_back(it);
-    for (const auto& suspect : it->suspects) {
-      if (Contains(suspect.parts, part)) requests.insert(suspect.request);
-    }
+    if (now - it->crashed_at >= limits_.report_window_ms) reported.push_back(it);
   }
   const int causes = CountCauses(reported);
-  const int explained = std::min(causes, static_cast<int>(requests.size()));
-  if (explained < kCausesToFind || HasCommonRequest(reported, part)) return false;
+  if (causes < kCausesToFind || AreExplainedByRequests(reported, part)) return false;
   std::vector<const Crash*> isolated;
   std::set<RequestDigest> isolated_requests;
   for (const Crash* it : reported) {
