--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -105,6 +105,28 @@
   EXPECT_NUMBER(2, calls, "one failed and one successful attempt");
 }
 
+// Guards against a second crash of an upstream that is counted, and held against the request, as a
+// connection from before the crash breaks late.
+TEST(GatewayRetries, TakeALateResetForTheCrashThatOthersReport) {
+  Fixture fixture;
+  int calls = 0;
+  fixture.AddUpstream("u1", "plain", [&](const SeenRequest&, const Peer& peer) {
+    if (++calls == 1) peer->Write(OkResponse("ok"));
+  });
+  fixture.Configure({MakeRoute("/a/", RequestKind::kIdempotent, "plain")});
+  fixture.Fetch(MakeRequest("GET /a/"));
+  RunFor(fixture.io, 100);
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeRequest("GET /a/"));
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return calls == 2; }), "sent on the idle connection");
+  EXPECT_NUMBER(1, fixture.upstreams[0]->connections(), "connections");
+  fixture.gateway->AddUpstreamCrash({"u1", 50, {}});
+  fixture.upstreams[0]->Crash();
+  caller.AwaitEnd();
+  RunFor(fixture.io, 50);
+  EXPECT_NUMBER(1, fixture.gateway->counters().upstreams_crashed, "crashes");
+}
+
 TEST(GatewayRetries, DoesNotRetryAtMostOnceRequestAndReportsUnknownOutcome) {
   Fixture fixture;
   int calls = 0;
