Quarantine: a connection belongs to the process that accepted it

Cause: an attempt that began after a crash was taken to run on the restarted upstream, also if it was sent on an idle connection from before: over a slow path that breaks late, and the one crash counted as two. Change: a crash is named by when the connection that it broke was established, in place of when the attempt began.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -153,10 +153,10 @@
   // True if there are no suspects and no refusals, so that no digest has to be computed.
   bool IsEmpty() const { return evidence_.empty() && refused_.empty(); }
   bool IsKnown(const std::string& instance) const { return crashes_.count(instance) > 0; }
-  // Returns the name for a crash of `instance` that interrupted an attempt started at `started_at`:
-  // the instance itself, or, if that has crashed before, a name for a restart whose record has not
-  // been read yet.
-  std::string CrashName(const std::string& instance, TimeMs started_at) const;
+  // Returns the name for a crash of `instance` that broke a connection established at
+  // `connected_at`: the instance itself, or, if that has crashed before, a name for a restart whose
+  // record has not been read yet.
+  std::string CrashName(const std::string& instance, TimeMs connected_at) const;
   static std::string InstanceOfCrash(const std::string& name);
 
   // Returns the confirmed crashes, for a process that does not know them yet.
--- a/src/gateway/crash_detector.cc
+++ b/src/gateway/crash_detector.cc
@@ -42,7 +42,7 @@
   const auto it = attempts_.find(instance);
   if (it == attempts_.end()) return crash;
   for (Exchange* exchange : it->second) {
-    if (quarantine_.CrashName(instance, exchange->attempt_started_at()) != name) continue;
+    if (quarantine_.CrashName(instance, exchange->connected_at()) != name) continue;
     const auto suspect = exchange->AsSuspect(now);
     if (suspect) crash.suspects.push_back(*suspect);
   }
@@ -50,10 +50,12 @@
 }
 
 // A restarted upstream is sent requests under its old instance until its new record is read, and
-// may end again before that; CrashName tells the two ends apart.
+// may end again before that; CrashName tells the two ends apart. The process that an attempt ran on
+// is the one that accepted its connection: a connection from before a crash may break long after
+// it.
 void CrashDetector::OnConnectionBroken(const std::string& instance, const Endpoint& endpoint,
-                                       TimeMs begun_at, TimeMs now) {
-  const std::string name = quarantine_.CrashName(instance, begun_at);
+                                       TimeMs connected_at, TimeMs now) {
+  const std::string name = quarantine_.CrashName(instance, connected_at);
   if (pending_crashes_.count(instance) > 0 || quarantine_.IsKnown(name)) return;
   const auto open = open_ports_.find(instance);
   if (open != open_ports_.end() && now < open->second.next_check_at) return;
--- a/src/gateway/crash_detector.h
+++ b/src/gateway/crash_detector.h
@@ -32,10 +32,10 @@
   void OnAttemptBegun(const std::string& instance, Exchange* exchange);
   void OnAttemptOver(const std::string& instance, Exchange* exchange);
 
-  // The connection of an attempt that began at `begun_at` broke. The upstream is listed, and the
-  // attempt is still registered.
-  void OnConnectionBroken(const std::string& instance, const Endpoint& endpoint, TimeMs begun_at,
-                          TimeMs now);
+  // The connection of an attempt, established at `connected_at`, broke. The upstream is listed, and
+  // the attempt is still registered.
+  void OnConnectionBroken(const std::string& instance, const Endpoint& endpoint,
+                          TimeMs connected_at, TimeMs now);
   // The upstream sent data.
   void OnDataReceived(const std::string& instance, TimeMs now);
   // The upstream has ended, by other evidence, or is leaving as planned.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -359,6 +359,7 @@
   response_head_.reset();
   response_body_.clear();
   attempt_started_at_ = MonotonicMs();
+  connected_at_ = attempt_started_at_;
   last_activity_at_ = attempt_started_at_;
   listing_age_ms_ = gateway_.ListingAge(attempt_started_at_);
   if (listing_age_ms_ >= 0) gateway_.listing_age.Add(listing_age_ms_);
@@ -425,7 +426,8 @@
 // While the connection was being opened, the upstream may have left or asked for a backoff, its
 // data hall may have closed, its region may no longer be allowed, the key may have been revoked,
 // and the caller may have disconnected.
-bool Exchange::MaySend() {
+bool Exchange::MaySend(TimeMs connected_at) {
+  connected_at_ = connected_at;
   const auto sink = sink_.lock();
   const bool is_key_good =
       !key_ || (KeyOwner() != nullptr && gateway_.AreKeysCurrent(MonotonicMs()));
@@ -440,7 +442,7 @@
 void Exchange::ReportBrokenConnection() {
   if (!gateway_.upstreams.IsListed(instance_)) return;
   const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
-  gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, attempt_started_at_,
+  gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, connected_at_,
                                              MonotonicMs());
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,7 +67,8 @@
   DurationMs target_ms() const { return route_->first_byte_target_ms; }
   TimeMs first_byte_due_at() const { return request_.arrived_at + route_->first_byte_target_ms; }
   TimeMs waiting_since() const { return waiting_since_; }
-  TimeMs attempt_started_at() const { return attempt_started_at_; }  // Of the last attempt.
+  // When the connection of the last attempt was established, or the attempt began without one.
+  TimeMs connected_at() const { return connected_at_; }
   bool IsSuspect();
   // The suspect to report if the upstream of the current attempt ends now; none if the request has
   // run there for long enough to be harmless.
@@ -87,7 +88,7 @@
   void OnQuotaDecision(std::uint64_t ticket, const QuotaClient::Admission& verdict);
 
   void OnConnected(double round_trip_ms) override;
-  bool MaySend() override;
+  bool MaySend(TimeMs connected_at) override;
   void OnHead(UpstreamHead head) override;
   void OnBody(std::string_view data) override;
   void OnEnd(ResponseEnd end) override;
@@ -196,6 +197,7 @@
   int sent_attempts_ = 0;          // Sent, whether or not they ran.
   int unsent_attempts_ = 0;
   TimeMs attempt_started_at_ = 0;
+  TimeMs connected_at_ = 0;
   std::optional<RequestDigest> digest_;  // Computed on first use.
   std::vector<RequestDigest> parts_;     // Of the prompt, that other requests may share.
   bool is_isolated_suspect_ = false;     // Sent as the only suspect at its upstream.
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -160,6 +160,7 @@
     timer_.cancel();
     if (ec) return Fail(UpstreamFailure::kNoConnection, ec.message());
     is_connected_ = true;
+    connected_at_ = MonotonicMs();
     const std::chrono::duration<double, std::milli> round_trip =
         std::chrono::steady_clock::now() - connect_started_at_;
     listener_->OnConnected(round_trip.count());
@@ -172,7 +173,7 @@
   }
 
   void Send() {
-    if (!listener_->MaySend())
+    if (!listener_->MaySend(connected_at_))
       return Fail(UpstreamFailure::kWithheld, "withdrawn before it was sent");
     ++Traffic().requests_sent;
     parser_.reset();
@@ -326,6 +327,7 @@
   std::shared_ptr<UpstreamListener> listener_;
   std::uint64_t generation_ = 0;  // Number of requests begun; handlers of earlier ones do nothing.
   DurationMs idle_timeout_ms_ = kDefaultIdleTimeoutMs;
+  TimeMs connected_at_ = 0;
   TimeMs idle_until_ = 0;
   bool is_connected_ = false;
   bool is_reading_ = false;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -39,9 +39,9 @@
   virtual ~UpstreamListener() = default;
   // Called when a new connection is established, with the time that it took.
   virtual void OnConnected(double round_trip_ms) = 0;
-  // Called once the connection is established, which may take 500 ms: whether to still send the
-  // request.
-  virtual bool MaySend() = 0;
+  // Called once there is a connection, which may take 500 ms: whether to still send the request.
+  // The connection was established at `connected_at`, and may have been used since.
+  virtual bool MaySend(TimeMs connected_at) = 0;
   virtual void OnHead(UpstreamHead head) = 0;
   virtual void OnBody(std::string_view data) = 0;
   virtual void OnEnd(ResponseEnd end) = 0;
--- a/src/quarantine/quarantine_table.cc
+++ b/src/quarantine/quarantine_table.cc
@@ -286,11 +286,11 @@
   return is_suspect ? QuarantineStatus::kSuspect : QuarantineStatus::kClear;
 }
 
-std::string QuarantineTable::CrashName(const std::string& instance, TimeMs started_at) const {
+std::string QuarantineTable::CrashName(const std::string& instance, TimeMs connected_at) const {
   std::string name = instance;
   for (int restarts = 1;; ++restarts) {
     const auto it = crashes_.find(name);
-    if (it == crashes_.end() || started_at <= it->second.crashed_at) return name;
+    if (it == crashes_.end() || connected_at <= it->second.crashed_at) return name;
     name = instance + kRestartSeparator + std::to_string(restarts);
   }
 }
