Daemon: SIGHUP before the settings are watched does not end the process

SIGHUP tells the daemon to read its settings again, but until it watches them, the signal ends it. Change: the daemon ignores SIGHUP from the first line of main, as it reads the settings anyway. The soak has its programs started with SIGHUP ignored: while a program is loaded, the signal ends it whatever its code does.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -125,6 +125,9 @@
 }  // namespace junctionrail::soak
 
 int main(int argc, char** argv) {
+  // Programs inherit this until they handle the signal themselves: while one is being loaded,
+  // SIGHUP ends it whatever its code does.
+  std::signal(SIGHUP, SIG_IGN);
   absl::ParseCommandLine(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   if (absl::GetFlag(FLAGS_daemon).empty()) {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -70,6 +70,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Until the settings are watched: they are read below in any case.
+  std::signal(SIGHUP, SIG_IGN);
   absl::SetProgramUsageMessage("junctionraild --settings=FILE [--check_settings]");
   absl::ParseCommandLine(argc, argv);
   std::string file = absl::GetFlag(FLAGS_settings);
