--- a/review/standins/http.cc
+++ b/review/standins/http.cc
@@ -128,6 +128,12 @@
   return true;
 }
 
+bool Connection::AwaitBytes(std::int64_t timeout_ms) {
+  if (!buffer_.empty()) return true;
+  pollfd waited{descriptor_, POLLIN, 0};
+  return poll(&waited, 1, static_cast<int>(timeout_ms)) > 0;
+}
+
 ReadEnd Connection::ReadMore(std::int64_t until) {
   pollfd waited{descriptor_, POLLIN, 0};
   const std::int64_t left = std::max<std::int64_t>(0, until - NowMs());
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -56,6 +56,8 @@
   Connection& operator=(const Connection&) = delete;
   ~Connection();
 
+  // Whether there is anything to read within the time, an end too.
+  bool AwaitBytes(std::int64_t timeout_ms);
   ReadEnd ReadRequest(Message* request, std::int64_t timeout_ms);
   ReadEnd ReadAnswer(Message* answer, std::int64_t timeout_ms);
   bool Send(const std::string& bytes);
