--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,13 +4,13 @@
 set -u
 record="$(cd "$(dirname "$0")" && pwd)/record.txt"
 cd "$(dirname "$0")/../.."
-if [ ! -x target/junctionraild ] || [ ! -x target/review/relay_freeze ]; then
+if [ ! -x target/junctionraild ] || [ ! -x target/review/deadly_part ]; then
   echo "not built: run the build of deploy/system.toml, then review/build.sh" >&2
   exit 2
 fi
 REVIEW_DIRECTORY="$(mktemp -d)"
 export REVIEW_DIRECTORY
-timeout --signal=KILL 115 target/review/relay_freeze "$record"
+timeout --signal=KILL 115 target/review/deadly_part "$record"
 code=$?
 rm -rf "$REVIEW_DIRECTORY"
 [ "$code" -le 1 ] || code=2
