Gateway: a surplus response without a length does not answer another request

What callers saw: a 200 without a proof and without a body, mostly with the request id of a third request; or their connections were closed, as the entry ended by signal 6 or 11.

Cause: the connection to an upstream took its end for the end of the awaited response whenever the parser was within a response that ends by close, and did not look at whose response that was. The exchange was then told of an end without a head, and read the head of an earlier exchange at the same place of the heap.

Change: ResponseReader, free of I/O, reads the bytes of a connection and yields events. Only the response to the current request has a head, parts and an end; an end of the connection within any other one is a failure like any connection that breaks before the response, so that the same rule decides on a retry. A surplus response without a length takes the rest of the connection, so the attempt ends at its head in place of the deadline, with a reset, and is no evidence of a crash of the upstream.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -448,8 +448,9 @@
 
 void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
   call_ = nullptr;
-  const bool was_sent = failure == UpstreamFailure::kBroken;
-  if (was_sent) ReportBrokenConnection();
+  const bool is_broken = failure == UpstreamFailure::kBroken;
+  const bool was_sent = is_broken || failure == UpstreamFailure::kMismatched;
+  if (is_broken) ReportBrokenConnection();
   // A withheld request is no evidence of a fault of the upstream.
   EndAttempt(was_sent                                ? AttemptOutcome::kFailed
              : failure == UpstreamFailure::kWithheld ? AttemptOutcome::kRefused
--- /dev/null
+++ b/src/gateway/response_reader.cc
@@ -0,0 +1,125 @@
+#include "response_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "http_text.h"
+
+namespace junctionrail::internal {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::uint64_t kMaxResponseBytes = 1ULL << 40;
+constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
+constexpr unsigned kFirstFinalStatus = 200;
+
+template <typename Parser>
+UpstreamHead HeadOf(const Parser& parser) {
+  UpstreamHead head{parser.get().result_int(), {}};
+  for (const auto& it : parser.get().base()) {
+    head.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+  }
+  return head;
+}
+
+ResponseUnreadable Malformed(const error_code& ec) {
+  return {ResponseUnreadable::Cause::kMalformed, "malformed response: " + ec.message()};
+}
+
+}  // namespace
+
+void ResponseReader::Begin(std::string request_id, bool is_head_method) {
+  request_id_ = std::move(request_id);
+  is_head_method_ = is_head_method;
+  parser_.reset();
+  subject_ = Subject::kUnknown;
+}
+
+std::optional<ResponseEvent> ResponseReader::Next() {
+  while (true) {
+    if (subject_ == Subject::kAwaited) {
+      auto event = NextOfAwaited();
+      if (event) return event;
+    } else if (subject_ != Subject::kUnknown) {
+      parser_->get().body().clear();
+      if (parser_->is_done()) {
+        parser_.reset();
+        subject_ = Subject::kUnknown;
+      }
+    }
+    if (!HasUnread()) return std::nullopt;
+    const std::size_t unread = buffer_.size();
+    auto event = Parse();
+    if (event) return event;
+    if (buffer_.size() == unread) return std::nullopt;
+  }
+}
+
+// Takes in one step a head, or a part of a body.
+std::optional<ResponseEvent> ResponseReader::Parse() {
+  if (!parser_) {
+    parser_.emplace();
+    parser_->body_limit(kMaxResponseBytes);
+    parser_->header_limit(kMaxHeadBytes);
+    if (is_head_method_) parser_->skip(true);
+  }
+  error_code ec;
+  const std::size_t n = parser_->put(buffer_.data(), ec);
+  buffer_.consume(n);
+  if (ec && ec != http::error::need_more) return Malformed(ec);
+  const bool is_head_read = subject_ == Subject::kUnknown && parser_->is_header_done();
+  return is_head_read ? OnHead() : std::nullopt;
+}
+
+std::optional<ResponseEvent> ResponseReader::OnHead() {
+  UpstreamHead head = HeadOf(*parser_);
+  subject_ = SubjectOf(head);
+  if (subject_ == Subject::kAwaited) return ResponseHeadRead{std::move(head)};
+  if (subject_ == Subject::kInterim) return std::nullopt;
+  ++surplus_responses_;
+  if (!parser_->need_eof()) return std::nullopt;
+  // The awaited response cannot follow it.
+  return ResponseUnreadable{ResponseUnreadable::Cause::kSurplus,
+                            "a response to another request takes the rest of the connection"};
+}
+
+ResponseReader::Subject ResponseReader::SubjectOf(const UpstreamHead& head) const {
+  if (head.status < kFirstFinalStatus) return Subject::kInterim;
+  return IsForCurrentRequest(head) ? Subject::kAwaited : Subject::kSurplus;
+}
+
+bool ResponseReader::IsForCurrentRequest(const UpstreamHead& head) const {
+  const std::string* id = FindField(head.fields, request_id_field_);
+  return id != nullptr && *id == request_id_;
+}
+
+std::optional<ResponseEvent> ResponseReader::NextOfAwaited() {
+  std::string& body = parser_->get().body();
+  if (!body.empty()) return ResponseBodyRead{std::exchange(body, std::string())};
+  if (parser_->is_done()) return ResponseComplete{ResponseEnd::kFramed};
+  return std::nullopt;
+}
+
+ResponseEvent ResponseReader::OnClosed() {
+  using Cause = ResponseUnreadable::Cause;
+  if (subject_ != Subject::kAwaited) {
+    return ResponseUnreadable{Cause::kClosed, "closed before the response"};
+  }
+  if (!parser_->need_eof()) {
+    return ResponseUnreadable{Cause::kClosed, "closed before the end of the response"};
+  }
+  error_code ec;
+  parser_->put_eof(ec);
+  if (ec) return Malformed(ec);
+  return ResponseComplete{ResponseEnd::kClosed};
+}
+
+// An upstream that has sent what no request waits for is not trusted with another one.
+bool ResponseReader::MayReuse() const {
+  const bool is_whole = parser_ && parser_->is_done() && parser_->keep_alive();
+  return is_whole && !HasUnread() && surplus_responses_ == 0;
+}
+
+}  // namespace junctionrail::internal
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -8,13 +8,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <deque>
 #include <optional>
 #include <utility>
+#include <variant>
 
 #include "http_text.h"
 
@@ -22,7 +20,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
@@ -37,17 +34,10 @@
 constexpr DurationMs kIdleMarginMs = 700;
 constexpr std::size_t kMaxIdleConnections = 16;
 constexpr std::size_t kReadBytes = 8 << 10;
-constexpr std::uint64_t kMaxResponseBytes = 1ULL << 40;
-constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
 
-using Parser = http::response_parser<http::string_body>;
-
-std::vector<HttpHeader> FieldsOf(const Parser& parser) {
-  std::vector<HttpHeader> fields;
-  for (const auto& it : parser.get().base()) {
-    fields.push_back({std::string(it.name_string()), std::string(it.value())});
-  }
-  return fields;
+UpstreamFailure FailureOf(ResponseUnreadable::Cause cause) {
+  return cause == ResponseUnreadable::Cause::kSurplus ? UpstreamFailure::kMismatched
+                                                      : UpstreamFailure::kBroken;
 }
 
 }  // namespace
@@ -79,7 +69,8 @@
         endpoint_(upstream.endpoint),
         distance_(distance),
         socket_(pool_->io_),
-        timer_(pool_->io_) {
+        timer_(pool_->io_),
+        reader_(pool_->request_id_field_) {
     ++pool_->upstreams_[instance_].open;
   }
 
@@ -93,6 +84,7 @@
     listener_ = std::move(listener);
     is_paused_ = false;
     has_sent_all_ = false;
+    reader_.Begin(message_.request_id, message_.is_head_method);
     ++generation_;
     if (is_connected_) {
       asio::post(pool_->io_, [self = shared_from_this(), use = generation_] {
@@ -103,13 +95,9 @@
     }
   }
 
-  // Resets the connection, which discards a request that the upstream has not read yet. A suspended
-  // upstream would otherwise start on it long after its caller has disconnected.
   void Cancel() override {
     listener_ = nullptr;
-    error_code ec;
-    socket_.set_option(asio::socket_base::linger(true, 0), ec);
-    Close();
+    Reset();
   }
 
   void Pause(bool is_paused) override {
@@ -135,6 +123,14 @@
   TimeMs idle_until() const { return idle_until_; }
 
  private:
+  // Discards a request that the upstream has not read yet. A suspended upstream would otherwise
+  // start on it long after its caller has disconnected.
+  void Reset() {
+    error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    Close();
+  }
+
   bool IsCurrent(std::uint64_t use) const { return use == generation_ && listener_ != nullptr; }
 
   DistanceTraffic& Traffic() { return pool_->counters_.traffic.Of(distance_); }
@@ -176,7 +172,6 @@
     if (!listener_->MaySend(connected_at_))
       return Fail(UpstreamFailure::kWithheld, "withdrawn before it was sent");
     ++Traffic().requests_sent;
-    parser_.reset();
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(message_.head),
                                                      asio::buffer(*message_.body)};
     asio::async_write(socket_, parts,
@@ -193,7 +188,7 @@
     if (is_reading_ || is_paused_) return;
     is_reading_ = true;
     socket_.async_read_some(
-        buffer_.prepare(kReadBytes),
+        reader_.Prepare(kReadBytes),
         [self = shared_from_this(), use = generation_](error_code ec, std::size_t n) {
           self->is_reading_ = false;
           if (!self->IsCurrent(use)) return;
@@ -202,79 +197,36 @@
   }
 
   void OnRead(error_code ec, std::size_t n) {
-    buffer_.commit(n);
+    reader_.Commit(n);
     Traffic().bytes_received += n;
-    if (ec == asio::error::eof) return OnEof();
-    if (ec) return Fail(UpstreamFailure::kBroken, ec.message());
-    Parse();
-  }
-
-  void OnEof() {
-    const bool ends_by_close = parser_ && parser_->is_header_done() && parser_->need_eof();
-    if (!ends_by_close)
-      return Fail(UpstreamFailure::kBroken, "closed before the end of the response");
-    error_code ec;
-    parser_->put_eof(ec);
+    if (ec == asio::error::eof) return Handle(reader_.OnClosed());
     if (ec) return Fail(UpstreamFailure::kBroken, ec.message());
-    Finish(false);
+    HandleReceived();
   }
 
-  void NewParser() {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(kMaxResponseBytes);
-    parser_->header_limit(kMaxHeadBytes);
-    if (message_.is_head_method) parser_->skip(true);
-    is_matching_response_ = false;
-    is_head_delivered_ = false;
-  }
-
-  void Parse() {
+  void HandleReceived() {
     const std::uint64_t use = generation_;
-    while (buffer_.size() > 0) {
-      if (!parser_) NewParser();
-      error_code ec;
-      const std::size_t n = parser_->put(buffer_.data(), ec);
-      buffer_.consume(n);
-      if (ec && ec != http::error::need_more) {
-        return Fail(UpstreamFailure::kBroken, "malformed response: " + ec.message());
-      }
-      if (parser_->is_header_done()) DeliverProgress();
-      if (!IsCurrent(use)) return;
-      if (parser_->is_done()) {
-        if (is_matching_response_) return Finish(true);
-        // An interim response, or a late one to an earlier request; the matching one follows.
-        if (parser_->get().result_int() >= 200) {
-          ++pool_->counters_.surplus_responses;
-          has_surplus_response_ = true;
-        }
-        parser_.reset();
-        continue;
-      }
-      if (ec == http::error::need_more || n == 0) break;
+    while (IsCurrent(use)) {
+      const std::uint64_t surplus_before = reader_.surplus_responses();
+      auto event = reader_.Next();
+      pool_->counters_.surplus_responses += reader_.surplus_responses() - surplus_before;
+      if (!event) return Read();
+      Handle(std::move(*event));
     }
-    Read();
   }
 
-  // Passes the head and the received part of the body to the listener.
-  void DeliverProgress() {
-    const std::uint64_t use = generation_;
-    if (!is_head_delivered_) {
-      is_head_delivered_ = true;
-      UpstreamHead head{parser_->get().result_int(), FieldsOf(*parser_)};
-      // Another head follows a 1xx one.
-      const std::string* id = FindField(head.fields, pool_->request_id_field_);
-      is_matching_response_ = head.status >= 200 && id != nullptr && *id == message_.request_id;
-      ReadKeepAlive(head);
-      if (is_matching_response_) listener_->OnHead(std::move(head));
-    }
-    if (!IsCurrent(use)) return;
-    std::string& body = parser_->get().body();
-    if (body.empty()) return;
-    const std::string data = std::exchange(body, std::string());
-    if (is_matching_response_) listener_->OnBody(data);
+  void Handle(ResponseEvent event) {
+    std::visit([this](auto& it) { On(it); }, event);
   }
 
+  void On(ResponseHeadRead& it) {
+    ReadKeepAlive(it.head);
+    listener_->OnHead(std::move(it.head));
+  }
+  void On(ResponseBodyRead& it) { listener_->OnBody(it.data); }
+  void On(ResponseComplete& it) { Finish(it.end); }
+  void On(ResponseUnreadable& it) { Fail(FailureOf(it.cause), it.reason); }
+
   void ReadKeepAlive(const UpstreamHead& head) {
     idle_timeout_ms_ = kDefaultIdleTimeoutMs;
     const std::string* field = FindField(head.fields, "Keep-Alive");
@@ -287,17 +239,17 @@
     idle_timeout_ms_ = std::min(kDefaultIdleTimeoutMs, seconds * 1000 - kIdleMarginMs);
   }
 
-  void Finish(bool has_length) {
-    const bool may_keep = has_length && parser_->keep_alive() && has_sent_all_ &&
-                          buffer_.size() == 0 && !has_surplus_response_ && idle_timeout_ms_ > 0;
-    if (buffer_.size() > 0) ++pool_->counters_.surplus_responses;
+  void Finish(ResponseEnd end) {
+    const bool may_keep =
+        end == ResponseEnd::kFramed && has_sent_all_ && reader_.MayReuse() && idle_timeout_ms_ > 0;
+    if (reader_.HasUnread()) ++pool_->counters_.surplus_responses;
     const auto listener = std::exchange(listener_, nullptr);
     if (may_keep) {
       ReturnToPool();
     } else {
       Close();
     }
-    listener->OnEnd(has_length ? ResponseEnd::kFramed : ResponseEnd::kClosed);
+    listener->OnEnd(end);
   }
 
   void ReturnToPool() {
@@ -310,7 +262,8 @@
   void Fail(UpstreamFailure failure, std::string_view reason) {
     const auto listener = std::exchange(listener_, nullptr);
     const std::string text(reason);
-    Close();
+    // The upstream may still be at work on a request whose response cannot be read.
+    failure == UpstreamFailure::kMismatched ? Reset() : Close();
     listener->OnFailed(failure, text);
   }
 
@@ -321,8 +274,7 @@
   std::chrono::steady_clock::time_point connect_started_at_;
   tcp::socket socket_;
   asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  ResponseReader reader_;
   UpstreamMessage message_;
   std::shared_ptr<UpstreamListener> listener_;
   std::uint64_t generation_ = 0;  // Number of requests begun; handlers of earlier ones do nothing.
@@ -333,9 +285,6 @@
   bool is_reading_ = false;
   bool is_paused_ = false;
   bool has_sent_all_ = false;
-  bool is_matching_response_ = false;  // The response being read is to the current request.
-  bool is_head_delivered_ = false;
-  bool has_surplus_response_ = false;  // An unrequested response was received; not reused.
 };
 
 std::shared_ptr<UpstreamPool::Connection> UpstreamPool::Impl::TakeIdle(const std::string& instance,
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -13,6 +13,7 @@
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
 #include "junctionrail/routing.h"
+#include "response_reader.h"
 
 namespace junctionrail::internal {
 
@@ -20,20 +21,13 @@
   kNoConnection,  // Nothing was sent.
   kWithheld,      // Nothing was sent, as the listener asked.
   kBroken,        // Closed, reset or malformed after the request was sent.
+  // After the request was sent, a response to another one took the rest of the connection. The
+  // request may have run, and the upstream is still there.
+  kMismatched,
 };
 
-struct UpstreamHead {
-  unsigned status = 0;
-  std::vector<HttpHeader> fields;
-};
-
-// How the end of a response is known.
-enum class ResponseEnd {
-  kFramed,  // By its length, or its last chunk.
-  kClosed,  // It has neither: by the end of its connection.
-};
-
-// Receives the progress of a call. OnEnd or OnFailed is the last callback.
+// Receives the progress of a call. OnEnd or OnFailed is the last callback. OnEnd only follows
+// OnHead.
 class UpstreamListener {
  public:
   virtual ~UpstreamListener() = default;
