Gateway: what follows a response to HEAD is not read as another response

What callers could see: a HEAD request answered by bytes that stood in the body of a late response to an earlier request; and, the other way round, a request whose response was swallowed by the length of a late response to HEAD.

Cause: the parser was told to skip bodies by the method of the awaited request, whichever request the response turned out to be for.

Evidence: before, DoNotBecomeTheResponseToAHeadRequest got "Proof: forged" and ToAHeadRequestHaveNoRequestBehindThem saw one connection for both requests.

Change: whether a body follows is decided after the head, by whose response it is. A connection that has carried a HEAD request carries no other one, as the framing of a late response to it could not be known.

Result: both pass.

--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -33,6 +33,7 @@
 void ResponseReader::Begin(std::string request_id, bool is_head_method) {
   request_id_ = std::move(request_id);
   is_head_method_ = is_head_method;
+  has_sent_head_method_ |= is_head_method;
   parser_.reset();
   subject_ = Subject::kUnknown;
 }
@@ -63,7 +64,6 @@
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
     parser_->header_limit(kMaxHeadBytes);
-    if (is_head_method_) parser_->skip(true);
   }
   error_code ec;
   const std::size_t n = parser_->put(buffer_.data(), ec);
@@ -96,6 +96,8 @@
 }
 
 std::optional<ResponseEvent> ResponseReader::NextOfAwaited() {
+  // Its framing fields are those of a body that is not sent.
+  if (is_head_method_) return ResponseComplete{ResponseEnd::kFramed};
   std::string& body = parser_->get().body();
   if (!body.empty()) return ResponseBodyRead{std::exchange(body, std::string())};
   if (parser_->is_done()) return ResponseComplete{ResponseEnd::kFramed};
@@ -116,10 +118,11 @@
   return ResponseComplete{ResponseEnd::kClosed};
 }
 
-// An upstream that has sent what no request waits for is not trusted with another one.
+// Whether a response to a HEAD request has a body cannot be read off it: a late one would be taken
+// for the beginning of another. Nor is an upstream trusted that has sent what no request waits for.
 bool ResponseReader::MayReuse() const {
   const bool is_whole = parser_ && parser_->is_done() && parser_->keep_alive();
-  return is_whole && !HasUnread() && surplus_responses_ == 0;
+  return is_whole && !HasUnread() && surplus_responses_ == 0 && !has_sent_head_method_;
 }
 
 }  // namespace junctionrail::internal
--- a/src/gateway/response_reader.h
+++ b/src/gateway/response_reader.h
@@ -100,6 +100,7 @@
   std::string request_id_field_;
   std::string request_id_;
   bool is_head_method_ = false;
+  bool has_sent_head_method_ = false;  // On this connection.
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   Subject subject_ = Subject::kUnknown;
--- a/test/surplus_responses_test.cc
+++ b/test/surplus_responses_test.cc
@@ -24,6 +24,11 @@
          body;
 }
 
+std::string HeadResponse(const std::string& id, const std::string& proof) {
+  return "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: " + id + "\r\nJunctionrail-Proof: " + proof +
+         "\r\nContent-Length: 5\r\n\r\n";
+}
+
 // A caller whose first request was answered, so that its entry has an idle connection to u1.
 struct SecondRequest {
   SecondRequest(RequestKind kind, testing::ScriptedUpstream::Script second) {
@@ -89,6 +94,34 @@
                 "crashes, as the upstream is still there");
 }
 
+// Guards against the body of a surplus response that is read as the head of the awaited one, since
+// a response to HEAD has no body.
+TEST(SurplusResponses, DoNotBecomeTheResponseToAHeadRequest) {
+  SecondRequest test(RequestKind::kNonIdempotent, [](const SeenRequest&, const Peer& peer) {
+    peer->Write(OkResponse(HeadResponse("second", "forged"), "first") +
+                HeadResponse("second", "own"));
+  });
+  const std::string answer = test.Send("HEAD /a/", "\r\n\r\n");
+  EXPECT_TRUE(Contains(answer, "Junctionrail-Proof: own"), answer);
+}
+
+// Guards against a surplus response to a HEAD request whose length swallows the next response.
+TEST(SurplusResponses, ToAHeadRequestHaveNoRequestBehindThem) {
+  Fixture fixture;
+  fixture.AddUpstream("u1", "plain", [](const SeenRequest& request, const Peer& peer) {
+    const std::string id = request.Field(kRequestId);
+    if (id == "first") return peer->Write(HeadResponse(id, "own"));
+    peer->Write(OkResponse("two", id));
+  });
+  fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")});
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeKeepAliveRequest("HEAD /a/", "first"));
+  EXPECT_TRUE(caller.AwaitText("\r\n\r\n"), "the first response");
+  caller.Send(MakeKeepAliveRequest("GET /a/", "second"));
+  EXPECT_TRUE(caller.AwaitText("two"), caller.received());
+  EXPECT_NUMBER(2, fixture.upstreams[0]->connections(), "connections");
+}
+
 // Guards against an interim response that is taken for a surplus one, or for the response.
 TEST(SurplusResponses, AreNotThoseThatAnnounceAResponse) {
   SecondRequest test(RequestKind::kNonIdempotent, [](const SeenRequest&, const Peer& peer) {
