Gateway: a response that names two requests answers neither

Cause: the first request id of a head decided whose response it was. A worker that mixes up two answers in one head was believed.

Change: every request id in the head must be that of the current request. Otherwise the response is a surplus one.

--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -90,9 +90,15 @@
   return IsForCurrentRequest(head) ? Subject::kAwaited : Subject::kSurplus;
 }
 
+// A head that names two requests is evidence for neither.
 bool ResponseReader::IsForCurrentRequest(const UpstreamHead& head) const {
-  const std::string* id = FindField(head.fields, request_id_field_);
-  return id != nullptr && *id == request_id_;
+  bool is_named = false;
+  for (const auto& it : head.fields) {
+    if (!EqualsNoCase(it.name, request_id_field_)) continue;
+    if (it.value != request_id_) return false;
+    is_named = true;
+  }
+  return is_named;
 }
 
 std::optional<ResponseEvent> ResponseReader::NextOfAwaited() {
--- a/test/surplus_responses_test.cc
+++ b/test/surplus_responses_test.cc
@@ -122,6 +122,18 @@
   EXPECT_NUMBER(2, fixture.upstreams[0]->connections(), "connections");
 }
 
+// Guards against a response that names two requests and is relayed to one of them.
+TEST(SurplusResponses, ThatNameTheRequestAndAnotherOneAreNotRelayed) {
+  SecondRequest test(RequestKind::kNonIdempotent, [](const SeenRequest&, const Peer& peer) {
+    peer->Write(
+        "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: second\r\nJunctionrail-Request-Id: first\r\n"
+        "Junctionrail-Proof: p\r\nContent-Length: 3\r\n\r\none");
+    peer->Close();
+  });
+  const std::string answer = test.Send("POST /a/", "\"ran\"");
+  EXPECT_TRUE(Contains(answer, "502 ") && !Contains(answer, "200 OK"), answer);
+}
+
 // Guards against an interim response that is taken for a surplus one, or for the response.
 TEST(SurplusResponses, AreNotThoseThatAnnounceAResponse) {
   SecondRequest test(RequestKind::kNonIdempotent, [](const SeenRequest&, const Peer& peer) {
