Gateway: a Content-Length allocates no memory before the bytes arrive

What callers would see: all their connections closed, as the entry ends by signal 6 on one response of one upstream.

Cause: the body of a response was a string, for which Beast's parser reserves what Content-Length announces, up to the limit of a terabyte.

Evidence: AnnouncedLengths.OfATerabyteEndNoProcess ended the test program by std::bad_alloc before.

Change: the body is a dynamic buffer, which grows by what arrives and is handed on and emptied with each read.

Result: the test passes; SurplusResponses, RandomResponses and Gateway* pass.

--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -1,6 +1,6 @@
 #include "response_reader.h"
 
-#include <algorithm>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <utility>
 
 #include "http_text.h"
@@ -44,7 +44,7 @@
       auto event = NextOfAwaited();
       if (event) return event;
     } else if (subject_ != Subject::kUnknown) {
-      parser_->get().body().clear();
+      parser_->get().body().consume(parser_->get().body().size());
       if (parser_->is_done()) {
         parser_.reset();
         subject_ = Subject::kUnknown;
@@ -104,8 +104,12 @@
 std::optional<ResponseEvent> ResponseReader::NextOfAwaited() {
   // Its framing fields are those of a body that is not sent.
   if (is_head_method_) return ResponseComplete{ResponseEnd::kFramed};
-  std::string& body = parser_->get().body();
-  if (!body.empty()) return ResponseBodyRead{std::exchange(body, std::string())};
+  boost::beast::flat_buffer& body = parser_->get().body();
+  if (body.size() > 0) {
+    ResponseBodyRead part{boost::beast::buffers_to_string(body.data())};
+    body.consume(body.size());
+    return part;
+  }
   if (parser_->is_done()) return ResponseComplete{ResponseEnd::kFramed};
   return std::nullopt;
 }
--- a/src/gateway/response_reader.h
+++ b/src/gateway/response_reader.h
@@ -5,8 +5,8 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/basic_dynamic_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -81,7 +81,9 @@
   std::uint64_t surplus_responses() const { return surplus_responses_; }
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  // This kind of body does not allocate what a Content-Length announces.
+  using Body = boost::beast::http::basic_dynamic_body<boost::beast::flat_buffer>;
+  using Parser = boost::beast::http::response_parser<Body>;
 
   // Which response is being read.
   enum class Subject {
--- a/test/surplus_responses_test.cc
+++ b/test/surplus_responses_test.cc
@@ -146,4 +146,21 @@
   EXPECT_NUMBER(1, test.fixture.gateway->counters().surplus_responses, "surplus responses");
 }
 
+TEST_GROUP(AnnouncedLengths){};
+
+// Guards against memory that is set aside for as many bytes as an upstream announces: the process
+// ended, as there is no such memory.
+TEST(AnnouncedLengths, OfATerabyteEndNoProcess) {
+  Fixture fixture;
+  fixture.AddUpstream("u1", "plain", [](const SeenRequest&, const Peer& peer) {
+    peer->Write(
+        "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: r1\r\nJunctionrail-Proof: p\r\n"
+        "Content-Length: 1000000000000\r\n\r\nx");
+    peer->Close();
+  });
+  fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")});
+  const std::string answer = fixture.Fetch(MakeRequest("POST /a/", "", "order"));
+  EXPECT_TRUE(Contains(answer, "502 ") && Contains(answer, R"("ran":"unknown")"), answer);
+}
+
 }  // namespace junctionrail
