Soak: surplus answers that come late, and without a length

They now also send it in the place of the next answer on the connection: with a length, without one and closed, or without one and left open.

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -109,7 +109,7 @@
 
 void Faults::MisguideUpstream() {
   Upstream& upstream = Any(site_.upstreams);
-  upstream.misbehaviour = {10, 10, 10, 30};
+  upstream.misbehaviour = {10, 10, 10, 20, 30};
   Later(Between(500, 3000), [&upstream] { upstream.misbehaviour = {}; });
 }
 
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -24,6 +24,8 @@
 constexpr char kVersions[][3] = {"v1", "v2"};
 // The other streams have neither a length nor chunks.
 constexpr int kChunkedPercent = 75;
+// The other late surplus answers end with their connection.
+constexpr int kFramedSurplusPercent = 30;
 constexpr int kLeastEvents = 5;
 constexpr int kMoreEvents = 25;
 
@@ -349,8 +351,26 @@
   After(kEventMs, [this, way, next] { Stream(way, next + 1); });
 }
 
+// One with a length is followed by the answer that is due. One without may be the last bytes for
+// long: the upstream closes the connection in half of the cases.
+bool Upstream::SendLateSurplus(const Peer& peer) {
+  if (surplus_peer_.lock() != peer) return false;
+  surplus_peer_.reset();
+  const std::string fields = "Response-Seal: seal-" + surplus_id_ + "\r\n";
+  const std::string body = "answer to " + surplus_id_;
+  if (Happens(kFramedSurplusPercent)) {
+    peer->Write(Whole(surplus_id_, 200, fields, body));
+    return false;
+  }
+  judge_.OnHarmed(instance_);
+  peer->Write(Head(surplus_id_, 200, fields) + body);
+  if (Happens(50)) peer->Close();
+  return true;
+}
+
 void Upstream::RunPlain(const SeenRequest& request, const Peer& peer) {
   const std::string id = request.Field("Attempt-Id");
+  if (SendLateSurplus(peer)) return;
   judge_.OnRun(id, instance_, RouteOf(request.Line()).may_repeat);
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (HarmHappens(misbehaviour.losses)) return peer->Reset();
@@ -358,6 +378,10 @@
       Whole(id, 200, Notices(id) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
   const bool is_cut = HarmHappens(misbehaviour.cuts);
   const bool is_double = HarmHappens(misbehaviour.surplus);
+  if (HarmHappens(misbehaviour.late_surplus)) {
+    surplus_peer_ = peer;
+    surplus_id_ = id;
+  }
   After(kPlainMs, [peer, answer, is_cut, is_double] {
     if (is_cut) {
       peer->Write(answer.substr(0, answer.size() - 3));
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -29,6 +29,8 @@
   int cuts = 0;     // Closes within the answer.
   int losses = 0;   // Runs the request and resets.
   int surplus = 0;  // Sends the answer twice.
+  // Sends it again in the place of the next answer on the connection.
+  int late_surplus = 0;
   int late_orders = 0;
 };
 
@@ -81,6 +83,8 @@
             std::int64_t expected);
   void Run(const testing::SeenRequest& request, const Peer& peer);
   void RunPlain(const testing::SeenRequest& request, const Peer& peer);
+  // Whether an earlier answer takes the place of that to a request on this connection.
+  bool SendLateSurplus(const Peer& peer);
   // A stream's way to the entry, and what becomes of it.
   struct StreamWay {
     std::string stream;
@@ -117,6 +121,9 @@
   bool tells_cold_ = true;   // Whether its record says for how long it is cold.
   bool is_recorded_ = true;  // False once it has taken its record away.
   Need need_;
+  // The connection on which a late surplus answer is due, and the request that it is to.
+  std::weak_ptr<testing::UpstreamPeer> surplus_peer_;
+  std::string surplus_id_;
   std::unique_ptr<testing::ScriptedUpstream> listener_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);  // Timers of an earlier one do nothing.
   std::map<std::string, std::vector<std::string>> loaded_;
