Routing: an upstream that is known to be gone is not brought back as missing

What was seen: workers that had left without announcing it got new requests 3.5 to 4 s after their record had gone from the store, from entries that had stopped sending to them a second after it had.

Cause: the agent that relays the list had stood still for 4 s and took that for an outage of the store, in which the record may only have lapsed. It kept the record, marked as missing, with the age of its new reading, and entries listed the upstream again. An entry remembered only departures that had been announced.

An entry's log has upstream_gone, 2.8 s later relay_changed back to the relay that stood still, and in the same millisecond upstream_listed and upstream_missing.

Change: DepartedUpstreams remembers each upstream whose record went, for a minute. A record that is only missing keeps a listed upstream and no longer brings back one that is known to be gone; one that nobody has seen go is listed as before. This holds for every list: relays of any epoch, own readings after a pause, requests still under way at the upstream.

Without the memory AreNotBroughtBackByARelayThatStoodStill and AreNotBroughtBackWhileARequestRunsThere fail.

--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -161,6 +161,38 @@
   bool has_missing_ = false;
 };
 
+// Remembers upstreams whose records have gone, so that a list that does not know this brings none
+// of them back: one that was read before, marks them as missing, or comes from a store that was
+// restored from an older copy.
+class DepartedUpstreams {
+ public:
+  // `write_period_ms`: the interval at which upstreams renew their records.
+  explicit DepartedUpstreams(DurationMs write_period_ms) : write_period_ms_(write_period_ms) {}
+  void SetWritePeriod(DurationMs write_period_ms) { write_period_ms_ = write_period_ms; }
+
+  // The record has gone from the list; `last` is as it was last seen.
+  void Add(const UpstreamRecord& last, TimeMs now);
+  // Whether a listed record shows that its upstream is there: it never went, or it has been written
+  // since. To be asked with each listing.
+  bool IsBack(const UpstreamRecord& record, TimeMs now);
+  // Whether the upstream had announced its departure before it went.
+  bool HasAnnounced(const std::string& instance) const;
+  // Removes those that departed long ago.
+  void Expire(TimeMs now);
+
+ private:
+  struct Departure {
+    TimeMs at = 0;
+    std::int64_t generation = 0;  // Of the record that has gone.
+    bool was_announced = false;
+    TimeMs reappeared_at = 0;  // The same record is listed since then; 0: it is not.
+    TimeMs listed_at = 0;      // When it was last listed.
+  };
+
+  DurationMs write_period_ms_;
+  std::map<std::string, Departure> departures_;  // By instance.
+};
+
 // --- Relaying ---
 //
 // The list grows with the fleet, and so would the load on the store if every entry polled it.
--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -110,7 +110,8 @@
 // An entry's state of all upstreams, and the choice among them.
 class UpstreamTable {
  public:
-  explicit UpstreamTable(RoutingOptions options) : options_(std::move(options)) {
+  explicit UpstreamTable(RoutingOptions options)
+      : options_(std::move(options)), departed_(options_.record_period_ms) {
     evacuated_halls_.SetBound(options_.evacuation_bound_ms);
   }
   // Movable: `holders_` points to rows, whose addresses survive a move of the table.
@@ -134,7 +135,10 @@
 
   std::set<std::string> evacuated_halls() const { return evacuated_halls_.halls(); }
   void SetEvacuationBound(DurationMs bound_ms) { evacuated_halls_.SetBound(bound_ms); }
-  void SetRecordPeriod(DurationMs period_ms) { options_.record_period_ms = period_ms; }
+  void SetRecordPeriod(DurationMs period_ms) {
+    options_.record_period_ms = period_ms;
+    departed_.SetWritePeriod(period_ms);
+  }
 
   void SetPolicy(const PolicySettings& policy) { options_.policy = policy; }
   const PolicySettings& policy() const { return options_.policy; }
@@ -349,7 +353,6 @@
   bool Holds(const Row& row, const ModelRef& model, TimeMs now) const;
   bool IsFull(const Row& row, const PickRequest& request, TimeMs now) const;
   void RecordDeparture(const std::string& service, TimeMs now);
-  void ForgetOldDepartures(TimeMs now);
   void Index(Row* row);
   void Unindex(Row* row);
   PickResult ChooseHolder(const PickRequest& request, const std::vector<Row*>& holders,
@@ -427,7 +430,7 @@
   EvacuatedHalls evacuated_halls_;
   std::set<std::string> limited_;  // Instances that have, had or may have a limit.
 
-  std::map<std::string, TimeMs> gone_after_leaving_;      // Gone instances, and when they went.
+  DepartedUpstreams departed_;
   std::map<std::string, std::deque<TimeMs>> departures_;  // Departure times, by service.
   std::map<std::string, ModelRate> rates_;
   TimeMs first_arrival_ = 0;  // First request for any model; 0: none yet.
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -57,10 +57,6 @@
 // there lose their attempt. An engine with half a batch more load is preferred.
 constexpr double kRiskyLoad = 32;
 
-// By then an upstream that announced its departure has ended; an outdated copy of the store
-// that still lists it as ready is only seconds old.
-constexpr DurationMs kDepartureMemoryMs = 60000;
-
 // Time constant of the exponential average of a model's request rate, as demand changes
 // within seconds. A shorter history counts as at least kMinObservedShare of it.
 constexpr double kRateTimeConstantMs = 5000;
@@ -80,7 +76,7 @@
 
 std::vector<UpstreamChange> UpstreamTable::ApplyListing(const std::vector<UpstreamRecord>& listing,
                                                         TimeMs now) {
-  ForgetOldDepartures(now);
+  departed_.Expire(now);
   std::vector<UpstreamChange> changes;
   const auto add_change = [&](UpstreamChangeKind kind, const UpstreamRecord& it) {
     changes.push_back({kind, it.instance, it.service});
@@ -95,9 +91,10 @@
   for (const auto& it : listing) {
     const auto row = rows_.find(it.instance);
     const bool was_replaced = row != rows_.end() && row->second.was_replaced;
+    const bool is_listed = row != rows_.end() && !row->second.is_gone;
     if (was_replaced) {
       listed_instances.insert(it.instance);  // Remembered while it is listed.
-    } else {
+    } else if (is_listed || departed_.IsBack(it, now)) {
       present.push_back(it);
     }
   }
@@ -109,7 +106,7 @@
     if (row.listed_at == 0) row.listed_at = now;
     row.record_at = now;
     // A store restored from an older copy may list a leaving upstream as ready.
-    const bool was_leaving = row.record.is_leaving || gone_after_leaving_.count(it.instance) > 0;
+    const bool was_leaving = row.record.is_leaving || departed_.HasAnnounced(it.instance);
     const std::string known_version = row.record.software_version;
     row.record = it;
     // An instance runs one version, whoever overwrites its record without it.
@@ -131,11 +128,11 @@
     Row& row = it->second;
     if (listed_instances.count(it->first) == 0 && !row.is_gone) {
       row.is_gone = true;
+      departed_.Add(row.record, now);
       add_change(UpstreamChangeKind::kGone, row.record);
     }
     // Requests in flight still refer to the row.
     const bool is_over = row.is_gone && row.in_flight == 0;
-    if (is_over && row.record.is_leaving) gone_after_leaving_[it->first] = now;
     if (is_over) Unindex(&row);
     it = is_over ? rows_.erase(it) : std::next(it);
   }
@@ -144,12 +141,6 @@
   return changes;
 }
 
-void UpstreamTable::ForgetOldDepartures(TimeMs now) {
-  for (auto it = gone_after_leaving_.begin(); it != gone_after_leaving_.end();) {
-    it = now - it->second >= kDepartureMemoryMs ? gone_after_leaving_.erase(it) : std::next(it);
-  }
-}
-
 void UpstreamTable::RecordDeparture(const std::string& service, TimeMs now) {
   constexpr std::size_t kMaxRemembered = 1024;
   auto& left = departures_[service];
