Listing: a process that stood still does not take that for an outage

Cause: PollSchedule called a gap of more than two periods an outage of the store, though no poll had been left unanswered, and counted polls whose answers had been waiting for the process itself. Records that had gone meanwhile were kept as missing, and marked so to all entries that ask the relay.

Change: the schedule tells apart polls that had their time and were not answered (was_unreadable) and gaps without one (was_stalled).

--- a/include/junctionrail/listing.h
+++ b/include/junctionrail/listing.h
@@ -109,8 +109,12 @@
   TimeMs as_of() const { return as_of_; }
   // Polls started since the last answer.
   int unanswered() const { return unanswered_; }
-  // Whether the store was unreadable at some time between the last two answers.
+  // Whether a poll between the last two answered ones was not answered in its time: the store, or
+  // the way to it, was away.
   bool was_unreadable() const { return was_unreadable_; }
+  // Whether no poll was begun for long before the last answered one, although none was unanswered:
+  // this process stood still, or had no need of the list. It says nothing about the store.
+  bool was_stalled() const { return was_stalled_; }
 
  private:
   DurationMs RetryDelay() const;
@@ -123,7 +127,9 @@
   TimeMs as_of_ = 0;
   DurationMs answer_ms_ = 0;  // Latency of the last answer.
   int unanswered_ = 0;
+  int overdue_ = 0;  // Of these, polls that had their time to be answered while this process ran.
   bool was_unreadable_ = false;
+  bool was_stalled_ = false;
 };
 
 // Adds back records that are missing from a poll of the list only because they
--- a/src/listing/poll_schedule.cc
+++ b/src/listing/poll_schedule.cc
@@ -23,12 +23,17 @@
 // to each of them: polls repeated sooner would only add to what the store has to send.
 constexpr DurationMs kFirstAnswerRetryMs = 1000;
 // If the last answered poll began more than this many periods before the next one although
-// no poll failed, this process was stalled.
+// no poll was left unanswered, this process was stalled.
 constexpr int kStallPeriods = 2;
+// So does a poll that begins this much after it was due.
+constexpr DurationMs kStallMs = 500;
 
 }  // namespace
 
+// While this process stood still, the answers to earlier polls may have been waiting for it.
 PollSchedule::Poll PollSchedule::Begin(TimeMs now) {
+  const bool was_stalled = now - next_at_ > kStallMs;
+  if (unanswered_ > 0 && !was_stalled) ++overdue_;
   ++unanswered_;
   begun_at_ = now;
   next_at_ = now + RetryDelay();
@@ -45,11 +50,13 @@
 bool PollSchedule::OnAnswer(const Poll& poll, TimeMs now) {
   if (poll.number <= answered_) return false;
   const DurationMs gap = poll.begun_at - as_of_;
-  was_unreadable_ = unanswered_ > 1 || (as_of_ != 0 && gap > kStallPeriods * period_ms_);
+  was_unreadable_ = overdue_ > 0;
+  was_stalled_ = !was_unreadable_ && as_of_ != 0 && gap > kStallPeriods * period_ms_;
   answered_ = poll.number;
   answer_ms_ = now - poll.begun_at;
   as_of_ = poll.begun_at;
   unanswered_ = 0;
+  overdue_ = 0;
   next_at_ = std::max(now, poll.begun_at + period_ms_);
   return true;
 }
@@ -58,6 +65,7 @@
   if (as_of <= as_of_) return false;
   as_of_ = as_of;
   unanswered_ = 0;
+  overdue_ = 0;
   next_at_ = std::max(now, as_of + period_ms_);
   return true;
 }
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -5,6 +5,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
 
 #include "check.h"
 #include "loopback.h"
@@ -457,6 +460,53 @@
               "it would be back by now");
 }
 
+namespace {
+
+// Blocks the process, as a suspension of its VM or a freeze would.
+void StandStill() {
+  constexpr useconds_t kStandstillUs = 800 * 1000;
+  usleep(kStandstillUs);
+}
+
+}  // namespace
+
+// Guards against a process that stood still and takes upstreams that left meanwhile for missing.
+TEST(FollowsUpstreams, KeepingNoneThatLeftWhileOnlyThisProcessStoodStill) {
+  World world;
+  world.store.Put("servers/i-1", kUpstream);
+  world.store.Put("servers/i-2", kUpstream);
+  world.FollowUpstreams(20);
+  world.upstreams->SetWritePeriod(20);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.size() >= 2; }), "");
+  StandStill();
+  world.store.Put("servers/i-1", kUpstream);
+  world.store.Remove("servers/i-2");
+  const std::size_t before = world.listings.size();
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.size() > before + 2; }), "");
+  for (std::size_t n = before; n < world.listings.size(); ++n) {
+    const auto& records = world.listings[n];
+    const bool is_missing = std::any_of(records.begin(), records.end(),
+                                        [](const UpstreamRecord& it) { return it.is_missing; });
+    EXPECT_TRUE(!is_missing, "i-1 was written meanwhile: the store was there");
+  }
+  EXPECT_NUMBER(1, world.listings.back().size(), "upstreams");
+}
+
+// Guards against upstreams that lapsed in an outage and are dropped by a process that stood still
+// meanwhile.
+TEST(FollowsUpstreams, KeepingThoseThatMayHaveLapsedWhileItStoodStill) {
+  World world;
+  world.store.Put("servers/i-1", kUpstream);
+  world.store.Put("servers/i-2", kUpstream);
+  world.FollowUpstreams(20);
+  world.upstreams->SetWritePeriod(20);
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.size() >= 2; }), "");
+  StandStill();
+  world.store.Remove("servers/i-2");
+  EXPECT_TRUE(RunUntil(world.io, [&] { return world.listings.back().back().is_missing; }),
+              "nobody has written since, and so the store may have been away");
+}
+
 TEST(FollowsUpstreams, PassingOverAMalformedRecord) {
   World world;
   world.store.Put("servers/i-1", kUpstream);
