Routing: a restored store brings back no upstream that has left

What the review saw once, in a drill: a worker takes its record away, the store comes back from a copy in which the record stands, and entries that had seen it go send it requests later than the bound.

Cause: a listed record always counted as a sign of its upstream.

Change: an upstream that comes back creates its record anew, with another generation. The same record is believed only once it has outlasted the time in which a record that nobody renews expires, four write periods.

Evidence: without it AreNotBroughtBackByARestoredStore fails.

--- a/src/listing/departed_upstreams.cc
+++ b/src/listing/departed_upstreams.cc
@@ -6,6 +6,10 @@
 // By then an upstream that announced its departure has ended; an outdated copy of the store
 // that still lists it as ready is only seconds old.
 constexpr DurationMs kMemoryMs = 60000;
+// A record that nobody renews expires after three writes were due. One that is listed for longer is
+// renewed, so that its upstream is there.
+constexpr int kWritesToProve = 4;
+
 }  // namespace
 
 void DepartedUpstreams::Add(const UpstreamRecord& last, TimeMs now) {
@@ -14,8 +18,21 @@
   departure = {now, last.generation, was_announced, 0, 0};
 }
 
-bool DepartedUpstreams::IsBack(const UpstreamRecord& record, TimeMs) {
-  return !record.is_missing || departures_.count(record.instance) == 0;
+// An upstream that comes back creates its record anew, which then has another generation. The same
+// record can only be listed again by a store that was restored from a copy. Its upstream may be
+// there nevertheless, and write it again: this shows once the record has outlasted its expiry.
+bool DepartedUpstreams::IsBack(const UpstreamRecord& record, TimeMs now) {
+  const auto it = departures_.find(record.instance);
+  if (it == departures_.end()) return true;
+  if (record.is_missing) return false;
+  Departure& departure = it->second;
+  const bool is_same_record = record.generation != 0 && record.generation == departure.generation;
+  if (!is_same_record) return true;
+  const DurationMs proof_ms = kWritesToProve * write_period_ms_;
+  const bool has_been_absent = departure.listed_at == 0 || now - departure.listed_at > proof_ms;
+  if (has_been_absent) departure.reappeared_at = now;
+  departure.listed_at = now;
+  return now - departure.reappeared_at > proof_ms;
 }
 
 bool DepartedUpstreams::HasAnnounced(const std::string& instance) const {
--- a/test/departed_upstreams_test.cc
+++ b/test/departed_upstreams_test.cc
@@ -119,4 +119,23 @@
   EXPECT_TEXT("send u2", t.ChooseSecond(), "it is listed, and may only have lapsed");
 }
 
+// Guards against requests to an upstream that has left, as it stands in the copy from which the
+// store was restored.
+TEST(DepartedUpstreams, AreNotBroughtBackByARestoredStore) {
+  DepartureFixture t;
+  for (int n = 0; n < 4; ++n) {
+    t.List({t.first, t.second});
+    EXPECT_TEXT("all_tried", t.ChooseSecond(), "nobody has renewed its record");
+  }
+  t.List({t.first});
+  EXPECT_TEXT("all_tried", t.ChooseSecond(), "its record has expired");
+}
+
+// Guards against an upstream that stays unused although it renews the record in the restored store.
+TEST(DepartedUpstreams, AreBackOnceTheirRecordOutlastsItsExpiry) {
+  DepartureFixture t;
+  for (int n = 0; n < 7; ++n) t.List({t.first, t.second});
+  EXPECT_TEXT("send u2", t.ChooseSecond(), "its record would have expired");
+}
+
 }  // namespace junctionrail
