Soak: an upstream leaves untold while all agents stand still

The soak paused processes and let upstreams leave untold, but hardly the relay of the list and such a departure at once, and its judge checks what an entry owes to a leaving upstream only after 3 s without a fault of that entry or path, which faults in series seldom grant. A new fault pauses all agents for 4 s, lets an upstream take its record away meanwhile, and in one run of three is followed by 9 s without other faults. Upstreams that leave serve on for 4 to 8 s (4 s before).

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace junctionrail::soak {
@@ -9,13 +10,21 @@
 
 using Mood = testing::StandinStore::Mood;
 
+constexpr int kAgentPauseMs = 4000;
+// From the beginning of that pause until the upstream that leaves meanwhile has ended.
+constexpr DurationMs kQuietMs = 9000;
+constexpr std::uint64_t kQuietDepartureOneIn = 3;
+
 // Bytes that are no text and no document.
 const std::string kUnreadable("\xff\x00{[\xc3", 5);
 
 }  // namespace
 
 Faults::Faults(Site& site, const std::string& log_file)
-    : site_(site), random_(site.random), log_(log_file) {
+    : site_(site),
+      random_(site.random),
+      log_(log_file),
+      has_quiet_departure_(random_() % kQuietDepartureOneIn == 0) {
   kinds_ = {
       {"kill", [this] { HarmProcess(SIGKILL); }},
       {"term", [this] { HarmProcess(SIGTERM); }},
@@ -29,6 +38,7 @@
       {"store", [this] { HarmStore(); }},
       {"configuration", [this] { ChangeConfiguration(); }},
       {"upstream", [this] { HarmUpstream(); }},
+      {"departure beside paused agents", [this] { LetLeaveBesidePausedAgents(); }},
       {"limit or rest", [this] { LimitUpstream(); }},
       {"misbehaviour", [this] { MisguideUpstream(); }},
       {"evacuation", [this] { Evacuate(); }},
@@ -42,6 +52,7 @@
 }
 
 void Faults::Begin() {
+  if (MonotonicMs() < quiet_until_) return;
   const Kind& kind = kinds_[random_() % kinds_.size()];
   log_ << MonotonicMs() << ' ' << kind.name << std::endl;
   kind.begin();
@@ -100,6 +111,20 @@
   });
 }
 
+// An upstream takes its record away while all agents, one of which relays the list of upstreams,
+// stand still for longer than a record takes to lapse.
+void Faults::LetLeaveBesidePausedAgents() {
+  constexpr std::string_view kAgent = "agent";
+  for (auto& it : site_.processes) {
+    if (it->name().compare(0, kAgent.size(), kAgent) != 0) continue;
+    it->Pause();
+    Later(kAgentPauseMs, [process = it.get()] { process->Resume(); });
+  }
+  Upstream& upstream = Any(site_.upstreams);
+  Later(Between(kAgentPauseMs / 2, kAgentPauseMs * 3 / 4), [&upstream] { upstream.Drain(false); });
+  if (std::exchange(has_quiet_departure_, false)) quiet_until_ = MonotonicMs() + kQuietMs;
+}
+
 void Faults::LimitUpstream() {
   Upstream& upstream = Any(site_.upstreams);
   const bool is_limit = random_() % 2 == 0;
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -34,6 +34,7 @@
   void HarmStore();
   void ChangeConfiguration();
   void HarmUpstream();
+  void LetLeaveBesidePausedAgents();
   void LimitUpstream();
   void MisguideUpstream();
   void Evacuate();
@@ -61,6 +62,10 @@
     std::function<void()> begin;
   };
   std::vector<Kind> kinds_;
+  // In some runs one departure beside paused agents is followed by a time without other faults, as
+  // what entries owe to an upstream that leaves is checked only for those without a fault.
+  bool has_quiet_departure_;
+  TimeMs quiet_until_ = 0;
   std::set<std::string> evacuated_;
   TimeMs partitioned_until_ = 0;
   int partitions_ = 0;
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -17,8 +17,10 @@
 constexpr DurationMs kDeadlyRunMs = 60;
 constexpr DurationMs kRestartMs = 1000;
 constexpr DurationMs kPlainMs = 10;
-// How long an upstream serves on after it said that it leaves; then it ends.
+// How long at least an upstream serves on after it said that it leaves, and for how much longer at
+// most; then it ends.
 constexpr DurationMs kLeavingMs = 4000;
+constexpr std::uint64_t kLeavingSpreadMs = 4000;
 constexpr DurationMs kRestMs = 1500;
 constexpr DurationMs kRecordPeriodMs = 1000;
 constexpr char kVersions[][3] = {"v1", "v2"};
@@ -153,7 +155,8 @@
   } else {
     store_.Remove("servers/" + instance_);
   }
-  After(kLeavingMs, [this] { boost::asio::post(io_, [this] { Start(); }); });
+  const auto more_ms = static_cast<DurationMs>(random_() % kLeavingSpreadMs);
+  After(kLeavingMs + more_ms, [this] { boost::asio::post(io_, [this] { Start(); }); });
 }
 
 json Upstream::RecordDocument() const {
