Quarantine: a part alone in its prompts, or always beside another, is found in time

Causes, each seen in the entries' upstream_ended lines: 1. A crash counted only if the isolated request had a part that is known to be sound. Neither was ever answered, so neither was told apart. 3. Each entry sends its suspects one at a time, but the requests reach all entries within 4 ms, again and again: four entries crash four upstreams before the first report arrives.

Without a sound part beside it, a part is found after three isolated crashes in place of two, if the model has answered other requests lately: suspects name their model by a digest. 2. Parts that cannot be told apart are found as a combination, and requests that hold all of them are refused. Requests with one of them go on; if one is answered, the others are the cause. 3. A part that was at two crashes which no two requests explain takes turns over all entries, one a second, by the allocators of upstream limits. When it is answered, the others are told at once.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -47,12 +47,20 @@
 };
 
 RequestDigest DigestOf(const RequestIdentity& identity);
+RequestDigest DigestOfModel(std::string_view name);
 
 // Digests of the parts of a prompt that other requests may share: all but the last of the
 // comma-separated ID:TOKENS pairs, by their ids, each once. At most the first kMaxPromptParts.
 constexpr std::size_t kMaxPromptParts = 16;
 std::vector<RequestDigest> DigestsOfSharedParts(std::string_view prompt_parts);
 
+// The digest of several parts that one prompt holds, in any order; of one part, the part's own.
+// Only the first kMaxCombinedParts count.
+constexpr std::size_t kMaxCombinedParts = 3;
+RequestDigest CombinationOf(std::vector<RequestDigest> parts);
+// The parts of a prompt, and the digests of all combinations of them.
+std::vector<RequestDigest> PartsAndCombinations(const std::vector<RequestDigest>& parts);
+
 // A request that was running on an upstream when it crashed, and had not run long enough to be
 // ruled out as the cause.
 struct Suspect {
@@ -64,6 +72,8 @@
   // answered; and whether it has seen others of them answered.
   std::vector<RequestDigest> parts = {};
   bool has_sound_part = false;
+  // Digest of the name of its model; all zero if it has none.
+  RequestDigest model = {};
 };
 
 // A crash of an upstream, as observed by one process or merged from several.
@@ -137,7 +147,8 @@
   void Clear(const RequestDigest& digest, TimeMs now);
   // Adopts a refusal by another process.
   void Refuse(const RequestDigest& digest, TimeMs now);
-  // This process has found that requests with the prompt part cause crashes.
+  // This process has found that requests with the prompt part, or combination of parts, cause
+  // crashes.
   void RefusePart(const RequestDigest& part, int crashes, TimeMs now);
   bool IsRefused(const RequestDigest& digest, TimeMs now) const;
   // Lifts a refusal on behalf of an operator: the request is tried in isolation, and one more
@@ -233,18 +244,24 @@
   std::size_t max_crashes = 32;
   std::size_t max_parts = 128;  // Of all suspects of a crash.
   std::size_t max_sound_parts = 16384;
+  std::size_t max_shared_parts = 16;
+  // A model that answered this long before a crash, or since, works.
+  DurationMs model_answer_ms = 10000;
+  std::size_t max_models = 4096;
 };
 
 // Finds prompt parts that crash the upstreams that answer them, whatever else a request holds. A
 // part of a request that was answered is sound. The other parts of the suspects of a crash are
 // suspected, and those that cause further crashes are told apart by sending requests with suspected
-// parts one at a time.
+// parts one at a time. Parts that always come together are found as a combination.
 class PromptPartTable {
  public:
   explicit PromptPartTable(PromptPartLimits limits = {}) : limits_(limits) {}
 
   // A request with these parts was answered, and its upstream did not crash.
   void AddSound(const std::vector<RequestDigest>& parts, TimeMs now);
+  // The model, by its digest, answered a request.
+  void OnModelAnswered(const RequestDigest& model, TimeMs now);
   // Records a confirmed crash and merges reports of it.
   void Add(const UpstreamCrash& crash, TimeMs now);
   // Parts in the recorded crash that this process knows to be sound and no report has said so.
@@ -258,14 +275,21 @@
   // Whether one of the parts was at two crashes or more, and the reports of the last one may not
   // all have arrived: another attempt would most likely crash another upstream.
   bool AwaitsReports(const std::vector<RequestDigest>& parts, TimeMs now) const;
+  // A part whose suspected requests take turns over all processes: it was at several crashes that
+  // no two requests explain. None if there is no such part among these.
+  std::optional<RequestDigest> FindShared(const std::vector<RequestDigest>& parts,
+                                          TimeMs now) const;
+  // All such parts, those at the most crashes first; at most max_shared_parts.
+  std::vector<RequestDigest> SharedParts(TimeMs now) const;
   struct Finding {
-    RequestDigest part;
+    RequestDigest part;                // Or the digest of a combination of parts.
     std::vector<std::string> crashes;  // That it caused.
   };
-  // Parts that are found by now to cause crashes.
+  // Parts and combinations that are found by now to cause crashes.
   std::vector<Finding> Judge(TimeMs now);
   void Expire(TimeMs now);
   bool HasCrashes() const { return !crashes_.empty(); }
+  bool HasFound() const { return !found_.empty(); }
 
  private:
   struct SuspectParts {
@@ -273,6 +297,7 @@
     std::vector<RequestDigest> parts;
     bool was_isolated = false;
     bool has_sound_part = false;
+    RequestDigest model;
   };
   struct Crash {
     std::string name;
@@ -284,23 +309,44 @@
   };
   using Parts = std::set<RequestDigest>;
 
+  // Parts that were found to cause crashes together.
+  struct Found {
+    std::vector<RequestDigest> parts;
+    TimeMs at = 0;
+  };
+  // The requests that were sent alone at a crash and speak against a combination.
+  struct Evidence {
+    std::vector<RequestDigest> requests;
+    std::vector<RequestDigest> beside_sound_parts;  // Those of them whose other parts are cleared.
+  };
+
   Crash* Find(const std::string& name);
   bool IsSound(const RequestDigest& part, TimeMs now) const;
+  bool HasAnswered(const RequestDigest& model, TimeMs crashed_at) const;
   void AddSound(const RequestDigest& part, TimeMs now);
   Parts AllPartsOf(const Crash& crash, TimeMs now) const;
   std::vector<const Crash*> CrashesWith(const RequestDigest& part, TimeMs now) const;
+  std::vector<const Crash*> ReportedCrashesWith(const RequestDigest& part, TimeMs now) const;
   // Crashes at about the same time have one cause.
   int CountCauses(const std::vector<const Crash*>& crashes) const;
   static bool AreExplainedByRequests(const std::vector<const Crash*>& crashes,
                                      const RequestDigest& part);
-  std::vector<RequestDigest> ExplainedRequests(const Crash& crash, const RequestDigest& part,
-                                               int causes, TimeMs now) const;
-  bool IsProven(const RequestDigest& part, TimeMs now) const;
+  bool IsShared(const RequestDigest& part, TimeMs now) const;
+  std::vector<RequestDigest> WithCompanions(const RequestDigest& part,
+                                            const std::vector<const Crash*>& crashes, int causes,
+                                            TimeMs now) const;
+  Evidence EvidenceOf(const Crash& crash, const std::vector<RequestDigest>& combination, int causes,
+                      TimeMs now) const;
+  std::vector<Finding> NarrowCombinations(TimeMs now);
+  // The part, with those that always came with it, if they are found to cause crashes; else empty.
+  std::vector<RequestDigest> FindCause(const RequestDigest& part, TimeMs now) const;
+  static bool HasSuspectWith(const Crash& crash, const std::vector<RequestDigest>& combination);
 
   PromptPartLimits limits_;
-  std::deque<Crash> crashes_;              // Oldest first.
-  std::map<RequestDigest, TimeMs> sound_;  // When last answered.
-  std::map<RequestDigest, TimeMs> found_;
+  std::deque<Crash> crashes_;                        // Oldest first.
+  std::map<RequestDigest, TimeMs> sound_;            // When last answered.
+  std::map<RequestDigest, TimeMs> answered_models_;  // When they last answered.
+  std::vector<Found> found_;
 };
 
 // Tracks which suspect is on which upstream. Each upstream has at most one, so that the next crash
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -139,12 +139,15 @@
 void Exchange::AttemptNext() {
   const TimeMs now = MonotonicMs();
   if (now >= deadline_at_) return GiveUp(ExecutionSoFar(), "deadline");
-  if (quota_ticket_ != 0 || upstream_quota_ticket_ != 0 || !RecheckKey()) return;
+  const bool awaits_quota = quota_ticket_ != 0 || upstream_quota_ticket_ != 0 || turn_ticket_ != 0;
+  if (awaits_quota || !RecheckKey()) return;
   const bool is_refused = CurrentQuarantineStatus() == QuarantineStatus::kRefused;
   if (is_refused && !IsRefusedProvisionally(now)) return RefuseQuarantined();
   const PickResult choice = ChooseUpstream(now);
   if (const auto* to = std::get_if<SendTo>(&choice)) {
-    if (AcquireQuota() && AcquireUpstreamQuota(to->instance)) SendRequest(to->instance);
+    const std::string instance = to->instance;
+    if (AcquireQuota() && AcquireTurn(instance) && AcquireUpstreamQuota(instance))
+      SendRequest(instance);
     return;
   }
   if (const auto* wait = std::get_if<WaitFor>(&choice)) return WaitForModel(*wait);
@@ -174,93 +177,6 @@
   return owner == nullptr ? of_route : Intersect(of_route, owner->allowed_regions);
 }
 
-// Computed only when there is something to compare it with, as it hashes the whole body.
-const RequestDigest& Exchange::Digest() {
-  if (!digest_) {
-    const auto field = [this](std::string_view name) {
-      const std::string* value = FindField(request_.fields, name);
-      return value != nullptr ? std::string_view{*value} : std::string_view{};
-    };
-    digest_ =
-        DigestOf({request_.method, field("Host"), request_.target,
-                  organisation_.empty() ? field("Authorization") : std::string_view{organisation_},
-                  *request_.body});
-  }
-  return *digest_;
-}
-
-QuarantineStatus Exchange::CurrentQuarantineStatus() {
-  if (!gateway_.HasSuspicions()) return QuarantineStatus::kClear;
-  const TimeMs now = MonotonicMs();
-  const QuarantineTable& quarantine = gateway_.quarantine;
-  const bool has_refused_part =
-      std::any_of(parts_.begin(), parts_.end(),
-                  [&](const RequestDigest& it) { return quarantine.IsRefused(it, now); });
-  if (has_refused_part) return QuarantineStatus::kRefused;
-  const auto status =
-      quarantine.IsEmpty() ? QuarantineStatus::kClear : quarantine.StatusOf(Digest(), now);
-  if (status != QuarantineStatus::kClear) return status;
-  const bool is_suspected = !gateway_.prompt_parts.Suspected(parts_, now).empty();
-  return is_suspected ? QuarantineStatus::kSuspect : QuarantineStatus::kClear;
-}
-
-// Requests with a suspected prompt part are told apart by that part, as no two need be alike.
-RequestDigest Exchange::IsolationKey() {
-  const auto suspected = gateway_.prompt_parts.Suspected(parts_, MonotonicMs());
-  return suspected.empty() ? Digest() : suspected.front();
-}
-
-bool Exchange::IsSuspect() { return CurrentQuarantineStatus() != QuarantineStatus::kClear; }
-
-// Only requests for a model can wait.
-bool Exchange::IsRefusedProvisionally(TimeMs now) {
-  return model_ && gateway_.quarantine.AwaitsReports(Digest(), now);
-}
-
-std::optional<Suspect> Exchange::AsSuspect(TimeMs now) {
-  const bool has_event = attempt_first_event_at_ != 0;
-  const bool is_harmless =
-      has_event && now - attempt_first_event_at_ >= QuarantineLimits().harmless_after_ms;
-  if (is_harmless) return std::nullopt;
-  auto parts = gateway_.prompt_parts.WithoutSound(parts_, now);
-  const bool has_sound_part = parts.size() < parts_.size();
-  return Suspect{Digest(), has_event, is_isolated_suspect_, std::move(parts), has_sound_part};
-}
-
-// Refuses at once and without Retry-After, as a retry would not help. Not a 4xx status, as the
-// request is well-formed.
-void Exchange::RefuseQuarantined() {
-  ++gateway_.counters.quarantine_refusals;
-  constexpr char kReason[] = "upstreams that run this request crash; it is not sent to another one";
-  if (is_response_begun_) return GiveUp(Execution::kMayHaveRun, kReason);
-  const bool may_have_run = ExecutionSoFar() == Execution::kMayHaveRun;
-  Refuse(may_have_run ? kBadGateway : kUnavailable, "ends_upstreams", kReason, ExecutionSoFar(), 0);
-}
-
-void Exchange::ClearSuspicion() {
-  if (!digest_) return;
-  gateway_.quarantine.Clear(*digest_, MonotonicMs());
-  if (!is_isolated_suspect_) return;
-  is_isolated_suspect_ = false;
-  gateway_.suspect_isolation.Release(instance_, isolation_key_);
-  gateway_.RetrySuspects();
-}
-
-void Exchange::AddSoundParts() {
-  if (std::exchange(has_sound_parts_, true)) return;
-  gateway_.AddSoundParts(parts_);
-}
-
-void Exchange::OnPartsAnswered() {
-  const TimeMs now = MonotonicMs();
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
-  if (upstream == nullptr || gateway_.prompt_parts.WithoutSound(parts_, now).empty()) {
-    return AddSoundParts();
-  }
-  const TimeMs begun_at = attempt_first_event_at_ != 0 ? attempt_first_event_at_ : now;
-  gateway_.short_answers.Add({instance_, upstream->endpoint}, parts_, begun_at, now);
-}
-
 PickResult Exchange::ChooseUpstream(TimeMs now) {
   PickRequest request;
   request.service = service_;
@@ -368,6 +284,7 @@
   gateway_.upstreams.OnSent(instance, model_, attempt_started_at_);
   gateway_.crash_detector.OnAttemptBegun(instance, this);
   attempt_first_event_at_ = 0;
+  turn_until_ = 0;
   if (IsSuspect()) {
     isolation_key_ = IsolationKey();
     is_isolated_suspect_ = gateway_.suspect_isolation.Reserve(instance, isolation_key_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,8 @@
   void OnQuotaRequested(std::uint64_t ticket) { quota_ticket_ = ticket; }
   // An allocator was asked for a part of the upstream's rate limit under `ticket`.
   void OnUpstreamQuotaRequested(std::uint64_t ticket, const std::string& instance);
+  // An allocator was asked for a turn of its suspected prompt part under `ticket`.
+  void OnTurnRequested(std::uint64_t ticket) { turn_ticket_ = ticket; }
   void OnQuotaDecision(std::uint64_t ticket, const QuotaClient::Admission& verdict);
 
   void OnConnected(double round_trip_ms) override;
@@ -116,6 +118,9 @@
   bool AcquireQuota();
   bool AcquireUpstreamQuota(const std::string& instance);
   void OnUpstreamQuotaDecision(const QuotaClient::Admission& verdict);
+  bool AcquireTurn(const std::string& instance);
+  void OnTurnDecision(const QuotaClient::Admission& verdict);
+  void AwaitTurn(DurationMs retry_ms);
   void RecordUpstreamLimitReached(const std::string& instance, DurationMs retry_ms);
   void RefuseOverQuota(const QuotaClient::Admission& verdict);
   void ReturnQuota();
@@ -123,6 +128,7 @@
   PickResult ChooseUpstream(TimeMs now);
   void RefusePlace(const NoUpstream& none);
   const RequestDigest& Digest();
+  const std::vector<RequestDigest>& Combinations();
   QuarantineStatus CurrentQuarantineStatus();
   // Whether reports on the last crash may still clear it.
   bool IsRefusedProvisionally(TimeMs now);
@@ -130,6 +136,7 @@
   RequestDigest IsolationKey();
   void ClearSuspicion();
   void AddSoundParts();
+  void OnModelAnswered();
   // The response is whole.
   void OnPartsAnswered();
   void ConfirmEnd();
@@ -182,6 +189,9 @@
   std::uint64_t quota_ticket_ = 0;           // Of the pending request to an allocator; 0: none.
   std::uint64_t upstream_quota_ticket_ = 0;  // Likewise for `upstream_quota_instance_`.
   std::string upstream_quota_instance_;      // Whose rate limit was acquired or requested.
+  std::uint64_t turn_ticket_ = 0;            // Likewise for a turn of a suspected prompt part.
+  std::string turn_instance_;                // Where the request goes in its turn.
+  TimeMs turn_until_ = 0;                    // It has a turn that lasts until then.
   TimeMs deadline_at_ = 0;                   // By the caller's deadline and the route's timeout.
   TimeMs wait_deadline_at_ = 0;              // Of its wait for a model.
   boost::asio::steady_timer timer_;
@@ -200,12 +210,13 @@
   TimeMs connected_at_ = 0;
   std::optional<RequestDigest> digest_;  // Computed on first use.
   std::vector<RequestDigest> parts_;     // Of the prompt, that other requests may share.
-  bool is_isolated_suspect_ = false;     // Sent as the only suspect at its upstream.
-  RequestDigest isolation_key_;          // Under which it was.
-  bool has_sound_parts_ = false;         // Its answer has shown that its parts are sound.
-  bool is_confirming_end_ = false;       // Whether the upstream lives, whose response has ended.
-  TimeMs attempt_first_event_at_ = 0;    // 0: no event yet.
-  TimeMs last_activity_at_ = 0;          // Of the upstream; the silence timeout counts from here.
+  std::optional<std::vector<RequestDigest>> combinations_;  // Of these, and they; on first use.
+  bool is_isolated_suspect_ = false;   // Sent as the only suspect at its upstream.
+  RequestDigest isolation_key_;        // Under which it was.
+  bool has_sound_parts_ = false;       // Its answer has shown that its parts are sound.
+  bool is_confirming_end_ = false;     // Whether the upstream lives, whose response has ended.
+  TimeMs attempt_first_event_at_ = 0;  // 0: no event yet.
+  TimeMs last_activity_at_ = 0;        // Of the upstream; the silence timeout counts from here.
   // Age of the upstream list at the last attempt; -1: no attempt, or unknown.
   DurationMs listing_age_ms_ = -1;
 
--- a/src/gateway/exchange_access.cc
+++ b/src/gateway/exchange_access.cc
@@ -154,6 +154,7 @@
 
 void Exchange::OnQuotaDecision(std::uint64_t ticket, const QuotaClient::Admission& verdict) {
   if (ticket == upstream_quota_ticket_) return OnUpstreamQuotaDecision(verdict);
+  if (ticket == turn_ticket_) return OnTurnDecision(verdict);
   quota_ticket_ = 0;
   if (is_finished_) return;
   has_quota_ = verdict.decision == QuotaClient::Decision::kAdmitted;
@@ -215,6 +216,7 @@
   if (quota_ticket_ != 0) gateway_.CancelQuotaRequest(std::exchange(quota_ticket_, 0));
   if (upstream_quota_ticket_ != 0)
     gateway_.CancelQuotaRequest(std::exchange(upstream_quota_ticket_, 0));
+  if (turn_ticket_ != 0) gateway_.CancelQuotaRequest(std::exchange(turn_ticket_, 0));
   if (!std::exchange(has_quota_, false) || ExecutionSoFar() == Execution::kMayHaveRun) return;
   gateway_.quotas.Refund(organisation_, quota_amount_, MonotonicMs());
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -33,6 +33,10 @@
 // How long a refused request still counts as demand for its model: its caller, told to retry, does
 // so within seconds.
 constexpr DurationMs kRefusedWaitMs = 3000;
+// Requests with a suspected prompt part, over all entries: a crash takes some 100 ms to happen and
+// to be reported. The burst is small, as one that is left over would let two go at once.
+constexpr double kTurnsPerS = 1;
+constexpr double kTurnBurst = 0.01;
 // Later than any time a process reaches.
 constexpr TimeMs kNeverLate = 1LL << 60;
 
@@ -50,6 +54,9 @@
   return "upstream_listed";
 }
 
+// Contains a space, which names of instances do not.
+std::string TurnLimitName(const RequestDigest& part) { return "prompt part " + part.ToString(); }
+
 // With enough digits to tell limits apart.
 std::string FormatLimit(const std::optional<RateLimit>& limit) {
   if (!limit) return "none";
@@ -137,8 +144,10 @@
     self->ReportQuarantined();
     self->ApplyLimitChanges();
     self->quotas.SetEntryCount(self->upstreams.CountEntries(now), now);
-    self->quotas.RetainLimitedUpstreams(
-        [&](const std::string& instance) { return self->upstreams.LimitOf(instance).has_value(); });
+    self->UpdateSharedTurns();
+    self->quotas.RetainLimitedUpstreams([&](const std::string& name) {
+      return self->shared_turns.count(name) > 0 || self->upstreams.LimitOf(name).has_value();
+    });
     self->SendQuotaMessages();
     if (self->is_stopping) {
       self->ContinueStop();
@@ -358,7 +367,7 @@
 }
 
 void Gateway::Impl::JudgeParts() {
-  if (!prompt_parts.HasCrashes()) return;
+  if (!prompt_parts.HasCrashes() && !prompt_parts.HasFound()) return;
   const TimeMs now = MonotonicMs();
   const auto found = prompt_parts.Judge(now);
   for (const auto& it : found) {
@@ -369,14 +378,18 @@
     for (const auto& crash : it.crashes) quarantine.Explain(crash);
   }
   if (!found.empty()) ReportQuarantined();
+  UpdateSharedTurns();
 }
 
 void Gateway::Impl::AddSoundParts(const std::vector<RequestDigest>& parts) {
   if (parts.empty()) return;
   const TimeMs now = MonotonicMs();
+  const auto shared = prompt_parts.FindShared(parts, now);
   prompt_parts.AddSound(parts, now);
   if (!HasSuspicions()) return;
-  for (const auto& it : parts) {
+  if (shared) TellSoundParts(now);
+  const auto digests = quarantine.IsEmpty() ? parts : PartsAndCombinations(parts);
+  for (const auto& it : digests) {
     if (!quarantine.Release(it, now)) continue;
     log.Write(now, "prompt_part_released", {{"digest", it.ToString()}});
     if (on_request_released) on_request_released(it);
@@ -384,6 +397,15 @@
   RetrySuspects();
 }
 
+// The others need not wait for their turns any more.
+void Gateway::Impl::TellSoundParts(TimeMs now) {
+  if (!on_upstream_crash) return;
+  for (const auto& it : quarantine.RecentCrashes(now)) {
+    const auto sound = prompt_parts.TakeSoundParts(it.instance, now);
+    if (!sound.empty()) on_upstream_crash({it.instance, it.age_ms, {}, false, sound});
+  }
+}
+
 void Gateway::Impl::ReportQuarantined() {
   for (const auto& it : quarantine.TakeNewRefusals()) {
     log.Write(MonotonicMs(), "request_quarantined", {{"digest", it.ToString()}});
@@ -444,6 +466,31 @@
   return verdict;
 }
 
+// Each entry sends its suspects one at a time, but all of them together could crash an upstream for
+// each entry before the first reports arrive. A crash is known to all within a turn.
+QuotaClient::Admission Gateway::Impl::TakeTurn(const std::shared_ptr<internal::Exchange>& exchange,
+                                               const RequestDigest& part) {
+  UpdateSharedTurns();
+  const std::uint64_t ticket = ++last_ticket;
+  const auto verdict = quotas.AcquireForUpstream(TurnLimitName(part), ticket, MonotonicMs());
+  if (verdict.decision != QuotaClient::Decision::kPending) return verdict;
+  exchange->OnTurnRequested(ticket);
+  AwaitQuotaDecision(exchange, ticket);
+  return verdict;
+}
+
+void Gateway::Impl::UpdateSharedTurns() {
+  if (shared_turns.empty() && !prompt_parts.HasCrashes()) return;
+  std::set<std::string> names;
+  for (const auto& it : prompt_parts.SharedParts(MonotonicMs())) names.insert(TurnLimitName(it));
+  for (const auto& it : names) {
+    if (shared_turns.count(it) > 0) continue;
+    log.Write(MonotonicMs(), "prompt_part_turns", {{"limit", it}});
+    SetUpstreamLimit(it, RateLimit{kTurnsPerS, kTurnBurst});
+  }
+  shared_turns = std::move(names);
+}
+
 void Gateway::Impl::AwaitQuotaDecision(const std::shared_ptr<internal::Exchange>& exchange,
                                        std::uint64_t ticket) {
   pending_quota_requests.emplace(ticket, exchange);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -51,6 +51,11 @@
   // Likewise, from the rate limit of an upstream.
   QuotaClient::Admission TakeUpstreamQuota(const std::shared_ptr<internal::Exchange>& exchange,
                                            const std::string& instance);
+  // Likewise, the turn of a request with a suspected prompt part that all processes share.
+  QuotaClient::Admission TakeTurn(const std::shared_ptr<internal::Exchange>& exchange,
+                                  const RequestDigest& part);
+  // Begins to share the turns of parts that need it, and ends it for others.
+  void UpdateSharedTurns();
   void AwaitQuotaDecision(const std::shared_ptr<internal::Exchange>& exchange,
                           std::uint64_t ticket);
   void ApplyLimitChanges();
@@ -83,6 +88,7 @@
   void JudgePartsSoon();
   bool HasSuspicions() const { return !quarantine.IsEmpty() || prompt_parts.HasCrashes(); }
   void AddSoundParts(const std::vector<RequestDigest>& parts);
+  void TellSoundParts(TimeMs now);
   // Retries waiting suspects: an upstream without another suspect may be available, or they may be
   // refused now.
   void RetrySuspects();
@@ -107,6 +113,7 @@
   PromptPartTable prompt_parts;
   Timer judge_timer;
   SuspectIsolation suspect_isolation;
+  std::set<std::string> shared_turns;  // Names of their limits.
   internal::CrashDetector crash_detector;
   internal::ShortAnswers short_answers;
   StreamOriginTable stream_origins;
--- a/src/quarantine/crash_messages.cc
+++ b/src/quarantine/crash_messages.cc
@@ -17,6 +17,7 @@
 
 // A suspect of an older version, or one without parts, has fewer fields.
 constexpr std::size_t kPartsField = 3;
+constexpr std::size_t kModelField = 5;
 
 json ToJson(const std::vector<RequestDigest>& digests) {
   json list = json::array();
@@ -31,6 +32,7 @@
     if (!it.parts.empty()) {
       fields.push_back(ToJson(it.parts));
       fields.push_back(it.has_sound_part);
+      fields.push_back(it.model.ToString());
     }
     suspects.push_back(std::move(fields));
   }
@@ -59,6 +61,10 @@
     if (suspect.size() <= kPartsField) continue;
     if (!ReadDigests(suspect.at(kPartsField), &crash->suspects.back().parts)) return false;
     crash->suspects.back().has_sound_part = suspect.at(kPartsField + 1).get<bool>();
+    if (suspect.size() <= kModelField) continue;
+    const auto model = RequestDigest::Parse(suspect.at(kModelField).get<std::string>());
+    if (!model) return false;
+    crash->suspects.back().model = *model;
   }
   const auto sound = it.find("p");
   if (sound != it.end() && !ReadDigests(*sound, &crash->sound_parts)) return false;
--- a/src/quarantine/prompt_part_table.cc
+++ b/src/quarantine/prompt_part_table.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 
 #include "junctionrail/quarantine.h"
 
@@ -11,6 +12,10 @@
 // So many of them happened to requests that were sent alone. Upstreams crash of themselves too, and
 // a part that is new may be in the only request there.
 constexpr int kIsolatedCrashesToFind = 2;
+// One more if none of their other parts is known to be sound, and what speaks against the part is
+// that its model answers other requests.
+constexpr int kIsolatedCrashesWithoutSoundPart = 3;
+constexpr std::size_t kIsolatedRequestsToFind = 2;
 // From so many crashes on, further requests wait for the reports of the last one.
 constexpr int kCausesToWait = 2;
 // When there are too many sound parts, the least recently answered ones of so many are dropped.
@@ -20,6 +25,12 @@
   return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
 
+bool ContainsAll(const std::vector<RequestDigest>& parts,
+                 const std::vector<RequestDigest>& combination) {
+  return std::all_of(combination.begin(), combination.end(),
+                     [&parts](const RequestDigest& it) { return Contains(parts, it); });
+}
+
 }  // namespace
 
 void PromptPartTable::AddSound(const std::vector<RequestDigest>& parts, TimeMs now) {
@@ -44,6 +55,20 @@
   return it != sound_.end() && now - it->second < limits_.sound_ttl_ms;
 }
 
+void PromptPartTable::OnModelAnswered(const RequestDigest& model, TimeMs now) {
+  answered_models_[model] = now;
+  if (answered_models_.size() <= limits_.max_models) return;
+  const auto oldest =
+      std::min_element(answered_models_.begin(), answered_models_.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  answered_models_.erase(oldest);
+}
+
+bool PromptPartTable::HasAnswered(const RequestDigest& model, TimeMs crashed_at) const {
+  const auto it = answered_models_.find(model);
+  return it != answered_models_.end() && it->second >= crashed_at - limits_.model_answer_ms;
+}
+
 PromptPartTable::Crash* PromptPartTable::Find(const std::string& name) {
   const auto it = std::find_if(crashes_.begin(), crashes_.end(),
                                [&](const Crash& crash) { return crash.name == name; });
@@ -73,9 +98,10 @@
                     [&](const SuspectParts& other) { return other.request == it.digest; });
     if (is_known || known->part_count + it.parts.size() > limits_.max_parts) continue;
     known->part_count += it.parts.size();
-    known->suspects.push_back({it.digest, it.parts, it.was_isolated, it.has_sound_part});
-    known->is_explained |= std::any_of(it.parts.begin(), it.parts.end(),
-                                       [this](const auto& part) { return found_.count(part) > 0; });
+    known->suspects.push_back({it.digest, it.parts, it.was_isolated, it.has_sound_part, it.model});
+    known->is_explained |= std::any_of(found_.begin(), found_.end(), [&it](const Found& found) {
+      return ContainsAll(it.parts, found.parts);
+    });
   }
 }
 
@@ -189,65 +215,160 @@
   });
 }
 
-// The requests with the part that were sent alone, if the crash says something about it: entries
-// may each have sent a request alone to one upstream, and any of them may be the cause. As long as
-// none of a request's parts is known to be sound, a part that all requests share looks like the
-// cause.
-std::vector<RequestDigest> PromptPartTable::ExplainedRequests(const Crash& crash,
-                                                              const RequestDigest& part, int causes,
-                                                              TimeMs now) const {
-  std::vector<RequestDigest> requests;
+bool PromptPartTable::IsShared(const RequestDigest& part, TimeMs now) const {
+  if (IsSound(part, now)) return false;
+  const auto crashes = CrashesWith(part, now);
+  return CountCauses(crashes) >= kCausesToWait && !AreExplainedByRequests(crashes, part);
+}
+
+std::optional<RequestDigest> PromptPartTable::FindShared(const std::vector<RequestDigest>& parts,
+                                                         TimeMs now) const {
+  for (const auto& it : Suspected(parts, now)) {
+    if (IsShared(it, now)) return it;
+  }
+  return std::nullopt;
+}
+
+std::vector<RequestDigest> PromptPartTable::SharedParts(TimeMs now) const {
+  Parts all;
+  for (const auto& crash : crashes_) {
+    if (crash.is_explained) continue;
+    const Parts parts = AllPartsOf(crash, now);
+    all.insert(parts.begin(), parts.end());
+  }
+  std::vector<RequestDigest> shared;
+  for (const auto& it : Suspected({all.begin(), all.end()}, now)) {
+    if (shared.size() == limits_.max_shared_parts) break;
+    if (IsShared(it, now)) shared.push_back(it);
+  }
+  return shared;
+}
+
+std::vector<const PromptPartTable::Crash*> PromptPartTable::ReportedCrashesWith(
+    const RequestDigest& part, TimeMs now) const {
+  std::vector<const Crash*> reported;
+  for (const Crash* it : CrashesWith(part, now)) {
+    if (now - it->crashed_at >= limits_.report_window_ms) reported.push_back(it);
+  }
+  return reported;
+}
+
+// Those of its companions that were at as many crashes, and in each of its requests that was sent
+// alone, cannot be told apart from it.
+std::vector<RequestDigest> PromptPartTable::WithCompanions(const RequestDigest& part,
+                                                           const std::vector<const Crash*>& crashes,
+                                                           int causes, TimeMs now) const {
+  std::optional<std::vector<RequestDigest>> common;
+  for (const Crash* crash : crashes) {
+    for (const auto& it : crash->suspects) {
+      if (!it.was_isolated || !Contains(it.parts, part)) continue;
+      if (!common) common = WithoutSound(it.parts, now);
+      common->erase(std::remove_if(common->begin(), common->end(),
+                                   [&](const RequestDigest& o) { return !Contains(it.parts, o); }),
+                    common->end());
+    }
+  }
+  std::vector<RequestDigest> combination = {part};
+  for (const auto& it : common.value_or(std::vector<RequestDigest>())) {
+    const bool is_companion = !(it == part) && CountCauses(CrashesWith(it, now)) >= causes;
+    if (is_companion && combination.size() < kMaxCombinedParts) combination.push_back(it);
+  }
+  std::sort(combination.begin(), combination.end());
+  return combination;
+}
+
+// Entries may each have sent a request alone to one upstream, and any of them may be the cause. A
+// part that all requests share looks like the cause as long as no other part of them is known to be
+// sound; what tells it apart then is that the model answers requests without it.
+PromptPartTable::Evidence PromptPartTable::EvidenceOf(const Crash& crash,
+                                                      const std::vector<RequestDigest>& combination,
+                                                      int causes, TimeMs now) const {
+  Evidence evidence;
   for (const auto& it : crash.suspects) {
     if (!it.was_isolated) continue;
-    if (!Contains(it.parts, part)) return {};
+    if (!ContainsAll(it.parts, combination)) return {};
     const auto candidates = WithoutSound(it.parts, now);
-    const bool has_sound_part = it.has_sound_part || candidates.size() < it.parts.size();
     const bool is_explained =
         std::all_of(candidates.begin(), candidates.end(), [&](const RequestDigest& other) {
-          return other == part || CountCauses(CrashesWith(other, now)) < causes;
+          return Contains(combination, other) || CountCauses(CrashesWith(other, now)) < causes;
         });
-    if (has_sound_part && is_explained) requests.push_back(it.request);
+    if (!is_explained) continue;
+    const bool is_beside_sound_part = it.has_sound_part || candidates.size() < it.parts.size();
+    if (is_beside_sound_part) evidence.beside_sound_parts.push_back(it.request);
+    if (is_beside_sound_part || HasAnswered(it.model, crash.crashed_at)) {
+      evidence.requests.push_back(it.request);
+    }
   }
-  return requests;
+  return evidence;
 }
 
-bool PromptPartTable::IsProven(const RequestDigest& part, TimeMs now) const {
-  std::vector<const Crash*> reported;
-  for (const Crash* it : CrashesWith(part, now)) {
-    if (now - it->crashed_at >= limits_.report_window_ms) reported.push_back(it);
-  }
+std::vector<RequestDigest> PromptPartTable::FindCause(const RequestDigest& part, TimeMs now) const {
+  const auto reported = ReportedCrashesWith(part, now);
   const int causes = CountCauses(reported);
-  if (causes < kCausesToFind || AreExplainedByRequests(reported, part)) return false;
+  if (causes < kCausesToFind || AreExplainedByRequests(reported, part)) return {};
+  const auto combination = WithCompanions(part, reported, causes, now);
   std::vector<const Crash*> isolated;
-  std::set<RequestDigest> isolated_requests;
+  std::vector<const Crash*> beside_sound_parts;
+  std::set<RequestDigest> requests;
+  std::set<RequestDigest> requests_beside_sound_parts;
   for (const Crash* it : reported) {
-    const auto alone = ExplainedRequests(*it, part, causes, now);
-    if (!alone.empty()) isolated.push_back(it);
-    isolated_requests.insert(alone.begin(), alone.end());
+    const Evidence evidence = EvidenceOf(*it, combination, causes, now);
+    if (!evidence.requests.empty()) isolated.push_back(it);
+    if (!evidence.beside_sound_parts.empty()) beside_sound_parts.push_back(it);
+    requests.insert(evidence.requests.begin(), evidence.requests.end());
+    requests_beside_sound_parts.insert(evidence.beside_sound_parts.begin(),
+                                       evidence.beside_sound_parts.end());
   }
-  return CountCauses(isolated) >= kIsolatedCrashesToFind &&
-         isolated_requests.size() >= kIsolatedCrashesToFind;
+  const bool is_single_cause = combination.size() == 1 &&
+                               CountCauses(beside_sound_parts) >= kIsolatedCrashesToFind &&
+                               requests_beside_sound_parts.size() >= kIsolatedRequestsToFind;
+  const bool is_cause = CountCauses(isolated) >= kIsolatedCrashesWithoutSoundPart &&
+                        requests.size() >= kIsolatedRequestsToFind;
+  return is_single_cause || is_cause ? combination : std::vector<RequestDigest>();
+}
+
+bool PromptPartTable::HasSuspectWith(const Crash& crash,
+                                     const std::vector<RequestDigest>& combination) {
+  return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                     [&](const SuspectParts& it) { return ContainsAll(it.parts, combination); });
+}
+
+// If a part of a combination has been answered since it was found, the others are the cause.
+std::vector<PromptPartTable::Finding> PromptPartTable::NarrowCombinations(TimeMs now) {
+  std::vector<Finding> narrowed;
+  for (auto& it : found_) {
+    auto rest = WithoutSound(it.parts, now);
+    if (rest.empty() || rest.size() == it.parts.size()) continue;
+    it.parts = std::move(rest);
+    narrowed.push_back({CombinationOf(it.parts), {}});
+  }
+  return narrowed;
 }
 
 std::vector<PromptPartTable::Finding> PromptPartTable::Judge(TimeMs now) {
+  std::vector<Finding> found = NarrowCombinations(now);
   Parts all;
   for (const auto& crash : crashes_) {
     if (crash.is_explained) continue;
     const Parts parts = AllPartsOf(crash, now);
     all.insert(parts.begin(), parts.end());
   }
-  std::vector<Finding> found;
+  std::set<std::vector<RequestDigest>> causes;
   for (const auto& it : all) {
-    if (!IsProven(it, now)) continue;
-    found.push_back({it, {}});
-    for (const Crash* crash : CrashesWith(it, now)) found.back().crashes.push_back(crash->name);
+    auto cause = FindCause(it, now);
+    if (!cause.empty()) causes.insert(std::move(cause));
   }
-  for (const auto& finding : found) {
-    found_[finding.part] = now;
-    for (auto& crash : crashes_) {
-      crash.is_explained |= AllPartsOf(crash, now).count(finding.part) > 0;
+  for (const auto& it : causes) {
+    found.push_back({CombinationOf(it), {}});
+    for (const auto& crash : crashes_) {
+      if (!crash.is_explained && HasSuspectWith(crash, it))
+        found.back().crashes.push_back(crash.name);
     }
   }
+  for (const auto& it : causes) {
+    found_.push_back({it, now});
+    for (auto& crash : crashes_) crash.is_explained |= HasSuspectWith(crash, it);
+  }
   return found;
 }
 
@@ -255,9 +376,9 @@
   while (!crashes_.empty() && now - crashes_.front().crashed_at >= limits_.suspicion_ttl_ms) {
     crashes_.pop_front();
   }
-  for (auto it = found_.begin(); it != found_.end();) {
-    it = now - it->second >= limits_.suspicion_ttl_ms ? found_.erase(it) : std::next(it);
-  }
+  found_.erase(std::remove_if(found_.begin(), found_.end(),
+                              [&](const Found& it) { return now - it.at >= limits_.sound_ttl_ms; }),
+               found_.end());
 }
 
 }  // namespace junctionrail
--- a/src/quarantine/request_digest.cc
+++ b/src/quarantine/request_digest.cc
@@ -50,6 +50,8 @@
   return FinishDigest(&hash);
 }
 
+void AddDigest(Sha256* hash, const RequestDigest& digest) { AddPart(hash, digest.ToString()); }
+
 }  // namespace
 
 // The input is controlled by callers and the digests are exchanged between processes. This requires
@@ -63,6 +65,13 @@
   return FinishDigest(&hash);
 }
 
+RequestDigest DigestOfModel(std::string_view name) {
+  Sha256 hash;
+  AddPart(&hash, "model");
+  AddPart(&hash, name);
+  return FinishDigest(&hash);
+}
+
 std::vector<RequestDigest> DigestsOfSharedParts(std::string_view prompt_parts) {
   std::vector<RequestDigest> digests;
   while (digests.size() < kMaxPromptParts) {
@@ -79,6 +88,30 @@
   return digests;
 }
 
+RequestDigest CombinationOf(std::vector<RequestDigest> parts) {
+  std::sort(parts.begin(), parts.end());
+  if (parts.size() > kMaxCombinedParts) parts.resize(kMaxCombinedParts);
+  if (parts.size() == 1) return parts.front();
+  Sha256 hash;
+  AddPart(&hash, "combination of prompt parts");
+  for (const auto& it : parts) AddDigest(&hash, it);
+  return FinishDigest(&hash);
+}
+
+std::vector<RequestDigest> PartsAndCombinations(const std::vector<RequestDigest>& parts) {
+  static_assert(kMaxCombinedParts == 3, "all combinations are listed");
+  std::vector<RequestDigest> digests = parts;
+  for (std::size_t a = 0; a < parts.size(); ++a) {
+    for (std::size_t b = a + 1; b < parts.size(); ++b) {
+      digests.push_back(CombinationOf({parts[a], parts[b]}));
+      for (std::size_t c = b + 1; c < parts.size(); ++c) {
+        digests.push_back(CombinationOf({parts[a], parts[b], parts[c]}));
+      }
+    }
+  }
+  return digests;
+}
+
 std::string RequestDigest::ToString() const {
   char buf[kHexDigits + 1];
   std::snprintf(buf, sizeof(buf), "%016llx%016llx", static_cast<unsigned long long>(high),
--- a/test/prompt_part_table_test.cc
+++ b/test/prompt_part_table_test.cc
@@ -1,4 +1,6 @@
 // Which prompt parts are found to crash upstreams, in model time.
+#include <algorithm>
+
 #include "check.h"
 #include "junctionrail/quarantine.h"
 
@@ -215,6 +217,90 @@
   EXPECT_TEXT("k", table.Found(kIds), "f was answered since");
 }
 
+namespace {
+
+// Crashes under requests that were sent alone, of whose parts none is known to be sound.
+struct UnclearedTable : Table {
+  void CrashAlone(const std::string& parts, bool does_model_answer) {
+    const RequestDigest model = DigestOfModel(does_model_answer ? "m1" : "silent");
+    if (does_model_answer) table.OnModelAnswered(model, now);
+    UpstreamCrash crash;
+    crash.instance = "i-" + std::to_string(++crashes);
+    const auto digest = DigestOf({"", "", "", "", std::to_string(++sent)});
+    crash.suspects.push_back(
+        {digest, false, true, table.WithoutSound(Parts(parts), now), false, model});
+    table.Add(crash, now);
+    now += kReportedMs;
+  }
+  // The ids of the parts that a finding names, if it is a combination of these.
+  bool IsFound(const std::vector<std::string>& ids) {
+    std::vector<RequestDigest> parts;
+    for (const auto& it : ids) parts.push_back(Parts(it + ":1").front());
+    for (const auto& it : table.Judge(now)) found.push_back(it.part);
+    return std::find(found.begin(), found.end(), CombinationOf(parts)) != found.end();
+  }
+
+  std::vector<RequestDigest> found;
+};
+
+}  // namespace
+
+// Guards against a part that crashes one upstream after the other, as no request has a sound part
+// beside it.
+TEST(PromptPartTable, FindsAPartWithoutASoundOneBesideItIfItsModelAnswersOthers) {
+  UnclearedTable table;
+  for (int n = 0; n < 2; ++n) table.CrashAlone("k:1", true);
+  EXPECT_TRUE(!table.IsFound({"k"}), "so far two requests explain the crashes");
+  table.CrashAlone("k:1", true);
+  EXPECT_TRUE(table.IsFound({"k"}), "three crashes under requests that were sent alone");
+}
+
+// Guards against the refusal of a part of all requests of a model, as upstreams crash of themselves
+// before any was answered.
+TEST(PromptPartTable, DoesNotFindAPartWithoutASoundOneBesideItIfItsModelIsSilent) {
+  UnclearedTable table;
+  for (int n = 0; n < 10; ++n) table.CrashAlone("k:1", false);
+  EXPECT_TRUE(!table.IsFound({"k"}), "nothing speaks for the model");
+}
+
+// Guards against two parts of the same prompts that are not told apart, while their requests crash
+// one upstream after the other.
+TEST(PromptPartTable, FindsTwoPartsThatAlwaysComeTogetherAsACombination) {
+  UnclearedTable table;
+  for (int n = 0; n < 3; ++n) table.CrashAlone("f:1,k:1", true);
+  EXPECT_TRUE(table.IsFound({"f", "k"}), "as a combination");
+  EXPECT_TRUE(!table.IsFound({"f"}) && !table.IsFound({"k"}), "neither alone");
+  EXPECT_TRUE(!table.IsSuspected("f:1,z1:1"), "requests with one of them go on");
+  table.table.AddSound(Parts("f:1"), table.now);
+  EXPECT_TRUE(table.IsFound({"k"}), "f was answered since: k is the cause");
+}
+
+// Guards against a combination that is not known again in a prompt with further parts.
+TEST(PromptPartTable, KnowsACombinationInAnyOrderAmongOthers) {
+  const auto digests = PartsAndCombinations(Parts("z1:1,k:1,z2:1,f:1"));
+  const auto has = [&digests](const std::string& ids) {
+    return std::find(digests.begin(), digests.end(), CombinationOf(Parts(ids))) != digests.end();
+  };
+  EXPECT_TRUE(has("f:1,k:1") && has("k:1,f:1"), "two of four");
+  EXPECT_TRUE(has("z2:1,f:1,z1:1") && has("k:1"), "three, and one");
+  EXPECT_TRUE(!has("f:1,q:1"), "one that is not there");
+  EXPECT_NUMBER(4 + 6 + 4, digests.size(), "parts, pairs and triples");
+}
+
+// Guards against entries that each send one of the requests whose common part crashes upstreams.
+TEST(PromptPartTable, SharesTurnsOnceDifferentRequestsWereAtTwoCrashes) {
+  UnclearedTable table;
+  table.CrashAlone("k:1", true);
+  EXPECT_TRUE(!table.table.FindShared(Parts("k:1"), table.now), "one crash");
+  table.CrashAlone("k:1", true);
+  EXPECT_TRUE(!table.table.FindShared(Parts("k:1"), table.now), "two requests explain both");
+  table.CrashAlone("k:1", false);
+  EXPECT_TRUE(table.table.FindShared(Parts("k:1"), table.now).has_value(), "three do not");
+  EXPECT_NUMBER(1, table.table.SharedParts(table.now).size(), "parts");
+  table.table.AddSound(Parts("k:1"), table.now);
+  EXPECT_TRUE(!table.table.FindShared(Parts("k:1"), table.now), "it was answered");
+}
+
 // Guards against two causes at the same moment that count as one request's.
 TEST(PromptPartTable, CountsCrashesAtTheSameTimeAsOne) {
   Table table;
--- a/test/prompt_parts_test.cc
+++ b/test/prompt_parts_test.cc
@@ -235,6 +235,63 @@
   attack.ExpectSoundServed();
 }
 
+namespace {
+
+// Requests with a crashing part reach all entries at the same moment, again and again, among sound
+// ones without it.
+struct Pulses {
+  Pulses(World* attacked, std::string parts) : world(*attacked), crashing_parts(std::move(parts)) {}
+
+  void Run(int count) {
+    constexpr DurationMs kPulseMs = 2000;
+    for (int n = 0; n < count; ++n) {
+      for (std::size_t k = 0; k < world.entries.size(); ++k) {
+        crashing.push_back(world.Send(k, crashing_parts));
+      }
+      const TimeMs until = MonotonicMs() + kPulseMs;
+      for (std::size_t k = 0; MonotonicMs() < until; ++k) {
+        sound.push_back(world.Send(k, SoundParts(static_cast<int>(k))));
+        RunFor(world.io, kPaceMs);
+      }
+    }
+    for (const auto* callers : {&crashing, &sound}) {
+      for (const auto& it : *callers) it->AwaitEnd();
+    }
+    EXPECT_TRUE(world.crashes >= kCrashesToKnow, "crashes: " + std::to_string(world.crashes));
+    EXPECT_TRUE(world.late_runs <= kMaxLate, "expected at most 3 late sends, got " +
+                                                 std::to_string(world.late_runs) + "; " +
+                                                 std::to_string(world.crashes) + " crashes");
+    for (const auto& it : sound) {
+      EXPECT_TRUE(!HasText(it->received(), "ends_upstreams"), "a sound request is refused");
+    }
+  }
+
+  static constexpr DurationMs kPaceMs = 80;
+  World& world;
+  std::string crashing_parts;
+  std::vector<std::unique_ptr<TestCaller>> crashing;
+  std::vector<std::unique_ptr<TestCaller>> sound;
+};
+
+}  // namespace
+
+// Guards against a part that is not found as it is the only one of its prompts, and against entries
+// that each send one such request at the same moment.
+TEST(PromptParts, ThatAreAloneInTheirPromptsAreRefusedByAllEntries) {
+  World world(6);
+  for (int n = 0; n < 4; ++n) world.AddEntry();
+  for (std::size_t n = 0; n < 8; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
+  Pulses(&world, "dead:50").Run(6);
+}
+
+// Guards against two parts that always come together and are never told apart.
+TEST(PromptParts, ThatAlwaysComeTogetherAreRefusedTogether) {
+  World world(6);
+  for (int n = 0; n < 4; ++n) world.AddEntry();
+  for (std::size_t n = 0; n < 8; ++n) world.Call(n, SoundParts(static_cast<int>(n)));
+  Pulses(&world, "h1:100,dead:50").Run(6);
+}
+
 // Guards against an entry that starts later, or is told by the store alone, and tries again.
 TEST(PromptParts, ThatCrashUpstreamsAreRefusedByAnEntryThatStartsLater) {
   World world(6);
