--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -53,7 +53,8 @@
       pace_(io),
       patience_(io),
       leave_(io),
-      habit_(habit) {}
+      habit_(habit),
+      is_part_alone_(HasDeadlyPart() && random_() % 2 == 0) {}
 
 void Caller::Start() { Again(static_cast<DurationMs>(random_() % 200)); }
 
@@ -83,10 +84,10 @@
   event_count_ = 0;
   tries_ = 0;
   stream_ = name_ + "-" + std::to_string(requests_ + 1);
-  // Sound requests share the first part with those that end engines.
+  // Sound requests share the first part with those that end engines, unless these have no other.
   const std::string second =
       HasDeadlyPart() ? kDeadlyPart : "g" + std::to_string(requests_ % kSharedParts);
-  prompt_ = "first:100," + second + ":20,own-" + stream_ + ":5";
+  prompt_ = (is_part_alone_ ? "" : "first:100,") + second + ":20,own-" + stream_ + ":5";
   BeginRound();
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -84,6 +84,7 @@
   int requests_ = 0;
   int served_ = 0;
   CallerHabit habit_;
+  bool is_part_alone_;  // Besides its own, its prompts have only the part that ends engines.
   bool is_stopped_ = false;
   bool is_connected_ = false;
 };
