Quarantine: late reports are awaited before a part without a sound one is found

Cause: three crashes of three other causes in 1.9 s (a deadly request, and two by a deadly part elsewhere), at each of which a request with the shared part had been sent alone. At the last one another entry's deadly request had been alone too, but its report, over a slow path, came after the 50 ms that reports are awaited.

Change: without a sound part beside the suspected one, crashes count 500 ms after they happened, and three different requests must have been alone (two before).

--- a/src/quarantine/prompt_part_table.cc
+++ b/src/quarantine/prompt_part_table.cc
@@ -16,6 +16,10 @@
 // that its model answers other requests.
 constexpr int kIsolatedCrashesWithoutSoundPart = 3;
 constexpr std::size_t kIsolatedRequestsToFind = 2;
+constexpr std::size_t kIsolatedRequestsWithoutSoundPart = 3;
+// Such crashes count once reports over slow paths have arrived, too: one that another entry's
+// request was alone at says nothing.
+constexpr DurationMs kLateReportsMs = 500;
 // From so many crashes on, further requests wait for the reports of the last one.
 constexpr int kCausesToWait = 2;
 // When there are too many sound parts, the least recently answered ones of so many are dropped.
@@ -313,17 +317,18 @@
   std::set<RequestDigest> requests_beside_sound_parts;
   for (const Crash* it : reported) {
     const Evidence evidence = EvidenceOf(*it, combination, causes, now);
-    if (!evidence.requests.empty()) isolated.push_back(it);
     if (!evidence.beside_sound_parts.empty()) beside_sound_parts.push_back(it);
-    requests.insert(evidence.requests.begin(), evidence.requests.end());
     requests_beside_sound_parts.insert(evidence.beside_sound_parts.begin(),
                                        evidence.beside_sound_parts.end());
+    if (evidence.requests.empty() || now - it->crashed_at < kLateReportsMs) continue;
+    isolated.push_back(it);
+    requests.insert(evidence.requests.begin(), evidence.requests.end());
   }
   const bool is_single_cause = combination.size() == 1 &&
                                CountCauses(beside_sound_parts) >= kIsolatedCrashesToFind &&
                                requests_beside_sound_parts.size() >= kIsolatedRequestsToFind;
   const bool is_cause = CountCauses(isolated) >= kIsolatedCrashesWithoutSoundPart &&
-                        requests.size() >= kIsolatedRequestsToFind;
+                        requests.size() >= kIsolatedRequestsWithoutSoundPart;
   return is_single_cause || is_cause ? combination : std::vector<RequestDigest>();
 }
 
--- a/test/prompt_part_table_test.cc
+++ b/test/prompt_part_table_test.cc
@@ -10,6 +10,8 @@
 constexpr TimeMs kStart = 100000;
 // All reports of a crash have arrived.
 constexpr DurationMs kReportedMs = 60;
+// Those over slow paths, too.
+constexpr DurationMs kLateReportsMs = 500;
 
 std::vector<RequestDigest> Parts(const std::string& ids) {
   return DigestsOfSharedParts(ids + ",own:1");
@@ -232,8 +234,9 @@
     table.Add(crash, now);
     now += kReportedMs;
   }
-  // The ids of the parts that a finding names, if it is a combination of these.
+  // Whether the parts are found as a combination, once late reports have arrived.
   bool IsFound(const std::vector<std::string>& ids) {
+    now += kLateReportsMs;
     std::vector<RequestDigest> parts;
     for (const auto& it : ids) parts.push_back(Parts(it + ":1").front());
     for (const auto& it : table.Judge(now)) found.push_back(it.part);
@@ -255,6 +258,20 @@
   EXPECT_TRUE(table.IsFound({"k"}), "three crashes under requests that were sent alone");
 }
 
+// Guards against the refusal of a part that all requests share, as the report that another entry's
+// request was alone at the same crash came late.
+TEST(PromptPartTable, AwaitsLateReportsIfNoPartIsKnownToBeSound) {
+  UnclearedTable table;
+  for (int n = 0; n < 3; ++n) table.CrashAlone("f:1", true);
+  UpstreamCrash late;
+  late.instance = "i-" + std::to_string(table.crashes);
+  late.suspects.push_back({DigestOf({"", "", "", "", "other"}), false, true, Parts("k:1")});
+  EXPECT_NUMBER(0, table.table.Judge(table.now).size(), "found before");
+  table.now += 200;
+  table.table.Add(late, table.now);
+  EXPECT_TRUE(!table.IsFound({"f"}), "k may be the cause of the third crash");
+}
+
 // Guards against the refusal of a part of all requests of a model, as upstreams crash of themselves
 // before any was answered.
 TEST(PromptPartTable, DoesNotFindAPartWithoutASoundOneBesideItIfItsModelIsSilent) {
