Gateway: say why a begun response was broken off, and which input got no response

Change: the reason in request_failed; a line input_dropped and the counter junctionrail_dropped_inputs_total. Measured: nothing; no logic changes.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -105,6 +105,7 @@
   std::uint64_t truncated_responses = 0;  // Aborted after the response had begun.
   std::uint64_t cancelled = 0;            // The caller disconnected.
   std::uint64_t bad_requests = 0;
+  std::uint64_t dropped_inputs = 0;  // Connections closed over bytes that got no response.
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
   std::uint64_t resumed_streams = 0;          // By callers, with a known origin.
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -61,7 +61,10 @@
 void CallerConnection::OnRead(error_code ec, std::size_t n) {
   if (ec) return Close();
   last_activity_at_ = MonotonicMs();
-  if (is_lingering_) return Read();
+  if (is_lingering_) {
+    dropped_bytes_ += n;
+    return Read();
+  }
   buffer_.commit(n);
   if (!exchange_) Parse();
   Read();
@@ -247,6 +250,7 @@
   is_lingering_ = true;
   error_code ec;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  dropped_bytes_ += buffer_.size();
   buffer_.consume(buffer_.size());
   ArmTimer(kLingerMs);
   Read();
@@ -256,6 +260,7 @@
   if (is_closed_) return;
   is_closed_ = true;
   timer_.Cancel();
+  RecordDroppedInput();
   error_code ec;
   socket_.close(ec);
   const auto exchange = std::exchange(exchange_, nullptr);
@@ -263,6 +268,13 @@
   gateway_.connections.erase(shared_from_this());
 }
 
+void CallerConnection::RecordDroppedInput() {
+  if (dropped_bytes_ == 0) return;
+  ++gateway_.counters.dropped_inputs;
+  gateway_.log.Write(MonotonicMs(), "input_dropped",
+                     {{"bytes", static_cast<std::int64_t>(dropped_bytes_)}});
+}
+
 void CallerConnection::Drain(bool closes_after_response) {
   is_draining_ = true;
   closes_after_response_ = closes_after_response;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -56,6 +56,7 @@
   void Flush();
   void Linger();
   void Close();
+  void RecordDroppedInput();
   void ArmTimer(DurationMs delay);
   void OnTimer();
 
@@ -76,6 +77,7 @@
   bool closes_after_response_ = false;  // Even if the response did not announce it.
   bool is_last_response_done_ = false;  // Closes once all output is written.
   bool is_lingering_ = false;
+  std::size_t dropped_bytes_ = 0;  // Received, but not answered.
   bool is_closed_ = false;
 };
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -460,7 +460,7 @@
   if (is_response_begun_) {
     const auto sink = sink_.lock();
     if (sink) sink->Abort();
-    return Finish("broken", 0);
+    return Finish("broken", 0, reason);
   }
   const bool is_late = MonotonicMs() >= deadline_at_;
   if (ran == Execution::kNotRun) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -163,7 +163,8 @@
   void Refuse(unsigned status, std::string_view code, std::string_view sentence, Execution ran,
               DurationMs retry_after_ms);
   void GiveUp(Execution ran, std::string_view reason);
-  void Finish(std::string_view outcome, unsigned status);
+  // `reason` says why a response that had begun was broken off.
+  void Finish(std::string_view outcome, unsigned status, std::string_view reason = {});
   void ArmTimer();
   void OnTimer();
   DurationMs SilenceTimeout() const;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -225,7 +225,7 @@
   Finish(code, status);
 }
 
-void Exchange::Finish(std::string_view outcome, unsigned status) {
+void Exchange::Finish(std::string_view outcome, unsigned status, std::string_view reason) {
   if (is_finished_) return;
   is_finished_ = true;
   timer_.cancel();
@@ -258,6 +258,7 @@
       now, outcome == "served" ? "request_served" : "request_failed",
       {{"request", request_id_},
        {"outcome", outcome},
+       {"reason", reason},
        {"status", static_cast<std::int64_t>(status)},
        {"route", route},
        {"model", model},
