Gateway: the state of one attempt is a type of its own

Cause: an exchange held the state of its last attempt in sixteen members and was itself the listener of its call, so that it could have one attempt at a time. Change: Attempt, and AttemptListener, which says which attempt a callback is about; names as before.

--- /dev/null
+++ b/src/gateway/attempt.h
@@ -0,0 +1,59 @@
+// One attempt of an exchange at an upstream.
+#ifndef JUNCTIONRAIL_GATEWAY_ATTEMPT_H_
+#define JUNCTIONRAIL_GATEWAY_ATTEMPT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "junctionrail/quarantine.h"
+#include "upstream_pool.h"
+
+namespace junctionrail::internal {
+
+class Exchange;
+
+struct Attempt {
+  int number = 0;                      // Counts the attempts of the exchange; 0: none.
+  std::shared_ptr<UpstreamCall> call;  // Null before it was started and once it is over.
+  std::string instance;
+  std::string wire_id;  // The id that this upstream sends.
+  std::string version;  // Of its software.
+  TimeMs started_at = 0;
+  // When the connection was established, or the attempt began without one.
+  TimeMs connected_at = 0;
+  TimeMs first_event_at = 0;    // 0: no event yet.
+  TimeMs last_activity_at = 0;  // Of the upstream; the silence timeout counts from here.
+  // Age of the upstream list at its start; -1: no attempt, or unknown.
+  DurationMs listing_age_ms = -1;
+  bool is_isolated_suspect = false;  // Sent as the only suspect at its upstream.
+  RequestDigest isolation_key;       // Under which it was.
+  bool is_confirming_end = false;    // Whether the upstream lives, whose response has ended.
+  std::optional<UpstreamHead> response_head;
+  std::string response_body;
+  bool is_event_stream = false;
+  bool is_ended_by_close = false;  // The response ended with its connection.
+};
+
+// Tells an exchange what its upstream does, and in which of its attempts.
+class AttemptListener : public UpstreamListener {
+ public:
+  AttemptListener(std::weak_ptr<Exchange> exchange, int number)
+      : exchange_(std::move(exchange)), number_(number) {}
+
+  void OnConnected(double round_trip_ms) override;
+  bool MaySend(TimeMs connected_at) override;
+  void OnHead(UpstreamHead head) override;
+  void OnBody(std::string_view data) override;
+  void OnEnd(ResponseEnd end) override;
+  void OnFailed(UpstreamFailure failure, std::string_view reason) override;
+
+ private:
+  std::weak_ptr<Exchange> exchange_;
+  int number_;
+};
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_GATEWAY_ATTEMPT_H_
--- a/src/gateway/crash_detector.cc
+++ b/src/gateway/crash_detector.cc
@@ -42,7 +42,7 @@
   const auto it = attempts_.find(instance);
   if (it == attempts_.end()) return crash;
   for (Exchange* exchange : it->second) {
-    if (quarantine_.CrashName(instance, exchange->connected_at()) != name) continue;
+    if (quarantine_.CrashName(instance, exchange->attempt().connected_at) != name) continue;
     const auto suspect = exchange->AsSuspect(now);
     if (suspect) crash.suspects.push_back(*suspect);
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -57,7 +57,7 @@
       routes_(gateway.routes),
       timer_(gateway.io) {}
 
-Exchange::~Exchange() { gateway_.crash_detector.OnAttemptOver(instance_, this); }
+Exchange::~Exchange() { gateway_.crash_detector.OnAttemptOver(attempt_.instance, this); }
 
 void Exchange::Start() {
   ++gateway_.counters.requests;
@@ -267,46 +267,47 @@
     waited_ms_ += MonotonicMs() - waiting_since_;
     gateway_.RemoveWaiting(shared_from_this());
   }
-  instance_ = instance;
-  upstream_wire_id_ = upstream->WireId();
-  upstream_version_ = upstream->software_version;
+  attempt_ = Attempt();
+  attempt_.number = ++attempts_begun_;
+  attempt_.instance = instance;
+  attempt_.wire_id = upstream->WireId();
+  attempt_.version = upstream->software_version;
   RecordVersionChange();
   tried_instances_.push_back(instance);
-  response_head_.reset();
-  response_body_.clear();
-  attempt_started_at_ = MonotonicMs();
-  connected_at_ = attempt_started_at_;
-  last_activity_at_ = attempt_started_at_;
-  listing_age_ms_ = gateway_.ListingAge(attempt_started_at_);
-  if (listing_age_ms_ >= 0) gateway_.listing_age.Add(listing_age_ms_);
+  attempt_.started_at = MonotonicMs();
+  attempt_.connected_at = attempt_.started_at;
+  attempt_.last_activity_at = attempt_.started_at;
+  attempt_.listing_age_ms = gateway_.ListingAge(attempt_.started_at);
+  if (attempt_.listing_age_ms >= 0) gateway_.listing_age.Add(attempt_.listing_age_ms);
   ++sent_attempts_;
   ++possibly_run_attempts_;
-  gateway_.upstreams.OnSent(instance, model_, attempt_started_at_);
+  gateway_.upstreams.OnSent(instance, model_, attempt_.started_at);
   gateway_.crash_detector.OnAttemptBegun(instance, this);
-  attempt_first_event_at_ = 0;
   turn_until_ = 0;
   if (IsSuspect()) {
-    isolation_key_ = IsolationKey();
-    is_isolated_suspect_ = gateway_.suspect_isolation.Reserve(instance, isolation_key_);
+    attempt_.isolation_key = IsolationKey();
+    attempt_.is_isolated_suspect =
+        gateway_.suspect_isolation.Reserve(instance, attempt_.isolation_key);
   }
   UpstreamMessage message;
   message.head = BuildRequestHead(*upstream);
   message.body = request_.body;
   message.request_id = request_id_;
   message.is_head_method = request_.method == "HEAD";
-  call_ = gateway_.pool.Start(
-      *upstream, gateway_.upstreams.topology().DistanceTo(upstream->data_hall),
-      gateway_.MaxConnections(*upstream), std::move(message), shared_from_this());
+  attempt_.call =
+      gateway_.pool.Start(*upstream, gateway_.upstreams.topology().DistanceTo(upstream->data_hall),
+                          gateway_.MaxConnections(*upstream), std::move(message),
+                          std::make_shared<AttemptListener>(weak_from_this(), attempt_.number));
   ArmTimer();
 }
 
 void Exchange::RecordVersionChange() {
-  if (!origin_ || upstream_version_ == origin_->version) return;
+  if (!origin_ || attempt_.version == origin_->version) return;
   ++gateway_.counters.version_changes;
   gateway_.log.Write(MonotonicMs(), "stream_version_changed",
                      {{"request", request_id_},
-                      {"upstream", instance_},
-                      {"version", upstream_version_},
+                      {"upstream", attempt_.instance},
+                      {"version", attempt_.version},
                       {"begun_by_version", origin_->version}});
 }
 
@@ -336,35 +337,39 @@
   return head;
 }
 
-void Exchange::OnConnected(double round_trip_ms) {
-  gateway_.upstreams.OnConnected(instance_, round_trip_ms, MonotonicMs());
+void Exchange::OnConnected(int number, double round_trip_ms) {
+  if (number != attempt_.number) return;
+  gateway_.upstreams.OnConnected(attempt_.instance, round_trip_ms, MonotonicMs());
 }
 
 // While the connection was being opened, the upstream may have left or asked for a backoff, its
 // data hall may have closed, its region may no longer be allowed, the key may have been revoked,
 // and the caller may have disconnected.
-bool Exchange::MaySend(TimeMs connected_at) {
-  connected_at_ = connected_at;
+bool Exchange::MaySend(int number, TimeMs connected_at) {
+  if (number != attempt_.number) return false;
+  attempt_.connected_at = connected_at;
   const auto sink = sink_.lock();
   const bool is_key_good =
       !key_ || (KeyOwner() != nullptr && gateway_.AreKeysCurrent(MonotonicMs()));
   const TimeMs now = MonotonicMs();
-  const bool is_upstream_good = gateway_.upstreams.MayReceive(instance_, now) &&
-                                gateway_.upstreams.IsInRegions(instance_, AllowedRegionsNow()) &&
-                                !gateway_.upstreams.IsBackingOff(instance_, now);
+  const bool is_upstream_good =
+      gateway_.upstreams.MayReceive(attempt_.instance, now) &&
+      gateway_.upstreams.IsInRegions(attempt_.instance, AllowedRegionsNow()) &&
+      !gateway_.upstreams.IsBackingOff(attempt_.instance, now);
   return sink && !sink->HasDisconnected() && is_key_good && is_upstream_good;
 }
 
 // An upstream that has announced that it leaves ends as planned.
 void Exchange::ReportBrokenConnection() {
-  if (!gateway_.upstreams.IsListed(instance_)) return;
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
-  gateway_.crash_detector.OnConnectionBroken(instance_, upstream->endpoint, connected_at_,
-                                             MonotonicMs());
+  if (!gateway_.upstreams.IsListed(attempt_.instance)) return;
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(attempt_.instance);
+  gateway_.crash_detector.OnConnectionBroken(attempt_.instance, upstream->endpoint,
+                                             attempt_.connected_at, MonotonicMs());
 }
 
-void Exchange::OnFailed(UpstreamFailure failure, std::string_view reason) {
-  call_ = nullptr;
+void Exchange::OnFailed(int number, UpstreamFailure failure, std::string_view reason) {
+  if (number != attempt_.number) return;
+  attempt_.call = nullptr;
   const bool is_broken = failure == UpstreamFailure::kBroken;
   const bool was_sent = is_broken || failure == UpstreamFailure::kMismatched;
   if (is_broken) ReportBrokenConnection();
@@ -384,30 +389,30 @@
   const TimeMs now = MonotonicMs();
   const bool is_unanswered = end == AttemptOutcome::kTimedOut || end == AttemptOutcome::kCallerLeft;
   if (model_ && is_unanswered && !is_response_begun_) {
-    gateway_.upstreams.OnFirstEvent(*model_, now - attempt_started_at_);
+    gateway_.upstreams.OnFirstEvent(*model_, now - attempt_.started_at);
   }
-  gateway_.upstreams.OnAttemptEnd(instance_, model_, end, now);
-  gateway_.crash_detector.OnAttemptOver(instance_, this);
-  if (std::exchange(is_isolated_suspect_, false)) {
-    gateway_.suspect_isolation.Release(instance_, isolation_key_);
+  gateway_.upstreams.OnAttemptEnd(attempt_.instance, model_, end, now);
+  gateway_.crash_detector.OnAttemptOver(attempt_.instance, this);
+  if (std::exchange(attempt_.is_isolated_suspect, false)) {
+    gateway_.suspect_isolation.Release(attempt_.instance, attempt_.isolation_key);
     gateway_.RetrySuspects();
   }
-  call_ = nullptr;
-  is_confirming_end_ = false;
+  attempt_.call = nullptr;
+  attempt_.is_confirming_end = false;
 }
 
 void Exchange::LogAttempt(Execution ran, std::string_view reason) const {
   const TimeMs now = MonotonicMs();
   gateway_.log.Write(now, "attempt_ended",
                      {{"request", request_id_},
-                      {"upstream", instance_},
+                      {"upstream", attempt_.instance},
                       {"reason", reason},
                       {"may_have_run", ran == Execution::kMayHaveRun},
                       {"attempt", static_cast<std::int64_t>(tried_instances_.size())},
-                      {"attempt_ms", now - attempt_started_at_},
-                      {"listing_age_ms", listing_age_ms_},
+                      {"attempt_ms", now - attempt_.started_at},
+                      {"listing_age_ms", attempt_.listing_age_ms},
                       {"last_event", events_.last_id()},
-                      {"version", upstream_version_},
+                      {"version", attempt_.version},
                       {"digest", digest_ ? digest_->ToString() : std::string()},
                       {"left_ms", deadline_at_ - now}});
 }
@@ -472,8 +477,8 @@
 }
 
 void Exchange::CancelAttempt(AttemptOutcome end) {
-  if (!call_ && !is_confirming_end_) return;
-  if (call_) call_->Cancel();
+  if (!attempt_.call && !attempt_.is_confirming_end) return;
+  if (attempt_.call) attempt_.call->Cancel();
   EndAttempt(end);
 }
 
@@ -484,7 +489,7 @@
 }
 
 void Exchange::OnCallerWritable() {
-  if (call_) call_->Pause(false);
+  if (attempt_.call) attempt_.call->Pause(false);
 }
 
 void Exchange::OnVmResumed() {
@@ -501,7 +506,8 @@
 // deadline.
 DurationMs Exchange::SilenceTimeout() const {
   if (!gateway_.upstreams.policy().leaves_silent) return 0;
-  if (!call_ || !route_->IsRetryable() || possibly_run_attempts_ >= route_->max_attempts) return 0;
+  if (!attempt_.call || !route_->IsRetryable() || possibly_run_attempts_ >= route_->max_attempts)
+    return 0;
   const bool is_stream = route_->kind == RequestKind::kStreaming;
   if (is_response_begun_)
     return static_cast<DurationMs>(kSilencePauseFactor *
@@ -516,7 +522,7 @@
   TimeMs due = deadline_at_;
   if (is_waiting_for_model_) due = std::min(due, wait_deadline_at_);
   const DurationMs silence = SilenceTimeout();
-  if (silence > 0) due = std::min(due, last_activity_at_ + silence);
+  if (silence > 0) due = std::min(due, attempt_.last_activity_at + silence);
   timer_.expires_after(std::chrono::milliseconds(std::max<DurationMs>(0, due - MonotonicMs())));
   timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->is_finished_) self->OnTimer();
@@ -538,7 +544,7 @@
                   Execution::kNotRun, kDefaultRetryAfterMs);
   }
   const DurationMs silence = SilenceTimeout();
-  if (silence > 0 && now - last_activity_at_ >= silence) {
+  if (silence > 0 && now - attempt_.last_activity_at >= silence) {
     // Only if another upstream can take it and the retry budget allows it; otherwise the wait goes
     // on.
     const PickResult choice = ChooseUpstream(now);
@@ -546,12 +552,12 @@
     // If the upstream has a rate limit, that may be used up.
     const bool is_free = to != nullptr && !gateway_.upstreams.LimitOf(to->instance);
     if (is_free && TakeRetryFromBudget(now)) {
-      call_->Cancel();
+      attempt_.call->Cancel();
       EndAttempt(AttemptOutcome::kTimedOut);
       LogAttempt(Execution::kMayHaveRun, "silent");
       return RetryElsewhere();
     }
-    last_activity_at_ = now;
+    attempt_.last_activity_at = now;
   }
   ArmTimer();
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "attempt.h"
 #include "event_stream.h"
 #include "gateway_impl.h"
-#include "upstream_pool.h"
 
 namespace junctionrail::internal {
 
@@ -41,10 +41,10 @@
   virtual bool HasDisconnected() = 0;
 };
 
-class Exchange : public UpstreamListener, public std::enable_shared_from_this<Exchange> {
+class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Gateway::Impl& gateway, CallerRequest request, std::weak_ptr<CallerSink> sink);
-  ~Exchange() override;
+  ~Exchange();
 
   void Start();
   // The caller has disconnected; a call to an upstream is cancelled.
@@ -67,8 +67,7 @@
   DurationMs target_ms() const { return route_->first_byte_target_ms; }
   TimeMs first_byte_due_at() const { return request_.arrived_at + route_->first_byte_target_ms; }
   TimeMs waiting_since() const { return waiting_since_; }
-  // When the connection of the last attempt was established, or the attempt began without one.
-  TimeMs connected_at() const { return connected_at_; }
+  const Attempt& attempt() const { return attempt_; }
   bool IsSuspect();
   // The suspect to report if the upstream of the current attempt ends now; none if the request has
   // run there for long enough to be harmless.
@@ -89,12 +88,13 @@
   void OnTurnRequested(std::uint64_t ticket) { turn_ticket_ = ticket; }
   void OnQuotaDecision(std::uint64_t ticket, const QuotaClient::Admission& verdict);
 
-  void OnConnected(double round_trip_ms) override;
-  bool MaySend(TimeMs connected_at) override;
-  void OnHead(UpstreamHead head) override;
-  void OnBody(std::string_view data) override;
-  void OnEnd(ResponseEnd end) override;
-  void OnFailed(UpstreamFailure failure, std::string_view reason) override;
+  // What the upstream of the attempt of that number does; see UpstreamListener.
+  void OnConnected(int number, double round_trip_ms);
+  bool MaySend(int number, TimeMs connected_at);
+  void OnHead(int number, UpstreamHead head);
+  void OnBody(int number, std::string_view data);
+  void OnEnd(int number, ResponseEnd end);
+  void OnFailed(int number, UpstreamFailure failure, std::string_view reason);
 
  private:
   // Whether a request may have run at an upstream that sent no complete response.
@@ -197,29 +197,18 @@
   TimeMs wait_deadline_at_ = 0;              // Of its wait for a model.
   boost::asio::steady_timer timer_;
 
-  std::shared_ptr<UpstreamCall> call_;
-  std::string instance_;          // Of the current attempt.
-  std::string upstream_wire_id_;  // The id that this upstream sends.
-  std::string upstream_version_;  // Of its software.
+  Attempt attempt_;  // The last one.
+  int attempts_begun_ = 0;
   // Where the stream began, once its first event has arrived or if the request resumes it.
   std::optional<StreamOrigin> origin_;
   std::vector<std::string> tried_instances_;
   int possibly_run_attempts_ = 0;  // Sent, unless known not to have run.
   int sent_attempts_ = 0;          // Sent, whether or not they ran.
   int unsent_attempts_ = 0;
-  TimeMs attempt_started_at_ = 0;
-  TimeMs connected_at_ = 0;
   std::optional<RequestDigest> digest_;  // Computed on first use.
   std::vector<RequestDigest> parts_;     // Of the prompt, that other requests may share.
   std::optional<std::vector<RequestDigest>> combinations_;  // Of these, and they; on first use.
-  bool is_isolated_suspect_ = false;   // Sent as the only suspect at its upstream.
-  RequestDigest isolation_key_;        // Under which it was.
-  bool has_sound_parts_ = false;       // Its answer has shown that its parts are sound.
-  bool is_confirming_end_ = false;     // Whether the upstream lives, whose response has ended.
-  TimeMs attempt_first_event_at_ = 0;  // 0: no event yet.
-  TimeMs last_activity_at_ = 0;        // Of the upstream; the silence timeout counts from here.
-  // Age of the upstream list at the last attempt; -1: no attempt, or unknown.
-  DurationMs listing_age_ms_ = -1;
+  bool has_sound_parts_ = false;  // Its answer has shown that its parts are sound.
 
   std::string asked_instance_;  // Whose agent was asked to load the model.
   TimeMs waiting_since_ = 0;
@@ -228,11 +217,7 @@
   DurationMs upstream_opens_in_ms_ = 0;
   bool is_waiting_for_model_ = false;
 
-  std::optional<UpstreamHead> response_head_;  // Of the current attempt.
-  std::string response_body_;
-  bool is_ended_by_close_ = false;  // The last response ended with its connection.
   EventStreamReader events_;
-  bool is_event_stream_ = false;
   bool is_response_begun_ = false;  // Its head was sent to the caller.
   bool is_finished_ = false;
   TimeMs response_begun_at_ = 0;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -31,25 +31,26 @@
 
 }  // namespace
 
-void Exchange::OnHead(UpstreamHead head) {
-  last_activity_at_ = MonotonicMs();
-  gateway_.upstreams.OnResponseData(instance_, last_activity_at_);
-  gateway_.crash_detector.OnDataReceived(instance_, last_activity_at_);
+void Exchange::OnHead(int number, UpstreamHead head) {
+  if (number != attempt_.number) return;
+  attempt_.last_activity_at = MonotonicMs();
+  gateway_.upstreams.OnResponseData(attempt_.instance, attempt_.last_activity_at);
+  gateway_.crash_detector.OnDataReceived(attempt_.instance, attempt_.last_activity_at);
   // A 421 may come from another instance at the same address.
   if (head.status != kMisdirectedRequest)
-    gateway_.OnUpstreamResponse(instance_, head, attempt_started_at_);
+    gateway_.OnUpstreamResponse(attempt_.instance, head, attempt_.started_at);
   const HttpHeaderNames& names = gateway_.options.header_names;
   const bool is_success = head.status / 100 == 2;
   const std::string* type = FindField(head.fields, "Content-Type");
-  is_event_stream_ = is_success && route_->kind == RequestKind::kStreaming &&
-                     (type == nullptr || type->find("event-stream") != std::string::npos);
+  attempt_.is_event_stream = is_success && route_->kind == RequestKind::kStreaming &&
+                             (type == nullptr || type->find("event-stream") != std::string::npos);
   const bool is_not_run =
       FindField(head.fields, names.not_run) != nullptr || head.status == kMisdirectedRequest;
-  response_head_ = std::move(head);
-  if (is_not_run) return OnUpstreamRefusal(*response_head_);
-  const bool is_sealed = FindField(response_head_->fields, names.proof) != nullptr;
+  attempt_.response_head = std::move(head);
+  if (is_not_run) return OnUpstreamRefusal(*attempt_.response_head);
+  const bool is_sealed = FindField(attempt_.response_head->fields, names.proof) != nullptr;
   if (is_success && !is_sealed) {
-    call_->Cancel();
+    attempt_.call->Cancel();
     EndAttempt(AttemptOutcome::kFailed);
     return AfterAttempt(Execution::kMayHaveRun, true, "the response has no proof header");
   }
@@ -63,33 +64,34 @@
   std::string reason = "status " + std::to_string(head.status);
   if (head.status == kMisdirectedRequest) {
     const std::string* other = FindField(head.fields, names.instance);
-    if (other != nullptr && *other != upstream_wire_id_) {
-      gateway_.upstreams.OnInstanceReplaced(instance_);
-      gateway_.crash_detector.OnUpstreamCrashed(instance_, "other_instance", now);
+    if (other != nullptr && *other != attempt_.wire_id) {
+      gateway_.upstreams.OnInstanceReplaced(attempt_.instance);
+      gateway_.crash_detector.OnUpstreamCrashed(attempt_.instance, "other_instance", now);
       reason = "another instance uses the address";
     } else if (model_) {
-      gateway_.upstreams.OnModelNotLoaded(instance_, *model_, now);
+      gateway_.upstreams.OnModelNotLoaded(attempt_.instance, *model_, now);
       reason = "the model is not loaded at the upstream";
       // It may be chosen again once the model is loaded.
       tried_instances_.pop_back();
     }
-  } else if (gateway_.upstreams.IsBackingOff(instance_, now)) {
+  } else if (gateway_.upstreams.IsBackingOff(attempt_.instance, now)) {
     reason = "the upstream asked for a backoff";
-    upstream_opens_in_ms_ = gateway_.upstreams.FindThrottle(instance_)->AvailableAt() - now;
+    upstream_opens_in_ms_ = gateway_.upstreams.FindThrottle(attempt_.instance)->AvailableAt() - now;
     // It may be chosen again after the backoff.
     if (model_) tried_instances_.pop_back();
   } else if (model_ && head.status == kUnavailable) {
     reason = "full, or a load or unload of the model is in progress";
   }
-  call_->Cancel();
+  attempt_.call->Cancel();
   EndAttempt(AttemptOutcome::kRefused);
   --possibly_run_attempts_;
   AfterAttempt(Execution::kNotRun, true, reason);
 }
 
-void Exchange::OnBody(std::string_view data) {
-  last_activity_at_ = MonotonicMs();
-  if (is_event_stream_) {
+void Exchange::OnBody(int number, std::string_view data) {
+  if (number != attempt_.number) return;
+  attempt_.last_activity_at = MonotonicMs();
+  if (attempt_.is_event_stream) {
     const std::string whole = events_.Feed(data);
     if (whole.empty()) return;
     const auto sink = sink_.lock();
@@ -102,19 +104,19 @@
       if (is_finished_) return;
     }
     sink->SendBodyPart(whole);
-    if (sink->IsSendQueueFull() && call_) call_->Pause(true);
+    if (sink->IsSendQueueFull() && attempt_.call) attempt_.call->Pause(true);
     return;
   }
-  response_body_ += data;
+  attempt_.response_body += data;
 }
 
 void Exchange::RecordEventTime() {
-  gateway_.crash_detector.OnDataReceived(instance_, last_event_at_);
-  if (attempt_first_event_at_ == 0) attempt_first_event_at_ = last_event_at_;
+  gateway_.crash_detector.OnDataReceived(attempt_.instance, last_event_at_);
+  if (attempt_.first_event_at == 0) attempt_.first_event_at = last_event_at_;
   const bool is_harmless =
-      last_event_at_ - attempt_first_event_at_ >= QuarantineLimits().harmless_after_ms;
-  if (is_isolated_suspect_ && is_harmless) ClearSuspicion();
-  if (last_event_at_ - attempt_first_event_at_ >= kSoundAfterMs) AddSoundParts();
+      last_event_at_ - attempt_.first_event_at >= QuarantineLimits().harmless_after_ms;
+  if (attempt_.is_isolated_suspect && is_harmless) ClearSuspicion();
+  if (last_event_at_ - attempt_.first_event_at >= kSoundAfterMs) AddSoundParts();
 }
 
 void Exchange::RecordEventPause() {
@@ -130,37 +132,39 @@
   is_response_begun_ = true;
   response_begun_at_ = MonotonicMs();
   gateway_.first_byte_latency.Add(response_begun_at_ - request_.arrived_at);
-  if (model_) gateway_.upstreams.OnFirstEvent(*model_, response_begun_at_ - attempt_started_at_);
-  sink->SendHead(response_head_->status, EndToEndFields(response_head_->fields));
+  if (model_) gateway_.upstreams.OnFirstEvent(*model_, response_begun_at_ - attempt_.started_at);
+  sink->SendHead(attempt_.response_head->status, EndToEndFields(attempt_.response_head->fields));
   ArmTimer();
 }
 
-void Exchange::OnEnd(ResponseEnd end) {
-  call_ = nullptr;
-  is_ended_by_close_ = end == ResponseEnd::kClosed;
-  if (is_ended_by_close_) ++gateway_.counters.responses_ended_by_close;
-  if (is_event_stream_ && !events_.partial_event().empty()) {
+void Exchange::OnEnd(int number, ResponseEnd end) {
+  if (number != attempt_.number) return;
+  attempt_.call = nullptr;
+  attempt_.is_ended_by_close = end == ResponseEnd::kClosed;
+  if (attempt_.is_ended_by_close) ++gateway_.counters.responses_ended_by_close;
+  if (attempt_.is_event_stream && !events_.partial_event().empty()) {
     return OnBrokenOff("the stream ended within an event");
   }
-  if (is_ended_by_close_) return ConfirmEnd();
+  if (attempt_.is_ended_by_close) return ConfirmEnd();
   CompleteResponse();
 }
 
 // An upstream that crashes closes its connections too, and the response would look complete. One
 // that leaves may end once it has answered.
 void Exchange::ConfirmEnd() {
-  if (!gateway_.upstreams.IsListed(instance_)) return CompleteResponse();
-  is_confirming_end_ = true;
-  LookAtPort(gateway_.io, gateway_.upstreams.Find(instance_)->endpoint, kConfirmEndMs,
+  if (!gateway_.upstreams.IsListed(attempt_.instance)) return CompleteResponse();
+  attempt_.is_confirming_end = true;
+  LookAtPort(gateway_.io, gateway_.upstreams.Find(attempt_.instance)->endpoint, kConfirmEndMs,
              [self = weak_from_this()](PortState state) {
                const auto exchange = self.lock();
-               if (exchange && exchange->is_confirming_end_) exchange->OnEndConfirmed(state);
+               if (exchange && exchange->attempt_.is_confirming_end)
+                 exchange->OnEndConfirmed(state);
              });
 }
 
 void Exchange::OnEndConfirmed(PortState state) {
   if (state == PortState::kRefused) return OnBrokenOff("the upstream ended with the response");
-  is_confirming_end_ = false;
+  attempt_.is_confirming_end = false;
   CompleteResponse();
 }
 
@@ -172,18 +176,18 @@
 
 void Exchange::CompleteResponse() {
   ClearSuspicion();
-  if (response_head_->status / 100 == 2) OnPartsAnswered();
-  if (!is_event_stream_) return RelayResponse();
+  if (attempt_.response_head->status / 100 == 2) OnPartsAnswered();
+  if (!attempt_.is_event_stream) return RelayResponse();
   EndAttempt(AttemptOutcome::kServed);
   const auto sink = sink_.lock();
   if (!sink) return;
   if (!is_response_begun_) RelayStreamHead();
   sink->SendEnd();
-  Finish("served", response_head_->status);
+  Finish("served", attempt_.response_head->status);
 }
 
 void Exchange::RelayResponse() {
-  const unsigned status = response_head_->status;
+  const unsigned status = attempt_.response_head->status;
   const bool is_success = status / 100 == 2;
   // These statuses imply that the request did not run, which is unknown without the upstream's
   // explicit statement.
@@ -201,7 +205,8 @@
   const auto sink = sink_.lock();
   if (!sink) return;
   gateway_.first_byte_latency.Add(MonotonicMs() - request_.arrived_at);
-  sink->SendResponse(status, EndToEndFields(response_head_->fields), std::move(response_body_));
+  sink->SendResponse(status, EndToEndFields(attempt_.response_head->fields),
+                     std::move(attempt_.response_body));
   Finish(is_success ? "served" : "passed_failure", status);
 }
 
@@ -264,10 +269,10 @@
        {"model", model},
        {"organisation", organisation_},
        {"amount", static_cast<std::int64_t>(quota_amount_)},
-       {"upstream", instance_},
-       {"version", upstream_version_},
+       {"upstream", attempt_.instance},
+       {"version", attempt_.version},
        {"resumes", ResumedRequest()},
-       {"ended_by_close", is_ended_by_close_},
+       {"ended_by_close", attempt_.is_ended_by_close},
        {"attempts", static_cast<std::int64_t>(sent_attempts_)},
        {"events", static_cast<std::int64_t>(events_.event_count())},
        {"waited_ms", waited_ms_},
@@ -275,7 +280,7 @@
        {"first_ms", response_begun_at_ > 0 ? response_begun_at_ - request_.arrived_at : -1},
        {"pause_ms", longest_pause_ms_},
        {"total_ms", now - request_.arrived_at},
-       {"listing_age_ms", listing_age_ms_},
+       {"listing_age_ms", attempt_.listing_age_ms},
        {"configuration", version},
        {"configuration_age_ms", gateway_.ConfigurationAge(now)}});
 }
--- a/src/gateway/exchange_quarantine.cc
+++ b/src/gateway/exchange_quarantine.cc
@@ -67,14 +67,14 @@
 }
 
 std::optional<Suspect> Exchange::AsSuspect(TimeMs now) {
-  const bool has_event = attempt_first_event_at_ != 0;
+  const bool has_event = attempt_.first_event_at != 0;
   const bool is_harmless =
-      has_event && now - attempt_first_event_at_ >= QuarantineLimits().harmless_after_ms;
+      has_event && now - attempt_.first_event_at >= QuarantineLimits().harmless_after_ms;
   if (is_harmless) return std::nullopt;
   auto parts = gateway_.prompt_parts.WithoutSound(parts_, now);
   const bool has_sound_part = parts.size() < parts_.size();
   const RequestDigest model = model_ ? DigestOfModel(model_->model) : RequestDigest();
-  return Suspect{Digest(),         has_event,      is_isolated_suspect_,
+  return Suspect{Digest(),         has_event,      attempt_.is_isolated_suspect,
                  std::move(parts), has_sound_part, model};
 }
 
@@ -91,9 +91,9 @@
 void Exchange::ClearSuspicion() {
   if (!digest_) return;
   gateway_.quarantine.Clear(*digest_, MonotonicMs());
-  if (!is_isolated_suspect_) return;
-  is_isolated_suspect_ = false;
-  gateway_.suspect_isolation.Release(instance_, isolation_key_);
+  if (!attempt_.is_isolated_suspect) return;
+  attempt_.is_isolated_suspect = false;
+  gateway_.suspect_isolation.Release(attempt_.instance, attempt_.isolation_key);
   gateway_.RetrySuspects();
 }
 
@@ -110,12 +110,12 @@
 void Exchange::OnPartsAnswered() {
   const TimeMs now = MonotonicMs();
   OnModelAnswered();
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(instance_);
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(attempt_.instance);
   if (upstream == nullptr || gateway_.prompt_parts.WithoutSound(parts_, now).empty()) {
     return AddSoundParts();
   }
-  const TimeMs begun_at = attempt_first_event_at_ != 0 ? attempt_first_event_at_ : now;
-  gateway_.short_answers.Add({instance_, upstream->endpoint}, parts_, begun_at, now);
+  const TimeMs begun_at = attempt_.first_event_at != 0 ? attempt_.first_event_at : now;
+  gateway_.short_answers.Add({attempt_.instance, upstream->endpoint}, parts_, begun_at, now);
 }
 
 // Requests with a part that was at several crashes take turns over all entries. Returns false while
--- a/src/gateway/exchange_resume.cc
+++ b/src/gateway/exchange_resume.cc
@@ -76,7 +76,7 @@
 // The first event has arrived, of a stream that this request begins.
 void Exchange::RecordOrigin() {
   if (!route_->is_resumable || origin_) return;
-  origin_ = StreamOrigin{service_, upstream_version_};
+  origin_ = StreamOrigin{service_, attempt_.version};
   const bool is_ambiguous =
       RouteServices().size() > 1 || gateway_.upstreams.HasSeveralVersions(service_);
   gateway_.OnStreamBegun({request_id_, *origin_, is_ambiguous});
