Red: a stream is given up for the silence of a sound upstream

Cause: Exchange::OnTimer cancels the silent attempt before another upstream has taken the request; if that one refuses, the caller's connection is closed.

--- /dev/null
+++ b/test/silent_upstreams_test.cc
@@ -0,0 +1,93 @@
+// An upstream that falls silent for a second or so and then goes on, as a sound one may.
+#include <unistd.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "check.h"
+#include "gateway_fixture.h"
+#include "junctionrail/gateway.h"
+#include "loopback.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::Contains;
+using testing::EventChunk;
+using testing::EventStreamHead;
+using testing::MakeRequest;
+using testing::MakeRoute;
+using testing::OkResponse;
+using testing::RunFor;
+using testing::RunUntil;
+using testing::SeenRequest;
+using testing::TestCaller;
+using Fixture = testing::GatewayFixture;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr char kLastChunk[] = "0\r\n\r\n";
+constexpr char kNotRunResponse[] =
+    "HTTP/1.1 503 Full\r\nJunctionrail-Request-Id: r1\r\nJunctionrail-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+// Of the silence after which another upstream is tried: 2.5 times the target for pauses.
+constexpr DurationMs kPauseTargetMs = 40;
+constexpr DurationMs kUpstreamSilenceMs = 400;
+
+// Upstreams "silent" and "other". The first to get the request sends a head and one event and then
+// is silent until the test says more; the script of the other one is the test's.
+struct SilentStream {
+  explicit SilentStream(testing::ScriptedUpstream::Script script) : other(std::move(script)) {
+    for (const char* name : {"u1", "u2"}) {
+      fixture.AddUpstream(name, "engine", [this](const SeenRequest& request, const Peer& peer) {
+        if (silent != nullptr) return other(request, peer);
+        silent = peer;
+        peer->Write(EventStreamHead() + EventChunk(1) + "9\r\nid: 2\ndat\r\n");
+      });
+    }
+    Route route = MakeRoute("/s/", RequestKind::kStreaming, "engine");
+    route.is_resumable = true;
+    route.stream_gap_target_ms = kPauseTargetMs;
+    fixture.Configure({route});
+    caller = std::make_unique<TestCaller>(fixture.io, fixture.port);
+    caller->Send(MakeRequest("POST /s/"));
+    EXPECT_TRUE(caller->AwaitText("id: 1"), "the stream begins");
+  }
+
+  // Ends the event that the silence cut, and the stream.
+  void SilentGoesOn() { silent->Write("6\r\na: x\n\n\r\n" + EventChunk(3) + kLastChunk); }
+
+  void ExpectWholeStream() {
+    EXPECT_TRUE(caller->AwaitEnd(), "the caller's connection ends");
+    const std::string& got = caller->received();
+    for (const char* event : {"id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n", "id: 3\ndata: x\n\n"}) {
+      EXPECT_TRUE(Contains(got, event), event + (" is missing in " + got));
+      EXPECT_TRUE(got.find(event) == got.rfind(event), event + (" stands twice in " + got));
+    }
+    EXPECT_TRUE(Contains(got, kLastChunk), "expected the last chunk, got " + got);
+  }
+
+  Fixture fixture;
+  testing::ScriptedUpstream::Script other;
+  Peer silent;
+  std::unique_ptr<TestCaller> caller;
+};
+
+}  // namespace
+
+TEST_GROUP(SilentUpstreams){};
+
+// Guards against a begun stream that is given up for the silence of a sound upstream, as the
+// upstream that was to take it over refused: callers got a stream without its end.
+TEST(SilentUpstreams, KeepTheirStreamIfTheOtherOneRefuses) {
+  SilentStream test([](const SeenRequest&, const Peer& peer) { peer->Write(kNotRunResponse); });
+  RunFor(test.fixture.io, kUpstreamSilenceMs);
+  test.SilentGoesOn();
+  test.ExpectWholeStream();
+}
+
+}  // namespace junctionrail
