Gateway: a silent attempt is kept until another one is answered

Callers of streams that could be resumed got a begun stream without its end, and callers of repeatable requests a 502, after a sound upstream had been silent for less than a second. Cause: the silence timeout cancelled the attempt first and looked for another upstream then; if that one refused or broke off, or if by the newest configuration no attempt could follow, nothing was left to go on with. Change: the silent attempt stays open beside the new one (Exchange::TryBeside). The one that is answered first goes on and the other is cancelled; if the new one comes to nothing, the exchange waits on for the silent one until its deadline.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -16,7 +16,8 @@
 
 struct Attempt {
   int number = 0;                      // Counts the attempts of the exchange; 0: none.
-  std::shared_ptr<UpstreamCall> call;  // Null before it was started and once it is over.
+  bool is_open = false;                // Whether it has begun and not ended.
+  std::shared_ptr<UpstreamCall> call;  // Null once the response has ended.
   std::string instance;
   std::string wire_id;  // The id that this upstream sends.
   std::string version;  // Of its software.
@@ -34,6 +35,8 @@
   std::string response_body;
   bool is_event_stream = false;
   bool is_ended_by_close = false;  // The response ended with its connection.
+  // Received after the last complete event; kept here while another attempt is under way.
+  std::string partial_event;
 };
 
 // Tells an exchange what its upstream does, and in which of its attempts.
--- a/src/gateway/crash_detector.cc
+++ b/src/gateway/crash_detector.cc
@@ -42,8 +42,9 @@
   const auto it = attempts_.find(instance);
   if (it == attempts_.end()) return crash;
   for (Exchange* exchange : it->second) {
-    if (quarantine_.CrashName(instance, exchange->attempt().connected_at) != name) continue;
-    const auto suspect = exchange->AsSuspect(now);
+    const Attempt& attempt = exchange->AttemptAt(instance);
+    if (quarantine_.CrashName(instance, attempt.connected_at) != name) continue;
+    const auto suspect = exchange->AsSuspect(attempt, now);
     if (suspect) crash.suspects.push_back(*suspect);
   }
   return crash;
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace junctionrail::internal {
 
@@ -16,8 +17,10 @@
   // above the last one are dropped, as an upstream may repeat events when it resumes.
   std::string Feed(std::string_view data);
 
-  // Call before resuming at another upstream.
-  void DiscardPartialEvent() { partial_event_.clear(); }
+  // Call before resuming at another upstream. Returns what RestorePartialEvent takes if the stream
+  // goes on at the former one after all.
+  std::string TakePartialEvent() { return std::exchange(partial_event_, {}); }
+  void RestorePartialEvent(std::string bytes) { partial_event_ = std::move(bytes); }
 
   // Bytes received after the last complete event.
   const std::string& partial_event() const { return partial_event_; }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -12,14 +12,6 @@
 // The maximum number of attempts that did not run: enough to get past restarted and full
 // upstreams, few enough to end soon.
 constexpr int kMaxUnrunAttempts = 5;
-// The silence timeout before the response, as a multiple of the target for the first byte. An
-// upstream silent for longer has most likely lost the request; a repeatable one is then retried.
-constexpr double kSilenceTargetFactor = 0.75;
-constexpr double kStreamSilenceTargetFactor = 2.0;
-constexpr DurationMs kMinSilenceMs = 150;
-// The silence timeout within a resumable stream, as a multiple of the target for its pauses. The
-// stream is then resumed at another upstream.
-constexpr double kSilencePauseFactor = 2.5;
 // The upstream's deadline is earlier by this, so that its own error response arrives in time.
 constexpr DurationMs kDeadlineMarginMs = 20;
 // How long a request waits for an agent to appear if there is none to ask for the model.
@@ -57,7 +49,10 @@
       routes_(gateway.routes),
       timer_(gateway.io) {}
 
-Exchange::~Exchange() { gateway_.crash_detector.OnAttemptOver(attempt_.instance, this); }
+Exchange::~Exchange() {
+  gateway_.crash_detector.OnAttemptOver(attempt_.instance, this);
+  if (silent_) gateway_.crash_detector.OnAttemptOver(silent_->instance, this);
+}
 
 void Exchange::Start() {
   ++gateway_.counters.requests;
@@ -208,6 +203,7 @@
 }
 
 void Exchange::WaitForModel(const WaitFor& wait) {
+  if (GoOnWithSilent("another upstream would have to be waited for")) return;
   const TimeMs now = MonotonicMs();
   if (!is_waiting_for_model_) {
     ++gateway_.counters.model_waits;
@@ -269,6 +265,7 @@
   }
   attempt_ = Attempt();
   attempt_.number = ++attempts_begun_;
+  attempt_.is_open = true;
   attempt_.instance = instance;
   attempt_.wire_id = upstream->WireId();
   attempt_.version = upstream->software_version;
@@ -360,66 +357,77 @@
 }
 
 // An upstream that has announced that it leaves ends as planned.
-void Exchange::ReportBrokenConnection() {
-  if (!gateway_.upstreams.IsListed(attempt_.instance)) return;
-  const UpstreamRecord* upstream = gateway_.upstreams.Find(attempt_.instance);
-  gateway_.crash_detector.OnConnectionBroken(attempt_.instance, upstream->endpoint,
-                                             attempt_.connected_at, MonotonicMs());
+void Exchange::ReportBrokenConnection(const Attempt& attempt) {
+  if (!gateway_.upstreams.IsListed(attempt.instance)) return;
+  const UpstreamRecord* upstream = gateway_.upstreams.Find(attempt.instance);
+  gateway_.crash_detector.OnConnectionBroken(attempt.instance, upstream->endpoint,
+                                             attempt.connected_at, MonotonicMs());
 }
 
-void Exchange::OnFailed(int number, UpstreamFailure failure, std::string_view reason) {
-  if (number != attempt_.number) return;
-  attempt_.call = nullptr;
+// Returns whether the request may have run there.
+Exchange::Execution Exchange::RecordFailure(Attempt* attempt, UpstreamFailure failure) {
   const bool is_broken = failure == UpstreamFailure::kBroken;
   const bool was_sent = is_broken || failure == UpstreamFailure::kMismatched;
-  if (is_broken) ReportBrokenConnection();
+  if (is_broken) ReportBrokenConnection(*attempt);
   // A withheld request is no evidence of a fault of the upstream.
-  EndAttempt(was_sent                                ? AttemptOutcome::kFailed
-             : failure == UpstreamFailure::kWithheld ? AttemptOutcome::kRefused
-                                                     : AttemptOutcome::kUnreachable);
-  if (!was_sent) {
-    --possibly_run_attempts_;
-    --sent_attempts_;
-    ++unsent_attempts_;
-  }
-  AfterAttempt(was_sent ? Execution::kMayHaveRun : Execution::kNotRun, was_sent, reason);
+  EndAttempt(attempt, was_sent                                ? AttemptOutcome::kFailed
+                      : failure == UpstreamFailure::kWithheld ? AttemptOutcome::kRefused
+                                                              : AttemptOutcome::kUnreachable);
+  if (was_sent) return Execution::kMayHaveRun;
+  --possibly_run_attempts_;
+  --sent_attempts_;
+  ++unsent_attempts_;
+  return Execution::kNotRun;
 }
 
-void Exchange::EndAttempt(AttemptOutcome end) {
+void Exchange::OnFailed(int number, UpstreamFailure failure, std::string_view reason) {
+  if (silent_ && number == silent_->number) return OnSilentFailed(failure, reason);
+  if (!IsCurrent(number)) return;
+  const Execution ran = RecordFailure(&attempt_, failure);
+  AfterAttempt(ran, ran == Execution::kMayHaveRun, reason);
+}
+
+void Exchange::EndAttempt(Attempt* attempt, AttemptOutcome end) {
   const TimeMs now = MonotonicMs();
   const bool is_unanswered = end == AttemptOutcome::kTimedOut || end == AttemptOutcome::kCallerLeft;
   if (model_ && is_unanswered && !is_response_begun_) {
-    gateway_.upstreams.OnFirstEvent(*model_, now - attempt_.started_at);
+    gateway_.upstreams.OnFirstEvent(*model_, now - attempt->started_at);
   }
-  gateway_.upstreams.OnAttemptEnd(attempt_.instance, model_, end, now);
-  gateway_.crash_detector.OnAttemptOver(attempt_.instance, this);
-  if (std::exchange(attempt_.is_isolated_suspect, false)) {
-    gateway_.suspect_isolation.Release(attempt_.instance, attempt_.isolation_key);
+  gateway_.upstreams.OnAttemptEnd(attempt->instance, model_, end, now);
+  gateway_.crash_detector.OnAttemptOver(attempt->instance, this);
+  if (std::exchange(attempt->is_isolated_suspect, false)) {
+    gateway_.suspect_isolation.Release(attempt->instance, attempt->isolation_key);
     gateway_.RetrySuspects();
   }
-  attempt_.call = nullptr;
-  attempt_.is_confirming_end = false;
+  attempt->call = nullptr;
+  attempt->is_confirming_end = false;
+  attempt->is_open = false;
 }
 
-void Exchange::LogAttempt(Execution ran, std::string_view reason) const {
+void Exchange::LogAttempt(const Attempt& attempt, Execution ran, std::string_view reason) const {
   const TimeMs now = MonotonicMs();
   gateway_.log.Write(now, "attempt_ended",
                      {{"request", request_id_},
-                      {"upstream", attempt_.instance},
+                      {"upstream", attempt.instance},
                       {"reason", reason},
                       {"may_have_run", ran == Execution::kMayHaveRun},
                       {"attempt", static_cast<std::int64_t>(tried_instances_.size())},
-                      {"attempt_ms", now - attempt_.started_at},
-                      {"listing_age_ms", attempt_.listing_age_ms},
+                      {"attempt_ms", now - attempt.started_at},
+                      {"listing_age_ms", attempt.listing_age_ms},
                       {"last_event", events_.last_id()},
-                      {"version", attempt_.version},
+                      {"version", attempt.version},
                       {"digest", digest_ ? digest_->ToString() : std::string()},
                       {"left_ms", deadline_at_ - now}});
 }
 
 void Exchange::AfterAttempt(Execution ran, bool was_sent, std::string_view reason) {
-  LogAttempt(ran, reason);
+  LogAttempt(attempt_, ran, reason);
   if (TryRetry(ran, was_sent)) return;
+  // May be tried again if the silent upstream stays silent.
+  if (silent_ && ran == Execution::kNotRun && !tried_instances_.empty() &&
+      tried_instances_.back() == attempt_.instance) {
+    tried_instances_.pop_back();
+  }
   GiveUp(ExecutionSoFar(), reason);
 }
 
@@ -435,10 +443,14 @@
 
 void Exchange::RetryElsewhere() {
   if (is_response_begun_) ++gateway_.counters.resumes;
-  events_.DiscardPartialEvent();
+  events_.TakePartialEvent();
   AttemptNext();
 }
 
+bool Exchange::HasUnrunAttemptsLeft() const {
+  return sent_attempts_ - possibly_run_attempts_ + unsent_attempts_ <= kMaxUnrunAttempts;
+}
+
 // Retries at another upstream if that is safe and, where needed, within the retry budget.
 bool Exchange::TryRetry(Execution ran, bool was_sent) {
   const TimeMs now = MonotonicMs();
@@ -447,13 +459,13 @@
   if (may_have_run && (!route_->IsRetryable() || possibly_run_attempts_ >= route_->max_attempts)) {
     return false;
   }
-  const int unrun = sent_attempts_ - possibly_run_attempts_ + unsent_attempts_;
-  if (unrun > kMaxUnrunAttempts) return false;
+  if (!HasUnrunAttemptsLeft()) return false;
   if (may_have_run || was_sent) {
     const PickResult choice = ChooseUpstream(now);
     if (std::holds_alternative<NoUpstream>(choice)) return false;
-    // Once events were delivered, the stream does not wait for a load.
-    if (is_response_begun_ && !std::holds_alternative<SendTo>(choice)) return false;
+    // Once events were delivered, or while another attempt is kept, there is no wait for a load.
+    const bool may_wait = !is_response_begun_ && !silent_;
+    if (!may_wait && !std::holds_alternative<SendTo>(choice)) return false;
     if (!TakeRetryFromBudget(now)) return false;
   }
   RetryElsewhere();
@@ -461,7 +473,7 @@
 }
 
 void Exchange::GiveUp(Execution ran, std::string_view reason) {
-  if (is_finished_) return;
+  if (is_finished_ || GoOnWithSilent(reason)) return;
   if (is_response_begun_) {
     const auto sink = sink_.lock();
     if (sink) sink->Abort();
@@ -476,15 +488,22 @@
          0);
 }
 
-void Exchange::CancelAttempt(AttemptOutcome end) {
-  if (!attempt_.call && !attempt_.is_confirming_end) return;
-  if (attempt_.call) attempt_.call->Cancel();
-  EndAttempt(end);
+void Exchange::CancelAttempt(Attempt* attempt, AttemptOutcome end) {
+  if (!attempt->is_open) return;
+  if (attempt->call) attempt->call->Cancel();
+  EndAttempt(attempt, end);
+}
+
+void Exchange::CancelAttempts(AttemptOutcome end) {
+  CancelAttempt(&attempt_, end);
+  if (!silent_) return;
+  CancelAttempt(&*silent_, end);
+  silent_.reset();
 }
 
 void Exchange::OnCallerDisconnected() {
   if (is_finished_) return;
-  CancelAttempt(AttemptOutcome::kCallerLeft);
+  CancelAttempts(AttemptOutcome::kCallerLeft);
   Finish("cancelled", 0);
 }
 
@@ -498,26 +517,10 @@
 
 void Exchange::OnStop() {
   if (is_finished_) return;
-  CancelAttempt(AttemptOutcome::kCallerLeft);
+  CancelAttempts(AttemptOutcome::kCallerLeft);
   GiveUp(ExecutionSoFar(), "the entry is shutting down");
 }
 
-// How long the upstream may be silent before the request is retried elsewhere; 0: until the
-// deadline.
-DurationMs Exchange::SilenceTimeout() const {
-  if (!gateway_.upstreams.policy().leaves_silent) return 0;
-  if (!attempt_.call || !route_->IsRetryable() || possibly_run_attempts_ >= route_->max_attempts)
-    return 0;
-  const bool is_stream = route_->kind == RequestKind::kStreaming;
-  if (is_response_begun_)
-    return static_cast<DurationMs>(kSilencePauseFactor *
-                                   static_cast<double>(route_->stream_gap_target_ms));
-  const double targets = is_stream ? kStreamSilenceTargetFactor : kSilenceTargetFactor;
-  const auto limit =
-      static_cast<DurationMs>(targets * static_cast<double>(route_->first_byte_target_ms));
-  return std::max(kMinSilenceMs, limit);
-}
-
 void Exchange::ArmTimer() {
   TimeMs due = deadline_at_;
   if (is_waiting_for_model_) due = std::min(due, wait_deadline_at_);
@@ -532,7 +535,7 @@
 void Exchange::OnTimer() {
   const TimeMs now = MonotonicMs();
   if (now >= deadline_at_) {
-    CancelAttempt(AttemptOutcome::kTimedOut);
+    CancelAttempts(AttemptOutcome::kTimedOut);
     return GiveUp(ExecutionSoFar(), "no response before the deadline");
   }
   if (is_waiting_for_model_ && now >= wait_deadline_at_ &&
@@ -544,21 +547,7 @@
                   Execution::kNotRun, kDefaultRetryAfterMs);
   }
   const DurationMs silence = SilenceTimeout();
-  if (silence > 0 && now - attempt_.last_activity_at >= silence) {
-    // Only if another upstream can take it and the retry budget allows it; otherwise the wait goes
-    // on.
-    const PickResult choice = ChooseUpstream(now);
-    const auto* to = std::get_if<SendTo>(&choice);
-    // If the upstream has a rate limit, that may be used up.
-    const bool is_free = to != nullptr && !gateway_.upstreams.LimitOf(to->instance);
-    if (is_free && TakeRetryFromBudget(now)) {
-      attempt_.call->Cancel();
-      EndAttempt(AttemptOutcome::kTimedOut);
-      LogAttempt(Execution::kMayHaveRun, "silent");
-      return RetryElsewhere();
-    }
-    attempt_.last_activity_at = now;
-  }
+  if (silence > 0 && now - attempt_.last_activity_at >= silence) return OnSilence(now);
   ArmTimer();
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,11 +67,12 @@
   DurationMs target_ms() const { return route_->first_byte_target_ms; }
   TimeMs first_byte_due_at() const { return request_.arrived_at + route_->first_byte_target_ms; }
   TimeMs waiting_since() const { return waiting_since_; }
-  const Attempt& attempt() const { return attempt_; }
+  // Its attempt at that upstream; the last one if it has none there.
+  const Attempt& AttemptAt(std::string_view instance) const;
   bool IsSuspect();
-  // The suspect to report if the upstream of the current attempt ends now; none if the request has
-  // run there for long enough to be harmless.
-  std::optional<Suspect> AsSuspect(TimeMs now);
+  // The suspect to report if the upstream of that attempt ends now; none if the request has run
+  // there for long enough to be harmless.
+  std::optional<Suspect> AsSuspect(const Attempt& attempt, TimeMs now);
 
   // The software version that the request is bound to, as the stream that it resumes began there.
   std::optional<std::string> bound_version() const {
@@ -123,6 +124,7 @@
   void AwaitTurn(DurationMs retry_ms);
   void RecordUpstreamLimitReached(const std::string& instance, DurationMs retry_ms);
   void RefuseOverQuota(const QuotaClient::Admission& verdict);
+  void CancelPendingSend();
   void ReturnQuota();
   void AttemptNext();
   PickResult ChooseUpstream(TimeMs now);
@@ -142,9 +144,10 @@
   void ConfirmEnd();
   void OnEndConfirmed(PortState state);
   void OnBrokenOff(std::string_view reason);
-  void ReportBrokenConnection();
+  void ReportBrokenConnection(const Attempt& attempt);
   void CompleteResponse();
-  void CancelAttempt(AttemptOutcome end);
+  void CancelAttempt(Attempt* attempt, AttemptOutcome end);
+  void CancelAttempts(AttemptOutcome end);
   void SendRequest(const std::string& instance);
   void WaitForModel(const WaitFor& wait);
   std::string BuildRequestHead(const UpstreamRecord& upstream) const;
@@ -152,9 +155,16 @@
   void AfterAttempt(Execution ran, bool was_sent, std::string_view reason);
   bool TryRetry(Execution ran, bool was_sent);
   bool TakeRetryFromBudget(TimeMs now);
-  void LogAttempt(Execution ran, std::string_view reason) const;
+  void LogAttempt(const Attempt& attempt, Execution ran, std::string_view reason) const;
+  Execution RecordFailure(Attempt* attempt, UpstreamFailure failure);
+  bool IsCurrent(int number);
+  void TryBeside();
+  bool GoOnWithSilent(std::string_view reason);
+  void DropSilent();
+  void OnSilentFailed(UpstreamFailure failure, std::string_view reason);
+  bool HasUnrunAttemptsLeft() const;
   void RetryElsewhere();
-  void EndAttempt(AttemptOutcome end);
+  void EndAttempt(Attempt* attempt, AttemptOutcome end);
   void RelayStreamHead();
   void RecordEventTime();
   void RecordEventPause();
@@ -167,6 +177,7 @@
   void Finish(std::string_view outcome, unsigned status, std::string_view reason = {});
   void ArmTimer();
   void OnTimer();
+  void OnSilence(TimeMs now);
   DurationMs SilenceTimeout() const;
   Execution ExecutionSoFar() const {
     return possibly_run_attempts_ > 0 ? Execution::kMayHaveRun : Execution::kNotRun;
@@ -198,6 +209,9 @@
   boost::asio::steady_timer timer_;
 
   Attempt attempt_;  // The last one.
+  // The one before, if its upstream fell silent. It is kept until the last one is answered, as the
+  // upstream may go on.
+  std::optional<Attempt> silent_;
   int attempts_begun_ = 0;
   // Where the stream began, once its first event has arrived or if the request resumes it.
   std::optional<StreamOrigin> origin_;
--- a/src/gateway/exchange_access.cc
+++ b/src/gateway/exchange_access.cc
@@ -211,12 +211,18 @@
          verdict.retry_ms);
 }
 
-// Cancels pending quota requests; returns taken quota if the request has not run.
-void Exchange::ReturnQuota() {
-  if (quota_ticket_ != 0) gateway_.CancelQuotaRequest(std::exchange(quota_ticket_, 0));
+// The request will not be sent to the upstream for which an allocator is asked.
+void Exchange::CancelPendingSend() {
   if (upstream_quota_ticket_ != 0)
     gateway_.CancelQuotaRequest(std::exchange(upstream_quota_ticket_, 0));
+  upstream_quota_instance_.clear();
   if (turn_ticket_ != 0) gateway_.CancelQuotaRequest(std::exchange(turn_ticket_, 0));
+}
+
+// Cancels pending quota requests; returns taken quota if the request has not run.
+void Exchange::ReturnQuota() {
+  if (quota_ticket_ != 0) gateway_.CancelQuotaRequest(std::exchange(quota_ticket_, 0));
+  CancelPendingSend();
   if (!std::exchange(has_quota_, false) || ExecutionSoFar() == Execution::kMayHaveRun) return;
   gateway_.quotas.Refund(organisation_, quota_amount_, MonotonicMs());
 }
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -32,7 +32,7 @@
 }  // namespace
 
 void Exchange::OnHead(int number, UpstreamHead head) {
-  if (number != attempt_.number) return;
+  if (!IsCurrent(number)) return;
   attempt_.last_activity_at = MonotonicMs();
   gateway_.upstreams.OnResponseData(attempt_.instance, attempt_.last_activity_at);
   gateway_.crash_detector.OnDataReceived(attempt_.instance, attempt_.last_activity_at);
@@ -51,9 +51,10 @@
   const bool is_sealed = FindField(attempt_.response_head->fields, names.proof) != nullptr;
   if (is_success && !is_sealed) {
     attempt_.call->Cancel();
-    EndAttempt(AttemptOutcome::kFailed);
+    EndAttempt(&attempt_, AttemptOutcome::kFailed);
     return AfterAttempt(Execution::kMayHaveRun, true, "the response has no proof header");
   }
+  if (is_success) DropSilent();
   ArmTimer();
 }
 
@@ -83,13 +84,13 @@
     reason = "full, or a load or unload of the model is in progress";
   }
   attempt_.call->Cancel();
-  EndAttempt(AttemptOutcome::kRefused);
+  EndAttempt(&attempt_, AttemptOutcome::kRefused);
   --possibly_run_attempts_;
   AfterAttempt(Execution::kNotRun, true, reason);
 }
 
 void Exchange::OnBody(int number, std::string_view data) {
-  if (number != attempt_.number) return;
+  if (!IsCurrent(number)) return;
   attempt_.last_activity_at = MonotonicMs();
   if (attempt_.is_event_stream) {
     const std::string whole = events_.Feed(data);
@@ -138,7 +139,7 @@
 }
 
 void Exchange::OnEnd(int number, ResponseEnd end) {
-  if (number != attempt_.number) return;
+  if (!IsCurrent(number)) return;
   attempt_.call = nullptr;
   attempt_.is_ended_by_close = end == ResponseEnd::kClosed;
   if (attempt_.is_ended_by_close) ++gateway_.counters.responses_ended_by_close;
@@ -169,8 +170,8 @@
 }
 
 void Exchange::OnBrokenOff(std::string_view reason) {
-  ReportBrokenConnection();
-  EndAttempt(AttemptOutcome::kFailed);
+  ReportBrokenConnection(attempt_);
+  EndAttempt(&attempt_, AttemptOutcome::kFailed);
   AfterAttempt(Execution::kMayHaveRun, true, reason);
 }
 
@@ -178,7 +179,7 @@
   ClearSuspicion();
   if (attempt_.response_head->status / 100 == 2) OnPartsAnswered();
   if (!attempt_.is_event_stream) return RelayResponse();
-  EndAttempt(AttemptOutcome::kServed);
+  EndAttempt(&attempt_, AttemptOutcome::kServed);
   const auto sink = sink_.lock();
   if (!sink) return;
   if (!is_response_begun_) RelayStreamHead();
@@ -193,7 +194,7 @@
   // explicit statement.
   const bool implies_not_run =
       status == kUnavailable || status == kTooManyRequests || status == kRequestTimeout;
-  EndAttempt(status >= 500 ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
+  EndAttempt(&attempt_, status >= 500 ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
   if (implies_not_run) {
     return AfterAttempt(Execution::kMayHaveRun, true, "status " + std::to_string(status));
   }
@@ -202,6 +203,8 @@
   }
   const bool may_retry = status >= 500 && status != kGatewayTimeout;
   if (may_retry && TryRetry(Execution::kMayHaveRun, true)) return;
+  const std::string reason = "status " + std::to_string(status);
+  if (may_retry && GoOnWithSilent(reason)) return;
   const auto sink = sink_.lock();
   if (!sink) return;
   gateway_.first_byte_latency.Add(MonotonicMs() - request_.arrived_at);
@@ -234,6 +237,7 @@
   if (is_finished_) return;
   is_finished_ = true;
   timer_.cancel();
+  DropSilent();
   ReturnQuota();
   if (is_waiting_for_model_) {
     is_waiting_for_model_ = false;
--- a/src/gateway/exchange_quarantine.cc
+++ b/src/gateway/exchange_quarantine.cc
@@ -66,15 +66,15 @@
   return model_ && gateway_.quarantine.AwaitsReports(Digest(), now);
 }
 
-std::optional<Suspect> Exchange::AsSuspect(TimeMs now) {
-  const bool has_event = attempt_.first_event_at != 0;
+std::optional<Suspect> Exchange::AsSuspect(const Attempt& attempt, TimeMs now) {
+  const bool has_event = attempt.first_event_at != 0;
   const bool is_harmless =
-      has_event && now - attempt_.first_event_at >= QuarantineLimits().harmless_after_ms;
+      has_event && now - attempt.first_event_at >= QuarantineLimits().harmless_after_ms;
   if (is_harmless) return std::nullopt;
   auto parts = gateway_.prompt_parts.WithoutSound(parts_, now);
   const bool has_sound_part = parts.size() < parts_.size();
   const RequestDigest model = model_ ? DigestOfModel(model_->model) : RequestDigest();
-  return Suspect{Digest(),         has_event,      attempt_.is_isolated_suspect,
+  return Suspect{Digest(),         has_event,      attempt.is_isolated_suspect,
                  std::move(parts), has_sound_part, model};
 }
 
@@ -83,7 +83,7 @@
 void Exchange::RefuseQuarantined() {
   ++gateway_.counters.quarantine_refusals;
   constexpr char kReason[] = "upstreams that run this request crash; it is not sent to another one";
-  if (is_response_begun_) return GiveUp(Execution::kMayHaveRun, kReason);
+  if (is_response_begun_ || silent_) return GiveUp(Execution::kMayHaveRun, kReason);
   const bool may_have_run = ExecutionSoFar() == Execution::kMayHaveRun;
   Refuse(may_have_run ? kBadGateway : kUnavailable, "ends_upstreams", kReason, ExecutionSoFar(), 0);
 }
--- a/test/silent_upstreams_test.cc
+++ b/test/silent_upstreams_test.cc
@@ -90,4 +90,72 @@
   test.ExpectWholeStream();
 }
 
+// Guards against the same where the connection to the other upstream breaks.
+TEST(SilentUpstreams, KeepTheirStreamIfTheOtherOneBreaksOff) {
+  SilentStream test([](const SeenRequest&, const Peer& peer) { peer->Reset(); });
+  RunFor(test.fixture.io, kUpstreamSilenceMs);
+  test.SilentGoesOn();
+  test.ExpectWholeStream();
+}
+
+// Guards against a stream that its upstream goes on with before the other one has begun, and that
+// is lost as the other one then fails.
+TEST(SilentUpstreams, GoOnWithTheirStreamIfTheyAreFirst) {
+  Peer other;
+  SilentStream test([&](const SeenRequest&, const Peer& peer) { other = peer; });
+  RunUntil(test.fixture.io, [&] { return other != nullptr; });
+  test.SilentGoesOn();
+  test.ExpectWholeStream();
+  EXPECT_TRUE(RunUntil(test.fixture.io, [&] { return other->IsEnded(); }),
+              "the other upstream's connection is closed");
+}
+
+// Guards against two upstreams at work on one stream.
+TEST(SilentUpstreams, LoseTheirStreamOnceTheOtherOneHasBegun) {
+  SilentStream test([](const SeenRequest& request, const Peer& peer) {
+    EXPECT_TEXT("1", request.Field("Last-Event-ID"), "the last complete event");
+    peer->Write(EventStreamHead() + EventChunk(2) + EventChunk(3) + kLastChunk);
+  });
+  test.ExpectWholeStream();
+  EXPECT_TRUE(RunUntil(test.fixture.io, [&] { return test.silent->IsEnded(); }),
+              "the silent upstream's connection is closed");
+}
+
+// Guards against a begun stream that is given up, while its upstream is silent, as the
+// configuration has changed meanwhile and lets no attempt follow.
+TEST(SilentUpstreams, KeepTheirStreamBesideAChangeOfTheConfiguration) {
+  Peer other;
+  SilentStream test([&](const SeenRequest&, const Peer& peer) { other = peer; });
+  RunUntil(test.fixture.io, [&] { return other != nullptr; });
+  Route elsewhere = MakeRoute("/s/", RequestKind::kStreaming, "engine");
+  elsewhere.allowed_regions = std::set<std::string>{"elsewhere"};
+  test.fixture.Configure({elsewhere}, 2);
+  other->Reset();
+  RunFor(test.fixture.io, kUpstreamSilenceMs);
+  test.SilentGoesOn();
+  test.ExpectWholeStream();
+}
+
+// Guards against a request that is answered with an unknown outcome while its upstream, silent
+// before its response, still works on it.
+TEST(SilentUpstreams, KeepTheirRequestIfTheOtherOneRefuses) {
+  Fixture fixture;
+  Peer silent;
+  for (const char* name : {"u1", "u2"}) {
+    fixture.AddUpstream(name, "plain", [&](const SeenRequest&, const Peer& peer) {
+      if (silent != nullptr) return peer->Write(kNotRunResponse);
+      silent = peer;
+    });
+  }
+  Route route = MakeRoute("/a/", RequestKind::kIdempotent, "plain");
+  route.first_byte_target_ms = 100;
+  fixture.Configure({route});
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeRequest("GET /a/"));
+  RunFor(fixture.io, kUpstreamSilenceMs);
+  for (const auto& it : fixture.upstreams) EXPECT_TRUE(!it->seen().empty(), "each got the request");
+  silent->Write(OkResponse("late"));
+  EXPECT_TRUE(caller.AwaitEnd() && Contains(caller.received(), "200 OK"), caller.received());
+}
+
 }  // namespace junctionrail
