Gateway: an upstream that is not read from is not silent

A caller that read its stream slowly had the stream moved to another upstream, while the first one was sound and had written more. Cause: reading from the upstream pauses while over 256 KB are unsent to the caller, and the silence timeout went on. Change: no silence timeout during the pause. Measured: SilentUpstreams.AreNotThoseWhoseCallerIsSlow counted one attempt at the other upstream before, none now.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -35,6 +35,7 @@
   std::string response_body;
   bool is_event_stream = false;
   bool is_ended_by_close = false;  // The response ended with its connection.
+  bool is_paused = false;          // Not read from, as the caller is slow.
   // Received after the last complete event; kept here while another attempt is under way.
   std::string partial_event;
 };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -508,7 +508,11 @@
 }
 
 void Exchange::OnCallerWritable() {
-  if (attempt_.call) attempt_.call->Pause(false);
+  if (!attempt_.call || !attempt_.is_paused) return;
+  attempt_.is_paused = false;
+  attempt_.last_activity_at = MonotonicMs();
+  attempt_.call->Pause(false);
+  ArmTimer();
 }
 
 void Exchange::OnVmResumed() {
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -105,7 +105,8 @@
       if (is_finished_) return;
     }
     sink->SendBodyPart(whole);
-    if (sink->IsSendQueueFull() && attempt_.call) attempt_.call->Pause(true);
+    attempt_.is_paused = sink->IsSendQueueFull() && attempt_.call;
+    if (attempt_.is_paused) attempt_.call->Pause(true);
     return;
   }
   attempt_.response_body += data;
--- a/src/gateway/exchange_silence.cc
+++ b/src/gateway/exchange_silence.cc
@@ -21,7 +21,7 @@
 // How long the upstream may be silent before another one is tried; 0: until the deadline.
 DurationMs Exchange::SilenceTimeout() const {
   if (!gateway_.upstreams.policy().leaves_silent) return 0;
-  if (!attempt_.call) return 0;
+  if (!attempt_.call || attempt_.is_paused) return 0;
   if (!route_->IsRetryable() || possibly_run_attempts_ >= route_->max_attempts) return 0;
   const bool is_stream = route_->kind == RequestKind::kStreaming;
   if (is_response_begun_)
--- a/test/silent_upstreams_test.cc
+++ b/test/silent_upstreams_test.cc
@@ -36,6 +36,7 @@
     "Content-Length: 0\r\n\r\n";
 // Of the silence after which another upstream is tried: 2.5 times the target for pauses.
 constexpr DurationMs kPauseTargetMs = 40;
+constexpr DurationMs kSilenceMs = 100;
 constexpr DurationMs kUpstreamSilenceMs = 400;
 
 // Upstreams "silent" and "other". The first to get the request sends a head and one event and then
@@ -158,4 +159,47 @@
   EXPECT_TRUE(caller.AwaitEnd() && Contains(caller.received(), "200 OK"), caller.received());
 }
 
+// Guards against an upstream that is held to be silent as it is not read from: its caller is slow.
+TEST(SilentUpstreams, AreNotThoseWhoseCallerIsSlow) {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  // More than the sockets to the caller and the gateway's own limit take together.
+  constexpr std::size_t kStreamBytes = 8 << 20;
+  constexpr std::size_t kEventBytes = 32 << 10;
+  Fixture fixture;
+  const auto loopback = asio::ip::make_address("127.0.0.1");
+  tcp::acceptor acceptor(fixture.io, tcp::endpoint(loopback, 0));
+  tcp::socket upstream(fixture.io);
+  bool is_accepted = false;
+  acceptor.async_accept(upstream, [&](boost::system::error_code ec) { is_accepted = !ec; });
+  const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+  fixture.records.push_back({"u1", "engine", endpoint, "hall-1", 8, false, {}});
+  fixture.gateway->ApplyListing({fixture.records, MonotonicMs()});
+  Route route = MakeRoute("/s/", RequestKind::kStreaming, "engine");
+  route.is_resumable = true;
+  route.stream_gap_target_ms = kPauseTargetMs;
+  fixture.Configure({route});
+  tcp::socket slow(fixture.io, tcp::v4());
+  slow.set_option(asio::socket_base::receive_buffer_size(4096));
+  slow.connect({loopback, fixture.port});
+  asio::write(slow, asio::buffer(MakeRequest("POST /s/")));
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return is_accepted; }), "the request is sent");
+  fixture.AddUpstream("u2", "engine", [](const SeenRequest&, const Peer&) {});
+
+  char size[16];
+  const std::string event = "data: " + std::string(kEventBytes, 'x') + "\n\n";
+  std::snprintf(size, sizeof(size), "%zx", event.size());
+  std::string stream = EventStreamHead();
+  while (stream.size() < kStreamBytes) stream += std::string(size) + "\r\n" + event + "\r\n";
+  upstream.non_blocking(true);
+  std::string_view unsent = stream;
+  for (TimeMs until = MonotonicMs() + 6 * kSilenceMs; MonotonicMs() < until;) {
+    boost::system::error_code ec;
+    unsent.remove_prefix(upstream.write_some(asio::buffer(unsent), ec));
+    RunFor(fixture.io, 1);
+  }
+  EXPECT_TRUE(!unsent.empty(), "the gateway has stopped to read");
+  EXPECT_NUMBER(0, fixture.upstreams[0]->seen().size(), "attempts at the other upstream");
+}
+
 }  // namespace junctionrail
