Gateway: a response that waits in its socket is read before a timer speaks

Callers got 504, or a stream that was moved or cut, though the whole response had arrived. Cause: after this process was away or short of processor time, the silence timeout and the deadline lapse before the sockets are read; the event loop takes 128 events from the kernel in a turn and runs timers before it has seen the rest. Change: both timers look at the sockets of the attempts first.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -17,6 +17,8 @@
 // How long a request waits for an agent to appear if there is none to ask for the model.
 constexpr DurationMs kNoAgentWaitMs = 1200;
 constexpr DurationMs kDefaultRetryAfterMs = 500;
+// For a response that arrived before the deadline.
+constexpr DurationMs kReadPastDeadlineMs = 20;
 // Places change when operators change them, or when upstreams start there.
 constexpr DurationMs kPlaceRetryAfterMs = 2000;
 // A concurrent attempt of the same suspected request is over within this time: the wait for its
@@ -530,7 +532,11 @@
   if (is_waiting_for_model_) due = std::min(due, wait_deadline_at_);
   const DurationMs silence = SilenceTimeout();
   if (silence > 0) due = std::min(due, attempt_.last_activity_at + silence);
-  timer_.expires_after(std::chrono::milliseconds(std::max<DurationMs>(0, due - MonotonicMs())));
+  ArmTimer(std::max<DurationMs>(0, due - MonotonicMs()));
+}
+
+void Exchange::ArmTimer(DurationMs delay) {
+  timer_.expires_after(std::chrono::milliseconds(delay));
   timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->is_finished_) self->OnTimer();
   });
@@ -538,10 +544,7 @@
 
 void Exchange::OnTimer() {
   const TimeMs now = MonotonicMs();
-  if (now >= deadline_at_) {
-    CancelAttempts(AttemptOutcome::kTimedOut);
-    return GiveUp(ExecutionSoFar(), "no response before the deadline");
-  }
+  if (now >= deadline_at_) return OnDeadline();
   if (is_waiting_for_model_ && now >= wait_deadline_at_ &&
       ExecutionSoFar() == Execution::kMayHaveRun) {
     return GiveUp(Execution::kMayHaveRun, "no upstream had the model loaded in time");
@@ -555,4 +558,13 @@
   ArmTimer();
 }
 
+// A response that this process was too late to read is read once more.
+void Exchange::OnDeadline() {
+  if (!std::exchange(has_read_past_deadline_, true) && HasUnreadResponse()) {
+    return ArmTimer(kReadPastDeadlineMs);
+  }
+  CancelAttempts(AttemptOutcome::kTimedOut);
+  GiveUp(ExecutionSoFar(), "no response before the deadline");
+}
+
 }  // namespace junctionrail::internal
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -162,6 +162,7 @@
   bool GoOnWithSilent(std::string_view reason);
   void DropSilent();
   void OnSilentFailed(UpstreamFailure failure, std::string_view reason);
+  bool HasUnreadResponse() const;
   bool HasUnrunAttemptsLeft() const;
   void RetryElsewhere();
   void EndAttempt(Attempt* attempt, AttemptOutcome end);
@@ -176,7 +177,9 @@
   // `reason` says why a response that had begun was broken off.
   void Finish(std::string_view outcome, unsigned status, std::string_view reason = {});
   void ArmTimer();
+  void ArmTimer(DurationMs delay);
   void OnTimer();
+  void OnDeadline();
   void OnSilence(TimeMs now);
   DurationMs SilenceTimeout() const;
   Execution ExecutionSoFar() const {
@@ -230,6 +233,7 @@
   // Until an upstream accepts requests again, if none did at the last choice; 0: unknown.
   DurationMs upstream_opens_in_ms_ = 0;
   bool is_waiting_for_model_ = false;
+  bool has_read_past_deadline_ = false;
 
   EventStreamReader events_;
   bool is_response_begun_ = false;  // Its head was sent to the caller.
--- a/src/gateway/exchange_silence.cc
+++ b/src/gateway/exchange_silence.cc
@@ -37,6 +37,8 @@
 // wait goes on.
 void Exchange::OnSilence(TimeMs now) {
   attempt_.last_activity_at = now;
+  // It is this process that was away.
+  if (HasUnreadResponse()) return ArmTimer();
   const PickResult choice = ChooseUpstream(now);
   const auto* to = std::get_if<SendTo>(&choice);
   // If the upstream has a rate limit, that may be used up.
@@ -45,6 +47,11 @@
   ArmTimer();
 }
 
+bool Exchange::HasUnreadResponse() const {
+  const bool is_unread = attempt_.call && attempt_.call->HasUnread();
+  return is_unread || (silent_ && silent_->call && silent_->call->HasUnread());
+}
+
 // Tries another upstream beside the silent one. Of two that are silent, the first is kept, which
 // may have begun the response.
 void Exchange::TryBeside() {
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -105,6 +105,13 @@
     if (!is_paused && !is_reading_ && listener_ != nullptr && is_connected_) Read();
   }
 
+  bool HasUnread() override {
+    if (!is_connected_) return false;
+    error_code ec;
+    char next = 0;
+    return socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, ec) > 0;
+  }
+
   // Whether the upstream has neither closed the connection nor sent unrequested data.
   bool IsCleanlyIdle() {
     error_code ec;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -56,6 +56,8 @@
   virtual void Cancel() = 0;
   // Pauses or resumes reading the response.
   virtual void Pause(bool is_paused) = 0;
+  // Whether bytes of the response have arrived and were not read yet.
+  virtual bool HasUnread() = 0;
 };
 
 struct UpstreamPoolCounters {
--- a/test/silent_upstreams_test.cc
+++ b/test/silent_upstreams_test.cc
@@ -38,6 +38,10 @@
 constexpr DurationMs kPauseTargetMs = 40;
 constexpr DurationMs kSilenceMs = 100;
 constexpr DurationMs kUpstreamSilenceMs = 400;
+constexpr DurationMs kAwayMs = 300;
+// More than the event loop takes from the kernel in one turn, 128: it runs timers before it has
+// seen the rest.
+constexpr int kManyCallers = 200;
 
 // Upstreams "silent" and "other". The first to get the request sends a head and one event and then
 // is silent until the test says more; the script of the other one is the test's.
@@ -159,6 +163,72 @@
   EXPECT_TRUE(caller.AwaitEnd() && Contains(caller.received(), "200 OK"), caller.received());
 }
 
+namespace {
+
+// Requests of as many callers at one upstream.
+struct ManyRequests {
+  ManyRequests(const Route& route, const std::string& line,
+               std::function<void(const Peer& peer)> begin) {
+    for (const char* name : {"u1", "u2"}) {
+      fixture.AddUpstream(name, route.traffic_split[0].service,
+                          [this, begin](const SeenRequest&, const Peer& peer) {
+                            peers.push_back(peer);
+                            begin(peer);
+                          });
+    }
+    fixture.max_connections = 100 * kManyCallers;
+    fixture.Configure({route});
+    for (int i = 0; i < kManyCallers; ++i) {
+      callers.push_back(std::make_unique<TestCaller>(fixture.io, fixture.port));
+      callers.back()->Send(MakeRequest(line));
+    }
+    EXPECT_TRUE(RunUntil(fixture.io, [&] { return peers.size() == callers.size(); }),
+                "each request is at an upstream");
+  }
+
+  // The process neither reads nor runs a timer, while the upstreams write.
+  void WriteDuringStandstill(const std::string& bytes) {
+    usleep(kAwayMs * 1000);
+    for (const auto& it : peers) it->Write(bytes);
+  }
+
+  int CountWhole(const std::string& end) {
+    int whole = 0;
+    for (const auto& it : callers) whole += it->AwaitText(end) ? 1 : 0;
+    return whole;
+  }
+
+  Fixture fixture;
+  std::vector<Peer> peers;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+};
+
+}  // namespace
+
+// Guards against an upstream that is held to be silent as this process was away: the rest of its
+// response waits in the socket.
+TEST(SilentUpstreams, AreNotThoseThatThisProcessDidNotReadFrom) {
+  Route route = MakeRoute("/s/", RequestKind::kStreaming, "engine");
+  route.is_resumable = true;
+  route.stream_gap_target_ms = kPauseTargetMs;
+  ManyRequests test(route, "POST /s/",
+                    [](const Peer& peer) { peer->Write(EventStreamHead() + EventChunk(1)); });
+  for (const auto& it : test.callers) EXPECT_TRUE(it->AwaitText("id: 1"), "the stream begins");
+  test.WriteDuringStandstill(EventChunk(2) + kLastChunk);
+  EXPECT_NUMBER(kManyCallers, test.CountWhole(kLastChunk), "whole streams");
+  EXPECT_NUMBER(kManyCallers, test.peers.size(), "attempts");
+}
+
+// Guards against a response that is thrown away at the deadline, though it has arrived and this
+// process only was late.
+TEST(SilentUpstreams, AreNotThoseWhoseResponseWaitsAtTheDeadline) {
+  Route route = MakeRoute("/a/", RequestKind::kNonIdempotent, "plain");
+  route.timeout_ms = kAwayMs / 2;
+  ManyRequests test(route, "POST /a/", [](const Peer&) {});
+  test.WriteDuringStandstill(OkResponse("hello"));
+  EXPECT_NUMBER(kManyCallers, test.CountWhole("hello"), "responses");
+}
+
 // Guards against an upstream that is held to be silent as it is not read from: its caller is slow.
 TEST(SilentUpstreams, AreNotThoseWhoseCallerIsSlow) {
   namespace asio = boost::asio;
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -56,7 +56,8 @@
     RoutingConfiguration configuration;
     configuration.version = version;
     configuration.routes = std::move(routes);
-    configuration.services = {{"plain", 64, std::nullopt}, {"engine", 64, std::nullopt}};
+    configuration.services = {{"plain", max_connections, std::nullopt},
+                              {"engine", max_connections, std::nullopt}};
     configuration.limits = limits;
     gateway->ApplyConfiguration(configuration);
   }
@@ -72,6 +73,7 @@
   EventLog log{QuietLog()};
   GatewayOptions options;
   CallerLimits limits;
+  int max_connections = 64;  // To each service, of all entries.
   std::unique_ptr<Gateway> gateway;
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
   std::vector<UpstreamRecord> records;
