Red: whole requests get neither an answer nor a refusal after a standstill

Cause: the idle timeout of a caller's connection looks at what this process has read, not at what its socket holds; what comes after the close is read and dropped.

--- /dev/null
+++ b/test/unread_requests_test.cc
@@ -0,0 +1,85 @@
+// Whole requests that wait in a caller's socket while the process is away or busy, as the
+// connection is about to be closed.
+#include <unistd.h>
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "check.h"
+#include "gateway_fixture.h"
+#include "junctionrail/gateway.h"
+#include "loopback.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::Contains;
+using testing::MakeKeepAliveRequest;
+using testing::MakeRoute;
+using testing::OkResponse;
+using testing::SeenRequest;
+using testing::TestCaller;
+using Fixture = testing::GatewayFixture;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr int kIdleMs = 100;
+constexpr int kAwayMs = 200;
+// More than the event loop takes from the kernel in one turn, 128: it runs timers before it has
+// seen the rest.
+constexpr int kManyCallers = 200;
+
+// A few are served, and most are refused as the upstream takes no more connections; either will do,
+// but for a refusal as late.
+bool HasAnswer(TestCaller* caller) {
+  return caller->AwaitText("HTTP/1.1 ") && !Contains(caller->received(), "408 ");
+}
+
+// Callers whose first requests were answered on connections that are kept.
+struct KeptConnections {
+  explicit KeptConnections(int n, GatewayOptions options = {}) : fixture(std::move(options)) {
+    fixture.limits.idle_timeout_ms = kIdleMs;
+    fixture.AddUpstream("u1", "plain", [](const SeenRequest& request, const Peer& peer) {
+      peer->Write(OkResponse("hello", request.Field("Junctionrail-Request-Id")));
+    });
+    fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")});
+    for (int i = 0; i < n; ++i) {
+      callers.push_back(std::make_unique<TestCaller>(fixture.io, fixture.port));
+      callers.back()->Send(MakeKeepAliveRequest("POST /a/", "first"));
+    }
+    for (const auto& it : callers) {
+      EXPECT_TRUE(it->AwaitText("HTTP/1.1 "), "the first response");
+      it->Forget();
+    }
+  }
+
+  // The process neither reads nor runs a timer, while its callers send.
+  void SendDuringStandstill() {
+    usleep(kAwayMs * 1000);
+    for (const auto& it : callers) it->Send(MakeKeepAliveRequest("POST /a/", "second"));
+  }
+
+  void ExpectAnswers() {
+    int answered = 0;
+    for (const auto& it : callers) answered += HasAnswer(it.get()) ? 1 : 0;
+    EXPECT_NUMBER(callers.size(), answered, "requests with an answer or a refusal");
+    EXPECT_NUMBER(0, fixture.gateway->counters().dropped_inputs, "connections with dropped input");
+  }
+
+  Fixture fixture;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+};
+
+}  // namespace
+
+TEST_GROUP(UnreadRequests){};
+
+// Guards against whole requests that are read and thrown away, as the idle timeout lapsed while
+// the process stood still: their callers got neither an answer nor a refusal.
+TEST(UnreadRequests, AreServedThoughTheIdleTimeoutHasLapsed) {
+  KeptConnections test(kManyCallers);
+  test.SendDuringStandstill();
+  test.ExpectAnswers();
+}
+
+}  // namespace junctionrail
