Gateway: no connection of a caller is closed over a request that waits in it

Callers of whole requests got neither an answer nor a refusal, or a 408, after the entry had been away or short of processor time. Cause: the timers of a connection and a stop looked at what this process had read, and what the socket still held was read after the close and dropped. Change: bytes stay in the socket until they are handled, so that it tells of all of them; timers and a stop look there first. What crosses a close stays unread, so that it is known not to have run.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -24,6 +24,9 @@
 // reset the connection and could lose the response.
 constexpr DurationMs kLingerMs = 1000;
 
+// A timer that finds unread bytes of the caller lets them be read within this time.
+constexpr DurationMs kReadFirstMs = 10;
+
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kContentTooLarge = 413;
@@ -39,26 +42,40 @@
     : gateway_(gateway), socket_(std::move(socket)), timer_(gateway.io) {
   error_code ec;
   socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+  socket_.non_blocking(true, ec);
 }
 
 void CallerConnection::Start() {
   last_activity_at_ = MonotonicMs();
-  ArmTimer(gateway_.routes ? gateway_.routes->configuration().limits.idle_timeout_ms
-                           : kDefaultIdleTimeoutMs);
+  ArmTimer(IdleTimeout());
   Read();
 }
 
+DurationMs CallerConnection::IdleTimeout() const {
+  return gateway_.routes ? gateway_.routes->configuration().limits.idle_timeout_ms
+                         : kDefaultIdleTimeoutMs;
+}
+
+// Bytes stay in the socket until they are handled, so that HasUnread() tells of all of them.
 void CallerConnection::Read() {
   if (is_reading_ || is_closed_ || (exchange_ && buffer_.size() > kMaxPipelinedBytes)) return;
   is_reading_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](error_code ec, std::size_t n) {
-                            self->is_reading_ = false;
-                            if (!self->is_closed_) self->OnRead(ec, n);
-                          });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+    self->is_reading_ = false;
+    if (self->is_closed_) return;
+    ec ? self->Close() : self->OnReadable();
+  });
 }
 
-void CallerConnection::OnRead(error_code ec, std::size_t n) {
+void CallerConnection::OnReadable() {
+  // What crosses the close stays unread: its caller may then send it again, whatever its kind.
+  if (is_closing_idle_) {
+    if (!HasUnread()) Close();
+    return;
+  }
+  error_code ec;
+  const std::size_t n = socket_.read_some(buffer_.prepare(kReadBytes), ec);
+  if (ec == asio::error::would_block) return Read();
   if (ec) return Close();
   last_activity_at_ = MonotonicMs();
   if (is_lingering_) {
@@ -70,6 +87,14 @@
   Read();
 }
 
+bool CallerConnection::HasUnread() {
+  error_code ec;
+  char next = 0;
+  return socket_.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, ec) > 0;
+}
+
+bool CallerConnection::HasInput() { return parser_ || buffer_.size() > 0 || HasUnread(); }
+
 void CallerConnection::Parse() {
   while (!exchange_ && !is_closed_ && !is_last_response_done_ && buffer_.size() > 0) {
     if (!parser_) {
@@ -200,8 +225,6 @@
 bool CallerConnection::HasDisconnected() {
   if (is_closed_) return true;
   error_code ec;
-  socket_.non_blocking(true, ec);
-  if (ec) return true;
   char next = 0;
   socket_.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, ec);
   return ec && ec != asio::error::would_block && ec != asio::error::try_again;
@@ -215,8 +238,7 @@
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
   }
-  ArmTimer(gateway_.routes ? gateway_.routes->configuration().limits.idle_timeout_ms
-                           : kDefaultIdleTimeoutMs);
+  ArmTimer(IdleTimeout());
   // Deferred, as this runs within a call from the exchange.
   asio::post(gateway_.io, [self = shared_from_this()] {
     if (self->is_closed_ || self->exchange_) return;
@@ -256,6 +278,17 @@
   Read();
 }
 
+// Nothing is due to the caller.
+void CallerConnection::CloseIdle() {
+  if (is_closing_idle_) return;
+  is_closing_idle_ = true;
+  is_last_response_done_ = true;
+  error_code ec;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  ArmTimer(kLingerMs);
+  Read();
+}
+
 void CallerConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
@@ -278,12 +311,8 @@
 void CallerConnection::Drain(bool closes_after_response) {
   is_draining_ = true;
   closes_after_response_ = closes_after_response;
-  // A request that is being received is still served.
-  const bool is_idle = IsIdle() && !parser_ && buffer_.size() == 0;
-  if (closes_after_response && is_idle && !is_last_response_done_) {
-    is_last_response_done_ = true;
-    Linger();
-  }
+  // A request that is being received, or waits to be read, is still served.
+  if (closes_after_response && IsIdle() && !HasInput() && !is_last_response_done_) CloseIdle();
 }
 
 void CallerConnection::ForceClose() {
@@ -291,7 +320,6 @@
   // One non-blocking write passes what OnStop wrote to the kernel.
   if (!output_in_flight_.empty() || !pending_output_.empty()) {
     error_code ec;
-    socket_.non_blocking(true, ec);
     if (output_in_flight_.empty()) socket_.write_some(asio::buffer(pending_output_), ec);
   }
   Close();
@@ -309,19 +337,21 @@
 
 void CallerConnection::OnTimer() {
   if (exchange_) return;
-  if (is_lingering_) return Close();
+  if (is_lingering_ || is_closing_idle_) return Close();
   if (is_last_response_done_) return ArmTimer(kLingerMs);
-  if (parser_) {
-    const CallerLimits limits =
-        gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits();
-    if (!parser_->is_header_done()) return Reject(kRequestTimeout, "header_timeout");
-    // While a body is being received, the idle timeout applies between its parts.
-    const DurationMs quiet = MonotonicMs() - last_activity_at_;
-    if (quiet >= limits.idle_timeout_ms) return Reject(kRequestTimeout, "body_timeout");
-    return ArmTimer(limits.idle_timeout_ms - quiet);
-  }
-  is_last_response_done_ = true;
-  Linger();
+  // It is this process that was late.
+  if (HasUnread()) return ArmTimer(kReadFirstMs);
+  if (parser_) return OnRequestTimer();
+  CloseIdle();
+}
+
+// While a request is being received.
+void CallerConnection::OnRequestTimer() {
+  if (!parser_->is_header_done()) return Reject(kRequestTimeout, "header_timeout");
+  // While a body is being received, the idle timeout applies between its parts.
+  const DurationMs quiet = MonotonicMs() - last_activity_at_;
+  if (quiet >= IdleTimeout()) return Reject(kRequestTimeout, "body_timeout");
+  ArmTimer(IdleTimeout() - quiet);
 }
 
 }  // namespace junctionrail::internal
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -45,7 +45,12 @@
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void Read();
-  void OnRead(boost::system::error_code ec, std::size_t n);
+  void OnReadable();
+  // Whether the caller has sent bytes that wait in the socket.
+  bool HasUnread();
+  // Whether a request is being received, or its bytes wait.
+  bool HasInput();
+  DurationMs IdleTimeout() const;
   void Parse();
   void OnParseError(boost::system::error_code ec);
   bool IsFramingUnambiguous() const;
@@ -55,10 +60,12 @@
   void Write(std::string_view data);
   void Flush();
   void Linger();
+  void CloseIdle();
   void Close();
   void RecordDroppedInput();
   void ArmTimer(DurationMs delay);
   void OnTimer();
+  void OnRequestTimer();
 
   Gateway::Impl& gateway_;
   boost::asio::ip::tcp::socket socket_;
@@ -77,6 +84,7 @@
   bool closes_after_response_ = false;  // Even if the response did not announce it.
   bool is_last_response_done_ = false;  // Closes once all output is written.
   bool is_lingering_ = false;
+  bool is_closing_idle_ = false;   // Its last response was sent long ago.
   std::size_t dropped_bytes_ = 0;  // Received, but not answered.
   bool is_closed_ = false;
 };
--- a/test/unread_requests_test.cc
+++ b/test/unread_requests_test.cc
@@ -18,6 +18,8 @@
 using testing::MakeKeepAliveRequest;
 using testing::MakeRoute;
 using testing::OkResponse;
+using testing::RunFor;
+using testing::RunUntil;
 using testing::SeenRequest;
 using testing::TestCaller;
 using Fixture = testing::GatewayFixture;
@@ -29,6 +31,12 @@
 // seen the rest.
 constexpr int kManyCallers = 200;
 
+GatewayOptions WithoutBalancerDelay() {
+  GatewayOptions options;
+  options.balancer_delay_ms = 1;
+  return options;
+}
+
 // A few are served, and most are refused as the upstream takes no more connections; either will do,
 // but for a refusal as late.
 bool HasAnswer(TestCaller* caller) {
@@ -82,4 +90,39 @@
   test.ExpectAnswers();
 }
 
+// Guards against the same where the process is told to stop.
+TEST(UnreadRequests, AreServedBeforeAStopClosesTheirConnections) {
+  KeptConnections test(kManyCallers, WithoutBalancerDelay());
+  bool is_stopped = false;
+  test.fixture.gateway->Stop(5000, [&] { is_stopped = true; });
+  test.SendDuringStandstill();
+  test.ExpectAnswers();
+  EXPECT_TRUE(Contains(test.callers.back()->received(), "Connection: close"),
+              test.callers.back()->received());
+  EXPECT_TRUE(RunUntil(test.fixture.io, [&] { return is_stopped; }), "the stop completes");
+}
+
+// Guards against requests whose heads are refused as late, though the rest of them has arrived and
+// only was not read.
+TEST(UnreadRequests, AreNotRefusedAsLate) {
+  Fixture fixture;
+  fixture.limits.header_timeout_ms = kIdleMs;
+  fixture.AddUpstream("u1", "plain", [](const SeenRequest& request, const Peer& peer) {
+    peer->Write(OkResponse("hello", request.Field("Junctionrail-Request-Id")));
+  });
+  fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")});
+  const std::string request = MakeKeepAliveRequest("POST /a/", "r");
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < kManyCallers; ++i) {
+    callers.push_back(std::make_unique<TestCaller>(fixture.io, fixture.port));
+    callers.back()->Send(request.substr(0, 10));
+  }
+  RunFor(fixture.io, kIdleMs / 2);
+  usleep(kAwayMs * 1000);
+  for (const auto& it : callers) it->Send(request.substr(10));
+  int answered = 0;
+  for (const auto& it : callers) answered += HasAnswer(it.get()) ? 1 : 0;
+  EXPECT_NUMBER(kManyCallers, answered, "requests with an answer or a refusal");
+}
+
 }  // namespace junctionrail
