Gateway: a stop serves a request behind a response that announced no close

A caller that sent its next request while a stream from before the stop still ran got neither an answer nor a refusal to it. Cause: after such a stream the stop closed the connection and dropped what had been read ahead. Measured: UnreadRequests.AreServedBehindAStreamThatAnnouncedNoClose failed before, passes.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -233,7 +233,8 @@
 void CallerConnection::FinishResponse(bool must_close) {
   exchange_.reset();
   last_activity_at_ = MonotonicMs();
-  if (must_close || closes_after_response_) {
+  // A request behind one whose response announced no close is still served.
+  if (must_close || (closes_after_response_ && !HasInput())) {
     is_last_response_done_ = true;
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
--- a/test/unread_requests_test.cc
+++ b/test/unread_requests_test.cc
@@ -15,6 +15,8 @@
 namespace {
 
 using testing::Contains;
+using testing::EventChunk;
+using testing::EventStreamHead;
 using testing::MakeKeepAliveRequest;
 using testing::MakeRoute;
 using testing::OkResponse;
@@ -30,6 +32,7 @@
 // More than the event loop takes from the kernel in one turn, 128: it runs timers before it has
 // seen the rest.
 constexpr int kManyCallers = 200;
+constexpr char kLastChunk[] = "0\r\n\r\n";
 
 GatewayOptions WithoutBalancerDelay() {
   GatewayOptions options;
@@ -102,6 +105,29 @@
   EXPECT_TRUE(RunUntil(test.fixture.io, [&] { return is_stopped; }), "the stop completes");
 }
 
+// Guards against a request that was read behind another one and is dropped by a stop, though the
+// response before it did not announce a close.
+TEST(UnreadRequests, AreServedBehindAStreamThatAnnouncedNoClose) {
+  Fixture fixture(WithoutBalancerDelay());
+  Peer stream;
+  fixture.AddUpstream("u1", "engine", [&](const SeenRequest& request, const Peer& peer) {
+    const std::string id = request.Field("Junctionrail-Request-Id");
+    peer->Write(EventStreamHead(id) + EventChunk(id == "second" ? 2 : 1));
+    if (id == "second") return peer->Write(kLastChunk);
+    stream = peer;
+  });
+  fixture.Configure({MakeRoute("/s/", RequestKind::kStreaming, "engine")});
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeKeepAliveRequest("POST /s/", "first"));
+  EXPECT_TRUE(caller.AwaitText("id: 1"), "the stream begins");
+  fixture.gateway->Stop(5000, [] {});
+  RunFor(fixture.io, 200);
+  caller.Send(MakeKeepAliveRequest("POST /s/", "second"));
+  RunFor(fixture.io, 50);
+  stream->Write(kLastChunk);
+  EXPECT_TRUE(caller.AwaitText("id: 2"), "expected the second response, got " + caller.received());
+}
+
 // Guards against requests whose heads are refused as late, though the rest of them has arrived and
 // only was not read.
 TEST(UnreadRequests, AreNotRefusedAsLate) {
