Gateway: an idle connection is kept as long as the newest configuration says

A caller that reused its connection within the idle timeout of the configuration in force found it closed. Cause: the timer kept the timeout of the configuration at the last response. Change: a timer that lapses asks the newest one; one that became shorter applies from the next response.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -343,6 +343,8 @@
   // It is this process that was late.
   if (HasUnread()) return ArmTimer(kReadFirstMs);
   if (parser_) return OnRequestTimer();
+  const DurationMs quiet = MonotonicMs() - last_activity_at_;
+  if (quiet < IdleTimeout()) return ArmTimer(IdleTimeout() - quiet);
   CloseIdle();
 }
 
--- a/test/unread_requests_test.cc
+++ b/test/unread_requests_test.cc
@@ -151,4 +151,15 @@
   EXPECT_NUMBER(kManyCallers, answered, "requests with an answer or a refusal");
 }
 
+// Guards against a connection that is closed by the idle timeout of an older configuration, which
+// was shorter.
+TEST(UnreadRequests, ArriveWithinTheIdleTimeoutOfTheNewestConfiguration) {
+  KeptConnections test(1);
+  test.fixture.limits.idle_timeout_ms = 10 * kIdleMs;
+  test.fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")}, 2);
+  RunFor(test.fixture.io, 2 * kIdleMs);
+  test.callers[0]->Send(MakeKeepAliveRequest("POST /a/", "second"));
+  test.ExpectAnswers();
+}
+
 }  // namespace junctionrail
