HTTP server: a stop answers requests that wait in their sockets

Clients of the product's own HTTP interface had their connection closed by a stop over a request that had arrived, or of which a part had been read. Change: a stop looks at the parser and at the socket, and closes such a connection after the answer. Measured: UnreadRequests.AreAnsweredBy- AServerThatStops failed before (no answer), passes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -90,8 +90,9 @@
         [self = shared_from_this()](beast::error_code ec, std::size_t) { self->OnRead(ec); });
   }
 
+  // A request that is being received, or waits in the socket, is still answered.
   void CloseIfIdle() {
-    if (is_idle_ && buffer_.size() == 0) Close();
+    if (is_idle_ && !HasInput()) Close();
   }
 
   void Whole(std::uint64_t request, unsigned status, std::vector<HttpHeader> headers,
@@ -170,6 +171,14 @@
     std::uint64_t request_;
   };
 
+  bool HasInput() {
+    if (buffer_.size() > 0 || parser_->got_some()) return true;
+    char byte = 0;
+    beast::error_code ec;
+    stream_.socket().non_blocking(true, ec);
+    return stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec) > 0;
+  }
+
   bool IsCurrent(std::uint64_t request) const {
     return request == request_ && !is_answered_ && !is_closed_;
   }
--- a/test/unread_requests_test.cc
+++ b/test/unread_requests_test.cc
@@ -2,6 +2,7 @@
 // connection is about to be closed.
 #include <unistd.h>
 
+#include <boost/asio/io_context.hpp>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "check.h"
 #include "gateway_fixture.h"
 #include "junctionrail/gateway.h"
+#include "junctionrail/net.h"
 #include "loopback.h"
 
 namespace junctionrail {
@@ -162,4 +164,33 @@
   test.ExpectAnswers();
 }
 
+// Guards against a request to a server of ours that is dropped by its stop, as it has not been read
+// or not been read whole.
+TEST(UnreadRequests, AreAnsweredByAServerThatStops) {
+  boost::asio::io_context io;
+  HttpServerOptions options;
+  options.endpoint = {"127.0.0.1", 0};
+  HttpServer server(io, options, [](const HttpRequest&, std::shared_ptr<HttpResponder> responder) {
+    responder->Whole(200, {}, "hello");
+  });
+  const std::uint16_t port = server.Listen().value();
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  TestCaller unread(io, port);
+  TestCaller half_read(io, port);
+  for (TestCaller* it : {&unread, &half_read}) {
+    it->Send(request);
+    EXPECT_TRUE(it->AwaitText("hello"), "the first answer");
+    it->Forget();
+  }
+  half_read.Send(request.substr(0, 10));
+  RunFor(io, 20);
+  unread.Send(request);
+  server.Stop();
+  half_read.Send(request.substr(10));
+  for (TestCaller* it : {&unread, &half_read}) {
+    EXPECT_TRUE(it->AwaitText("hello"), "expected an answer, got " + it->received());
+    EXPECT_TRUE(Contains(it->received(), "Connection: close"), it->received());
+  }
+}
+
 }  // namespace junctionrail
