--- a/test/unread_requests_test.cc
+++ b/test/unread_requests_test.cc
@@ -29,8 +29,8 @@
 using Fixture = testing::GatewayFixture;
 using Peer = std::shared_ptr<testing::UpstreamPeer>;
 
-constexpr int kIdleMs = 100;
-constexpr int kAwayMs = 200;
+constexpr DurationMs kIdleMs = 100;
+constexpr DurationMs kAwayMs = 200;
 // More than the event loop takes from the kernel in one turn, 128: it runs timers before it has
 // seen the rest.
 constexpr int kManyCallers = 200;
