--- a/test/silent_upstreams_test.cc
+++ b/test/silent_upstreams_test.cc
@@ -38,7 +38,8 @@
 constexpr DurationMs kPauseTargetMs = 40;
 constexpr DurationMs kSilenceMs = 100;
 constexpr DurationMs kUpstreamSilenceMs = 400;
-constexpr DurationMs kAwayMs = 300;
+// Of a process that is away; longer than the set-up of many callers takes.
+constexpr DurationMs kAwayMs = 1500;
 // More than the event loop takes from the kernel in one turn, 128: it runs timers before it has
 // seen the rest.
 constexpr int kManyCallers = 200;
@@ -210,7 +211,7 @@
 TEST(SilentUpstreams, AreNotThoseThatThisProcessDidNotReadFrom) {
   Route route = MakeRoute("/s/", RequestKind::kStreaming, "engine");
   route.is_resumable = true;
-  route.stream_gap_target_ms = kPauseTargetMs;
+  route.stream_gap_target_ms = kAwayMs / 4;
   ManyRequests test(route, "POST /s/",
                     [](const Peer& peer) { peer->Write(EventStreamHead() + EventChunk(1)); });
   for (const auto& it : test.callers) EXPECT_TRUE(it->AwaitText("id: 1"), "the stream begins");
@@ -223,7 +224,7 @@
 // process only was late.
 TEST(SilentUpstreams, AreNotThoseWhoseResponseWaitsAtTheDeadline) {
   Route route = MakeRoute("/a/", RequestKind::kNonIdempotent, "plain");
-  route.timeout_ms = kAwayMs / 2;
+  route.timeout_ms = kAwayMs;
   ManyRequests test(route, "POST /a/", [](const Peer&) {});
   test.WriteDuringStandstill(OkResponse("hello"));
   EXPECT_NUMBER(kManyCallers, test.CountWhole("hello"), "responses");
--- a/test/unread_requests_test.cc
+++ b/test/unread_requests_test.cc
@@ -29,8 +29,9 @@
 using Fixture = testing::GatewayFixture;
 using Peer = std::shared_ptr<testing::UpstreamPeer>;
 
-constexpr DurationMs kIdleMs = 100;
-constexpr DurationMs kAwayMs = 200;
+// Longer than the set-up of many callers takes.
+constexpr DurationMs kIdleMs = 1000;
+constexpr DurationMs kAwayMs = 1500;
 // More than the event loop takes from the kernel in one turn, 128: it runs timers before it has
 // seen the rest.
 constexpr int kManyCallers = 200;
