Gateway: only progress of the response decides between two attempts

Callers got a 502, a 500 or a cut stream while the other, sound upstream was at work; and bytes that are no answer (interim responses, a stream without an event), which may come without end, kept a request at their upstream. Cause: any bytes counted as the upstream's going on; a head alone dropped the silent attempt; a second silent attempt was cancelled before a third had begun, and an upstream whose attempt was cancelled for the silent one was never tried again. Change: a silent attempt becomes the current one by a sealed head, a whole event or a framed end; refusals and failures leave the others at work. Several silent attempts are kept, until an event of another one or for 300 ms after its head, so that no two stay at work on one request. Unread bytes put the silence timeout off once; bytes that end no event do not.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -36,6 +36,7 @@
   bool is_event_stream = false;
   bool is_ended_by_close = false;  // The response ended with its connection.
   bool is_paused = false;          // Not read from, as the caller is slow.
+  bool was_read_first = false;     // At the end of its silence timeout, unread bytes were read.
   // Received after the last complete event; kept here while another attempt is under way.
   std::string partial_event;
 };
--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -33,6 +33,10 @@
 
 }  // namespace
 
+bool EventStreamReader::HoldsWholeEvent(std::string_view bytes) {
+  return EndOfEvent(bytes) != std::string_view::npos;
+}
+
 std::string EventStreamReader::Feed(std::string_view data) {
   partial_event_ += data;
   std::string whole;
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -22,6 +22,9 @@
   std::string TakePartialEvent() { return std::exchange(partial_event_, {}); }
   void RestorePartialEvent(std::string bytes) { partial_event_ = std::move(bytes); }
 
+  // Whether the bytes hold the end of an event.
+  static bool HoldsWholeEvent(std::string_view bytes);
+
   // Bytes received after the last complete event.
   const std::string& partial_event() const { return partial_event_; }
   // The id of the last complete event that had one; empty if none had.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -18,7 +18,7 @@
 constexpr DurationMs kNoAgentWaitMs = 1200;
 constexpr DurationMs kDefaultRetryAfterMs = 500;
 // For a response that arrived before the deadline.
-constexpr DurationMs kReadPastDeadlineMs = 20;
+constexpr DurationMs kReadStepMs = 20;
 // Places change when operators change them, or when upstreams start there.
 constexpr DurationMs kPlaceRetryAfterMs = 2000;
 // A concurrent attempt of the same suspected request is over within this time: the wait for its
@@ -53,7 +53,7 @@
 
 Exchange::~Exchange() {
   gateway_.crash_detector.OnAttemptOver(attempt_.instance, this);
-  if (silent_) gateway_.crash_detector.OnAttemptOver(silent_->instance, this);
+  for (const auto& it : silent_) gateway_.crash_detector.OnAttemptOver(it.instance, this);
 }
 
 void Exchange::Start() {
@@ -383,7 +383,11 @@
 }
 
 void Exchange::OnFailed(int number, UpstreamFailure failure, std::string_view reason) {
-  if (silent_ && number == silent_->number) return OnSilentFailed(failure, reason);
+  Attempt* silent = FindSilent(number);
+  if (silent != nullptr) {
+    const Execution ran = RecordFailure(silent, failure);
+    return OnSilentFailed(silent, AttemptOutcome::kFailed, ran, reason);
+  }
   if (!IsCurrent(number)) return;
   const Execution ran = RecordFailure(&attempt_, failure);
   AfterAttempt(ran, ran == Execution::kMayHaveRun, reason);
@@ -426,7 +430,7 @@
   LogAttempt(attempt_, ran, reason);
   if (TryRetry(ran, was_sent)) return;
   // May be tried again if the silent upstream stays silent.
-  if (silent_ && ran == Execution::kNotRun && !tried_instances_.empty() &&
+  if (!silent_.empty() && ran == Execution::kNotRun && !tried_instances_.empty() &&
       tried_instances_.back() == attempt_.instance) {
     tried_instances_.pop_back();
   }
@@ -466,7 +470,7 @@
     const PickResult choice = ChooseUpstream(now);
     if (std::holds_alternative<NoUpstream>(choice)) return false;
     // Once events were delivered, or while another attempt is kept, there is no wait for a load.
-    const bool may_wait = !is_response_begun_ && !silent_;
+    const bool may_wait = !is_response_begun_ && silent_.empty();
     if (!may_wait && !std::holds_alternative<SendTo>(choice)) return false;
     if (!TakeRetryFromBudget(now)) return false;
   }
@@ -498,9 +502,8 @@
 
 void Exchange::CancelAttempts(AttemptOutcome end) {
   CancelAttempt(&attempt_, end);
-  if (!silent_) return;
-  CancelAttempt(&*silent_, end);
-  silent_.reset();
+  for (auto& it : silent_) CancelAttempt(&it, end);
+  silent_.clear();
 }
 
 void Exchange::OnCallerDisconnected() {
@@ -512,7 +515,7 @@
 void Exchange::OnCallerWritable() {
   if (!attempt_.call || !attempt_.is_paused) return;
   attempt_.is_paused = false;
-  attempt_.last_activity_at = MonotonicMs();
+  OnProgress();
   attempt_.call->Pause(false);
   ArmTimer();
 }
@@ -532,6 +535,7 @@
   if (is_waiting_for_model_) due = std::min(due, wait_deadline_at_);
   const DurationMs silence = SilenceTimeout();
   if (silence > 0) due = std::min(due, attempt_.last_activity_at + silence);
+  if (drop_silent_at_ > 0) due = std::min(due, drop_silent_at_);
   ArmTimer(std::max<DurationMs>(0, due - MonotonicMs()));
 }
 
@@ -553,6 +557,7 @@
     return Refuse(kUnavailable, "model_not_loaded", "the model was not loaded in time",
                   Execution::kNotRun, kDefaultRetryAfterMs);
   }
+  if (drop_silent_at_ > 0 && now >= drop_silent_at_) DropSilent();
   const DurationMs silence = SilenceTimeout();
   if (silence > 0 && now - attempt_.last_activity_at >= silence) return OnSilence(now);
   ArmTimer();
@@ -560,9 +565,9 @@
 
 // A response that this process was too late to read is read once more.
 void Exchange::OnDeadline() {
-  if (!std::exchange(has_read_past_deadline_, true) && HasUnreadResponse()) {
-    return ArmTimer(kReadPastDeadlineMs);
-  }
+  const bool is_first_look = read_until_ == 0;
+  read_until_ = MonotonicMs();
+  if (is_first_look && HasUnreadResponse()) return ArmTimer(kReadStepMs);
   CancelAttempts(AttemptOutcome::kTimedOut);
   GiveUp(ExecutionSoFar(), "no response before the deadline");
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -151,17 +151,27 @@
   void SendRequest(const std::string& instance);
   void WaitForModel(const WaitFor& wait);
   std::string BuildRequestHead(const UpstreamRecord& upstream) const;
+  // Whether the upstream states that it did not run the request.
+  bool IsRefusal(const UpstreamHead& head) const;
+  bool IsUnsealedSuccess(const UpstreamHead& head) const;
   void OnUpstreamRefusal(const UpstreamHead& head);
   void AfterAttempt(Execution ran, bool was_sent, std::string_view reason);
   bool TryRetry(Execution ran, bool was_sent);
   bool TakeRetryFromBudget(TimeMs now);
   void LogAttempt(const Attempt& attempt, Execution ran, std::string_view reason) const;
   Execution RecordFailure(Attempt* attempt, UpstreamFailure failure);
-  bool IsCurrent(int number);
+  bool IsCurrent(int number) const { return number == attempt_.number && attempt_.is_open; }
   void TryBeside();
+  Attempt* FindSilent(int number);
+  void GoOnWith(Attempt* silent, std::string_view reason);
   bool GoOnWithSilent(std::string_view reason);
   void DropSilent();
-  void OnSilentFailed(UpstreamFailure failure, std::string_view reason);
+  Attempt TakeSilent(Attempt* silent);
+  void OnSilentHead(Attempt* silent, UpstreamHead head);
+  void OnSilentBody(Attempt* silent, std::string_view data);
+  void OnSilentEnd(Attempt* silent, ResponseEnd end);
+  void OnSilentFailed(Attempt* silent, AttemptOutcome end, Execution ran, std::string_view reason);
+  void OnProgress();
   bool HasUnreadResponse() const;
   bool HasUnrunAttemptsLeft() const;
   void RetryElsewhere();
@@ -212,9 +222,11 @@
   boost::asio::steady_timer timer_;
 
   Attempt attempt_;  // The last one.
-  // The one before, if its upstream fell silent. It is kept until the last one is answered, as the
-  // upstream may go on.
-  std::optional<Attempt> silent_;
+  // Earlier ones whose upstreams fell silent, in their order. They are kept until another one is
+  // answered, as their upstreams may go on.
+  std::vector<Attempt> silent_;
+  // By then they are dropped, as another one has begun to be answered; 0: that is not so.
+  TimeMs drop_silent_at_ = 0;
   int attempts_begun_ = 0;
   // Where the stream began, once its first event has arrived or if the request resumes it.
   std::optional<StreamOrigin> origin_;
@@ -233,7 +245,7 @@
   // Until an upstream accepts requests again, if none did at the last choice; 0: unknown.
   DurationMs upstream_opens_in_ms_ = 0;
   bool is_waiting_for_model_ = false;
-  bool has_read_past_deadline_ = false;
+  TimeMs read_until_ = 0;  // A response that arrived before the deadline is read until then.
 
   EventStreamReader events_;
   bool is_response_begun_ = false;  // Its head was sent to the caller.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -15,6 +15,9 @@
 // Within a region a port responds within a few milliseconds.
 constexpr DurationMs kConfirmEndMs = 400;
 
+// How long a silent attempt is kept once another one has begun to be answered.
+constexpr DurationMs kBothAtWorkMs = 300;
+
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirectedRequest = 421;
 constexpr unsigned kTooManyRequests = 429;
@@ -31,30 +34,38 @@
 
 }  // namespace
 
+bool Exchange::IsRefusal(const UpstreamHead& head) const {
+  const std::string& not_run = gateway_.options.header_names.not_run;
+  return FindField(head.fields, not_run) != nullptr || head.status == kMisdirectedRequest;
+}
+
+bool Exchange::IsUnsealedSuccess(const UpstreamHead& head) const {
+  const std::string& proof = gateway_.options.header_names.proof;
+  return head.status / 100 == 2 && FindField(head.fields, proof) == nullptr;
+}
+
 void Exchange::OnHead(int number, UpstreamHead head) {
+  Attempt* silent = FindSilent(number);
+  if (silent != nullptr) return OnSilentHead(silent, std::move(head));
   if (!IsCurrent(number)) return;
-  attempt_.last_activity_at = MonotonicMs();
+  OnProgress();
   gateway_.upstreams.OnResponseData(attempt_.instance, attempt_.last_activity_at);
   gateway_.crash_detector.OnDataReceived(attempt_.instance, attempt_.last_activity_at);
   // A 421 may come from another instance at the same address.
   if (head.status != kMisdirectedRequest)
     gateway_.OnUpstreamResponse(attempt_.instance, head, attempt_.started_at);
-  const HttpHeaderNames& names = gateway_.options.header_names;
   const bool is_success = head.status / 100 == 2;
   const std::string* type = FindField(head.fields, "Content-Type");
   attempt_.is_event_stream = is_success && route_->kind == RequestKind::kStreaming &&
                              (type == nullptr || type->find("event-stream") != std::string::npos);
-  const bool is_not_run =
-      FindField(head.fields, names.not_run) != nullptr || head.status == kMisdirectedRequest;
   attempt_.response_head = std::move(head);
-  if (is_not_run) return OnUpstreamRefusal(*attempt_.response_head);
-  const bool is_sealed = FindField(attempt_.response_head->fields, names.proof) != nullptr;
-  if (is_success && !is_sealed) {
+  if (IsRefusal(*attempt_.response_head)) return OnUpstreamRefusal(*attempt_.response_head);
+  if (IsUnsealedSuccess(*attempt_.response_head)) {
     attempt_.call->Cancel();
     EndAttempt(&attempt_, AttemptOutcome::kFailed);
     return AfterAttempt(Execution::kMayHaveRun, true, "the response has no proof header");
   }
-  if (is_success) DropSilent();
+  if (is_success && !silent_.empty()) drop_silent_at_ = MonotonicMs() + kBothAtWorkMs;
   ArmTimer();
 }
 
@@ -90,11 +101,14 @@
 }
 
 void Exchange::OnBody(int number, std::string_view data) {
+  Attempt* silent = FindSilent(number);
+  if (silent != nullptr) return OnSilentBody(silent, data);
   if (!IsCurrent(number)) return;
-  attempt_.last_activity_at = MonotonicMs();
   if (attempt_.is_event_stream) {
     const std::string whole = events_.Feed(data);
     if (whole.empty()) return;
+    OnProgress();
+    DropSilent();
     const auto sink = sink_.lock();
     if (!sink) return;
     RecordEventPause();
@@ -109,6 +123,7 @@
     if (attempt_.is_paused) attempt_.call->Pause(true);
     return;
   }
+  OnProgress();
   attempt_.response_body += data;
 }
 
@@ -140,6 +155,8 @@
 }
 
 void Exchange::OnEnd(int number, ResponseEnd end) {
+  Attempt* silent = FindSilent(number);
+  if (silent != nullptr) return OnSilentEnd(silent, end);
   if (!IsCurrent(number)) return;
   attempt_.call = nullptr;
   attempt_.is_ended_by_close = end == ResponseEnd::kClosed;
--- a/src/gateway/exchange_quarantine.cc
+++ b/src/gateway/exchange_quarantine.cc
@@ -83,7 +83,7 @@
 void Exchange::RefuseQuarantined() {
   ++gateway_.counters.quarantine_refusals;
   constexpr char kReason[] = "upstreams that run this request crash; it is not sent to another one";
-  if (is_response_begun_ || silent_) return GiveUp(Execution::kMayHaveRun, kReason);
+  if (is_response_begun_ || !silent_.empty()) return GiveUp(Execution::kMayHaveRun, kReason);
   const bool may_have_run = ExecutionSoFar() == Execution::kMayHaveRun;
   Refuse(may_have_run ? kBadGateway : kUnavailable, "ends_upstreams", kReason, ExecutionSoFar(), 0);
 }
--- a/src/gateway/exchange_silence.cc
+++ b/src/gateway/exchange_silence.cc
@@ -15,6 +15,10 @@
 constexpr DurationMs kMinSilenceMs = 150;
 // The silence timeout within a resumable stream, as a multiple of the target for its pauses.
 constexpr double kSilencePauseFactor = 2.5;
+// A timer that finds an unread response lets it be read within this time.
+constexpr DurationMs kReadFirstMs = 20;
+
+constexpr unsigned kServerError = 500;
 
 }  // namespace
 
@@ -36,9 +40,10 @@
 // Tries another upstream if one can take the request and the retry budget allows it; otherwise the
 // wait goes on.
 void Exchange::OnSilence(TimeMs now) {
+  // It may be this process that was away; bytes that are no answer may also come without end.
+  const bool was_read = std::exchange(attempt_.was_read_first, true);
+  if (!was_read && HasUnreadResponse()) return ArmTimer(kReadFirstMs);
   attempt_.last_activity_at = now;
-  // It is this process that was away.
-  if (HasUnreadResponse()) return ArmTimer();
   const PickResult choice = ChooseUpstream(now);
   const auto* to = std::get_if<SendTo>(&choice);
   // If the upstream has a rate limit, that may be used up.
@@ -47,32 +52,48 @@
   ArmTimer();
 }
 
+// The upstream of the current attempt has sent something of the response.
+void Exchange::OnProgress() {
+  attempt_.last_activity_at = MonotonicMs();
+  attempt_.was_read_first = false;
+}
+
 bool Exchange::HasUnreadResponse() const {
-  const bool is_unread = attempt_.call && attempt_.call->HasUnread();
-  return is_unread || (silent_ && silent_->call && silent_->call->HasUnread());
+  const auto has_unread = [](const Attempt& it) { return it.call && it.call->HasUnread(); };
+  return has_unread(attempt_) || std::any_of(silent_.begin(), silent_.end(), has_unread);
 }
 
-// Tries another upstream beside the silent one. Of two that are silent, the first is kept, which
-// may have begun the response.
+// Tries another upstream beside the silent one.
 void Exchange::TryBeside() {
-  if (silent_) {
-    CancelAttempt(&attempt_, AttemptOutcome::kTimedOut);
-    LogAttempt(attempt_, Execution::kMayHaveRun, "silent");
-  } else {
-    attempt_.partial_event = events_.TakePartialEvent();
-    silent_ = std::exchange(attempt_, Attempt());
-  }
+  attempt_.partial_event = events_.TakePartialEvent();
+  silent_.push_back(std::exchange(attempt_, Attempt()));
+  drop_silent_at_ = 0;
   RetryElsewhere();
 }
 
-// Goes on with the attempt that was kept, if there is one; the other one has come to nothing.
-bool Exchange::GoOnWithSilent(std::string_view reason) {
-  if (!silent_) return false;
+Attempt* Exchange::FindSilent(int number) {
+  const auto it = std::find_if(silent_.begin(), silent_.end(),
+                               [number](const Attempt& a) { return a.number == number; });
+  return it == silent_.end() ? nullptr : &*it;
+}
+
+Attempt Exchange::TakeSilent(Attempt* silent) {
+  Attempt attempt = std::move(*silent);
+  silent_.erase(silent_.begin() + (silent - silent_.data()));
+  return attempt;
+}
+
+// The silent attempt becomes the current one again.
+void Exchange::GoOnWith(Attempt* silent, std::string_view reason) {
   const TimeMs now = MonotonicMs();
-  CancelAttempt(&attempt_, AttemptOutcome::kCallerLeft);
+  if (attempt_.is_open) {
+    CancelAttempt(&attempt_, AttemptOutcome::kCallerLeft);
+    // It did not fail there, and may be tried there again.
+    const auto it = std::find(tried_instances_.begin(), tried_instances_.end(), attempt_.instance);
+    if (it != tried_instances_.end()) tried_instances_.erase(it);
+  }
   CancelPendingSend();
-  attempt_ = std::move(*silent_);
-  silent_.reset();
+  attempt_ = TakeSilent(silent);
   events_.RestorePartialEvent(std::exchange(attempt_.partial_event, {}));
   gateway_.log.Write(now, "attempt_kept",
                      {{"request", request_id_},
@@ -80,35 +101,78 @@
                       {"reason", reason},
                       {"kept_ms", now - attempt_.last_activity_at},
                       {"left_ms", deadline_at_ - now}});
-  attempt_.last_activity_at = now;
+  drop_silent_at_ = 0;
+  OnProgress();
   ArmTimer();
+}
+
+// Goes on with the first attempt that was kept, if there is one, as the current one has come to
+// nothing. The first may have begun the response.
+bool Exchange::GoOnWithSilent(std::string_view reason) {
+  if (silent_.empty()) return false;
+  GoOnWith(&silent_.front(), reason);
   return true;
 }
 
-// The other attempt is answered: no two upstreams may be at work on the request.
+// Another attempt is answered: no two upstreams may stay at work on the request.
 void Exchange::DropSilent() {
-  if (!silent_) return;
-  CancelAttempt(&*silent_, AttemptOutcome::kTimedOut);
-  LogAttempt(*silent_, Execution::kMayHaveRun, "silent");
-  silent_.reset();
+  for (auto& it : silent_) {
+    CancelAttempt(&it, AttemptOutcome::kTimedOut);
+    LogAttempt(it, Execution::kMayHaveRun, "silent");
+  }
+  silent_.clear();
+  drop_silent_at_ = 0;
 }
 
-void Exchange::OnSilentFailed(UpstreamFailure failure, std::string_view reason) {
-  Attempt attempt = std::move(*silent_);
-  silent_.reset();
-  const Execution ran = RecordFailure(&attempt, failure);
-  LogAttempt(attempt, ran, reason);
+// A refusal or a failure of the silent upstream leaves the others at work.
+void Exchange::OnSilentHead(Attempt* silent, UpstreamHead head) {
+  const bool is_not_run = IsRefusal(head);
+  const bool is_failure = head.status >= kServerError || IsUnsealedSuccess(head);
+  if (!is_not_run && !is_failure) {
+    GoOnWith(silent, "it goes on");
+    return OnHead(attempt_.number, std::move(head));
+  }
+  const std::string reason = "status " + std::to_string(head.status);
+  silent->call->Cancel();
+  if (is_not_run) --possibly_run_attempts_;
+  OnSilentFailed(silent, is_not_run ? AttemptOutcome::kRefused : AttemptOutcome::kFailed,
+                 is_not_run ? Execution::kNotRun : Execution::kMayHaveRun, reason);
+}
+
+// Bytes that end no event do not show that the stream goes on.
+void Exchange::OnSilentBody(Attempt* silent, std::string_view data) {
+  if (silent->is_event_stream) {
+    silent->partial_event += data;
+    if (!EventStreamReader::HoldsWholeEvent(silent->partial_event)) return;
+    silent->partial_event.resize(silent->partial_event.size() - data.size());
+  }
+  const std::string bytes(data);
+  GoOnWith(silent, "it goes on");
+  OnBody(attempt_.number, bytes);
+}
+
+void Exchange::OnSilentEnd(Attempt* silent, ResponseEnd end) {
+  // The end of a connection may be that of the upstream.
+  const bool is_whole = end == ResponseEnd::kFramed && silent->partial_event.empty();
+  if (!is_whole) {
+    return OnSilentFailed(silent, AttemptOutcome::kFailed, Execution::kMayHaveRun,
+                          "the response ended before its end was confirmed");
+  }
+  GoOnWith(silent, "it has ended");
+  OnEnd(attempt_.number, end);
 }
 
-// Whether the callback of that attempt concerns the response. A silent attempt that is heard of
-// again becomes the current one.
-bool Exchange::IsCurrent(int number) {
-  if (silent_ && number == silent_->number) return GoOnWithSilent("it goes on");
-  return number == attempt_.number && attempt_.is_open;
+void Exchange::OnSilentFailed(Attempt* silent, AttemptOutcome end, Execution ran,
+                              std::string_view reason) {
+  Attempt attempt = TakeSilent(silent);
+  if (attempt.is_open) EndAttempt(&attempt, end);
+  LogAttempt(attempt, ran, reason);
 }
 
 const Attempt& Exchange::AttemptAt(std::string_view instance) const {
-  return silent_ && silent_->instance == instance ? *silent_ : attempt_;
+  const auto it = std::find_if(silent_.begin(), silent_.end(),
+                               [&](const Attempt& a) { return a.instance == instance; });
+  return it == silent_.end() ? attempt_ : *it;
 }
 
 }  // namespace junctionrail::internal
