Gateway: a response of several reads is read past the deadline

A response of 12 KB that had arrived before the deadline was thrown away when this process was late. Cause: one look at the socket was allowed, and bytes that the event loop had taken for a handler in its queue were not seen. Change: bytes of upstreams stay in their sockets until they are handled, as those of callers do, and are read for up to 200 ms past the deadline.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -18,7 +18,8 @@
 constexpr DurationMs kNoAgentWaitMs = 1200;
 constexpr DurationMs kDefaultRetryAfterMs = 500;
 // For a response that arrived before the deadline.
-constexpr DurationMs kReadStepMs = 20;
+constexpr DurationMs kReadPastDeadlineMs = 200;
+constexpr DurationMs kReadStepMs = 10;
 // Places change when operators change them, or when upstreams start there.
 constexpr DurationMs kPlaceRetryAfterMs = 2000;
 // A concurrent attempt of the same suspected request is over within this time: the wait for its
@@ -563,11 +564,11 @@
   ArmTimer();
 }
 
-// A response that this process was too late to read is read once more.
+// A response that this process was too late to read is read first.
 void Exchange::OnDeadline() {
-  const bool is_first_look = read_until_ == 0;
-  read_until_ = MonotonicMs();
-  if (is_first_look && HasUnreadResponse()) return ArmTimer(kReadStepMs);
+  const TimeMs now = MonotonicMs();
+  if (read_until_ == 0) read_until_ = now + kReadPastDeadlineMs;
+  if (now < read_until_ && HasUnreadResponse()) return ArmTimer(kReadStepMs);
   CancelAttempts(AttemptOutcome::kTimedOut);
   GiveUp(ExecutionSoFar(), "no response before the deadline");
 }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -191,19 +191,23 @@
     Read();
   }
 
+  // Bytes stay in the socket until they are handled, so that HasUnread() tells of all of them.
   void Read() {
     if (is_reading_ || is_paused_) return;
     is_reading_ = true;
-    socket_.async_read_some(
-        reader_.Prepare(kReadBytes),
-        [self = shared_from_this(), use = generation_](error_code ec, std::size_t n) {
-          self->is_reading_ = false;
-          if (!self->IsCurrent(use)) return;
-          self->OnRead(ec, n);
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(), use = generation_](error_code ec) {
+                         self->is_reading_ = false;
+                         if (!self->IsCurrent(use) || self->is_paused_) return;
+                         if (ec) return self->Fail(UpstreamFailure::kBroken, ec.message());
+                         self->OnReadable();
+                       });
   }
 
-  void OnRead(error_code ec, std::size_t n) {
+  void OnReadable() {
+    error_code ec;
+    const std::size_t n = socket_.read_some(reader_.Prepare(kReadBytes), ec);
+    if (ec == asio::error::would_block) return Read();
     reader_.Commit(n);
     Traffic().bytes_received += n;
     if (ec == asio::error::eof) return Handle(reader_.OnClosed());
--- a/test/kept_attempts_test.cc
+++ b/test/kept_attempts_test.cc
@@ -232,4 +232,36 @@
   EXPECT_NUMBER(1, attempts, "attempts at the other upstream");
 }
 
+TEST_GROUP(ArrivedBytes){};
+
+// Guards against responses that are thrown away at the deadline, though they have arrived, as they
+// take more than one read.
+TEST(ArrivedBytes, ALongResponseThatWaitsAtTheDeadlineIsRead) {
+  constexpr std::size_t kBodyBytes = 12 << 10;  // Two reads.
+  constexpr int kTimeoutMs = 1500;  // Long, so that a busy machine sends all requests in time.
+  Route route = MakeRoute("/a/", RequestKind::kNonIdempotent, "plain");
+  route.timeout_ms = kTimeoutMs;
+  Fixture fixture;
+  std::vector<Peer> peers;
+  fixture.max_connections = 100 * kManyCallers;
+  for (const char* name : {"u1", "u2"}) {
+    fixture.AddUpstream(name, "plain",
+                        [&](const SeenRequest&, const Peer& peer) { peers.push_back(peer); });
+  }
+  fixture.Configure({route});
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < kManyCallers; ++i) {
+    callers.push_back(std::make_unique<TestCaller>(fixture.io, fixture.port));
+    callers.back()->Send(MakeRequest("POST /a/"));
+  }
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return peers.size() == callers.size(); }),
+              "each request is at an upstream");
+  for (const auto& it : callers) EXPECT_TEXT("", it->received(), "received before the standstill");
+  usleep(kTimeoutMs * 1000);
+  for (const auto& it : peers) it->Write(OkResponse(std::string(kBodyBytes, 'x') + "end"));
+  int whole = 0;
+  for (const auto& it : callers) whole += it->AwaitText("xend") ? 1 : 0;
+  EXPECT_NUMBER(kManyCallers, whole, "responses");
+}
+
 }  // namespace junctionrail
