Gateway: a stop accepts what the kernel has accepted before it closes

Callers whose connections waited to be accepted were reset by a stop, with whole requests in them. Cause: one connection is accepted in a turn of the event loop, and closing the acceptor resets the others. Change: a stop accepts them all first. Measured: ArrivedBytes.ConnectionsThatWaitToBeAcceptedAreServedByAStop had 2 of 20 requests answered on, and 20 now.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -116,16 +116,32 @@
       // Out of file descriptors, or the connection was closed before it was accepted.
       self->log.Write(MonotonicMs(), "accept_failed", {{"reason", ec.message()}});
     } else {
-      ++self->counters.connections;
-      auto connection = std::make_shared<internal::CallerConnection>(*self, std::move(socket));
-      self->connections.insert(connection);
-      connection->Start();
-      if (self->is_stopping) connection->Drain(false);
+      self->AddConnection(std::move(socket));
     }
     self->Accept();
   });
 }
 
+void Gateway::Impl::AddConnection(tcp::socket socket) {
+  ++counters.connections;
+  auto connection = std::make_shared<internal::CallerConnection>(*this, std::move(socket));
+  connections.insert(connection);
+  connection->Start();
+  if (is_stopping) connection->Drain(false);
+}
+
+// Closing the acceptor would reset connections that the kernel has accepted already.
+void Gateway::Impl::StopAccepting() {
+  if (!acceptor.is_open()) return;
+  error_code ec;
+  acceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket = acceptor.accept(ec);
+    if (!ec) AddConnection(std::move(socket));
+  }
+  acceptor.close(ec);
+}
+
 void Gateway::Impl::Tick() {
   tick_timer.expires_after(std::chrono::milliseconds(is_stopping ? kStopTickMs : kTickMs));
   tick_timer.async_wait([self = shared_from_this()](error_code ec) {
@@ -184,8 +200,7 @@
 void Gateway::Impl::ContinueStop() {
   const TimeMs now = MonotonicMs();
   if (now - stop_started_at < options.balancer_delay_ms && now < stop_deadline) return;
-  error_code ec;
-  acceptor.close(ec);
+  StopAccepting();
   const bool is_late = now >= stop_deadline;
   const auto all = connections;
   for (const auto& it : all) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -30,6 +30,8 @@
   Result<std::uint16_t, NetError> Listen();
   void Stop(DurationMs most_ms, std::function<void()> done);
   void Accept();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
+  void StopAccepting();
   void Tick();
   void ContinueStop();
 
--- a/test/kept_attempts_test.cc
+++ b/test/kept_attempts_test.cc
@@ -264,4 +264,27 @@
   EXPECT_NUMBER(kManyCallers, whole, "responses");
 }
 
+// Guards against requests on connections that the kernel has accepted, and that a stop resets as
+// this process was away.
+TEST(ArrivedBytes, ConnectionsThatWaitToBeAcceptedAreServedByAStop) {
+  constexpr int kWaiting = 20;
+  GatewayOptions options;
+  options.balancer_delay_ms = kAwayMs / 2;
+  Fixture fixture(options);
+  fixture.AddUpstream("u1", "plain", [](const SeenRequest& request, const Peer& peer) {
+    peer->Write(OkResponse("hello", request.Field("Junctionrail-Request-Id")));
+  });
+  fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")});
+  fixture.gateway->Stop(5000, [] {});
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < kWaiting; ++i) {
+    callers.push_back(std::make_unique<TestCaller>(fixture.io, fixture.port));
+    callers.back()->Send(MakeRequest("POST /a/"));
+  }
+  usleep(kAwayMs * 1000);
+  int answered = 0;
+  for (const auto& it : callers) answered += it->AwaitText("HTTP/1.1 ") ? 1 : 0;
+  EXPECT_NUMBER(kWaiting, answered, "requests with an answer or a refusal");
+}
+
 }  // namespace junctionrail
