Gateway: a request that crosses an unannounced close is not read

In a stop, a request that crossed the close after a response without Connection: close was read and dropped, so that it was unknown to its caller whether it had run. Cause: such a close waited for the caller's in the way of one that had been announced, which reads. Change: the stop's next look closes the connection as an idle one.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -233,8 +233,7 @@
 void CallerConnection::FinishResponse(bool must_close) {
   exchange_.reset();
   last_activity_at_ = MonotonicMs();
-  // A request behind one whose response announced no close is still served.
-  if (must_close || (closes_after_response_ && !HasInput())) {
+  if (must_close) {
     is_last_response_done_ = true;
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
@@ -309,11 +308,10 @@
                      {{"bytes", static_cast<std::int64_t>(dropped_bytes_)}});
 }
 
-void CallerConnection::Drain(bool closes_after_response) {
+void CallerConnection::Drain(bool closes_idle) {
   is_draining_ = true;
-  closes_after_response_ = closes_after_response;
   // A request that is being received, or waits to be read, is still served.
-  if (closes_after_response && IsIdle() && !HasInput() && !is_last_response_done_) CloseIdle();
+  if (closes_idle && IsIdle() && !HasInput() && !is_last_response_done_) CloseIdle();
 }
 
 void CallerConnection::ForceClose() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -22,9 +22,9 @@
   CallerConnection(Gateway::Impl& gateway, boost::asio::ip::tcp::socket socket);
 
   void Start();
-  // Closes the connection after its next response. With `closes_after_response` it closes at once
-  // if no request is in flight, and after a response whether or not that announced the close.
-  void Drain(bool closes_after_response);
+  // The next response announces the close and is the last one. With `closes_idle`, the connection
+  // is closed now if no request is in flight or on its way.
+  void Drain(bool closes_idle);
   // Closes now; a request in flight fails.
   void ForceClose();
   // The VM has resumed from a suspension.
@@ -81,7 +81,6 @@
   bool is_keep_alive_ = true;
   bool is_head_method_ = false;
   bool is_draining_ = false;
-  bool closes_after_response_ = false;  // Even if the response did not announce it.
   bool is_last_response_done_ = false;  // Closes once all output is written.
   bool is_lingering_ = false;
   bool is_closing_idle_ = false;   // Its last response was sent long ago.
--- a/test/kept_attempts_test.cc
+++ b/test/kept_attempts_test.cc
@@ -287,4 +287,29 @@
   EXPECT_NUMBER(kWaiting, answered, "requests with an answer or a refusal");
 }
 
+// Guards against a request that is read and thrown away as it crosses the close after a response
+// that announced none.
+TEST(ArrivedBytes, ARequestThatCrossesAnUnannouncedCloseIsNotRead) {
+  GatewayOptions options;
+  options.balancer_delay_ms = 1;
+  Fixture fixture(options);
+  Peer stream;
+  fixture.AddUpstream("u1", "engine", [&](const SeenRequest& request, const Peer& peer) {
+    peer->Write(EventStreamHead(request.Field("Junctionrail-Request-Id")) + EventChunk(1));
+    stream = peer;
+  });
+  fixture.Configure({MakeRoute("/s/", RequestKind::kStreaming, "engine")});
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeKeepAliveRequest("POST /s/", "first"));
+  EXPECT_TRUE(caller.AwaitText("id: 1"), "the stream begins");
+  bool is_stopped = false;
+  fixture.gateway->Stop(5000, [&] { is_stopped = true; });
+  RunFor(fixture.io, 200);
+  stream->Write(kLastChunk);
+  EXPECT_TRUE(caller.AwaitText(kLastChunk), "the stream ends");
+  caller.Send(MakeKeepAliveRequest("POST /s/", "second"));
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return is_stopped; }), "the stop completes");
+  EXPECT_NUMBER(0, fixture.gateway->counters().dropped_inputs, "connections with dropped input");
+}
+
 }  // namespace junctionrail
