--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -213,6 +213,7 @@
 
 void CallerConnection::Abort() {
   exchange_.reset();
+  dropped_bytes_ += buffer_.size();
   Close();
 }
 
--- a/test/kept_attempts_test.cc
+++ b/test/kept_attempts_test.cc
@@ -312,4 +312,24 @@
   EXPECT_NUMBER(0, fixture.gateway->counters().dropped_inputs, "connections with dropped input");
 }
 
+// Guards against a request that was read behind another one, and of which no line or counter tells
+// when that one's response is broken off.
+TEST(ArrivedBytes, ARequestBehindABrokenResponseIsCounted) {
+  Fixture fixture;
+  Peer stream;
+  fixture.AddUpstream("u1", "engine", [&](const SeenRequest& request, const Peer& peer) {
+    peer->Write(EventStreamHead(request.Field("Junctionrail-Request-Id")) + EventChunk(1));
+    stream = peer;
+  });
+  fixture.Configure({MakeRoute("/s/", RequestKind::kStreaming, "engine")});
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeKeepAliveRequest("POST /s/", "first"));
+  EXPECT_TRUE(caller.AwaitText("id: 1"), "the stream begins");
+  caller.Send(MakeKeepAliveRequest("POST /s/", "second"));
+  RunFor(fixture.io, 50);
+  stream->Reset();
+  EXPECT_TRUE(caller.AwaitEnd(), "the caller's connection ends");
+  EXPECT_NUMBER(1, fixture.gateway->counters().dropped_inputs, "connections with dropped input");
+}
+
 }  // namespace junctionrail
