Gateway: names that are not UTF-8 are refused at the entry

Cause: the gateway took any bytes for the name of a model, a request or a resumed stream. Change: request_fields.h says what a name may hold (UTF-8 without control characters, a model's not empty); other heads get 400 bad_model, bad_request_id or bad_resumed_request, a line request_failed, and are sent nowhere. Measured: on the code before, the four tests HostileNames that expect a refusal failed, as the requests were answered 200 by the upstream (MayBeOfAnyScript passed before and after). All five pass now.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "http_text.h"
+#include "request_fields.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -59,7 +60,9 @@
 void Exchange::Start() {
   ++gateway_.counters.requests;
   const std::string* id = FindField(request_.fields, gateway_.options.header_names.request_id);
-  if (id != nullptr) request_id_ = *id;
+  if (id != nullptr && IsName(*id)) request_id_ = *id;
+  const auto error = FindFieldError(request_.fields, gateway_.options.header_names);
+  if (error) return Refuse(kBadRequest, error->code, error->sentence, Execution::kNotRun, 0);
   if (!routes_) {
     return Refuse(kUnavailable, "no_configuration", "no configuration is known yet",
                   Execution::kNotRun, kDefaultRetryAfterMs);
