Messages: text that is not UTF-8 is refused, and throws in no writer of JSON

Cause: the reader of CBOR takes any bytes for text, and json::dump throws on what is not UTF-8. EngineCalls::Give wrote such a name to its engine out of a handler, and the agent ended by signal 6; CrashToText would have, when a crash is recorded. Change: UnpackCbor, through which all messages of links come, refuses a message with text that is not UTF-8; its callers log it (demand_malformed, quota_malformed, end_malformed, origin_malformed, relay_request_malformed and the entry's likes). Each writer of JSON that holds text of others replaces such bytes. Checked, from_cbor and sax_parse: UnpackCbor is the only user of the first. DecodeFrame still takes any bytes for text, as frames carry callers' paths and engines' content types; what is written of it to JSON is replaced. Checked, json::parse: without exceptions, or with the exception caught, in all places of src/ and platform/. .get<>() and .at() of messages stand inside UnpackCbor or Decode, which catch.

--- /dev/null
+++ b/src/base/cbor_message.cc
@@ -0,0 +1,48 @@
+#include "cbor_message.h"
+
+#include "text.h"
+
+namespace junctionrail::internal {
+namespace {
+
+using nlohmann::json;
+
+// Builds a value out of CBOR, whose reader takes any bytes for text. What holds other text is
+// refused, as no JSON that is made of it could be written.
+class MessageBuilder : public json::json_sax_t {
+ public:
+  explicit MessageBuilder(json* root) : builder_(*root, false) {}
+
+  bool null() override { return builder_.null(); }
+  bool boolean(bool value) override { return builder_.boolean(value); }
+  bool number_integer(number_integer_t value) override { return builder_.number_integer(value); }
+  bool number_unsigned(number_unsigned_t value) override { return builder_.number_unsigned(value); }
+  bool number_float(number_float_t value, const string_t& text) override {
+    return builder_.number_float(value, text);
+  }
+  bool string(string_t& value) override { return IsUtf8(value) && builder_.string(value); }
+  bool binary(binary_t& value) override { return builder_.binary(value); }
+  bool start_object(std::size_t elements) override { return builder_.start_object(elements); }
+  bool key(string_t& value) override { return IsUtf8(value) && builder_.key(value); }
+  bool end_object() override { return builder_.end_object(); }
+  bool start_array(std::size_t elements) override { return builder_.start_array(elements); }
+  bool end_array() override { return builder_.end_array(); }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  nlohmann::detail::json_sax_dom_parser<json> builder_;
+};
+
+}  // namespace
+
+json ReadCbor(std::string_view bytes) {
+  json root;
+  MessageBuilder builder(&root);
+  const bool is_whole =
+      json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor, true);
+  return is_whole ? root : json(json::value_t::discarded);
+}
+
+}  // namespace junctionrail::internal
--- a/src/base/cbor_message.h
+++ b/src/base/cbor_message.h
@@ -14,11 +14,14 @@
   return bytes;
 }
 
+// The value that the bytes encode; discarded if they are no CBOR, or hold text that is not UTF-8.
+nlohmann::json ReadCbor(std::string_view bytes);
+
 // Calls `read` with the message and returns what it does; false when the bytes are no map, or
 // a field is missing or of another type than the reader takes.
 template <class Read>
 bool UnpackCbor(std::string_view bytes, Read read) {
-  const auto message = nlohmann::json::from_cbor(bytes, true, false);
+  const auto message = ReadCbor(bytes);
   if (!message.is_object()) return false;
   try {
     return read(message);
--- a/src/daemon/engine_client.cc
+++ b/src/daemon/engine_client.cc
@@ -26,6 +26,10 @@
   return call;
 }
 
+std::string ParametersText(const json& parameters) {
+  return json{{"parameters", parameters}}.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 ReplicaState StateOf(const std::string& text) {
   if (text == "READY") return ReplicaState::kLoaded;
   if (text == "LOADING") return ReplicaState::kLoading;
@@ -111,17 +115,17 @@
                      {"memory_mb", order.memory_mb},
                      {"fencing_token", order.operation_id}};
   if (!order.base.empty()) parameters["base"] = order.base;
-  Order(order.key, "load", json{{"parameters", parameters}}.dump(), std::move(done));
+  Order(order.key, "load", ParametersText(parameters), std::move(done));
 }
 
 void EngineClient::Unload(const agent::UnloadModel& order, std::function<void(OrderResult)> done) {
   const json parameters = {{"fencing_token", order.operation_id}};
-  Order(order.key, "unload", json{{"parameters", parameters}}.dump(), std::move(done));
+  Order(order.key, "unload", ParametersText(parameters), std::move(done));
 }
 
 void EngineClient::Fence(std::int64_t token, std::function<void(bool)> done) {
   const json parameters = {{"fencing_token", token}};
-  Order(kNoModel, "unload", json{{"parameters", parameters}}.dump(),
+  Order(kNoModel, "unload", ParametersText(parameters),
         // Unloading what is not there may be refused; that the engine answered
         // at all shows that it has seen the token.
         [done = std::move(done)](const OrderResult& result) { done(result.was_answered); });
--- a/src/daemon/quota_page.cc
+++ b/src/daemon/quota_page.cc
@@ -27,7 +27,8 @@
                     {"giver", it.allocator},
                     {"is_silent", it.is_allocator_silent}});
   }
-  return nlohmann::json{{"quotas", list}, {"upstreams", upstreams}}.dump();
+  return nlohmann::json{{"quotas", list}, {"upstreams", upstreams}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/version_ledger.cc
+++ b/src/daemon/version_ledger.cc
@@ -20,7 +20,7 @@
 std::string KeyOf(const std::string& service) { return std::string(kPrefix) + service; }
 
 std::string ToText(const VersionLedger::Versions& versions) {
-  return json{{"versions", versions}}.dump();
+  return json{{"versions", versions}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 // Returns nullopt if the text is malformed.
--- a/src/quarantine/crash_messages.cc
+++ b/src/quarantine/crash_messages.cc
@@ -93,7 +93,9 @@
   });
 }
 
-std::string CrashToText(const UpstreamCrash& crash) { return ToJson(crash).dump(); }
+std::string CrashToText(const UpstreamCrash& crash) {
+  return ToJson(crash).dump(-1, ' ', false, json::error_handler_t::replace);
+}
 
 bool CrashFromText(std::string_view text, UpstreamCrash* crash) {
   const json content = json::parse(text, nullptr, false);
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -100,4 +100,135 @@
   EXPECT_TEXT(name, test.fixture.upstreams[0]->seen()[0].Field("Junctionrail-Model"), "relayed");
 }
 
+namespace {
+
+constexpr std::uint16_t kLinkPort = 8200;
+constexpr char kModels[] = R"({"version":1,"routes":[],
+  "services":[{"name":"s1","engine":{"weightsMb":100.0,"adapterSlots":2,"diskMb":1000.0,
+    "models":[{"name":"m1","weightsMb":60.0,"loadTimeS":6.0,"warmS":0.5,"diskS":0.8}]}}]})";
+constexpr char kReport[] =
+    R"({"models":[{"name":"m1"}],"busyCount":false,"sequence":0,"waiting":0,"running":0,"kvUsed":0,"kvTotal":9})";
+
+std::string Answer(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// An agent with its engine, and a peer on its link that sends what it likes.
+struct AgentWorld {
+  AgentWorld()
+      : engine(io,
+               [this](const SeenRequest& request, const Peer& peer) {
+                 const bool is_order = request.Line() != "GET /report HTTP/1.1";
+                 ++(is_order ? orders : reports);
+                 peer->Write(is_order ? Answer(202, "") : Answer(200, kReport));
+               }),
+        peer(io, LinkClientCallbacks{[](const std::string&) {},
+                                     [](const std::string&, std::string_view) {},
+                                     [this](const std::string&, bool) { ++closed_links; }}) {
+    EXPECT_NUMBER(0, pipe2(log.data(), O_CLOEXEC | O_NONBLOCK), "a pipe");
+    link = {testing::OwnAddress(13), kLinkPort};
+    store.Put("op/config", kModels);
+    store.Put("servers/i-1", R"({"service":"s1","address":")" + engine.endpoint().ToString() +
+                                 R"(","zone":"hall-1","slots":8,"state":"ready"})");
+    Settings settings;
+    settings.role = Role::kAgent;
+    settings.id = "vm-1";
+    settings.direct.emplace();
+    settings.direct->store = store.endpoint();
+    settings.direct->metrics = {"127.0.0.1", 0};
+    settings.direct->link = link;
+    settings.direct->upstream = engine.endpoint();
+    agent = std::make_unique<internal::DirectAgent>(io, settings, log[1]);
+    const auto error = agent->Start();
+    EXPECT_TRUE(!error, error ? error->sentence : "");
+    EXPECT_TRUE(AwaitReports(2), "the agent finds its engine");
+  }
+  ~AgentWorld() {
+    agent.reset();
+    close(log[0]);
+    close(log[1]);
+  }
+
+  bool AwaitReports(int n) {
+    const int until = reports + n;
+    return RunUntil(io, [&] { return reports >= until; });
+  }
+
+  // Sends bytes, and expects that the agent logs `event` and serves a sound demand behind them.
+  void ExpectRefused(const std::string& bytes, const std::string& event) {
+    peer.Send("agent", link, bytes);
+    const bool is_logged = RunUntil(io, [&] {
+      std::array<char, 4096> buf;
+      const auto n = read(log[0], buf.data(), buf.size());
+      if (n > 0) lines.append(buf.data(), static_cast<std::size_t>(n));
+      return Contains(lines, event);
+    });
+    EXPECT_TRUE(is_logged, "expected a line " + event + ", got " + lines);
+    EXPECT_NUMBER(0, orders, "orders");
+    peer.Send("agent", link, EncodeDemand(DemandFor("m1", "a1")));
+    EXPECT_TRUE(RunUntil(io, [&] { return orders > 0; }), "a sound demand is served");
+    EXPECT_NUMBER(0, closed_links, "links closed");
+  }
+
+  static AgentDemand DemandFor(const std::string& model, const std::string& adapter) {
+    AgentDemand demand;
+    demand.entry = "entry-1";
+    demand.instance = "i-1";
+    demand.wanted.push_back(ModelDemand{{model, adapter}, 1, 0, 0});
+    return demand;
+  }
+
+  std::array<int, 2> log{};
+  std::string lines;
+  boost::asio::io_context io;
+  testing::StandinStore store{io};
+  Endpoint link;
+  int reports = 0;
+  int orders = 0;
+  int closed_links = 0;
+  testing::ScriptedUpstream engine;
+  LinkClient peer;
+  std::unique_ptr<internal::DirectAgent> agent;
+};
+
+}  // namespace
+
+TEST_GROUP(HostilePeers){};
+
+// Guards against an agent that ends by an exception when it orders an adapter whose name is
+// not UTF-8.
+TEST(HostilePeers, SendNoNameToAnEngineThatIsNotUtf8) {
+  AgentWorld world;
+  world.ExpectRefused(EncodeDemand(AgentWorld::DemandFor("m1", kNotUtf8)), "demand_malformed");
+}
+
+// Guards against an order that throws out of its handler, whoever gave the name.
+TEST(HostilePeers, AreNotNeededForAnOrderWithSuchAName) {
+  boost::asio::io_context io;
+  HttpClient http(io);
+  std::string body;
+  testing::ScriptedUpstream engine(io, [&](const SeenRequest& request, const Peer& peer) {
+    body = request.body;
+    peer->Write(Answer(202, ""));
+  });
+  platform::EngineCalls calls(http, engine.endpoint());
+  EngineOrder order;
+  order.target.model = kNotUtf8;
+  std::optional<EngineOrderResult> result;
+  calls.Give(order, "i-1", {"vm-1", 1}, [&](EngineOrderResult answer) { result = answer; });
+  EXPECT_TRUE(RunUntil(io, [&] { return result.has_value(); }), "an answer");
+  EXPECT_TRUE(Contains(body, "m\xef\xbf\xbd"), "expected replacement characters, got " + body);
+}
+
+// Guards against records with text that is not UTF-8, which were read from a peer and ended the
+// process when it wrote them to the store.
+TEST(HostilePeers, ReportNoCrashOfAnUpstreamWhoseNameIsNotUtf8) {
+  UpstreamCrash crash;
+  crash.instance = kNotUtf8;
+  UpstreamCrash read;
+  EXPECT_TRUE(!DecodeCrash(EncodeCrash(crash), &read), "refused");
+  EXPECT_TRUE(Contains(CrashToText(crash), "\xef\xbf\xbd"), "replacement characters");
+}
+
 }  // namespace junctionrail
