Messages: counts and nests that no message holds are refused

The reader throws on a count of elements that no memory holds, whatever its parameter for exceptions says, and calls itself for each level of a nest. Any peer of a link could end the process with nine bytes, or with a megabyte. Change: a message that nests deeper than 16 levels, or announces more elements than it has bytes, is refused, as DecodeFrame did already for frames. Measured: on the code before, AnnounceMoreElementsThanTheySend and AnnounceMoreEntriesOfAMapThanTheySend ended the process by signal 6 (out_of_range.408), SendNestsWithoutEnd by signal 11.

--- a/src/base/cbor_message.cc
+++ b/src/base/cbor_message.cc
@@ -7,11 +7,16 @@
 
 using nlohmann::json;
 
-// Builds a value out of CBOR, whose reader takes any bytes for text. What holds other text is
-// refused, as no JSON that is made of it could be written.
+// More than any message needs. The reader calls itself for each level.
+constexpr std::size_t kMaxDepth = 16;
+
+// Builds a value out of CBOR, whose reader takes any bytes for text, and any number for a count of
+// elements. Text that is not UTF-8 is refused, as no JSON could be written of it, and so is a count
+// that its message is too short for.
 class MessageBuilder : public json::json_sax_t {
  public:
-  explicit MessageBuilder(json* root) : builder_(*root, false) {}
+  MessageBuilder(json* root, std::size_t max_elements)
+      : builder_(*root, false), max_elements_(max_elements) {}
 
   bool null() override { return builder_.null(); }
   bool boolean(bool value) override { return builder_.boolean(value); }
@@ -22,24 +27,42 @@
   }
   bool string(string_t& value) override { return IsUtf8(value) && builder_.string(value); }
   bool binary(binary_t& value) override { return builder_.binary(value); }
-  bool start_object(std::size_t elements) override { return builder_.start_object(elements); }
+  bool start_object(std::size_t elements) override {
+    return Open(elements) && builder_.start_object(elements);
+  }
   bool key(string_t& value) override { return IsUtf8(value) && builder_.key(value); }
-  bool end_object() override { return builder_.end_object(); }
-  bool start_array(std::size_t elements) override { return builder_.start_array(elements); }
-  bool end_array() override { return builder_.end_array(); }
+  bool end_object() override {
+    --depth_;
+    return builder_.end_object();
+  }
+  bool start_array(std::size_t elements) override {
+    return Open(elements) && builder_.start_array(elements);
+  }
+  bool end_array() override {
+    --depth_;
+    return builder_.end_array();
+  }
   bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
     return false;
   }
 
  private:
+  bool Open(std::size_t elements) {
+    constexpr auto kUnknown = static_cast<std::size_t>(-1);
+    ++depth_;
+    return depth_ <= kMaxDepth && (elements == kUnknown || elements <= max_elements_);
+  }
+
   nlohmann::detail::json_sax_dom_parser<json> builder_;
+  std::size_t max_elements_;
+  std::size_t depth_ = 0;
 };
 
 }  // namespace
 
 json ReadCbor(std::string_view bytes) {
   json root;
-  MessageBuilder builder(&root);
+  MessageBuilder builder(&root, bytes.size());
   const bool is_whole =
       json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor, true);
   return is_whole ? root : json(json::value_t::discarded);
--- a/src/base/cbor_message.h
+++ b/src/base/cbor_message.h
@@ -14,7 +14,8 @@
   return bytes;
 }
 
-// The value that the bytes encode; discarded if they are no CBOR, or hold text that is not UTF-8.
+// The value that the bytes encode; discarded if they are no CBOR, hold text that is not UTF-8, nest
+// deeper than any message or announce more elements than they hold.
 nlohmann::json ReadCbor(std::string_view bytes);
 
 // Calls `read` with the message and returns what it does; false when the bytes are no map, or
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -231,4 +231,23 @@
   EXPECT_TRUE(Contains(CrashToText(crash), "\xef\xbf\xbd"), "replacement characters");
 }
 
+// Guards against a count of elements that no message of its size holds: the reader threw, and the
+// process ended.
+TEST(HostilePeers, AnnounceMoreElementsThanTheySend) {
+  AgentWorld world;
+  world.ExpectRefused("\x9b\x61\x61\x61\x61\x61\x61\x61\x61", "demand_malformed");
+}
+
+// Guards against the same in a map, and in a message of another kind.
+TEST(HostilePeers, AnnounceMoreEntriesOfAMapThanTheySend) {
+  AgentWorld world;
+  world.ExpectRefused("\xa1\x65quota\xbb\x61\x61\x61\x61\x61\x61\x61\x61", "quota_malformed");
+}
+
+// Guards against a nest whose reader calls itself until the stack is used up.
+TEST(HostilePeers, SendNestsWithoutEnd) {
+  AgentWorld world;
+  world.ExpectRefused("\xa1\x61n" + std::string(1000000, '\x81'), "demand_malformed");
+}
+
 }  // namespace junctionrail
