Messages: texts in parts are refused, as they nest without end

Cause: CBOR lets a text without a length consist of parts, and the reader calls itself for each part that is again such a text. It asks no handler before, so that neither the bound on nests of messages nor that of frames holds. Change: before a message or a frame is read its items are walked, and each text and run of bytes must state its length, as all that our writers make do. Measured: on the code before, SendTextsInPartsWithoutEnd and SendFramesOfPartsWithoutEnd ended the process by signal 11. Both pass now, and all of unit_tests.

--- a/src/base/cbor_message.cc
+++ b/src/base/cbor_message.cc
@@ -1,5 +1,7 @@
 #include "cbor_message.h"
 
+#include <cstdint>
+
 #include "text.h"
 
 namespace junctionrail::internal {
@@ -58,9 +60,47 @@
   std::size_t depth_ = 0;
 };
 
+// The first byte of an item, by RFC 8949 section 3.
+constexpr unsigned kBytes = 2;
+constexpr unsigned kText = 3;
+constexpr unsigned kShortestArgument = 24;  // Of one byte; each kind after it has twice as many.
+constexpr unsigned kLongestArgument = 27;
+constexpr unsigned kNoLength = 31;
+
+// Takes the argument that stands behind an item's first byte. Returns false if it is cut.
+bool TakeArgument(unsigned info, std::string_view* rest, std::uint64_t* argument) {
+  *argument = info;
+  if (info < kShortestArgument || info > kLongestArgument) return true;
+  const std::size_t n = std::size_t{1} << (info - kShortestArgument);
+  if (rest->size() < n) return false;
+  *argument = 0;
+  for (const char c : rest->substr(0, n)) {
+    *argument = *argument << 8U | static_cast<unsigned char>(c);
+  }
+  rest->remove_prefix(n);
+  return true;
+}
+
 }  // namespace
 
+// What stands in an array or a map follows its head, so the items are walked without a nest.
+bool HasLengths(std::string_view rest) {
+  while (!rest.empty()) {
+    const auto head = static_cast<unsigned char>(rest[0]);
+    const unsigned major = head >> 5U;
+    const unsigned info = head & 0x1fU;
+    rest.remove_prefix(1);
+    std::uint64_t argument = 0;
+    if (!TakeArgument(info, &rest, &argument)) return false;
+    if (major != kBytes && major != kText) continue;
+    if (info == kNoLength || argument > rest.size()) return false;
+    rest.remove_prefix(argument);
+  }
+  return true;
+}
+
 json ReadCbor(std::string_view bytes) {
+  if (!HasLengths(bytes)) return json(json::value_t::discarded);
   json root;
   MessageBuilder builder(&root, bytes.size());
   const bool is_whole =
--- a/src/base/cbor_message.h
+++ b/src/base/cbor_message.h
@@ -14,6 +14,10 @@
   return bytes;
 }
 
+// Whether each text and each run of bytes in a CBOR message states its length and is there whole.
+// The reader calls itself for the parts of one that doesn't; PackCbor writes none.
+bool HasLengths(std::string_view bytes);
+
 // The value that the bytes encode; discarded if they are no CBOR, hold text that is not UTF-8, nest
 // deeper than any message or announce more elements than they hold.
 nlohmann::json ReadCbor(std::string_view bytes);
--- a/src/base/wire.cc
+++ b/src/base/wire.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "cbor_message.h"
+
 namespace junctionrail {
 namespace {
 
@@ -309,6 +311,7 @@
 
 Result<Frame, WireError> DecodeFrame(std::string_view bytes) {
   if (bytes.size() > kMaxFrameBytes) return WireError::kTooLarge;
+  if (!internal::HasLengths(bytes)) return WireError::kNotCbor;
   FlatBuilder builder(bytes.size());
   const bool is_whole =
       json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor, true);
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -12,6 +12,7 @@
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
 #include "junctionrail/quarantine.h"
+#include "junctionrail/wire.h"
 #include "loopback.h"
 #include "platform.h"
 #include "platform_standin.h"
@@ -250,4 +251,19 @@
   world.ExpectRefused("\xa1\x61n" + std::string(1000000, '\x81'), "demand_malformed");
 }
 
+// Guards against parts of a text within parts of a text, which the reader follows by calling itself
+// until the stack is used up.
+TEST(HostilePeers, SendTextsInPartsWithoutEnd) {
+  AgentWorld world;
+  world.ExpectRefused("\xa1\x61n" + std::string(1000000, '\x7f'), "demand_malformed");
+}
+
+// Guards against the same in frames, and in bytes.
+TEST(HostilePeers, SendFramesOfPartsWithoutEnd) {
+  for (const char part : {'\x7f', '\x5f'}) {
+    const auto frame = DecodeFrame("\x81" + std::string(1000000, part));
+    EXPECT_TRUE(!frame && frame.error() == WireError::kNotCbor, "refused");
+  }
+}
+
 }  // namespace junctionrail
