Caller API: a JSON body that nests without end is refused

Cause: the entry reads a model's call as JSON and writes it again with the resolved model. The writer calls itself for each level, so that a body of two megabytes of brackets ended the entry. Change: a body of more than 128 levels gets 400 bad_request. Measured: on the code before, ThatNestWithoutEndAreRefused ended the process by signal 11. It passes now; MayNestAsDeepAsSchemasDo, which was added with the change and not run before, passes.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -13,6 +13,8 @@
 constexpr DurationMs kLongestDeadlineMs = 24LL * 3600 * 1000;
 constexpr std::size_t kLongestKey = 255;
 constexpr std::string_view kServices = "/services/";
+// More than schemas of tools need. The writer of JSON calls itself for each level.
+constexpr int kMaxBodyDepth = 128;
 
 BadRequest Bad(std::string sentence) { return {400, "bad_request", std::move(sentence)}; }
 
@@ -69,7 +71,15 @@
 
 std::optional<BadRequest> ReadModelBody(const Configuration& configuration,
                                         entry::CallArrived* call) {
-  json body = json::parse(call->body, nullptr, false);
+  bool is_too_deep = false;
+  const auto is_kept = [&is_too_deep](int depth, json::parse_event_t, const json&) {
+    is_too_deep |= depth > kMaxBodyDepth;
+    return !is_too_deep;
+  };
+  json body = json::parse(call->body, is_kept, false);
+  if (is_too_deep) {
+    return Bad("body: expected JSON of at most " + std::to_string(kMaxBodyDepth) + " levels");
+  }
   if (body.is_discarded()) return Bad("body: expected well-formed JSON");
   if (!body.is_object()) return Bad("body: expected a JSON object");
   const auto model = body.find("model");
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -266,4 +266,37 @@
   }
 }
 
+TEST_GROUP(HostileBodies){};
+
+// Guards against a nest in a caller's JSON, which the writer of JSON follows by calling itself
+// until the stack is used up.
+TEST(HostileBodies, ThatNestWithoutEndAreRefused) {
+  constexpr std::size_t kDepth = 1000000;
+  ModelDeclaration model;
+  model.name = "a";
+  model.version = "1";
+  model.is_default = true;
+  Configuration configuration;
+  configuration.Put(model);
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/completions";
+  request.body = R"({"model":"a","x":)" + std::string(kDepth, '[') + std::string(kDepth, ']') + "}";
+  const auto call = internal::ReadCall(request, configuration, 1000);
+  const auto* bad = std::get_if<internal::BadRequest>(&call);
+  EXPECT_TRUE(bad != nullptr, "refused");
+  EXPECT_NUMBER(400, bad->status, bad->sentence);
+}
+
+// Guards against a bound that refuses what callers send.
+TEST(HostileBodies, MayNestAsDeepAsSchemasDo) {
+  const std::string nest = std::string(100, '[') + std::string(100, ']');
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/completions";
+  request.body = R"({"model":"a","x":)" + nest + "}";
+  const auto call = internal::ReadCall(request, Configuration(), 1000);
+  EXPECT_TRUE(std::holds_alternative<entry::CallArrived>(call), "taken");
+}
+
 }  // namespace junctionrail
