Gateway: fields of a trailer are dropped

Cause: the parser adds the fields of a chunked body's trailer to those of its message, and the request's fields were copied from it once the body was read. A trailer's Model reached the upstream beside the head's, its Connection closed the connection, and its Host made the request a bad one. Change: the parser stops behind the head, whose fields are taken then; what the trailer adds is not looked at. As the body is now parsed after the head, 100 Continue is sent only if none of the body has been received, which the body in the same packet prevented before as well.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -99,7 +99,6 @@
   while (!exchange_ && !is_closed_ && !is_last_response_done_ && buffer_.size() > 0) {
     if (!parser_) {
       parser_.emplace();
-      parser_->eager(true);
       const CallerLimits limits =
           gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits();
       parser_->header_limit(limits.max_header_bytes);
@@ -114,8 +113,10 @@
     if (ec && ec != http::error::need_more) return OnParseError(ec);
     if (!had_header && parser_->is_header_done()) {
       if (!IsFramingUnambiguous()) return Reject(kBadRequest, "bad_framing");
+      TakeHead();
       const auto expect = parser_->get().find(http::field::expect);
-      if (expect != parser_->get().end() && !parser_->is_done()) Write(kContinue);
+      const bool is_body_awaited = !parser_->is_done() && buffer_.size() == 0;
+      if (expect != parser_->get().end() && is_body_awaited) Write(kContinue);
     }
     if (parser_->is_done()) return Dispatch();
     if (ec == http::error::need_more || n == 0) return;
@@ -150,18 +151,26 @@
                "{\"error\":{\"code\":\"" + std::string(code) + "\",\"ran\":\"no\"}}");
 }
 
-void CallerConnection::Dispatch() {
-  auto& message = parser_->get();
-  CallerRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
+// The parser, which has stopped behind the head, adds the fields of a trailer to those of its
+// message. A trailer may be anything, so none of it counts.
+void CallerConnection::TakeHead() {
+  const auto& message = parser_->get();
+  request_ = CallerRequest();
+  request_.method = std::string(message.method_string());
+  request_.target = std::string(message.target());
   for (const auto& it : message.base()) {
-    request.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+    request_.fields.push_back({std::string(it.name_string()), std::string(it.value())});
   }
-  request.body = std::make_shared<const std::string>(std::move(message.body()));
-  request.arrived_at = MonotonicMs();
-  is_keep_alive_ = message.keep_alive() && !is_draining_;
+  is_keep_alive_ = message.keep_alive();
   is_head_method_ = message.method() == http::verb::head;
+  parser_->eager(true);
+}
+
+void CallerConnection::Dispatch() {
+  CallerRequest request = std::move(request_);
+  request.body = std::make_shared<const std::string>(std::move(parser_->get().body()));
+  request.arrived_at = MonotonicMs();
+  is_keep_alive_ = is_keep_alive_ && !is_draining_;
   parser_.reset();
   request_started_at_ = 0;
   timer_.Cancel();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -54,6 +54,7 @@
   void Parse();
   void OnParseError(boost::system::error_code ec);
   bool IsFramingUnambiguous() const;
+  void TakeHead();
   void Dispatch();
   void Reject(unsigned status, std::string_view code);
   void FinishResponse(bool must_close);
@@ -72,6 +73,7 @@
   Timer timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  CallerRequest request_;  // Being read: as its head has it, once that is whole.
   std::shared_ptr<Exchange> exchange_;
   std::string pending_output_;     // Not yet passed to the socket.
   std::string output_in_flight_;   // Being written.
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -299,4 +299,77 @@
   EXPECT_TRUE(std::holds_alternative<entry::CallArrived>(call), "taken");
 }
 
+namespace {
+
+std::string ChunkedRequest(const std::string& fields, const std::string& trailer) {
+  return "POST /a/ HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: r1\r\n" + fields +
+         "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + trailer + "\r\n";
+}
+
+}  // namespace
+
+TEST_GROUP(HostileTrailers){};
+
+// Guards against fields behind a body that reach the upstream as if its head had held them.
+TEST(HostileTrailers, ReachNoUpstream) {
+  OneUpstream test;
+  TestCaller caller(test.fixture.io, test.fixture.port);
+  caller.Send(
+      ChunkedRequest("Junctionrail-Model: a\r\n", "Junctionrail-Model: b\r\nX-Late: 1\r\n"));
+  EXPECT_TRUE(caller.AwaitText("hello"), "expected a response");
+  const SeenRequest& seen = test.fixture.upstreams[0]->seen().at(0);
+  EXPECT_TRUE(Contains(seen.head, "Junctionrail-Model: a\r\n"), seen.head);
+  EXPECT_TRUE(!Contains(seen.head, "Junctionrail-Model: b") && !Contains(seen.head, "X-Late"),
+              seen.head);
+  EXPECT_TEXT("hello", seen.body, "the body");
+}
+
+// Guards against a trailer whose host is taken for a second one of the head.
+TEST(HostileTrailers, NameNoHost) {
+  OneUpstream test;
+  TestCaller caller(test.fixture.io, test.fixture.port);
+  caller.Send(ChunkedRequest("", "Host: other.example\r\n"));
+  EXPECT_TRUE(caller.AwaitText("hello"), "expected a response");
+}
+
+// Guards against a trailer that stands in for a field which the head lacks.
+TEST(HostileTrailers, NameNoRequest) {
+  OneUpstream test;
+  TestCaller caller(test.fixture.io, test.fixture.port);
+  caller.Send(
+      "POST /a/ HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\nJunctionrail-Request-Id: r1\r\n\r\n");
+  EXPECT_TRUE(caller.AwaitText("\"ran\""), "expected a refusal");
+  EXPECT_TRUE(Contains(caller.received(), "no_request_id"), caller.received());
+}
+
+// Guards against a trailer that closes the connection over the next request, however its bytes
+// are cut.
+TEST(HostileTrailers, DoNotCloseTheConnection) {
+  OneUpstream test;
+  TestCaller caller(test.fixture.io, test.fixture.port);
+  const std::string request = ChunkedRequest("", "Connection: close\r\n");
+  for (const char c : request) {
+    caller.Send(std::string(1, c));
+    testing::RunFor(test.fixture.io, 1);
+  }
+  EXPECT_TRUE(caller.AwaitText("hello"), "expected a response");
+  caller.Forget();
+  caller.Send(testing::MakeKeepAliveRequest("POST /a/", "second"));
+  EXPECT_TRUE(caller.AwaitText("hello"), "expected the second response");
+}
+
+// Guards against a caller that waits for leave to send its body and gets none, as its head is read
+// apart from the body.
+TEST(HostileTrailers, DoNotKeepABodyFromBeingAskedFor) {
+  OneUpstream test;
+  TestCaller caller(test.fixture.io, test.fixture.port);
+  const std::string request = ChunkedRequest("Expect: 100-continue\r\n", "X-Late: 1\r\n");
+  const std::size_t head = request.find("\r\n\r\n") + 4;
+  caller.Send(request.substr(0, head));
+  EXPECT_TRUE(caller.AwaitText("100 Continue\r\n\r\n"), "expected the interim response");
+  caller.Send(request.substr(head));
+  EXPECT_TRUE(caller.AwaitText("hello"), "expected a response");
+}
+
 }  // namespace junctionrail
