Gateway: a trailer without end is refused

Cause: the parser's limit on a head does not hold behind it. It asks for more bytes until a trailer, or the line of a chunk's size with its extensions, is whole, and the connection kept all of them: a caller could use up the entry's memory. Measured: on the code before, WithoutEndAreRefused and AreNotTheOnlyEndlessLines got no answer to 512 KB. Both pass now.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -119,10 +119,20 @@
       if (expect != parser_->get().end() && is_body_awaited) Write(kContinue);
     }
     if (parser_->is_done()) return Dispatch();
+    if (ec == http::error::need_more && IsLineTooLong())
+      return Reject(kHeaderFieldsTooLarge, "trailer_too_large");
     if (ec == http::error::need_more || n == 0) return;
   }
 }
 
+// The parser's limit holds for the head alone. Behind it, only a trailer or the line of a chunk's
+// size is kept until it is whole.
+bool CallerConnection::IsLineTooLong() const {
+  const CallerLimits limits =
+      gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits();
+  return parser_->is_header_done() && buffer_.size() > limits.max_header_bytes;
+}
+
 // A message whose length two parsers may interpret differently could smuggle a second request.
 bool CallerConnection::IsFramingUnambiguous() const {
   const auto& fields = parser_->get().base();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -54,6 +54,7 @@
   void Parse();
   void OnParseError(boost::system::error_code ec);
   bool IsFramingUnambiguous() const;
+  bool IsLineTooLong() const;
   void TakeHead();
   void Dispatch();
   void Reject(unsigned status, std::string_view code);
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -372,4 +372,32 @@
   EXPECT_TRUE(caller.AwaitText("hello"), "expected a response");
 }
 
+namespace {
+
+// A chunked request whose end never comes: `start` and then as much as the gateway takes.
+void ExpectEndlessRefused(const std::string& start) {
+  constexpr int kMaxPieces = 64;
+  OneUpstream test;
+  TestCaller caller(test.fixture.io, test.fixture.port);
+  caller.Send(
+      "POST /a/ HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: r1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n" +
+      start);
+  for (int i = 0; i < kMaxPieces && caller.received().empty(); ++i) {
+    caller.Send(std::string(8 << 10, 'x'));
+    testing::RunFor(test.fixture.io, 2);
+  }
+  EXPECT_TRUE(
+      Contains(caller.received(), "431 ") && Contains(caller.received(), "trailer_too_large"),
+      "got \"" + caller.received() + "\"");
+}
+
+}  // namespace
+
+// Guards against fields behind a body that take memory without a bound.
+TEST(HostileTrailers, WithoutEndAreRefused) { ExpectEndlessRefused("0\r\nX-Late: "); }
+
+// Guards against the same in what may follow a chunk's size.
+TEST(HostileTrailers, AreNotTheOnlyEndlessLines) { ExpectEndlessRefused("5;name="); }
+
 }  // namespace junctionrail
