Gateway: a repeated field that the entry acts on is refused

Cause: of several fields of a name the entry read the first and relayed all, so that an upstream could act on another: another model, or another request id. Change: more than one request id, deadline, model, prompt parts, last event, resumed request or token usage gets 400 repeated_field. The others that the entry reads can't differ: of Host there must be one (bad_framing), of the key one (repeated_key), and a caller's priority and deadline reach no upstream. Measured: on the code before, ThatTheGatewayActsOnAreRefused and AreTheSameInAnyCase failed, as the upstream answered 200; ThatTheGatewayDoesNotReadAreRelayed passed before and after. All pass now. direct_tests -xsg CrashingRequests: 467 tests ran, no failure.

--- a/src/gateway/request_fields.cc
+++ b/src/gateway/request_fields.cc
@@ -1,6 +1,7 @@
 #include "request_fields.h"
 
 #include <algorithm>
+#include <array>
 
 #include "../base/text.h"
 #include "http_text.h"
@@ -17,6 +18,18 @@
   return IsName(text) && !text.substr(0, text.find('/')).empty();
 }
 
+// The fields that the gateway acts on and upstreams may read. Host is checked with the framing, and
+// the key, which no upstream gets, where it is read.
+std::array<const std::string*, 7> ReadFields(const HttpHeaderNames& names) {
+  return {&names.request_id,    &names.deadline_ms,     &names.model,      &names.prompt_parts,
+          &names.last_event_id, &names.resumed_request, &names.token_usage};
+}
+
+auto CountFields(const std::vector<HttpHeader>& fields, std::string_view name) {
+  return std::count_if(fields.begin(), fields.end(),
+                       [name](const HttpHeader& it) { return EqualsNoCase(it.name, name); });
+}
+
 }  // namespace
 
 bool IsName(std::string_view text) {
@@ -25,6 +38,11 @@
 
 std::optional<FieldError> FindFieldError(const std::vector<HttpHeader>& fields,
                                          const HttpHeaderNames& names) {
+  for (const std::string* name : ReadFields(names)) {
+    if (CountFields(fields, *name) > 1) {
+      return FieldError{"repeated_field", "expected one header " + *name + ", found more"};
+    }
+  }
   struct NameField {
     const std::string& field;
     bool (*is_valid)(std::string_view);
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -400,4 +400,36 @@
 // Guards against the same in what may follow a chunk's size.
 TEST(HostileTrailers, AreNotTheOnlyEndlessLines) { ExpectEndlessRefused("5;name="); }
 
+TEST_GROUP(RepeatedFields){};
+
+// Guards against a request on whose first field this gateway acts and on whose second one the
+// upstream does.
+TEST(RepeatedFields, ThatTheGatewayActsOnAreRefused) {
+  for (const std::string name :
+       {"Junctionrail-Request-Id", "Junctionrail-Model", "Junctionrail-Deadline-Ms",
+        "Junctionrail-Prompt-Parts", "Last-Event-ID", "Junctionrail-Resumed-Request",
+        "Junctionrail-Token-Usage"}) {
+    OneUpstream test;
+    const std::string fields = name + ": 1\r\nX-Between: 1\r\n" + name + ": 1\r\n";
+    test.ExpectRefused(MakeRequest("POST /a/", fields), "repeated_field");
+  }
+}
+
+// Guards against a comparison of names that takes two cases of one for two fields.
+TEST(RepeatedFields, AreTheSameInAnyCase) {
+  OneUpstream test;
+  test.ExpectRefused(MakeRequest("POST /a/", "Junctionrail-Model: a\r\njunctionrail-MODEL: b\r\n"),
+                     "repeated_field");
+}
+
+// Guards against a refusal of fields that are the upstream's alone.
+TEST(RepeatedFields, ThatTheGatewayDoesNotReadAreRelayed) {
+  OneUpstream test;
+  const std::string answer =
+      test.fixture.Fetch(MakeRequest("POST /a/", "Accept: a/b\r\nAccept: c/d\r\n"));
+  EXPECT_TRUE(Contains(answer, "200 OK"), answer);
+  const std::string& head = test.fixture.upstreams[0]->seen().at(0).head;
+  EXPECT_TRUE(Contains(head, "Accept: a/b\r\n") && Contains(head, "Accept: c/d\r\n"), head);
+}
+
 }  // namespace junctionrail
