Gateway: the body of a response that is kept whole has a bound

A response other than a stream is kept until it is whole. Its bound was 2^40 bytes, so that an upstream that sends without an end ended the process by its memory.

Beyond 16 MiB the attempt now ends as one that may have run, with a reset of the connection and the reason "a response longer than 16 MiB". The reader has no bound of its own, as a stream may go on.

The new tests WithOneBodyEndAtABound and LetARepeatableRequestGoElsewhere failed before: after 24 MiB the connection was still open. With the bound they pass, as does a response of 8 MiB.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -144,6 +144,7 @@
   void ConfirmEnd();
   void OnEndConfirmed(PortState state);
   void OnBrokenOff(std::string_view reason);
+  void OnTooLong(std::string_view reason);
   void ReportBrokenConnection(const Attempt& attempt);
   void CompleteResponse();
   void CancelAttempt(Attempt* attempt, AttemptOutcome end);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -15,6 +15,10 @@
 // Within a region a port responds within a few milliseconds.
 constexpr DurationMs kConfirmEndMs = 400;
 
+// Of a response that is kept until it is whole; the longest are a few MiB.
+constexpr std::size_t kMaxBodyBytes = 16 << 20;
+constexpr char kBodyTooLong[] = "a response longer than 16 MiB";
+
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirectedRequest = 421;
 constexpr unsigned kTooManyRequests = 429;
@@ -109,9 +113,17 @@
     if (attempt_.is_paused) attempt_.call->Pause(true);
     return;
   }
+  if (attempt_.response_body.size() + data.size() > kMaxBodyBytes) return OnTooLong(kBodyTooLong);
   attempt_.response_body += data;
 }
 
+// The upstream sends without an end, and is still there.
+void Exchange::OnTooLong(std::string_view reason) {
+  CancelAttempt(&attempt_, AttemptOutcome::kFailed);
+  attempt_.response_body = std::string();
+  AfterAttempt(Execution::kMayHaveRun, true, reason);
+}
+
 void Exchange::RecordEventTime() {
   gateway_.crash_detector.OnDataReceived(attempt_.instance, last_event_at_);
   if (attempt_.first_event_at == 0) attempt_.first_event_at = last_event_at_;
--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -11,7 +11,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t kMaxResponseBytes = 1ULL << 40;
 constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
 constexpr unsigned kFirstFinalStatus = 200;
 
@@ -62,7 +61,8 @@
 std::optional<ResponseEvent> ResponseReader::Parse() {
   if (!parser_) {
     parser_.emplace();
-    parser_->body_limit(kMaxResponseBytes);
+    // A stream may go on without a bound. What is kept of a response has one, where it is kept.
+    parser_->body_limit(boost::none);
     parser_->header_limit(kMaxHeadBytes);
   }
   error_code ec;
--- /dev/null
+++ b/test/endless_responses_test.cc
@@ -0,0 +1,129 @@
+// Peers that send bytes without an end which no answer needs: the process has bounds for them.
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "check.h"
+#include "gateway_fixture.h"
+#include "junctionrail/gateway.h"
+#include "junctionrail/net.h"
+#include "loopback.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::Contains;
+using testing::EventChunk;
+using testing::EventStreamHead;
+using testing::MakeRequest;
+using testing::MakeRoute;
+using testing::OkResponse;
+using testing::RunUntil;
+using testing::ScriptedUpstream;
+using testing::SeenRequest;
+using testing::TestCaller;
+using Fixture = testing::GatewayFixture;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+// Less than a socket takes: a write blocks the thread that reads.
+constexpr std::size_t kPieceBytes = 16 << 10;
+// Beyond each of the bounds.
+constexpr std::size_t kMostBytes = 24 << 20;
+// Beyond the bound of an event.
+constexpr std::size_t kBeyondEventBytes = 2 << 20;
+constexpr char kUnframedHead[] =
+    "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: r1\r\nJunctionrail-Proof: p\r\n\r\n";
+constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: r1\r\nJunctionrail-Proof: p\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+const std::string& PlainPiece() {
+  static const std::string piece(kPieceBytes, 'x');
+  return piece;
+}
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", text.size());
+  return std::string(size) + "\r\n" + text + "\r\n";
+}
+
+// Writes `piece` again and again until the far end closes the connection. Returns whether it did.
+bool WriteUntilClosed(boost::asio::io_context& io, const Peer& peer, const std::string& piece,
+                      std::size_t most_bytes = kMostBytes) {
+  for (std::size_t n = 0; n < most_bytes && !peer->IsEnded(); n += piece.size()) {
+    peer->Write(piece);
+    io.restart();
+    io.poll();
+  }
+  return peer->IsEnded();
+}
+
+// One request, at an upstream that answers as the test says.
+struct OneRequest {
+  explicit OneRequest(RequestKind kind, const std::string& service = "plain") {
+    fixture.AddUpstream("u1", service, [this](const SeenRequest&, const Peer& it) { peer = it; });
+    fixture.Configure({MakeRoute("/a/", kind, service)});
+    caller = std::make_unique<TestCaller>(fixture.io, fixture.port);
+    caller->Send(MakeRequest("POST /a/", "", "order"));
+    EXPECT_TRUE(RunUntil(fixture.io, [&] { return peer != nullptr; }), "the request is sent");
+  }
+
+  // The upstream sends `begin`, and then `piece` without an end.
+  void Send(const std::string& begin, const std::string& piece,
+            std::size_t most_bytes = kMostBytes) {
+    peer->Write(begin);
+    EXPECT_TRUE(WriteUntilClosed(fixture.io, peer, piece, most_bytes), "the connection is closed");
+    EXPECT_TRUE(caller->AwaitEnd(), "the caller's connection ends");
+    EXPECT_NUMBER(0, fixture.gateway->counters().upstreams_crashed, "crashes");
+  }
+
+  void ExpectUnknownOutcome(const std::string& bound) {
+    const std::string& answer = caller->received();
+    EXPECT_TRUE(Contains(answer, "502 ") && Contains(answer, R"("ran":"unknown")"), answer);
+    EXPECT_TRUE(Contains(answer, bound), answer);
+  }
+
+  Fixture fixture;
+  Peer peer;
+  std::unique_ptr<TestCaller> caller;
+};
+
+}  // namespace
+
+TEST_GROUP(EndlessResponses){};
+
+// Guards against a body that is kept until the memory of the process is used up.
+TEST(EndlessResponses, WithOneBodyEndAtABound) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.Send(kUnframedHead, PlainPiece());
+  test.ExpectUnknownOutcome("a response longer than 16 MiB");
+}
+
+// Guards against a repeatable request that is not sent elsewhere after such a response.
+TEST(EndlessResponses, LetARepeatableRequestGoElsewhere) {
+  OneRequest test(RequestKind::kIdempotent);
+  test.fixture.AddUpstream(
+      "u2", "plain", [](const SeenRequest&, const Peer& peer) { peer->Write(OkResponse("two")); });
+  test.Send(kChunkedHead, Chunk(PlainPiece()));
+  EXPECT_TRUE(Contains(test.caller->received(), "200 OK"), test.caller->received());
+}
+
+// Guards against a bound that takes a large response for an endless one.
+TEST(EndlessResponses, AreNotLargeOnes) {
+  constexpr std::size_t kLargeBytes = 8 << 20;
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.peer->Write(kUnframedHead);
+  for (std::size_t n = 0; n < kLargeBytes; n += kPieceBytes) {
+    test.peer->Write(PlainPiece());
+    test.fixture.io.restart();
+    test.fixture.io.poll();
+  }
+  test.peer->Close();
+  EXPECT_TRUE(test.caller->AwaitEnd(), "the caller's connection ends");
+  EXPECT_TRUE(Contains(test.caller->received(), "200 OK"), "the response");
+  EXPECT_TRUE(test.caller->received().size() > kLargeBytes, "the response is whole");
+}
+
+}  // namespace junctionrail
