Gateway: an event of a stream has a bound

An event is kept until its blank line arrives. One that does not end used up the memory of the process, and each part that arrived had it searched from its beginning.

Beyond 1 MiB the attempt now ends as one that may have run, with a reset of the connection and the reason "an event longer than 1 MiB". A stream of many events has no bound. Each byte is searched once.

The new tests WithOneEventEndAtABound and WithALaterEventBreakTheStreamAtABound failed before: the connection was still open after 2 MiB of one event, and a trial with up to 24 MiB of it took the 5 s until the deadline. With the bound both pass, as does a stream of 24 MiB in events of 16 KiB.

--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -7,6 +7,9 @@
 namespace junctionrail::internal {
 namespace {
 
+// Of the blank line that ends an event, as much as may be the end of what was received.
+constexpr std::size_t kMaxCutEndBytes = 2;
+
 // Returns the position after the blank line that ends the first event, or npos.
 std::size_t EndOfEvent(std::string_view text) {
   const std::size_t lf = text.find("\n\n");
@@ -34,16 +37,19 @@
 }  // namespace
 
 std::string EventStreamReader::Feed(std::string_view data) {
+  // Of an event that arrives in many pieces, each byte is searched once.
+  std::size_t searched = partial_event_.size() - std::min(partial_event_.size(), kMaxCutEndBytes);
   partial_event_ += data;
   std::string whole;
   std::size_t at = 0;
   while (true) {
     std::string_view rest(partial_event_);
     rest.remove_prefix(at);
-    const std::size_t end = EndOfEvent(rest);
+    const std::size_t end = EndOfEvent(rest.substr(searched));
     if (end == std::string_view::npos) break;
-    const std::string_view event = rest.substr(0, end);
-    at += end;
+    const std::string_view event = rest.substr(0, searched + end);
+    at += event.size();
+    searched = 0;
     const std::string_view id = FindId(event);
     std::int64_t number = 0;
     const bool has_number = ParseWholeNumber(id, &number);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -17,6 +17,9 @@
 
 // Of a response that is kept until it is whole; the longest are a few MiB.
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
+// Of a stream's event; those of engines are a few KiB.
+constexpr std::size_t kMaxEventBytes = 1 << 20;
+constexpr char kEventTooLong[] = "an event longer than 1 MiB";
 constexpr char kBodyTooLong[] = "a response longer than 16 MiB";
 
 constexpr unsigned kRequestTimeout = 408;
@@ -98,6 +101,7 @@
   attempt_.last_activity_at = MonotonicMs();
   if (attempt_.is_event_stream) {
     const std::string whole = events_.Feed(data);
+    if (events_.partial_event().size() > kMaxEventBytes) return OnTooLong(kEventTooLong);
     if (whole.empty()) return;
     const auto sink = sink_.lock();
     if (!sink) return;
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -126,4 +126,29 @@
   EXPECT_TRUE(test.caller->received().size() > kLargeBytes, "the response is whole");
 }
 
+// Guards against an event that is kept until the memory of the process is used up.
+TEST(EndlessResponses, WithOneEventEndAtABound) {
+  OneRequest test(RequestKind::kStreaming, "engine");
+  test.Send(EventStreamHead(), Chunk(PlainPiece()), kBeyondEventBytes);
+  test.ExpectUnknownOutcome("an event longer than 1 MiB");
+}
+
+// Guards against the same within a stream that has begun.
+TEST(EndlessResponses, WithALaterEventBreakTheStreamAtABound) {
+  OneRequest test(RequestKind::kStreaming, "engine");
+  test.Send(EventStreamHead() + EventChunk(1), Chunk(PlainPiece()), kBeyondEventBytes);
+  const std::string& got = test.caller->received();
+  EXPECT_TRUE(Contains(got, "id: 1") && !Contains(got, "\r\n0\r\n"), "the stream has no end");
+}
+
+// Guards against a bound on the length of a whole stream.
+TEST(EndlessResponses, AreNotStreamsOfManyEvents) {
+  OneRequest test(RequestKind::kStreaming, "engine");
+  const std::string event = Chunk("data: " + PlainPiece() + "\n\n");
+  test.peer->Write(EventStreamHead());
+  EXPECT_TRUE(!WriteUntilClosed(test.fixture.io, test.peer, event), "the stream goes on");
+  test.peer->Write("0\r\n\r\n");
+  EXPECT_TRUE(test.caller->AwaitText("\r\n0\r\n\r\n"), "the stream ends");
+}
+
 }  // namespace junctionrail
