Gateway: what is skipped before a response has a bound

Interim responses, and responses that no request waits for, were skipped for as long as they came. They do not count as activity of the upstream, but while their bytes wait in the socket, a silence is not held against it.

After 16 MiB of them the attempt now ends as one that may have run, with a reset of the connection and the reason "more than 16 MiB before the response". It is no sign of a crash.

The four new tests (ThatAreInterimEndAtABound, ThatAreSurplusEndAtABound, WithABodyThatIsSurplusEndAtABound, ThatAreInterimLetARepeatableRequestGoElsewhere) failed before: after 24 MiB the connection was still open. With the bound they pass.

--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -12,6 +12,8 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
+// Of interim and surplus responses before the awaited one: as long as the longest response.
+constexpr std::uint64_t kMaxSkippedBytes = 16 << 20;
 constexpr unsigned kFirstFinalStatus = 200;
 
 template <typename Parser>
@@ -27,6 +29,10 @@
   return {ResponseUnreadable::Cause::kMalformed, "malformed response: " + ec.message()};
 }
 
+ResponseUnreadable TooLong(std::string reason) {
+  return {ResponseUnreadable::Cause::kTooLong, std::move(reason)};
+}
+
 }  // namespace
 
 void ResponseReader::Begin(std::string request_id, bool is_head_method) {
@@ -35,6 +41,7 @@
   has_sent_head_method_ |= is_head_method;
   parser_.reset();
   subject_ = Subject::kUnknown;
+  skipped_bytes_ = 0;
 }
 
 std::optional<ResponseEvent> ResponseReader::Next() {
@@ -42,7 +49,7 @@
     if (subject_ == Subject::kAwaited) {
       auto event = NextOfAwaited();
       if (event) return event;
-    } else if (subject_ != Subject::kUnknown) {
+    } else if (IsSkipping()) {
       parser_->get().body().consume(parser_->get().body().size());
       if (parser_->is_done()) {
         parser_.reset();
@@ -70,7 +77,10 @@
   buffer_.consume(n);
   if (ec && ec != http::error::need_more) return Malformed(ec);
   const bool is_head_read = subject_ == Subject::kUnknown && parser_->is_header_done();
-  return is_head_read ? OnHead() : std::nullopt;
+  auto event = is_head_read ? OnHead() : std::nullopt;
+  if (IsSkipping()) skipped_bytes_ += n;
+  if (event || skipped_bytes_ <= kMaxSkippedBytes) return event;
+  return TooLong("more than 16 MiB before the response");
 }
 
 std::optional<ResponseEvent> ResponseReader::OnHead() {
--- a/src/gateway/response_reader.h
+++ b/src/gateway/response_reader.h
@@ -47,6 +47,7 @@
     kClosed,     // The upstream closed the connection before the end of the response.
     kMalformed,  // It sent bytes that are no response.
     kSurplus,    // A response to another request takes the rest of the connection.
+    kTooLong,    // More was sent than any response needs, and the upstream is still there.
   };
   Cause cause = Cause::kClosed;
   std::string reason;
@@ -95,6 +96,7 @@
 
   std::optional<ResponseEvent> Parse();
   std::optional<ResponseEvent> OnHead();
+  bool IsSkipping() const { return subject_ == Subject::kInterim || subject_ == Subject::kSurplus; }
   std::optional<ResponseEvent> NextOfAwaited();
   Subject SubjectOf(const UpstreamHead& head) const;
   bool IsForCurrentRequest(const UpstreamHead& head) const;
@@ -107,6 +109,7 @@
   std::optional<Parser> parser_;
   Subject subject_ = Subject::kUnknown;
   std::uint64_t surplus_responses_ = 0;
+  std::uint64_t skipped_bytes_ = 0;  // Before the awaited response.
 };
 
 }  // namespace junctionrail::internal
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -36,8 +36,9 @@
 constexpr std::size_t kReadBytes = 8 << 10;
 
 UpstreamFailure FailureOf(ResponseUnreadable::Cause cause) {
-  return cause == ResponseUnreadable::Cause::kSurplus ? UpstreamFailure::kMismatched
-                                                      : UpstreamFailure::kBroken;
+  using Cause = ResponseUnreadable::Cause;
+  const bool is_upstream_there = cause == Cause::kSurplus || cause == Cause::kTooLong;
+  return is_upstream_there ? UpstreamFailure::kMismatched : UpstreamFailure::kBroken;
 }
 
 }  // namespace
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -21,8 +21,8 @@
   kNoConnection,  // Nothing was sent.
   kWithheld,      // Nothing was sent, as the listener asked.
   kBroken,        // Closed, reset or malformed after the request was sent.
-  // After the request was sent, a response to another one took the rest of the connection. The
-  // request may have run, and the upstream is still there.
+  // After the request was sent, a response to another one took the rest of the connection, or more
+  // was sent than any response needs. The request may have run, and the upstream is still there.
   kMismatched,
 };
 
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -151,4 +151,37 @@
   EXPECT_TRUE(test.caller->AwaitText("\r\n0\r\n\r\n"), "the stream ends");
 }
 
+// Guards against an upstream that announces a response for as long as the request may take.
+TEST(EndlessResponses, ThatAreInterimEndAtABound) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.Send("", "HTTP/1.1 103 Early Hints\r\nLink: " + PlainPiece() + "\r\n\r\n");
+  test.ExpectUnknownOutcome("more than 16 MiB before the response");
+}
+
+// Guards against the same with responses that no request waits for.
+TEST(EndlessResponses, ThatAreSurplusEndAtABound) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.Send("", OkResponse(PlainPiece(), "earlier"));
+  test.ExpectUnknownOutcome("more than 16 MiB before the response");
+}
+
+// Guards against the same with one of them, whose body does not end.
+TEST(EndlessResponses, WithABodyThatIsSurplusEndAtABound) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.Send(
+      "HTTP/1.1 200 OK\r\nJunctionrail-Request-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n",
+      Chunk(PlainPiece()));
+  test.ExpectUnknownOutcome("more than 16 MiB before the response");
+}
+
+// Guards against skipped bytes that count as the upstream's progress: the request was not sent
+// elsewhere.
+TEST(EndlessResponses, ThatAreInterimLetARepeatableRequestGoElsewhere) {
+  OneRequest test(RequestKind::kIdempotent);
+  test.fixture.AddUpstream(
+      "u2", "plain", [](const SeenRequest&, const Peer& peer) { peer->Write(OkResponse("two")); });
+  test.Send("", "HTTP/1.1 103 Early Hints\r\nLink: " + PlainPiece() + "\r\n\r\n");
+  EXPECT_TRUE(Contains(test.caller->received(), "200 OK"), test.caller->received());
+}
+
 }  // namespace junctionrail
