Gateway: a chunk header and a trailer have a bound

The parser takes a chunk header or a trailer in one step, and its limit for heads does not hold for them. One that did not end was kept in the read buffer until the memory was used up.

Once 64 KiB wait there that the parser cannot take, the attempt now ends as one that may have run, with a reset of the connection and the reason "a chunk header or trailer longer than 64 KiB".

The new tests WithAChunkExtensionEndAtABound and WithATrailerEndAtABound failed before: after 24 MiB the connection was still open. With the bound they pass, as does framing of 16 KiB.

--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -12,6 +12,9 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
+// Received, and not enough to be taken: a part of a head, which has its own limit, or of the chunk
+// header or trailer of a body.
+constexpr std::size_t kMaxFramingBytes = kMaxHeadBytes;
 // Of interim and surplus responses before the awaited one: as long as the longest response.
 constexpr std::uint64_t kMaxSkippedBytes = 16 << 20;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -60,7 +63,9 @@
     const std::size_t unread = buffer_.size();
     auto event = Parse();
     if (event) return event;
-    if (buffer_.size() == unread) return std::nullopt;
+    if (buffer_.size() < unread) continue;
+    if (unread <= kMaxFramingBytes) return std::nullopt;
+    return TooLong("a chunk header or trailer longer than 64 KiB");
   }
 }
 
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -184,4 +184,26 @@
   EXPECT_TRUE(Contains(test.caller->received(), "200 OK"), test.caller->received());
 }
 
+// Guards against the framing of a body that is kept until the memory of the process is used up.
+TEST(EndlessResponses, WithAChunkExtensionEndAtABound) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.Send(kChunkedHead + std::string("5;x="), PlainPiece());
+  test.ExpectUnknownOutcome("a chunk header or trailer longer than 64 KiB");
+}
+
+// Guards against the same at the end of a body.
+TEST(EndlessResponses, WithATrailerEndAtABound) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.Send(kChunkedHead + std::string("5\r\nhello\r\n0\r\n"), "X: " + PlainPiece() + "\r\n");
+  test.ExpectUnknownOutcome("a chunk header or trailer longer than 64 KiB");
+}
+
+// Guards against a bound that takes framing which is unusual for framing that does not end.
+TEST(EndlessResponses, AreNotThoseWithLongFraming) {
+  OneRequest test(RequestKind::kNonIdempotent);
+  test.peer->Write(kChunkedHead + ("5;x=" + PlainPiece()) + "\r\nhello\r\n0\r\nX: " + PlainPiece() +
+                   "\r\n\r\n");
+  EXPECT_TRUE(test.caller->AwaitText("hello"), "the response");
+}
+
 }  // namespace junctionrail
