HTTP client: an answer has bounds

Answers had a bound of 2^40 bytes, interim responses none, and a chunk header or trailer that did not end was kept in the read buffer. A server that sends without an end used up the memory of the process that called it.

A call now names the longest body that it takes, 16 MiB unless it says otherwise; calls whose answer is taken as it arrives, the dispatch of an agent and the watch of the store, have no such bound. After that, after 100 interim responses, or with 64 KiB of a chunk header or trailer, the call fails as one that may have run, its connection is closed, and the reason names the bound.

The five tests EndlessAnswers failed before: after 24 MiB the connection was still open.

--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -105,6 +105,8 @@
   DurationMs quiet_ms = 60000;  // The longest silence after the call was sent.
   bool is_fresh = false;        // Never on a connection used before.
   bool closes_idle = false;     // Those kept for the endpoint may be dead: closed first.
+  // The longest body; 0: without bound, for a stream that is taken as it arrives.
+  std::uint64_t max_answer_bytes = 16 << 20;
 };
 
 // What becomes of a call: a head, pieces, then `done`; or `failed` at any point.
--- a/src/daemon/agent_daemon.cc
+++ b/src/daemon/agent_daemon.cc
@@ -178,6 +178,7 @@
   call.body = std::move(command.body);
   call.connect_ms = kConnectMs;
   call.quiet_ms = kSilentUpstreamMs;
+  call.max_answer_bytes = 0;  // Passed on in pieces.
   // A connection used before may be closing: a call to a plain service, which
   // may not be repeatable, never risks an unknown outcome for it.
   call.is_fresh = settings_.agent.upstream_kind == UpstreamKind::kService;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -24,7 +24,9 @@
 constexpr std::size_t kPieceBytes = 16 << 10;
 constexpr std::size_t kMostIdle = 64;  // Connections kept for each endpoint.
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr std::uint64_t kMostAnswerBytes = 1ULL << 40;
+constexpr int kMostInterimResponses = 100;  // Before one answer.
+// Received, and not enough to be taken; a head has a lower limit.
+constexpr std::size_t kMostFramingBytes = 64 << 10;
 
 // A connection may die without a word while a call waits on it for seconds, as one that
 // watches does. The kernel asks the far end after a second of silence and gives the
@@ -139,11 +141,15 @@
 
   void ReadHead() {
     parser_.emplace();
-    parser_->body_limit(kMostAnswerBytes);
+    if (call_.max_answer_bytes == 0) {
+      parser_->body_limit(boost::none);
+    } else {
+      parser_->body_limit(call_.max_answer_bytes);
+    }
     http::async_read_header(*stream_, buffer_, *parser_,
                             [self = shared_from_this()](beast::error_code ec, std::size_t) {
                               if (self->is_over_) return;
-                              if (ec) return self->Fail(true, ec.message());
+                              if (ec) return self->Fail(true, self->ReasonOf(ec));
                               self->OnHead();
                             });
   }
@@ -151,7 +157,7 @@
   void OnHead() {
     const auto& message = parser_->get();
     const bool is_interim = message.result_int() < kFirstFinalStatus;
-    if (is_interim) return ReadHead();
+    if (is_interim) return OnInterim();
     if (callbacks_.head) {
       callbacks_.head(message.result_int(), std::string(message[http::field::content_type]));
     }
@@ -163,6 +169,18 @@
     if (!is_over_) ReadPiece();
   }
 
+  void OnInterim() {
+    if (++interim_responses_ <= kMostInterimResponses) return ReadHead();
+    Fail(true, "more than " + std::to_string(kMostInterimResponses) + " interim responses");
+  }
+
+  std::string ReasonOf(beast::error_code ec) const {
+    if (ec == http::error::body_limit)
+      return "an answer longer than " + std::to_string(call_.max_answer_bytes) + " bytes";
+    if (ec == http::error::buffer_overflow) return "a chunk header or trailer longer than 64 KiB";
+    return ec.message();
+  }
+
   void ReadPiece() {
     if (parser_->is_done()) return Finish();
     parser_->get().body().data = piece_.data();
@@ -177,7 +195,7 @@
 
   void OnPiece(beast::error_code ec) {
     if (ec == http::error::need_buffer) ec = {};
-    if (ec) return Fail(true, ec.message());
+    if (ec) return Fail(true, ReasonOf(ec));
     const std::size_t n = piece_.size() - parser_->get().body().size;
     if (n > 0 && callbacks_.piece) callbacks_.piece(std::string(piece_.data(), n));
     if (!is_over_) ReadPiece();
@@ -204,9 +222,10 @@
   HttpCallbacks callbacks_;
   std::unique_ptr<Stream> stream_;
   http::request<http::string_body> request_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMostFramingBytes};
   std::optional<Parser> parser_;
   std::array<char, kPieceBytes> piece_;
+  int interim_responses_ = 0;
   bool is_over_ = false;
 };
 
--- a/src/store/kv_client.cc
+++ b/src/store/kv_client.cc
@@ -220,6 +220,7 @@
   call.body = json{{"create_request", create}}.dump();
   call.connect_ms = kCallMs;
   call.quiet_ms = kWatchQuietMs;
+  call.max_answer_bytes = 0;  // Goes on for as long as the watch; taken in lines.
   call.is_fresh = true;
   auto reader = std::make_shared<WatchReader>(std::move(changed));
   auto is_ended = std::make_shared<bool>(false);
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -206,4 +206,70 @@
   EXPECT_TRUE(test.caller->AwaitText("hello"), "the response");
 }
 
+TEST_GROUP(EndlessAnswers){};
+
+namespace {
+
+// A call to a server that answers as the test says.
+struct OneCall {
+  explicit OneCall(std::uint64_t max_answer_bytes = HttpCall().max_answer_bytes) {
+    HttpCall call;
+    call.endpoint = server.endpoint();
+    call.max_answer_bytes = max_answer_bytes;
+    FetchWhole(client, std::move(call), [&](HttpAnswer it) {
+      answer = std::move(it);
+      is_done = true;
+    });
+    EXPECT_TRUE(RunUntil(io, [&] { return peer != nullptr; }), "the call is sent");
+  }
+
+  // The server sends `begin`, and then `piece` without an end.
+  void Send(const std::string& begin, const std::string& piece, const std::string& bound) {
+    peer->Write(begin);
+    EXPECT_TRUE(WriteUntilClosed(io, peer, piece), "the connection is closed");
+    EXPECT_TRUE(is_done && answer.status == 0 && answer.was_sent, "the call may have been run");
+    EXPECT_TRUE(Contains(answer.reason, bound), answer.reason);
+  }
+
+  boost::asio::io_context io;
+  Peer peer;
+  ScriptedUpstream server{io, [this](const SeenRequest&, const Peer& it) { peer = it; }};
+  HttpClient client{io};
+  HttpAnswer answer;
+  bool is_done = false;
+};
+
+}  // namespace
+
+// Guards against an answer that is kept until the memory of the process is used up.
+TEST(EndlessAnswers, WithOneBodyEndAtABound) {
+  OneCall().Send("HTTP/1.1 200 OK\r\n\r\n", PlainPiece(), "an answer longer than 16777216 bytes");
+}
+
+// Guards against the same where the answer is in chunks, and its call names a bound of its own.
+TEST(EndlessAnswers, WithChunksEndAtTheBoundOfTheirCall) {
+  OneCall(1000).Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Chunk(PlainPiece()),
+                     "an answer longer than 1000 bytes");
+}
+
+// Guards against a server that announces an answer for as long as its call may take.
+TEST(EndlessAnswers, ThatAreInterimEndAtABound) {
+  constexpr int kManyResponses = 500;
+  std::string piece;
+  for (int i = 0; i < kManyResponses; ++i) piece += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  OneCall().Send("", piece, "more than 100 interim responses");
+}
+
+// Guards against framing that is kept until the memory of the process is used up.
+TEST(EndlessAnswers, WithAChunkExtensionEndAtABound) {
+  OneCall().Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", PlainPiece(),
+                 "a chunk header or trailer longer than 64 KiB");
+}
+
+// Guards against the same at the end of an answer.
+TEST(EndlessAnswers, WithATrailerEndAtABound) {
+  OneCall().Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                 "X: " + PlainPiece() + "\r\n", "a chunk header or trailer longer than 64 KiB");
+}
+
 }  // namespace junctionrail
