HTTP server: a chunk header and a trailer have a bound

A chunk header that did not end was kept in the read buffer until the memory was used up. Once 64 KiB wait there that the parser cannot take, the request is refused with status 431.

The new test EndlessRequests.WithAChunkExtensionEndAtABound failed before: nothing had come back after 24 MiB.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -21,6 +21,9 @@
 
 constexpr int kBacklog = 1024;
 constexpr auto kIdleTimeout = std::chrono::seconds(75);
+// Received, and not enough to be taken: a part of a head, which has its own limit, or of the chunk
+// header or trailer of a body.
+constexpr std::size_t kMaxFramingBytes = 64 << 10;
 constexpr char kServerName[] = "junctionrail";
 
 using Parser = http::request_parser<http::string_body>;
@@ -185,6 +188,8 @@
     is_idle_ = false;
     if (ec == http::error::body_limit)
       return Reject(413, "the body is larger than this server takes");
+    if (ec == http::error::buffer_overflow)
+      return Reject(431, "a chunk header or trailer is larger than this server takes");
     if (ec == http::error::header_limit)
       return Reject(431, "the header is larger than this server takes");
     const bool is_bad_http =
@@ -273,7 +278,7 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<Impl> server_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxFramingBytes};
   std::optional<Parser> parser_;
   std::deque<std::string> unsent_;
   std::size_t unsent_bytes_ = 0;
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -272,4 +272,24 @@
                  "X: " + PlainPiece() + "\r\n", "a chunk header or trailer longer than 64 KiB");
 }
 
+TEST_GROUP(EndlessRequests){};
+
+// Guards against framing of a request that is kept until the memory of the process is used up.
+TEST(EndlessRequests, WithAChunkExtensionEndAtABound) {
+  boost::asio::io_context io;
+  bool is_handled = false;
+  HttpServer server(io, {{"127.0.0.1", 0}},
+                    [&](HttpRequest, std::shared_ptr<HttpResponder>) { is_handled = true; });
+  TestCaller caller(io, server.Listen().value());
+  caller.Send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;x=");
+  for (std::size_t n = 0; n < kMostBytes && caller.received().empty(); n += kPieceBytes) {
+    caller.Send(PlainPiece());
+    io.restart();
+    io.poll();
+  }
+  EXPECT_TRUE(Contains(caller.received(), "431 "), "expected a refusal, got " + caller.received());
+  EXPECT_TRUE(!is_handled, "no request was handled");
+  server.Stop();
+}
+
 }  // namespace junctionrail
