Links: the handshake of a link takes no body

The library kept the body of a handshake of up to 32 MB for each connection. The bounds that hold already, at both ends: 65 MiB for a message, 16000 bytes for the head of the handshake.

The new test EndlessRequests.ForALinkHaveNoBody failed before: no refusal of an announced body of 20 MB within the 5 s until the handshake timed out. Now it is refused with status 413.

--- a/src/net/links.cc
+++ b/src/net/links.cc
@@ -16,12 +16,15 @@
 
 // Links to many upstreams stand open at once, so a link's buffer is small.
 constexpr std::size_t kReadBuffer = 4096;
+// Of the handshake, which has none.
+constexpr std::size_t kMaxBodyBytes = 1;
 
 template <class Base>
 struct SmallBuffers : public Base {
   // Names that websocketpp looks for.
   static const std::size_t connection_read_buffer_size = kReadBuffer;  // NOLINT
   static const std::size_t max_message_size = kMaxFrameBytes;          // NOLINT
+  static const std::size_t max_http_body_size = kMaxBodyBytes;         // NOLINT
 };
 
 using ServerEndpoint = websocketpp::server<SmallBuffers<websocketpp::config::asio>>;
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -292,4 +292,15 @@
   server.Stop();
 }
 
+// Guards against a body that is kept although the handshake of a link has none.
+TEST(EndlessRequests, ForALinkHaveNoBody) {
+  boost::asio::io_context io;
+  LinkServer server(io, {});
+  TestCaller caller(io, server.Listen({"127.0.0.1", 0}).value());
+  caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 20000000\r\n\r\n" + PlainPiece());
+  EXPECT_TRUE(caller.AwaitText("413 "), "expected a refusal, got " + caller.received());
+  server.Stop();
+  testing::RunFor(io, 10);
+}
+
 }  // namespace junctionrail
