Store: a line of a watch has a bound

A watch keeps a line of its answer until the line is whole, and went on to read after it had ended. A line that did not end used up the memory of the process, and was searched anew with each piece.

Beyond 16 MiB the watch now ends, its connection is closed, and the changes are read in pages: a new watch would meet the same line again. Each byte is searched once.

--- a/src/store/kv_client.cc
+++ b/src/store/kv_client.cc
@@ -157,25 +157,31 @@
 
 namespace {
 
+// The changes of one line hold values of up to 1 MB each, in base64.
+constexpr std::size_t kMaxLineBytes = 16 << 20;
+
 // Cuts a watch's stream into its JSON lines.
 class WatchReader {
  public:
   explicit WatchReader(std::function<void(std::vector<KvEvent>)> changed)
       : changed_(std::move(changed)) {}
 
-  bool was_cancelled() const { return was_cancelled_; }
+  // Whether the changes since then can only be read: a new watch would meet the same end.
+  bool must_read() const { return was_cancelled_ || is_line_too_long_; }
 
   // False when the stream is not the API's, or the service ended the watch.
   bool Take(std::string_view data) {
+    const std::size_t searched = buffer_.size();
     buffer_ += data;
-    std::size_t end = buffer_.find('\n');
+    std::size_t end = buffer_.find('\n', searched);
     while (end != std::string::npos) {
       const std::string line = buffer_.substr(0, end);
       buffer_.erase(0, end + 1);
       if (!line.empty() && !TakeLine(line)) return false;
       end = buffer_.find('\n');
     }
-    return true;
+    is_line_too_long_ = buffer_.size() > kMaxLineBytes;
+    return !is_line_too_long_;
   }
 
  private:
@@ -201,6 +207,7 @@
   std::function<void(std::vector<KvEvent>)> changed_;
   std::string buffer_;
   bool was_cancelled_ = false;
+  bool is_line_too_long_ = false;
 };
 
 }  // namespace
@@ -225,15 +232,21 @@
   auto reader = std::make_shared<WatchReader>(std::move(changed));
   auto is_ended = std::make_shared<bool>(false);
   auto end = [ended = std::move(ended), is_ended, reader] {
-    if (!std::exchange(*is_ended, true)) ended(reader->was_cancelled());
+    if (!std::exchange(*is_ended, true)) ended(reader->must_read());
   };
   HttpCallbacks callbacks;
-  callbacks.piece = [reader, end](const std::string& data) {
-    if (!reader->Take(data)) end();
+  auto call_of_watch = std::make_shared<std::weak_ptr<HttpCallHandle>>();
+  callbacks.piece = [reader, end, call_of_watch](const std::string& data) {
+    if (reader->Take(data)) return;
+    const auto handle = call_of_watch->lock();
+    if (handle) handle->Cancel();
+    end();
   };
   callbacks.done = end;
   callbacks.failed = [end](bool, const std::string&) { end(); };
-  return impl_->http_.Start(std::move(call), std::move(callbacks));
+  auto started = impl_->http_.Start(std::move(call), std::move(callbacks));
+  *call_of_watch = started;
+  return started;
 }
 
 std::string PrefixEnd(std::string_view prefix) {
--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -3,11 +3,13 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "check.h"
 #include "gateway_fixture.h"
 #include "junctionrail/gateway.h"
 #include "junctionrail/net.h"
+#include "junctionrail/store.h"
 #include "loopback.h"
 
 namespace junctionrail {
@@ -303,4 +305,29 @@
   testing::RunFor(io, 10);
 }
 
+TEST_GROUP(EndlessWatches){};
+
+// Guards against a change that is kept until the memory of the process is used up, and against a
+// watch that asks for the same change again.
+TEST(EndlessWatches, WithOneLineEndAtABound) {
+  boost::asio::io_context io;
+  Peer peer;
+  ScriptedUpstream server(io, [&](const SeenRequest&, const Peer& it) { peer = it; });
+  HttpClient client(io);
+  KvClient store(client, {server.endpoint()});
+  int ends = 0;
+  bool must_read = false;
+  const auto watch = store.Watch(
+      "key", 1, [](const std::vector<KvEvent>&) {},
+      [&](bool must) {
+        ++ends;
+        must_read = must;
+      });
+  EXPECT_TRUE(RunUntil(io, [&] { return peer != nullptr; }), "the watch is sent");
+  peer->Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  EXPECT_TRUE(WriteUntilClosed(io, peer, Chunk(PlainPiece())), "the connection is closed");
+  EXPECT_NUMBER(1, ends, "ends of the watch");
+  EXPECT_TRUE(must_read, "what was missed is read");
+}
+
 }  // namespace junctionrail
