--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -3,6 +3,7 @@
 #ifndef JUNCTIONRAIL_GATEWAY_EVENT_STREAM_H_
 #define JUNCTIONRAIL_GATEWAY_EVENT_STREAM_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,6 +12,10 @@
 
 namespace junctionrail::internal {
 
+// Of one event; those of engines are a few KiB.
+constexpr std::size_t kMaxEventBytes = 1 << 20;
+constexpr char kEventTooLong[] = "an event longer than 1 MiB";
+
 class EventStreamReader {
  public:
   // Takes received bytes and returns the events they complete. Events with a numeric id that is not
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -17,6 +17,9 @@
 
 // How long a silent attempt is kept once another one has begun to be answered.
 constexpr DurationMs kBothAtWorkMs = 300;
+// Of a response that is kept until it is whole; the longest are a few MiB.
+constexpr std::size_t kMaxBodyBytes = 16 << 20;
+constexpr char kBodyTooLong[] = "a response longer than 16 MiB";
 
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirectedRequest = 421;
@@ -106,6 +109,7 @@
   if (!IsCurrent(number)) return;
   if (attempt_.is_event_stream) {
     const std::string whole = events_.Feed(data);
+    if (events_.partial_event().size() > kMaxEventBytes) return OnTooLong(kEventTooLong);
     if (whole.empty()) return;
     OnProgress();
     DropSilent();
@@ -123,10 +127,18 @@
     if (attempt_.is_paused) attempt_.call->Pause(true);
     return;
   }
+  if (attempt_.response_body.size() + data.size() > kMaxBodyBytes) return OnTooLong(kBodyTooLong);
   OnProgress();
   attempt_.response_body += data;
 }
 
+// The upstream sends without an end, and is still there.
+void Exchange::OnTooLong(std::string_view reason) {
+  CancelAttempt(&attempt_, AttemptOutcome::kFailed);
+  attempt_.response_body = std::string();
+  AfterAttempt(Execution::kMayHaveRun, true, reason);
+}
+
 void Exchange::RecordEventTime() {
   gateway_.crash_detector.OnDataReceived(attempt_.instance, last_event_at_);
   if (attempt_.first_event_at == 0) attempt_.first_event_at = last_event_at_;
--- a/src/gateway/exchange_silence.cc
+++ b/src/gateway/exchange_silence.cc
@@ -143,7 +143,12 @@
 void Exchange::OnSilentBody(Attempt* silent, std::string_view data) {
   if (silent->is_event_stream) {
     silent->partial_event += data;
-    if (!EventStreamReader::HoldsWholeEvent(silent->partial_event)) return;
+    const bool is_whole = EventStreamReader::HoldsWholeEvent(silent->partial_event);
+    if (!is_whole && silent->partial_event.size() > kMaxEventBytes) {
+      silent->call->Cancel();
+      return OnSilentFailed(silent, AttemptOutcome::kFailed, Execution::kMayHaveRun, kEventTooLong);
+    }
+    if (!is_whole) return;
     silent->partial_event.resize(silent->partial_event.size() - data.size());
   }
   const std::string bytes(data);
--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -11,8 +11,12 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t kMaxResponseBytes = 1ULL << 40;
 constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
+// Received, and not enough to be taken: a part of a head, which has its own limit, or of the chunk
+// header or trailer of a body.
+constexpr std::size_t kMaxFramingBytes = kMaxHeadBytes;
+// Of interim and surplus responses before the awaited one: as long as the longest response.
+constexpr std::uint64_t kMaxSkippedBytes = 16 << 20;
 constexpr unsigned kFirstFinalStatus = 200;
 
 template <typename Parser>
@@ -28,6 +32,10 @@
   return {ResponseUnreadable::Cause::kMalformed, "malformed response: " + ec.message()};
 }
 
+ResponseUnreadable TooLong(std::string reason) {
+  return {ResponseUnreadable::Cause::kTooLong, std::move(reason)};
+}
+
 }  // namespace
 
 void ResponseReader::Begin(std::string request_id, bool is_head_method) {
@@ -36,6 +44,7 @@
   has_sent_head_method_ |= is_head_method;
   parser_.reset();
   subject_ = Subject::kUnknown;
+  skipped_bytes_ = 0;
 }
 
 std::optional<ResponseEvent> ResponseReader::Next() {
@@ -43,7 +52,7 @@
     if (subject_ == Subject::kAwaited) {
       auto event = NextOfAwaited();
       if (event) return event;
-    } else if (subject_ != Subject::kUnknown) {
+    } else if (IsSkipping()) {
       parser_->get().body().consume(parser_->get().body().size());
       if (parser_->is_done()) {
         parser_.reset();
@@ -54,7 +63,9 @@
     const std::size_t unread = buffer_.size();
     auto event = Parse();
     if (event) return event;
-    if (buffer_.size() == unread) return std::nullopt;
+    if (buffer_.size() < unread) continue;
+    if (unread <= kMaxFramingBytes) return std::nullopt;
+    return TooLong("a chunk header or trailer longer than 64 KiB");
   }
 }
 
@@ -62,7 +73,8 @@
 std::optional<ResponseEvent> ResponseReader::Parse() {
   if (!parser_) {
     parser_.emplace();
-    parser_->body_limit(kMaxResponseBytes);
+    // A stream may go on without a bound. What is kept of a response has one, where it is kept.
+    parser_->body_limit(boost::none);
     parser_->header_limit(kMaxHeadBytes);
   }
   error_code ec;
@@ -70,7 +82,10 @@
   buffer_.consume(n);
   if (ec && ec != http::error::need_more) return Malformed(ec);
   const bool is_head_read = subject_ == Subject::kUnknown && parser_->is_header_done();
-  return is_head_read ? OnHead() : std::nullopt;
+  auto event = is_head_read ? OnHead() : std::nullopt;
+  if (IsSkipping()) skipped_bytes_ += n;
+  if (event || skipped_bytes_ <= kMaxSkippedBytes) return event;
+  return TooLong("more than 16 MiB before the response");
 }
 
 std::optional<ResponseEvent> ResponseReader::OnHead() {
