Links: tests of the bound of a message

The bound of 65 MiB holds at both ends: the link is closed once the head of a longer message has come.

--- a/test/endless_responses_test.cc
+++ b/test/endless_responses_test.cc
@@ -1,9 +1,16 @@
 // Peers that send bytes without an end which no answer needs: the process has bounds for them.
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
+#include <websocketpp/base64/base64.hpp>
+#include <websocketpp/sha1/sha1.hpp>
 
 #include "check.h"
 #include "gateway_fixture.h"
@@ -330,4 +337,89 @@
   EXPECT_TRUE(must_read, "what was missed is read");
 }
 
+TEST_GROUP(EndlessMessages){};
+
+namespace {
+
+// Begins a message of 66 MiB.
+std::string LongMessage(bool is_masked) {
+  constexpr unsigned char kMaskBit = 0x80;
+  const unsigned char head[] = {0x82, 0x7f, 0, 0, 0, 0, 4, 0x20, 0, 0};
+  std::string bytes(std::begin(head), std::end(head));
+  if (!is_masked) return bytes;
+  bytes[1] = static_cast<char>(static_cast<unsigned char>(bytes[1]) | kMaskBit);
+  return bytes + "mask";
+}
+
+// Of the field by which a server accepts a link.
+std::string AcceptanceOf(const std::string& key) {
+  const std::string text = key + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11";
+  std::array<unsigned char, 20> digest{};
+  websocketpp::sha1::calc(text.data(), text.size(), digest.data());
+  return websocketpp::base64_encode(digest.data(), digest.size());
+}
+
+constexpr char kCloseFrame[] = "\x88";
+// The entry's first message of one byte, behind its head and mask.
+constexpr std::size_t kFirstFrameBytes = 7;
+
+}  // namespace
+
+// Guards against a message that is kept until the memory of an agent is used up.
+TEST(EndlessMessages, ToAnAgentEndAtABound) {
+  boost::asio::io_context io;
+  LinkServer server(
+      io, {[](std::uint64_t) {}, [](std::uint64_t, std::string_view) {}, [](std::uint64_t) {}});
+  TestCaller entry(io, server.Listen({"127.0.0.1", 0}).value());
+  entry.Send(
+      "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n");
+  EXPECT_TRUE(entry.AwaitText("\r\n\r\n"), "the link is open");
+  entry.Forget();
+  entry.Send(LongMessage(true));
+  EXPECT_TRUE(entry.AwaitText(kCloseFrame), "the link is closed");
+  entry.Close();
+  server.Stop();
+  testing::RunFor(io, 10);
+}
+
+// Guards against the same at the entry's end.
+TEST(EndlessMessages, ToAnEntryEndAtABound) {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  asio::io_context io;
+  tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  tcp::socket agent(io);
+  bool is_open = false;
+  bool is_closed = false;
+  acceptor.async_accept(agent, [](boost::system::error_code) {});
+  LinkClient client(
+      io, {[&](const std::string&) { is_open = true; }, [](const std::string&, std::string_view) {},
+           [&](const std::string&, bool) { is_closed = true; }});
+  client.Send("agent", {"127.0.0.1", acceptor.local_endpoint().port()}, "x");
+  SeenRequest request;
+  const auto read_until = [&](const std::function<bool()>& is_read) {
+    return RunUntil(io, [&] {
+      std::array<char, 4096> buf{};
+      boost::system::error_code ec;
+      const bool has_bytes = agent.is_open() && agent.available(ec) > 0;
+      if (has_bytes) request.head.append(buf.data(), agent.read_some(asio::buffer(buf), ec));
+      return is_read();
+    });
+  };
+  EXPECT_TRUE(read_until([&] { return Contains(request.head, "\r\n\r\n"); }),
+              "the entry opens a link");
+  asio::write(agent, asio::buffer("HTTP/1.1 101 x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                                  "Sec-WebSocket-Accept: " +
+                                  AcceptanceOf(request.Field("Sec-WebSocket-Key")) + "\r\n\r\n"));
+  EXPECT_TRUE(RunUntil(io, [&] { return is_open; }), "the link is open");
+  request.head.clear();
+  asio::write(agent, asio::buffer(LongMessage(false)));
+  const auto has_two_frames = [&] { return request.head.size() > kFirstFrameBytes; };
+  EXPECT_TRUE(read_until(has_two_frames), "the link is closed");
+  EXPECT_TRUE(request.head[kFirstFrameBytes] == kCloseFrame[0], "a close frame");
+  agent.close();
+  EXPECT_TRUE(RunUntil(io, [&] { return is_closed; }), "the entry knows");
+}
+
 }  // namespace junctionrail
