Gateway: a field that the entry acts on and Connection names is refused

Cause: a field that Connection names ends at the entry. The entry acted on such a model, request id or prompt parts, and the upstream did not get them. Change: such a request gets 400 connection_field. Measured: on the code before, AreNotTheOnlyOnesThatAnUpstreamCouldReadOtherwise failed, as the upstream answered 200. It passes now.

--- a/src/gateway/http_text.cc
+++ b/src/gateway/http_text.cc
@@ -1,5 +1,6 @@
 #include "http_text.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <cctype>
@@ -54,16 +55,19 @@
   return nullptr;
 }
 
+bool IsConnectionField(const std::vector<HttpHeader>& fields, std::string_view name) {
+  return std::any_of(fields.begin(), fields.end(), [name](const HttpHeader& it) {
+    return EqualsNoCase(it.name, "connection") && ListContains(it.value, name);
+  });
+}
+
 std::vector<HttpHeader> EndToEndFields(const std::vector<HttpHeader>& fields) {
   std::vector<HttpHeader> kept;
   kept.reserve(fields.size());
   for (const auto& it : fields) {
     bool is_dropped = false;
     for (const auto name : kConnectionFields) is_dropped |= EqualsNoCase(it.name, name);
-    for (const auto& other : fields) {
-      const bool is_connection = EqualsNoCase(other.name, "connection");
-      if (is_connection) is_dropped |= ListContains(other.value, it.name);
-    }
+    is_dropped |= IsConnectionField(fields, it.name);
     if (!is_dropped) kept.push_back(it);
   }
   return kept;
--- a/src/gateway/http_text.h
+++ b/src/gateway/http_text.h
@@ -16,6 +16,9 @@
 // Returns the value of the first field of that name, or null.
 const std::string* FindField(const std::vector<HttpHeader>& fields, std::string_view name);
 
+// Whether a Connection field names that field, which then ends at the next hop.
+bool IsConnectionField(const std::vector<HttpHeader>& fields, std::string_view name);
+
 // Removes hop-by-hop fields (RFC 9110, section 7.6.1): the known ones, those that Connection
 // names, and the framing fields.
 std::vector<HttpHeader> EndToEndFields(const std::vector<HttpHeader>& fields);
--- a/src/gateway/request_fields.cc
+++ b/src/gateway/request_fields.cc
@@ -43,6 +43,11 @@
       return FieldError{"repeated_field", "expected one header " + *name + ", found more"};
     }
   }
+  for (const std::string* name : ReadFields(names)) {
+    if (FindField(fields, *name) != nullptr && IsConnectionField(fields, *name)) {
+      return FieldError{"connection_field", "expected no " + *name + " in Connection, found one"};
+    }
+  }
   struct NameField {
     const std::string& field;
     bool (*is_valid)(std::string_view);
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -432,4 +432,13 @@
   EXPECT_TRUE(Contains(head, "Accept: a/b\r\n") && Contains(head, "Accept: c/d\r\n"), head);
 }
 
+// Guards against a field that the gateway acts on and, as Connection names it, does not relay.
+TEST(RepeatedFields, AreNotTheOnlyOnesThatAnUpstreamCouldReadOtherwise) {
+  OneUpstream test;
+  test.ExpectRefused(
+      "POST /a/ HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: r1\r\n"
+      "Junctionrail-Model: a\r\nConnection: close, junctionrail-model\r\n\r\n",
+      "connection_field");
+}
+
 }  // namespace junctionrail
