Engine client: an answer whose fields are of other types is refused

Cause: json::value throws if a field is there with another type, and ReadModels did not catch: an engine's index with a number for a name ended the agent. Change: such an index counts as no inventory, like one that is no array. Measured: on the code before, MayBeAnEngineThatAnswersJsonOfAnotherShape ended the process by signal 6 (type_error.302). It passes now, and unit_tests and the five groups of hostile_callers_test.cc do.

--- a/src/daemon/engine_client.cc
+++ b/src/daemon/engine_client.cc
@@ -42,19 +42,27 @@
   return text == "disk" ? CacheTier::kDisk : CacheTier::kRemote;
 }
 
+// Throws json::exception if a field is of another type.
+EngineModel ReadModel(const json& it) {
+  EngineModel model;
+  model.key = it.value("name", "");
+  model.state = StateOf(it.value("state", ""));
+  model.accelerator = it.value("accelerator", 0U);
+  model.memory_mb = it.value("memory_mb", std::uint64_t{0});
+  model.tier = TierOf(it.value("cache_tier", ""));
+  return model;
+}
+
 bool ReadModels(const std::string& body, std::vector<EngineModel>* models) {
   const json index = json::parse(body, nullptr, false);
   if (!index.is_array()) return false;
-  for (const auto& it : index) {
-    if (!it.is_object()) return false;
-    EngineModel model;
-    model.key = it.value("name", "");
-    model.state = StateOf(it.value("state", ""));
-    model.accelerator = it.value("accelerator", 0U);
-    model.memory_mb = it.value("memory_mb", std::uint64_t{0});
-    model.tier = TierOf(it.value("cache_tier", ""));
-    if (model.key.empty()) return false;
-    models->push_back(std::move(model));
+  try {
+    for (const auto& it : index) {
+      models->push_back(ReadModel(it));
+      if (models->back().key.empty()) return false;
+    }
+  } catch (const json::exception&) {
+    return false;
   }
   return true;
 }
--- a/test/hostile_callers_test.cc
+++ b/test/hostile_callers_test.cc
@@ -8,6 +8,7 @@
 #include "caller_api.h"
 #include "check.h"
 #include "direct_daemon.h"
+#include "engine_client.h"
 #include "gateway_fixture.h"
 #include "junctionrail/net.h"
 #include "junctionrail/placement.h"
@@ -266,6 +267,26 @@
   }
 }
 
+// Guards against an engine whose answer is JSON of another shape: the reader threw out of its
+// handler, and the agent ended.
+TEST(HostilePeers, MayBeAnEngineThatAnswersJsonOfAnotherShape) {
+  for (const std::string index : {R"([{"name":5}])", R"([{"name":"m","memory_mb":"x"}])"}) {
+    boost::asio::io_context io;
+    HttpClient http(io);
+    testing::ScriptedUpstream engine(io, [&](const SeenRequest& request, const Peer& peer) {
+      const bool is_index = Contains(request.Line(), "/index");
+      peer->Write(Answer(200, is_index ? index : R"({"accelerators_mb":[1]})"));
+    });
+    internal::EngineClient client(http, engine.endpoint());
+    std::optional<bool> has_inventory;
+    client.Inventory([&](const std::optional<internal::EngineInventory>& inventory) {
+      has_inventory = inventory.has_value();
+    });
+    EXPECT_TRUE(RunUntil(io, [&] { return has_inventory.has_value(); }), "an end");
+    EXPECT_TRUE(!*has_inventory, "expected no inventory of " + index);
+  }
+}
+
 TEST_GROUP(HostileBodies){};
 
 // Guards against a nest in a caller's JSON, which the writer of JSON follows by calling itself
