Quarantine: a cleared request does not keep a part beside it from being found

Requests with one prompt part crashed upstreams on, long after five crashes. Cause: a crash counted for nothing if another entry had sent a request alone to the same upstream, even after all parts of that request had been answered. Change: a request that was at one crash, and sent alone because of parts that have been answered since, is no longer a reason to doubt. One that was at several crashes, or of which no part was suspected, still is. Measured: PromptPartTable.FindsAPartOnceThoseThatWereAloneBesideItAreCleared fails before (nothing found) and passes.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -335,6 +335,7 @@
   std::vector<RequestDigest> WithCompanions(const RequestDigest& part,
                                             const std::vector<const Crash*>& crashes, int causes,
                                             TimeMs now) const;
+  bool IsCleared(const SuspectParts& suspect, TimeMs now) const;
   Evidence EvidenceOf(const Crash& crash, const std::vector<RequestDigest>& combination, int causes,
                       TimeMs now) const;
   std::vector<Finding> NarrowCombinations(TimeMs now);
--- a/src/quarantine/prompt_part_table.cc
+++ b/src/quarantine/prompt_part_table.cc
@@ -281,6 +281,17 @@
   return combination;
 }
 
+// A request that was sent alone because of a part that has been answered since is not the cause.
+// One that was at several crashes, or of which no part was suspected, was sent alone for itself.
+bool PromptPartTable::IsCleared(const SuspectParts& suspect, TimeMs now) const {
+  if (suspect.parts.empty() || !WithoutSound(suspect.parts, now).empty()) return false;
+  const auto crashes = std::count_if(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
+    return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                       [&](const SuspectParts& it) { return it.request == suspect.request; });
+  });
+  return crashes == 1;
+}
+
 // Entries may each have sent a request alone to one upstream, and any of them may be the cause. A
 // part that all requests share looks like the cause as long as no other part of them is known to be
 // sound; what tells it apart then is that the model answers requests without it.
@@ -289,7 +300,7 @@
                                                       int causes, TimeMs now) const {
   Evidence evidence;
   for (const auto& it : crash.suspects) {
-    if (!it.was_isolated) continue;
+    if (!it.was_isolated || IsCleared(it, now)) continue;
     if (!ContainsAll(it.parts, combination)) return {};
     const auto candidates = WithoutSound(it.parts, now);
     const bool is_explained =
--- a/test/prompt_part_table_test.cc
+++ b/test/prompt_part_table_test.cc
@@ -150,6 +150,49 @@
   EXPECT_TEXT("k", table.Found(kIds), "k is at more crashes, and alone");
 }
 
+namespace {
+
+// Crashes of k's requests, each at an upstream to which another entry has sent a request alone. No
+// part of the latter is known to be sound when it crashes.
+struct CrowdedTable : Table {
+  void CrashBeside(const std::string& request, const std::string& parts) {
+    UpstreamCrash crash;
+    crash.instance = "i-" + std::to_string(++crashes);
+    const auto digest = DigestOf({"", "", "", "", std::to_string(++sent)});
+    crash.suspects.push_back({digest, false, true, Parts("k:1"), true});
+    const auto other = DigestOf({"", "", "", "", request});
+    crash.suspects.push_back({other, false, true, table.WithoutSound(Parts(parts), now), true});
+    table.Add(crash, now);
+    now += kReportedMs;
+  }
+};
+
+}  // namespace
+
+// Guards against a part that is not found, as each of its requests crashed an upstream to which
+// another entry had sent a request alone, although those have been cleared since.
+TEST(PromptPartTable, FindsAPartOnceThoseThatWereAloneBesideItAreCleared) {
+  CrowdedTable table;
+  for (const char* it : {"z1", "z2", "z3"}) table.CrashBeside(it, "f:1," + std::string(it) + ":1");
+  EXPECT_TEXT("", table.Found(kIds), "each of the others may be the cause of its crash");
+  for (const char* it : {"z1", "z2"})
+    table.table.AddSound(Parts(std::string(it) + ":1"), table.now);
+  EXPECT_TEXT("", table.Found(kIds), "f may still be the cause");
+  table.table.AddSound(Parts("f:1"), table.now);
+  EXPECT_TEXT("k", table.Found(kIds), "two others are cleared");
+}
+
+// Guards against the refusal of a part that was beside a request which crashes upstreams itself,
+// though its parts are sound.
+TEST(PromptPartTable, DoesNotFindAPartBesideARequestThatWasAloneForItself) {
+  CrowdedTable table;
+  for (int n = 0; n < 3; ++n) table.CrashBeside("repeated", "q:1");
+  table.table.AddSound(Parts("q:1"), table.now);
+  EXPECT_TEXT("", table.Found(kIds), "it was at several crashes");
+  for (const char* it : {"a", "b", "c"}) table.CrashBeside(it, "q:1");
+  EXPECT_TEXT("", table.Found(kIds), "no part of it was suspected");
+}
+
 // Guards against a request that is repeated and counts for its part, as others crash with it.
 TEST(PromptPartTable, CountsARepeatedRequestOnce) {
   Table table;
