Entry: a placement waits for offers that come late

A call for a model that was not loaded got a 503 with no_memory, with 29.9 s of its deadline left. Cause: the entry waits 100 ms for offers, took silence for a lack of memory, and ended the placement when nobody else could be asked. An agent that is short of processor time, or whose link is just being opened, answers later. Change: when nobody else can be asked, a placement waits up to 1 s for those that have not answered, and takes the first late offer that fits. If none has answered, the refusal is no_upstream, as nothing is known about memory. Of three new tests of EntryRouting the late offer, the write beside a second one and the code of the refusal failed before.

--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -71,6 +71,7 @@
   PlacementState state = PlacementState::kDelayed;
   TimeMs until = 0;
   std::uint32_t offer_batches = 0;
+  TimeMs late_offers_until = 0;  // 0 as long as other upstreams can be asked.
   std::uint32_t conflicts = 0;
   std::set<std::string> queried;
   std::set<std::string> pending_offers;
@@ -160,6 +161,7 @@
   void BeginPlacement(const std::string& key);
   void ContinuePlacement(const std::string& key, Placement& placement);
   void RequestNextOffers(const std::string& key, Placement& placement);
+  bool AwaitLateOffers(Placement& placement) const;
   void ChooseOffer(const std::string& key, Placement& placement);
   void OfferFailed(const std::string& vm);
   void WriteSlot(const std::string& key, Placement& placement, const std::string& vm);
--- a/src/core/entry_placement.cc
+++ b/src/core/entry_placement.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr DurationMs kShortRetryMs = 200;
+constexpr DurationMs kLateOffersMs = 1000;  // For those that are asked last to answer, too.
 constexpr DurationMs kKvRetryMs = 1000;     // After a failure of the key-value service.
 constexpr DurationMs kKvTimeoutMs = 10000;  // Longer than the client's own timeout.
 constexpr std::uint32_t kMaxConflicts = 8;
@@ -149,16 +150,18 @@
     }
   }
   if (batch.empty()) {
-    const bool any_queried = !placement.queried.empty();
-    RecordDecision(
-        {}, key, {},
-        any_queried ? "no upstream that was asked has enough memory" : "no upstream could be asked",
-        "asked=" + std::to_string(placement.queried.size()), placement.rejected);
+    if (AwaitLateOffers(placement)) return;
+    const bool any_answered = !placement.offers.empty();
+    RecordDecision({}, key, {},
+                   any_answered ? "no upstream that was asked has enough memory"
+                                : "no upstream could be asked, or none answered",
+                   "asked=" + std::to_string(placement.queried.size()), placement.rejected);
     const Refusal refusal =
-        any_queried
+        any_answered
             ? Refusal{RefusalCode::kNoMemory, "no upstream that was asked has enough memory for it",
                       Ran::kNo, kKvRetryMs}
-            : Refusal{RefusalCode::kNoUpstream, "no upstream could be asked to hold it", Ran::kNo,
+            : Refusal{RefusalCode::kNoUpstream,
+                      "no upstream could be asked to hold it, or none answered", Ran::kNo,
                       kKvRetryMs};
     return EndPlacement(key, refusal);
   }
@@ -173,6 +176,15 @@
   }
 }
 
+// An upstream that is short of processor time answers later than offer_timeout_ms, which is no
+// reason to refuse calls: once nobody else can be asked, the placement waits for it.
+bool EntryImpl::AwaitLateOffers(Placement& placement) const {
+  if (placement.pending_offers.empty()) return false;
+  if (placement.late_offers_until == 0) placement.late_offers_until = now_ + kLateOffersMs;
+  placement.until = placement.late_offers_until;
+  return now_ < placement.until;
+}
+
 void EntryImpl::OnFrame(const std::string& vm, OfferFrame offer) {
   const auto it = placements_.find(offer.key);
   if (it == placements_.end() || it->second.pending_offers.erase(vm) == 0) return;
@@ -186,8 +198,10 @@
   }
   placement.offers.push_back(std::move(offer));
   placement.offer_vms.push_back(vm);
+  if (placement.state != PlacementState::kCollectingOffers) return;
+  if (placement.late_offers_until != 0) placement.until = now_;
   const std::string key = it->first;
-  if (placement.state == PlacementState::kCollectingOffers) ContinuePlacement(key, placement);
+  ContinuePlacement(key, placement);
 }
 
 void EntryImpl::OfferFailed(const std::string& vm) {
@@ -313,6 +327,7 @@
     placement.offers.clear();
     placement.offer_vms.clear();
     placement.offer_batches = 0;
+    placement.late_offers_until = 0;
     return RequestNextOffers(event.key, placement);
   }
   placements_.erase(it);
--- a/test/entry_core_test.cc
+++ b/test/entry_core_test.cc
@@ -212,6 +212,68 @@
   EXPECT_NUMBER(3, write->record.last_token, "fencing tokens increase");
 }
 
+// Guards against a call that is refused as nobody had enough memory, although the only upstream
+// that was asked was short of processor time and had not answered yet.
+TEST(EntryRouting, WaitsForALateOfferIfNobodyElseCanBeAsked) {
+  VmList list = entry.core.vms();
+  list.revision = 2;
+  list.vms.erase(list.vms.begin(), list.vms.begin() + 2);
+  entry.Handle(entry::VmsChanged{list});
+  const auto is_refused = [this] { return entry.Last<entry::SendRefusal>() != nullptr; };
+  entry.Call("1");
+  entry.now += 2 * Fixture::Options().offer_timeout_ms;
+  entry.Handle(entry::Ticked{});
+  EXPECT_TRUE(!is_refused(), "its deadline leaves time");
+  OfferFrame offer;
+  offer.key = "a@1";
+  offer.fits = true;
+  entry.Handle(entry::FrameArrived{"vm-2", offer});
+  EXPECT_TRUE(entry.Last<entry::WriteGrant>() != nullptr, "the late offer is taken");
+  entry.Handle(entry::Ticked{});
+  EXPECT_TRUE(!is_refused(), "the write of its slot has its own time");
+}
+
+// Guards against the write of a slot that is given up as another late offer arrives.
+TEST(EntryRouting, GoesOnWritingASlotAsFurtherLateOffersArrive) {
+  VmList list = entry.core.vms();
+  list.revision = 2;
+  for (const char* it : {"vm-3", "vm-4"}) {
+    list.vms.push_back(list.vms.back());
+    list.vms.back().vm = it;
+  }
+  list.vms.erase(list.vms.begin(), list.vms.begin() + 2);
+  entry.Handle(entry::VmsChanged{list});
+  entry.Call("1");
+  entry.now += 2 * Fixture::Options().offer_timeout_ms;
+  entry.Handle(entry::Ticked{});
+  OfferFrame offer;
+  offer.key = "a@1";
+  offer.fits = true;
+  for (const char* it : {"vm-2", "vm-3"}) entry.Handle(entry::FrameArrived{it, offer});
+  entry.now += 1;
+  entry.Handle(entry::Ticked{});
+  EXPECT_TRUE(entry.Last<entry::WriteGrant>() != nullptr, "the first one is taken");
+  EXPECT_TEXT("", entry.LastRefusal(), "the write has not ended");
+}
+
+// Guards against a placement that waits for an upstream which never answers.
+TEST(EntryRouting, DoesNotWaitLongForAnUpstreamThatIsSilent) {
+  VmList list = entry.core.vms();
+  list.revision = 2;
+  list.vms.erase(list.vms.begin(), list.vms.begin() + 2);
+  entry.Handle(entry::VmsChanged{list});
+  entry::CallArrived call;
+  call.id = "1";
+  call.name = "a";
+  call.deadline_ms = 30000;
+  entry.Handle(call);
+  for (int n = 0; n < 15; ++n) {
+    entry.now += Fixture::Options().offer_timeout_ms;
+    entry.Handle(entry::Ticked{});
+  }
+  EXPECT_TEXT("no_upstream no", entry.LastRefusal(), "long before its deadline");
+}
+
 TEST(EntryRouting, RetiresAnAdapterWhoseBaseHasMoved) {
   ConfigChange change;
   change.version = 2;
