Soak: upstreams fall silent and go on

The soak did not see streams that were given up for a sound upstream's silence. Cause: its upstreams end, cut or delay answers, but never pause and go on. Change: a fault makes one or several upstreams silent for 0.3 to 1.5 s; what they write or close meanwhile follows in order. A silence excuses no entry.

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -33,6 +33,7 @@
       {"slow path", [this] { HarmPath(PathState::kSlow); }},
       {"silent path", [this] { HarmPath(PathState::kSilent); }},
       {"one-way path", [this] { HarmPath(PathState::kOneWay); }},
+      {"silence", [this] { Silence(); }},
       {"reset", [this] { HarmConnections(&Proxy::Reset); }},
       {"silent connections", [this] { HarmConnections(&Proxy::SilenceOpen); }},
       {"store", [this] { HarmStore(); }},
@@ -76,6 +77,12 @@
   Later(Between(100, 2500), [&process] { process.Resume(); });
 }
 
+// Of one upstream, or of several at once.
+void Faults::Silence() {
+  const std::uint64_t n = random_() % 2 == 0 ? 1 : 1 + random_() % site_.upstreams.size();
+  for (std::uint64_t i = 0; i < n; ++i) Any(site_.upstreams).FallSilent(Between(300, 1500));
+}
+
 void Faults::HarmPath(PathState state) {
   const Path& harmed = AnyPath();
   site_.Excuse(harmed);
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -29,6 +29,7 @@
  private:
   void HarmProcess(int signal);
   void PauseProcess();
+  void Silence();
   void HarmPath(PathState state);
   void HarmConnections(void (Proxy::*harm)());
   void HarmStore();
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -113,6 +113,7 @@
 void Upstream::Crash() {
   if (!listener_) return;
   judge_.OnHarmed(instance_);
+  silent_until_ = 0;
   life_.reset();
   listener_->Crash();
   listener_.reset();
@@ -125,6 +126,13 @@
   if (!is_running()) Start();
 }
 
+void Upstream::FallSilent(DurationMs silent_ms) {
+  if (!is_running() || MonotonicMs() < silent_until_) return;
+  silent_until_ = MonotonicMs() + silent_ms;
+  listener_->SetSilent(true);
+  After(silent_ms, [this] { listener_->SetSilent(false); });
+}
+
 void Upstream::SetNeed(double limit_per_s, int turned_away) {
   if (limit_per_s == 0) judge_.OnLimitLifted(instance_);
   need_.limit_per_s = limit_per_s;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -66,6 +66,9 @@
   // Starts again if a request ended it and its time to start has come.
   void StartIfDue();
 
+  // Sends nothing for so long, then goes on. Its record is written all the same.
+  void FallSilent(DurationMs silent_ms);
+
   // In need for a while; what it says of its leaving stays.
   void SetNeed(double limit_per_s, int turned_away);
 
@@ -118,6 +121,7 @@
   TimeMs restart_at_ = 0;  // After a request ended it; 0: none did.
   TimeMs drained_at_ = 0;  // 0: not leaving.
   TimeMs cold_until_ = 0;
+  TimeMs silent_until_ = 0;
   bool tells_cold_ = true;   // Whether its record says for how long it is cold.
   bool is_recorded_ = true;  // False once it has taken its record away.
   Need need_;
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -147,6 +147,27 @@
   EXPECT_TEXT("", ends_with([](Bench& t) { t.now += 4000; }), "its deadline");
 }
 
+TEST_GROUP(SoakSilence) {
+  boost::asio::io_context io;
+  testing::ScriptedUpstream upstream{io, [](const auto&, const auto& peer) {
+                                       peer->Write("one ");
+                                       peer->Write("two");
+                                       peer->Close();
+                                     }};
+};
+
+// Guards against silences that let an answer or an end through, or lose one.
+TEST(SoakSilence, HoldsAnswersAndEndsUntilItIsOver) {
+  upstream.SetSilent(true);
+  testing::TestCaller caller(io, upstream.endpoint());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(testing::RunUntil(io, [&] { return upstream.seen().size() == 1; }), "it arrives");
+  EXPECT_TEXT("", caller.received(), "while it is silent");
+  upstream.SetSilent(false);
+  EXPECT_TRUE(caller.AwaitEnd(), "closed afterwards");
+  EXPECT_TEXT("one two", caller.received(), "all of the answer");
+}
+
 TEST_GROUP(SoakNetwork) {
   boost::asio::io_context io;
   Network network;
--- a/test/support/loopback.cc
+++ b/test/support/loopback.cc
@@ -72,15 +72,20 @@
 
     void Write(const std::string& bytes) override {
       if (is_ended_) return;
-      error_code ec;
-      asio::write(socket_, asio::buffer(bytes), ec);
+      held_ += bytes;
+      if (!owner_->is_silent_) SendHeld();
     }
     bool IsEnded() const override { return is_ended_; }
     void Close() override {
       is_ended_ = true;
+      if (owner_->is_silent_) return owner_->closing_.push_back(shared_from_this());
       error_code ec;
       socket_.close(ec);
     }
+    void EndSilence() {
+      SendHeld();
+      if (is_ended_) Close();
+    }
     void Reset() override {
       error_code ec;
       socket_.set_option(asio::socket_base::linger(true, 0), ec);
@@ -102,6 +107,12 @@
     }
 
    private:
+    void SendHeld() {
+      error_code ec;
+      asio::write(socket_, asio::buffer(held_), ec);
+      held_.clear();
+    }
+
     void TakeRequests() {
       while (!is_ended_) {
         const std::size_t end = text_.find("\r\n\r\n");
@@ -122,6 +133,7 @@
     tcp::socket socket_;
     std::array<char, 4096> chunk_;
     std::string text_;
+    std::string held_;  // Written while the upstream was silent.
     bool is_ended_ = false;
   };
 
@@ -136,7 +148,18 @@
     });
   }
 
+  void SetSilent(bool is_silent) {
+    if (!std::exchange(is_silent_, is_silent) || is_silent) return;
+    for (const auto& it : peers_) {
+      const auto peer = it.lock();
+      if (peer) peer->EndSilence();
+    }
+    closing_.clear();
+  }
+
   void Crash() {
+    is_silent_ = false;
+    closing_.clear();
     error_code ec;
     acceptor_.close(ec);
     for (const auto& it : peers_) {
@@ -150,8 +173,10 @@
   tcp::acceptor acceptor_;
   std::vector<SeenRequest> seen_;
   std::vector<std::weak_ptr<Peer>> peers_;
+  std::vector<std::shared_ptr<Peer>> closing_;  // Once the upstream is not silent.
   int connections_ = 0;
   int closed_by_peer_ = 0;
+  bool is_silent_ = false;
 };
 
 ScriptedUpstream::ScriptedUpstream(asio::io_context& io, Script script, const Endpoint& endpoint)
@@ -159,6 +184,7 @@
   impl_->Accept();
 }
 ScriptedUpstream::~ScriptedUpstream() {
+  impl_->closing_.clear();
   error_code ec;
   impl_->acceptor_.close(ec);
 }
@@ -169,6 +195,7 @@
 const std::vector<SeenRequest>& ScriptedUpstream::seen() const { return impl_->seen_; }
 int ScriptedUpstream::connections() const { return impl_->connections_; }
 void ScriptedUpstream::Crash() { impl_->Crash(); }
+void ScriptedUpstream::SetSilent(bool is_silent) { impl_->SetSilent(is_silent); }
 int ScriptedUpstream::closed_by_peer() const { return impl_->closed_by_peer_; }
 
 TestCaller::TestCaller(asio::io_context& io, std::uint16_t port)
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -63,6 +63,8 @@
   int closed_by_peer() const;
   // Resets all connections and stops listening.
   void Crash();
+  // While silent, nothing is sent or closed; it follows in order once that ends.
+  void SetSilent(bool is_silent);
 
  private:
   class Impl;
