Soak: a request that planned work loses is a broken promise

The judge asserted nothing about requests that end without an answer. Cause: failed requests were only counted. Change: callers tell of connections that end before a whole answer, closed or reset, and upstreams of answers that have left them. Such a request is lost beside a stop, changed settings or a configuration, unless an unplanned fault, its upstream, its timeout or the end of the grace time explains it. After the faults a run plays 8 s of planned work beside silences, with none of the faults that excuse an entry.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -129,6 +129,7 @@
 }
 
 void Caller::Send() {
+  is_awaiting_ = true;
   judge_.OnSent(id_, entry_, organisation_, AllowedHalls(*route_, organisation_));
   const bool is_get = !route_->is_stream && route_->may_repeat;
   std::string request = is_get ? "GET" : "POST";
@@ -152,7 +153,7 @@
   socket_->async_read_some(asio::buffer(chunk_), [self = shared_from_this(), socket = socket_](
                                                      error_code ec, std::size_t n) {
     if (self->is_stopped_ || socket != self->socket_) return;
-    if (ec) return self->Broken("the connection ended");
+    if (ec) return self->Ended(ec != asio::error::eof);
     self->text_.append(self->chunk_.data(), n);
     self->OnText();
     if (self->is_connected_ && socket == self->socket_) self->Read();
@@ -177,6 +178,7 @@
     return;
   }
   ++round_;  // The answer is whole: what happens to the connection from now on does not matter.
+  is_awaiting_ = false;
   head_.clear();
   text_.clear();
   if (head.Field("Connection") == "close") is_connected_ = false;
@@ -268,6 +270,12 @@
   TakeUpOrGoOn();
 }
 
+void Caller::Ended(bool is_reset) {
+  if (!is_awaiting_) return TakeUpOrGoOn();
+  judge_.OnUnanswered(id_, is_reset ? Judge::Ending::kReset : Judge::Ending::kClosed);
+  Broken("the connection ended");
+}
+
 void Caller::Leave() {
   if (!is_stopped_) TakeUpOrGoOn();
 }
@@ -276,6 +284,7 @@
 void Caller::TakeUpOrGoOn() {
   ++round_;
   is_connected_ = false;
+  is_awaiting_ = false;
   error_code ec;
   if (socket_) socket_->close(ec);
   socket_.reset();  // What its handlers still say does not matter.
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -48,6 +48,8 @@
   void BeginRound();
   void Served();
   void Broken(const std::string& why);
+  // The entry ended the connection.
+  void Ended(bool is_reset);
   // Cuts the connection within a stream.
   void Leave();
   void TakeUpOrGoOn();
@@ -87,6 +89,7 @@
   bool is_part_alone_;  // Besides its own, its prompts have only the part that ends engines.
   bool is_stopped_ = false;
   bool is_connected_ = false;
+  bool is_awaiting_ = false;  // The whole of a request was sent, and no whole answer has come.
 };
 
 }  // namespace junctionrail::soak
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -25,15 +25,19 @@
       random_(site.random),
       log_(log_file),
       has_quiet_departure_(random_() % kQuietDepartureOneIn == 0) {
+  planned_kinds_ = {
+      {"silence", [this] { Silence(); }},
+      {"work beside silence", [this] { WorkBesideSilence(); }},
+      {"limit or rest", [this] { LimitUpstream(); }},
+  };
   kinds_ = {
       {"kill", [this] { HarmProcess(SIGKILL); }},
       {"term", [this] { HarmProcess(SIGTERM); }},
-      {"hup", [this] { Any(site_.processes).Signal(SIGHUP); }},
+      {"hup", [this] { site_.Signal(Any(site_.processes), SIGHUP); }},
       {"pause", [this] { PauseProcess(); }},
       {"slow path", [this] { HarmPath(PathState::kSlow); }},
       {"silent path", [this] { HarmPath(PathState::kSilent); }},
       {"one-way path", [this] { HarmPath(PathState::kOneWay); }},
-      {"silence", [this] { Silence(); }},
       {"reset", [this] { HarmConnections(&Proxy::Reset); }},
       {"silent connections", [this] { HarmConnections(&Proxy::SilenceOpen); }},
       {"store", [this] { HarmStore(); }},
@@ -50,11 +54,17 @@
       {"stray key", [this] { WriteStrayKeys(); }},
       {"spoiled configuration", [this] { SpoilConfiguration(); }},
   };
+  kinds_.insert(kinds_.end(), planned_kinds_.begin(), planned_kinds_.end());
 }
 
 void Faults::Begin() {
   if (MonotonicMs() < quiet_until_) return;
-  const Kind& kind = kinds_[random_() % kinds_.size()];
+  Begin(kinds_[random_() % kinds_.size()]);
+}
+
+void Faults::BeginPlanned() { Begin(planned_kinds_[random_() % planned_kinds_.size()]); }
+
+void Faults::Begin(const Kind& kind) {
   log_ << MonotonicMs() << ' ' << kind.name << std::endl;
   kind.begin();
   site_.ExcuseEntries();
@@ -68,7 +78,7 @@
 void Faults::HarmProcess(int signal) {
   Process& process = Any(site_.processes);
   process.HoldDown(MonotonicMs() + Between(0, 800));
-  process.Signal(signal);
+  site_.Signal(process, signal);
 }
 
 void Faults::PauseProcess() {
@@ -83,6 +93,22 @@
   for (std::uint64_t i = 0; i < n; ++i) Any(site_.upstreams).FallSilent(Between(300, 1500));
 }
 
+void Faults::WorkBesideSilence() {
+  Silence();
+  Later(Between(0, 1000), [this] { Work(AnyEntry()); });
+}
+
+void Faults::Work(Process& entry) {
+  switch (random_() % 3) {
+    case 0:
+      return site_.Signal(entry, SIGTERM);
+    case 1:
+      return site_.Signal(entry, SIGHUP);
+    default:
+      site_.Configure();
+  }
+}
+
 void Faults::HarmPath(PathState state) {
   const Path& harmed = AnyPath();
   site_.Excuse(harmed);
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -20,6 +20,8 @@
 
   // Begins one fault.
   void Begin();
+  // Begins planned work, or what excuses no entry for losing a request beside it.
+  void BeginPlanned();
   // When the current partition ends; 0: there is none.
   TimeMs partitioned_until() const { return partitioned_until_; }
   int partitions() const { return partitions_; }
@@ -27,9 +29,16 @@
   void Heal();
 
  private:
+  struct Kind {
+    const char* name;
+    std::function<void()> begin;
+  };
+  void Begin(const Kind& kind);
   void HarmProcess(int signal);
   void PauseProcess();
   void Silence();
+  void WorkBesideSilence();
+  void Work(Process& entry);
   void HarmPath(PathState state);
   void HarmConnections(void (Proxy::*harm)());
   void HarmStore();
@@ -49,6 +58,9 @@
   T& Any(std::vector<std::unique_ptr<T>>& list) {
     return *list[random_() % list.size()];
   }
+  Process& AnyEntry() {
+    return *site_.entry_processes()[random_() % site_.entry_processes().size()];
+  }
   Path& AnyPath() { return site_.paths[random_() % site_.paths.size()]; }
   DurationMs Between(int low, int high) {
     return low + static_cast<DurationMs>(random_() % static_cast<std::uint64_t>(high - low));
@@ -58,10 +70,7 @@
   Site& site_;
   Random& random_;
   std::ofstream log_;
-  struct Kind {
-    const char* name;
-    std::function<void()> begin;
-  };
+  std::vector<Kind> planned_kinds_;
   std::vector<Kind> kinds_;
   // In some runs one departure beside paused agents is followed by a time without other faults, as
   // what entries owe to an upstream that leaves is checked only for those without a fault.
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -29,6 +29,7 @@
   char* const argv[] = {program_.data(), const_cast<char*>(settings.c_str()), nullptr};
   is_to_end_ = false;
   is_paused_ = false;
+  is_killed_ = false;
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file_.c_str(),
@@ -48,6 +49,7 @@
   if (pid_ <= 0) return;
   const bool ends = signal == SIGKILL || signal == SIGTERM;
   is_to_end_ = is_to_end_ || ends;
+  is_killed_ = is_killed_ || signal == SIGKILL;
   kill(pid_, signal);
   // A paused process sees SIGTERM only when it goes on.
   if (ends && is_paused_) Resume();
@@ -70,6 +72,7 @@
   if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
     pid_ = 0;
     if (!is_to_end_) {
+      is_killed_ = true;
       sentence = name_ + " ended by itself, " +
                  (WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
                                       : "with " + std::to_string(WEXITSTATUS(status)));
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -28,6 +28,9 @@
   bool is_running() const { return pid_ > 0; }
   // Runs, and was told neither to end nor to pause.
   bool is_well() const { return is_running() && !is_paused_ && !is_to_end_; }
+  bool is_paused() const { return is_paused_; }
+  bool is_to_end() const { return is_to_end_; }
+  bool is_killed() const { return is_killed_; }
   const std::string& name() const { return name_; }
   // An end is not restarted for so long; for ends that a fault causes.
   void HoldDown(TimeMs until) { down_until_ = until; }
@@ -40,6 +43,7 @@
   pid_t pid_ = 0;
   bool is_paused_ = false;
   bool is_to_end_ = false;  // It was sent a signal that ends it.
+  bool is_killed_ = false;  // By that signal, or it ended by itself; until it starts again.
   TimeMs down_until_ = 0;
 };
 
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -76,6 +76,7 @@
 
 void Judge::OnArrival(const std::string& request, const std::string& instance) {
   const int entry = sent_[request].entry;
+  attempts_[request].push_back({instance, 0});
   CheckLimit(instance, entry);
   CheckRest(instance, entry);
   CheckSaidLeaving(request, instance);
@@ -269,6 +270,7 @@
   text += ", evacuations past the bound " + std::to_string(checked_.evacuated);
   text += ", at cold upstreams " + std::to_string(checked_.cold);
   text += ", beside spoiled records " + std::to_string(checked_.unreadable);
+  text += ", unanswered beside planned work " + std::to_string(checked_.unanswered);
   return text + ", refused " + std::to_string(refused_.size());
 }
 
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -24,6 +24,13 @@
 // the upstream had no fault for this long.
 constexpr DurationMs kInTouchMs = 3000;
 
+// 0: never.
+template <class Key>
+TimeMs TimeOf(const std::map<Key, TimeMs>& times, const Key& key) {
+  const auto it = times.find(key);
+  return it == times.end() ? 0 : it->second;
+}
+
 class Judge {
  public:
   explicit Judge(std::function<TimeMs()> clock = MonotonicMs) : clock_(std::move(clock)) {}
@@ -44,6 +51,8 @@
   void OnSaidLeaving(const std::string& request, const std::string& instance);
   // A request came, to be run or not.
   void OnArrival(const std::string& request, const std::string& instance);
+  // Its whole answer to the request has left it by `at`.
+  void OnDone(const std::string& request, const std::string& instance, TimeMs at);
   void OnOrder(const std::string& engine, const std::string& holder, std::int64_t fence);
   void OnOverfilled(const std::string& engine);
   // What ends engines: one request that is repeated, or a part of the prompts of many.
@@ -61,7 +70,16 @@
   // The record of the upstream is overwritten by one that cannot be read or lacks a field.
   void OnSpoiledRecord(const std::string& instance);
 
+  // --- Planned work ---
+  void OnConfiguration();
+  void OnStop(int entry);
+  void OnReload(int entry);
+
   // --- What excuses an entry ---
+  // Its process is killed, or its way to the store is harmed. To be told again while that lasts.
+  void OnEntryHarmed(int entry);
+  // Its process is paused. To be told again while that lasts.
+  void OnEntryPaused(int entry);
   // Its way to the store, or to `instance`, is harmed, or its process is. To be told
   // again while that lasts.
   void OnEntryTroubled(int entry);
@@ -87,6 +105,10 @@
   void OnRefused(const std::string& request);  // Said not to have run.
   // Ended in any other way.
   void OnFailed(const std::string& request, const std::string& kind);
+  // Its connection has ended without a whole answer, not by the caller: with all that it sent read
+  // (closed) or not (reset).
+  enum class Ending { kClosed, kReset };
+  void OnUnanswered(const std::string& request, Ending ending);
   void Complain(const std::string& sentence);
 
   // Checks what only the end of a run shows. Returns all that was broken.
@@ -108,7 +130,14 @@
   void CheckSpoiled(const std::string& request);
   // Its last run was at an upstream whose record another writer has spoiled.
   bool RanBesideSpoiledRecord(const std::string& request) const;
+  bool IsBesidePlannedWork(int entry, TimeMs sent_at) const;
+  // A fault that nobody planned may have ended the request.
+  bool WasHarmed(const std::string& request) const;
+  bool IsCutOffAtWork(const std::string& request) const;
+  bool WasPausedUnread(const std::string& request, Ending ending) const;
   bool WasStopped(int entry, DurationMs within_ms) const;
+  // When the upstream or the path from the entry to it last had a fault.
+  TimeMs WayTroubledAt(int entry, const std::string& instance) const;
   // When the entry, the upstream, the path between them or the machine last had a fault.
   TimeMs TroubledAt(int entry, const std::string& instance) const;
 
@@ -130,11 +159,16 @@
     int evacuated = 0;   // Evacuations that lasted longer than their bound.
     int cold = 0;        // Requests that arrived at cold upstreams.
     int unreadable = 0;  // Runs that ended while the record of their upstream was spoiled.
+    int unanswered = 0;  // Requests that got no answer beside planned work, excused or not.
   };
   struct LastRun {
     std::string instance;
     TimeMs at = 0;
   };
+  struct Attempt {
+    std::string instance;
+    TimeMs done_at = 0;  // 0: it is at work.
+  };
   struct Limit {
     double per_s = 0;
     TimeMs since = 0;
@@ -156,7 +190,13 @@
   std::map<std::string, Cold> cold_;
   std::map<std::string, TimeMs> spoiled_;
   std::map<std::string, TimeMs> harmed_;
-  std::map<std::string, LastRun> last_runs_;  // By request.
+  std::map<std::string, LastRun> last_runs_;              // By request.
+  std::map<std::string, std::vector<Attempt>> attempts_;  // By request.
+  std::map<int, TimeMs> entry_harmed_;
+  std::map<int, TimeMs> entry_paused_;
+  std::map<int, TimeMs> stopped_at_;
+  std::map<int, TimeMs> reloaded_at_;
+  TimeMs configured_at_ = 0;
   Checked checked_;
   std::map<int, TimeMs> entry_stopped_;
   int limits_named_ = 0;
--- a/soak/judge_places.cc
+++ b/soak/judge_places.cc
@@ -15,12 +15,6 @@
 // A request that runs for longer may have reached its deadline.
 constexpr DurationMs kBeforeDeadlineMs = 3000;
 
-template <class Key>
-TimeMs TimeOf(const std::map<Key, TimeMs>& times, const Key& key) {
-  const auto it = times.find(key);
-  return it == times.end() ? 0 : it->second;
-}
-
 }  // namespace
 
 void Judge::OnStarted(const std::string& instance, const std::string& hall) {
@@ -48,8 +42,12 @@
 }
 
 TimeMs Judge::TroubledAt(int entry, const std::string& instance) const {
-  return std::max({TimeOf(entry_troubled_, entry), TimeOf(upstream_troubled_, instance),
-                   TimeOf(way_troubled_, AtEntry{instance, entry}), busy_at_});
+  return std::max({TimeOf(entry_troubled_, entry), WayTroubledAt(entry, instance), busy_at_});
+}
+
+TimeMs Judge::WayTroubledAt(int entry, const std::string& instance) const {
+  return std::max(TimeOf(upstream_troubled_, instance),
+                  TimeOf(way_troubled_, AtEntry{instance, entry}));
 }
 
 void Judge::CheckRegion(const std::string& request, const std::string& instance) {
@@ -80,8 +78,7 @@
   const TimeMs now = clock_();
   if (found == cold_.end() || now >= found->second.until) return;
   Cold& cold = found->second;
-  const TimeMs way = std::max(TimeOf(upstream_troubled_, instance),
-                              TimeOf(way_troubled_, AtEntry{instance, entry}));
+  const TimeMs way = WayTroubledAt(entry, instance);
   const bool may_be_late = WasStopped(entry, kColdWindowMs) || now - way <= kColdWindowMs;
   const bool may_not_know = cold.is_return && now - TroubledAt(entry, instance) <= kInTouchMs;
   ++checked_.cold;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -27,6 +27,9 @@
 // The other callers alone send less than the rate of a cold upstream.
 constexpr int kEagerCallers = 4;
 constexpr DurationMs kStartMs = 1500;
+// After the faults, planned work without any of them: for so long, once so much time has passed.
+constexpr DurationMs kPlannedMs = 8000;
+constexpr DurationMs kCalmMs = 3000;
 // The shortest partition. Runs at least this long wait until a partition ends by itself.
 constexpr DurationMs kPartitionMs = 10000;
 
@@ -56,11 +59,14 @@
       faults_.Begin();
       testing::RunFor(site_.io, static_cast<std::int64_t>(80 + site_.random() % 350));
     }
-    faults_.Heal();
-    for (auto& it : callers_) it->TakeServed();
-    if (!Recovers()) {
-      site_.judge.Complain("some callers were not served after the faults were over");
+    Settle("the faults");
+    testing::RunFor(site_.io, kCalmMs);
+    const TimeMs planned_until = MonotonicMs() + kPlannedMs;
+    while (MonotonicMs() < planned_until) {
+      faults_.BeginPlanned();
+      testing::RunFor(site_.io, static_cast<std::int64_t>(80 + site_.random() % 350));
     }
+    Settle("planned work");
     for (auto& it : callers_) it->Stop();
     site_.Stop();
     return site_.judge.Finish();
@@ -76,6 +82,14 @@
                                                 site_.entry_endpoints(), organisation, habit));
   }
 
+  void Settle(const std::string& what) {
+    faults_.Heal();
+    for (auto& it : callers_) it->TakeServed();
+    if (!Recovers()) {
+      site_.judge.Complain("some callers were not served after " + what + " had ended");
+    }
+  }
+
   bool IsPartitioned() const { return faults_.partitioned_until() > MonotonicMs(); }
 
   // After the last fault, whether each mixed caller has three requests served within twenty
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <utility>
 
@@ -134,7 +136,7 @@
   const json settings = {{"role", role},
                          {"id", name},
                          {"data_hall", hall.name},
-                         {"drain_ms", 3000},
+                         {"drain_ms", kGraceMs},
                          {"direct", std::move(direct)}};
   const std::string file = directory_ + "/" + name + ".json";
   std::ofstream(file) << settings.dump(2);
@@ -157,6 +159,18 @@
 void Site::Configure(bool has_key) {
   store.Put("op/config", ConfigurationDocument(++version_, has_key, random));
   judge.OnKey(has_key);
+  judge.OnConfiguration();
+}
+
+void Site::Signal(Process& process, int signal) {
+  const auto it = std::find(entry_processes_.begin(), entry_processes_.end(), &process);
+  const auto entry = static_cast<int>(it - entry_processes_.begin());
+  const bool is_entry = it != entry_processes_.end() && process.is_running();
+  if (is_entry && signal == SIGKILL) judge.OnEntryHarmed(entry);
+  if (is_entry && signal == SIGHUP) judge.OnReload(entry);
+  // A further one does not move the end of the grace time.
+  if (is_entry && signal == SIGTERM && !process.is_to_end()) judge.OnStop(entry);
+  process.Signal(signal);
 }
 
 void Site::Poll() {
@@ -175,7 +189,7 @@
 }
 
 void Site::Excuse(const Path& path) {
-  if (path.entry >= 0) judge.OnEntryTroubled(path.entry);
+  if (path.entry >= 0) judge.OnEntryHarmed(path.entry);
   if (path.upstream < 0) return;
   judge.OnUpstreamTroubled(upstreams[static_cast<std::size_t>(path.upstream)]->instance());
 }
@@ -184,9 +198,12 @@
   const bool is_store_away = store.mood != testing::StandinStore::Mood::kFine;
   for (int n = 0; n < kEntries; ++n) {
     const std::string& region = HallOf(n).region;
-    const bool is_well = entry_processes_[static_cast<std::size_t>(n)]->is_well();
+    const Process& process = *entry_processes_[static_cast<std::size_t>(n)];
+    const bool is_well = process.is_well();
     const bool is_cut_off = is_store_away || network.IsCut(region, kStorePlace);
-    if (is_cut_off || !is_well) judge.OnEntryTroubled(n);
+    if (is_cut_off || process.is_killed()) judge.OnEntryHarmed(n);
+    if (process.is_paused()) judge.OnEntryPaused(n);
+    if (!is_well) judge.OnEntryTroubled(n);
     if (!is_well) judge.OnEntryStopped(n);
     for (int upstream = 0; upstream < kEngines + kPlains; ++upstream) {
       if (!network.IsCut(region, HallOf(upstream).region)) continue;
--- a/soak/site.h
+++ b/soak/site.h
@@ -40,11 +40,14 @@
   void Stop();
   // Writes a later configuration. `has_key`: the organisation "fleeting" has its key.
   void Configure(bool has_key = true);
+  // Sends the signal, and tells the judge what an entry is to do.
+  void Signal(Process& process, int signal);
   // Tells the judge which entry or upstream a fault on `path` affects.
   void Excuse(const Path& path);
   // Tells the judge which entries do not run normally, or cannot reach the store or an upstream.
   void ExcuseEntries();
   const std::vector<Endpoint>& entry_endpoints() const { return entry_endpoints_; }
+  const std::vector<Process*>& entry_processes() const { return entry_processes_; }
 
   boost::asio::io_context io;
   Random random;
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -227,6 +227,7 @@
   }
   judge_.OnArrival(id, instance_);
   if (Happens(need_.turned_away)) {
+    TellDone(id);
     judge_.OnRestAsked(id, instance_, kRestMs);
     return peer->Write(Whole(id, 503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n" + Notices(id), ""));
   }
@@ -306,6 +307,7 @@
 void Upstream::Run(const SeenRequest& request, const Peer& peer) {
   const std::string id = request.Field("Attempt-Id");
   if (!Holds(request.Field("Model"))) {
+    TellDone(id);
     return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
   }
   const bool may_repeat = RouteOf(request.Line()).may_repeat;
@@ -323,7 +325,7 @@
       kLeastEvents + static_cast<int>(RendezvousScore(stream, "events") % kMoreEvents);
   const std::string last = request.Field("Last-Event-Id");
   const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
-  StreamWay way{stream, count, peer, HarmHappens(misbehaviour.cuts), Happens(kChunkedPercent)};
+  StreamWay way{stream, count, peer, HarmHappens(misbehaviour.cuts), Happens(kChunkedPercent), id};
   peer->Write(Head(id, 200,
                    Notices(id) + "Response-Seal: seal-" + id +
                        "\r\nContent-Type: text/event-stream\r\n" +
@@ -344,10 +346,17 @@
   });
 }
 
+void Upstream::TellDone(const std::string& request) {
+  judge_.OnDone(request, instance_, std::max(MonotonicMs(), silent_until_));
+}
+
 // Each event names the version that sent it.
 void Upstream::Stream(const StreamWay& way, int next) {
-  if (way.peer->IsEnded()) return;
-  if (next > way.count) return way.is_chunked ? way.peer->Write("0\r\n\r\n") : way.peer->Close();
+  if (way.peer->IsEnded()) return TellDone(way.request);
+  if (next > way.count) {
+    TellDone(way.request);
+    return way.is_chunked ? way.peer->Write("0\r\n\r\n") : way.peer->Close();
+  }
   const std::string event = "id: " + std::to_string(next) + "\ndata: " + way.stream + " " +
                             std::to_string(next) + " of " + std::to_string(way.count) + " by " +
                             version_ + "\n\n";
@@ -393,7 +402,8 @@
     surplus_peer_ = peer;
     surplus_id_ = id;
   }
-  After(kPlainMs, [peer, answer, is_cut, is_double] {
+  After(kPlainMs, [this, peer, answer, is_cut, is_double, id] {
+    TellDone(id);
     if (is_cut) {
       peer->Write(answer.substr(0, answer.size() - 3));
       return peer->Close();
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -95,8 +95,11 @@
     Peer peer;
     bool is_cut = false;
     bool is_chunked = true;  // Otherwise it ends with its connection.
+    std::string request;
   };
   void Stream(const StreamWay& way, int next);
+  // Has sent all of its answer to that request, or will have once it is not silent.
+  void TellDone(const std::string& request);
   void EndByRequest(Judge::Deadly kind);
   bool Holds(const std::string& model) const;
   bool Happens(int percent);
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -33,7 +33,7 @@
           {"hostname", "soak.example"},
           {"pathPrefix", "/" + route.name + "/"},
           {"kind", route.is_stream ? "streaming" : plain_kind},
-          {"timeoutMs", 3500 + static_cast<int>(random() % 400)},
+          {"timeoutMs", kLeastTimeoutMs + static_cast<DurationMs>(random() % 400)},
           {"targetLatencyMs", 800},
           {"gapAimMs", 300},
           {"priority", 1},
--- a/soak/world.h
+++ b/soak/world.h
@@ -35,6 +35,10 @@
 constexpr int kEngineModels = 2;
 constexpr int kEnginePlaces = 2;
 constexpr char kModels[][3] = {"m1", "m2", "m3", "m4", "m5"};
+// Of routes; a configuration draws each a little longer.
+constexpr DurationMs kLeastTimeoutMs = 3500;
+// Bound on a planned stop of a process.
+constexpr DurationMs kGraceMs = 3000;
 constexpr char kEngineService[] = "engines";
 constexpr char kPlainService[] = "plain";
 
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -1,6 +1,10 @@
 // The soak's own checks and proxies: each check reports a violation that is planted here, and
 // none where the promise is kept.
 #include <boost/asio/io_context.hpp>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "../soak/judge.h"
 #include "../soak/proxy.h"
@@ -147,6 +151,146 @@
   EXPECT_TEXT("", ends_with([](Bench& t) { t.now += 4000; }), "its deadline");
 }
 
+// A request to entry 0 that gets no answer: what came of it until its connection ended.
+struct Unanswered {
+  using Step = std::function<void(Bench&)>;
+
+  // Returns the complaint. `before` is told to the judge before the request is sent.
+  std::string Judged(const Step& before, const Step& after) {
+    Bench t;
+    before(t);
+    t.judge.OnSent("r1", 0, "open", kEverywhere);
+    if (was_passed_on) t.judge.OnArrival("r1", "p1");
+    t.now += age_ms;
+    after(t);
+    t.judge.OnUnanswered("r1", ending);
+    return t.Complaint();
+  }
+
+  bool was_passed_on = true;
+  DurationMs age_ms = 100;
+  Judge::Ending ending = Judge::Ending::kClosed;
+};
+
+void Nothing(Bench&) {}
+void Stop(Bench& t) { t.judge.OnStop(0); }
+void Configure(Bench& t) { t.judge.OnConfiguration(); }
+
+const std::string kLost =
+    "request r1 was lost: entry 0 closed its connection 100 ms after it was sent, passed on to p1";
+
+// Guards against a check of lost requests that misses one kind of planned work.
+TEST(SoakJudge, ReportsARequestThatIsLostBesidePlannedWork) {
+  Unanswered t;
+  EXPECT_TEXT(kLost, t.Judged(Nothing, Stop), "a stop");
+  EXPECT_TEXT(kLost, t.Judged(Configure, Nothing), "a configuration");
+  EXPECT_TEXT(kLost, t.Judged([](Bench& b) { b.judge.OnReload(0); }, Nothing), "settings");
+}
+
+// Guards against a check that overlooks requests which an entry read and threw away.
+TEST(SoakJudge, ReportsARequestThatWaitsAndIsNotPassedOn) {
+  Unanswered t{false, 201};
+  EXPECT_TEXT(
+      "request r1 was lost: entry 0 closed its connection 201 ms after it was sent, "
+      "not passed on",
+      t.Judged(Nothing, Stop), "too old to have crossed the close");
+}
+
+// Guards against false reports of requests that nobody had read when the connection was closed.
+TEST(SoakJudge, ExcusesARequestThatCrossesTheClose) {
+  EXPECT_TEXT("", (Unanswered{false, 200}.Judged(Nothing, Stop)), "sent just before");
+}
+
+// Guards against reports of what ends requests at any time.
+TEST(SoakJudge, CountsLostRequestsOnlyBesidePlannedWork) {
+  Unanswered t;
+  const auto ago = [](DurationMs ms, const Unanswered::Step& work) {
+    return [ms, work](Bench& b) {
+      work(b);
+      b.now += ms;
+    };
+  };
+  const auto reload = [](Bench& b) { b.judge.OnReload(0); };
+  EXPECT_TEXT("", t.Judged(Nothing, Nothing), "none");
+  EXPECT_TEXT("", t.Judged([](Bench& b) { b.judge.OnStop(1); }, Nothing), "at another entry");
+  EXPECT_TEXT("", t.Judged(ago(4000, Stop), Nothing), "after the grace time");
+  EXPECT_TEXT(kLost, t.Judged(ago(2900, Configure), Nothing), "it may still be applied");
+  EXPECT_TEXT("", t.Judged(ago(2901, Configure), Nothing), "long since applied");
+  EXPECT_TEXT(kLost, t.Judged(ago(2000, reload), Nothing), "sent within the bound");
+  EXPECT_TEXT("", t.Judged(ago(2001, reload), Nothing), "sent after the bound");
+}
+
+// Guards against blaming an entry for what an upstream did.
+TEST(SoakJudge, ExcusesARequestThatItsUpstreamBreaksOff) {
+  Unanswered t;
+  EXPECT_TEXT("", t.Judged(Configure, [](Bench& b) { b.judge.OnHarmed("p1"); }), "it broke off");
+  EXPECT_TEXT(kLost, t.Judged(Configure, [](Bench& b) { b.judge.OnHarmed("p2"); }), "another did");
+}
+
+// Guards against false reports of requests whose time was up.
+TEST(SoakJudge, ExcusesARequestThatReachesItsTimeout) {
+  EXPECT_TEXT("", (Unanswered{true, kLeastTimeoutMs}.Judged(Nothing, Configure)), "its timeout");
+}
+
+// Guards against false reports of streams that last longer than a stop, and against excusing those
+// that had ended in time.
+TEST(SoakJudge, ExcusesARequestAtWorkInTheLastPartOfTheGraceTime) {
+  constexpr DurationMs kLastPartMs = kGraceMs * 5 / 6;
+  const auto until = [](DurationMs done_ms) {
+    return [done_ms](Bench& b) {
+      if (done_ms > 0) b.judge.OnDone("r1", "p1", kStart + done_ms);
+    };
+  };
+  Unanswered t{true, kLastPartMs};
+  EXPECT_TEXT("", t.Judged(Stop, until(0)), "the upstream is at work");
+  EXPECT_TEXT("", t.Judged(Stop, until(kLastPartMs)), "it was until now");
+  EXPECT_TRUE(!t.Judged(Stop, until(kLastPartMs - 1)).empty(), "it had ended");
+  EXPECT_TRUE(!(Unanswered{true, kLastPartMs - 1}.Judged(Stop, until(0))).empty(), "cut too early");
+}
+
+// Guards against false reports of what an unplanned fault ended, which may be over by then.
+TEST(SoakJudge, ExcusesARequestBesideAnUnplannedFault) {
+  const auto with = [](const Unanswered::Step& fault, DurationMs ago_ms, bool was_passed_on) {
+    return Unanswered{was_passed_on, 300}.Judged(
+        [&](Bench& b) {
+          fault(b);
+          b.now += ago_ms;
+        },
+        Configure);
+  };
+  const auto kill = [](Bench& b) { b.judge.OnEntryHarmed(0); };
+  const auto cut = [](Bench& b) { b.judge.OnWayTroubled(0, "p1"); };
+  const auto slow = [](Bench& b) { b.judge.OnUpstreamTroubled("p1"); };
+  for (const auto& fault : std::vector<Unanswered::Step>{kill, cut, slow}) {
+    EXPECT_TEXT("", with(fault, 3000, true), "passed on");
+    EXPECT_TEXT("", with(fault, 3000, false), "not passed on");
+    EXPECT_TRUE(!with(fault, 3001, true).empty(), "long over");
+  }
+  const auto busy = [](Bench& b) { b.judge.OnBusyMachine(); };
+  EXPECT_TEXT("", with(busy, 0, true), "the machine is too busy to tell");
+}
+
+// Guards against excusing a request by a pause after which the entry read it and threw it away.
+TEST(SoakJudge, ExcusesByAPauseOnlyARequestThatWasNotRead) {
+  const auto pause = [](Bench& b) { b.judge.OnEntryPaused(0); };
+  const auto judged = [&](bool was_passed_on, Judge::Ending ending) {
+    return Unanswered{was_passed_on, 300, ending}.Judged(pause, Configure);
+  };
+  EXPECT_TEXT("", judged(false, Judge::Ending::kReset), "a reset tells that it was not read");
+  EXPECT_TRUE(!judged(false, Judge::Ending::kClosed).empty(), "it was read");
+  EXPECT_TRUE(!judged(true, Judge::Ending::kReset).empty(), "it was passed on");
+}
+
+// Guards against false reports of what an entry that is paused in its stop cannot finish.
+TEST(SoakJudge, ExcusesARequestWhoseEntryIsPausedInItsStop) {
+  const auto stop_and_pause = [](Bench& b) {
+    b.judge.OnStop(0);
+    b.now += 1;
+    b.judge.OnEntryPaused(0);
+  };
+  EXPECT_TEXT("", (Unanswered{true, 300}.Judged(stop_and_pause, Nothing)), "it took grace time");
+}
+
 TEST_GROUP(SoakSilence) {
   boost::asio::io_context io;
   testing::ScriptedUpstream upstream{io, [](const auto&, const auto& peer) {
