Soak: entries pause while whole requests wait in their sockets

The soak did not see requests that an entry read and threw away after a pause. Cause: its entries pause, but few connections wait then and none for longer than the idle timeout. A pause excuses only requests that a reset tells to be unread.

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -15,6 +15,12 @@
 constexpr DurationMs kQuietMs = 9000;
 constexpr std::uint64_t kQuietDepartureOneIn = 3;
 
+// Enough for a crowd's first answers; and, from its next requests on, for the others.
+constexpr DurationMs kCrowdMs = 150;
+constexpr DurationMs kCrowdLeavesMs = 5000;
+// Requests that wait for so long have not crossed the close of their connection.
+constexpr DurationMs kUnreadMs = 300;
+
 // Bytes that are no text and no document.
 const std::string kUnreadable("\xff\x00{[\xc3", 5);
 
@@ -28,6 +34,7 @@
   planned_kinds_ = {
       {"silence", [this] { Silence(); }},
       {"work beside silence", [this] { WorkBesideSilence(); }},
+      {"work after a pause", [this] { WorkAfterPause(); }},
       {"limit or rest", [this] { LimitUpstream(); }},
   };
   kinds_ = {
@@ -98,6 +105,29 @@
   Later(Between(0, 1000), [this] { Work(AnyEntry()); });
 }
 
+void Faults::WorkAfterPause() {
+  const auto n = static_cast<std::size_t>(random_() % site_.entry_processes().size());
+  Process& entry = *site_.entry_processes()[n];
+  const auto crowd =
+      std::make_shared<Crowd>(site_.io, site_.judge, "crowd" + std::to_string(++crowds_),
+                              static_cast<int>(n), site_.entry_endpoints()[n]);
+  crowd->Arrive();
+  Later(kCrowdMs, [this, &entry, crowd] {
+    entry.Pause();
+    Later(Between(300, 1500), [this, &entry, crowd] { SendAndWork(entry, crowd); });
+  });
+}
+
+// The timers of the entry lapse before its callers send: it learns of these first.
+void Faults::SendAndWork(Process& entry, const std::shared_ptr<Crowd>& crowd) {
+  crowd->SendAgain();
+  Later(kUnreadMs, [this, &entry] {
+    Work(entry);
+    entry.Resume();
+  });
+  Later(kCrowdLeavesMs, [crowd] { crowd->Leave(); });
+}
+
 void Faults::Work(Process& entry) {
   switch (random_() % 3) {
     case 0:
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "crowd.h"
 #include "site.h"
 
 namespace junctionrail::soak {
@@ -38,6 +39,9 @@
   void PauseProcess();
   void Silence();
   void WorkBesideSilence();
+  // The entry goes on with planned work and its callers' requests before it.
+  void WorkAfterPause();
+  void SendAndWork(Process& entry, const std::shared_ptr<Crowd>& crowd);
   void Work(Process& entry);
   void HarmPath(PathState state);
   void HarmConnections(void (Proxy::*harm)());
@@ -80,6 +84,7 @@
   TimeMs partitioned_until_ = 0;
   int partitions_ = 0;
   int stray_keys_ = 0;
+  int crowds_ = 0;
 };
 
 }  // namespace junctionrail::soak
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+// Less than some pauses of entries, more than any of a caller.
+constexpr int kShortIdleMs = 600;
+
 const std::vector<std::string> kRegionsOfRegional = {"north", "south"};
 
 bool Allows(const std::vector<std::string>& regions, const std::string& region) {
@@ -116,7 +119,7 @@
                                {{"maxHeaderBytes", 16384},
                                 {"maxBodyBytes", 65536},
                                 {"headerTimeoutMs", 2000},
-                                {"idleTimeoutMs", 5000}}}};
+                                {"idleTimeoutMs", random() % 2 == 0 ? 5000 : kShortIdleMs}}}};
   return configuration.dump();
 }
 
