Soak: a silent upstream's rests and limits count once they are sent

A soak reported an entry that sent requests in a rest. Cause: the judge counted a rest, a limit or a leaving from when the silent upstream wrote it, which the entry could not know. Change: the judge hears of it when it is sent, if the connection still stands.

--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
+#include <utility>
 
 namespace junctionrail::soak {
 namespace {
@@ -139,15 +140,17 @@
   need_.turned_away = turned_away;
 }
 
-std::string Upstream::Notices(const std::string& request) {
+std::string Upstream::Notices(const std::string& request, const Peer& peer) {
   std::string fields;
   if (need_.limit_per_s > 0) {
     fields += "Server-Limit: " + std::to_string(need_.limit_per_s) + "\r\n";
-    judge_.OnLimitNamed(request, instance_, need_.limit_per_s);
+    OnceSent(peer, [this, request, per_s = need_.limit_per_s] {
+      judge_.OnLimitNamed(request, instance_, per_s);
+    });
   }
   if (need_.says_leaving) {
     fields += "Server-Leaving: 1\r\n";
-    judge_.OnSaidLeaving(request, instance_);
+    OnceSent(peer, [this, request] { judge_.OnSaidLeaving(request, instance_); });
   }
   return fields;
 }
@@ -228,8 +231,9 @@
   judge_.OnArrival(id, instance_);
   if (Happens(need_.turned_away)) {
     TellDone(id);
-    judge_.OnRestAsked(id, instance_, kRestMs);
-    return peer->Write(Whole(id, 503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n" + Notices(id), ""));
+    OnceSent(peer, [this, id] { judge_.OnRestAsked(id, instance_, kRestMs); });
+    return peer->Write(
+        Whole(id, 503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n" + Notices(id, peer), ""));
   }
   is_engine_ ? Run(request, peer) : RunPlain(request, peer);
 }
@@ -327,7 +331,7 @@
   const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
   StreamWay way{stream, count, peer, HarmHappens(misbehaviour.cuts), Happens(kChunkedPercent), id};
   peer->Write(Head(id, 200,
-                   Notices(id) + "Response-Seal: seal-" + id +
+                   Notices(id, peer) + "Response-Seal: seal-" + id +
                        "\r\nContent-Type: text/event-stream\r\n" +
                        (way.is_chunked ? "Transfer-Encoding: chunked\r\n" : "")));
   if (request.Field("Prompt-Prefix").find(kDeadlyPart) != std::string::npos) {
@@ -346,6 +350,15 @@
   });
 }
 
+// An entry cannot heed what a silent upstream has yet to send.
+void Upstream::OnceSent(const Peer& peer, std::function<void()> call) {
+  const DurationMs silent_ms = silent_until_ - MonotonicMs();
+  if (silent_ms <= 0) return call();
+  After(silent_ms, [peer, call = std::move(call)] {
+    if (!peer->IsEnded()) call();
+  });
+}
+
 void Upstream::TellDone(const std::string& request) {
   judge_.OnDone(request, instance_, std::max(MonotonicMs(), silent_until_));
 }
@@ -395,7 +408,7 @@
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (HarmHappens(misbehaviour.losses)) return peer->Reset();
   const std::string answer =
-      Whole(id, 200, Notices(id) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
+      Whole(id, 200, Notices(id, peer) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
   const bool is_cut = HarmHappens(misbehaviour.cuts);
   const bool is_double = HarmHappens(misbehaviour.surplus);
   if (HarmHappens(misbehaviour.late_surplus)) {
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -4,6 +4,7 @@
 #define JUNCTIONRAIL_SOAK_UPSTREAMS_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -79,7 +80,7 @@
 
   void OnRequest(const testing::SeenRequest& request, const Peer& peer);
   // The fields of an answer to that request that tell what it needs.
-  std::string Notices(const std::string& request);
+  std::string Notices(const std::string& request, const Peer& peer);
   void Report(const Peer& peer);
   void Order(const testing::SeenRequest& request, const Peer& peer);
   int Apply(const std::string& operation, const std::string& model, const std::string& adapter,
@@ -98,6 +99,8 @@
     std::string request;
   };
   void Stream(const StreamWay& way, int next);
+  // Calls it once what is written to the peer now is sent; not if the peer has ended by then.
+  void OnceSent(const Peer& peer, std::function<void()> call);
   // Has sent all of its answer to that request, or will have once it is not silent.
   void TellDone(const std::string& request);
   void EndByRequest(Judge::Deadly kind);
