--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -15,6 +15,12 @@
 constexpr DurationMs kQuietMs = 9000;
 constexpr std::uint64_t kQuietDepartureOneIn = 3;
 
+// Enough for a crowd's first answers; and, from its next requests on, for the others.
+constexpr DurationMs kCrowdMs = 150;
+constexpr DurationMs kCrowdLeavesMs = 5000;
+// Requests that wait for so long have not crossed the close of their connection.
+constexpr DurationMs kUnreadMs = 300;
+
 // Bytes that are no text and no document.
 const std::string kUnreadable("\xff\x00{[\xc3", 5);
 
@@ -25,10 +31,16 @@
       random_(site.random),
       log_(log_file),
       has_quiet_departure_(random_() % kQuietDepartureOneIn == 0) {
+  planned_kinds_ = {
+      {"silence", [this] { Silence(); }},
+      {"work beside silence", [this] { WorkBesideSilence(); }},
+      {"work after a pause", [this] { WorkAfterPause(); }},
+      {"limit or rest", [this] { LimitUpstream(); }},
+  };
   kinds_ = {
       {"kill", [this] { HarmProcess(SIGKILL); }},
       {"term", [this] { HarmProcess(SIGTERM); }},
-      {"hup", [this] { Any(site_.processes).Signal(SIGHUP); }},
+      {"hup", [this] { site_.Signal(Any(site_.processes), SIGHUP); }},
       {"pause", [this] { PauseProcess(); }},
       {"slow path", [this] { HarmPath(PathState::kSlow); }},
       {"silent path", [this] { HarmPath(PathState::kSilent); }},
@@ -49,11 +61,17 @@
       {"stray key", [this] { WriteStrayKeys(); }},
       {"spoiled configuration", [this] { SpoilConfiguration(); }},
   };
+  kinds_.insert(kinds_.end(), planned_kinds_.begin(), planned_kinds_.end());
 }
 
 void Faults::Begin() {
   if (MonotonicMs() < quiet_until_) return;
-  const Kind& kind = kinds_[random_() % kinds_.size()];
+  Begin(kinds_[random_() % kinds_.size()]);
+}
+
+void Faults::BeginPlanned() { Begin(planned_kinds_[random_() % planned_kinds_.size()]); }
+
+void Faults::Begin(const Kind& kind) {
   log_ << MonotonicMs() << ' ' << kind.name << std::endl;
   kind.begin();
   site_.ExcuseEntries();
@@ -67,7 +85,7 @@
 void Faults::HarmProcess(int signal) {
   Process& process = Any(site_.processes);
   process.HoldDown(MonotonicMs() + Between(0, 800));
-  process.Signal(signal);
+  site_.Signal(process, signal);
 }
 
 void Faults::PauseProcess() {
@@ -76,6 +94,51 @@
   Later(Between(100, 2500), [&process] { process.Resume(); });
 }
 
+// Of one upstream, or of several at once.
+void Faults::Silence() {
+  const std::uint64_t n = random_() % 2 == 0 ? 1 : 1 + random_() % site_.upstreams.size();
+  for (std::uint64_t i = 0; i < n; ++i) Any(site_.upstreams).FallSilent(Between(300, 1500));
+}
+
+void Faults::WorkBesideSilence() {
+  Silence();
+  Later(Between(0, 1000), [this] { Work(AnyEntry()); });
+}
+
+void Faults::WorkAfterPause() {
+  const auto n = static_cast<std::size_t>(random_() % site_.entry_processes().size());
+  Process& entry = *site_.entry_processes()[n];
+  const auto crowd =
+      std::make_shared<Crowd>(site_.io, site_.judge, "crowd" + std::to_string(++crowds_),
+                              static_cast<int>(n), site_.entry_endpoints()[n]);
+  crowd->Arrive();
+  Later(kCrowdMs, [this, &entry, crowd] {
+    entry.Pause();
+    Later(Between(300, 1500), [this, &entry, crowd] { SendAndWork(entry, crowd); });
+  });
+}
+
+// The timers of the entry lapse before its callers send: it learns of these first.
+void Faults::SendAndWork(Process& entry, const std::shared_ptr<Crowd>& crowd) {
+  crowd->SendAgain();
+  Later(kUnreadMs, [this, &entry] {
+    Work(entry);
+    entry.Resume();
+  });
+  Later(kCrowdLeavesMs, [crowd] { crowd->Leave(); });
+}
+
+void Faults::Work(Process& entry) {
+  switch (random_() % 3) {
+    case 0:
+      return site_.Signal(entry, SIGTERM);
+    case 1:
+      return site_.Signal(entry, SIGHUP);
+    default:
+      site_.Configure();
+  }
+}
+
 void Faults::HarmPath(PathState state) {
   const Path& harmed = AnyPath();
   site_.Excuse(harmed);
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
+#include <utility>
 
 namespace junctionrail::soak {
 namespace {
@@ -113,6 +114,7 @@
 void Upstream::Crash() {
   if (!listener_) return;
   judge_.OnHarmed(instance_);
+  silent_until_ = 0;
   life_.reset();
   listener_->Crash();
   listener_.reset();
@@ -125,21 +127,30 @@
   if (!is_running()) Start();
 }
 
+void Upstream::FallSilent(DurationMs silent_ms) {
+  if (!is_running() || MonotonicMs() < silent_until_) return;
+  silent_until_ = MonotonicMs() + silent_ms;
+  listener_->SetSilent(true);
+  After(silent_ms, [this] { listener_->SetSilent(false); });
+}
+
 void Upstream::SetNeed(double limit_per_s, int turned_away) {
   if (limit_per_s == 0) judge_.OnLimitLifted(instance_);
   need_.limit_per_s = limit_per_s;
   need_.turned_away = turned_away;
 }
 
-std::string Upstream::Notices(const std::string& request) {
+std::string Upstream::Notices(const std::string& request, const Peer& peer) {
   std::string fields;
   if (need_.limit_per_s > 0) {
     fields += "Server-Limit: " + std::to_string(need_.limit_per_s) + "\r\n";
-    judge_.OnLimitNamed(request, instance_, need_.limit_per_s);
+    OnceSent(peer, [this, request, per_s = need_.limit_per_s] {
+      judge_.OnLimitNamed(request, instance_, per_s);
+    });
   }
   if (need_.says_leaving) {
     fields += "Server-Leaving: 1\r\n";
-    judge_.OnSaidLeaving(request, instance_);
+    OnceSent(peer, [this, request] { judge_.OnSaidLeaving(request, instance_); });
   }
   return fields;
 }
@@ -219,8 +230,10 @@
   }
   judge_.OnArrival(id, instance_);
   if (Happens(need_.turned_away)) {
-    judge_.OnRestAsked(id, instance_, kRestMs);
-    return peer->Write(Whole(id, 503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n" + Notices(id), ""));
+    TellDone(id);
+    OnceSent(peer, [this, id] { judge_.OnRestAsked(id, instance_, kRestMs); });
+    return peer->Write(
+        Whole(id, 503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n" + Notices(id, peer), ""));
   }
   is_engine_ ? Run(request, peer) : RunPlain(request, peer);
 }
@@ -298,6 +311,7 @@
 void Upstream::Run(const SeenRequest& request, const Peer& peer) {
   const std::string id = request.Field("Attempt-Id");
   if (!Holds(request.Field("Model"))) {
+    TellDone(id);
     return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
   }
   const bool may_repeat = RouteOf(request.Line()).may_repeat;
@@ -315,9 +329,9 @@
       kLeastEvents + static_cast<int>(RendezvousScore(stream, "events") % kMoreEvents);
   const std::string last = request.Field("Last-Event-Id");
   const int next = last == "(none)" ? 1 : std::atoi(last.c_str()) + 1;
-  StreamWay way{stream, count, peer, HarmHappens(misbehaviour.cuts), Happens(kChunkedPercent)};
+  StreamWay way{stream, count, peer, HarmHappens(misbehaviour.cuts), Happens(kChunkedPercent), id};
   peer->Write(Head(id, 200,
-                   Notices(id) + "Response-Seal: seal-" + id +
+                   Notices(id, peer) + "Response-Seal: seal-" + id +
                        "\r\nContent-Type: text/event-stream\r\n" +
                        (way.is_chunked ? "Transfer-Encoding: chunked\r\n" : "")));
   if (request.Field("Prompt-Prefix").find(kDeadlyPart) != std::string::npos) {
@@ -336,10 +350,26 @@
   });
 }
 
+// An entry cannot heed what a silent upstream has yet to send.
+void Upstream::OnceSent(const Peer& peer, std::function<void()> call) {
+  const DurationMs silent_ms = silent_until_ - MonotonicMs();
+  if (silent_ms <= 0) return call();
+  After(silent_ms, [peer, call = std::move(call)] {
+    if (!peer->IsEnded()) call();
+  });
+}
+
+void Upstream::TellDone(const std::string& request) {
+  judge_.OnDone(request, instance_, std::max(MonotonicMs(), silent_until_));
+}
+
 // Each event names the version that sent it.
 void Upstream::Stream(const StreamWay& way, int next) {
-  if (way.peer->IsEnded()) return;
-  if (next > way.count) return way.is_chunked ? way.peer->Write("0\r\n\r\n") : way.peer->Close();
+  if (way.peer->IsEnded()) return TellDone(way.request);
+  if (next > way.count) {
+    TellDone(way.request);
+    return way.is_chunked ? way.peer->Write("0\r\n\r\n") : way.peer->Close();
+  }
   const std::string event = "id: " + std::to_string(next) + "\ndata: " + way.stream + " " +
                             std::to_string(next) + " of " + std::to_string(way.count) + " by " +
                             version_ + "\n\n";
@@ -378,14 +408,15 @@
   judge_.OnAccess(id, request.Field("Tenant"), request.Field("Key") != "(none)");
   if (HarmHappens(misbehaviour.losses)) return peer->Reset();
   const std::string answer =
-      Whole(id, 200, Notices(id) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
+      Whole(id, 200, Notices(id, peer) + "Response-Seal: seal-" + id + "\r\n", "answer to " + id);
   const bool is_cut = HarmHappens(misbehaviour.cuts);
   const bool is_double = HarmHappens(misbehaviour.surplus);
   if (HarmHappens(misbehaviour.late_surplus)) {
     surplus_peer_ = peer;
     surplus_id_ = id;
   }
-  After(kPlainMs, [peer, answer, is_cut, is_double] {
+  After(kPlainMs, [this, peer, answer, is_cut, is_double, id] {
+    TellDone(id);
     if (is_cut) {
       peer->Write(answer.substr(0, answer.size() - 3));
       return peer->Close();
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -4,6 +4,7 @@
 #define JUNCTIONRAIL_SOAK_UPSTREAMS_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -66,6 +67,9 @@
   // Starts again if a request ended it and its time to start has come.
   void StartIfDue();
 
+  // Sends nothing for so long, then goes on. Its record is written all the same.
+  void FallSilent(DurationMs silent_ms);
+
   // In need for a while; what it says of its leaving stays.
   void SetNeed(double limit_per_s, int turned_away);
 
@@ -76,7 +80,7 @@
 
   void OnRequest(const testing::SeenRequest& request, const Peer& peer);
   // The fields of an answer to that request that tell what it needs.
-  std::string Notices(const std::string& request);
+  std::string Notices(const std::string& request, const Peer& peer);
   void Report(const Peer& peer);
   void Order(const testing::SeenRequest& request, const Peer& peer);
   int Apply(const std::string& operation, const std::string& model, const std::string& adapter,
@@ -92,8 +96,13 @@
     Peer peer;
     bool is_cut = false;
     bool is_chunked = true;  // Otherwise it ends with its connection.
+    std::string request;
   };
   void Stream(const StreamWay& way, int next);
+  // Calls it once what is written to the peer now is sent; not if the peer has ended by then.
+  void OnceSent(const Peer& peer, std::function<void()> call);
+  // Has sent all of its answer to that request, or will have once it is not silent.
+  void TellDone(const std::string& request);
   void EndByRequest(Judge::Deadly kind);
   bool Holds(const std::string& model) const;
   bool Happens(int percent);
@@ -118,6 +127,7 @@
   TimeMs restart_at_ = 0;  // After a request ended it; 0: none did.
   TimeMs drained_at_ = 0;  // 0: not leaving.
   TimeMs cold_until_ = 0;
+  TimeMs silent_until_ = 0;
   bool tells_cold_ = true;   // Whether its record says for how long it is cold.
   bool is_recorded_ = true;  // False once it has taken its record away.
   Need need_;
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+// Less than some pauses of entries, more than any of a caller.
+constexpr int kShortIdleMs = 600;
+
 const std::vector<std::string> kRegionsOfRegional = {"north", "south"};
 
 bool Allows(const std::vector<std::string>& regions, const std::string& region) {
@@ -33,7 +36,7 @@
           {"hostname", "soak.example"},
           {"pathPrefix", "/" + route.name + "/"},
           {"kind", route.is_stream ? "streaming" : plain_kind},
-          {"timeoutMs", 3500 + static_cast<int>(random() % 400)},
+          {"timeoutMs", kLeastTimeoutMs + static_cast<DurationMs>(random() % 400)},
           {"targetLatencyMs", 800},
           {"gapAimMs", 300},
           {"priority", 1},
@@ -116,7 +119,7 @@
                                {{"maxHeaderBytes", 16384},
                                 {"maxBodyBytes", 65536},
                                 {"headerTimeoutMs", 2000},
-                                {"idleTimeoutMs", 5000}}}};
+                                {"idleTimeoutMs", random() % 2 == 0 ? 5000 : kShortIdleMs}}}};
   return configuration.dump();
 }
 
