Quarantine: another part at all crashes of a part keeps it from being found

A sound request was refused. Cause: a part counts as found by the crashes at which its requests were sent alone. Requests with the part that did crash the upstreams were there too, sent before it was suspected and thus not alone; their parts were not looked at. Change: a part of such other requests that was at all of these crashes explains them as well, and nothing is found until a crash without it. Measured: PromptPartTable.DoesNotFindAPartIfAnotherOneWasAtAllItsCrashes fails before (q is found) and passes.

--- a/include/junctionrail/quarantine.h
+++ b/include/junctionrail/quarantine.h
@@ -338,6 +338,8 @@
   bool IsCleared(const SuspectParts& suspect, TimeMs now) const;
   Evidence EvidenceOf(const Crash& crash, const std::vector<RequestDigest>& combination, int causes,
                       TimeMs now) const;
+  bool HaveOtherPart(const std::vector<const Crash*>& crashes,
+                     const std::vector<RequestDigest>& combination, TimeMs now) const;
   std::vector<Finding> NarrowCombinations(TimeMs now);
   // The part, with those that always came with it, if they are found to cause crashes; else empty.
   std::vector<RequestDigest> FindCause(const RequestDigest& part, TimeMs now) const;
--- a/src/quarantine/prompt_part_table.cc
+++ b/src/quarantine/prompt_part_table.cc
@@ -317,6 +317,25 @@
   return evidence;
 }
 
+// A part of other requests, which were not suspected when they were sent, explains the crashes as
+// well if it was at all of them.
+bool PromptPartTable::HaveOtherPart(const std::vector<const Crash*>& crashes,
+                                    const std::vector<RequestDigest>& combination,
+                                    TimeMs now) const {
+  std::optional<Parts> common;
+  for (const Crash* crash : crashes) {
+    Parts others;
+    for (const auto& it : crash->suspects) {
+      if (it.was_isolated || ContainsAll(it.parts, combination)) continue;
+      for (const auto& part : WithoutSound(it.parts, now)) {
+        if (!common || common->count(part) > 0) others.insert(part);
+      }
+    }
+    common = std::move(others);
+  }
+  return common && !common->empty();
+}
+
 std::vector<RequestDigest> PromptPartTable::FindCause(const RequestDigest& part, TimeMs now) const {
   const auto reported = ReportedCrashesWith(part, now);
   const int causes = CountCauses(reported);
@@ -337,9 +356,11 @@
   }
   const bool is_single_cause = combination.size() == 1 &&
                                CountCauses(beside_sound_parts) >= kIsolatedCrashesToFind &&
-                               requests_beside_sound_parts.size() >= kIsolatedRequestsToFind;
+                               requests_beside_sound_parts.size() >= kIsolatedRequestsToFind &&
+                               !HaveOtherPart(beside_sound_parts, combination, now);
   const bool is_cause = CountCauses(isolated) >= kIsolatedCrashesWithoutSoundPart &&
-                        requests.size() >= kIsolatedRequestsWithoutSoundPart;
+                        requests.size() >= kIsolatedRequestsWithoutSoundPart &&
+                        !HaveOtherPart(isolated, combination, now);
   return is_single_cause || is_cause ? combination : std::vector<RequestDigest>();
 }
 
--- a/test/prompt_part_table_test.cc
+++ b/test/prompt_part_table_test.cc
@@ -182,6 +182,17 @@
   EXPECT_TEXT("k", table.Found(kIds), "two others are cleared");
 }
 
+// Guards against the refusal of a part whose requests were alone at upstreams to which others had
+// sent requests with the cause, before that was suspected.
+TEST(PromptPartTable, DoesNotFindAPartIfAnotherOneWasAtAllItsCrashes) {
+  Table table;
+  table.Crash({"q:1"});
+  for (int n = 0; n < 2; ++n) table.Crash({"q:1", "k:1"}, true);
+  EXPECT_TEXT("", table.Found(kIds), "k may be the cause of both");
+  table.Crash({"q:1", "z1:1"}, true);
+  EXPECT_TEXT("q", table.Found(kIds), "k was not at the last one");
+}
+
 // Guards against the refusal of a part that was beside a request which crashes upstreams itself,
 // though its parts are sound.
 TEST(PromptPartTable, DoesNotFindAPartBesideARequestThatWasAloneForItself) {
