Soak: the crowd sends nothing behind an answer that announces the close

Cause: a request sent there is reset unread, which is no fault of the entry, and callers must not send it.

--- a/soak/crowd.cc
+++ b/soak/crowd.cc
@@ -1,6 +1,7 @@
 #include "crowd.h"
 
 #include <boost/asio/write.hpp>
+#include <string_view>
 #include <utility>
 
 namespace junctionrail::soak {
@@ -40,8 +41,12 @@
 }
 
 void Crowd::Leave() {
+  for (const auto& it : members_) Close(it);
+}
+
+void Crowd::Close(const std::shared_ptr<Member>& member) {
   error_code ec;
-  for (const auto& it : members_) it->socket.close(ec);
+  member->socket.close(ec);
 }
 
 void Crowd::Send(const std::shared_ptr<Member>& member) {
@@ -54,21 +59,23 @@
 }
 
 void Crowd::Read(const std::shared_ptr<Member>& member) {
-  member->socket.async_read_some(
-      asio::buffer(member->chunk), [self = shared_from_this(), member](error_code ec, std::size_t) {
-        if (ec == asio::error::operation_aborted) return;
-        if (!ec) {
-          member->is_awaiting = false;
-          return self->Read(member);
-        }
-        const bool is_reset = ec != asio::error::eof;
-        if (std::exchange(member->is_awaiting, false)) {
-          self->judge_.OnUnanswered(member->request,
-                                    is_reset ? Judge::Ending::kReset : Judge::Ending::kClosed);
-        }
-        error_code close_ec;
-        member->socket.close(close_ec);
-      });
+  member->socket.async_read_some(asio::buffer(member->chunk), [self = shared_from_this(), member](
+                                                                  error_code ec, std::size_t n) {
+    if (ec == asio::error::operation_aborted) return;
+    if (!ec) {
+      member->is_awaiting = false;
+      // The answer is the connection's last: nothing may be sent behind it.
+      const std::string_view text(member->chunk.data(), n);
+      if (text.find("Connection: close") != text.npos) return Close(member);
+      return self->Read(member);
+    }
+    const bool is_reset = ec != asio::error::eof;
+    if (std::exchange(member->is_awaiting, false)) {
+      self->judge_.OnUnanswered(member->request,
+                                is_reset ? Judge::Ending::kReset : Judge::Ending::kClosed);
+    }
+    Close(member);
+  });
 }
 
 }  // namespace junctionrail::soak
--- a/soak/crowd.h
+++ b/soak/crowd.h
@@ -39,6 +39,7 @@
   };
 
   void Send(const std::shared_ptr<Member>& member);
+  static void Close(const std::shared_ptr<Member>& member);
   void Read(const std::shared_ptr<Member>& member);
 
   boost::asio::io_context& io_;
