Retry budget: lines tell what it is decided by

Cause: nothing in the logs tells a budget that a start has emptied from one that is divided by too low a count of entries. Change: retry_budget_spent names the requests, retries and allowance that decided it, the entries that share the fixed part, and the age of the process; entry_count is written when agents count another number of entries. Result: compiled only; the decisions are unchanged.

--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -71,6 +71,14 @@
   void SetEntries(int entries) { entries_ = entries; }
   // Consumes one retry if the budget allows it.
   bool TryConsume(const std::string& service, TimeMs now);
+  // What the budget of a service is decided by, for logs.
+  struct Usage {
+    std::size_t requests = 0;  // In the window.
+    std::size_t retries = 0;   // In the window.
+    double allowed = 0;        // Retries in the window, with those consumed already.
+    int entries = 0;           // That share the fixed allowance.
+  };
+  Usage UsageOf(const std::string& service, TimeMs now);
 
  private:
   struct Window {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -447,7 +447,15 @@
     ++gateway_.counters.retries;
     return true;
   }
-  gateway_.log.Write(now, "retry_budget_spent", {{"request", request_id_}, {"service", service_}});
+  const RetryBudget::Usage usage = gateway_.retry_budget.UsageOf(service_, now);
+  gateway_.log.Write(now, "retry_budget_spent",
+                     {{"request", request_id_},
+                      {"service", service_},
+                      {"requests", static_cast<std::int64_t>(usage.requests)},
+                      {"retries", static_cast<std::int64_t>(usage.retries)},
+                      {"allowed", usage.allowed},
+                      {"entries", static_cast<std::int64_t>(usage.entries)},
+                      {"age_ms", now - gateway_.started_at}});
   return false;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -148,7 +148,7 @@
     if (ec) return;
     self->CheckForSuspension();
     const TimeMs now = MonotonicMs();
-    self->retry_budget.SetEntries(std::max(kAssumedEntries, self->upstreams.CountEntries(now)));
+    self->UpdateEntryCount(now);
     self->pool.CloseIdle(now, [&](const std::string& instance) {
       return self->upstreams.Find(instance) != nullptr;
     });
@@ -173,6 +173,15 @@
   });
 }
 
+void Gateway::Impl::UpdateEntryCount(TimeMs now) {
+  const int counted = upstreams.CountEntries(now);
+  const int previous = std::exchange(entry_count, counted);
+  retry_budget.SetEntries(std::max(kAssumedEntries, counted));
+  if (counted == previous) return;
+  log.Write(now, "entry_count",
+            {{"entries", std::int64_t{counted}}, {"previous", std::int64_t{previous}}});
+}
+
 // Timers do not count a suspension. The timers of requests are set again, so that a request past
 // its deadline is answered at once, and `on_vm_resumed` has outdated state read again.
 void Gateway::Impl::CheckForSuspension() {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -33,6 +33,8 @@
   void AddConnection(boost::asio::ip::tcp::socket socket);
   void StopAccepting();
   void Tick();
+  // Applies the number of entries that agents count now.
+  void UpdateEntryCount(TimeMs now);
   void ContinueStop();
 
   void ApplyListing(const UpstreamListing& listing);
@@ -110,6 +112,8 @@
   std::shared_ptr<const RouteTable> routes;
   UpstreamTable upstreams;
   RetryBudget retry_budget;
+  int entry_count = 0;  // As last counted; 0: not yet.
+  TimeMs started_at = MonotonicMs();
   internal::UpstreamPool pool;
   QuarantineTable quarantine;
   PromptPartTable prompt_parts;
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -9,13 +9,22 @@
 }
 
 bool RetryBudget::TryConsume(const std::string& service, TimeMs now) {
+  const Usage usage = UsageOf(service, now);
+  if (static_cast<double>(usage.retries) + 1 > usage.allowed) return false;
+  windows_[service].retries.push_back(now);
+  return true;
+}
+
+RetryBudget::Usage RetryBudget::UsageOf(const std::string& service, TimeMs now) {
   Window& window = windows_[service];
   Expire(&window, now);
-  const double allowed = options_.ratio * static_cast<double>(window.requests.size()) +
-                         options_.fixed_attempts / entries_;
-  if (static_cast<double>(window.retries.size()) + 1 > allowed) return false;
-  window.retries.push_back(now);
-  return true;
+  Usage usage;
+  usage.requests = window.requests.size();
+  usage.retries = window.retries.size();
+  usage.allowed =
+      options_.ratio * static_cast<double>(usage.requests) + options_.fixed_attempts / entries_;
+  usage.entries = entries_;
+  return usage;
 }
 
 void RetryBudget::Expire(Window* window, TimeMs now) const {
