Limits of the fleet: a count of entries is held without an agent in reach

What callers saw: nothing yet; retries of the fleet may exceed its budget, and an entry may take the whole local share of a quota. Cause: an entry without a view fresher than 1.5 s counted itself alone. The retry budget and the connections to an upstream then took an eighth of the fleet's, however many entries there are; the quota client held its count for a minute and then also fell to one. Change: EntryCount, used by all three: a lower count is adopted after a minute, and no count at all changes nothing. The table answers 0 where no agent tells. An entry that never heard a count has no local share of an organisation's quota, and an eighth of an upstream's limit, as before.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -252,7 +252,7 @@
   std::vector<Endpoint> EnginesWithoutView(DurationMs ms, TimeMs now) const;
   // Further replicas requested since the start.
   std::uint64_t CountReplicaRequests(ReplicaDomain domain) const;
-  // Number of entries, from the agents' link counts; at least 1.
+  // Number of entries, from the agents' link counts; 0: no agent has told it lately.
   int CountEntries(TimeMs now) const;
 
  private:
--- a/include/junctionrail/tenancy.h
+++ b/include/junctionrail/tenancy.h
@@ -238,6 +238,21 @@
   TimeMs recounted_at_ = 0;
 };
 
+// The number of entries that share limits of the fleet, from the counts of the agents in reach. An
+// entry that is cut off from agents, or whose agents have just started, is told lower counts, or
+// none, although the other entries are still running.
+class EntryCount {
+ public:
+  // `counted`: the highest count of an agent in reach; 0: none is in reach.
+  void Update(int counted, TimeMs now);
+  // 0: unknown.
+  int value() const { return value_; }
+
+ private:
+  int value_ = 0;
+  TimeMs counted_at_ = 0;  // When an agent last counted as many.
+};
+
 // Client side of the protocol, run by an entry.
 class QuotaClient {
  public:
@@ -290,8 +305,8 @@
   void RetainLimitedUpstreams(const std::function<bool(const std::string& instance)>& has_limit);
   // Like Acquire(), for one request against the limit of an upstream.
   Admission AcquireForUpstream(const std::string& instance, std::uint64_t ticket, TimeMs now);
-  // Sets the number of entries that share each limit, as counted by the reachable agents.
-  void SetEntryCount(int entry_count, TimeMs now);
+  // See EntryCount.
+  void SetEntryCount(int counted, TimeMs now) { entry_count_.Update(counted, now); }
 
   Admission Acquire(const std::string& organisation, double amount, std::uint64_t ticket,
                     TimeMs now);
@@ -360,8 +375,7 @@
 
   std::string entry_;
   std::uint64_t version_ = 0;
-  int entry_count_ = 0;  // Highest recent count; 0 if unknown.
-  TimeMs entry_count_at_ = 0;
+  EntryCount entry_count_;
   std::vector<Allocator> allocators_;
   std::map<std::string, Account> accounts_;               // By organisation or upstream limit.
   std::map<std::string, std::string> upstream_accounts_;  // Names of accounts, by instance.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,8 +26,8 @@
 constexpr DurationMs kMinSuspensionMs = 200;
 // The time from the last check of a configuration's age until the upstream starts on the request.
 constexpr DurationMs kKeyCheckMarginMs = 400;
-// Limits of the fleet are divided by the number of entries that agents count, and by at least
-// this: sites have four to seven.
+// An entry's share of the connections to an upstream: at most an eighth, as an entry that has just
+// started knows no better count of the others, and at least eight, so that none is without.
 constexpr int kAssumedEntries = 8;
 constexpr int kMinConnections = 8;
 // How long a refused request still counts as demand for its model: its caller, told to retry, does
@@ -159,7 +159,6 @@
     self->JudgeParts();
     self->ReportQuarantined();
     self->ApplyLimitChanges();
-    self->quotas.SetEntryCount(self->upstreams.CountEntries(now), now);
     self->UpdateSharedTurns();
     self->quotas.RetainLimitedUpstreams([&](const std::string& name) {
       return self->shared_turns.count(name) > 0 || self->upstreams.LimitOf(name).has_value();
@@ -175,11 +174,13 @@
 
 void Gateway::Impl::UpdateEntryCount(TimeMs now) {
   const int counted = upstreams.CountEntries(now);
-  const int previous = std::exchange(entry_count, counted);
-  retry_budget.SetEntries(std::max(kAssumedEntries, counted));
-  if (counted == previous) return;
+  const int previous = entry_count.value();
+  entry_count.Update(counted, now);
+  retry_budget.SetEntries(std::max(kAssumedEntries, entry_count.value()));
+  quotas.SetEntryCount(counted, now);
+  if (entry_count.value() == previous) return;
   log.Write(now, "entry_count",
-            {{"entries", std::int64_t{counted}}, {"previous", std::int64_t{previous}}});
+            {{"entries", std::int64_t{entry_count.value()}}, {"previous", std::int64_t{previous}}});
 }
 
 // Timers do not count a suspension. The timers of requests are set again, so that a request past
@@ -638,7 +639,7 @@
   if (!routes) return kMinConnections;
   const ServiceSpec* service = routes->configuration().FindService(upstream.service);
   if (service == nullptr || service->max_connections <= 0) return 0;
-  const int entries = std::max(kAssumedEntries, upstreams.CountEntries(MonotonicMs()));
+  const int entries = std::max(kAssumedEntries, entry_count.value());
   return std::max(kMinConnections, service->max_connections / entries);
 }
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -112,7 +112,7 @@
   std::shared_ptr<const RouteTable> routes;
   UpstreamTable upstreams;
   RetryBudget retry_budget;
-  int entry_count = 0;  // As last counted; 0: not yet.
+  EntryCount entry_count;
   TimeMs started_at = MonotonicMs();
   internal::UpstreamPool pool;
   QuarantineTable quarantine;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -223,7 +223,7 @@
 }
 
 int UpstreamTable::CountEntries(TimeMs now) const {
-  int entries = 1;
+  int entries = 0;
   for (const auto& [instance, row] : rows_) {
     if (IsFresh(row, now)) entries = std::max(entries, row.view.entries);
   }
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -20,8 +20,6 @@
 constexpr std::string_view kAllocatorHashKey = "quota givers";
 constexpr DurationMs kNoAllocatorRetryMs = 1000;
 constexpr std::size_t kMaxAmountsPerRequest = 256;
-// Time since the last entry count that was not lower, after which a lower one is adopted.
-constexpr DurationMs kEntryCountHoldMs = 60000;
 constexpr double kMsPerS = 1000;
 // How long the slot is in which an entry may send its local share of an upstream's limit. All
 // entries together can then send what accrues in this time at once, besides the rate.
@@ -113,14 +111,6 @@
   return it == upstream_accounts_.end() ? Admission{} : Acquire(it->second, 1, ticket, now);
 }
 
-// An entry cut off by a network partition receives low counts although the other entries are still
-// running.
-void QuotaClient::SetEntryCount(int entry_count, TimeMs now) {
-  if (entry_count < entry_count_ && now - entry_count_at_ < kEntryCountHoldMs) return;
-  entry_count_ = entry_count;
-  entry_count_at_ = now;
-}
-
 void QuotaClient::SetAllocators(std::vector<Allocator> allocators, TimeMs now) {
   std::vector<std::pair<std::uint64_t, std::size_t>> scores;
   for (std::size_t n = 0; n < allocators.size(); ++n) {
@@ -210,13 +200,15 @@
   const TimeMs local_begin_at =
       was_registered ? account->registered_at + kRegistrationTtlMs + kAllocatorTimeoutMs
                      : account->local_since;
+  const bool is_upstream = !account->upstream.empty();
+  const int counted = entry_count_.value();
   const bool has_local_share = account->allocator.instance.empty() && local_begin_at != 0 &&
-                               now > local_begin_at && entry_count_ > 0;
+                               now > local_begin_at && (is_upstream || counted > 0);
   if (!has_local_share) return refused;
   const int entry_count =
-      was_registered ? entry_count_ : std::max(entry_count_, kDefaultEntryCount);
+      was_registered && counted > 0 ? counted : std::max(counted, kDefaultEntryCount);
   const double rate_per_s = account->limit.rate_per_s / entry_count;
-  if (!account->upstream.empty()) {
+  if (is_upstream) {
     const bool is_open = IsLocalSlotOpen(*account, rate_per_s, local_begin_at, now);
     if (is_open) account->local_used_at = now;
     return is_open ? Admission() : refused;
@@ -396,7 +388,7 @@
   std::vector<Message> messages;
   for (auto& [instance, request] : requests) {
     request.entry = entry_;
-    request.entry_count = entry_count_;
+    request.entry_count = entry_count_.value();
     messages.push_back({instance, std::move(request)});
   }
   return messages;
