Retry budget: holds over starts of entries and over any window

Cause: the windows of a process are empty when it starts, and its fixed part is there at once, so each start within a window spends the budget anew. Beside it, requests of 10 s before each retry may lie in two windows of the rule. Change: every window that contains the retry has to allow it. A request allows half of its retries in windows that contain it and half in those that follow them: this adds up over entries and over the processes of one entry. The fixed part applies to windows that began after the process did, and needs a known number of entries. Entries with a part of one retry round it up by a fixed part of their own, so that a large fleet can use its allowance. Why it holds: for any window, what all entries allow is half of the ratio for the requests in it and before it, and the fixed part once. The group RetryBudget moved from routing_test.cc; its first test asserts the new windows. Fixtures whose new gateways retry at once raise the ratio, as the fixed part no longer serves them.

--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -55,41 +55,50 @@
 RateLimit ColdLimit(double requests_per_s);
 
 // Limits retries to a share of a service's requests. Each entry spends only its own share, so that
-// the bound holds for the fleet without coordination.
+// the bound holds for the fleet without coordination, also while entries start again: a process
+// does not know what the one before it has spent.
 class RetryBudget {
  public:
   struct Options {
     double ratio = 0.15;        // Retries per request of this entry in the window.
-    double fixed_attempts = 4;  // Retries allowed in any window regardless of requests.
+    double fixed_attempts = 4;  // Retries of all entries in any window, regardless of requests.
     DurationMs window_ms = 10000;
+    // By which this entry rounds its allowance up, below 1. Spread evenly over entries, it lets
+    // those use the allowance that each have a part of one retry.
+    double rounding = 0;
   };
-  explicit RetryBudget(Options options) : options_(options) {}
+  // What the budget of a service is decided by, for logs.
+  struct Usage {
+    std::size_t requests = 0;  // That count towards the allowance.
+    std::size_t retries = 0;   // In the last window.
+    double left = 0;           // Retries that the budget allows now.
+    int entries = 0;           // That share the fixed allowance; 0: unknown.
+  };
+
+  // `started_at`: retries and requests before then are not known.
+  RetryBudget(Options options, TimeMs started_at) : options_(options), known_since_(started_at) {}
 
-  void SetOptions(Options options) { options_ = options; }
+  void SetOptions(Options options, TimeMs now);
   void OnRequest(const std::string& service, TimeMs now);
-  // Sets how many entries share the fixed allowance.
+  // Sets how many entries share the fixed allowance; 0: unknown, there is none then.
   void SetEntries(int entries) { entries_ = entries; }
   // Consumes one retry if the budget allows it.
   bool TryConsume(const std::string& service, TimeMs now);
-  // What the budget of a service is decided by, for logs.
-  struct Usage {
-    std::size_t requests = 0;  // In the window.
-    std::size_t retries = 0;   // In the window.
-    double allowed = 0;        // Retries in the window, with those consumed already.
-    int entries = 0;           // That share the fixed allowance.
-  };
   Usage UsageOf(const std::string& service, TimeMs now);
 
  private:
-  struct Window {
-    std::deque<TimeMs> requests;
-    std::deque<TimeMs> retries;
+  struct History {
+    std::deque<TimeMs> requests;  // Of the last two windows.
+    std::deque<TimeMs> retries;   // Of the last window.
   };
-  void Expire(Window* window, TimeMs now) const;
+  void Expire(History* history, TimeMs now) const;
+  double Allowed(const History& history, TimeMs begin) const;
+  double Left(const History& history, TimeMs now) const;
 
   Options options_;
-  int entries_ = 1;
-  std::map<std::string, Window> windows_;
+  TimeMs known_since_ = 0;
+  int entries_ = 0;
+  std::map<std::string, History> histories_;  // By service.
 };
 
 }  // namespace junctionrail
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -52,9 +52,15 @@
 // of twenty models.
 constexpr int kSmallFleetEngines = 80;
 
-RetryBudget::Options RetriesOf(const DirectSettings& direct) {
+// The same after a restart, and spread evenly over entries.
+double RetryRounding(const std::string& entry) {
+  constexpr double kScoreRange = 18446744073709551616.0;  // 2^64.
+  return static_cast<double>(RendezvousScore("retry budget", entry)) / kScoreRange;
+}
+
+RetryBudget::Options RetriesOf(const std::string& entry, const DirectSettings& direct) {
   return {direct.retry_ratio * kBudgetMargin, direct.retry_extra * kBudgetMargin,
-          direct.retry_window_ms};
+          direct.retry_window_ms, RetryRounding(entry)};
 }
 
 DurationMs RelayTrust(const DirectSettings& direct) {
@@ -80,7 +86,7 @@
   options.data_hall = settings.data_hall;
   options.header_names = platform::HeaderNames();
   options.read_notice = platform::ReadNotice;
-  options.retry_budget = RetriesOf(direct);
+  options.retry_budget = RetriesOf(settings.id, direct);
   options.routing.topology = Topology(settings.data_hall, direct.hall_regions);
   options.routing.spreads_replicas =
       direct.tolerated_hall_losses > 0 || options.routing.topology.HasRegions();
@@ -216,7 +222,7 @@
       SetConfirmationInterval();
       gateway_.SetPolicy(direct.policy);
       hosting_->SetPolicy(direct.policy);
-      gateway_.SetRetries(RetriesOf(direct));
+      gateway_.SetRetries(RetriesOf(settings_.id, direct));
       direct.record_period_ms = settings.direct->record_period_ms;
       upstreams_.SetPeriod(ListingPeriod(direct));
       configuration_.RestWhileConfirmed(RelayTrust(direct));
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -453,7 +453,7 @@
                       {"service", service_},
                       {"requests", static_cast<std::int64_t>(usage.requests)},
                       {"retries", static_cast<std::int64_t>(usage.retries)},
-                      {"allowed", usage.allowed},
+                      {"left", usage.left},
                       {"entries", static_cast<std::int64_t>(usage.entries)},
                       {"age_ms", now - gateway_.started_at}});
   return false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,7 +81,7 @@
       options(std::move(gateway_options)),
       log(event_log),
       upstreams(options.routing),
-      retry_budget(options.retry_budget),
+      retry_budget(options.retry_budget, MonotonicMs()),
       pool(io, options.header_names.request_id),
       judge_timer(io),
       crash_detector(io, quarantine,
@@ -176,7 +176,7 @@
   const int counted = upstreams.CountEntries(now);
   const int previous = entry_count.value();
   entry_count.Update(counted, now);
-  retry_budget.SetEntries(std::max(kAssumedEntries, entry_count.value()));
+  retry_budget.SetEntries(entry_count.value());
   quotas.SetEntryCount(counted, now);
   if (entry_count.value() == previous) return;
   log.Write(now, "entry_count",
@@ -680,7 +680,9 @@
   impl_->configuration_confirmed_at = std::max(impl_->configuration_confirmed_at, as_of);
 }
 
-void Gateway::SetRetries(RetryBudget::Options options) { impl_->retry_budget.SetOptions(options); }
+void Gateway::SetRetries(RetryBudget::Options options) {
+  impl_->retry_budget.SetOptions(options, MonotonicMs());
+}
 
 void Gateway::SetPolicy(const PolicySettings& policy) { impl_->upstreams.SetPolicy(policy); }
 
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -1,40 +1,77 @@
+#include <algorithm>
+
 #include "junctionrail/throttling.h"
 
 namespace junctionrail {
+namespace {
+
+void DropUpTo(TimeMs oldest, std::deque<TimeMs>* times) {
+  while (!times->empty() && times->front() <= oldest) times->pop_front();
+}
+
+}  // namespace
+
+// A longer window would reach back to before what was kept for the shorter one.
+void RetryBudget::SetOptions(Options options, TimeMs now) {
+  if (options.window_ms > options_.window_ms) {
+    known_since_ = std::max(known_since_, now - options_.window_ms);
+  }
+  options_ = options;
+}
 
 void RetryBudget::OnRequest(const std::string& service, TimeMs now) {
-  Window& window = windows_[service];
-  Expire(&window, now);
-  window.requests.push_back(now);
+  History& history = histories_[service];
+  Expire(&history, now);
+  history.requests.push_back(now);
 }
 
 bool RetryBudget::TryConsume(const std::string& service, TimeMs now) {
-  const Usage usage = UsageOf(service, now);
-  if (static_cast<double>(usage.retries) + 1 > usage.allowed) return false;
-  windows_[service].retries.push_back(now);
+  History& history = histories_[service];
+  Expire(&history, now);
+  if (Left(history, now) < 1) return false;
+  history.retries.push_back(now);
   return true;
 }
 
 RetryBudget::Usage RetryBudget::UsageOf(const std::string& service, TimeMs now) {
-  Window& window = windows_[service];
-  Expire(&window, now);
-  Usage usage;
-  usage.requests = window.requests.size();
-  usage.retries = window.retries.size();
-  usage.allowed =
-      options_.ratio * static_cast<double>(usage.requests) + options_.fixed_attempts / entries_;
-  usage.entries = entries_;
-  return usage;
-}
-
-void RetryBudget::Expire(Window* window, TimeMs now) const {
-  const TimeMs oldest = now - options_.window_ms;
-  while (!window->requests.empty() && window->requests.front() <= oldest) {
-    window->requests.pop_front();
-  }
-  while (!window->retries.empty() && window->retries.front() <= oldest) {
-    window->retries.pop_front();
+  History& history = histories_[service];
+  Expire(&history, now);
+  return {history.requests.size(), history.retries.size(), Left(history, now), entries_};
+}
+
+// The retries allowed in the window that begins at `begin`. A request allows half of its retries in
+// the windows that contain it and half in those that follow them: added up over entries, over the
+// processes of one entry, and over any requests in groups, these are never more than the ratio of
+// the requests in one of the two windows. A window that began before this process may have seen the
+// fixed allowance spent by the one before it.
+double RetryBudget::Allowed(const History& history, TimeMs begin) const {
+  const auto first = std::upper_bound(history.requests.begin(), history.requests.end(),
+                                      begin - options_.window_ms);
+  const auto requests = static_cast<double>(history.requests.end() - first);
+  const double by_requests = options_.ratio / 2 * requests;
+  if (begin < known_since_) return by_requests;
+  const double fixed = entries_ > 0 ? options_.fixed_attempts / entries_ : 0;
+  return by_requests + fixed + options_.rounding;
+}
+
+// The least that any window which contains `now` leaves. Of the windows with the same retries, the
+// one that begins with the first of them has the fewest requests before it.
+double RetryBudget::Left(const History& history, TimeMs now) const {
+  double left = Allowed(history, now);
+  auto later_retries = static_cast<double>(history.retries.size());
+  const TimeMs oldest_begin = now - options_.window_ms;
+  if (oldest_begin < known_since_)
+    left = std::min(left, Allowed(history, oldest_begin) - later_retries);
+  for (const TimeMs begin : history.retries) {
+    left = std::min(left, Allowed(history, begin) - later_retries);
+    --later_retries;
   }
+  return left;
+}
+
+void RetryBudget::Expire(History* history, TimeMs now) const {
+  DropUpTo(now - 2 * options_.window_ms, &history->requests);
+  DropUpTo(now - options_.window_ms, &history->retries);
 }
 
 }  // namespace junctionrail
--- /dev/null
+++ b/test/random_retry_budget_test.cc
@@ -0,0 +1,134 @@
+// Property test of the retry budget under random faults: entries are killed and start again, alone
+// or all at once, agents lose their links, requests come in groups and bursts, and upstreams fail.
+// The retries of all entries together must stay within the fleet's allowance in every window.
+#include <algorithm>
+#include <memory>
+
+#include "check.h"
+#include "junctionrail/throttling.h"
+#include "random_run.h"
+
+namespace junctionrail::test {
+namespace {
+
+constexpr DurationMs kStepMs = 50;
+constexpr DurationMs kWindowMs = 10000;
+constexpr double kRatio = 0.2;
+constexpr double kExtra = 90;
+// A new link is counted by all agents within this time.
+constexpr DurationMs kLinkMs = 500;
+
+struct Entry {
+  std::unique_ptr<RetryBudget> budget;
+  std::unique_ptr<EntryCount> count;
+  TimeMs linked_at = 0;  // In the future: cut off from the agents.
+};
+
+template <int kEntries>
+class RetrySimulation {
+ public:
+  explicit RetrySimulation(std::uint32_t) : entries_(kEntries) {
+    for (auto& it : entries_) Start(&it);
+  }
+
+  void Step(RandomChoices choices) {
+    InjectFault(choices);
+    for (int n = 0; n < 20; ++n) Advance(choices);
+  }
+
+  void Drain() const {
+    for (std::size_t n = 0; n < retries_.size(); ++n) {
+      const TimeMs begin = retries_[n];
+      const std::size_t requests =
+          std::max({Count(requests_, begin), Count(requests_, begin - kWindowMs),
+                    Count(requests_, begin - kWindowMs / 2)});
+      const double allowed = kRatio * static_cast<double>(requests) + kExtra;
+      const std::size_t retries = Count(retries_, begin);
+      Require(static_cast<double>(retries) <= allowed,
+              "expected at most " + std::to_string(allowed) + " retries from " +
+                  std::to_string(begin) + " on, got " + std::to_string(retries));
+    }
+  }
+
+ private:
+  // Number of `times` in the window that begins then.
+  static std::size_t Count(const std::vector<TimeMs>& times, TimeMs begin) {
+    const auto from = std::lower_bound(times.begin(), times.end(), begin);
+    return static_cast<std::size_t>(std::lower_bound(from, times.end(), begin + kWindowMs) - from);
+  }
+
+  void Start(Entry* entry) {
+    entry->budget =
+        std::make_unique<RetryBudget>(RetryBudget::Options{kRatio, kExtra, kWindowMs}, now_);
+    entry->count = std::make_unique<EntryCount>();
+    entry->linked_at = now_ + kLinkMs;
+  }
+
+  void InjectFault(RandomChoices& choices) {
+    Entry& one = entries_[choices.Next(kEntries)];
+    switch (choices.Next(9)) {
+      case 0:
+        return Start(&one);
+      case 1:
+        for (auto& it : entries_) Start(&it);
+        return;
+      case 2:
+        one.linked_at = now_ + static_cast<DurationMs>(choices.Next(8000));
+        return;
+      case 3:  // The agents start again, and count their first links.
+        for (auto& it : entries_)
+          it.linked_at = now_ + kLinkMs + static_cast<DurationMs>(choices.Next(4000));
+        return;
+      case 4:
+        requests_per_step_ = choices.Next(30);
+        return;
+      case 5:
+        requests_per_step_ = 0;
+        return;
+      case 6:  // A group of requests within one step.
+        group_ = choices.Next(400);
+        return;
+      default:
+        failed_percent_ = choices.Next(2) == 0 ? 0 : choices.Next(101);
+    }
+  }
+
+  void Advance(RandomChoices& choices) {
+    now_ += kStepMs;
+    const auto linked = std::count_if(entries_.begin(), entries_.end(),
+                                      [this](const Entry& it) { return it.linked_at <= now_; });
+    for (auto& it : entries_) {
+      it.count->Update(it.linked_at <= now_ ? static_cast<int>(linked) : 0, now_);
+      it.budget->SetEntries(it.count->value());
+    }
+    const std::uint32_t n = requests_per_step_ + std::exchange(group_, 0);
+    for (std::uint32_t request = 0; request < n; ++request) {
+      Entry& entry = entries_[choices.Next(kEntries)];
+      entry.budget->OnRequest("s", now_);
+      requests_.push_back(now_);
+      const bool is_failed = choices.Next(100) < failed_percent_;
+      if (is_failed && entry.budget->TryConsume("s", now_)) retries_.push_back(now_);
+    }
+  }
+
+  TimeMs now_ = 1000000;
+  std::vector<Entry> entries_;
+  std::vector<TimeMs> requests_;
+  std::vector<TimeMs> retries_;
+  std::uint32_t requests_per_step_ = 8;
+  std::uint32_t group_ = 0;
+  std::uint32_t failed_percent_ = 50;
+};
+
+}  // namespace
+
+TEST_GROUP(RandomRetryBudget){};
+
+// Guards against budgets that begin anew with each start of an entry, and against entries that
+// share the fixed allowance by too low a count.
+TEST(RandomRetryBudget, BoundsTheRetriesOfAllEntries) {
+  CHECK(RunRandomTest<RetrySimulation<4>>("retries, few entries"));
+  CHECK(RunRandomTest<RetrySimulation<25>>("retries, many entries"));
+}
+
+}  // namespace junctionrail::test
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -1,8 +1,117 @@
-// The number of entries that limits of the fleet are divided by.
+// Budget of retries: what an entry may spend, over windows, starts of processes, and the number of
+// entries that share it.
 #include "check.h"
-#include "junctionrail/tenancy.h"
+#include "gateway_fixture.h"
+#include "junctionrail/throttling.h"
+#include "routing_world.h"
 
 namespace junctionrail {
+namespace {
+
+using testing::GatewayFixture;
+using testing::MakeRoute;
+using testing::MakeView;
+using testing::SeenRequest;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr DurationMs kWindowMs = 1000;
+// Before any window of these tests.
+constexpr TimeMs kLongAgo = -10 * kWindowMs;
+
+RetryBudget MakeBudget(double ratio, double fixed_attempts, int entries = 1) {
+  RetryBudget budget({ratio, fixed_attempts, kWindowMs}, kLongAgo);
+  budget.SetEntries(entries);
+  return budget;
+}
+
+void AddRequests(int n, TimeMs now, RetryBudget* budget) {
+  for (int k = 0; k < n; ++k) budget->OnRequest("s", now);
+}
+
+// Takes all retries that the budget allows now, and returns their number.
+int TakeAll(TimeMs now, RetryBudget* budget) {
+  int n = 0;
+  while (budget->TryConsume("s", now)) ++n;
+  return n;
+}
+
+}  // namespace
+
+TEST_GROUP(RetryBudget){};
+
+TEST(RetryBudget, GrowsWithRequestsOfThisWindowAndTheLast) {
+  RetryBudget budget = MakeBudget(0.5, 1);
+  EXPECT_NUMBER(1, TakeAll(0, &budget), "the fixed allowance");
+  AddRequests(8, 10, &budget);
+  EXPECT_NUMBER(2, TakeAll(10, &budget), "a quarter of the requests, as this window's");
+  EXPECT_NUMBER(0, TakeAll(900, &budget), "the retries are still in the window");
+  EXPECT_NUMBER(1, TakeAll(1011, &budget), "both windows have expired");
+  AddRequests(8, 2500, &budget);
+  EXPECT_NUMBER(3, TakeAll(3499, &budget), "a quarter, as the last window's, and the fixed one");
+}
+
+TEST(RetryBudget, AppliesNewOptionsImmediately) {
+  RetryBudget budget = MakeBudget(0, 1);
+  EXPECT_NUMBER(1, TakeAll(100, &budget), "the first allowance");
+  budget.SetOptions({0, 2, kWindowMs}, 100);
+  EXPECT_NUMBER(1, TakeAll(100, &budget), "one of two is left");
+}
+
+TEST(RetryBudget, DividesFixedAllowanceAmongEntries) {
+  RetryBudget budget = MakeBudget(0, 40, 20);
+  EXPECT_NUMBER(2, TakeAll(0, &budget), "a twentieth of 40");
+}
+
+// Guards against an entry that takes the whole fixed allowance as no agent tells it of the others.
+TEST(RetryBudget, HasNoFixedAllowanceWhileTheNumberOfEntriesIsUnknown) {
+  RetryBudget budget = MakeBudget(0.5, 40, 0);
+  EXPECT_NUMBER(0, TakeAll(0, &budget), "no request, and no known part of the allowance");
+  AddRequests(8, 10, &budget);
+  EXPECT_NUMBER(2, TakeAll(10, &budget), "a quarter of the requests");
+}
+
+// Guards against a budget that begins anew with each start of an entry: the process before it may
+// have spent the allowance of the window.
+TEST(RetryBudget, HasNoFixedAllowanceInWindowsThatBeganBeforeItsStart) {
+  RetryBudget budget({0.5, 10, kWindowMs}, 0);
+  budget.SetEntries(1);
+  EXPECT_NUMBER(0, TakeAll(1, &budget), "at the start");
+  AddRequests(8, 10, &budget);
+  EXPECT_NUMBER(2, TakeAll(10, &budget), "a quarter of this process's requests");
+  EXPECT_NUMBER(0, TakeAll(999, &budget), "the window before the start is not over");
+  EXPECT_NUMBER(10, TakeAll(1005, &budget), "the fixed allowance, beside the retries of before");
+}
+
+// Guards against retries that are allowed by two groups of requests which no window holds together.
+TEST(RetryBudget, DoesNotAddUpGroupsOfRequestsAcrossWindows) {
+  RetryBudget budget = MakeBudget(0.5, 0);
+  AddRequests(40, 0, &budget);
+  AddRequests(40, 900, &budget);
+  // The window that begins at 10 holds the second group, the one before it the first.
+  EXPECT_NUMBER(20, TakeAll(990, &budget), "half of 40");
+}
+
+TEST(RetryBudget, HasNoFixedAllowanceInAWindowLongerThanItsHistory) {
+  RetryBudget budget = MakeBudget(0, 10);
+  EXPECT_NUMBER(10, TakeAll(0, &budget), "the fixed allowance");
+  budget.SetOptions({0, 10, 3 * kWindowMs}, 1500);
+  EXPECT_NUMBER(0, TakeAll(1500, &budget), "what was spent before 500 is not known any more");
+  EXPECT_NUMBER(10, TakeAll(3500, &budget), "the whole window is known");
+}
+
+// Guards against a large fleet in which no entry ever has a whole retry to spend.
+TEST(RetryBudget, LetsEntriesWithAPartOfARetryUseThemTogether) {
+  constexpr int kEntries = 400;
+  constexpr double kFixed = 100;
+  int retries = 0;
+  for (int n = 0; n < kEntries; ++n) {
+    const double rounding = static_cast<double>(n) / kEntries;
+    RetryBudget budget({0, kFixed, kWindowMs, rounding}, kLongAgo);
+    budget.SetEntries(kEntries);
+    retries += TakeAll(0, &budget);
+  }
+  EXPECT_NUMBER(100, retries, "the allowance of all entries");
+}
 
 TEST_GROUP(EntryCount){};
 
@@ -29,4 +138,48 @@
   EXPECT_NUMBER(25, count.value(), "no agent tells otherwise");
 }
 
+TEST_GROUP(RestartedEntries){};
+
+namespace {
+
+// Requests served by one process, and the attempts that they led to.
+struct Load {
+  int requests = 0;
+  int attempts = 0;
+};
+
+// Starts a gateway in front of an upstream that fails all requests, in a fleet of eight entries.
+void RunProcess(int requests, RetryBudget::Options retries, Load* load) {
+  GatewayFixture fixture({}, retries);
+  const auto fail = [load](const SeenRequest&, const Peer& peer) {
+    ++load->attempts;
+    peer->Write("HTTP/1.1 500 Failed\r\nJunctionrail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+  };
+  fixture.AddUpstream("u1", "plain", fail);
+  fixture.AddUpstream("u2", "plain", fail);
+  fixture.Configure({MakeRoute("/a/", RequestKind::kIdempotent, "plain")});
+  EngineView view = MakeView("u1");
+  view.entries = 8;
+  fixture.gateway->ApplyView(view);
+  testing::RunFor(fixture.io, 300);  // The count of entries is applied.
+  for (int n = 0; n < requests; ++n) {
+    ++load->requests;
+    fixture.Fetch(testing::MakeRequest("GET /a/"));
+  }
+}
+
+}  // namespace
+
+// Guards against retries that add up over the processes of one entry.
+TEST(RestartedEntries, SpendTheBudgetOfOneEntry) {
+  constexpr double kRatio = 0.2;
+  constexpr double kFixed = 32;
+  Load load;
+  for (int start = 0; start < 3; ++start) RunProcess(5, {kRatio, kFixed, 60000}, &load);
+  const double allowed = kRatio * load.requests + kFixed / 8;
+  const int retries = load.attempts - load.requests;
+  EXPECT_TRUE(retries <= allowed, "expected at most " + std::to_string(allowed) + " retries, got " +
+                                      std::to_string(retries));
+}
+
 }  // namespace junctionrail
--- a/test/routing_test.cc
+++ b/test/routing_test.cc
@@ -46,35 +46,6 @@
   EXPECT_TRUE(small > 60 && small < 140, "expected about a tenth, got " + std::to_string(small));
 }
 
-TEST_GROUP(RetryBudget){};
-
-TEST(RetryBudget, GrowsWithRequestsAndExpiresWithWindow) {
-  RetryBudget budget({0.5, 1, 1000});
-  EXPECT_TRUE(budget.TryConsume("s", 0), "the fixed allowance");
-  EXPECT_TRUE(!budget.TryConsume("s", 0), "allowance used up");
-  for (int n = 0; n < 4; ++n) budget.OnRequest("s", 10);
-  EXPECT_TRUE(budget.TryConsume("s", 10) && budget.TryConsume("s", 10), "half of four requests");
-  EXPECT_TRUE(!budget.TryConsume("s", 10), "budget used up");
-  EXPECT_TRUE(!budget.TryConsume("s", 900), "retries still in the window");
-  EXPECT_TRUE(budget.TryConsume("s", 1500), "window has expired");
-}
-
-TEST(RetryBudget, AppliesNewOptionsImmediately) {
-  RetryBudget budget({0, 1, 10000});
-  EXPECT_TRUE(budget.TryConsume("s", 100), "first retry");
-  EXPECT_TRUE(!budget.TryConsume("s", 100), "allowance used up");
-  budget.SetOptions({0, 2, 10000});
-  EXPECT_TRUE(budget.TryConsume("s", 100), "one of two is left");
-  EXPECT_TRUE(!budget.TryConsume("s", 100), "");
-}
-
-TEST(RetryBudget, DividesFixedAllowanceAmongEntries) {
-  RetryBudget budget({0, 40, 1000});
-  budget.SetEntries(20);
-  EXPECT_TRUE(budget.TryConsume("s", 0) && budget.TryConsume("s", 0), "a twentieth of 40");
-  EXPECT_TRUE(!budget.TryConsume("s", 0), "the rest belongs to other entries");
-}
-
 TEST_GROUP(UpstreamSelection){};
 
 TEST(UpstreamSelection, PicksLeastLoadedAndNeverLeavingUpstream) {
--- a/test/support/direct_fleet.h
+++ b/test/support/direct_fleet.h
@@ -66,6 +66,7 @@
     settings.direct->peer = At(callers, 3);
     settings.direct->link_port = link_port_;
     settings.direct->retry_extra = 1000;
+    settings.direct->retry_ratio = 10;  // The fixed part does not apply to a new entry.
     return settings;
   }
 
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -27,10 +27,12 @@
   return route;
 }
 
+// Allows all retries of the few requests of a test, from the first request of a new gateway on.
+inline RetryBudget::Options AmpleRetries() { return {1000, 100, 10000}; }
+
 // A gateway in front of scripted upstreams, on loopback sockets.
 struct GatewayFixture {
-  explicit GatewayFixture(GatewayOptions given = {},
-                          RetryBudget::Options retries = {1.0, 100, 10000})
+  explicit GatewayFixture(GatewayOptions given = {}, RetryBudget::Options retries = AmpleRetries())
       : options(std::move(given)) {
     options.listen_endpoint = {"127.0.0.1", 0};
     options.data_hall = "hall-1";
--- a/test/upstream_notices_test.cc
+++ b/test/upstream_notices_test.cc
@@ -48,7 +48,7 @@
       options.listen_endpoint = {"127.0.0.1", 0};
       options.data_hall = "hall-1";
       options.routing.topology = Topology("hall-1", {});
-      options.retry_budget = {1.0, 100, 10000};
+      options.retry_budget = testing::AmpleRetries();
       options.entry_id = "entry-" + std::to_string(k);
       options.read_notice = platform::ReadNotice;
       gateways.push_back(std::make_unique<Gateway>(io, options, log));
