Gateway: smaller files for crashes, quotas, waiting requests and retries

Change: functions moved unchanged into gateway_crashes.cc, gateway_quotas.cc, gateway_waiting.cc and exchange_retry.cc, with the constants that only they use.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -30,15 +30,6 @@
 // started knows no better count of the others, and at least eight, so that none is without.
 constexpr int kAssumedEntries = 8;
 constexpr int kMinConnections = 8;
-// How long a refused request still counts as demand for its model: its caller, told to retry, does
-// so within seconds.
-constexpr DurationMs kRefusedWaitMs = 3000;
-// Requests with a suspected prompt part, over all entries: a crash takes some 100 ms to happen and
-// to be reported. The burst is small, as one that is left over would let two go at once.
-constexpr double kTurnsPerS = 1;
-constexpr double kTurnBurst = 0.01;
-// Later than any time a process reaches.
-constexpr TimeMs kNeverLate = 1LL << 60;
 
 std::string_view EventName(UpstreamChangeKind news) {
   switch (news) {
@@ -54,9 +45,6 @@
   return "upstream_listed";
 }
 
-// Contains a space, which names of instances do not.
-std::string TurnLimitName(const RequestDigest& part) { return "prompt part " + part.ToString(); }
-
 // With enough digits to tell limits apart.
 std::string FormatLimit(const std::optional<RateLimit>& limit) {
   if (!limit) return "none";
@@ -225,44 +213,6 @@
   std::exchange(on_stopped, nullptr)();
 }
 
-void Gateway::Impl::AddWaiting(const std::shared_ptr<internal::Exchange>& exchange) {
-  waiting_exchanges.insert(exchange);
-}
-
-void Gateway::Impl::RemoveWaiting(const std::shared_ptr<internal::Exchange>& exchange) {
-  waiting_exchanges.erase(exchange);
-}
-
-void Gateway::Impl::RetryWaiting() {
-  RetryInOrder({waiting_exchanges.begin(), waiting_exchanges.end()});
-}
-
-// Retries the requests whose model is loaded at one of the changed engines, or that asked the agent
-// of one. The others are retried at the next tick: in a large fleet views arrive so often that
-// retrying all with each would take most of an entry's processor time.
-void Gateway::Impl::RetryAffected() {
-  const std::set<std::string> instances = std::exchange(changed_instances, {});
-  std::vector<std::shared_ptr<internal::Exchange>> concerned;
-  for (const auto& it : waiting_exchanges) {
-    const bool is_concerned =
-        instances.count(it->asked_instance()) > 0 ||
-        std::any_of(instances.begin(), instances.end(), [&](const std::string& instance) {
-          return upstreams.HasModel(instance, *it->model(), MonotonicMs());
-        });
-    if (is_concerned) concerned.push_back(it);
-  }
-  RetryInOrder(std::move(concerned));
-}
-
-void Gateway::Impl::RetryInOrder(std::vector<std::shared_ptr<internal::Exchange>> all) {
-  // Most urgent first, then longest waiting.
-  std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
-    if (a->priority() != b->priority()) return a->priority() < b->priority();
-    return a->waiting_since() < b->waiting_since();
-  });
-  for (const auto& it : all) it->RetrySelection();
-}
-
 void Gateway::Impl::ApplyListing(const UpstreamListing& listing) {
   const TimeMs now = MonotonicMs();
   const bool is_first = listing_as_of == 0;
@@ -331,125 +281,6 @@
   }
 }
 
-// Handles a crash that this entry detected or had suspects in. Digests are truncated to eight
-// digits, so that the log line has room for all likely suspects.
-void Gateway::Impl::OnUpstreamCrashed(const UpstreamCrash& crash, std::string_view evidence) {
-  constexpr std::size_t kShortDigits = 8;
-  ++counters.upstreams_crashed;
-  std::string suspects;
-  std::map<RequestDigest, int> part_counts;
-  for (const auto& it : crash.suspects) {
-    if (!suspects.empty()) suspects += ' ';
-    suspects += it.digest.ToString().substr(0, kShortDigits);
-    if (it.has_sent_event) suspects += '+';
-    if (it.was_isolated) suspects += '!';
-    for (const auto& part : it.parts) ++part_counts[part];
-  }
-  std::string parts;
-  for (const auto& [part, n] : part_counts) {
-    if (!parts.empty()) parts += ' ';
-    parts += part.ToString().substr(0, kShortDigits) + "x" + std::to_string(n);
-  }
-  log.Write(MonotonicMs(), "upstream_ended",
-            {{"upstream", crash.instance},
-             {"evidence", evidence},
-             {"age_ms", crash.age_ms},
-             {"count", static_cast<std::int64_t>(crash.suspects.size())},
-             {"suspects", suspects},
-             {"parts", parts}});
-  const TimeMs now = MonotonicMs();
-  quarantine.Add(crash, now);
-  prompt_parts.Add(crash, now);
-  ReportQuarantined();
-  JudgePartsSoon();
-  UpstreamCrash report = crash;
-  report.sound_parts = prompt_parts.TakeSoundParts(crash.instance, now);
-  if (on_upstream_crash) on_upstream_crash(report);
-  RetrySuspects();
-}
-
-void Gateway::Impl::AddUpstreamCrash(const UpstreamCrash& crash) {
-  const TimeMs now = MonotonicMs();
-  crash_detector.OnCrashReported(crash, now);
-  const bool is_news = quarantine.Add(crash, now);
-  prompt_parts.Add(crash, now);
-  // What this entry has seen answered clears parts at the entries that have not.
-  const auto sound = prompt_parts.TakeSoundParts(crash.instance, now);
-  if (!sound.empty() && on_upstream_crash) {
-    on_upstream_crash({crash.instance, crash.age_ms, {}, false, sound});
-  }
-  if (!is_news) return;
-  ReportQuarantined();
-  JudgePartsSoon();
-  RetrySuspects();
-}
-
-void Gateway::Impl::JudgePartsSoon() {
-  judge_timer.After(PromptPartLimits().report_window_ms, [self = shared_from_this()] {
-    self->JudgeParts();
-    self->RetrySuspects();
-  });
-}
-
-void Gateway::Impl::JudgeParts() {
-  if (!prompt_parts.HasCrashes() && !prompt_parts.HasFound()) return;
-  const TimeMs now = MonotonicMs();
-  const auto found = prompt_parts.Judge(now);
-  for (const auto& it : found) {
-    const auto n = static_cast<int>(it.crashes.size());
-    log.Write(now, "prompt_part_quarantined",
-              {{"digest", it.part.ToString()}, {"ends", std::int64_t{n}}});
-    quarantine.RefusePart(it.part, n, now);
-    for (const auto& crash : it.crashes) quarantine.Explain(crash);
-  }
-  if (!found.empty()) ReportQuarantined();
-  UpdateSharedTurns();
-}
-
-void Gateway::Impl::AddSoundParts(const std::vector<RequestDigest>& parts) {
-  if (parts.empty()) return;
-  const TimeMs now = MonotonicMs();
-  const auto shared = prompt_parts.FindShared(parts, now);
-  prompt_parts.AddSound(parts, now);
-  if (!HasSuspicions()) return;
-  if (shared) TellSoundParts(now);
-  const auto digests = quarantine.IsEmpty() ? parts : PartsAndCombinations(parts);
-  for (const auto& it : digests) {
-    if (!quarantine.Release(it, now)) continue;
-    log.Write(now, "prompt_part_released", {{"digest", it.ToString()}});
-    if (on_request_released) on_request_released(it);
-  }
-  RetrySuspects();
-}
-
-// The others need not wait for their turns any more.
-void Gateway::Impl::TellSoundParts(TimeMs now) {
-  if (!on_upstream_crash) return;
-  for (const auto& it : quarantine.RecentCrashes(now)) {
-    const auto sound = prompt_parts.TakeSoundParts(it.instance, now);
-    if (!sound.empty()) on_upstream_crash({it.instance, it.age_ms, {}, false, sound});
-  }
-}
-
-void Gateway::Impl::ReportQuarantined() {
-  for (const auto& it : quarantine.TakeNewRefusals()) {
-    log.Write(MonotonicMs(), "request_quarantined", {{"digest", it.ToString()}});
-    if (on_request_quarantined) on_request_quarantined(it);
-  }
-}
-
-void Gateway::Impl::RetrySuspects() {
-  if (waiting_exchanges.empty()) return;
-  // Deferred, as this may run within a call from an exchange.
-  boost::asio::post(io, [self = shared_from_this()] {
-    std::vector<std::shared_ptr<internal::Exchange>> suspects;
-    for (const auto& it : self->waiting_exchanges) {
-      if (it->IsSuspect()) suspects.push_back(it);
-    }
-    RetryInOrder(std::move(suspects));
-  });
-}
-
 DurationMs Gateway::Impl::ListingAge(TimeMs now) const {
   return listing_as_of == 0 ? -1 : now - listing_as_of;
 }
@@ -471,149 +302,6 @@
          now - configuration_confirmed_at <= options.configuration_bound_ms;
 }
 
-QuotaClient::Admission Gateway::Impl::TakeQuota(const std::shared_ptr<internal::Exchange>& exchange,
-                                                const std::string& organisation, double amount) {
-  const std::uint64_t ticket = ++last_ticket;
-  const auto verdict = quotas.Acquire(organisation, amount, ticket, MonotonicMs());
-  if (verdict.decision != QuotaClient::Decision::kPending) return verdict;
-  exchange->OnQuotaRequested(ticket);
-  AwaitQuotaDecision(exchange, ticket);
-  return verdict;
-}
-
-QuotaClient::Admission Gateway::Impl::TakeUpstreamQuota(
-    const std::shared_ptr<internal::Exchange>& exchange, const std::string& instance) {
-  const std::uint64_t ticket = ++last_ticket;
-  const auto verdict = quotas.AcquireForUpstream(instance, ticket, MonotonicMs());
-  if (verdict.decision != QuotaClient::Decision::kPending) return verdict;
-  exchange->OnUpstreamQuotaRequested(ticket, instance);
-  AwaitQuotaDecision(exchange, ticket);
-  return verdict;
-}
-
-// Each entry sends its suspects one at a time, but all of them together could crash an upstream for
-// each entry before the first reports arrive. A crash is known to all within a turn.
-QuotaClient::Admission Gateway::Impl::TakeTurn(const std::shared_ptr<internal::Exchange>& exchange,
-                                               const RequestDigest& part) {
-  UpdateSharedTurns();
-  const std::uint64_t ticket = ++last_ticket;
-  const auto verdict = quotas.AcquireForUpstream(TurnLimitName(part), ticket, MonotonicMs());
-  if (verdict.decision != QuotaClient::Decision::kPending) return verdict;
-  exchange->OnTurnRequested(ticket);
-  AwaitQuotaDecision(exchange, ticket);
-  return verdict;
-}
-
-void Gateway::Impl::UpdateSharedTurns() {
-  if (shared_turns.empty() && !prompt_parts.HasCrashes()) return;
-  std::set<std::string> names;
-  for (const auto& it : prompt_parts.SharedParts(MonotonicMs())) names.insert(TurnLimitName(it));
-  for (const auto& it : names) {
-    if (shared_turns.count(it) > 0) continue;
-    log.Write(MonotonicMs(), "prompt_part_turns", {{"limit", it}});
-    SetUpstreamLimit(it, RateLimit{kTurnsPerS, kTurnBurst});
-  }
-  shared_turns = std::move(names);
-}
-
-void Gateway::Impl::AwaitQuotaDecision(const std::shared_ptr<internal::Exchange>& exchange,
-                                       std::uint64_t ticket) {
-  pending_quota_requests.emplace(ticket, exchange);
-  if (std::exchange(is_quota_send_scheduled, true)) return;
-  // Batches all requests of this event loop iteration into one message.
-  boost::asio::post(io, [self = shared_from_this()] {
-    self->is_quota_send_scheduled = false;
-    self->SendQuotaMessages();
-  });
-}
-
-void Gateway::Impl::SetUpstreamLimit(const std::string& instance, std::optional<RateLimit> limit) {
-  auto outcomes = quotas.SetUpstreamLimit(instance, limit, MonotonicMs());
-  // Deferred, as this may run within a call from an exchange.
-  boost::asio::post(io, [self = shared_from_this(), outcomes = std::move(outcomes)] {
-    self->DeliverQuotaOutcomes(outcomes);
-    self->SendQuotaMessages();
-  });
-}
-
-void Gateway::Impl::CancelQuotaRequest(std::uint64_t ticket) {
-  if (pending_quota_requests.erase(ticket) > 0) quotas.Cancel(ticket);
-}
-
-void Gateway::Impl::DeliverQuotaOutcomes(const std::vector<QuotaClient::Outcome>& outcomes) {
-  for (const auto& it : outcomes) {
-    const auto found = pending_quota_requests.find(it.ticket);
-    if (found == pending_quota_requests.end()) continue;
-    const auto exchange = found->second.lock();
-    pending_quota_requests.erase(found);
-    if (exchange) exchange->OnQuotaDecision(it.ticket, it.admission);
-  }
-}
-
-void Gateway::Impl::SendQuotaMessages() {
-  if (on_quota_message) {
-    for (const auto& it : quotas.TakeMessages(MonotonicMs())) on_quota_message(it);
-  }
-  const TimeMs next = quotas.NextExpiryAt();
-  if (next == 0) return;
-  const DurationMs delay = std::max<DurationMs>(1, next - MonotonicMs());
-  quota_timer.After(delay, [self = shared_from_this()] {
-    self->DeliverQuotaOutcomes(self->quotas.Expire(MonotonicMs()));
-    self->SendQuotaMessages();
-  });
-}
-
-UpstreamTable::WaitingRequests Gateway::Impl::ToWaiting(const internal::Exchange& exchange,
-                                                        TimeMs since) {
-  UpstreamTable::WaitingRequests waiting;
-  waiting.ref = *exchange.model();
-  waiting.service = exchange.service();
-  waiting.asked_instance = exchange.asked_instance();
-  waiting.priority = exchange.priority();
-  waiting.since = since;
-  waiting.next_late_at = exchange.first_byte_due_at();
-  waiting.count = 1;
-  waiting.allowed_regions = exchange.AllowedRegionsNow();
-  waiting.software_version = exchange.bound_version();
-  return waiting;
-}
-
-void Gateway::Impl::RecordRefusedWait(const internal::Exchange& exchange) {
-  refused_waits.push_back(ToWaiting(exchange, MonotonicMs()));
-}
-
-std::vector<UpstreamTable::WaitingRequests> Gateway::Impl::ModelDemands() {
-  const TimeMs now = MonotonicMs();
-  refused_waits.erase(
-      std::remove_if(refused_waits.begin(), refused_waits.end(),
-                     [now](const auto& it) { return now - it.since > kRefusedWaitMs; }),
-      refused_waits.end());
-  std::vector<UpstreamTable::WaitingRequests> each = refused_waits;
-  for (const auto& it : waiting_exchanges) each.push_back(ToWaiting(*it, it->waiting_since()));
-  // Requests for one model that may run in different regions, or only at one software version, wait
-  // for different engines.
-  using LoadKey = std::tuple<ModelRef, AllowedRegions, std::optional<std::string>>;
-  std::map<LoadKey, UpstreamTable::WaitingRequests> by_model;
-  for (auto& it : each) {
-    const bool is_late = it.next_late_at <= now;
-    if (is_late) it.next_late_at = kNeverLate;
-    it.late = is_late ? it.count : 0;
-    const auto [found, is_first] =
-        by_model.emplace(LoadKey{it.ref, it.allowed_regions, it.software_version}, it);
-    if (is_first) continue;
-    UpstreamTable::WaitingRequests& waiting = found->second;
-    waiting.count += it.count;
-    waiting.late += it.late;
-    waiting.next_late_at = std::min(waiting.next_late_at, it.next_late_at);
-    waiting.priority = std::min(waiting.priority, it.priority);
-    waiting.since = std::min(waiting.since, it.since);
-    waiting.asked_instance = it.asked_instance;
-  }
-  std::vector<UpstreamTable::WaitingRequests> all;
-  for (auto& [key, waiting] : by_model) all.push_back(std::move(waiting));
-  return all;
-}
-
 void Gateway::Impl::AskForOrigin(const std::shared_ptr<internal::Exchange>& exchange,
                                  UnknownStream unknown) {
   unknown.ticket = ++last_ticket;
