Net: one look at what a socket holds unread

Change: internal::Peek tells input, an end, or neither; the HTTP client and server, callers' connections and those to upstreams use it.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "../net/socket_peek.h"
 #include "http_text.h"
 
 namespace junctionrail::internal {
@@ -87,11 +88,7 @@
   Read();
 }
 
-bool CallerConnection::HasUnread() {
-  error_code ec;
-  char next = 0;
-  return socket_.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, ec) > 0;
-}
+bool CallerConnection::HasUnread() { return Peek(socket_).has_input; }
 
 bool CallerConnection::HasInput() { return parser_ || buffer_.size() > 0 || HasUnread(); }
 
@@ -242,13 +239,7 @@
 
 // Peeks at the socket: if this process was short of processor time, a close may be queued there
 // behind the request that it cancels.
-bool CallerConnection::HasDisconnected() {
-  if (is_closed_) return true;
-  error_code ec;
-  char next = 0;
-  socket_.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, ec);
-  return ec && ec != asio::error::would_block && ec != asio::error::try_again;
-}
+bool CallerConnection::HasDisconnected() { return is_closed_ || Peek(socket_).has_ended; }
 
 void CallerConnection::FinishResponse(bool must_close) {
   exchange_.reset();
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <variant>
 
+#include "../net/socket_peek.h"
 #include "http_text.h"
 
 namespace junctionrail::internal {
@@ -106,19 +107,12 @@
     if (!is_paused && !is_reading_ && listener_ != nullptr && is_connected_) Read();
   }
 
-  bool HasUnread() override {
-    if (!is_connected_) return false;
-    error_code ec;
-    char next = 0;
-    return socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, ec) > 0;
-  }
+  bool HasUnread() override { return is_connected_ && Peek(socket_).has_input; }
 
   // Whether the upstream has neither closed the connection nor sent unrequested data.
   bool IsCleanlyIdle() {
-    error_code ec;
-    char byte = 0;
-    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    return ec == asio::error::would_block;
+    const SocketPeek peek = Peek(socket_);
+    return !peek.has_input && !peek.has_ended;
   }
 
   void Close() {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "junctionrail/net.h"
+#include "socket_peek.h"
 
 namespace junctionrail {
 namespace {
@@ -40,11 +41,8 @@
 
 // Whether the far end has closed, or sent what nobody asked for.
 bool IsStale(Stream& stream) {
-  beast::error_code ec;
-  char byte = 0;
-  stream.socket().non_blocking(true, ec);
-  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  return ec != asio::error::would_block;
+  const internal::SocketPeek peek = internal::Peek(stream.socket());
+  return peek.has_input || peek.has_ended;
 }
 
 void ProbeFarEnd(tcp::socket& socket) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "junctionrail/net.h"
+#include "socket_peek.h"
 
 namespace junctionrail {
 namespace {
@@ -175,11 +176,7 @@
   };
 
   bool HasInput() {
-    if (buffer_.size() > 0 || parser_->got_some()) return true;
-    char byte = 0;
-    beast::error_code ec;
-    stream_.socket().non_blocking(true, ec);
-    return stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec) > 0;
+    return buffer_.size() > 0 || parser_->got_some() || internal::Peek(stream_.socket()).has_input;
   }
 
   bool IsCurrent(std::uint64_t request) const {
@@ -263,16 +260,16 @@
   void WatchForGone() {
     if (is_watching_) return;
     is_watching_ = true;
-    stream_.socket().async_wait(
-        tcp::socket::wait_read, [self = shared_from_this()](beast::error_code ec) {
-          self->is_watching_ = false;
-          if (ec || self->is_closed_ || self->is_answered_ || !self->gone_) return;
-          char byte = 0;
-          beast::error_code peek;
-          self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek);
-          // A byte to read is the next request; only an end is a going away.
-          if (peek) self->Close();
-        });
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                [self = shared_from_this()](beast::error_code ec) {
+                                  self->is_watching_ = false;
+                                  if (ec || self->is_closed_ || self->is_answered_ || !self->gone_)
+                                    return;
+                                  // A byte to read is the next request; only an end is a going
+                                  // away.
+                                  if (internal::Peek(self->stream_.socket()).has_ended)
+                                    self->Close();
+                                });
   }
 
   void Close() {
--- /dev/null
+++ b/src/net/socket_peek.cc
@@ -0,0 +1,19 @@
+#include "socket_peek.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace junctionrail::internal {
+
+SocketPeek Peek(boost::asio::ip::tcp::socket& socket) {
+  using boost::asio::ip::tcp;
+  boost::system::error_code ec;
+  char byte = 0;
+  socket.non_blocking(true, ec);
+  if (ec) return {false, true};
+  socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  if (!ec) return {true, false};
+  const bool is_idle = ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
+  return {false, !is_idle};
+}
+
+}  // namespace junctionrail::internal
