--- a/include/junctionrail/checked_json.h
+++ b/include/junctionrail/checked_json.h
@@ -33,6 +33,9 @@
 // Parses text; `source` is named in errors.
 Result<nlohmann::json, DocumentError> ParseJson(std::string_view text, std::string_view source);
 
+// The value on one line. Bytes that are not UTF-8 are replaced, which dump() would throw for.
+std::string DumpJson(const nlohmann::json& value);
+
 // Reads one JSON object field by field. The first complaint is kept and later
 // reads return defaults, so a caller checks once, with Finish().
 class ObjectReader {
--- a/src/base/checked_json.cc
+++ b/src/base/checked_json.cc
@@ -12,10 +12,11 @@
 using nlohmann::json;
 
 constexpr std::size_t kMostShownOfValue = 60;
+constexpr int kOnOneLine = -1;
 
 // What stood in the document, short enough for one line.
 std::string Shown(const json& value) {
-  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string text = DumpJson(value);
   if (text.size() > kMostShownOfValue) {
     text.resize(kMostShownOfValue);
     text += "...";
@@ -34,6 +35,10 @@
 
 }  // namespace
 
+std::string DumpJson(const json& value) {
+  return value.dump(kOnOneLine, ' ', false, json::error_handler_t::replace);
+}
+
 std::string DocumentError::Sentence() const {
   return source + ": " + path + ": expected " + expected + ", found " + found;
 }
--- a/src/base/declarations.cc
+++ b/src/base/declarations.cc
@@ -273,7 +273,7 @@
   value["author"] = change.author;
   value["accepted_unix_ms"] = change.accepted_unix_ms;
   value["deletions"] = change.deletions;
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(value);
 }
 
 Result<ConfigChange, DocumentError> DecodeChange(std::string_view text, std::string_view source) {
--- a/src/base/platform_types.cc
+++ b/src/base/platform_types.cc
@@ -39,8 +39,7 @@
                      {"token", it.token},
                      {"list_revision", it.list_revision}});
   }
-  return json{{"last_token", record.last_token}, {"slots", std::move(slots)}}.dump(
-      -1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(json{{"last_token", record.last_token}, {"slots", std::move(slots)}});
 }
 
 Result<GrantRecord, DocumentError> DecodeGrant(std::string_view text, std::string_view key) {
--- a/src/base/telemetry.cc
+++ b/src/base/telemetry.cc
@@ -16,6 +16,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail {
 namespace {
 
@@ -36,7 +38,7 @@
   void format(const spdlog::details::log_msg& message, const std::tm&,
               spdlog::memory_buf_t& dest) override {
     const nlohmann::json text(std::string(message.payload.data(), message.payload.size()));
-    const std::string quoted = text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string quoted = DumpJson(text);
     dest.append(quoted.data(), quoted.data() + quoted.size());
   }
   std::unique_ptr<custom_flag_formatter> clone() const override {
--- a/src/core/decision_log.cc
+++ b/src/core/decision_log.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail {
 namespace {
 
@@ -57,7 +59,7 @@
                    {"rejected", std::move(rejected)},
                    {"config_version", it.config_version}});
   }
-  return all.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(all);
 }
 
 }  // namespace junctionrail
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail::internal {
 namespace {
 
@@ -93,7 +95,7 @@
   const ModelDeclaration* declared = configuration.Resolve(call->name);
   if (declared == nullptr) return std::nullopt;  // The core refuses it, and records so.
   body["model"] = declared->Key();
-  call->body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+  call->body = DumpJson(body);
   return std::nullopt;
 }
 
@@ -170,7 +172,7 @@
                       {"ran", refusal.ran == Ran::kNo ? "no" : "unknown"},
                       {"retry_after_ms", refusal.retry_after_ms},
                       {"request_id", id}};
-  return json{{"error", error}}.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(json{{"error", error}});
 }
 
 std::string BadRequestBody(const BadRequest& bad) {
@@ -179,7 +181,7 @@
                       {"type", "invalid_request_error"},
                       {"ran", "no"},
                       {"retry_after_ms", 0}};
-  return json{{"error", error}}.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(json{{"error", error}});
 }
 
 std::string ModelsBody(const Configuration& configuration) {
--- a/src/daemon/engine_client.cc
+++ b/src/daemon/engine_client.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail::internal {
 namespace {
 
@@ -27,7 +29,7 @@
 }
 
 std::string ParametersText(const json& parameters) {
-  return json{{"parameters", parameters}}.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(json{{"parameters", parameters}});
 }
 
 ReplicaState StateOf(const std::string& text) {
--- a/src/daemon/entry_hosting.cc
+++ b/src/daemon/entry_hosting.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail::internal {
 namespace {
 
@@ -23,8 +25,8 @@
 constexpr std::uint64_t kOwnLink = 0;
 
 std::string ToValue(const HostClaim& claim) {
-  return nlohmann::json{{"entry", claim.entry}, {"link", claim.demand_endpoint.ToString()}}.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return DumpJson(
+      nlohmann::json{{"entry", claim.entry}, {"link", claim.demand_endpoint.ToString()}});
 }
 
 std::optional<HostClaim> ReadClaim(const platform::StoreItem& item) {
--- a/src/daemon/places_page.cc
+++ b/src/daemon/places_page.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail::internal {
 
 std::string PlacesPage(const UpstreamTable& upstreams, TimeMs now) {
@@ -20,8 +22,7 @@
     halls.push_back(std::move(hall));
   }
   // Names of halls come from keys of the store, which may hold any bytes.
-  return nlohmann::json{{"halls", halls}}.dump(-1, ' ', false,
-                                               nlohmann::json::error_handler_t::replace);
+  return DumpJson(nlohmann::json{{"halls", halls}});
 }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/quota_page.cc
+++ b/src/daemon/quota_page.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "junctionrail/checked_json.h"
+
 namespace junctionrail::internal {
 
 std::string QuotaPage(const QuotaClient& quotas, TimeMs now) {
@@ -27,8 +29,7 @@
                     {"giver", it.allocator},
                     {"is_silent", it.is_allocator_silent}});
   }
-  return nlohmann::json{{"quotas", list}, {"upstreams", upstreams}}.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return DumpJson(nlohmann::json{{"quotas", list}, {"upstreams", upstreams}});
 }
 
 }  // namespace junctionrail::internal
--- a/src/daemon/version_ledger.cc
+++ b/src/daemon/version_ledger.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "junctionrail/checked_json.h"
 #include "junctionrail/stream_origins.h"
 
 namespace junctionrail::internal {
@@ -20,7 +21,7 @@
 std::string KeyOf(const std::string& service) { return std::string(kPrefix) + service; }
 
 std::string ToText(const VersionLedger::Versions& versions) {
-  return json{{"versions", versions}}.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(json{{"versions", versions}});
 }
 
 // Returns nullopt if the text is malformed.
--- a/src/quarantine/crash_messages.cc
+++ b/src/quarantine/crash_messages.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "../base/cbor_message.h"
+#include "junctionrail/checked_json.h"
 #include "junctionrail/quarantine.h"
 
 namespace junctionrail {
@@ -93,9 +94,7 @@
   });
 }
 
-std::string CrashToText(const UpstreamCrash& crash) {
-  return ToJson(crash).dump(-1, ' ', false, json::error_handler_t::replace);
-}
+std::string CrashToText(const UpstreamCrash& crash) { return DumpJson(ToJson(crash)); }
 
 bool CrashFromText(std::string_view text, UpstreamCrash* crash) {
   const json content = json::parse(text, nullptr, false);
