Retry budget: a retry counts when it is sent

What callers saw: nothing; retries that waited for a model reached upstreams in a window whose budget others had spent. Cause: a retry was counted when it was chosen. Change: the budget is asked again before the retry is sent, and counts it then.

--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -84,6 +84,9 @@
   void SetEntries(int entries) { entries_ = entries; }
   // Consumes one retry if the budget allows it.
   bool TryConsume(const std::string& service, TimeMs now);
+  // Counts a retry consumed at `consumed_at` as one of now, as it is sent only now. Returns whether
+  // the budget allows it; it is not consumed otherwise.
+  bool Postpone(const std::string& service, TimeMs consumed_at, TimeMs now);
   Usage UsageOf(const std::string& service, TimeMs now);
 
  private:
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -259,6 +259,8 @@
   // has already disconnected, however late this process handles the request.
   const auto sink = sink_.lock();
   if (!sink || sink->HasDisconnected()) return Finish("cancelled", 0);
+  if (!CountRetryAsSent(MonotonicMs()))
+    return GiveUp(ExecutionSoFar(), "the retry budget is spent");
   CheckInvariant(route_->IsRetryable() || possibly_run_attempts_ == 0,
                  "a non-repeatable request is sent again only if it has not run");
   if (is_waiting_for_model_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -159,6 +159,10 @@
   void AfterAttempt(Execution ran, bool was_sent, std::string_view reason);
   bool TryRetry(Execution ran, bool was_sent);
   bool TakeRetryFromBudget(TimeMs now);
+  // Whether the budget allows the retry that was taken from it to be sent now; also true if the
+  // attempt is none.
+  bool CountRetryAsSent(TimeMs now);
+  void LogBudgetSpent(TimeMs now);
   void LogAttempt(const Attempt& attempt, Execution ran, std::string_view reason) const;
   Execution RecordFailure(Attempt* attempt, UpstreamFailure failure);
   bool IsCurrent(int number) const { return number == attempt_.number && attempt_.is_open; }
@@ -217,6 +221,7 @@
   std::string upstream_quota_instance_;      // Whose rate limit was acquired or requested.
   std::uint64_t turn_ticket_ = 0;            // Likewise for a turn of a suspected prompt part.
   std::string turn_instance_;                // Where the request goes in its turn.
+  TimeMs retry_consumed_at_ = 0;             // Of the last retry; 0: none was taken.
   TimeMs turn_until_ = 0;                    // It has a turn that lasts until then.
   TimeMs deadline_at_ = 0;                   // By the caller's deadline and the route's timeout.
   TimeMs wait_deadline_at_ = 0;              // Of its wait for a model.
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -95,8 +95,27 @@
 bool Exchange::TakeRetryFromBudget(TimeMs now) {
   if (gateway_.retry_budget.TryConsume(service_, now)) {
     ++gateway_.counters.retries;
+    retry_consumed_at_ = now;
     return true;
   }
+  LogBudgetSpent(now);
+  return false;
+}
+
+// A retry counts when it is sent, which may be long after it was chosen: it may have waited for a
+// model, or for a quota.
+bool Exchange::CountRetryAsSent(TimeMs now) {
+  if (retry_consumed_at_ == 0) return true;
+  const TimeMs consumed_at = std::exchange(retry_consumed_at_, 0);
+  if (!gateway_.retry_budget.Postpone(service_, consumed_at, now)) {
+    LogBudgetSpent(now);
+    return false;
+  }
+  retry_consumed_at_ = now;
+  return true;
+}
+
+void Exchange::LogBudgetSpent(TimeMs now) {
   const RetryBudget::Usage usage = gateway_.retry_budget.UsageOf(service_, now);
   gateway_.log.Write(now, "retry_budget_spent",
                      {{"request", request_id_},
@@ -106,7 +125,6 @@
                       {"left", usage.left},
                       {"entries", static_cast<std::int64_t>(usage.entries)},
                       {"age_ms", now - gateway_.started_at}});
-  return false;
 }
 
 void Exchange::RetryElsewhere() {
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -33,6 +33,14 @@
   return true;
 }
 
+bool RetryBudget::Postpone(const std::string& service, TimeMs consumed_at, TimeMs now) {
+  if (consumed_at == now) return true;
+  auto& retries = histories_[service].retries;
+  const auto it = std::find(retries.begin(), retries.end(), consumed_at);
+  if (it != retries.end()) retries.erase(it);
+  return TryConsume(service, now);
+}
+
 RetryBudget::Usage RetryBudget::UsageOf(const std::string& service, TimeMs now) {
   History& history = histories_[service];
   Expire(&history, now);
--- a/test/random_retry_budget_test.cc
+++ b/test/random_retry_budget_test.cc
@@ -1,5 +1,6 @@
 // Property test of the retry budget under random faults: entries are killed and start again, alone
-// or all at once, agents lose their links, requests come in groups and bursts, and upstreams fail.
+// or all at once, agents lose their links, requests come in groups and bursts, upstreams fail, and
+// retries wait for models.
 // The retries of all entries together must stay within the fleet's allowance in every window.
 #include <algorithm>
 #include <memory>
@@ -17,11 +18,20 @@
 constexpr double kExtra = 90;
 // A new link is counted by all agents within this time.
 constexpr DurationMs kLinkMs = 500;
+constexpr DurationMs kMaxWaitMs = 12000;  // For a model.
 
 struct Entry {
   std::unique_ptr<RetryBudget> budget;
   std::unique_ptr<EntryCount> count;
   TimeMs linked_at = 0;  // In the future: cut off from the agents.
+  int starts = 0;
+};
+
+// A retry that waits for a model.
+struct WaitingRetry {
+  std::size_t entry = 0;
+  int starts = 0;  // Of the entry when it was chosen; another process knows nothing of it.
+  TimeMs consumed_at = 0;
 };
 
 template <int kEntries>
@@ -62,11 +72,12 @@
         std::make_unique<RetryBudget>(RetryBudget::Options{kRatio, kExtra, kWindowMs}, now_);
     entry->count = std::make_unique<EntryCount>();
     entry->linked_at = now_ + kLinkMs;
+    ++entry->starts;
   }
 
   void InjectFault(RandomChoices& choices) {
     Entry& one = entries_[choices.Next(kEntries)];
-    switch (choices.Next(9)) {
+    switch (choices.Next(11)) {
       case 0:
         return Start(&one);
       case 1:
@@ -88,6 +99,11 @@
       case 6:  // A group of requests within one step.
         group_ = choices.Next(400);
         return;
+      case 7:  // All retries wait for a model, or none does.
+        waiting_percent_ = choices.Next(2) * 100;
+        return;
+      case 8:
+        return SendWaiting();
       default:
         failed_percent_ = choices.Next(2) == 0 ? 0 : choices.Next(101);
     }
@@ -103,11 +119,27 @@
     }
     const std::uint32_t n = requests_per_step_ + std::exchange(group_, 0);
     for (std::uint32_t request = 0; request < n; ++request) {
-      Entry& entry = entries_[choices.Next(kEntries)];
+      const std::size_t k = choices.Next(kEntries);
+      Entry& entry = entries_[k];
       entry.budget->OnRequest("s", now_);
       requests_.push_back(now_);
       const bool is_failed = choices.Next(100) < failed_percent_;
-      if (is_failed && entry.budget->TryConsume("s", now_)) retries_.push_back(now_);
+      if (!is_failed || !entry.budget->TryConsume("s", now_)) continue;
+      if (choices.Next(100) < waiting_percent_) {
+        waiting_.push_back({k, entry.starts, now_});
+      } else {
+        retries_.push_back(now_);
+      }
+    }
+  }
+
+  // The model that they wait for is loaded.
+  void SendWaiting() {
+    for (const auto& it : std::exchange(waiting_, {})) {
+      Entry& entry = entries_[it.entry];
+      const bool is_sent = now_ - it.consumed_at <= kMaxWaitMs && entry.starts == it.starts &&
+                           entry.budget->Postpone("s", it.consumed_at, now_);
+      if (is_sent) retries_.push_back(now_);
     }
   }
 
@@ -118,6 +150,8 @@
   std::uint32_t requests_per_step_ = 8;
   std::uint32_t group_ = 0;
   std::uint32_t failed_percent_ = 50;
+  std::uint32_t waiting_percent_ = 0;  // Of the retries.
+  std::vector<WaitingRetry> waiting_;
 };
 
 }  // namespace
@@ -125,7 +159,7 @@
 TEST_GROUP(RandomRetryBudget){};
 
 // Guards against budgets that begin anew with each start of an entry, and against entries that
-// share the fixed allowance by too low a count.
+// share the fixed allowance by too low a count, or count a retry long before it is sent.
 TEST(RandomRetryBudget, BoundsTheRetriesOfAllEntries) {
   CHECK(RunRandomTest<RetrySimulation<4>>("retries, few entries"));
   CHECK(RunRandomTest<RetrySimulation<25>>("retries, many entries"));
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -99,6 +99,15 @@
   EXPECT_NUMBER(10, TakeAll(3500, &budget), "the whole window is known");
 }
 
+// Guards against retries that wait for a model and count in the window in which they were chosen.
+TEST(RetryBudget, CountsAPostponedRetryWhenItIsSent) {
+  RetryBudget budget = MakeBudget(0, 2);
+  EXPECT_NUMBER(2, TakeAll(0, &budget), "the fixed allowance");
+  EXPECT_TRUE(budget.Postpone("s", 0, 1500), "the window of the choice is over");
+  EXPECT_NUMBER(1, TakeAll(1600, &budget), "one of two is left in the window of the sending");
+  EXPECT_TRUE(!budget.Postpone("s", 0, 1700), "the window of the sending is used up");
+}
+
 // Guards against a large fleet in which no entry ever has a whole retry to spend.
 TEST(RetryBudget, LetsEntriesWithAPartOfARetryUseThemTogether) {
   constexpr int kEntries = 400;
