Retry budget: a request counts when it may have been sent, not when it is read

Cause: an entry that stood still read its callers' requests seconds late, and counted them as requests of that moment. They allowed retries in a window that follows theirs by up to two. A resumption was counted once its origin was known, at a time before that of requests counted already, in a list that is searched as if it were in order. Change: OnRequest takes the earliest time at which the request may have been sent, the fourth last tick of the gateway, and keeps the list in order. RandomRetryBudget lets entries stand still for up to 9 s.

--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -79,7 +79,9 @@
   RetryBudget(Options options, TimeMs started_at) : options_(options), known_since_(started_at) {}
 
   void SetOptions(Options options, TimeMs now);
-  void OnRequest(const std::string& service, TimeMs now);
+  // The caller sent a request no earlier than `sent_after`, which may be before that of a request
+  // counted earlier.
+  void OnRequest(const std::string& service, TimeMs sent_after, TimeMs now);
   // Sets how many entries share the fixed allowance; 0: unknown, there is none then.
   void SetEntries(int entries) { entries_ = entries; }
   // Consumes one retry if the budget allows it.
@@ -91,7 +93,7 @@
 
  private:
   struct History {
-    std::deque<TimeMs> requests;  // Of the last two windows.
+    std::deque<TimeMs> requests;  // Of the last two windows, in order.
     std::deque<TimeMs> retries;   // Of the last window.
   };
   void Expire(History* history, TimeMs now) const;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -177,6 +177,7 @@
   CallerRequest request = std::move(request_);
   request.body = std::make_shared<const std::string>(std::move(parser_->get().body()));
   request.arrived_at = MonotonicMs();
+  request.sent_after = gateway_.ReadUpTo();
   is_keep_alive_ = is_keep_alive_ && !is_draining_;
   parser_.reset();
   request_started_at_ = 0;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -77,7 +77,7 @@
 }
 
 void Exchange::BeginAttempts() {
-  gateway_.retry_budget.OnRequest(service_, request_.arrived_at);
+  gateway_.retry_budget.OnRequest(service_, request_.sent_after, MonotonicMs());
   gateway_.upstreams.OnArrival(model_, priority_, route_->first_byte_target_ms, request_.arrived_at,
                                AllowedRegionsNow());
   AttemptNext();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -22,7 +22,9 @@
   std::string target;
   std::vector<HttpHeader> fields;
   std::shared_ptr<const std::string> body;
-  TimeMs arrived_at = 0;
+  TimeMs arrived_at = 0;  // When it was read.
+  // No earlier than then it was sent; before `arrived_at` if this process was late to read it.
+  TimeMs sent_after = 0;
 };
 
 // Where an exchange writes its response to the caller.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,9 @@
 // The interval of checks of idle connections and waiting requests.
 constexpr DurationMs kTickMs = 250;
 constexpr DurationMs kStopTickMs = 50;
+// Ticks within which each connection that has input is read, however many there are. A process that
+// stood still has one tick in that time.
+constexpr std::size_t kTicksToReadAll = 4;
 // Shorter differences between the clocks are no suspension, as they are read one after the other.
 constexpr DurationMs kMinSuspensionMs = 200;
 // The time from the last check of a configuration's age until the upstream starts on the request.
@@ -81,7 +84,8 @@
       quotas(options.entry_id),
       quota_timer(io),
       acceptor(io),
-      tick_timer(io) {}
+      tick_timer(io),
+      tick_times{MonotonicMs()} {}
 
 Result<std::uint16_t, NetError> Gateway::Impl::Listen() {
   error_code ec;
@@ -136,6 +140,8 @@
     if (ec) return;
     self->CheckForSuspension();
     const TimeMs now = MonotonicMs();
+    self->tick_times.push_back(now);
+    if (self->tick_times.size() > kTicksToReadAll) self->tick_times.pop_front();
     self->UpdateEntryCount(now);
     self->pool.CloseIdle(now, [&](const std::string& instance) {
       return self->upstreams.Find(instance) != nullptr;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -33,6 +34,8 @@
   void AddConnection(boost::asio::ip::tcp::socket socket);
   void StopAccepting();
   void Tick();
+  // What callers had sent by then has been read.
+  TimeMs ReadUpTo() const { return tick_times.front(); }
   // Applies the number of entries that agents count now.
   void UpdateEntryCount(TimeMs now);
   void ContinueStop();
@@ -154,6 +157,7 @@
   std::function<void()> on_vm_resumed;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer tick_timer;
+  std::deque<TimeMs> tick_times;            // The last ones, the start among them.
   std::set<std::string> changed_instances;  // Instances whose views arrived since the last retry.
 };
 
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -19,10 +19,13 @@
   options_ = options;
 }
 
-void RetryBudget::OnRequest(const std::string& service, TimeMs now) {
+// Counted at the earliest time at which it may have been sent: a window that contains that time, or
+// follows the one that does, contains or follows the request, as a retry is made after both.
+void RetryBudget::OnRequest(const std::string& service, TimeMs sent_after, TimeMs now) {
   History& history = histories_[service];
   Expire(&history, now);
-  history.requests.push_back(now);
+  auto& requests = history.requests;
+  requests.insert(std::upper_bound(requests.begin(), requests.end(), sent_after), sent_after);
 }
 
 bool RetryBudget::TryConsume(const std::string& service, TimeMs now) {
--- a/test/random_retry_budget_test.cc
+++ b/test/random_retry_budget_test.cc
@@ -1,6 +1,6 @@
 // Property test of the retry budget under random faults: entries are killed and start again, alone
-// or all at once, agents lose their links, requests come in groups and bursts, upstreams fail, and
-// retries wait for models.
+// or all at once, or stand still, agents lose their links, requests come in groups and bursts,
+// upstreams fail, and retries wait for models.
 // The retries of all entries together must stay within the fleet's allowance in every window.
 #include <algorithm>
 #include <memory>
@@ -19,12 +19,16 @@
 // A new link is counted by all agents within this time.
 constexpr DurationMs kLinkMs = 500;
 constexpr DurationMs kMaxWaitMs = 12000;  // For a model.
+constexpr DurationMs kMaxPauseMs = 9000;  // Of an entry.
 
 struct Entry {
   std::unique_ptr<RetryBudget> budget;
   std::unique_ptr<EntryCount> count;
   TimeMs linked_at = 0;  // In the future: cut off from the agents.
   int starts = 0;
+  TimeMs paused_until = 0;   // Stands still until then.
+  TimeMs read_up_to = 0;     // What callers had sent by then has been read.
+  std::uint32_t unread = 0;  // Requests.
 };
 
 // A retry that waits for a model.
@@ -73,11 +77,14 @@
     entry->count = std::make_unique<EntryCount>();
     entry->linked_at = now_ + kLinkMs;
     ++entry->starts;
+    entry->paused_until = 0;
+    entry->read_up_to = now_;
+    entry->unread = 0;
   }
 
   void InjectFault(RandomChoices& choices) {
     Entry& one = entries_[choices.Next(kEntries)];
-    switch (choices.Next(11)) {
+    switch (choices.Next(13)) {
       case 0:
         return Start(&one);
       case 1:
@@ -104,11 +111,20 @@
         return;
       case 8:
         return SendWaiting();
+      case 9:
+        return Pause(&one, choices);
+      case 10:
+        for (auto& it : entries_) Pause(&it, choices);
+        return;
       default:
         failed_percent_ = choices.Next(2) == 0 ? 0 : choices.Next(101);
     }
   }
 
+  void Pause(Entry* entry, RandomChoices& choices) const {
+    entry->paused_until = now_ + static_cast<DurationMs>(choices.Next(kMaxPauseMs));
+  }
+
   void Advance(RandomChoices& choices) {
     now_ += kStepMs;
     const auto linked = std::count_if(entries_.begin(), entries_.end(),
@@ -119,17 +135,29 @@
     }
     const std::uint32_t n = requests_per_step_ + std::exchange(group_, 0);
     for (std::uint32_t request = 0; request < n; ++request) {
-      const std::size_t k = choices.Next(kEntries);
-      Entry& entry = entries_[k];
-      entry.budget->OnRequest("s", now_);
+      ++entries_[choices.Next(kEntries)].unread;
       requests_.push_back(now_);
-      const bool is_failed = choices.Next(100) < failed_percent_;
-      if (!is_failed || !entry.budget->TryConsume("s", now_)) continue;
-      if (choices.Next(100) < waiting_percent_) {
-        waiting_.push_back({k, entry.starts, now_});
-      } else {
-        retries_.push_back(now_);
-      }
+    }
+    for (std::size_t k = 0; k < entries_.size(); ++k) {
+      if (entries_[k].paused_until <= now_) ReadRequests(k, choices);
+    }
+  }
+
+  void ReadRequests(std::size_t k, RandomChoices& choices) {
+    Entry& entry = entries_[k];
+    for (std::uint32_t n = std::exchange(entry.unread, 0); n > 0; --n) Serve(k, choices);
+    entry.read_up_to = now_;
+  }
+
+  void Serve(std::size_t k, RandomChoices& choices) {
+    Entry& entry = entries_[k];
+    entry.budget->OnRequest("s", entry.read_up_to, now_);
+    const bool is_failed = choices.Next(100) < failed_percent_;
+    if (!is_failed || !entry.budget->TryConsume("s", now_)) return;
+    if (choices.Next(100) < waiting_percent_) {
+      waiting_.push_back({k, entry.starts, now_});
+    } else {
+      retries_.push_back(now_);
     }
   }
 
@@ -159,7 +187,8 @@
 TEST_GROUP(RandomRetryBudget){};
 
 // Guards against budgets that begin anew with each start of an entry, and against entries that
-// share the fixed allowance by too low a count, or count a retry long before it is sent.
+// share the fixed allowance by too low a count, or count a retry long before it is sent, or a
+// request long after.
 TEST(RandomRetryBudget, BoundsTheRetriesOfAllEntries) {
   CHECK(RunRandomTest<RetrySimulation<4>>("retries, few entries"));
   CHECK(RunRandomTest<RetrySimulation<25>>("retries, many entries"));
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -25,7 +25,7 @@
 }
 
 void AddRequests(int n, TimeMs now, RetryBudget* budget) {
-  for (int k = 0; k < n; ++k) budget->OnRequest("s", now);
+  for (int k = 0; k < n; ++k) budget->OnRequest("s", now, now);
 }
 
 // Takes all retries that the budget allows now, and returns their number.
@@ -91,6 +91,24 @@
   EXPECT_NUMBER(20, TakeAll(990, &budget), "half of 40");
 }
 
+// Guards against an entry that stood still, and counts the requests that it then reads as requests
+// of that moment.
+TEST(RetryBudget, CountsARequestAtTheEarliestTimeOfItsSending) {
+  RetryBudget budget = MakeBudget(0.5, 0);
+  for (int n = 0; n < 40; ++n) budget.OnRequest("s", 100, 900);
+  EXPECT_NUMBER(10, TakeAll(1050, &budget), "a quarter, as the last window's");
+  EXPECT_NUMBER(0, TakeAll(2100, &budget), "the window before holds no request any more");
+}
+
+// Guards against a search that expects times in order, which the requests that resume a stream are
+// not: they count once the stream's origin is known.
+TEST(RetryBudget, CountsRequestsThatAreKnownLate) {
+  RetryBudget budget = MakeBudget(0.5, 0);
+  AddRequests(8, 1900, &budget);
+  for (int n = 0; n < 40; ++n) budget.OnRequest("s", 100, 1950);
+  EXPECT_NUMBER(2, TakeAll(2000, &budget), "a quarter of those in the last window");
+}
+
 TEST(RetryBudget, HasNoFixedAllowanceInAWindowLongerThanItsHistory) {
   RetryBudget budget = MakeBudget(0, 10);
   EXPECT_NUMBER(10, TakeAll(0, &budget), "the fixed allowance");
