Count of entries: only from agents that have had time to meet them all

Cause: after a start of all entries and agents, the first agent in reach knows one entry. An entry that lost its agents then went by that count for as long as it lived, and took up to the whole fixed part of the retry budget, as did each of the others. An entry also took its part in windows that began before the others counted it. Change: the table takes counts only from agents in reach for 2.5 s without a gap, by when all entries have linked to them. The fixed part applies to windows that begin after the number of entries is known. RandomRetryBudget starts all entries and agents and cuts them off from each other before all have met.

--- a/include/junctionrail/routing.h
+++ b/include/junctionrail/routing.h
@@ -252,7 +252,8 @@
   std::vector<Endpoint> EnginesWithoutView(DurationMs ms, TimeMs now) const;
   // Further replicas requested since the start.
   std::uint64_t CountReplicaRequests(ReplicaDomain domain) const;
-  // Number of entries, from the agents' link counts; 0: no agent has told it lately.
+  // Number of entries, from the counts of agents that have been in reach for long enough to know
+  // all of them; 0: there is none.
   int CountEntries(TimeMs now) const;
 
  private:
@@ -265,7 +266,8 @@
     bool is_gone = false;       // No longer listed.
     bool was_replaced = false;
     EngineView view;
-    TimeMs view_at = 0;  // 0: no view.
+    TimeMs view_at = 0;       // 0: no view.
+    TimeMs viewed_since = 0;  // When the first of its latest views without a gap arrived.
     int in_flight = 0;
     int sent_since_view = 0;
     TimeMs unanswered_since = 0;  // No data for requests in flight since then; 0: none expected.
--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -82,8 +82,9 @@
   // The caller sent a request no earlier than `sent_after`, which may be before that of a request
   // counted earlier.
   void OnRequest(const std::string& service, TimeMs sent_after, TimeMs now);
-  // Sets how many entries share the fixed allowance; 0: unknown, there is none then.
-  void SetEntries(int entries) { entries_ = entries; }
+  // Sets how many entries share the fixed allowance; 0: unknown, there is none then. It applies to
+  // windows that begin after the number is known: the other entries count this one by then.
+  void SetEntries(int entries, TimeMs now);
   // Consumes one retry if the budget allows it.
   bool TryConsume(const std::string& service, TimeMs now);
   // Counts a retry consumed at `consumed_at` as one of now, as it is sent only now. Returns whether
@@ -99,9 +100,12 @@
   void Expire(History* history, TimeMs now) const;
   double Allowed(const History& history, TimeMs begin) const;
   double Left(const History& history, TimeMs now) const;
+  // Windows that began before then have no fixed allowance.
+  TimeMs FixedSince() const;
 
   Options options_;
-  TimeMs known_since_ = 0;
+  TimeMs known_since_ = 0;    // Retries are.
+  TimeMs entries_since_ = 0;  // `entries_` are known.
   int entries_ = 0;
   std::map<std::string, History> histories_;  // By service.
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -170,7 +170,7 @@
   const int counted = upstreams.CountEntries(now);
   const int previous = entry_count.value();
   entry_count.Update(counted, now);
-  retry_budget.SetEntries(entry_count.value());
+  retry_budget.SetEntries(entry_count.value(), now);
   quotas.SetEntryCount(counted, now);
   if (entry_count.value() == previous) return;
   log.Write(now, "entry_count",
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -22,6 +22,8 @@
 // An upstream answered that a model listed by its agent is not loaded; the agent's next
 // view arrives well within this time.
 constexpr DurationMs kNotLoadedMs = 400;
+// All entries have linked to an agent, and it has heard from them, within this time of its start.
+constexpr DurationMs kEntriesLinkMs = 2500;
 // Bonus, in units of queued requests, for the upstream that has processed the prompt before.
 constexpr double kAffinityLoad = 8;
 // All entries see the same views, which are up to half a second old. A random load of up
@@ -180,6 +182,7 @@
 void UpstreamTable::ApplyView(const EngineView& view, TimeMs now) {
   const auto it = rows_.find(view.instance);
   if (it == rows_.end()) return;
+  if (!IsFresh(it->second, now)) it->second.viewed_since = now;
   it->second.view = view;
   it->second.view_at = now;
   it->second.sent_since_view = 0;
@@ -225,7 +228,8 @@
 int UpstreamTable::CountEntries(TimeMs now) const {
   int entries = 0;
   for (const auto& [instance, row] : rows_) {
-    if (IsFresh(row, now)) entries = std::max(entries, row.view.entries);
+    const bool counts_all = IsFresh(row, now) && now - row.viewed_since >= kEntriesLinkMs;
+    if (counts_all) entries = std::max(entries, row.view.entries);
   }
   return entries;
 }
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -19,6 +19,11 @@
   options_ = options;
 }
 
+void RetryBudget::SetEntries(int entries, TimeMs now) {
+  if (entries_ == 0) entries_since_ = now;
+  entries_ = entries;
+}
+
 // Counted at the earliest time at which it may have been sent: a window that contains that time, or
 // follows the one that does, contains or follows the request, as a retry is made after both.
 void RetryBudget::OnRequest(const std::string& service, TimeMs sent_after, TimeMs now) {
@@ -61,18 +66,24 @@
   const auto requests = static_cast<double>(history.requests.end() - first);
   const double by_requests = options_.ratio / 2 * requests;
   if (begin < known_since_) return by_requests;
-  const double fixed = entries_ > 0 ? options_.fixed_attempts / entries_ : 0;
+  const bool has_fixed = entries_ > 0 && begin >= entries_since_;
+  const double fixed = has_fixed ? options_.fixed_attempts / entries_ : 0;
   return by_requests + fixed + options_.rounding;
 }
 
-// The least that any window which contains `now` leaves. Of the windows with the same retries, the
-// one that begins with the first of them has the fewest requests before it.
+// The least that any window which contains `now` leaves. Of the windows with the same retries and
+// the same fixed allowance, the last one to begin has the fewest requests before it.
 double RetryBudget::Left(const History& history, TimeMs now) const {
   double left = Allowed(history, now);
-  auto later_retries = static_cast<double>(history.retries.size());
   const TimeMs oldest_begin = now - options_.window_ms;
-  if (oldest_begin < known_since_)
-    left = std::min(left, Allowed(history, oldest_begin) - later_retries);
+  const TimeMs last_without_fixed = FixedSince() - 1;
+  if (last_without_fixed >= oldest_begin) {
+    const auto first =
+        std::lower_bound(history.retries.begin(), history.retries.end(), last_without_fixed);
+    const auto retries = static_cast<double>(history.retries.end() - first);
+    left = std::min(left, Allowed(history, last_without_fixed) - retries);
+  }
+  auto later_retries = static_cast<double>(history.retries.size());
   for (const TimeMs begin : history.retries) {
     left = std::min(left, Allowed(history, begin) - later_retries);
     --later_retries;
@@ -80,6 +91,8 @@
   return left;
 }
 
+TimeMs RetryBudget::FixedSince() const { return std::max(known_since_, entries_since_); }
+
 void RetryBudget::Expire(History* history, TimeMs now) const {
   DropUpTo(now - 2 * options_.window_ms, &history->requests);
   DropUpTo(now - options_.window_ms, &history->retries);
--- a/test/random_retry_budget_test.cc
+++ b/test/random_retry_budget_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "check.h"
+#include "junctionrail/routing.h"
 #include "junctionrail/throttling.h"
 #include "random_run.h"
 
@@ -18,13 +19,20 @@
 constexpr double kExtra = 90;
 // A new link is counted by all agents within this time.
 constexpr DurationMs kLinkMs = 500;
+constexpr DurationMs kViewIntervalMs = 500;
+constexpr char kAgent[] = "u1";
 constexpr DurationMs kMaxWaitMs = 12000;  // For a model.
 constexpr DurationMs kMaxPauseMs = 9000;  // Of an entry.
+constexpr DurationMs kMaxCutMs = 40000;   // Between all entries and all agents.
 
 struct Entry {
   std::unique_ptr<RetryBudget> budget;
   std::unique_ptr<EntryCount> count;
-  TimeMs linked_at = 0;  // In the future: cut off from the agents.
+  std::unique_ptr<UpstreamTable> table;  // Lists one upstream, whose agent counts the entries.
+  TimeMs linked_at = 0;                  // In the future: cut off from the agents.
+  TimeMs cut_at = 0;                     // Cut off again then; 0: it stays in reach.
+  TimeMs back_at = 0;                    // After that.
+  TimeMs next_view_at = 0;
   int starts = 0;
   TimeMs paused_until = 0;   // Stands still until then.
   TimeMs read_up_to = 0;     // What callers had sent by then has been read.
@@ -75,7 +83,10 @@
     entry->budget =
         std::make_unique<RetryBudget>(RetryBudget::Options{kRatio, kExtra, kWindowMs}, now_);
     entry->count = std::make_unique<EntryCount>();
+    entry->table = std::make_unique<UpstreamTable>(RoutingOptions());
+    entry->table->ApplyListing({{kAgent, "s", {}, "hall-1", 8, false, {}}}, now_);
     entry->linked_at = now_ + kLinkMs;
+    entry->cut_at = 0;
     ++entry->starts;
     entry->paused_until = 0;
     entry->read_up_to = now_;
@@ -84,7 +95,7 @@
 
   void InjectFault(RandomChoices& choices) {
     Entry& one = entries_[choices.Next(kEntries)];
-    switch (choices.Next(13)) {
+    switch (choices.Next(14)) {
       case 0:
         return Start(&one);
       case 1:
@@ -116,23 +127,58 @@
       case 10:
         for (auto& it : entries_) Pause(&it, choices);
         return;
+      case 11:
+        return StartAllAndCutOff(choices);
       default:
         failed_percent_ = choices.Next(2) == 0 ? 0 : choices.Next(101);
     }
   }
 
+  // Entries and agents start, and lose each other before all of them have met.
+  void StartAllAndCutOff(RandomChoices& choices) {
+    const TimeMs back_at = now_ + static_cast<DurationMs>(choices.Next(kMaxCutMs));
+    for (auto& it : entries_) {
+      Start(&it);
+      it.linked_at = now_ + static_cast<DurationMs>(choices.Next(kLinkMs));
+      it.cut_at = now_ + kLinkMs;
+      it.back_at = back_at;
+    }
+  }
+
+  static void CutOff(Entry* entry) {
+    entry->cut_at = 0;
+    entry->linked_at = entry->back_at;
+  }
+
+  void CountEntries() {
+    const auto linked = std::count_if(entries_.begin(), entries_.end(),
+                                      [this](const Entry& it) { return it.linked_at <= now_; });
+    EngineView view;
+    view.instance = kAgent;
+    view.entries = static_cast<int>(linked);
+    for (auto& it : entries_) {
+      if (it.linked_at > now_) {
+        it.table->ForgetView(kAgent);
+        it.next_view_at = 0;
+      } else if (it.next_view_at <= now_) {
+        it.table->ApplyView(view, now_);
+        it.next_view_at = now_ + kViewIntervalMs;
+      }
+      it.count->Update(it.table->CountEntries(now_), now_);
+      it.budget->SetEntries(it.count->value(), now_);
+    }
+  }
+
   void Pause(Entry* entry, RandomChoices& choices) const {
     entry->paused_until = now_ + static_cast<DurationMs>(choices.Next(kMaxPauseMs));
   }
 
   void Advance(RandomChoices& choices) {
     now_ += kStepMs;
-    const auto linked = std::count_if(entries_.begin(), entries_.end(),
-                                      [this](const Entry& it) { return it.linked_at <= now_; });
     for (auto& it : entries_) {
-      it.count->Update(it.linked_at <= now_ ? static_cast<int>(linked) : 0, now_);
-      it.budget->SetEntries(it.count->value());
+      if (it.cut_at != 0 && it.cut_at <= now_) CutOff(&it);
     }
+    CountEntries();
     const std::uint32_t n = requests_per_step_ + std::exchange(group_, 0);
     for (std::uint32_t request = 0; request < n; ++request) {
       ++entries_[choices.Next(kEntries)].unread;
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -20,7 +20,7 @@
 
 RetryBudget MakeBudget(double ratio, double fixed_attempts, int entries = 1) {
   RetryBudget budget({ratio, fixed_attempts, kWindowMs}, kLongAgo);
-  budget.SetEntries(entries);
+  budget.SetEntries(entries, kLongAgo);
   return budget;
 }
 
@@ -70,11 +70,19 @@
   EXPECT_NUMBER(2, TakeAll(10, &budget), "a quarter of the requests");
 }
 
+// Guards against an entry that takes a part of the allowance before the others count it.
+TEST(RetryBudget, HasNoFixedAllowanceInWindowsThatBeganBeforeTheNumberOfEntriesWasKnown) {
+  RetryBudget budget = MakeBudget(0, 40, 0);
+  budget.SetEntries(4, 500);
+  EXPECT_NUMBER(0, TakeAll(1400, &budget), "the others divided by three until 500");
+  EXPECT_NUMBER(10, TakeAll(1500, &budget), "a quarter of 40");
+}
+
 // Guards against a budget that begins anew with each start of an entry: the process before it may
 // have spent the allowance of the window.
 TEST(RetryBudget, HasNoFixedAllowanceInWindowsThatBeganBeforeItsStart) {
   RetryBudget budget({0.5, 10, kWindowMs}, 0);
-  budget.SetEntries(1);
+  budget.SetEntries(1, 0);
   EXPECT_NUMBER(0, TakeAll(1, &budget), "at the start");
   AddRequests(8, 10, &budget);
   EXPECT_NUMBER(2, TakeAll(10, &budget), "a quarter of this process's requests");
@@ -134,7 +142,7 @@
   for (int n = 0; n < kEntries; ++n) {
     const double rounding = static_cast<double>(n) / kEntries;
     RetryBudget budget({0, kFixed, kWindowMs, rounding}, kLongAgo);
-    budget.SetEntries(kEntries);
+    budget.SetEntries(kEntries, kLongAgo);
     retries += TakeAll(0, &budget);
   }
   EXPECT_NUMBER(100, retries, "the allowance of all entries");
@@ -158,6 +166,25 @@
   EXPECT_NUMBER(3, count.value(), "no agent has counted more for a minute");
 }
 
+// Guards against the count of an agent that has just started, and knows only the first entries that
+// have linked to it.
+TEST(EntryCount, IsTakenFromAgentsThatHaveHadTimeToMeetAllEntries) {
+  UpstreamTable table{RoutingOptions()};
+  table.ApplyListing({testing::MakeRecord("u1")}, 0);
+  EngineView view = MakeView("u1");
+  view.entries = 1;
+  table.ApplyView(view, 1000);
+  EXPECT_NUMBER(0, table.CountEntries(1000), "the agent has just started, or this entry has");
+  table.ApplyView(view, 2200);
+  EXPECT_NUMBER(0, table.CountEntries(3499), "the others may still be on their way");
+  view.entries = 25;
+  table.ApplyView(view, 3500);
+  EXPECT_NUMBER(25, table.CountEntries(3500), "all have linked to it");
+  table.ForgetView("u1");
+  table.ApplyView(view, 4000);
+  EXPECT_NUMBER(0, table.CountEntries(4000), "the agent may be another process");
+}
+
 TEST(EntryCount, KeepsTheLastCountWithoutAnAgent) {
   EntryCount count;
   count.Update(25, 1000);
