Retry budget: a retry counts until a window after its upstream has answered

Cause: a retry counted when it was sent, the rule counts arrivals. What is sent to an upstream whose VM stands still is read when that goes on, together with what is sent then; the requests that allowed it may be in no window of the rule by then. Change: a retry is under way until its upstream has answered, or its attempt has ended, and counts in each window until then; it has arrived at the latest then. Retries under way are at most what a window half a window later allows. One that was taken but not sent is used by the next attempt, or given back at the end of the request. retry_budget_spent has the field under_way. RandomRetryBudget lets upstreams stand still for up to 5 s.

--- a/include/junctionrail/throttling.h
+++ b/include/junctionrail/throttling.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "junctionrail/base.h"
@@ -70,9 +71,10 @@
   // What the budget of a service is decided by, for logs.
   struct Usage {
     std::size_t requests = 0;  // That count towards the allowance.
-    std::size_t retries = 0;   // In the last window.
-    double left = 0;           // Retries that the budget allows now.
-    int entries = 0;           // That share the fixed allowance; 0: unknown.
+    std::size_t retries = 0;   // In the last window, those under way among them.
+    std::size_t under_way = 0;
+    double left = 0;  // Retries that the budget allows now.
+    int entries = 0;  // That share the fixed allowance; 0: unknown.
   };
 
   // `started_at`: retries and requests before then are not known.
@@ -85,17 +87,20 @@
   // Sets how many entries share the fixed allowance; 0: unknown, there is none then. It applies to
   // windows that begin after the number is known: the other entries count this one by then.
   void SetEntries(int entries, TimeMs now);
-  // Consumes one retry if the budget allows it.
+  // Consumes one retry if the budget allows it. It is under way until OnArrived.
   bool TryConsume(const std::string& service, TimeMs now);
   // Counts a retry consumed at `consumed_at` as one of now, as it is sent only now. Returns whether
   // the budget allows it; it is not consumed otherwise.
   bool Postpone(const std::string& service, TimeMs consumed_at, TimeMs now);
+  // The upstream has answered the retry consumed at `consumed_at`, or will not read it any more.
+  void OnArrived(const std::string& service, TimeMs consumed_at, TimeMs now);
   Usage UsageOf(const std::string& service, TimeMs now);
 
  private:
   struct History {
-    std::deque<TimeMs> requests;  // Of the last two windows, in order.
-    std::deque<TimeMs> retries;   // Of the last window.
+    std::deque<TimeMs> requests;      // Of the last two windows, in order.
+    std::deque<TimeMs> retries;       // That have arrived, in the last window, at the latest then.
+    std::multiset<TimeMs> under_way;  // Retries that may still arrive, by when they were sent.
   };
   void Expire(History* history, TimeMs now) const;
   double Allowed(const History& history, TimeMs begin) const;
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -22,6 +22,7 @@
   std::string wire_id;  // The id that this upstream sends.
   std::string version;  // Of its software.
   TimeMs started_at = 0;
+  TimeMs retry_consumed_at = 0;  // In the retry budget, while it is under way; 0: none.
   // When the connection was established, or the attempt began without one.
   TimeMs connected_at = 0;
   TimeMs first_event_at = 0;    // 0: no event yet.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -51,8 +51,13 @@
       timer_(gateway.io) {}
 
 Exchange::~Exchange() {
+  OnRetryArrived(&unsent_retry_consumed_at_);
+  OnRetryArrived(&attempt_.retry_consumed_at);
   gateway_.crash_detector.OnAttemptOver(attempt_.instance, this);
-  for (const auto& it : silent_) gateway_.crash_detector.OnAttemptOver(it.instance, this);
+  for (auto& it : silent_) {
+    OnRetryArrived(&it.retry_consumed_at);
+    gateway_.crash_detector.OnAttemptOver(it.instance, this);
+  }
 }
 
 void Exchange::Start() {
@@ -270,6 +275,7 @@
   }
   attempt_ = Attempt();
   attempt_.number = ++attempts_begun_;
+  attempt_.retry_consumed_at = std::exchange(unsent_retry_consumed_at_, 0);
   attempt_.is_open = true;
   attempt_.instance = instance;
   attempt_.wire_id = upstream->WireId();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -164,6 +164,8 @@
   // Whether the budget allows the retry that was taken from it to be sent now; also true if the
   // attempt is none.
   bool CountRetryAsSent(TimeMs now);
+  void KeepUnsentRetry(Attempt* attempt);
+  void OnRetryArrived(TimeMs* consumed_at);
   void LogBudgetSpent(TimeMs now);
   void LogAttempt(const Attempt& attempt, Execution ran, std::string_view reason) const;
   Execution RecordFailure(Attempt* attempt, UpstreamFailure failure);
@@ -223,7 +225,7 @@
   std::string upstream_quota_instance_;      // Whose rate limit was acquired or requested.
   std::uint64_t turn_ticket_ = 0;            // Likewise for a turn of a suspected prompt part.
   std::string turn_instance_;                // Where the request goes in its turn.
-  TimeMs retry_consumed_at_ = 0;             // Of the last retry; 0: none was taken.
+  TimeMs unsent_retry_consumed_at_ = 0;      // In the retry budget; 0: none.
   TimeMs turn_until_ = 0;                    // It has a turn that lasts until then.
   TimeMs deadline_at_ = 0;                   // By the caller's deadline and the route's timeout.
   TimeMs wait_deadline_at_ = 0;              // Of its wait for a model.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -51,6 +51,7 @@
   Attempt* silent = FindSilent(number);
   if (silent != nullptr) return OnSilentHead(silent, std::move(head));
   if (!IsCurrent(number)) return;
+  OnRetryArrived(&attempt_.retry_consumed_at);
   OnProgress();
   gateway_.upstreams.OnResponseData(attempt_.instance, attempt_.last_activity_at);
   gateway_.crash_detector.OnDataReceived(attempt_.instance, attempt_.last_activity_at);
@@ -268,6 +269,7 @@
   is_finished_ = true;
   timer_.cancel();
   DropSilent();
+  OnRetryArrived(&unsent_retry_consumed_at_);
   ReturnQuota();
   if (is_waiting_for_model_) {
     is_waiting_for_model_ = false;
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -25,6 +25,7 @@
   const bool is_broken = failure == UpstreamFailure::kBroken;
   const bool was_sent = is_broken || failure == UpstreamFailure::kMismatched;
   if (is_broken) ReportBrokenConnection(*attempt);
+  if (!was_sent) KeepUnsentRetry(attempt);
   // A withheld request is no evidence of a fault of the upstream.
   EndAttempt(attempt, was_sent                                ? AttemptOutcome::kFailed
                       : failure == UpstreamFailure::kWithheld ? AttemptOutcome::kRefused
@@ -49,6 +50,7 @@
 
 void Exchange::EndAttempt(Attempt* attempt, AttemptOutcome end) {
   const TimeMs now = MonotonicMs();
+  OnRetryArrived(&attempt->retry_consumed_at);
   const bool is_unanswered = end == AttemptOutcome::kTimedOut || end == AttemptOutcome::kCallerLeft;
   if (model_ && is_unanswered && !is_response_begun_) {
     gateway_.upstreams.OnFirstEvent(*model_, now - attempt->started_at);
@@ -91,11 +93,12 @@
   GiveUp(ExecutionSoFar(), reason);
 }
 
-// Takes one attempt from the retry budget.
+// Takes one attempt from the retry budget, unless one that was taken has not been sent.
 bool Exchange::TakeRetryFromBudget(TimeMs now) {
+  if (unsent_retry_consumed_at_ != 0) return true;
   if (gateway_.retry_budget.TryConsume(service_, now)) {
     ++gateway_.counters.retries;
-    retry_consumed_at_ = now;
+    unsent_retry_consumed_at_ = now;
     return true;
   }
   LogBudgetSpent(now);
@@ -105,16 +108,28 @@
 // A retry counts when it is sent, which may be long after it was chosen: it may have waited for a
 // model, or for a quota.
 bool Exchange::CountRetryAsSent(TimeMs now) {
-  if (retry_consumed_at_ == 0) return true;
-  const TimeMs consumed_at = std::exchange(retry_consumed_at_, 0);
+  if (unsent_retry_consumed_at_ == 0) return true;
+  const TimeMs consumed_at = std::exchange(unsent_retry_consumed_at_, 0);
   if (!gateway_.retry_budget.Postpone(service_, consumed_at, now)) {
     LogBudgetSpent(now);
     return false;
   }
-  retry_consumed_at_ = now;
+  unsent_retry_consumed_at_ = now;
   return true;
 }
 
+// The retry of an attempt that was not sent is the next attempt's.
+void Exchange::KeepUnsentRetry(Attempt* attempt) {
+  OnRetryArrived(&unsent_retry_consumed_at_);
+  unsent_retry_consumed_at_ = std::exchange(attempt->retry_consumed_at, 0);
+}
+
+// The retry can arrive at its upstream no more, or it has.
+void Exchange::OnRetryArrived(TimeMs* consumed_at) {
+  if (*consumed_at == 0) return;
+  gateway_.retry_budget.OnArrived(service_, std::exchange(*consumed_at, 0), MonotonicMs());
+}
+
 void Exchange::LogBudgetSpent(TimeMs now) {
   const RetryBudget::Usage usage = gateway_.retry_budget.UsageOf(service_, now);
   gateway_.log.Write(now, "retry_budget_spent",
@@ -122,6 +137,7 @@
                       {"service", service_},
                       {"requests", static_cast<std::int64_t>(usage.requests)},
                       {"retries", static_cast<std::int64_t>(usage.retries)},
+                      {"under_way", static_cast<std::int64_t>(usage.under_way)},
                       {"left", usage.left},
                       {"entries", static_cast<std::int64_t>(usage.entries)},
                       {"age_ms", now - gateway_.started_at}});
--- a/src/gateway/exchange_silence.cc
+++ b/src/gateway/exchange_silence.cc
@@ -126,6 +126,7 @@
 
 // A refusal or a failure of the silent upstream leaves the others at work.
 void Exchange::OnSilentHead(Attempt* silent, UpstreamHead head) {
+  OnRetryArrived(&silent->retry_consumed_at);
   const bool is_not_run = IsRefusal(head);
   const bool is_failure = head.status >= kServerError || IsUnsealedSuccess(head);
   if (!is_not_run && !is_failure) {
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -5,6 +5,9 @@
 namespace junctionrail {
 namespace {
 
+// What is sent to an upstream whose VM stands still may be read this part of a window later.
+constexpr DurationMs kArrivalDelayDivisor = 2;
+
 void DropUpTo(TimeMs oldest, std::deque<TimeMs>* times) {
   while (!times->empty() && times->front() <= oldest) times->pop_front();
 }
@@ -37,22 +40,34 @@
   History& history = histories_[service];
   Expire(&history, now);
   if (Left(history, now) < 1) return false;
-  history.retries.push_back(now);
+  history.under_way.insert(now);
   return true;
 }
 
 bool RetryBudget::Postpone(const std::string& service, TimeMs consumed_at, TimeMs now) {
   if (consumed_at == now) return true;
-  auto& retries = histories_[service].retries;
-  const auto it = std::find(retries.begin(), retries.end(), consumed_at);
-  if (it != retries.end()) retries.erase(it);
+  auto& under_way = histories_[service].under_way;
+  const auto it = under_way.find(consumed_at);
+  if (it != under_way.end()) under_way.erase(it);
   return TryConsume(service, now);
 }
 
+// It has arrived at some time since it was sent. Counted at the end of that, it is in each window
+// that it may have been in of those that are not over.
+void RetryBudget::OnArrived(const std::string& service, TimeMs consumed_at, TimeMs now) {
+  History& history = histories_[service];
+  const auto it = history.under_way.find(consumed_at);
+  if (it == history.under_way.end()) return;
+  history.under_way.erase(it);
+  history.retries.push_back(now);
+}
+
 RetryBudget::Usage RetryBudget::UsageOf(const std::string& service, TimeMs now) {
   History& history = histories_[service];
   Expire(&history, now);
-  return {history.requests.size(), history.retries.size(), Left(history, now), entries_};
+  const std::size_t under_way = history.under_way.size();
+  return {history.requests.size(), history.retries.size() + under_way, under_way,
+          Left(history, now), entries_};
 }
 
 // The retries allowed in the window that begins at `begin`. A request allows half of its retries in
@@ -71,21 +86,24 @@
   return by_requests + fixed + options_.rounding;
 }
 
-// The least that any window which contains `now` leaves. Of the windows with the same retries and
-// the same fixed allowance, the last one to begin has the fewest requests before it.
+// The least that any window which contains `now` leaves, or one that retries under way may arrive
+// in. Of the windows with the same retries and the same fixed allowance, the last one to begin has
+// the fewest requests before it.
 double RetryBudget::Left(const History& history, TimeMs now) const {
-  double left = Allowed(history, now);
+  const auto under_way = static_cast<double>(history.under_way.size());
+  const TimeMs last_arrival = now + options_.window_ms / kArrivalDelayDivisor;
+  double left = Allowed(history, last_arrival) - under_way;
   const TimeMs oldest_begin = now - options_.window_ms;
   const TimeMs last_without_fixed = FixedSince() - 1;
   if (last_without_fixed >= oldest_begin) {
     const auto first =
         std::lower_bound(history.retries.begin(), history.retries.end(), last_without_fixed);
     const auto retries = static_cast<double>(history.retries.end() - first);
-    left = std::min(left, Allowed(history, last_without_fixed) - retries);
+    left = std::min(left, Allowed(history, last_without_fixed) - retries - under_way);
   }
   auto later_retries = static_cast<double>(history.retries.size());
   for (const TimeMs begin : history.retries) {
-    left = std::min(left, Allowed(history, begin) - later_retries);
+    left = std::min(left, Allowed(history, begin) - later_retries - under_way);
     --later_retries;
   }
   return left;
--- a/test/random_retry_budget_test.cc
+++ b/test/random_retry_budget_test.cc
@@ -1,6 +1,6 @@
 // Property test of the retry budget under random faults: entries are killed and start again, alone
 // or all at once, or stand still, agents lose their links, requests come in groups and bursts,
-// upstreams fail, and retries wait for models.
+// upstreams fail or stand still, and retries wait for models.
 // The retries of all entries together must stay within the fleet's allowance in every window.
 #include <algorithm>
 #include <memory>
@@ -24,6 +24,7 @@
 constexpr DurationMs kMaxWaitMs = 12000;  // For a model.
 constexpr DurationMs kMaxPauseMs = 9000;  // Of an entry.
 constexpr DurationMs kMaxCutMs = 40000;   // Between all entries and all agents.
+constexpr DurationMs kMaxStallMs = 5000;  // Of upstreams.
 
 struct Entry {
   std::unique_ptr<RetryBudget> budget;
@@ -39,8 +40,8 @@
   std::uint32_t unread = 0;  // Requests.
 };
 
-// A retry that waits for a model.
-struct WaitingRetry {
+// A retry that waits for a model, or is under way to an upstream.
+struct PendingRetry {
   std::size_t entry = 0;
   int starts = 0;  // Of the entry when it was chosen; another process knows nothing of it.
   TimeMs consumed_at = 0;
@@ -95,7 +96,7 @@
 
   void InjectFault(RandomChoices& choices) {
     Entry& one = entries_[choices.Next(kEntries)];
-    switch (choices.Next(14)) {
+    switch (choices.Next(15)) {
       case 0:
         return Start(&one);
       case 1:
@@ -129,6 +130,9 @@
         return;
       case 11:
         return StartAllAndCutOff(choices);
+      case 12:
+        upstreams_stalled_until_ = now_ + static_cast<DurationMs>(choices.Next(kMaxStallMs));
+        return;
       default:
         failed_percent_ = choices.Next(2) == 0 ? 0 : choices.Next(101);
     }
@@ -175,6 +179,7 @@
 
   void Advance(RandomChoices& choices) {
     now_ += kStepMs;
+    if (upstreams_stalled_until_ <= now_) Arrive();
     for (auto& it : entries_) {
       if (it.cut_at != 0 && it.cut_at <= now_) CutOff(&it);
     }
@@ -203,7 +208,21 @@
     if (choices.Next(100) < waiting_percent_) {
       waiting_.push_back({k, entry.starts, now_});
     } else {
+      Send(k);
+    }
+  }
+
+  void Send(std::size_t k) {
+    under_way_.push_back({k, entries_[k].starts, now_});
+    if (upstreams_stalled_until_ <= now_) Arrive();
+  }
+
+  // Upstreams read all that was sent to them, and answer.
+  void Arrive() {
+    for (const auto& it : std::exchange(under_way_, {})) {
       retries_.push_back(now_);
+      Entry& entry = entries_[it.entry];
+      if (entry.starts == it.starts) entry.budget->OnArrived("s", it.consumed_at, now_);
     }
   }
 
@@ -211,9 +230,13 @@
   void SendWaiting() {
     for (const auto& it : std::exchange(waiting_, {})) {
       Entry& entry = entries_[it.entry];
-      const bool is_sent = now_ - it.consumed_at <= kMaxWaitMs && entry.starts == it.starts &&
-                           entry.budget->Postpone("s", it.consumed_at, now_);
-      if (is_sent) retries_.push_back(now_);
+      if (entry.starts != it.starts) continue;
+      if (now_ - it.consumed_at > kMaxWaitMs) {
+        entry.budget->OnArrived("s", it.consumed_at, now_);
+        continue;
+      }
+      const bool is_sent = entry.budget->Postpone("s", it.consumed_at, now_);
+      if (is_sent) Send(it.entry);
     }
   }
 
@@ -225,7 +248,9 @@
   std::uint32_t group_ = 0;
   std::uint32_t failed_percent_ = 50;
   std::uint32_t waiting_percent_ = 0;  // Of the retries.
-  std::vector<WaitingRetry> waiting_;
+  std::vector<PendingRetry> waiting_;
+  std::vector<PendingRetry> under_way_;
+  TimeMs upstreams_stalled_until_ = 0;
 };
 
 }  // namespace
@@ -233,8 +258,8 @@
 TEST_GROUP(RandomRetryBudget){};
 
 // Guards against budgets that begin anew with each start of an entry, and against entries that
-// share the fixed allowance by too low a count, or count a retry long before it is sent, or a
-// request long after.
+// share the fixed allowance by too low a count, or count a retry long before it is sent or arrives,
+// or a request long after.
 TEST(RandomRetryBudget, BoundsTheRetriesOfAllEntries) {
   CHECK(RunRandomTest<RetrySimulation<4>>("retries, few entries"));
   CHECK(RunRandomTest<RetrySimulation<25>>("retries, many entries"));
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -28,13 +28,23 @@
   for (int k = 0; k < n; ++k) budget->OnRequest("s", now, now);
 }
 
-// Takes all retries that the budget allows now, and returns their number.
-int TakeAll(TimeMs now, RetryBudget* budget) {
+// Takes all retries that the budget allows now, and returns their number. They arrive later.
+int TakeAllUnanswered(TimeMs now, RetryBudget* budget) {
   int n = 0;
   while (budget->TryConsume("s", now)) ++n;
   return n;
 }
 
+// The same; each arrives at once.
+int TakeAll(TimeMs now, RetryBudget* budget) {
+  int n = 0;
+  while (budget->TryConsume("s", now)) {
+    budget->OnArrived("s", now, now);
+    ++n;
+  }
+  return n;
+}
+
 }  // namespace
 
 TEST_GROUP(RetryBudget){};
@@ -102,10 +112,12 @@
 // Guards against an entry that stood still, and counts the requests that it then reads as requests
 // of that moment.
 TEST(RetryBudget, CountsARequestAtTheEarliestTimeOfItsSending) {
-  RetryBudget budget = MakeBudget(0.5, 0);
-  for (int n = 0; n < 40; ++n) budget.OnRequest("s", 100, 900);
-  EXPECT_NUMBER(10, TakeAll(1050, &budget), "a quarter, as the last window's");
-  EXPECT_NUMBER(0, TakeAll(2100, &budget), "the window before holds no request any more");
+  RetryBudget early = MakeBudget(0.5, 0);
+  RetryBudget late = MakeBudget(0.5, 0);
+  for (int n = 0; n < 40; ++n) early.OnRequest("s", 600, 900);
+  for (int n = 0; n < 40; ++n) late.OnRequest("s", 600, 900);
+  EXPECT_NUMBER(10, TakeAll(1050, &early), "a quarter");
+  EXPECT_NUMBER(0, TakeAll(1200, &late), "too late for requests from 600");
 }
 
 // Guards against a search that expects times in order, which the requests that resume a stream are
@@ -128,12 +140,35 @@
 // Guards against retries that wait for a model and count in the window in which they were chosen.
 TEST(RetryBudget, CountsAPostponedRetryWhenItIsSent) {
   RetryBudget budget = MakeBudget(0, 2);
-  EXPECT_NUMBER(2, TakeAll(0, &budget), "the fixed allowance");
+  EXPECT_NUMBER(2, TakeAllUnanswered(0, &budget), "the fixed allowance");
+  budget.OnArrived("s", 0, 0);
   EXPECT_TRUE(budget.Postpone("s", 0, 1500), "the window of the choice is over");
   EXPECT_NUMBER(1, TakeAll(1600, &budget), "one of two is left in the window of the sending");
   EXPECT_TRUE(!budget.Postpone("s", 0, 1700), "the window of the sending is used up");
 }
 
+// Guards against retries that are read seconds after they were sent, as the upstream stood still,
+// together with those that were sent then.
+TEST(RetryBudget, CountsARetryUntilAWindowAfterItsArrival) {
+  RetryBudget budget = MakeBudget(0, 4);
+  EXPECT_NUMBER(4, TakeAllUnanswered(0, &budget), "the fixed allowance");
+  EXPECT_NUMBER(0, TakeAllUnanswered(1500, &budget), "all four may still arrive");
+  for (int n = 0; n < 4; ++n) budget.OnArrived("s", 0, 1600);
+  EXPECT_NUMBER(0, TakeAllUnanswered(2599, &budget), "all four may have arrived at 1600");
+  EXPECT_NUMBER(4, TakeAllUnanswered(2601, &budget), "the window of their arrival is over");
+}
+
+// Guards against retries that arrive in a window whose requests, and those of the window before it,
+// are not those that allowed them.
+TEST(RetryBudget, AllowsOnlyAsManyRetriesUnderWayAsALaterWindowDoes) {
+  RetryBudget budget = MakeBudget(0.5, 0);
+  AddRequests(40, 0, &budget);
+  AddRequests(8, 700, &budget);
+  EXPECT_NUMBER(2, TakeAllUnanswered(800, &budget), "a quarter of the second group");
+  budget.OnArrived("s", 800, 850);
+  EXPECT_NUMBER(1, TakeAllUnanswered(850, &budget), "one of the two is still under way");
+}
+
 // Guards against a large fleet in which no entry ever has a whole retry to spend.
 TEST(RetryBudget, LetsEntriesWithAPartOfARetryUseThemTogether) {
   constexpr int kEntries = 400;
