Soak: counts retries against the budget of each window

Cause: the soak's judge did not count retries, so no soak could have shown that the retries of all entries, over their starts, exceed the budget. Change: RetryWindows counts requests and arrivals by service, and complains of a window with more retries than its requests allow.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -131,6 +131,7 @@
 void Caller::Send() {
   is_awaiting_ = true;
   judge_.OnSent(id_, entry_, organisation_, AllowedHalls(*route_, organisation_));
+  judge_.retries.OnRequest(route_->is_stream ? kEngineService : kPlainService);
   const bool is_get = !route_->is_stream && route_->may_repeat;
   std::string request = is_get ? "GET" : "POST";
   request += " /" + route_->name + "/" + (IsDeadly() ? "x" : stream_) +
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -250,6 +250,7 @@
     const bool has_run = at_most_once_.count(it) > 0 && runs_[it] > 0;
     if (has_run) Complain("request " + it + " was said not to have run, and ran");
   }
+  for (const auto& it : retries.Violations()) Complain(it);
   return complaints_;
 }
 
@@ -271,6 +272,7 @@
   text += ", at cold upstreams " + std::to_string(checked_.cold);
   text += ", beside spoiled records " + std::to_string(checked_.unreadable);
   text += ", unanswered beside planned work " + std::to_string(checked_.unanswered);
+  text += ", retries " + std::to_string(retries.CountRetries());
   return text + ", refused " + std::to_string(refused_.size());
 }
 
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -13,6 +13,7 @@
 
 #include "junctionrail/base.h"
 #include "junctionrail/net.h"
+#include "retry_windows.h"
 #include "world.h"
 
 namespace junctionrail::soak {
@@ -33,7 +34,7 @@
 
 class Judge {
  public:
-  explicit Judge(std::function<TimeMs()> clock = MonotonicMs) : clock_(std::move(clock)) {}
+  explicit Judge(std::function<TimeMs()> clock = MonotonicMs) : retries(clock), clock_(clock) {}
 
   // --- What upstreams see ---
   // `may_repeat` is what the request's route says.
@@ -111,6 +112,9 @@
   void OnUnanswered(const std::string& request, Ending ending);
   void Complain(const std::string& sentence);
 
+  // What callers send to services, and what arrives there.
+  RetryWindows retries;
+
   // Checks what only the end of a run shows. Returns all that was broken.
   std::vector<std::string> Finish();
   std::string Summary() const;
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -93,7 +93,10 @@
               {"peer", address + ":8102"},
               {"peers", peers},
               {"hall_regions", HallRegions()},
-              {"revoke_ms", kRevokeMs}});
+              {"revoke_ms", kRevokeMs},
+              {"retry_ratio", kRetryRatio},
+              {"retry_extra", kRetryExtra},
+              {"retry_window_ms", kRetryWindowMs}});
   entry_processes_.push_back(processes.back().get());
 }
 
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -225,6 +225,7 @@
   if (line.rfind("GET /report", 0) == 0) return Report(peer);
   if (line.rfind("POST /order", 0) == 0) return Order(request, peer);
   const std::string id = request.Field("Attempt-Id");
+  judge_.retries.OnArrival(is_engine_ ? kEngineService : kPlainService, id);
   if (request.Field("Expect-Instance") != instance_) {
     return peer->Write(Whole(id, 421, "Instance-Id: " + instance_ + "\r\n", ""));
   }
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -45,6 +45,25 @@
 
 TEST_GROUP(SoakJudge){};
 
+// Guards against a check of retries that never reports a violation.
+TEST(SoakJudge, ReportsAWindowWithMoreRetriesThanItsRequestsAllow) {
+  constexpr int kRequests = 50;
+  constexpr int kAllowed = 10 + kRetryExtra;
+  Bench t;
+  for (int n = 0; n < kRequests; ++n) {
+    t.judge.retries.OnRequest("plain");
+    t.judge.retries.OnArrival("plain", "r" + std::to_string(n));
+  }
+  t.now += kRetryWindowMs - 1;
+  for (int n = 0; n < kAllowed; ++n) t.judge.retries.OnArrival("plain", "r0");
+  t.judge.retries.OnArrival("engines", "r0");
+  EXPECT_TEXT("", t.Complaint(), "a fifth of the requests of the window before, and 20");
+  t.now += kRetryWindowMs - 1;
+  t.judge.retries.OnArrival("plain", "r1");
+  EXPECT_TEXT("service plain had 31 retries from 1009999 on, of 30.000000 allowed", t.Complaint(),
+              "one more, at the end of the same window");
+}
+
 // Guards against a check of regions that never reports a violation.
 TEST(SoakJudge, ReportsARequestThatReachesAnUpstreamOutsideItsRegions) {
   Bench allowed;
