--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -237,15 +237,22 @@
   int attempts = 0;
 };
 
-// Starts a gateway in front of an upstream that fails all requests, in a fleet of eight entries.
-void RunProcess(int requests, RetryBudget::Options retries, Load* load) {
+constexpr char kFailure[] =
+    "HTTP/1.1 500 Failed\r\nJunctionrail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n";
+constexpr char kRejection[] =
+    "HTTP/1.1 503 Full\r\nJunctionrail-Request-Id: r1\r\nJunctionrail-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+// Starts a gateway in front of upstreams that answer all requests so, in a fleet of eight entries.
+void RunProcess(int requests, RetryBudget::Options retries, const char* answer, Load* load) {
+  constexpr int kUpstreams = 6;
   GatewayFixture fixture({}, retries);
-  const auto fail = [load](const SeenRequest&, const Peer& peer) {
+  const auto respond = [load, answer](const SeenRequest&, const Peer& peer) {
     ++load->attempts;
-    peer->Write("HTTP/1.1 500 Failed\r\nJunctionrail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+    peer->Write(answer);
   };
-  fixture.AddUpstream("u1", "plain", fail);
-  fixture.AddUpstream("u2", "plain", fail);
+  for (int n = 0; n < kUpstreams; ++n)
+    fixture.AddUpstream("u" + std::to_string(n), "plain", respond);
   fixture.Configure({MakeRoute("/a/", RequestKind::kIdempotent, "plain")});
   EngineView view = MakeView("u1");
   view.entries = 8;
@@ -257,18 +264,24 @@
   }
 }
 
-}  // namespace
-
-// Guards against retries that add up over the processes of one entry.
-TEST(RestartedEntries, SpendTheBudgetOfOneEntry) {
+// Judges three processes of an entry, one after the other.
+void CheckThreeProcesses(const char* answer) {
   constexpr double kRatio = 0.2;
   constexpr double kFixed = 32;
   Load load;
-  for (int start = 0; start < 3; ++start) RunProcess(5, {kRatio, kFixed, 60000}, &load);
+  for (int start = 0; start < 3; ++start) RunProcess(5, {kRatio, kFixed, 60000}, answer, &load);
   const double allowed = kRatio * load.requests + kFixed / 8;
   const int retries = load.attempts - load.requests;
   EXPECT_TRUE(retries <= allowed, "expected at most " + std::to_string(allowed) + " retries, got " +
                                       std::to_string(retries));
 }
 
+}  // namespace
+
+// Guards against retries that add up over the processes of one entry.
+TEST(RestartedEntries, SpendTheBudgetOfOneEntry) { CheckThreeProcesses(kFailure); }
+
+// The same, where each request leads to several retries at once, as its upstreams reject it.
+TEST(RestartedEntries, SpendTheBudgetOfOneEntryOnRejections) { CheckThreeProcesses(kRejection); }
+
 }  // namespace junctionrail
