Retry budget: no rounding in windows from before the number of entries was known

Cause: since the fixed part applies from the time at which the number of entries is known, windows that began before that were taken to begin after the start of the process, and were rounded up: a part of a retry for each start. Change: neither the fixed part nor the rounding applies in windows that began before the start, or before the number is known. Result: the new test of RetryBudget passes (a quarter of a retry, none allowed); it was not run on the code before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,7 +23,7 @@
   std::vector<HttpHeader> fields;
   std::shared_ptr<const std::string> body;
   TimeMs arrived_at = 0;  // When it was read.
-  // No earlier than then it was sent; before `arrived_at` if this process was late to read it.
+  // The earliest time at which it may have been sent; this process may have been late to read it.
   TimeMs sent_after = 0;
 };
 
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -124,7 +124,7 @@
   unsent_retry_consumed_at_ = std::exchange(attempt->retry_consumed_at, 0);
 }
 
-// The retry can arrive at its upstream no more, or it has.
+// The retry has arrived at its upstream, or will not arrive any more.
 void Exchange::OnRetryArrived(TimeMs* consumed_at) {
   if (*consumed_at == 0) return;
   gateway_.retry_budget.OnArrived(service_, std::exchange(*consumed_at, 0), MonotonicMs());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,8 +22,8 @@
 // The interval of checks of idle connections and waiting requests.
 constexpr DurationMs kTickMs = 250;
 constexpr DurationMs kStopTickMs = 50;
-// Ticks within which each connection that has input is read, however many there are. A process that
-// stood still has one tick in that time.
+// What callers had sent before a tick has been read this many ticks later, over any number of
+// connections. A process that stands still has no ticks.
 constexpr std::size_t kTicksToReadAll = 4;
 // Shorter differences between the clocks are no suspension, as they are read one after the other.
 constexpr DurationMs kMinSuspensionMs = 200;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -22,7 +22,7 @@
 // An upstream answered that a model listed by its agent is not loaded; the agent's next
 // view arrives well within this time.
 constexpr DurationMs kNotLoadedMs = 400;
-// All entries have linked to an agent, and it has heard from them, within this time of its start.
+// Within this time of its start, an agent has links with all entries and has heard from them.
 constexpr DurationMs kEntriesLinkMs = 2500;
 // Bonus, in units of queued requests, for the upstream that has processed the prompt before.
 constexpr double kAffinityLoad = 8;
--- a/src/throttling/retry_budget.cc
+++ b/src/throttling/retry_budget.cc
@@ -5,7 +5,8 @@
 namespace junctionrail {
 namespace {
 
-// What is sent to an upstream whose VM stands still may be read this part of a window later.
+// What is sent to an upstream whose VM stands still is read later, by up to a window divided by
+// this. Its requests may be in no window that counts for the retry after a longer delay.
 constexpr DurationMs kArrivalDelayDivisor = 2;
 
 void DropUpTo(TimeMs oldest, std::deque<TimeMs>* times) {
@@ -27,8 +28,9 @@
   entries_ = entries;
 }
 
-// Counted at the earliest time at which it may have been sent: a window that contains that time, or
-// follows the one that does, contains or follows the request, as a retry is made after both.
+// Counted at the earliest time at which it may have been sent. What it allows is later than both
+// times: if the window of a retry, or the window before that, contains the earliest time, one of
+// the two contains the request.
 void RetryBudget::OnRequest(const std::string& service, TimeMs sent_after, TimeMs now) {
   History& history = histories_[service];
   Expire(&history, now);
@@ -52,8 +54,8 @@
   return TryConsume(service, now);
 }
 
-// It has arrived at some time since it was sent. Counted at the end of that, it is in each window
-// that it may have been in of those that are not over.
+// It may have arrived at any time since it was sent. Counted at the latest one, it is in each
+// window that may contain it and is not over.
 void RetryBudget::OnArrived(const std::string& service, TimeMs consumed_at, TimeMs now) {
   History& history = histories_[service];
   const auto it = history.under_way.find(consumed_at);
@@ -80,9 +82,8 @@
                                       begin - options_.window_ms);
   const auto requests = static_cast<double>(history.requests.end() - first);
   const double by_requests = options_.ratio / 2 * requests;
-  if (begin < known_since_) return by_requests;
-  const bool has_fixed = entries_ > 0 && begin >= entries_since_;
-  const double fixed = has_fixed ? options_.fixed_attempts / entries_ : 0;
+  if (begin < FixedSince()) return by_requests;
+  const double fixed = entries_ > 0 ? options_.fixed_attempts / entries_ : 0;
   return by_requests + fixed + options_.rounding;
 }
 
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -88,6 +88,16 @@
   EXPECT_NUMBER(10, TakeAll(1500, &budget), "a quarter of 40");
 }
 
+// Guards against entries that start again and again, each time with a part of a retry of their own.
+TEST(RetryBudget, DoesNotRoundUpInWindowsThatBeganBeforeTheNumberOfEntriesWasKnown) {
+  RetryBudget budget({0.5, 0, kWindowMs, 0.9}, 0);
+  budget.SetEntries(4, 300);
+  AddRequests(1, 500, &budget);
+  EXPECT_NUMBER(0, TakeAll(900, &budget), "a quarter of a retry");
+  AddRequests(1, 1200, &budget);
+  EXPECT_NUMBER(1, TakeAll(1300, &budget), "a quarter, rounded up");
+}
+
 // Guards against a budget that begins anew with each start of an entry: the process before it may
 // have spent the allowance of the window.
 TEST(RetryBudget, HasNoFixedAllowanceInWindowsThatBeganBeforeItsStart) {
