Gateway: lines of a stop's progress, and of every request that its end cuts

Change: stop_begun, stop_progress (each second), stop_deadline and stop_ended with counts of connections, requests and lost lines; the log's bound is lifted at the end of the stop's time. The stop moves to gateway_stop.cc unchanged.

--- a/include/junctionrail/event_log.h
+++ b/include/junctionrail/event_log.h
@@ -39,6 +39,9 @@
 
   // Writes a line of kind `event`. `now` is the monotonic time of the bound.
   void Write(TimeMs now, std::string_view event, const std::vector<LogField>& fields);
+  // From now on the bound a second leaves nothing out: for the end of a process, as no later line
+  // says what was left out.
+  void LiftBound() { is_bounded_ = false; }
   const EventLogCounters& counters() const { return counters_; }
 
  private:
@@ -52,6 +55,7 @@
 
   EventLogOptions options_;
   std::map<std::string, Bound, std::less<>> bounds_;
+  bool is_bounded_ = true;
   EventLogCounters counters_;
 };
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -68,7 +68,7 @@
       Emit(now, "lines_left_out", {{"of", event}, {"count", static_cast<std::int64_t>(left_out)}});
     }
   }
-  if (bound.written >= options_.lines_per_second) {
+  if (is_bounded_ && bound.written >= options_.lines_per_second) {
     ++bound.left_out;
     ++counters_.over_bound;
     return;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -336,6 +336,14 @@
   Close();
 }
 
+void CallerConnection::CountWork(OpenWork* work) {
+  if (parser_) ++work->receiving;
+  if (!exchange_) return;
+  ++work->in_flight;
+  if (exchange_->is_response_begun()) ++work->begun;
+  if (buffer_.size() > 0 || HasUnread()) ++work->ahead;
+}
+
 void CallerConnection::OnVmResumed() {
   if (exchange_) exchange_->OnVmResumed();
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -29,6 +29,8 @@
   void ForceClose();
   // The VM has resumed from a suspension.
   void OnVmResumed();
+  // Adds what it holds.
+  void CountWork(OpenWork* work);
   bool IsIdle() const {
     return exchange_ == nullptr && pending_output_.empty() && output_in_flight_.empty();
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -65,6 +65,7 @@
   const std::string& service() const { return service_; }
   AllowedRegions AllowedRegionsNow() const;
   const std::string& asked_instance() const { return asked_instance_; }
+  bool is_response_begun() const { return is_response_begun_; }
   int priority() const { return priority_; }
   DurationMs target_ms() const { return route_->first_byte_target_ms; }
   TimeMs first_byte_due_at() const { return request_.arrived_at + route_->first_byte_target_ms; }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -122,18 +122,6 @@
   if (is_stopping) connection->Drain(false);
 }
 
-// Closing the acceptor would reset connections that the kernel has accepted already.
-void Gateway::Impl::StopAccepting() {
-  if (!acceptor.is_open()) return;
-  error_code ec;
-  acceptor.non_blocking(true, ec);
-  while (!ec) {
-    tcp::socket socket = acceptor.accept(ec);
-    if (!ec) AddConnection(std::move(socket));
-  }
-  acceptor.close(ec);
-}
-
 void Gateway::Impl::Tick() {
   tick_timer.expires_after(std::chrono::milliseconds(is_stopping ? kStopTickMs : kTickMs));
   tick_timer.async_wait([self = shared_from_this()](error_code ec) {
@@ -188,37 +176,6 @@
   for (const auto& it : all) it->OnVmResumed();
 }
 
-void Gateway::Impl::Stop(DurationMs most_ms, std::function<void()> done) {
-  if (is_stopping) return;
-  is_stopping = true;
-  stop_started_at = MonotonicMs();
-  stop_deadline = stop_started_at + most_ms;
-  on_stopped = std::move(done);
-  const auto all = connections;
-  for (const auto& it : all) it->Drain(false);
-  Tick();
-}
-
-// Accepts new connections until the load balancer has noticed the stop, and none after that, as a
-// late request could not be completed before the process ends.
-void Gateway::Impl::ContinueStop() {
-  const TimeMs now = MonotonicMs();
-  if (now - stop_started_at < options.balancer_delay_ms && now < stop_deadline) return;
-  StopAccepting();
-  const bool is_late = now >= stop_deadline;
-  const auto all = connections;
-  for (const auto& it : all) {
-    if (is_late) {
-      it->ForceClose();
-    } else {
-      it->Drain(true);
-    }
-  }
-  if (!connections.empty() || !on_stopped) return;
-  pool.CloseAll();
-  std::exchange(on_stopped, nullptr)();
-}
-
 void Gateway::Impl::ApplyListing(const UpstreamListing& listing) {
   const TimeMs now = MonotonicMs();
   const bool is_first = listing_as_of == 0;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -5,11 +5,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "crash_detector.h"
@@ -20,6 +22,15 @@
 namespace junctionrail::internal {
 class CallerConnection;
 class Exchange;
+
+// What callers' connections hold.
+struct OpenWork {
+  std::int64_t in_flight = 0;  // Whole requests without a whole response.
+  std::int64_t begun = 0;      // Those whose response has begun.
+  std::int64_t receiving = 0;  // Requests of which a part was read.
+  std::int64_t ahead = 0;      // Connections on which more came behind a request in flight.
+};
+
 }  // namespace junctionrail::internal
 
 namespace junctionrail {
@@ -39,6 +50,7 @@
   // Applies the number of entries that agents count now.
   void UpdateEntryCount(TimeMs now);
   void ContinueStop();
+  void LogStop(std::string_view event);
 
   void ApplyListing(const UpstreamListing& listing);
   void ApplyEvacuations(const std::set<std::string>& halls, TimeMs as_of);
@@ -152,6 +164,7 @@
   bool is_stopping = false;
   TimeMs stop_started_at = 0;
   TimeMs stop_deadline = 0;
+  TimeMs stop_logged_at = 0;  // When the last line of the stop's progress was written.
   std::function<void()> on_stopped;
   SuspensionWatch suspension_watch;
   std::function<void()> on_vm_resumed;
--- a/test/event_log_test.cc
+++ b/test/event_log_test.cc
@@ -64,6 +64,18 @@
       "the next second says so");
 }
 
+// Guards against requests that the end of a process cuts and that no line names, as there are more
+// of them than the bound a second.
+TEST(EventLogs, LeaveNothingOutOnceTheBoundIsLifted) {
+  Pipe pipe;
+  EventLog log(To(pipe, 2));
+  for (int n = 0; n < 3; ++n) log.Write(1000, "often", {});
+  log.LiftBound();
+  for (int n = 0; n < 3; ++n) log.Write(1000, "often", {});
+  EXPECT_NUMBER(5, log.counters().written, "two before, all three after");
+  EXPECT_NUMBER(1, log.counters().over_bound, "left out before");
+}
+
 TEST(EventLogs, LoseLinesAndNothingElseWhenNobodyReads) {
   Pipe pipe;
   EventLog log(To(pipe, 1000000));
