Gateway: error responses are formatted by a type of their own

Cause: the fields and the body of an error response were put together within Exchange::Refuse, so nothing else could send one; a stop needs to. Change: ErrorResponse with FieldsOf and BodyOf; Execution moves there.

--- /dev/null
+++ b/src/gateway/error_response.h
@@ -0,0 +1,31 @@
+// The gateway's own error responses.
+#ifndef JUNCTIONRAIL_GATEWAY_ERROR_RESPONSE_H_
+#define JUNCTIONRAIL_GATEWAY_ERROR_RESPONSE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "junctionrail/base.h"
+#include "junctionrail/net.h"
+
+namespace junctionrail::internal {
+
+// Whether a request may have run at an upstream that sent no complete response.
+enum class Execution { kNotRun, kMayHaveRun };
+
+struct ErrorResponse {
+  unsigned status = 0;
+  std::string_view code;
+  std::string_view sentence;
+  Execution ran = Execution::kNotRun;
+  DurationMs retry_after_ms = 0;  // 0: not told.
+};
+
+std::vector<HttpHeader> FieldsOf(const ErrorResponse& response);
+// A JSON object.
+std::string BodyOf(const ErrorResponse& response);
+
+}  // namespace junctionrail::internal
+
+#endif  // JUNCTIONRAIL_GATEWAY_ERROR_RESPONSE_H_
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "attempt.h"
+#include "error_response.h"
 #include "event_stream.h"
 #include "gateway_impl.h"
 
@@ -101,9 +102,6 @@
   void OnFailed(int number, UpstreamFailure failure, std::string_view reason);
 
  private:
-  // Whether a request may have run at an upstream that sent no complete response.
-  enum class Execution { kNotRun, kMayHaveRun };
-
   void BeginAttempts();
   std::string_view ResumedRequest() const;
   bool IsResumption() const;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -8,7 +8,6 @@
 namespace junctionrail::internal {
 namespace {
 
-constexpr DurationMs kMinRetryAfterMs = 200;
 // A request whose answer has gone on for this long does not crash upstreams with what it holds.
 // Slow upstreams take several times as long as others until they crash.
 constexpr DurationMs kSoundAfterMs = 1500;
@@ -28,13 +27,6 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
-std::string FormatSeconds(DurationMs ms) {
-  const DurationMs rounded = std::max(ms, kMinRetryAfterMs);
-  std::string text = std::to_string(rounded / 1000) + ".";
-  const std::string part = std::to_string(rounded % 1000);
-  return text + std::string(3 - part.size(), '0') + part;
-}
-
 }  // namespace
 
 bool Exchange::IsRefusal(const UpstreamHead& head) const {
@@ -250,17 +242,11 @@
   CheckInvariant(ran == Execution::kMayHaveRun || possibly_run_attempts_ == 0,
                  "a request reported as not run was sent to no upstream that may have run it");
   const auto sink = sink_.lock();
-  std::vector<HttpHeader> fields;
+  const ErrorResponse response{status, code, sentence, ran, retry_after_ms};
+  std::vector<HttpHeader> fields = FieldsOf(response);
   if (!request_id_.empty())
-    fields.push_back({gateway_.options.header_names.request_id, request_id_});
-  fields.push_back({"Content-Type", "application/json"});
-  if (retry_after_ms > 0) fields.push_back({"Retry-After", FormatSeconds(retry_after_ms)});
-  std::string body = "{\"error\":{\"code\":\"" + std::string(code) + "\",\"message\":\"";
-  for (const char c : sentence) body.push_back(c == '"' || c == '\\' || c < ' ' ? '\'' : c);
-  body += "\",\"ran\":\"";
-  body += ran == Execution::kNotRun ? "no" : "unknown";
-  body += "\",\"retry_after_ms\":" + std::to_string(retry_after_ms) + "}}";
-  if (sink) sink->SendResponse(status, std::move(fields), std::move(body));
+    fields.insert(fields.begin(), {gateway_.options.header_names.request_id, request_id_});
+  if (sink) sink->SendResponse(status, std::move(fields), BodyOf(response));
   Finish(code, status);
 }
 
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -21,7 +21,7 @@
 }
 
 // Returns whether the request may have run there.
-Exchange::Execution Exchange::RecordFailure(Attempt* attempt, UpstreamFailure failure) {
+Execution Exchange::RecordFailure(Attempt* attempt, UpstreamFailure failure) {
   const bool is_broken = failure == UpstreamFailure::kBroken;
   const bool was_sent = is_broken || failure == UpstreamFailure::kMismatched;
   if (is_broken) ReportBrokenConnection(*attempt);
