Test: a stream that is taken late in a stop (known red)

Callers of a stopping entry got a stream that began and was cut. On a connection that is open at SIGTERM a response ends whose head promised to keep it; the caller's next request is sent on like any other, and cut by the end of the process.

--- /dev/null
+++ b/test/gateway_stop_test.cc
@@ -0,0 +1,106 @@
+// Requests at a gateway that stops: it takes only what it can complete, and says so of the rest.
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "check.h"
+#include "gateway_fixture.h"
+#include "junctionrail/gateway.h"
+#include "loopback.h"
+
+namespace junctionrail {
+namespace {
+
+using testing::Contains;
+using testing::EventChunk;
+using testing::EventStreamHead;
+using testing::MakeKeepAliveRequest;
+using testing::MakeRoute;
+using testing::OkResponse;
+using testing::RunFor;
+using testing::RunUntil;
+using testing::SeenRequest;
+using testing::TestCaller;
+using Peer = std::shared_ptr<testing::UpstreamPeer>;
+
+constexpr char kLastChunk[] = "0\r\n\r\n";
+constexpr DurationMs kStopMs = 4500;
+// In the second half of the stop, with time left for what ends soon.
+constexpr DurationMs kLateMs = 2300;
+// A late request with this deadline ends before the stop does.
+constexpr char kShortDeadline[] = "Junctionrail-Deadline-Ms: 500\r\n";
+
+std::string RequestWith(const std::string& line, const std::string& id, const std::string& fields) {
+  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: " + id + "\r\n" +
+         fields + "\r\n";
+}
+
+bool IsRefusedAsNotRun(const std::string& response) {
+  return Contains(response, "503 ") && Contains(response, "\"ran\":\"no\"");
+}
+
+// A stream whose head has promised to keep its connection, at a gateway that then stops.
+struct StreamInAStop {
+  StreamInAStop() {
+    GatewayOptions options;
+    options.balancer_delay_ms = 100;
+    fixture = std::make_unique<testing::GatewayFixture>(options);
+    fixture->AddUpstream("u1", "engine", [this](const SeenRequest& request, const Peer& peer) {
+      const std::string id = request.Field("Junctionrail-Request-Id");
+      peer->Write(EventStreamHead(id) + EventChunk(id == "first" ? 1 : 2));
+      if (id == "first") stream = peer;
+    });
+    fixture->AddUpstream("u2", "plain", [this](const SeenRequest& request, const Peer& peer) {
+      const bool is_answered = request.Line().find("/a/silent") == std::string::npos;
+      if (is_answered) peer->Write(OkResponse("ok", request.Field("Junctionrail-Request-Id")));
+    });
+    fixture->Configure({MakeRoute("/s/", RequestKind::kStreaming, "engine"),
+                        MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")});
+    caller = std::make_unique<TestCaller>(fixture->io, fixture->port);
+    caller->Send(MakeKeepAliveRequest("POST /s/", "first"));
+    EXPECT_TRUE(caller->AwaitText("id: 1"), "the stream begins");
+  }
+
+  void Stop(DurationMs most_ms = kStopMs) {
+    fixture->gateway->Stop(most_ms, [this] { is_stopped = true; });
+  }
+
+  void EndStream() {
+    stream->Write(kLastChunk);
+    EXPECT_TRUE(caller->AwaitText(kLastChunk), "the stream ends");
+    caller->Forget();
+  }
+
+  bool AwaitStop() {
+    return RunUntil(fixture->io, [this] { return is_stopped; });
+  }
+
+  const std::vector<SeenRequest>& Sent(int upstream) const {
+    return fixture->upstreams.at(upstream)->seen();
+  }
+
+  std::unique_ptr<testing::GatewayFixture> fixture;
+  std::unique_ptr<TestCaller> caller;
+  Peer stream;
+  bool is_stopped = false;
+};
+
+}  // namespace
+
+TEST_GROUP(GatewayStop){};
+
+// Guards against a stream that is sent on late in a stop, on a connection that was busy, and cut by
+// the end of the process.
+TEST(GatewayStop, RefusesAStreamThatCannotEndInTime) {
+  StreamInAStop test;
+  test.Stop();
+  RunFor(test.fixture->io, kLateMs);
+  test.EndStream();
+  test.caller->Send(MakeKeepAliveRequest("POST /s/", "second"));
+  test.caller->AwaitText("\r\n\r\n");
+  EXPECT_TRUE(IsRefusedAsNotRun(test.caller->received()), test.caller->received());
+  EXPECT_TRUE(Contains(test.caller->received(), "Connection: close"), test.caller->received());
+  EXPECT_NUMBER(1, test.Sent(0).size(), "requests sent to the upstream");
+}
+
+}  // namespace junctionrail
