Gateway: a stop begins only requests that it can complete

Callers saw streams that began late in a stop and were cut, and 502 with an unknown outcome for requests that may not be repeated. Cause: the end of the process was no deadline of what it took. Nothing that begins an attempt looked at the stop: not the next request on an open connection, not a body that became whole late, not a request that waited for a model or a quota. The stop also counted its time from when the signal was handled, the platform's from when it was sent, and closed connections in the same turn in which it answered. Change: StopSchedule has the times of a stop. What may have run goes on.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -106,6 +106,7 @@
   std::uint64_t cancelled = 0;            // The caller disconnected.
   std::uint64_t bad_requests = 0;
   std::uint64_t dropped_inputs = 0;  // Connections closed over bytes that got no response.
+  std::uint64_t stop_refusals = 0;   // By a stop, as it could not have completed the requests.
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
   std::uint64_t resumed_streams = 0;          // By callers, with a known origin.
@@ -151,7 +152,8 @@
 
   Result<std::uint16_t, NetError> Listen();
   // Drains: completes the requests in flight, closes each connection after its next response and
-  // then calls `done`, after `most_ms` at the latest.
+  // then calls `done`, after `most_ms` at the latest. Requests that arrive late are taken only if
+  // their deadline is before that, and refused otherwise.
   void Stop(DurationMs most_ms, std::function<void()> done);
 
   // Applies to requests that arrive from now on. Ignored unless newer than the current version.
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -118,6 +118,8 @@
   page.Counter("junctionrail_bad_requests_total", "Not understood.", it.bad_requests);
   page.Counter("junctionrail_dropped_inputs_total",
                "Connections closed over bytes that got no response.", it.dropped_inputs);
+  page.Counter("junctionrail_stop_refusals_total",
+               "Requests refused, as a stop could not have completed them.", it.stop_refusals);
   page.Counter("junctionrail_retries_total", "Attempts beyond the first.", it.retries);
   page.Counter("junctionrail_resumes_total", "Streams that went on elsewhere.", it.resumes);
   page.Counter("junctionrail_resumed_streams_total",
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -326,6 +326,10 @@
   if (closes_idle && IsIdle() && !HasInput() && !is_last_response_done_) CloseIdle();
 }
 
+void CallerConnection::AnswerStop() {
+  if (exchange_ && !exchange_->is_response_begun()) exchange_->OnStop();
+}
+
 void CallerConnection::ForceClose() {
   if (exchange_) exchange_->OnStop();
   // One non-blocking write passes what OnStop wrote to the kernel.
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -25,6 +25,8 @@
   // The next response announces the close and is the last one. With `closes_idle`, the connection
   // is closed now if no request is in flight or on its way.
   void Drain(bool closes_idle);
+  // Answers a request that has none yet, as the process is about to end.
+  void AnswerStop();
   // Closes now; a request in flight fails.
   void ForceClose();
   // The VM has resumed from a suspension.
--- a/src/gateway/error_response.h
+++ b/src/gateway/error_response.h
@@ -14,6 +14,12 @@
 // Whether a request may have run at an upstream that sent no complete response.
 enum class Execution { kNotRun, kMayHaveRun };
 
+// Of requests that a stopping process refuses.
+constexpr char kStoppingCode[] = "stopping";
+constexpr char kStoppingSentence[] = "the entry is shutting down";
+// Another entry can be reached at once.
+constexpr DurationMs kStoppingRetryAfterMs = 200;
+
 struct ErrorResponse {
   unsigned status = 0;
   std::string_view code;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -142,6 +142,7 @@
 void Exchange::AttemptNext() {
   const TimeMs now = MonotonicMs();
   if (now >= deadline_at_) return GiveUp(ExecutionSoFar(), "deadline");
+  if (!MayBegin(now)) return RefuseStopping();
   const bool awaits_quota = quota_ticket_ != 0 || upstream_quota_ticket_ != 0 || turn_ticket_ != 0;
   if (awaits_quota || !RecheckKey()) return;
   const bool is_refused = CurrentQuarantineStatus() == QuarantineStatus::kRefused;
@@ -159,6 +160,20 @@
   GiveUp(ExecutionSoFar(), none.reason);
 }
 
+// In a stop, a request is sent to an upstream only if it can be answered before the process ends.
+// One that may have run goes on, as it could only be refused with an unknown outcome.
+bool Exchange::MayBegin(TimeMs now) const {
+  const bool has_begun = is_response_begun_ || ExecutionSoFar() == Execution::kMayHaveRun;
+  return has_begun || gateway_.stop.MayBegin(deadline_at_, now);
+}
+
+void Exchange::RefuseStopping() {
+  ++gateway_.counters.stop_refusals;
+  // Its caller will want the model at another entry.
+  if (is_waiting_for_model_) gateway_.RecordRefusedWait(*this);
+  Refuse(kUnavailable, kStoppingCode, kStoppingSentence, Execution::kNotRun, kStoppingRetryAfterMs);
+}
+
 // No upstream of the service is in a place where the request may run, or of the version that began
 // its stream.
 void Exchange::RefusePlace(const NoUpstream& none) {
@@ -416,7 +431,7 @@
 void Exchange::OnStop() {
   if (is_finished_) return;
   CancelAttempts(AttemptOutcome::kCallerLeft);
-  GiveUp(ExecutionSoFar(), "the entry is shutting down");
+  GiveUp(ExecutionSoFar(), kStoppingSentence);
 }
 
 void Exchange::ArmTimer() {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -128,6 +128,8 @@
   void CancelPendingSend();
   void ReturnQuota();
   void AttemptNext();
+  bool MayBegin(TimeMs now) const;
+  void RefuseStopping();
   PickResult ChooseUpstream(TimeMs now);
   void RefusePlace(const NoUpstream& none);
   const RequestDigest& Digest();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -119,11 +119,11 @@
   auto connection = std::make_shared<internal::CallerConnection>(*this, std::move(socket));
   connections.insert(connection);
   connection->Start();
-  if (is_stopping) connection->Drain(false);
+  if (stop.has_begun()) connection->Drain(false);
 }
 
 void Gateway::Impl::Tick() {
-  tick_timer.expires_after(std::chrono::milliseconds(is_stopping ? kStopTickMs : kTickMs));
+  tick_timer.expires_after(std::chrono::milliseconds(TickInterval()));
   tick_timer.async_wait([self = shared_from_this()](error_code ec) {
     if (ec) return;
     self->CheckForSuspension();
@@ -146,7 +146,7 @@
       return self->shared_turns.count(name) > 0 || self->upstreams.LimitOf(name).has_value();
     });
     self->SendQuotaMessages();
-    if (self->is_stopping) {
+    if (self->stop.has_begun()) {
       self->ContinueStop();
       if (!self->on_stopped) return;
     }
@@ -154,6 +154,8 @@
   });
 }
 
+DurationMs Gateway::Impl::TickInterval() const { return stop.has_begun() ? kStopTickMs : kTickMs; }
+
 void Gateway::Impl::UpdateEntryCount(TimeMs now) {
   const int counted = upstreams.CountEntries(now);
   const int previous = entry_count.value();
@@ -172,6 +174,7 @@
   if (away_ms < kMinSuspensionMs) return;
   log.Write(MonotonicMs(), "resumed", {{"away_ms", away_ms}});
   if (on_vm_resumed) on_vm_resumed();
+  stop.OnVmResumed(away_ms);
   const auto all = connections;
   for (const auto& it : all) it->OnVmResumed();
 }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -17,6 +17,7 @@
 #include "crash_detector.h"
 #include "junctionrail/gateway.h"
 #include "short_answers.h"
+#include "stop_schedule.h"
 #include "upstream_pool.h"
 
 namespace junctionrail::internal {
@@ -45,11 +46,14 @@
   void AddConnection(boost::asio::ip::tcp::socket socket);
   void StopAccepting();
   void Tick();
+  DurationMs TickInterval() const;
   // What callers had sent by then has been read.
   TimeMs ReadUpTo() const { return tick_times.front(); }
   // Applies the number of entries that agents count now.
   void UpdateEntryCount(TimeMs now);
   void ContinueStop();
+  void EndStop(TimeMs now);
+  void FinishStop();
   void LogStop(std::string_view event);
 
   void ApplyListing(const UpstreamListing& listing);
@@ -161,9 +165,8 @@
   std::function<void(const UpstreamCrash&)> on_upstream_crash;
   std::function<void(const RequestDigest&)> on_request_quarantined;
   std::function<void(const RequestDigest&)> on_request_released;
-  bool is_stopping = false;
-  TimeMs stop_started_at = 0;
-  TimeMs stop_deadline = 0;
+  internal::StopSchedule stop;
+  bool is_stop_answering = false;
   TimeMs stop_logged_at = 0;  // When the last line of the stop's progress was written.
   std::function<void()> on_stopped;
   SuspensionWatch suspension_watch;
--- a/src/gateway/gateway_stop.cc
+++ b/src/gateway/gateway_stop.cc
@@ -28,10 +28,10 @@
 }
 
 void Gateway::Impl::Stop(DurationMs most_ms, std::function<void()> done) {
-  if (is_stopping) return;
-  is_stopping = true;
-  stop_started_at = MonotonicMs();
-  stop_deadline = stop_started_at + most_ms;
+  if (stop.has_begun()) return;
+  const TimeMs now = MonotonicMs();
+  stop.Begin(internal::EarliestSignalTime(tick_times, TickInterval(), now), most_ms,
+             options.balancer_delay_ms);
   on_stopped = std::move(done);
   LogStop("stop_begun");
   const auto all = connections;
@@ -39,26 +39,34 @@
   Tick();
 }
 
-// Accepts new connections until the load balancer has noticed the stop, and none after that, as a
-// late request could not be completed before the process ends.
 void Gateway::Impl::ContinueStop() {
   const TimeMs now = MonotonicMs();
   if (now - stop_logged_at >= kStopLineIntervalMs) LogStop("stop_progress");
-  if (now - stop_started_at < options.balancer_delay_ms && now < stop_deadline) return;
+  if (stop.AcceptsConnections(now)) return;
   StopAccepting();
-  const bool is_late = now >= stop_deadline;
-  if (is_late) {
+  if (now >= stop.answer_at()) return EndStop(now);
+  const auto all = connections;
+  for (const auto& it : all) it->Drain(true);
+  FinishStop();
+}
+
+// Answers come before the close, which could take them away from their callers.
+void Gateway::Impl::EndStop(TimeMs now) {
+  if (!is_stop_answering) {
+    is_stop_answering = true;
     LogStop("stop_deadline");
     log.LiftBound();
   }
+  const bool is_over = now >= stop.ends_at();
   const auto all = connections;
   for (const auto& it : all) {
-    if (is_late) {
-      it->ForceClose();
-    } else {
-      it->Drain(true);
-    }
+    it->AnswerStop();
+    is_over ? it->ForceClose() : it->Drain(true);
   }
+  FinishStop();
+}
+
+void Gateway::Impl::FinishStop() {
   if (!connections.empty() || !on_stopped) return;
   LogStop("stop_ended");
   pool.CloseAll();
@@ -73,7 +81,7 @@
   internal::OpenWork work;
   for (const auto& it : connections) it->CountWork(&work);
   log.Write(now, event,
-            {{"after_ms", now - stop_started_at},
+            {{"after_ms", now - stop.begun_at()},
              {"tick_age_ms", now - tick_times.back()},
              {"connections", static_cast<std::int64_t>(connections.size())},
              {"in_flight", work.in_flight},
--- a/test/gateway_stop_test.cc
+++ b/test/gateway_stop_test.cc
@@ -89,6 +89,8 @@
 
 TEST_GROUP(GatewayStop){};
 
+// --- A connection that is open as the stop begins ---
+
 // Guards against a stream that is sent on late in a stop, on a connection that was busy, and cut by
 // the end of the process.
 TEST(GatewayStop, RefusesAStreamThatCannotEndInTime) {
@@ -101,6 +103,74 @@
   EXPECT_TRUE(IsRefusedAsNotRun(test.caller->received()), test.caller->received());
   EXPECT_TRUE(Contains(test.caller->received(), "Connection: close"), test.caller->received());
   EXPECT_NUMBER(1, test.Sent(0).size(), "requests sent to the upstream");
+  EXPECT_NUMBER(1, test.fixture->gateway->counters().stop_refusals, "refusals by the stop");
+}
+
+// Guards against a late request that may not be repeated, and whose caller can only be told that it
+// may have run.
+TEST(GatewayStop, RefusesANonRepeatableRequestThatCannotEndInTime) {
+  StreamInAStop test;
+  test.Stop();
+  RunFor(test.fixture->io, kLateMs);
+  test.EndStream();
+  test.caller->Send(MakeKeepAliveRequest("POST /a/silent", "second"));
+  test.caller->AwaitText("\r\n\r\n");
+  EXPECT_TRUE(IsRefusedAsNotRun(test.caller->received()), test.caller->received());
+  EXPECT_NUMBER(0, test.Sent(1).size(), "requests sent to the upstream");
+}
+
+// Guards against refusals of requests that the stop leaves time for.
+TEST(GatewayStop, ServesALateRequestThatEndsInTime) {
+  StreamInAStop test;
+  test.Stop();
+  RunFor(test.fixture->io, kLateMs);
+  test.EndStream();
+  test.caller->Send(RequestWith("POST /a/", "second", kShortDeadline));
+  EXPECT_TRUE(test.caller->AwaitText("200 OK"), test.caller->received());
+}
+
+// --- Requests that arrive over a while ---
+
+// Guards against a request that is sent on late, as its body arrived over most of the stop.
+TEST(GatewayStop, RefusesABodyThatBecomesWholeLate) {
+  StreamInAStop test;
+  TestCaller caller(test.fixture->io, test.fixture->port);
+  caller.Send(RequestWith("POST /s/", "slow", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
+  RunFor(test.fixture->io, 50);
+  test.Stop();
+  RunFor(test.fixture->io, kLateMs);
+  caller.Send(kLastChunk);
+  caller.AwaitText("\r\n\r\n");
+  EXPECT_TRUE(IsRefusedAsNotRun(caller.received()), caller.received());
+  EXPECT_NUMBER(1, test.Sent(0).size(), "requests sent to the upstream");
+}
+
+// --- Requests that wait ---
+
+// Guards against a request that waits for a model until the process ends.
+TEST(GatewayStop, RefusesAWaitingRequestOnceItCannotEndInTime) {
+  testing::GatewayFixture fixture;
+  RoutingConfiguration configuration;
+  configuration.version = 1;
+  configuration.routes = {MakeRoute("/s/", RequestKind::kStreaming, "engine")};
+  EngineSpec spec;
+  spec.accelerator_mb = 100;
+  spec.models = {{"a", 60, 1, 1000, 300, 200}};
+  configuration.services = {{"engine", 64, spec}};
+  fixture.gateway->ApplyConfiguration(configuration);
+  fixture.AddUpstream("u1", "engine", [](const SeenRequest&, const Peer&) {});
+  EngineView view;
+  view.instance = "u1";
+  view.cached_models = {"a"};
+  fixture.gateway->ApplyView(view);
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(RequestWith("POST /s/", "first", "Junctionrail-Model: a\r\n"));
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return fixture.gateway->counters().model_waits == 1; }),
+              "waits");
+  fixture.gateway->Stop(3000, [] {});
+  caller.AwaitText("\r\n\r\n");
+  EXPECT_TRUE(IsRefusedAsNotRun(caller.received()), caller.received());
+  EXPECT_NUMBER(1, fixture.gateway->counters().stop_refusals, "refusals by the stop");
 }
 
 }  // namespace junctionrail
