Gateway: what is sent behind a request in flight stays unread

A caller that had sent its next request behind a stream got neither an answer nor a refusal for it when a stop or an upstream ended the stream. Cause: up to 64 KiB behind a request in flight were read and kept, and thrown away if the connection ended first. Change: they stay in the socket until the request in flight is answered. If the connection ends before, it is reset: the caller knows that the request was not taken, whatever its kind. Every 100 ms such a connection is checked for a caller that has closed behind them. input_dropped tells read bytes from unread ones.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -15,8 +15,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadBytes = 8 << 10;
-// The maximum a caller may send ahead while its request is in flight.
-constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 // The maximum of unsent output to a slow caller before reading from its upstream is paused.
 constexpr std::size_t kMaxUnsentBytes = 256 << 10;
 // Until a configuration, with its own limit, is known.
@@ -27,6 +25,8 @@
 
 // A timer that finds unread bytes of the caller lets them be read within this time.
 constexpr DurationMs kReadFirstMs = 10;
+// How often a caller that has sent its next request is checked for having closed.
+constexpr DurationMs kWatchIntervalMs = 100;
 
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kRequestTimeout = 408;
@@ -59,7 +59,7 @@
 
 // Bytes stay in the socket until they are handled, so that HasUnread() tells of all of them.
 void CallerConnection::Read() {
-  if (is_reading_ || is_closed_ || (exchange_ && buffer_.size() > kMaxPipelinedBytes)) return;
+  if (is_reading_ || is_closed_) return;
   is_reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
     self->is_reading_ = false;
@@ -74,6 +74,7 @@
     if (!HasUnread()) Close();
     return;
   }
+  if (exchange_) return WatchForEnd();
   error_code ec;
   const std::size_t n = socket_.read_some(buffer_.prepare(kReadBytes), ec);
   if (ec == asio::error::would_block) return Read();
@@ -84,10 +85,19 @@
     return Read();
   }
   buffer_.commit(n);
-  if (!exchange_) Parse();
+  Parse();
   Read();
 }
 
+// The next request stays unread until the one in flight is answered: if the connection ends before
+// that, it has certainly not run, and its caller may send it again.
+void CallerConnection::WatchForEnd() {
+  const SocketPeek peek = Peek(socket_);
+  if (peek.has_ended || IsFarEndClosed(socket_)) return Close();
+  if (!peek.has_input) return Read();
+  ArmTimer(kWatchIntervalMs);
+}
+
 bool CallerConnection::HasUnread() { return Peek(socket_).has_input; }
 
 bool CallerConnection::HasInput() { return parser_ || buffer_.size() > 0 || HasUnread(); }
@@ -230,7 +240,9 @@
 
 void CallerConnection::Abort() {
   exchange_.reset();
+  error_code ec;
   dropped_bytes_ += buffer_.size();
+  unread_bytes_ = socket_.available(ec);
   Close();
 }
 
@@ -240,7 +252,9 @@
 
 // Peeks at the socket: if this process was short of processor time, a close may be queued there
 // behind the request that it cancels.
-bool CallerConnection::HasDisconnected() { return is_closed_ || Peek(socket_).has_ended; }
+bool CallerConnection::HasDisconnected() {
+  return is_closed_ || Peek(socket_).has_ended || IsFarEndClosed(socket_);
+}
 
 void CallerConnection::FinishResponse(bool must_close) {
   exchange_.reset();
@@ -314,10 +328,11 @@
 }
 
 void CallerConnection::RecordDroppedInput() {
-  if (dropped_bytes_ == 0) return;
+  if (dropped_bytes_ + unread_bytes_ == 0) return;
   ++gateway_.counters.dropped_inputs;
   gateway_.log.Write(MonotonicMs(), "input_dropped",
-                     {{"bytes", static_cast<std::int64_t>(dropped_bytes_)}});
+                     {{"bytes", static_cast<std::int64_t>(dropped_bytes_)},
+                      {"unread", static_cast<std::int64_t>(unread_bytes_)}});
 }
 
 void CallerConnection::Drain(bool closes_idle) {
@@ -359,7 +374,7 @@
 }
 
 void CallerConnection::OnTimer() {
-  if (exchange_) return;
+  if (exchange_) return WatchForEnd();
   if (is_lingering_ || is_closing_idle_) return Close();
   if (is_last_response_done_) return ArmTimer(kLingerMs);
   // It is this process that was late.
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -50,6 +50,7 @@
 
   void Read();
   void OnReadable();
+  void WatchForEnd();
   // Whether the caller has sent bytes that wait in the socket.
   bool HasUnread();
   // Whether a request is being received, or its bytes wait.
@@ -92,6 +93,7 @@
   bool is_lingering_ = false;
   bool is_closing_idle_ = false;   // Its last response was sent long ago.
   std::size_t dropped_bytes_ = 0;  // Received, but not answered.
+  std::size_t unread_bytes_ = 0;   // Behind a request whose response was broken off.
   bool is_closed_ = false;
 };
 
--- a/src/net/socket_peek.cc
+++ b/src/net/socket_peek.cc
@@ -1,5 +1,7 @@
 #include "socket_peek.h"
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 
 namespace junctionrail::internal {
@@ -16,4 +18,9 @@
   return {false, !is_idle};
 }
 
+bool IsFarEndClosed(boost::asio::ip::tcp::socket& socket) {
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return poll(&state, 1, 0) != 0;
+}
+
 }  // namespace junctionrail::internal
--- a/src/net/socket_peek.h
+++ b/src/net/socket_peek.h
@@ -15,6 +15,9 @@
 // Makes the socket non-blocking.
 SocketPeek Peek(boost::asio::ip::tcp::socket& socket);
 
+// Whether the far end has closed or reset the connection, also behind input that was not read.
+bool IsFarEndClosed(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace junctionrail::internal
 
 #endif  // JUNCTIONRAIL_NET_SOCKET_PEEK_H_
--- a/test/gateway_stop_test.cc
+++ b/test/gateway_stop_test.cc
@@ -145,6 +145,31 @@
   EXPECT_NUMBER(1, test.Sent(0).size(), "requests sent to the upstream");
 }
 
+// --- Requests sent ahead ---
+
+// Guards against a request that is read behind a stream, and dropped with it at the end of the
+// stop: its caller could not tell whether it had run.
+TEST(GatewayStop, LeavesARequestBehindAStreamUnread) {
+  StreamInAStop test;
+  test.Stop(1000);
+  RunFor(test.fixture->io, 300);
+  test.caller->Send(MakeKeepAliveRequest("POST /s/", "second"));
+  EXPECT_TRUE(test.AwaitStop(), "the stop completes");
+  EXPECT_TRUE(test.caller->AwaitEnd(), "the connection ends");
+  EXPECT_TRUE(test.caller->WasReset(), "the second request was left unread");
+  EXPECT_NUMBER(1, test.fixture->gateway->counters().requests, "requests taken");
+}
+
+// Guards against an upstream that works on for a caller which has sent its next request and left.
+TEST(GatewayStop, NoticesThatACallerLeavesBehindItsNextRequest) {
+  StreamInAStop test;
+  test.caller->Send(MakeKeepAliveRequest("POST /s/", "second"));
+  RunFor(test.fixture->io, 50);
+  test.caller->Close();
+  EXPECT_TRUE(RunUntil(test.fixture->io, [&] { return test.stream->IsEnded(); }),
+              "the upstream's connection is closed");
+}
+
 // --- Requests that wait ---
 
 // Guards against a request that waits for a model until the process ends.
--- a/test/support/loopback.cc
+++ b/test/support/loopback.cc
@@ -220,16 +220,17 @@
 
 void TestCaller::Read() {
   const auto chunk = std::make_shared<std::array<char, 4096>>();
-  socket_->async_read_some(
-      asio::buffer(*chunk),
-      [this, chunk, received = received_, is_ended = is_ended_](error_code ec, std::size_t n) {
-        if (ec) {
-          *is_ended = true;
-          return;
-        }
-        received->append(chunk->data(), n);
-        Read();
-      });
+  socket_->async_read_some(asio::buffer(*chunk),
+                           [this, chunk, received = received_, is_ended = is_ended_,
+                            was_reset = was_reset_](error_code ec, std::size_t n) {
+                             if (ec) {
+                               *is_ended = true;
+                               *was_reset = ec == asio::error::connection_reset;
+                               return;
+                             }
+                             received->append(chunk->data(), n);
+                             Read();
+                           });
 }
 
 bool TestCaller::AwaitText(const std::string& text) {
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -84,6 +84,8 @@
   // Runs until `text` has come or the connection has ended.
   bool AwaitText(const std::string& text);
   bool AwaitEnd();
+  // Whether the far end reset the connection, as it had not read all that was sent.
+  bool WasReset() const { return *was_reset_; }
   void Close();
   const std::string& received() const { return *received_; }
   void Forget() { received_->clear(); }
@@ -95,6 +97,7 @@
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
   std::shared_ptr<std::string> received_ = std::make_shared<std::string>();
   std::shared_ptr<bool> is_ended_ = std::make_shared<bool>(false);
+  std::shared_ptr<bool> was_reset_ = std::make_shared<bool>(false);
   bool is_connected_ = false;
 };
 
