Gateway: the end of a stop answers requests of which a part has come

A caller whose body was still on its way at the end of a stop saw its connection close without a word. Cause: only whole requests were answered. Result: AnswersABodyThatIsNotWholeAtItsEnd fails on the code before (no answer); passes now.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -32,6 +32,7 @@
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kContentTooLarge = 413;
 constexpr unsigned kHeaderFieldsTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
@@ -342,7 +343,17 @@
 }
 
 void CallerConnection::AnswerStop() {
-  if (exchange_ && !exchange_->is_response_begun()) exchange_->OnStop();
+  const bool is_answerable = exchange_ && !exchange_->is_response_begun();
+  if (is_answerable) return exchange_->OnStop();
+  const bool is_receiving = !exchange_ && parser_ && !is_last_response_done_;
+  if (!is_receiving) return;
+  ++gateway_.counters.stop_refusals;
+  gateway_.log.Write(MonotonicMs(), "request_incomplete",
+                     {{"received_ms", MonotonicMs() - request_started_at_}});
+  is_head_method_ = false;
+  const ErrorResponse response{kUnavailable, kStoppingCode, kStoppingSentence, Execution::kNotRun,
+                               kStoppingRetryAfterMs};
+  SendResponse(response.status, FieldsOf(response), BodyOf(response));
 }
 
 void CallerConnection::ForceClose() {
--- a/test/gateway_stop_test.cc
+++ b/test/gateway_stop_test.cc
@@ -145,6 +145,17 @@
   EXPECT_NUMBER(1, test.Sent(0).size(), "requests sent to the upstream");
 }
 
+// Guards against callers that learn nothing of a request of which a part was read.
+TEST(GatewayStop, AnswersABodyThatIsNotWholeAtItsEnd) {
+  StreamInAStop test;
+  TestCaller caller(test.fixture->io, test.fixture->port);
+  caller.Send(RequestWith("POST /s/", "slow", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
+  RunFor(test.fixture->io, 50);
+  test.Stop(1000);
+  EXPECT_TRUE(caller.AwaitEnd(), "the connection ends");
+  EXPECT_TRUE(IsRefusedAsNotRun(caller.received()), caller.received());
+}
+
 // --- Requests sent ahead ---
 
 // Guards against a request that is read behind a stream, and dropped with it at the end of the
