Soak: persistent callers, slow bodies, and requests taken late in a stop

Cause: the soak's judge excused any request that its upstream was still at work on at the end of a stop, also one that was sent late in it; no caller sent its next request at once, and all bodies came whole. Change: only requests sent within three eighths of the grace time are excused; two callers send their next request at once on the connection that they have; one body in six arrives over up to 2.5 s. The test of the judge is new, none is changed.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
+#include <sstream>
 #include <utility>
 
 namespace junctionrail::soak {
@@ -22,6 +23,9 @@
 // Of its streams a caller cuts one in so many, so long after it was sent.
 constexpr int kLeaveOneIn = 8;
 constexpr DurationMs kLeaveMs = 150;
+// Of its requests with a body one in so many takes up to so long to be sent.
+constexpr int kSlowOneIn = 6;
+constexpr std::uint64_t kSlowMs = 2500;
 // A stream is taken up so often.
 constexpr int kMostTries = 3;
 
@@ -52,6 +56,7 @@
       organisation_(std::move(organisation)),
       pace_(io),
       patience_(io),
+      rest_(io),
       leave_(io),
       habit_(habit),
       is_part_alone_(HasDeadlyPart() && random_() % 2 == 0) {}
@@ -62,6 +67,7 @@
   is_stopped_ = true;
   pace_.Cancel();
   patience_.Cancel();
+  rest_.Cancel();
   leave_.Cancel();
   error_code ec;
   if (socket_) socket_->close(ec);
@@ -129,27 +135,58 @@
 }
 
 void Caller::Send() {
-  is_awaiting_ = true;
   judge_.OnSent(id_, entry_, organisation_, AllowedHalls(*route_, organisation_));
-  judge_.retries.OnRequest(route_->is_stream ? kEngineService : kPlainService);
-  const bool is_get = !route_->is_stream && route_->may_repeat;
-  std::string request = is_get ? "GET" : "POST";
-  request += " /" + route_->name + "/" + (IsDeadly() ? "x" : stream_) +
-             " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + id_ +
-             "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " +
-             organisation_ + "\r\n";
-  if (route_->is_stream) {
-    request += "Model: " + model_ + "\r\nPrompt-Prefix: " + prompt_ + "\r\n";
-  }
+  const std::string body = IsDeadly() ? kDeadlyBody : "body of " + stream_;
+  const bool is_slow = !IsGet() && !IsDeadly() && requests_ % kSlowOneIn == 0;
+  if (is_slow) return SendSlowly(body);
+  const std::string rest =
+      IsGet() ? "\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  Write(RequestHead() + rest);
+  OnWholeSent();
+}
+
+bool Caller::IsGet() const { return !route_->is_stream && route_->may_repeat; }
+
+// Up to the fields that tell of the body.
+std::string Caller::RequestHead() const {
+  std::string head = IsGet() ? "GET" : "POST";
+  head += " /" + route_->name + "/" + (IsDeadly() ? "x" : stream_) +
+          " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: " + id_ +
+          "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\nKey: key of " + organisation_ +
+          "\r\n";
+  if (route_->is_stream) head += "Model: " + model_ + "\r\nPrompt-Prefix: " + prompt_ + "\r\n";
   if (last_event_ > 0) {
-    request += "Last-Event-Id: " + std::to_string(last_event_) + "\r\nResumes: " + stream_ + "\r\n";
+    head += "Last-Event-Id: " + std::to_string(last_event_) + "\r\nResumes: " + stream_ + "\r\n";
   }
-  const std::string body = IsDeadly() ? kDeadlyBody : "body of " + stream_;
-  request += is_get ? "\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  const auto text = std::make_shared<std::string>(std::move(request));
+  return head;
+}
+
+void Caller::SendSlowly(const std::string& body) {
+  Write(RequestHead() + "Transfer-Encoding: chunked\r\n\r\n1\r\n" + body.substr(0, 1) + "\r\n");
+  std::ostringstream rest;
+  rest << std::hex << body.size() - 1 << "\r\n" << body.substr(1) << "\r\n0\r\n\r\n";
+  const auto delay = static_cast<DurationMs>(random_() % kSlowMs);
+  rest_.After(delay, [self = shared_from_this(), round = round_, rest = rest.str()] {
+    if (round != self->round_ || self->is_stopped_) return;
+    self->Write(rest);
+    self->judge_.OnSent(self->id_, self->entry_, self->organisation_,
+                        AllowedHalls(*self->route_, self->organisation_));
+    self->OnWholeSent();
+  });
+}
+
+void Caller::Write(std::string bytes) {
+  const auto text = std::make_shared<std::string>(std::move(bytes));
   asio::async_write(*socket_, asio::buffer(*text), [text](error_code, std::size_t) {});
 }
 
+void Caller::OnWholeSent() {
+  is_awaiting_ = true;
+  judge_.retries.OnRequest(route_->is_stream ? kEngineService : kPlainService);
+  patience_.After(kDeadlineMs + 500,
+                  [self = shared_from_this()] { self->Broken("no answer in time"); });
+}
+
 void Caller::Read() {
   socket_->async_read_some(asio::buffer(chunk_), [self = shared_from_this(), socket = socket_](
                                                      error_code ec, std::size_t n) {
@@ -262,7 +299,12 @@
   judge_.OnServed(id_, route_->name);
   if (tries_ > 1) judge_.OnResumed(true);
   last_event_ = 0;
-  Again(habit_ == CallerHabit::kEager ? kEagerPaceMs : kPaceMs);
+  Again(Pace());
+}
+
+DurationMs Caller::Pace() const {
+  if (habit_ == CallerHabit::kPersistent) return 0;
+  return habit_ == CallerHabit::kEager ? kEagerPaceMs : kPaceMs;
 }
 
 void Caller::Broken(const std::string&) {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -18,6 +18,7 @@
 enum class CallerHabit {
   kMixed,       // Any route, at a moderate rate.
   kEager,       // Repeatable requests to the plain service, shortly after the last answer.
+  kPersistent,  // Any route; the next request follows the last answer at once.
   kDeadly,      // Repeats the request that ends engines.
   kDeadlyPart,  // Sends requests, no two alike, with the prompt part that ends engines.
 };
@@ -37,6 +38,12 @@
   void Next();
   void Connect();
   void Send();
+  std::string RequestHead() const;
+  // Sends the head and a part of the body now, and the rest after a while.
+  void SendSlowly(const std::string& body);
+  void Write(std::string bytes);
+  // The whole of the request has been sent.
+  void OnWholeSent();
   void Read();
   void OnText();
   void CheckPlain(const std::string& body);
@@ -54,6 +61,8 @@
   void Leave();
   void TakeUpOrGoOn();
   void Again(DurationMs delay);
+  DurationMs Pace() const;
+  bool IsGet() const;
   bool IsDeadly() const { return habit_ == CallerHabit::kDeadly; }
   bool HasDeadlyPart() const { return habit_ == CallerHabit::kDeadlyPart; }
   const RouteSpec& ChooseRoute();
@@ -69,6 +78,7 @@
   std::array<char, 8192> chunk_;
   Timer pace_;
   Timer patience_;
+  Timer rest_;   // Sends the rest of a body.
   Timer leave_;  // Cuts its connection within a stream, to take the stream up again.
   std::string text_;
   std::string id_;
--- a/soak/judge_answers.cc
+++ b/soak/judge_answers.cc
@@ -13,6 +13,8 @@
 constexpr DurationMs kAfterGraceMs = 1000;
 // A request that an upstream was still at work on in the last part of the grace time may be cut.
 constexpr DurationMs kLastOfGraceMs = kGraceMs / 6;
+// That holds for requests which were sent by then: a stopping entry knows what it can complete.
+constexpr DurationMs kSentByMs = kGraceMs * 3 / 8;
 // Bound on applying changed settings, and a configuration with the drains that follow it.
 constexpr DurationMs kReloadMs = 2000;
 constexpr DurationMs kConfigureMs = 3000;
@@ -69,7 +71,7 @@
   const auto attempts = attempts_.find(request);
   const bool ends_in_stop = stopped_at != 0 && clock_() >= last_part_at;
   if (!ends_in_stop || attempts == attempts_.end()) return false;
-  return sent.at <= stopped_at + kGraceMs &&
+  return sent.at <= stopped_at + kSentByMs &&
          std::any_of(attempts->second.begin(), attempts->second.end(), [&](const Attempt& it) {
            return it.done_at == 0 || it.done_at >= last_part_at;
          });
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -26,6 +26,8 @@
 constexpr int kCallers = 10;
 // The other callers alone send less than the rate of a cold upstream.
 constexpr int kEagerCallers = 4;
+// Their connections are seldom idle: a stop finds them busy, and their next requests follow late.
+constexpr int kPersistentCallers = 2;
 constexpr DurationMs kStartMs = 1500;
 // After the faults, planned work without any of them: for so long, once so much time has passed.
 constexpr DurationMs kPlannedMs = 8000;
@@ -45,6 +47,9 @@
     for (int n = 0; n < kEagerCallers; ++n) {
       AddCaller("eager" + std::to_string(n), kOrganisations[0], CallerHabit::kEager);
     }
+    for (int n = 0; n < kPersistentCallers; ++n) {
+      AddCaller("persistent" + std::to_string(n), kOrganisations[0], CallerHabit::kPersistent);
+    }
     AddCaller("deadly", kOrganisations[0], CallerHabit::kDeadly);
     AddCaller("deadly-part", kOrganisations[0], CallerHabit::kDeadlyPart);
   }
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -267,6 +267,22 @@
   EXPECT_TRUE(!(Unanswered{true, kLastPartMs - 1}.Judged(Stop, until(0))).empty(), "cut too early");
 }
 
+// Guards against excusing requests that a stopping entry took although it could not complete them.
+TEST(SoakJudge, ReportsARequestThatIsTakenLateInAStopAndCut) {
+  constexpr DurationMs kSentByMs = kGraceMs * 3 / 8;
+  const auto sent_after = [](DurationMs ms) {
+    return [ms](Bench& b) {
+      b.judge.OnStop(0);
+      b.now += ms;
+    };
+  };
+  EXPECT_TEXT("", (Unanswered{true, kGraceMs - kSentByMs}.Judged(sent_after(kSentByMs), Nothing)),
+              "sent in time");
+  const DurationMs late = kSentByMs + 1;
+  EXPECT_TRUE(!(Unanswered{true, kGraceMs - late}.Judged(sent_after(late), Nothing)).empty(),
+              "sent late");
+}
+
 // Guards against false reports of what an unplanned fault ended, which may be over by then.
 TEST(SoakJudge, ExcusesARequestBesideAnUnplannedFault) {
   const auto with = [](const Unanswered::Step& fault, DurationMs ago_ms, bool was_passed_on) {
