Net: a signal is not the end of a caller's connection

Cause: poll() fails with EINTR if a signal is pending, also without a wait, and IsFarEndClosed, new with the requests that stay unread, took that for a closed connection. The exchange ended as cancelled while its caller waited. Change: only a positive result counts. The answer to an incomplete request at the end of a stop names the request.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -26,6 +26,8 @@
 // Of its requests with a body one in so many takes up to so long to be sent.
 constexpr int kSlowOneIn = 6;
 constexpr std::uint64_t kSlowMs = 2500;
+// Between two parts of a body, well within the shortest idle timeout.
+constexpr DurationMs kPartMs = 150;
 // A stream is taken up so often.
 constexpr int kMostTries = 3;
 
@@ -162,17 +164,25 @@
 }
 
 void Caller::SendSlowly(const std::string& body) {
-  Write(RequestHead() + "Transfer-Encoding: chunked\r\n\r\n1\r\n" + body.substr(0, 1) + "\r\n");
-  std::ostringstream rest;
-  rest << std::hex << body.size() - 1 << "\r\n" << body.substr(1) << "\r\n0\r\n\r\n";
-  const auto delay = static_cast<DurationMs>(random_() % kSlowMs);
-  rest_.After(delay, [self = shared_from_this(), round = round_, rest = rest.str()] {
-    if (round != self->round_ || self->is_stopped_) return;
-    self->Write(rest);
-    self->judge_.OnSent(self->id_, self->entry_, self->organisation_,
-                        AllowedHalls(*self->route_, self->organisation_));
-    self->OnWholeSent();
-  });
+  Write(RequestHead() + "Transfer-Encoding: chunked\r\n\r\n");
+  SendPart(body, MonotonicMs() + static_cast<DurationMs>(random_() % kSlowMs));
+}
+
+void Caller::SendPart(const std::string& body, TimeMs whole_at) {
+  const bool is_last = MonotonicMs() >= whole_at || body.size() == 1;
+  const std::string part = is_last ? body : body.substr(0, 1);
+  std::ostringstream chunk;
+  chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
+  if (is_last) {
+    Write(chunk.str() + "0\r\n\r\n");
+    judge_.OnSent(id_, entry_, organisation_, AllowedHalls(*route_, organisation_));
+    return OnWholeSent();
+  }
+  Write(chunk.str());
+  rest_.After(kPartMs,
+              [self = shared_from_this(), round = round_, rest = body.substr(1), whole_at] {
+                if (round == self->round_ && !self->is_stopped_) self->SendPart(rest, whole_at);
+              });
 }
 
 void Caller::Write(std::string bytes) {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -39,8 +39,9 @@
   void Connect();
   void Send();
   std::string RequestHead() const;
-  // Sends the head and a part of the body now, and the rest after a while.
+  // Sends the body in parts, over a while.
   void SendSlowly(const std::string& body);
+  void SendPart(const std::string& body, TimeMs whole_at);
   void Write(std::string bytes);
   // The whole of the request has been sent.
   void OnWholeSent();
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -14,6 +14,9 @@
 constexpr DurationMs kStoreLoadMs = 500;
 constexpr DurationMs kDiskLoadMs = 120;
 constexpr DurationMs kEventMs = 15;
+// One stream in so many is slow, and lasts for a large part of a stop's grace time.
+constexpr DurationMs kSlowEventMs = 180;
+constexpr std::uint64_t kSlowOneIn = 5;
 // From the beginning of a deadly run to the engine's end, and to its next start.
 constexpr DurationMs kDeadlyRunMs = 60;
 constexpr DurationMs kRestartMs = 1000;
@@ -364,6 +367,10 @@
   judge_.OnDone(request, instance_, std::max(MonotonicMs(), silent_until_));
 }
 
+DurationMs Upstream::EventInterval(const std::string& stream) {
+  return RendezvousScore(stream, "pace") % kSlowOneIn == 0 ? kSlowEventMs : kEventMs;
+}
+
 // Each event names the version that sent it.
 void Upstream::Stream(const StreamWay& way, int next) {
   if (way.peer->IsEnded()) return TellDone(way.request);
@@ -382,7 +389,7 @@
     return way.peer->Reset();
   }
   write(event);
-  After(kEventMs, [this, way, next] { Stream(way, next + 1); });
+  After(EventInterval(way.stream), [this, way, next] { Stream(way, next + 1); });
 }
 
 // One with a length is followed by the answer that is due. One without may be the last bytes for
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -98,6 +98,7 @@
     bool is_chunked = true;  // Otherwise it ends with its connection.
     std::string request;
   };
+  static DurationMs EventInterval(const std::string& stream);
   void Stream(const StreamWay& way, int next);
   // Calls it once what is written to the peer now is sent; not if the peer has ended by then.
   void OnceSent(const Peer& peer, std::function<void()> call);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -6,6 +6,7 @@
 
 #include "../net/socket_peek.h"
 #include "http_text.h"
+#include "request_fields.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -353,7 +354,11 @@
   is_head_method_ = false;
   const ErrorResponse response{kUnavailable, kStoppingCode, kStoppingSentence, Execution::kNotRun,
                                kStoppingRetryAfterMs};
-  SendResponse(response.status, FieldsOf(response), BodyOf(response));
+  std::vector<HttpHeader> fields = FieldsOf(response);
+  const std::string& name = gateway_.options.header_names.request_id;
+  const std::string* id = FindField(request_.fields, name);
+  if (id != nullptr && IsName(*id)) fields.push_back({name, *id});
+  SendResponse(response.status, std::move(fields), BodyOf(response));
 }
 
 void CallerConnection::ForceClose() {
--- a/src/net/socket_peek.cc
+++ b/src/net/socket_peek.cc
@@ -18,9 +18,10 @@
   return {false, !is_idle};
 }
 
+// A signal that arrives now makes poll() fail, which tells nothing of the connection.
 bool IsFarEndClosed(boost::asio::ip::tcp::socket& socket) {
   pollfd state{socket.native_handle(), POLLRDHUP, 0};
-  return poll(&state, 1, 0) != 0;
+  return poll(&state, 1, 0) > 0;
 }
 
 }  // namespace junctionrail::internal
--- a/test/gateway_stop_test.cc
+++ b/test/gateway_stop_test.cc
@@ -3,10 +3,12 @@
 #include <memory>
 #include <string>
 
+#include "../src/net/socket_peek.h"
 #include "check.h"
 #include "gateway_fixture.h"
 #include "junctionrail/gateway.h"
 #include "loopback.h"
+#include "signal_storm.h"
 
 namespace junctionrail {
 namespace {
@@ -154,6 +156,7 @@
   test.Stop(1000);
   EXPECT_TRUE(caller.AwaitEnd(), "the connection ends");
   EXPECT_TRUE(IsRefusedAsNotRun(caller.received()), caller.received());
+  EXPECT_TRUE(Contains(caller.received(), "Junctionrail-Request-Id: slow"), caller.received());
 }
 
 // --- Requests sent ahead ---
@@ -181,6 +184,21 @@
               "the upstream's connection is closed");
 }
 
+// Guards against a request that gets no answer, as a signal that arrives with it is taken for the
+// end of its caller's connection.
+TEST(GatewayStop, TakesNoSignalForTheEndOfAConnection) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  TestCaller caller(io, acceptor.local_endpoint().port());
+  boost::asio::ip::tcp::socket socket = acceptor.accept();
+  testing::SignalStorm storm;
+  int ended = 0;
+  for (int n = 0; n < 200000; ++n) {
+    if (internal::Peek(socket).has_ended || internal::IsFarEndClosed(socket)) ++ended;
+  }
+  EXPECT_NUMBER(0, ended, "times at which the connection counted as ended");
+}
+
 // --- Requests that wait ---
 
 // Guards against a request that waits for a model until the process ends.
