Gateway: a request in the same segment as another one stays unread

A caller that sent two requests in one segment saw an orderly end of its connection if the first one's stream was cut, and could not tell whether the second one had run. Cause: a read takes up to 8 KiB, whatever it holds; what followed a whole request was kept in the process and dropped with the connection. Change: bytes are looked at in the socket and parsed; only those up to the end of the request are consumed.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "caller_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -77,17 +78,39 @@
     return;
   }
   if (exchange_) return WatchForEnd();
+  if (is_lingering_) return DropInput();
   error_code ec;
-  const std::size_t n = socket_.read_some(buffer_.prepare(kReadBytes), ec);
+  peeked_bytes_ = socket_.receive(asio::buffer(buffer_.prepare(kReadBytes)),
+                                  asio::ip::tcp::socket::message_peek, ec);
   if (ec == asio::error::would_block) return Read();
   if (ec) return Close();
   last_activity_at_ = MonotonicMs();
-  if (is_lingering_) {
-    dropped_bytes_ += n;
-    return Read();
-  }
-  buffer_.commit(n);
+  buffer_.commit(peeked_bytes_);
   Parse();
+  if (is_closed_) return;
+  ConsumeFromSocket(std::exchange(peeked_bytes_, 0));
+  Read();
+}
+
+// What follows a whole request stays in the socket until the request is answered.
+void CallerConnection::ConsumeParsed() {
+  const std::size_t behind = std::min(buffer_.size(), peeked_bytes_);
+  ConsumeFromSocket(std::exchange(peeked_bytes_, 0) - behind);
+  buffer_.consume(behind);
+}
+
+void CallerConnection::ConsumeFromSocket(std::size_t n) {
+  std::array<char, kReadBytes> consumed;
+  error_code ec;
+  while (n > 0 && !ec) n -= socket_.read_some(asio::buffer(consumed.data(), n), ec);
+}
+
+void CallerConnection::DropInput() {
+  std::array<char, kReadBytes> dropped;
+  error_code ec;
+  const std::size_t n = socket_.read_some(asio::buffer(dropped), ec);
+  if (ec && ec != asio::error::would_block) return Close();
+  dropped_bytes_ += n;
   Read();
 }
 
@@ -127,7 +150,10 @@
       const bool is_body_awaited = !parser_->is_done() && buffer_.size() == 0;
       if (expect != parser_->get().end() && is_body_awaited) Write(kContinue);
     }
-    if (parser_->is_done()) return Dispatch();
+    if (parser_->is_done()) {
+      ConsumeParsed();
+      return Dispatch();
+    }
     if (ec == http::error::need_more && IsLineTooLong())
       return Reject(kHeaderFieldsTooLarge, "trailer_too_large");
     if (ec == http::error::need_more || n == 0) return;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -53,12 +53,16 @@
   void Read();
   void OnReadable();
   void WatchForEnd();
+  void DropInput();
   // Whether the caller has sent bytes that wait in the socket.
   bool HasUnread();
   // Whether a request is being received, or its bytes wait.
   bool HasInput();
   DurationMs IdleTimeout() const;
   void Parse();
+  // Removes from the socket what was parsed, and forgets the rest.
+  void ConsumeParsed();
+  void ConsumeFromSocket(std::size_t n);
   void OnParseError(boost::system::error_code ec);
   bool IsFramingUnambiguous() const;
   bool IsLineTooLong() const;
@@ -95,6 +99,7 @@
   bool is_last_response_done_ = false;  // Closes once all output is written.
   bool is_lingering_ = false;
   bool is_closing_idle_ = false;   // Its last response was sent long ago.
+  std::size_t peeked_bytes_ = 0;   // At the end of `buffer_`; they are still in the socket.
   std::size_t dropped_bytes_ = 0;  // Received, but not answered.
   std::size_t unread_bytes_ = 0;   // Behind a request whose response was broken off.
   bool is_closed_ = false;
--- a/test/gateway_stop_end_test.cc
+++ b/test/gateway_stop_end_test.cc
@@ -149,6 +149,23 @@
   EXPECT_TRUE(test.caller->AwaitText(kLastChunk), "500 of 6000 ms have passed");
 }
 
+// Guards against a second request that is read with the first one and dropped with it: its caller
+// sees an orderly end, and cannot tell whether the second one ran.
+TEST(GatewayStopEnd, TellsThatARequestInTheSameSegmentDidNotRun) {
+  Fixture fixture(WithoutBalancerDelay());
+  fixture.AddUpstream("u1", "engine", [](const SeenRequest& request, const Peer& peer) {
+    peer->Write(EventStreamHead(request.Field("Junctionrail-Request-Id")) + EventChunk(1));
+  });
+  fixture.Configure({MakeRoute("/s/", RequestKind::kStreaming, "engine")});
+  TestCaller caller(fixture.io, fixture.port);
+  caller.Send(MakeKeepAliveRequest("POST /s/", "first") +
+              MakeKeepAliveRequest("POST /s/", "second"));
+  EXPECT_TRUE(caller.AwaitText("id: 1"), "the stream begins");
+  fixture.gateway->Stop(1000, [] {});
+  EXPECT_TRUE(caller.AwaitEnd(), "the connection ends");
+  EXPECT_TRUE(caller.WasReset(), "the second request counts as unread");
+}
+
 // Guards against streams that are cut though they have ended: the process stood still around the
 // end of its stop, and their ends wait in the sockets of the upstream.
 TEST(GatewayStopEnd, RelaysEndsOfStreamsThatAStandstillLeftUnread) {
