Gateway: unfinished responses have a bound in sum

Callers of sound upstreams lost their requests when one faulty upstream sent many responses without an end at once: each response has a bound (16 MiB a body, 1 MiB an event, 64 KiB a head or framing), but their sum had none, and the entry ran out of memory.

ResponseMemory counts what the attempts of an entry hold: unread parts of heads and framing, heads, bodies that are kept until they are whole, and partial events, those of kept silent attempts among them. Once that is more than 32 MiB of one upstream or 64 MiB in all (both chosen), the largest attempt of the upstream that holds the most ends as one that may have run, so that a response of a sound upstream does not fail for those of a faulty one. Attempts end from a handler posted to the event loop, so that no exchange is ended from within a callback of another; each connection may be read once more until then. An attempt that has ended frees its body and partial event at once; before, they were kept until the next attempt or the end of the exchange.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -5,6 +5,7 @@
 #define JUNCTIONRAIL_GATEWAY_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -127,6 +128,7 @@
   std::uint64_t backoff_requests = 0;            // Upstream refusals that asked for a backoff.
   std::uint64_t malformed_notices = 0;
   std::uint64_t surplus_responses = 0;
+  std::uint64_t excess_responses = 0;  // Ended, as unfinished ones held too many bytes in sum.
   std::uint64_t upstream_connections = 0;
   TrafficByDistance traffic;
 };
@@ -218,6 +220,8 @@
   const QuarantineTable& quarantine() const;
 
   const GatewayCounters& counters() const;
+  // What unfinished responses of upstreams hold.
+  std::size_t held_response_bytes() const;
   const LatencyHistogram& first_byte_latency() const;
   // Age of the upstream list at each attempt.
   const LatencyHistogram& listing_age() const;
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -137,6 +137,11 @@
                it.model_waits);
   page.Counter("junctionrail_surplus_answers_total", "Answers nobody asked for.",
                it.surplus_responses);
+  page.Counter("junctionrail_excess_responses_total",
+               "Attempts ended, as unfinished responses held too many bytes in sum.",
+               it.excess_responses);
+  page.Gauge("junctionrail_held_response_bytes", "What unfinished responses of upstreams hold.",
+             static_cast<double>(gateway.held_response_bytes()));
   page.Counter("junctionrail_upstream_connections_total", "Connections opened to upstreams.",
                it.upstream_connections);
   AddTraffic(it.traffic, &page);
--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -26,6 +26,11 @@
   if (exchange) exchange->OnBody(number_, data);
 }
 
+void AttemptListener::OnUnread(std::size_t bytes) {
+  const auto exchange = exchange_.lock();
+  if (exchange) exchange->OnUnread(number_, bytes);
+}
+
 void AttemptListener::OnEnd(ResponseEnd end) {
   const auto exchange = exchange_.lock();
   if (exchange) exchange->OnEnd(number_, end);
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -2,12 +2,14 @@
 #ifndef JUNCTIONRAIL_GATEWAY_ATTEMPT_H_
 #define JUNCTIONRAIL_GATEWAY_ATTEMPT_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "junctionrail/quarantine.h"
+#include "response_memory.h"
 #include "upstream_pool.h"
 
 namespace junctionrail::internal {
@@ -34,6 +36,8 @@
   bool is_confirming_end = false;    // Whether the upstream lives, whose response has ended.
   std::optional<UpstreamHead> response_head;
   std::string response_body;
+  ResponseMemory::AttemptId memory_id = 0;
+  std::size_t unread_bytes = 0;  // Received, and not yet told of by its call.
   bool is_event_stream = false;
   bool is_ended_by_close = false;  // The response ended with its connection.
   bool is_paused = false;          // Not read from, as the caller is slow.
@@ -52,6 +56,7 @@
   bool MaySend(TimeMs connected_at) override;
   void OnHead(UpstreamHead head) override;
   void OnBody(std::string_view data) override;
+  void OnUnread(std::size_t bytes) override;
   void OnEnd(ResponseEnd end) override;
   void OnFailed(UpstreamFailure failure, std::string_view reason) override;
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -54,9 +54,11 @@
   OnRetryArrived(&unsent_retry_consumed_at_);
   OnRetryArrived(&attempt_.retry_consumed_at);
   gateway_.crash_detector.OnAttemptOver(attempt_.instance, this);
+  RemoveFromResponseMemory(&attempt_);
   for (auto& it : silent_) {
     OnRetryArrived(&it.retry_consumed_at);
     gateway_.crash_detector.OnAttemptOver(it.instance, this);
+    RemoveFromResponseMemory(&it);
   }
 }
 
@@ -293,6 +295,7 @@
   attempt_.retry_consumed_at = std::exchange(unsent_retry_consumed_at_, 0);
   attempt_.is_open = true;
   attempt_.instance = instance;
+  AddToResponseMemory(&attempt_);
   attempt_.wire_id = upstream->WireId();
   attempt_.version = upstream->software_version;
   RecordVersionChange();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -4,6 +4,7 @@
 #define JUNCTIONRAIL_GATEWAY_EXCHANGE_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -98,6 +99,7 @@
   bool MaySend(int number, TimeMs connected_at);
   void OnHead(int number, UpstreamHead head);
   void OnBody(int number, std::string_view data);
+  void OnUnread(int number, std::size_t bytes);
   void OnEnd(int number, ResponseEnd end);
   void OnFailed(int number, UpstreamFailure failure, std::string_view reason);
 
@@ -148,6 +150,11 @@
   void OnEndConfirmed(PortState state);
   void OnBrokenOff(std::string_view reason);
   void OnTooLong(std::string_view reason);
+  void AddToResponseMemory(Attempt* attempt);
+  void RemoveFromResponseMemory(Attempt* attempt);
+  // What the attempt holds has changed.
+  void RecordHeldBytes(const Attempt& attempt);
+  void EndForMemory(int number, std::string_view reason);
   void ReportBrokenConnection(const Attempt& attempt);
   void CompleteResponse();
   void CancelAttempt(Attempt* attempt, AttemptOutcome end);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -55,6 +55,7 @@
   attempt_.is_event_stream = is_success && route_->kind == RequestKind::kStreaming &&
                              (type == nullptr || type->find("event-stream") != std::string::npos);
   attempt_.response_head = std::move(head);
+  RecordHeldBytes(attempt_);
   if (IsRefusal(*attempt_.response_head)) return OnUpstreamRefusal(*attempt_.response_head);
   if (IsUnsealedSuccess(*attempt_.response_head)) {
     attempt_.call->Cancel();
@@ -102,6 +103,7 @@
   if (!IsCurrent(number)) return;
   if (attempt_.is_event_stream) {
     const std::string whole = events_.Feed(data);
+    RecordHeldBytes(attempt_);
     if (events_.partial_event().size() > kMaxEventBytes) return OnTooLong(kEventTooLong);
     if (whole.empty()) return;
     OnProgress();
@@ -123,12 +125,12 @@
   if (attempt_.response_body.size() + data.size() > kMaxBodyBytes) return OnTooLong(kBodyTooLong);
   OnProgress();
   attempt_.response_body += data;
+  RecordHeldBytes(attempt_);
 }
 
 // The upstream sends without an end, and is still there.
 void Exchange::OnTooLong(std::string_view reason) {
   CancelAttempt(&attempt_, AttemptOutcome::kFailed);
-  attempt_.response_body = std::string();
   AfterAttempt(Execution::kMayHaveRun, true, reason);
 }
 
@@ -217,6 +219,7 @@
   // explicit statement.
   const bool implies_not_run =
       status == kUnavailable || status == kTooManyRequests || status == kRequestTimeout;
+  std::string body = std::move(attempt_.response_body);
   EndAttempt(&attempt_, status >= 500 ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
   if (implies_not_run) {
     return AfterAttempt(Execution::kMayHaveRun, true, "status " + std::to_string(status));
@@ -231,8 +234,7 @@
   const auto sink = sink_.lock();
   if (!sink) return;
   gateway_.first_byte_latency.Add(MonotonicMs() - request_.arrived_at);
-  sink->SendResponse(status, EndToEndFields(attempt_.response_head->fields),
-                     std::move(attempt_.response_body));
+  sink->SendResponse(status, EndToEndFields(attempt_.response_head->fields), std::move(body));
   Finish(is_success ? "served" : "passed_failure", status);
 }
 
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -64,6 +64,7 @@
   attempt->call = nullptr;
   attempt->is_confirming_end = false;
   attempt->is_open = false;
+  RemoveFromResponseMemory(attempt);
 }
 
 void Exchange::LogAttempt(const Attempt& attempt, Execution ran, std::string_view reason) const {
--- a/src/gateway/exchange_silence.cc
+++ b/src/gateway/exchange_silence.cc
@@ -144,6 +144,7 @@
 void Exchange::OnSilentBody(Attempt* silent, std::string_view data) {
   if (silent->is_event_stream) {
     silent->partial_event += data;
+    RecordHeldBytes(*silent);
     const bool is_whole = EventStreamReader::HoldsWholeEvent(silent->partial_event);
     if (!is_whole && silent->partial_event.size() > kMaxEventBytes) {
       silent->call->Cancel();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -101,6 +101,15 @@
   return acceptor.local_endpoint().port();
 }
 
+// To end another exchange from within a callback would change what the callback still uses.
+void Gateway::Impl::EndExcessResponsesSoon() {
+  if (std::exchange(is_excess_end_scheduled, true)) return;
+  boost::asio::post(io, [self = shared_from_this()] {
+    self->is_excess_end_scheduled = false;
+    self->response_memory.EndExcess();
+  });
+}
+
 void Gateway::Impl::Accept() {
   acceptor.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted) return;
@@ -427,11 +436,13 @@
 const GatewayCounters& Gateway::counters() const {
   impl_->counters.surplus_responses = impl_->pool.counters().surplus_responses;
   impl_->counters.traffic = impl_->pool.counters().traffic;
+  impl_->counters.excess_responses = impl_->response_memory.ended_attempts();
   impl_->counters.upstream_connections = impl_->pool.counters().opened_connections;
   return impl_->counters;
 }
 const LatencyHistogram& Gateway::first_byte_latency() const { return impl_->first_byte_latency; }
 const LatencyHistogram& Gateway::listing_age() const { return impl_->listing_age; }
+std::size_t Gateway::held_response_bytes() const { return impl_->response_memory.held_bytes(); }
 DurationMs Gateway::ConfigurationAge() const { return impl_->ConfigurationAge(MonotonicMs()); }
 
 }  // namespace junctionrail
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -16,6 +16,7 @@
 
 #include "crash_detector.h"
 #include "junctionrail/gateway.h"
+#include "response_memory.h"
 #include "short_answers.h"
 #include "stop_schedule.h"
 #include "upstream_pool.h"
@@ -122,6 +123,9 @@
   void ApplyStreamOrigin(std::uint64_t ticket, const std::optional<StreamOrigin>& origin);
   void OnStreamBegun(const BegunStream& begun);
 
+  // Ends attempts that hold too much, once the current callback has returned.
+  void EndExcessResponsesSoon();
+
   // This entry's share of the connections to one upstream; 0: no limit.
   int MaxConnections(const UpstreamRecord& upstream) const;
 
@@ -134,6 +138,8 @@
   EntryCount entry_count;
   TimeMs started_at = MonotonicMs();
   internal::UpstreamPool pool;
+  internal::ResponseMemory response_memory;
+  bool is_excess_end_scheduled = false;
   QuarantineTable quarantine;
   PromptPartTable prompt_parts;
   Timer judge_timer;
--- a/src/gateway/response_reader.h
+++ b/src/gateway/response_reader.h
@@ -76,7 +76,8 @@
   ResponseEvent OnClosed();
 
   // Whether bytes were received that no event has told of.
-  bool HasUnread() const { return buffer_.size() > 0; }
+  bool HasUnread() const { return unread_bytes() > 0; }
+  std::size_t unread_bytes() const { return buffer_.size(); }
   // After ResponseComplete: whether the connection may carry another request.
   bool MayReuse() const;
   std::uint64_t surplus_responses() const { return surplus_responses_; }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -87,6 +87,7 @@
     is_paused_ = false;
     has_sent_all_ = false;
     reader_.Begin(message_.request_id, message_.is_head_method);
+    reported_unread_ = 0;
     ++generation_;
     if (is_connected_) {
       asio::post(pool_->io_, [self = shared_from_this(), use = generation_] {
@@ -216,11 +217,17 @@
       const std::uint64_t surplus_before = reader_.surplus_responses();
       auto event = reader_.Next();
       pool_->counters_.surplus_responses += reader_.surplus_responses() - surplus_before;
-      if (!event) return Read();
+      if (!event) return ReadOn();
       Handle(std::move(*event));
     }
   }
 
+  void ReadOn() {
+    const std::size_t unread = reader_.unread_bytes();
+    if (std::exchange(reported_unread_, unread) != unread) listener_->OnUnread(unread);
+    Read();
+  }
+
   void Handle(ResponseEvent event) {
     std::visit([this](auto& it) { On(it); }, event);
   }
@@ -287,6 +294,7 @@
   DurationMs idle_timeout_ms_ = kDefaultIdleTimeoutMs;
   TimeMs connected_at_ = 0;
   TimeMs idle_until_ = 0;
+  std::size_t reported_unread_ = 0;
   bool is_connected_ = false;
   bool is_reading_ = false;
   bool is_paused_ = false;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -38,6 +38,9 @@
   virtual bool MaySend(TimeMs connected_at) = 0;
   virtual void OnHead(UpstreamHead head) = 0;
   virtual void OnBody(std::string_view data) = 0;
+  // How many bytes are kept that were received and that no other callback has told of: a part of a
+  // head, or of the framing of a body. Called when that changes.
+  virtual void OnUnread(std::size_t bytes) = 0;
   virtual void OnEnd(ResponseEnd end) = 0;
   virtual void OnFailed(UpstreamFailure failure, std::string_view reason) = 0;
 };
