--- a/src/daemon/version_ledger.cc
+++ b/src/daemon/version_ledger.cc
@@ -1,10 +1,10 @@
 #include "version_ledger.h"
 
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "junctionrail/checked_json.h"
-#include "junctionrail/stream_origins.h"
 
 namespace junctionrail::internal {
 namespace {
@@ -50,15 +50,18 @@
 }  // namespace
 
 VersionLedger::VersionLedger(boost::asio::io_context& io, platform::StoreClient& store,
-                             EventLog& log, std::string entry)
-    : io_(io), store_(store), log_(log), entry_(std::move(entry)) {}
+                             EventLog& log, std::string entry, DurationMs retention_ms)
+    : io_(io), store_(store), log_(log), entry_(std::move(entry)), retention_ms_(retention_ms) {}
 
 void VersionLedger::SetListing(const std::vector<UpstreamRecord>& records,
                                const std::set<std::string>& services) {
   const TimeMs now = MonotonicMs();
+  std::map<std::string, Versions> listed;
   for (const auto& it : records) {
-    if (services.count(it.service) > 0) services_[it.service].listed_at[it.software_version] = now;
+    if (services.count(it.service) > 0) listed[it.service].insert(it.software_version);
   }
+  for (const auto& [name, versions] : listed) services_.try_emplace(name);
+  for (auto& [name, service] : services_) ApplyListed(listed[name], now, &service);
   for (const auto& [name, service] : services_) {
     if (service.is_writing || !NeedsWrite(service, now)) continue;
     const auto delay = static_cast<DurationMs>(RendezvousScore(entry_, name) % kSpreadMs);
@@ -70,11 +73,28 @@
   for (auto& [name, service] : services_) service.recorded.clear();
 }
 
+// The time counts from the first listing without the version, not from the last one with it: while
+// the store cannot be read there are no listings, and upstreams serve on.
+void VersionLedger::ApplyListed(const Versions& listed, TimeMs now, Service* service) const {
+  auto& versions = service->missing_since;
+  for (auto it = versions.begin(); it != versions.end();) {
+    if (!it->second) it->second = now;
+    // What another entry records of it later is news.
+    const bool is_forgotten = IsExpired(it->second, now) && service->recorded.count(it->first) == 0;
+    it = is_forgotten ? versions.erase(it) : std::next(it);
+  }
+  for (const auto& it : listed) versions[it] = std::nullopt;
+}
+
+bool VersionLedger::IsExpired(const std::optional<TimeMs>& missing_since, TimeMs now) const {
+  return missing_since && now - *missing_since >= retention_ms_;
+}
+
 // A version that is no longer listed stays for as long as a stream may be resumed.
 VersionLedger::Versions VersionLedger::Expected(const Service& service, TimeMs now) const {
   Versions versions;
-  for (const auto& [version, listed_at] : service.listed_at) {
-    if (now - listed_at < StreamOriginLimits().ttl_ms) versions.insert(version);
+  for (const auto& [version, missing_since] : service.missing_since) {
+    if (!IsExpired(missing_since, now)) versions.insert(version);
   }
   return versions;
 }
@@ -101,7 +121,7 @@
     Service& service = self->services_[name];
     // Another entry may have seen a version that this one has not: it stays until this one has
     // missed it for long enough.
-    for (const auto& it : recorded.versions) service.listed_at.try_emplace(it, now);
+    for (const auto& it : recorded.versions) service.missing_since.try_emplace(it, now);
     const Versions versions = self->Expected(service, now);
     if (versions == recorded.versions) {
       service.recorded = versions;
--- a/src/daemon/version_ledger.h
+++ b/src/daemon/version_ledger.h
@@ -16,6 +16,7 @@
 #include "junctionrail/event_log.h"
 #include "junctionrail/listing.h"
 #include "junctionrail/net.h"
+#include "junctionrail/stream_origins.h"
 #include "platform.h"
 
 namespace junctionrail::internal {
@@ -23,12 +24,16 @@
 class VersionLedger : public std::enable_shared_from_this<VersionLedger> {
  public:
   using Versions = std::set<std::string>;
+  // A version stays recorded for so long after it was last listed: a stream may be resumed within
+  // the lifetime of its origin, and upstreams serve for some seconds after their records have gone.
+  static constexpr DurationMs kRetentionMs = StreamOriginLimits().ttl_ms + 30000;
+
   // nullopt: the store did not answer.
   using Done = std::function<void(const std::optional<Versions>& versions)>;
 
   // `entry` spreads the writes of several entries over a short time.
   VersionLedger(boost::asio::io_context& io, platform::StoreClient& store, EventLog& log,
-                std::string entry);
+                std::string entry, DurationMs retention_ms = kRetentionMs);
 
   // Records the versions that these upstreams of services with resumable streams run.
   void SetListing(const std::vector<UpstreamRecord>& records,
@@ -40,13 +45,16 @@
 
  private:
   struct Service {
-    std::map<std::string, TimeMs> listed_at;  // When a version was last listed.
-    Versions recorded;                        // As far as this process knows.
+    // When a listing first lacked a version; nullopt: the last listing has it.
+    std::map<std::string, std::optional<TimeMs>> missing_since;
+    Versions recorded;  // As far as this process knows.
     bool is_writing = false;
     std::vector<Done> waiting;       // For the reading that is under way.
     std::vector<Done> waiting_next;  // For the one after it.
   };
 
+  void ApplyListed(const Versions& listed, TimeMs now, Service* service) const;
+  bool IsExpired(const std::optional<TimeMs>& missing_since, TimeMs now) const;
   bool NeedsWrite(const Service& service, TimeMs now) const;
   Versions Expected(const Service& service, TimeMs now) const;
   void ScheduleWrite(const std::string& name, DurationMs delay);
@@ -59,6 +67,7 @@
   platform::StoreClient& store_;
   EventLog& log_;
   std::string entry_;
+  DurationMs retention_ms_;
   std::map<std::string, Service> services_;  // By name.
 };
 
--- a/test/stream_versions_test.cc
+++ b/test/stream_versions_test.cc
@@ -112,9 +112,20 @@
     return caller.received();
   }
 
+  // Returns a new entry's address after all others have ended.
+  Endpoint ReplaceEntries() {
+    const std::size_t n = places_used_;
+    while (!entries.empty()) StopEntry(0);
+    ++places_used_;
+    AddEntry(EntrySettings(n));
+    return EntryAddress(n);
+  }
+
+  // An empty name of the request that began the stream is not sent.
   std::string Resume(const Endpoint& entry, const std::string& id, const std::string& begun) {
+    const std::string resumes = begun.empty() ? "" : "Resumes: " + begun + "\r\n";
     TestCaller caller(io, entry);
-    caller.Send(Request(id, "Last-Event-Id: 2\r\nResumes: " + begun + "\r\n"));
+    caller.Send(Request(id, "Last-Event-Id: 2\r\n" + resumes));
     caller.AwaitEnd();
     return caller.received();
   }
@@ -123,6 +134,9 @@
 
   std::vector<std::string> instances;
   std::vector<std::unique_ptr<ScriptedUpstream>> engines;
+
+ private:
+  std::size_t places_used_ = 2;  // Of entries; tests add at most two.
 };
 
 // The service and version that sent the last event.
@@ -132,6 +146,11 @@
   return answer.substr(at + 6, answer.find('\n', at) - at - 6);
 }
 
+bool IsRefusedAsUnknown(const std::string& answer) {
+  return HasText(answer, " 503 ") && HasText(answer, "unknown_origin") &&
+         HasText(answer, "\"ran\":\"no\"");
+}
+
 std::string Name(const std::string& kind, int n) { return kind + std::to_string(n); }
 
 }  // namespace
@@ -276,4 +295,41 @@
   }
 }
 
+// Guards against entries that start after all others have ended and take any version for the
+// stream's.
+TEST(StreamVersions, KeepTheirVersionAfterAllEntriesHaveEnded) {
+  World world;
+  for (const char* version : {"v1", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  world.AddEntry();
+  std::vector<std::string> begun;
+  for (int n = 0; n < kStreams; ++n) {
+    begun.push_back(LabelOf(world.Begin(world.EntryAddress(n % 2 == 0 ? 0 : 1), Name("a", n))));
+  }
+  RunFor(world.io, kReportedMs);
+  const Endpoint entry = world.ReplaceEntries();
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string answer = world.Resume(entry, Name("b", n), Name("a", n));
+    EXPECT_TEXT(begun[static_cast<std::size_t>(n)], LabelOf(answer), answer);
+    const std::string without_id = world.Resume(entry, Name("c", n), "");
+    EXPECT_TRUE(IsRefusedAsUnknown(without_id), without_id);
+  }
+}
+
+// Guards against an inference from the one version that still serves after all entries have ended.
+TEST(StreamVersions, AreRefusedIfTheirVersionLeftBeforeAllEntriesEnded) {
+  World world;
+  for (const char* version : {"v1", "v2"}) world.AddEngine(version);
+  world.AddEntry();
+  world.AddEntry();
+  RunFor(world.io, kReportedMs);
+  world.RemoveEngine(0);
+  RunFor(world.io, kListedMs);
+  const Endpoint entry = world.ReplaceEntries();
+  for (const char* begun : {"forgotten", ""}) {
+    const std::string answer = world.Resume(entry, "b", begun);
+    EXPECT_TRUE(IsRefusedAsUnknown(answer), answer);
+  }
+}
+
 }  // namespace junctionrail::internal
