Streams: malformed recorded versions do not count as none

Callers who resumed a stream of unknown origin got the rest from the one version that was listed, though the versions recorded of the service could not be read and may have named another one.

An entry that found the text malformed took it for an empty record, wrote its own listing over it and inferred the origin from that.

StreamVersions.AreRefusedIfTheRecordedVersionsAreMalformed failed on the code before: 200 and the rest of the stream at v2.

--- a/src/daemon/origin_client.cc
+++ b/src/daemon/origin_client.cc
@@ -128,6 +128,9 @@
                              const std::optional<VersionLedger::Versions>& versions) {
     if (life.expired()) return;
     if (!versions) return Answer(ticket, std::nullopt, "store_unavailable");
+    if (versions->count(VersionLedger::kUnknownVersion) > 0) {
+      return Answer(ticket, std::nullopt, "versions_unknown");
+    }
     const auto listed = gateway_.upstreams().OnlyOrigin({service});
     const bool is_other_listed = gateway_.upstreams().HasSeveralVersions(service) ||
                                  (listed && versions->count(listed->version) == 0);
--- a/src/daemon/version_ledger.cc
+++ b/src/daemon/version_ledger.cc
@@ -24,13 +24,13 @@
   return DumpJson(json{{"versions", versions}});
 }
 
-// Returns nullopt if the text is malformed.
-std::optional<VersionLedger::Versions> FromText(const std::string& text) {
+// A malformed text may have named any version.
+VersionLedger::Versions FromText(const std::string& text) {
   const json document = json::parse(text, nullptr, false);
   try {
     return document.at("versions").get<VersionLedger::Versions>();
   } catch (const json::exception&) {
-    return std::nullopt;
+    return {VersionLedger::kUnknownVersion};
   }
 }
 
@@ -40,11 +40,10 @@
   std::int64_t revision = 0;  // 0: nothing is recorded.
 };
 
-// Nothing is known from a text that is malformed; it is written again.
 Recorded FromRead(const platform::StoreRead& read) {
   if (read.items.empty()) return Recorded{};
   const platform::StoreItem& item = read.items.front();
-  return {FromText(item.value).value_or(VersionLedger::Versions()), item.revision};
+  return {FromText(item.value), item.revision};
 }
 
 }  // namespace
--- a/src/daemon/version_ledger.h
+++ b/src/daemon/version_ledger.h
@@ -24,6 +24,8 @@
 class VersionLedger : public std::enable_shared_from_this<VersionLedger> {
  public:
   using Versions = std::set<std::string>;
+  // Recorded among the versions while others may be missing there: no origin follows from them.
+  static constexpr char kUnknownVersion[] = "(unknown)";
   // A version stays recorded for so long after it was last listed: a stream may be resumed within
   // the lifetime of its origin, and upstreams serve for some seconds after their records have gone.
   static constexpr DurationMs kRetentionMs = StreamOriginLimits().ttl_ms + 30000;
--- a/test/stream_versions_test.cc
+++ b/test/stream_versions_test.cc
@@ -146,6 +146,8 @@
   return answer.substr(at + 6, answer.find('\n', at) - at - 6);
 }
 
+constexpr char kRecordedKey[] = "stream-versions/s1";
+
 bool IsRefusedAsUnknown(const std::string& answer) {
   return HasText(answer, " 503 ") && HasText(answer, "unknown_origin") &&
          HasText(answer, "\"ran\":\"no\"");
@@ -332,4 +334,17 @@
   }
 }
 
+// Guards against recorded versions that cannot be read and count as none.
+TEST(StreamVersions, AreRefusedIfTheRecordedVersionsAreMalformed) {
+  World world;
+  world.store.Put(kRecordedKey, R"({"versions":"v1")");
+  world.AddEngine("v2");
+  world.AddEntry();
+  RunFor(world.io, kListedMs);
+  for (const char* begun : {"forgotten", ""}) {
+    const std::string answer = world.Resume(world.EntryAddress(0), "b", begun);
+    EXPECT_TRUE(IsRefusedAsUnknown(answer), answer);
+  }
+}
+
 }  // namespace junctionrail::internal
