Streams: the service that a route leads to now is not taken for the first

Callers whose route had been moved to another service since their stream began got the rest of it from that service, with status 200, if no process was left that knew the stream or they did not name the request that began it.

An entry inferred the origin from the service that the route leads to now and the versions recorded of that service. The services that each route led to lately are now recorded in the store like the versions of a service (`stream-services/`), by the same class; an origin is inferred only if the service of the route is the only one recorded. It costs one more reading for a caller whose stream no holder knows.

StreamVersions.AreRefusedIfTheServiceOfTheirRouteHasChanged failed on the code before: 200 and the rest from s2/v2 of a stream that s1/v1 began.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -67,7 +67,8 @@
 struct UnknownStream {
   std::uint64_t ticket = 0;           // Of the question.
   std::string stream;                 // Empty: the caller does not name the stream.
-  std::vector<std::string> services;  // That the route leads to; the stream began at one of them.
+  std::string route;                  // Its name.
+  std::vector<std::string> services;  // That the route leads to now.
 };
 
 // A stream that has sent its first event here.
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -295,15 +295,20 @@
     if (reply) origins_.OnReply(instance, *reply);
   }
 
-  // Services of routes on which callers may resume streams.
+  // Of the services of routes on which callers may resume streams.
   void RecordStreamVersions(const UpstreamListing& listing) {
     if (!gateway_.has_configuration()) return;
     std::set<std::string> services;
+    std::map<std::string, VersionLedger::Services> services_by_route;
     for (const auto& route : gateway_.configuration().routes) {
       if (!route.is_resumable) continue;
-      for (const auto& it : route.traffic_split) services.insert(it.service);
+      for (const auto& it : route.traffic_split) {
+        services.insert(it.service);
+        if (it.weight > 0) services_by_route[route.name].insert(it.service);
+      }
     }
     ledger_->SetListing(listing.records, services);
+    ledger_->SetRouteServices(services_by_route);
   }
 
   QuarantineFollower::Callbacks QuarantineCallbacks() {
--- a/src/daemon/origin_client.cc
+++ b/src/daemon/origin_client.cc
@@ -118,17 +118,30 @@
   if (it->second.asked.empty()) InferFromLedger(it->second.unknown);
 }
 
-// With a single version recorded by a reading that began after the request had arrived, and no
-// other one listed since, the stream began there, whoever knew it.
+// The stream began at the service that the route leads to if no other one is recorded of it.
 void OriginClient::InferFromLedger(const UnknownStream& unknown) {
   const std::uint64_t ticket = unknown.ticket;
   if (unknown.services.size() != 1) return Answer(ticket, std::nullopt, "several_services");
   const std::string service = unknown.services.front();
+  ledger_->ReadRouteServices(
+      unknown.route, [this, ticket, service, life = std::weak_ptr<bool>(lifetime_)](
+                         const std::optional<VersionLedger::Services>& services) {
+        if (life.expired()) return;
+        if (!services) return Answer(ticket, std::nullopt, "store_unavailable");
+        const bool is_only_one = *services == VersionLedger::Services{service};
+        if (!is_only_one) return Answer(ticket, std::nullopt, "several_services");
+        InferVersion(ticket, service);
+      });
+}
+
+// With a single version recorded by a reading that began after the request had arrived, and no
+// other one listed since, the stream began there, whoever knew it.
+void OriginClient::InferVersion(std::uint64_t ticket, const std::string& service) {
   ledger_->Read(service, [this, ticket, service, life = std::weak_ptr<bool>(lifetime_)](
                              const std::optional<VersionLedger::Versions>& versions) {
     if (life.expired()) return;
     if (!versions) return Answer(ticket, std::nullopt, "store_unavailable");
-    if (versions->count(VersionLedger::kUnknownVersion) > 0) {
+    if (versions->count(VersionLedger::kUnknownName) > 0) {
       return Answer(ticket, std::nullopt, "versions_unknown");
     }
     const auto listed = gateway_.upstreams().OnlyOrigin({service});
--- a/src/daemon/origin_client.h
+++ b/src/daemon/origin_client.h
@@ -53,6 +53,7 @@
   void Ask(const UnknownStream& unknown);
   void OnNotHeld(std::uint64_t ticket, const std::string& instance);
   void InferFromLedger(const UnknownStream& unknown);
+  void InferVersion(std::uint64_t ticket, const std::string& service);
   void Answer(std::uint64_t ticket, const std::optional<StreamOrigin>& origin,
               std::string_view source);
 
--- a/src/gateway/exchange_resume.cc
+++ b/src/gateway/exchange_resume.cc
@@ -45,7 +45,7 @@
     return ApplyOrigin(gateway_.upstreams.OnlyOrigin(RouteServices()));
   }
   ArmTimer();
-  gateway_.AskForOrigin(shared_from_this(), {0, stream, RouteServices()});
+  gateway_.AskForOrigin(shared_from_this(), {0, stream, route_->name, RouteServices()});
 }
 
 // A stream whose origin is unknown goes on nowhere: any upstream could be of another version than
--- a/test/stream_versions_test.cc
+++ b/test/stream_versions_test.cc
@@ -347,4 +347,23 @@
   }
 }
 
+// Guards against the service that the route names now being taken for the one that began the
+// stream.
+TEST(StreamVersions, AreRefusedIfTheServiceOfTheirRouteHasChanged) {
+  World world;
+  for (const char* service : {"s1", "s2"})
+    world.AddEngine(service[1] == '1' ? "v1" : "v2", service);
+  world.AddEntry();
+  EXPECT_TEXT("s1/v1", LabelOf(world.Begin(world.EntryAddress(0), "a")), "begins at s1");
+  RunFor(world.io, kReportedMs);
+  std::string changed = Configuration(R"("service":"s2")");
+  changed.replace(changed.find("\"version\":1"), 11, "\"version\":2");
+  world.store.Put("op/config", changed);
+  RunFor(world.io, kListedMs);
+  EXPECT_TEXT("s2/v2", LabelOf(world.Begin(world.EntryAddress(0), "c")), "the route has changed");
+  const Endpoint entry = world.ReplaceEntries();
+  const std::string answer = world.Resume(entry, "b", "");
+  EXPECT_TRUE(IsRefusedAsUnknown(answer), answer);
+}
+
 }  // namespace junctionrail::internal
