--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -5,6 +5,7 @@
 #define JUNCTIONRAIL_GATEWAY_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -67,7 +68,8 @@
 struct UnknownStream {
   std::uint64_t ticket = 0;           // Of the question.
   std::string stream;                 // Empty: the caller does not name the stream.
-  std::vector<std::string> services;  // That the route leads to; the stream began at one of them.
+  std::string route;                  // Its name.
+  std::vector<std::string> services;  // That the route leads to now.
 };
 
 // A stream that has sent its first event here.
@@ -127,6 +129,7 @@
   std::uint64_t backoff_requests = 0;            // Upstream refusals that asked for a backoff.
   std::uint64_t malformed_notices = 0;
   std::uint64_t surplus_responses = 0;
+  std::uint64_t excess_responses = 0;  // Ended, as unfinished ones held too many bytes in sum.
   std::uint64_t upstream_connections = 0;
   TrafficByDistance traffic;
 };
@@ -218,6 +221,8 @@
   const QuarantineTable& quarantine() const;
 
   const GatewayCounters& counters() const;
+  // What unfinished responses of upstreams hold.
+  std::size_t held_response_bytes() const;
   const LatencyHistogram& first_byte_latency() const;
   // Age of the upstream list at each attempt.
   const LatencyHistogram& listing_age() const;
