--- a/test/gateway_stop_end_test.cc
+++ b/test/gateway_stop_end_test.cc
@@ -13,6 +13,7 @@
 #include "gateway_fixture.h"
 #include "junctionrail/gateway.h"
 #include "loopback.h"
+#include "stop_requests.h"
 
 namespace junctionrail {
 namespace {
@@ -20,7 +21,9 @@
 using testing::Contains;
 using testing::EventChunk;
 using testing::EventStreamHead;
+using testing::IsRefusedAsNotRun;
 using testing::MakeKeepAliveRequest;
+using testing::MakeRequestWith;
 using testing::MakeRoute;
 using testing::OkResponse;
 using testing::RunFor;
@@ -45,15 +48,6 @@
   return options;
 }
 
-std::string RequestWith(const std::string& line, const std::string& id, const std::string& fields) {
-  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: " + id + "\r\n" +
-         fields + "\r\n";
-}
-
-bool IsRefusedAsNotRun(const std::string& response) {
-  return Contains(response, "503 ") && Contains(response, "\"ran\":\"no\"");
-}
-
 // Many requests at one upstream that keeps them open.
 struct ManyRequests {
   ManyRequests(const std::string& line, bool is_stream) : fixture(WithoutBalancerDelay()) {
@@ -211,9 +205,9 @@
   stream->Write(kLastChunk);
   EXPECT_TRUE(caller.AwaitText(kLastChunk), "the stream ends");
   caller.Forget();
-  caller.Send(RequestWith("POST /s/", "second",
-                          fixture.options.header_names.last_event_id + ": 1\r\n" +
-                              fixture.options.header_names.resumed_request + ": other\r\n"));
+  caller.Send(MakeRequestWith("POST /s/", "second",
+                              fixture.options.header_names.last_event_id + ": 1\r\n" +
+                                  fixture.options.header_names.resumed_request + ": other\r\n"));
   RunFor(fixture.io, kAtOnceMs);
   EXPECT_TRUE(IsRefusedAsNotRun(caller.received()), caller.received());
 }
--- a/test/gateway_stop_test.cc
+++ b/test/gateway_stop_test.cc
@@ -9,6 +9,7 @@
 #include "junctionrail/gateway.h"
 #include "loopback.h"
 #include "signal_storm.h"
+#include "stop_requests.h"
 
 namespace junctionrail {
 namespace {
@@ -16,7 +17,9 @@
 using testing::Contains;
 using testing::EventChunk;
 using testing::EventStreamHead;
+using testing::IsRefusedAsNotRun;
 using testing::MakeKeepAliveRequest;
+using testing::MakeRequestWith;
 using testing::MakeRoute;
 using testing::OkResponse;
 using testing::RunFor;
@@ -32,15 +35,6 @@
 // A late request with this deadline ends before the stop does.
 constexpr char kShortDeadline[] = "Junctionrail-Deadline-Ms: 500\r\n";
 
-std::string RequestWith(const std::string& line, const std::string& id, const std::string& fields) {
-  return line + " HTTP/1.1\r\nHost: shop.example\r\nJunctionrail-Request-Id: " + id + "\r\n" +
-         fields + "\r\n";
-}
-
-bool IsRefusedAsNotRun(const std::string& response) {
-  return Contains(response, "503 ") && Contains(response, "\"ran\":\"no\"");
-}
-
 // A stream whose head has promised to keep its connection, at a gateway that then stops.
 struct StreamInAStop {
   StreamInAStop() {
@@ -127,7 +121,7 @@
   test.Stop();
   RunFor(test.fixture->io, kLateMs);
   test.EndStream();
-  test.caller->Send(RequestWith("POST /a/", "second", kShortDeadline));
+  test.caller->Send(MakeRequestWith("POST /a/", "second", kShortDeadline));
   EXPECT_TRUE(test.caller->AwaitText("200 OK"), test.caller->received());
 }
 
@@ -137,7 +131,7 @@
 TEST(GatewayStop, RefusesABodyThatBecomesWholeLate) {
   StreamInAStop test;
   TestCaller caller(test.fixture->io, test.fixture->port);
-  caller.Send(RequestWith("POST /s/", "slow", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
+  caller.Send(MakeRequestWith("POST /s/", "slow", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
   RunFor(test.fixture->io, 50);
   test.Stop();
   RunFor(test.fixture->io, kLateMs);
@@ -151,7 +145,7 @@
 TEST(GatewayStop, AnswersABodyThatIsNotWholeAtItsEnd) {
   StreamInAStop test;
   TestCaller caller(test.fixture->io, test.fixture->port);
-  caller.Send(RequestWith("POST /s/", "slow", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
+  caller.Send(MakeRequestWith("POST /s/", "slow", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
   RunFor(test.fixture->io, 50);
   test.Stop(1000);
   EXPECT_TRUE(caller.AwaitEnd(), "the connection ends");
@@ -218,7 +212,7 @@
   view.cached_models = {"a"};
   fixture.gateway->ApplyView(view);
   TestCaller caller(fixture.io, fixture.port);
-  caller.Send(RequestWith("POST /s/", "first", "Junctionrail-Model: a\r\n"));
+  caller.Send(MakeRequestWith("POST /s/", "first", "Junctionrail-Model: a\r\n"));
   EXPECT_TRUE(RunUntil(fixture.io, [&] { return fixture.gateway->counters().model_waits == 1; }),
               "waits");
   fixture.gateway->Stop(3000, [] {});
