--- a/review/standins-2/ended_streams.cc
+++ b/review/standins-2/ended_streams.cc
@@ -16,10 +16,10 @@
 #include <utility>
 #include <vector>
 
+#include "../../test/support/loopback.h"
+#include "../../test/support/platform_standin.h"
 #include "junctionrail/net.h"
 #include "junctionrail/settings.h"
-#include "loopback.h"
-#include "platform_standin.h"
 #include "process.h"
 
 namespace junctionrail::review {
