Entries: a bound on what requests of clients hold together

Callers saw an entry end, as it ran out of memory: bodies had a limit each, and none on their sum, neither while they were received nor while whole requests waited for an upstream.

ClientMemory, free of I/O, accounts for both; its total is a quarter of `memory_mb`, a new setting (160 by default, the smallest VM; the platform fills it in). If there is no room, the largest request that made no progress for a second gives way; a small request also takes the place of a large one; else the last one is refused. So a crowd that stops one byte short does not keep others out, and bodies that arrive are not given up for each other. A quarter of the total is left to requests of at most 64 KiB. Whole requests never give way, as they may run. What gives way gets 503 `memory_full` with Retry-After and `ran: no`: it was not sent on.

A chunked body grows to the limit at most, not to twice of it. An idle connection to an upstream kept the body of its last request, which would have counted on; it is released.

A limit of one request that does not fit is said in the log, and a single such request still finds room.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -62,6 +62,8 @@
   // The load balancer may open connections for this long after Stop: it notices after two
   // health checks, one second apart.
   DurationMs balancer_delay_ms = 2500;
+  // Of requests; null: one of the gateway's own.
+  std::shared_ptr<ClientMemory> client_memory;
 };
 
 // A stream that a caller resumes at an entry that does not know its origin.
@@ -107,8 +109,9 @@
   std::uint64_t truncated_responses = 0;  // Aborted after the response had begun.
   std::uint64_t cancelled = 0;            // The caller disconnected.
   std::uint64_t bad_requests = 0;
-  std::uint64_t dropped_inputs = 0;  // Connections closed over bytes that got no response.
-  std::uint64_t stop_refusals = 0;   // By a stop, as it could not have completed the requests.
+  std::uint64_t dropped_inputs = 0;   // Connections closed over bytes that got no response.
+  std::uint64_t memory_refusals = 0;  // There was no room for the request.
+  std::uint64_t stop_refusals = 0;    // By a stop, as it could not have completed the requests.
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
   std::uint64_t resumed_streams = 0;          // By callers, with a known origin.
@@ -223,6 +226,8 @@
   const GatewayCounters& counters() const;
   // What unfinished responses of upstreams hold.
   std::size_t held_response_bytes() const;
+  // What requests of callers hold.
+  const ClientMemory& client_memory() const;
   const LatencyHistogram& first_byte_latency() const;
   // Age of the upstream list at each attempt.
   const LatencyHistogram& listing_age() const;
--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -4,8 +4,10 @@
 #ifndef JUNCTIONRAIL_NET_H_
 #define JUNCTIONRAIL_NET_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -59,6 +61,81 @@
 
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
+// Accounts for the bytes that clients make a process hold: requests that are received, that wait or
+// are in flight, and input that is not read yet. If there is no room for more, it chooses the
+// client that gives way. Free of I/O.
+class ClientMemory : public std::enable_shared_from_this<ClientMemory> {
+ public:
+  struct Limits {
+    std::size_t total_bytes = 40'000'000;
+    // A single request of this size finds room, whatever the total.
+    std::size_t largest_request_bytes = 0;
+  };
+  // Called when a client has to give way. What it held is no longer counted.
+  using EvictCallback = std::function<void()>;
+
+  // What one client holds. Gives it back at its end. An empty one is not counted.
+  class Reservation {
+   public:
+    Reservation() = default;
+    Reservation(Reservation&& other) noexcept;
+    Reservation& operator=(Reservation&& other) noexcept;
+    Reservation(const Reservation&) = delete;
+    Reservation& operator=(const Reservation&) = delete;
+    ~Reservation();
+
+    // Returns false, and changes nothing, if there is no room for so much. May evict others.
+    bool Resize(std::size_t bytes, TimeMs now);
+    // Whether it may have to give way.
+    void SetEvictable(bool is_evictable);
+
+   private:
+    friend class ClientMemory;
+    Reservation(std::shared_ptr<ClientMemory> memory, std::uint64_t id);
+
+    std::shared_ptr<ClientMemory> memory_;
+    std::uint64_t id_ = 0;
+  };
+
+  explicit ClientMemory(Limits limits) : limits_(limits) {}
+
+  // Of nothing, and not evictable.
+  Reservation Reserve(EvictCallback evict, TimeMs now);
+  // Returns whether such a request fits into the total.
+  bool SetLargestRequest(std::size_t bytes);
+
+  std::size_t held_bytes() const { return held_bytes_; }
+  std::size_t total_bytes() const;
+  // Clients that gave way to others, and those that found no room.
+  std::uint64_t evictions() const { return evictions_; }
+  std::uint64_t refusals() const { return refusals_; }
+
+ private:
+  struct Client {
+    EvictCallback evict;
+    bool is_evictable = false;
+    std::size_t bytes = 0;
+    std::size_t bytes_at_progress = 0;
+    TimeMs progressed_at = 0;
+  };
+  using Clients = std::map<std::uint64_t, Client>;
+
+  bool Resize(std::uint64_t id, std::size_t bytes, TimeMs now);
+  void Remove(std::uint64_t id);
+  void SetBytes(Client* client, std::size_t bytes);
+  bool Fits(const Client& client, std::size_t bytes) const;
+  Clients::iterator FindVictim(const Client& client, std::size_t bytes, TimeMs now);
+  std::size_t LargeLimit() const;
+
+  Limits limits_;
+  Clients clients_;
+  std::uint64_t last_id_ = 0;
+  std::size_t held_bytes_ = 0;
+  std::size_t large_bytes_ = 0;  // Held by those that hold much.
+  std::uint64_t evictions_ = 0;
+  std::uint64_t refusals_ = 0;
+};
+
 struct HttpServerOptions {
   Endpoint endpoint;  // Port 0 takes any free port.
   std::uint64_t max_body_bytes = 1 << 20;
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -140,12 +140,16 @@
   Endpoint vm_list;
   LogFormat log_format = LogFormat::kText;
   std::string log_level = "info";
-  DurationMs drain_ms = 30000;  // A planned stop waits at most this long.
+  DurationMs drain_ms = 30000;    // A planned stop waits at most this long.
+  std::uint32_t memory_mb = 160;  // That this process may use.
   EntrySettings entry;
   AgentSettings agent;
   std::optional<DirectSettings> direct;
 };
 
+// What clients may make a process with so much memory hold, in bytes.
+std::size_t ClientMemoryBytes(std::uint32_t memory_mb);
+
 // Reads and checks a settings file.
 Result<Settings, DocumentError> ReadSettings(const std::string& file);
 
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -10,6 +10,11 @@
 
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
 constexpr std::int64_t kMostHalls = 1000;
+constexpr std::int64_t kLeastMemoryMb = 64;
+constexpr std::int64_t kMostMemoryMb = 1 << 20;
+constexpr std::size_t kBytesPerMb = 1'000'000;
+// The process itself, unfinished responses and the buffers of sockets share the rest.
+constexpr std::size_t kClientMemoryPart = 4;
 // Interval at which the relay polls the list of upstreams and entries ask the relay, as a part of
 // `leaving_ms`, the time within which a leaving upstream may still get new requests. At this value,
 // what an entry knows stays younger than the age at which it polls the store itself. Also the
@@ -150,6 +155,10 @@
     {"leaves_silent", &PolicySettings::leaves_silent},
 };
 
+std::size_t ClientMemoryBytes(std::uint32_t memory_mb) {
+  return memory_mb * kBytesPerMb / kClientMemoryPart;
+}
+
 DurationMs DirectSettings::ExpiryBound() const { return ShorterBound(revoke_ms, evacuate_ms); }
 
 DurationMs DirectSettings::OperatorBound() const { return ShorterBound(apply_ms, ExpiryBound()); }
@@ -194,6 +203,8 @@
       r.Word("log_format", {"text", "json"}, 0) == 0 ? LogFormat::kText : LogFormat::kJson;
   const std::vector<std::string> levels = {"debug", "info", "warning", "error"};
   settings.log_level = levels[r.Word("log_level", levels, 1)];
+  settings.memory_mb = static_cast<std::uint32_t>(
+      r.Integer("memory_mb", kLeastMemoryMb, kMostMemoryMb, settings.memory_mb));
   settings.drain_ms = r.Integer("drain_ms", 0, kLongestMs, settings.drain_ms);
   if (r.Has("direct")) {
     settings.direct.emplace();
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -98,6 +98,8 @@
   options.routing.small_fleet_engines = kSmallFleetEngines;
   options.routing.evacuation_bound_ms = direct.evacuate_ms;
   options.routing.record_period_ms = direct.record_period_ms;
+  options.client_memory = std::make_shared<ClientMemory>(
+      ClientMemory::Limits{ClientMemoryBytes(settings.memory_mb), 0});
   return options;
 }
 
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -142,6 +142,13 @@
                it.excess_responses);
   page.Gauge("junctionrail_held_response_bytes", "What unfinished responses of upstreams hold.",
              static_cast<double>(gateway.held_response_bytes()));
+  page.Counter("junctionrail_memory_refusals_total",
+               "Requests refused while they were received, as requests held too many bytes in sum.",
+               it.memory_refusals);
+  page.Gauge("junctionrail_client_memory_bytes", "What requests of clients hold.",
+             static_cast<double>(gateway.client_memory().held_bytes()));
+  page.Gauge("junctionrail_client_memory_limit_bytes", "The most that they may hold.",
+             static_cast<double>(gateway.client_memory().total_bytes()));
   page.Counter("junctionrail_upstream_connections_total", "Connections opened to upstreams.",
                it.upstream_connections);
   AddTraffic(it.traffic, &page);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -38,8 +38,19 @@
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
+// What a connection takes without a request.
+constexpr std::size_t kConnectionBytes = 2 << 10;
+// The fields of a head are kept as they were received, and as the request has them.
+constexpr std::size_t kHeadCopies = 2;
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// A body and the memory that is reserved for it.
+struct HeldBody {
+  std::string text;
+  ClientMemory::Reservation reservation;
+};
+
 }  // namespace
 
 CallerConnection::CallerConnection(Gateway::Impl& gateway, asio::ip::tcp::socket socket)
@@ -51,6 +62,12 @@
 
 void CallerConnection::Start() {
   last_activity_at_ = MonotonicMs();
+  reservation_ = gateway_.client_memory->Reserve(
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) self->OnEvicted();
+      },
+      last_activity_at_);
   ArmTimer(IdleTimeout());
   Read();
 }
@@ -89,6 +106,7 @@
   Parse();
   if (is_closed_) return;
   ConsumeFromSocket(std::exchange(peeked_bytes_, 0));
+  if (parser_ && !ReserveReceived()) return;
   Read();
 }
 
@@ -135,13 +153,16 @@
           gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits();
       parser_->header_limit(limits.max_header_bytes);
       parser_->body_limit(limits.max_body_bytes);
+      head_bytes_ = 0;
       request_started_at_ = MonotonicMs();
       ArmTimer(limits.header_timeout_ms);
     }
     const bool had_header = parser_->is_header_done();
+    if (had_header) GrowBody();
     error_code ec;
     const std::size_t n = parser_->put(buffer_.data(), ec);
     buffer_.consume(n);
+    if (!had_header) head_bytes_ += n;
     if (ec && ec != http::error::need_more) return OnParseError(ec);
     if (!had_header && parser_->is_header_done()) {
       if (!IsFramingUnambiguous()) return Reject(kBadRequest, "bad_framing");
@@ -212,12 +233,14 @@
 }
 
 void CallerConnection::Dispatch() {
+  if (!ReserveReceived()) return;
   CallerRequest request = std::move(request_);
-  request.body = std::make_shared<const std::string>(std::move(parser_->get().body()));
+  request.body = TakeBody();
   request.arrived_at = MonotonicMs();
   request.sent_after = gateway_.ReadUpTo();
   is_keep_alive_ = is_keep_alive_ && !is_draining_;
   parser_.reset();
+  buffer_.shrink_to_fit();
   request_started_at_ = 0;
   timer_.Cancel();
   exchange_ = std::make_shared<Exchange>(gateway_, std::move(request),
@@ -227,6 +250,60 @@
   exchange->Start();
 }
 
+// It is kept for a retry, and by connections on which it is being sent.
+std::shared_ptr<const std::string> CallerConnection::TakeBody() {
+  const TimeMs now = MonotonicMs();
+  const std::size_t bytes = ReceivedBytes();
+  const auto held = std::make_shared<HeldBody>();
+  held->text = std::move(parser_->get().body());
+  reservation_.SetEvictable(false);
+  reservation_.Resize(0, now);
+  held->reservation = gateway_.client_memory->Reserve([] {}, now);
+  held->reservation.Resize(bytes, now);
+  return {held, &held->text};
+}
+
+// Without this, it would grow up to twice the limit.
+void CallerConnection::GrowBody() {
+  if (parser_->content_length()) return;
+  std::string& body = parser_->get().body();
+  if (body.capacity() - body.size() >= buffer_.size()) return;
+  const std::size_t limit =
+      (gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits()).max_body_bytes;
+  const std::size_t needed = body.size() + buffer_.size();
+  body.reserve(std::max(needed, std::min(2 * body.capacity(), limit)));
+}
+
+// A length that was announced is set aside at once, but not used before the body arrives.
+std::size_t CallerConnection::ReceivedBytes() const {
+  const std::string& body = parser_->get().body();
+  const std::size_t body_bytes = parser_->content_length() ? body.size() : body.capacity();
+  return kConnectionBytes + kHeadCopies * head_bytes_ + buffer_.capacity() + body_bytes;
+}
+
+bool CallerConnection::ReserveReceived() {
+  reservation_.SetEvictable(true);
+  if (reservation_.Resize(ReceivedBytes(), MonotonicMs())) return true;
+  RefuseForMemory("no_room");
+  return false;
+}
+
+void CallerConnection::OnEvicted() {
+  if (!is_closed_ && parser_ && !is_last_response_done_) RefuseForMemory("evicted");
+}
+
+void CallerConnection::RefuseForMemory(std::string_view reason) {
+  ++gateway_.counters.memory_refusals;
+  gateway_.log.Write(
+      MonotonicMs(), "request_memory_full",
+      {{"reason", reason},
+       {"bytes", static_cast<std::int64_t>(ReceivedBytes())},
+       {"received_ms", MonotonicMs() - request_started_at_},
+       {"held_bytes", static_cast<std::int64_t>(gateway_.client_memory->held_bytes())}});
+  RefuseReceiving({kUnavailable, kMemoryFullCode, kMemoryFullSentence, Execution::kNotRun,
+                   kMemoryFullRetryAfterMs});
+}
+
 void CallerConnection::SendResponse(unsigned status, std::vector<HttpHeader> fields,
                                     std::string body) {
   const bool must_close = !is_keep_alive_ || is_draining_;
@@ -289,6 +366,7 @@
   last_activity_at_ = MonotonicMs();
   if (must_close) {
     is_last_response_done_ = true;
+    ReleaseInput();
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
   }
@@ -301,6 +379,15 @@
   });
 }
 
+void CallerConnection::ReleaseInput() {
+  dropped_bytes_ += buffer_.size();
+  buffer_.consume(buffer_.size());
+  buffer_.shrink_to_fit();
+  parser_.reset();
+  request_ = CallerRequest();
+  reservation_ = ClientMemory::Reservation();
+}
+
 void CallerConnection::Write(std::string_view data) {
   pending_output_ += data;
   Flush();
@@ -326,8 +413,6 @@
   is_lingering_ = true;
   error_code ec;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-  dropped_bytes_ += buffer_.size();
-  buffer_.consume(buffer_.size());
   ArmTimer(kLingerMs);
   Read();
 }
@@ -377,9 +462,14 @@
   ++gateway_.counters.stop_refusals;
   gateway_.log.Write(MonotonicMs(), "request_incomplete",
                      {{"received_ms", MonotonicMs() - request_started_at_}});
+  RefuseReceiving(
+      {kUnavailable, kStoppingCode, kStoppingSentence, Execution::kNotRun, kStoppingRetryAfterMs});
+}
+
+// The rest of the request stays unread, so that nothing can follow it.
+void CallerConnection::RefuseReceiving(const ErrorResponse& response) {
+  is_keep_alive_ = false;
   is_head_method_ = false;
-  const ErrorResponse response{kUnavailable, kStoppingCode, kStoppingSentence, Execution::kNotRun,
-                               kStoppingRetryAfterMs};
   std::vector<HttpHeader> fields = FieldsOf(response);
   const std::string& name = gateway_.options.header_names.request_id;
   const std::string* id = FindField(request_.fields, name);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "error_response.h"
 #include "exchange.h"
 #include "gateway_impl.h"
 
@@ -68,6 +69,20 @@
   bool IsLineTooLong() const;
   void TakeHead();
   void Dispatch();
+  // The body as its request, and those that send it, hold it.
+  std::shared_ptr<const std::string> TakeBody();
+  // Makes room for what is parsed next of a body without a length.
+  void GrowBody();
+  // What the request that is being received holds.
+  std::size_t ReceivedBytes() const;
+  // Accounts for it. Returns false if there is no room, and the request was refused.
+  bool ReserveReceived();
+  void OnEvicted();
+  void RefuseForMemory(std::string_view reason);
+  // Refuses a request that is being received, and closes.
+  void RefuseReceiving(const ErrorResponse& response);
+  // Nothing that was received is needed any more.
+  void ReleaseInput();
   void Reject(unsigned status, std::string_view code);
   void FinishResponse(bool must_close);
   void Write(std::string_view data);
@@ -86,7 +101,9 @@
   Timer timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
-  CallerRequest request_;  // Being read: as its head has it, once that is whole.
+  CallerRequest request_;                  // Being read: as its head has it, once that is whole.
+  std::size_t head_bytes_ = 0;             // Of the request being read.
+  ClientMemory::Reservation reservation_;  // Of what is being read.
   std::shared_ptr<Exchange> exchange_;
   std::string pending_output_;     // Not yet passed to the socket.
   std::string output_in_flight_;   // Being written.
--- a/src/gateway/error_response.h
+++ b/src/gateway/error_response.h
@@ -20,6 +20,12 @@
 // Another entry can be reached at once.
 constexpr DurationMs kStoppingRetryAfterMs = 200;
 
+// Of requests for which there is no room.
+constexpr char kMemoryFullCode[] = "memory_full";
+constexpr char kMemoryFullSentence[] = "the entry holds as many requests as it has memory for";
+// Requests are whole, or have given way, within about this time.
+constexpr DurationMs kMemoryFullRetryAfterMs = 1000;
+
 struct ErrorResponse {
   unsigned status = 0;
   std::string_view code;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -74,6 +74,8 @@
       upstreams(options.routing),
       retry_budget(options.retry_budget, MonotonicMs()),
       pool(io, options.header_names.request_id),
+      client_memory(options.client_memory ? options.client_memory
+                                          : std::make_shared<ClientMemory>(ClientMemory::Limits())),
       judge_timer(io),
       crash_detector(io, quarantine,
                      [this](const UpstreamCrash& crash, std::string_view evidence) {
@@ -123,6 +125,14 @@
   });
 }
 
+// A single request within the limits is served even if it takes more than requests together may.
+void Gateway::Impl::SetLargestRequest(std::size_t bytes) {
+  if (client_memory->SetLargestRequest(bytes)) return;
+  log.Write(MonotonicMs(), "body_limit_over_memory",
+            {{"max_body_bytes", static_cast<std::int64_t>(bytes)},
+             {"client_memory_bytes", static_cast<std::int64_t>(client_memory->total_bytes())}});
+}
+
 void Gateway::Impl::AddConnection(tcp::socket socket) {
   ++counters.connections;
   auto connection = std::make_shared<internal::CallerConnection>(*this, std::move(socket));
@@ -322,6 +332,7 @@
   impl_->upstreams.ApplyServices(configuration.services);
   const OrganisationTable organisations = configuration.organisations.value_or(OrganisationTable());
   impl_->quotas.SetOrganisations(organisations.all(), configuration.version, MonotonicMs());
+  impl_->SetLargestRequest(configuration.limits.max_body_bytes);
   impl_->routes = std::make_shared<const RouteTable>(std::move(configuration));
   if (impl_->waiting_exchanges.empty()) return;
   // The key of a waiting request may have been revoked.
@@ -442,6 +453,7 @@
 const LatencyHistogram& Gateway::first_byte_latency() const { return impl_->first_byte_latency; }
 const LatencyHistogram& Gateway::listing_age() const { return impl_->listing_age; }
 std::size_t Gateway::held_response_bytes() const { return impl_->response_memory.held_bytes(); }
+const ClientMemory& Gateway::client_memory() const { return *impl_->client_memory; }
 DurationMs Gateway::ConfigurationAge() const { return impl_->ConfigurationAge(MonotonicMs()); }
 
 }  // namespace junctionrail
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -45,6 +45,7 @@
   void Stop(DurationMs most_ms, std::function<void()> done);
   void Accept();
   void AddConnection(boost::asio::ip::tcp::socket socket);
+  void SetLargestRequest(std::size_t bytes);
   void StopAccepting();
   void Tick();
   DurationMs TickInterval() const;
@@ -139,6 +140,7 @@
   TimeMs started_at = MonotonicMs();
   internal::UpstreamPool pool;
   internal::ResponseMemory response_memory;
+  std::shared_ptr<ClientMemory> client_memory;
   bool is_excess_end_scheduled = false;
   QuarantineTable quarantine;
   PromptPartTable prompt_parts;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -269,6 +269,7 @@
     auto& upstream = pool_->upstreams_[instance_];
     if (upstream.idle.size() >= kMaxIdleConnections) return Close();
     idle_until_ = MonotonicMs() + idle_timeout_ms_;
+    message_.body = nullptr;
     upstream.idle.push_back(shared_from_this());
   }
 
