Entries: input behind the last response of a connection is dropped

Once the last response of a connection was being written, what its client went on sending was read and kept, without a bound, until the response was out: a client that did not read it could make the entry hold any number of bytes. It is dropped now as soon as the last response is decided, as it was once that had been written.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -95,7 +95,7 @@
     return;
   }
   if (exchange_) return WatchForEnd();
-  if (is_lingering_) return DropInput();
+  if (is_last_response_done_) return DropInput();
   error_code ec;
   peeked_bytes_ = socket_.receive(asio::buffer(buffer_.prepare(kReadBytes)),
                                   asio::ip::tcp::socket::message_peek, ec);
