Entries: a least rate for bodies that are received

A client that sent a byte within each idle timeout kept its connection and the memory of its body for good: the timer asked only for some byte since the last check. A body now also has to be as long as 1 KiB for each second beyond the idle timeout; else it gets 408 `body_too_slow`, which says that it has not run. A client within the limits of the configuration sends its body in far less time.

A body at about 16 KiB/s over four idle timeouts is still served.

--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -142,6 +142,8 @@
                it.excess_responses);
   page.Gauge("junctionrail_held_response_bytes", "What unfinished responses of upstreams hold.",
              static_cast<double>(gateway.held_response_bytes()));
+  page.Counter("junctionrail_slow_bodies_total", "Refused, as they arrived below the least rate.",
+               it.slow_bodies);
   page.Counter("junctionrail_memory_refusals_total",
                "Requests refused while they were received, as requests held too many bytes in sum.",
                it.memory_refusals);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -38,6 +38,9 @@
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
+// No caller within the limits is slower for longer than the idle timeout.
+constexpr std::int64_t kMinBodyBytesPerS = 1 << 10;
+constexpr std::int64_t kMsPerS = 1000;
 // What a connection takes without a request.
 constexpr std::size_t kConnectionBytes = 2 << 10;
 // The fields of a head are kept as they were received, and as the request has them.
@@ -529,9 +532,24 @@
 void CallerConnection::OnRequestTimer() {
   if (!parser_->is_header_done()) return Reject(kRequestTimeout, "header_timeout");
   // While a body is being received, the idle timeout applies between its parts.
-  const DurationMs quiet = MonotonicMs() - last_activity_at_;
-  if (quiet >= IdleTimeout()) return Reject(kRequestTimeout, "body_timeout");
-  ArmTimer(IdleTimeout() - quiet);
+  const TimeMs now = MonotonicMs();
+  const TimeMs idle_at = last_activity_at_ + IdleTimeout();
+  if (now >= idle_at) return Reject(kRequestTimeout, "body_timeout");
+  const TimeMs too_slow_at = BodyDueAt();
+  if (now >= too_slow_at) return RejectSlowBody();
+  ArmTimer(std::min(idle_at, too_slow_at) - now);
+}
+
+// By the least rate, for what has arrived of the body. A client that sends a byte now and then is
+// never idle.
+TimeMs CallerConnection::BodyDueAt() const {
+  const auto received = static_cast<DurationMs>(parser_->get().body().size());
+  return request_started_at_ + IdleTimeout() + received * kMsPerS / kMinBodyBytesPerS;
+}
+
+void CallerConnection::RejectSlowBody() {
+  ++gateway_.counters.slow_bodies;
+  Reject(kRequestTimeout, "body_too_slow");
 }
 
 }  // namespace junctionrail::internal
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -95,6 +95,9 @@
   void ArmTimer(DurationMs delay);
   void OnTimer();
   void OnRequestTimer();
+  // When the body being received counts as too slow.
+  TimeMs BodyDueAt() const;
+  void RejectSlowBody();
 
   Gateway::Impl& gateway_;
   boost::asio::ip::tcp::socket socket_;
