Entries: a bound on what waits behind requests in flight

What a client sends behind a request in flight stays in the socket, where the kernel lets it grow to megabytes for each connection; the VM counts that as memory of the process. The buffers of callers' sockets are 16 KiB now, and what waits in them counts towards the memory of requests. If there is no room, the connection closes, as nothing else would free it: its request in flight has an unknown outcome.

A large request that finds no room in all takes that of small clients without progress too, not only that of large ones: after such a crowd had left, a single request of the legal size was refused until its connections were noticed as closed.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -141,9 +141,25 @@
   const SocketPeek peek = Peek(socket_);
   if (peek.has_ended || IsFarEndClosed(socket_)) return Close();
   if (!peek.has_input) return Read();
+  if (!ReserveUnread()) return CloseForUnread();
   ArmTimer(kWatchIntervalMs);
 }
 
+bool CallerConnection::ReserveUnread() {
+  error_code ec;
+  reservation_.SetEvictable(true);
+  return reservation_.Resize(kConnectionBytes + socket_.available(ec), MonotonicMs());
+}
+
+// What waits behind the request in flight is no reason to refuse that, but nothing else would free
+// the memory. The request has an unknown outcome.
+void CallerConnection::CloseForUnread() {
+  ++gateway_.counters.memory_refusals;
+  error_code ec;
+  unread_bytes_ = socket_.available(ec);
+  Close();
+}
+
 bool CallerConnection::HasUnread() { return Peek(socket_).has_input; }
 
 bool CallerConnection::HasInput() { return parser_ || buffer_.size() > 0 || HasUnread(); }
@@ -292,6 +308,7 @@
 }
 
 void CallerConnection::OnEvicted() {
+  if (!is_closed_ && exchange_) return CloseForUnread();
   if (!is_closed_ && parser_ && !is_last_response_done_) RefuseForMemory("evicted");
 }
 
@@ -373,6 +390,8 @@
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
   }
+  reservation_.SetEvictable(false);
+  reservation_.Resize(0, last_activity_at_);
   ArmTimer(IdleTimeout());
   // Deferred, as this runs within a call from the exchange.
   asio::post(gateway_.io, [self = shared_from_this()] {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -77,6 +77,9 @@
   std::size_t ReceivedBytes() const;
   // Accounts for it. Returns false if there is no room, and the request was refused.
   bool ReserveReceived();
+  // Accounts for what waits in the socket behind a request in flight.
+  bool ReserveUnread();
+  void CloseForUnread();
   void OnEvicted();
   void RefuseForMemory(std::string_view reason);
   // Refuses a request that is being received, and closes.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 using boost::system::error_code;
 
 constexpr int kListenBacklog = 1024;
+constexpr int kReceiveBytes = 16 << 10;
 // The interval of checks of idle connections and waiting requests.
 constexpr DurationMs kTickMs = 250;
 constexpr DurationMs kStopTickMs = 50;
@@ -95,6 +96,8 @@
   const tcp::endpoint endpoint(address, options.listen_endpoint.port);
   if (!ec) acceptor.open(endpoint.protocol(), ec);
   if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  // Connections inherit it. What is sent behind a request in flight stays in the socket.
+  if (!ec) acceptor.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBytes), ec);
   if (!ec) acceptor.bind(endpoint, ec);
   if (!ec) acceptor.listen(kListenBacklog, ec);
   if (ec) return NetError{options.listen_endpoint.ToString() + ": " + ec.message()};
--- a/src/net/client_memory.cc
+++ b/src/net/client_memory.cc
@@ -114,6 +114,7 @@
 // as it is soon whole.
 ClientMemory::Clients::iterator ClientMemory::FindVictim(const Client& client, std::size_t bytes,
                                                          TimeMs now) {
+  const bool is_total_full = held_bytes_ - client.bytes + bytes > total_bytes();
   auto victim = clients_.end();
   bool is_victim_stalled = false;
   for (auto it = clients_.begin(); it != clients_.end(); ++it) {
@@ -121,8 +122,8 @@
     if (&other == &client || !other.is_evictable) continue;
     const bool is_stalled = now - other.progressed_at >= kStalledMs;
     const bool goes_before = IsSmall(bytes) && other.bytes > 2 * bytes;
-    // One large request needs the room of another.
-    const bool helps = IsSmall(bytes) || !IsSmall(other.bytes);
+    // If there is room in all, a large request needs the room of another large one.
+    const bool helps = is_total_full || !IsSmall(other.bytes);
     const bool may_give_way = helps && (is_stalled || goes_before);
     if (!may_give_way) continue;
     const bool is_better = victim == clients_.end() || (is_stalled && !is_victim_stalled) ||
--- a/test/client_memory_test.cc
+++ b/test/client_memory_test.cc
@@ -89,6 +89,14 @@
   EXPECT_TEXT("large", crowd.evicted, "gave way");
 }
 
+// Guards against many small clients that make no progress and keep a large request out.
+TEST(ClientMemories, GiveUpSmallOnesWithoutProgressForALargeRequest) {
+  Crowd crowd;
+  while (crowd.Add("s", 60 * kKiB, 0)) continue;
+  EXPECT_TRUE(crowd.Add("late", kMiB, kLongMs), "a large request");
+  EXPECT_TRUE(crowd.evicted.size() >= 16 && crowd.evicted.size() <= 18, crowd.evicted);
+}
+
 // Guards against a whole request, which may run already, that gives way.
 TEST(ClientMemories, NeverGiveUpWhatIsNotEvictable) {
   Crowd crowd;
