HTTP server: a bound on what requests of clients hold together

The product's own interface, and the addresses of an entry for health checks, metrics and other entries, took bodies without a bound on their sum. Requests to the own interface now count towards ClientMemory while they are received and until they are answered; one that has to give way gets 503 `memory_full`, not run. Requests to the other addresses have no body, so more than 1 KiB gets 413.

A refusal while its client still sends reaches it: the rest is dropped for a second at most, where the connection was closed at once and reset.

--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -142,6 +142,14 @@
   std::uint32_t max_header_bytes = 16 << 10;
   std::uint64_t max_unsent_bytes = 16 << 20;  // Of one answer; a slower client is cut off.
   std::uint32_t max_connections = 20000;
+  std::shared_ptr<ClientMemory> client_memory;  // Of requests; null: without a bound on their sum.
+  // If set, called when a limit on connections or memory is met, with a name for the log.
+  std::function<void(std::string_view event)> on_limit;
+};
+
+struct HttpServerCounters {
+  std::uint64_t bad_requests = 0;
+  std::uint64_t memory_refusals = 0;  // There was no room for the request.
 };
 
 class HttpServer {
@@ -155,7 +163,7 @@
   // Stops accepting and closes idle connections; answers under way go on.
   void Stop();
 
-  std::uint64_t bad_requests() const;
+  const HttpServerCounters& counters() const;
 
  private:
   class Impl;
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -17,4 +17,15 @@
   AddProcess(page);
 }
 
+void AddServer(const HttpServerCounters& server, const ClientMemory& memory, MetricsPage* page) {
+  page->Counter(
+      "junctionrail_memory_refusals_total",
+      "Requests refused while they were received, as requests held too many bytes in sum.",
+      server.memory_refusals);
+  page->Gauge("junctionrail_client_memory_bytes", "What requests of clients hold.",
+              static_cast<double>(memory.held_bytes()));
+  page->Gauge("junctionrail_client_memory_limit_bytes", "The most that they may hold.",
+              static_cast<double>(memory.total_bytes()));
+}
+
 }  // namespace junctionrail::internal
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "junctionrail/net.h"
 #include "junctionrail/store.h"
 #include "junctionrail/telemetry.h"
 
@@ -18,6 +19,9 @@
 void AddShared(std::size_t present, std::size_t links, const BadFrames& bad_frames,
                const KvCounters& kv, MetricsPage* page);
 
+// Of the limits on the clients of an HTTP server.
+void AddServer(const HttpServerCounters& server, const ClientMemory& memory, MetricsPage* page);
+
 }  // namespace junctionrail::internal
 
 #endif  // JUNCTIONRAIL_DAEMON_DAEMON_METRICS_H_
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -25,6 +25,7 @@
 // leaves may get something new. The rest covers two polls without an answer, which take 750 ms, and
 // the way of the last request.
 constexpr double kListingPart = 0.45;
+constexpr std::uint64_t kMaxPageBodyBytes = 1 << 10;
 // Of the fleet's retry budget so much is spent: an entry's requests are not
 // spread evenly over the window, and entries may be one more than counted.
 constexpr double kBudgetMargin = 0.8;
@@ -443,6 +444,11 @@
   std::optional<ListenError> Serve(const Endpoint& endpoint, const char* path) {
     HttpServerOptions options;
     options.endpoint = endpoint;
+    // Their requests have no body.
+    options.max_body_bytes = kMaxPageBodyBytes;
+    options.on_limit = [this, path](std::string_view event) {
+      log_.Write(MonotonicMs(), event, {{"server", std::string_view(path)}});
+    };
     auto server = std::make_unique<HttpServer>(
         io_, options, [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
           pages_.Answer(request, std::move(responder));
--- a/src/daemon/entry_daemon.cc
+++ b/src/daemon/entry_daemon.cc
@@ -25,6 +25,7 @@
 
 constexpr DurationMs kIdleCheckMs = 5000;
 constexpr DurationMs kStopCheckMs = 20;
+constexpr DurationMs kLimitLogMs = 1000;
 constexpr std::uint64_t kCompactEvery = 64;  // Versions.
 
 }  // namespace
@@ -44,6 +45,8 @@
   };
 
   EntryOptions Options() const;
+  HttpServerOptions ServerOptions();
+  void LogLimit(std::string_view event);
   OperatorHooks Hooks();
   void Handle(entry::Event event);
   void Carry(const entry::CallEnded& command);
@@ -78,6 +81,7 @@
   std::shared_ptr<ConfigKeeper> keeper_;
   VmListClient vm_list_;
   LinkClient links_;
+  std::shared_ptr<ClientMemory> client_memory_;
   HttpServer server_;
   std::unique_ptr<OperatorServer> operators_;
   Timer tick_;
@@ -92,6 +96,7 @@
   std::uint64_t calls_ = 0;
   std::int64_t started_unix_ms_ = UnixMs();
   TimeMs stop_by_ = 0;
+  TimeMs limit_logged_at_ = 0;  // 0: never.
   std::uint64_t compacted_ = 0;
   std::uint64_t bad_calls_ = 0;
   bool has_vms_ = false;
@@ -118,9 +123,9 @@
               [this](const std::string& vm, bool was_open) {
                 Handle(entry::LinkClosed{vm, was_open});
               }}),
-      server_(io,
-              HttpServerOptions{settings_.entry.http, settings_.entry.max_body_bytes, 16 << 10,
-                                16 << 20, 20000},
+      client_memory_(std::make_shared<ClientMemory>(ClientMemory::Limits{
+          ClientMemoryBytes(settings_.memory_mb), settings_.entry.max_body_bytes})),
+      server_(io, ServerOptions(),
               [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
                 OnRequest(std::move(request), std::move(responder));
               }),
@@ -128,6 +133,24 @@
       idle_check_(io),
       stop_check_(io) {}
 
+HttpServerOptions EntryDaemon::Impl::ServerOptions() {
+  HttpServerOptions options;
+  options.endpoint = settings_.entry.http;
+  options.max_body_bytes = settings_.entry.max_body_bytes;
+  options.client_memory = client_memory_;
+  options.on_limit = [this](std::string_view event) { LogLimit(event); };
+  return options;
+}
+
+// A crowd meets a limit thousands of times a second.
+void EntryDaemon::Impl::LogLimit(std::string_view event) {
+  const TimeMs now = MonotonicMs();
+  if (limit_logged_at_ != 0 && now - limit_logged_at_ < kLimitLogMs) return;
+  limit_logged_at_ = now;
+  spdlog::warn("{}: requests of clients hold {} of {} bytes", event, client_memory_->held_bytes(),
+               client_memory_->total_bytes());
+}
+
 EntryOptions EntryDaemon::Impl::Options() const {
   EntryOptions options;
   options.vm = settings_.id;
@@ -458,7 +481,8 @@
   page.Gauge("junctionrail_config_version", "Configuration in force.",
              static_cast<double>(core_.configuration().version()));
   page.Counter("junctionrail_bad_calls_total", "Calls that were wrong in themselves.",
-               bad_calls_ + server_.bad_requests());
+               bad_calls_ + server_.counters().bad_requests);
+  AddServer(server_.counters(), *client_memory_, &page);
   AddShared(core_.open_calls(), links_.open_links(), bad_frames_, kv_.counters(), &page);
   return page.text();
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -4,9 +4,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <deque>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include "junctionrail/net.h"
@@ -26,6 +28,26 @@
 // header or trailer of a body.
 constexpr std::size_t kMaxFramingBytes = 64 << 10;
 constexpr char kServerName[] = "junctionrail";
+// How long the rest of a refused request is dropped, so that its client reads the refusal: closing
+// with unread bytes would reset the connection.
+constexpr auto kLingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t kDropBytes = 8 << 10;
+// What a connection takes without a request.
+constexpr std::size_t kConnectionBytes = 2 << 10;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kContentTooLarge = 413;
+constexpr unsigned kHeaderFieldsTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
+constexpr DurationMs kMemoryFullRetryAfterMs = 1000;
+
+// Why a request is refused before it is handled.
+struct RequestError {
+  unsigned status = 0;
+  std::string code;
+  std::string sentence;
+  DurationMs retry_after_ms = 0;  // 0: not told.
+};
 
 using Parser = http::request_parser<http::string_body>;
 using WholeResponse = http::response<http::string_body>;
@@ -61,6 +83,9 @@
   void Accept();
   void Stop();
 
+  void ReportLimit(std::string_view event) const {
+    if (options_.on_limit) options_.on_limit(event);
+  }
   const HttpServerOptions& options() const { return options_; }
   bool stopping() const { return stopping_; }
 
@@ -71,7 +96,7 @@
   HttpServerOptions options_;
   HttpHandler handler_;
   std::set<Session*> sessions_;
-  std::uint64_t bad_requests_ = 0;
+  HttpServerCounters counters_;
   bool stopping_ = false;
 };
 
@@ -83,15 +108,37 @@
   }
   ~Session() { server_->sessions_.erase(this); }
 
+  void Start() {
+    if (server_->options().client_memory) {
+      reservation_ = server_->options().client_memory->Reserve(
+          [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self) self->OnEvicted();
+          },
+          MonotonicMs());
+    }
+    ReadNext();
+  }
+
   void ReadNext() {
     parser_.emplace();
+    parser_->eager(true);
     parser_->body_limit(server_->options().max_body_bytes);
     parser_->header_limit(server_->options().max_header_bytes);
+    reservation_.Resize(0, MonotonicMs());
     is_idle_ = true;
     stream_.expires_after(kIdleTimeout);
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->OnRead(ec); });
+    ReadMore();
+  }
+
+  void Close() {
+    if (is_closed_) return;
+    is_closed_ = true;
+    beast::error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
+    stream_.close();
+    // Posted, as whoever holds the responder may be in the middle of using it.
+    if (gone_) asio::post(stream_.get_executor(), std::exchange(gone_, nullptr));
   }
 
   // A request that is being received, or waits in the socket, is still answered.
@@ -179,6 +226,45 @@
     return buffer_.size() > 0 || parser_->got_some() || internal::Peek(stream_.socket()).has_input;
   }
 
+  void ReadMore() {
+    http::async_read_some(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->OnReadSome(ec); });
+  }
+
+  void OnReadSome(beast::error_code ec) {
+    if (is_closed_) return;
+    if (is_evicted_) return RefuseForMemory();
+    if (ec) return OnRead(ec);
+    reservation_.SetEvictable(true);
+    if (!reservation_.Resize(ReceivedBytes(), MonotonicMs())) return RefuseForMemory();
+    if (!parser_->is_done()) return ReadMore();
+    // It is handled, and may be sent on.
+    reservation_.SetEvictable(false);
+    OnRead(ec);
+  }
+
+  // A length that was announced is set aside at once, but not used before the body arrives.
+  std::size_t ReceivedBytes() const {
+    const std::string& body = parser_->get().body();
+    return kConnectionBytes + buffer_.capacity() +
+           (parser_->content_length() ? body.size() : body.capacity());
+  }
+
+  // The read under way uses what is to be released, and ends first.
+  void OnEvicted() {
+    is_evicted_ = true;
+    beast::error_code ec;
+    stream_.socket().cancel(ec);
+  }
+
+  void RefuseForMemory() {
+    ++server_->counters_.memory_refusals;
+    server_->ReportLimit("request_memory_full");
+    Refuse({kUnavailable, "memory_full", "this server holds as many requests as it has memory for",
+            kMemoryFullRetryAfterMs});
+  }
+
   bool IsCurrent(std::uint64_t request) const {
     return request == request_ && !is_answered_ && !is_closed_;
   }
@@ -193,15 +279,16 @@
   void OnRead(beast::error_code ec) {
     is_idle_ = false;
     if (ec == http::error::body_limit)
-      return Reject(413, "the body is larger than this server takes");
+      return Reject(kContentTooLarge, "the body is larger than this server takes");
     if (ec == http::error::buffer_overflow)
-      return Reject(431, "a chunk header or trailer is larger than this server takes");
+      return Reject(kHeaderFieldsTooLarge,
+                    "a chunk header or trailer is larger than this server takes");
     if (ec == http::error::header_limit)
-      return Reject(431, "the header is larger than this server takes");
+      return Reject(kHeaderFieldsTooLarge, "the header is larger than this server takes");
     const bool is_bad_http =
         ec && ec.category() == http::make_error_code(http::error::bad_method).category() &&
         ec != http::error::end_of_stream && ec != http::error::partial_message;
-    if (is_bad_http) return Reject(400, "this is not HTTP/1.1: " + ec.message());
+    if (is_bad_http) return Reject(kBadRequest, "this is not HTTP/1.1: " + ec.message());
     if (ec) return Close();
     version_ = parser_->get().version();
     keep_alive_ = parser_->get().keep_alive();
@@ -213,14 +300,43 @@
   }
 
   void Reject(unsigned status, const std::string& sentence) {
-    ++server_->bad_requests_;
+    ++server_->counters_.bad_requests;
+    Refuse({status, "bad_request", sentence, 0});
+  }
+
+  // Nothing that was received is needed any more, and the boundary of the next request is unknown.
+  void Refuse(const RequestError& error) {
+    is_idle_ = false;
+    is_refused_ = true;
+    parser_.reset();
+    buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
+    reservation_ = ClientMemory::Reservation();
     ++request_;
     version_ = 11;
     keep_alive_ = false;
     is_answered_ = false;
-    Whole(request_, status, {{"Content-Type", "application/json"}},
-          "{\"error\":{\"code\":\"bad_request\",\"message\":\"" + sentence +
-              "\",\"ran\":\"no\",\"retry_after_ms\":0}}");
+    std::vector<HttpHeader> headers = {{"Content-Type", "application/json"}};
+    if (error.retry_after_ms > 0)
+      headers.push_back({"Retry-After", std::to_string(error.retry_after_ms / 1000)});
+    Whole(request_, error.status, std::move(headers),
+          "{\"error\":{\"code\":\"" + error.code + "\",\"message\":\"" + error.sentence +
+              "\",\"ran\":\"no\",\"retry_after_ms\":" + std::to_string(error.retry_after_ms) +
+              "}}");
+  }
+
+  void Linger() {
+    beast::error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    stream_.expires_after(kLingerTimeout);
+    DropInput();
+  }
+
+  void DropInput() {
+    stream_.async_read_some(buffer_.prepare(kDropBytes),
+                            [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                              ec ? self->Close() : self->DropInput();
+                            });
   }
 
   void ArmWrite() { stream_.expires_after(kIdleTimeout); }
@@ -252,6 +368,7 @@
 
   void OnAnswered(beast::error_code ec) {
     gone_ = nullptr;
+    if (!ec && is_refused_) return Linger();
     if (ec || !keep_alive_ || server_->stopping()) return Close();
     ReadNext();
   }
@@ -272,20 +389,11 @@
                                 });
   }
 
-  void Close() {
-    if (is_closed_) return;
-    is_closed_ = true;
-    beast::error_code ec;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
-    stream_.close();
-    // Posted, as whoever holds the responder may be in the middle of using it.
-    if (gone_) asio::post(stream_.get_executor(), std::exchange(gone_, nullptr));
-  }
-
   beast::tcp_stream stream_;
   std::shared_ptr<Impl> server_;
   beast::flat_buffer buffer_{kMaxFramingBytes};
   std::optional<Parser> parser_;
+  ClientMemory::Reservation reservation_;  // Of the request until it is answered.
   std::deque<std::string> unsent_;
   std::size_t unsent_bytes_ = 0;
   std::function<void()> gone_;
@@ -295,6 +403,8 @@
   bool is_idle_ = false;
   bool is_answered_ = true;
   bool is_broken_ = false;
+  bool is_evicted_ = false;  // The request being received has to give way.
+  bool is_refused_ = false;  // The rest of what arrives is dropped.
   bool is_closed_ = false;
   bool is_watching_ = false;
 };
@@ -318,7 +428,7 @@
     const bool has_room = self->sessions_.size() < self->options_.max_connections;
     if (!ec && has_room) {
       socket.set_option(tcp::no_delay(true), ec);
-      std::make_shared<Session>(std::move(socket), self)->ReadNext();
+      std::make_shared<Session>(std::move(socket), self)->Start();
     }
     self->Accept();
   });
@@ -338,6 +448,6 @@
 HttpServer::~HttpServer() { impl_->Stop(); }
 Result<std::uint16_t, NetError> HttpServer::Listen() { return impl_->Listen(); }
 void HttpServer::Stop() { impl_->Stop(); }
-std::uint64_t HttpServer::bad_requests() const { return impl_->bad_requests_; }
+const HttpServerCounters& HttpServer::counters() const { return impl_->counters_; }
 
 }  // namespace junctionrail
