Listeners: an accept that fails is tried again after 100 ms

With no descriptor left, accept fails at once and the connection stays in the backlog, so the next attempt failed at once again: one connection that could not be accepted took the whole processor, with a line in the log for each attempt. The gateway and the HTTP server wait 100 ms now.

Links (websocketpp accepts by itself) are not covered.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -101,6 +101,7 @@
 
 struct GatewayCounters {
   std::uint64_t connections = 0;
+  std::uint64_t failed_accepts = 0;         // Mostly for lack of descriptors.
   std::uint64_t requests = 0;
   std::uint64_t served = 0;
   std::uint64_t relayed_failures = 0;     // Upstream error responses sent on to the caller.
--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -150,6 +150,7 @@
 struct HttpServerCounters {
   std::uint64_t bad_requests = 0;
   std::uint64_t memory_refusals = 0;  // There was no room for the request.
+  std::uint64_t failed_accepts = 0;       // Mostly for lack of descriptors.
 };
 
 class HttpServer {
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -18,6 +18,9 @@
 }
 
 void AddServer(const HttpServerCounters& server, const ClientMemory& memory, MetricsPage* page) {
+  page->Counter("junctionrail_failed_accepts_total",
+                "Connections that could not be accepted, mostly for lack of descriptors.",
+                server.failed_accepts);
   page->Counter(
       "junctionrail_memory_refusals_total",
       "Requests refused while they were received, as requests held too many bytes in sum.",
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -105,6 +105,9 @@
   MetricsPage page;
   const GatewayCounters& it = gateway.counters();
   page.Counter("junctionrail_connections_total", "Connections of callers.", it.connections);
+  page.Counter("junctionrail_failed_accepts_total",
+               "Connections that could not be accepted, mostly for lack of descriptors.",
+               it.failed_accepts);
   page.Counter("junctionrail_requests_total", "Requests read.", it.requests);
   const auto outcome = [&page](std::string_view name, std::uint64_t n) {
     page.Counter("junctionrail_outcomes_total", "Requests by their end.", n, {{"outcome", name}});
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,7 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr int kReceiveBytes = 16 << 10;
+constexpr DurationMs kAcceptRetryMs = 100;
 // The interval of checks of idle connections and waiting requests.
 constexpr DurationMs kTickMs = 250;
 constexpr DurationMs kStopTickMs = 50;
@@ -87,6 +88,7 @@
       quotas(options.entry_id),
       quota_timer(io),
       acceptor(io),
+      accept_timer(io),
       tick_timer(io),
       tick_times{MonotonicMs()} {}
 
@@ -118,16 +120,23 @@
 void Gateway::Impl::Accept() {
   acceptor.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted) return;
-    if (ec) {
-      // Out of file descriptors, or the connection was closed before it was accepted.
-      self->log.Write(MonotonicMs(), "accept_failed", {{"reason", ec.message()}});
-    } else {
-      self->AddConnection(std::move(socket));
-    }
+    if (ec) return self->OnAcceptFailed(ec);
+    self->AddConnection(std::move(socket));
     self->Accept();
   });
 }
 
+// Out of file descriptors, or the connection was closed before it was accepted. In the first case
+// it stays in the backlog, and the next attempt would fail at once.
+void Gateway::Impl::OnAcceptFailed(error_code ec) {
+  ++counters.failed_accepts;
+  log.Write(MonotonicMs(), "accept_failed", {{"reason", ec.message()}});
+  accept_timer.After(kAcceptRetryMs, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->acceptor.is_open()) self->Accept();
+  });
+}
+
 // A single request within the limits is served even if it takes more than requests together may.
 void Gateway::Impl::SetLargestRequest(std::size_t bytes) {
   if (client_memory->SetLargestRequest(bytes)) return;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -44,6 +44,7 @@
   Result<std::uint16_t, NetError> Listen();
   void Stop(DurationMs most_ms, std::function<void()> done);
   void Accept();
+  void OnAcceptFailed(boost::system::error_code ec);
   void AddConnection(boost::asio::ip::tcp::socket socket);
   void SetLargestRequest(std::size_t bytes);
   void StopAccepting();
@@ -180,6 +181,7 @@
   SuspensionWatch suspension_watch;
   std::function<void()> on_vm_resumed;
   boost::asio::ip::tcp::acceptor acceptor;
+  Timer accept_timer;
   boost::asio::steady_timer tick_timer;
   std::deque<TimeMs> tick_times;            // The last ones, the start among them.
   std::set<std::string> changed_instances;  // Instances whose views arrived since the last retry.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -28,6 +28,7 @@
 // header or trailer of a body.
 constexpr std::size_t kMaxFramingBytes = 64 << 10;
 constexpr char kServerName[] = "junctionrail";
+constexpr DurationMs kAcceptRetryMs = 100;
 // How long the rest of a refused request is dropped, so that its client reads the refusal: closing
 // with unread bytes would reset the connection.
 constexpr auto kLingerTimeout = std::chrono::seconds(1);
@@ -77,10 +78,14 @@
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
  public:
   Impl(asio::io_context& io, HttpServerOptions options, HttpHandler handler)
-      : acceptor_(io), options_(std::move(options)), handler_(std::move(handler)) {}
+      : acceptor_(io),
+        options_(std::move(options)),
+        handler_(std::move(handler)),
+        accept_timer_(io) {}
 
   Result<std::uint16_t, NetError> Listen();
   void Accept();
+  void OnAcceptFailed();
   void Stop();
 
   void ReportLimit(std::string_view event) const {
@@ -97,6 +102,7 @@
   HttpHandler handler_;
   std::set<Session*> sessions_;
   HttpServerCounters counters_;
+  Timer accept_timer_;
   bool stopping_ = false;
 };
 
@@ -425,8 +431,9 @@
 void HttpServer::Impl::Accept() {
   acceptor_.async_accept([self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
     if (self->stopping_) return;
+    if (ec) return self->OnAcceptFailed();
     const bool has_room = self->sessions_.size() < self->options_.max_connections;
-    if (!ec && has_room) {
+    if (has_room) {
       socket.set_option(tcp::no_delay(true), ec);
       std::make_shared<Session>(std::move(socket), self)->Start();
     }
@@ -434,6 +441,17 @@
   });
 }
 
+// Out of file descriptors, or the connection was closed before it was accepted. In the first case
+// it stays in the backlog, and the next attempt would fail at once.
+void HttpServer::Impl::OnAcceptFailed() {
+  ++counters_.failed_accepts;
+  ReportLimit("accept_failed");
+  accept_timer_.After(kAcceptRetryMs, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->stopping_) self->Accept();
+  });
+}
+
 void HttpServer::Impl::Stop() {
   if (stopping_) return;
   stopping_ = true;
