Entries: a bound on connections, and who gives way

Connections of clients took every descriptor, so that nobody else could connect, and the entry could not reach its store or upstreams. Callers may take two fifths of the descriptors now (`max_descriptors`, a new setting that the platform fills in), and each other address 6 in 100. If a new connection finds no place, the one closes whose end costs its caller the least: idle, then with a request that is not whole (503 `connections_full`, not run), then with input behind a request in flight. A request in flight alone is kept; then the new connection closes.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -64,6 +64,7 @@
   DurationMs balancer_delay_ms = 2500;
   // Of requests; null: one of the gateway's own.
   std::shared_ptr<ClientMemory> client_memory;
+  std::size_t max_connections = 2000;  // Of callers.
 };
 
 // A stream that a caller resumes at an entry that does not know its origin.
@@ -102,6 +103,8 @@
 struct GatewayCounters {
   std::uint64_t connections = 0;
   std::uint64_t failed_accepts = 0;         // Mostly for lack of descriptors.
+  std::uint64_t displaced_connections = 0;  // Closed for another one, as there were too many.
+  std::uint64_t refused_connections = 0;    // All others had a request in flight.
   std::uint64_t requests = 0;
   std::uint64_t served = 0;
   std::uint64_t relayed_failures = 0;     // Upstream error responses sent on to the caller.
--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -141,7 +141,9 @@
   std::uint64_t max_body_bytes = 1 << 20;
   std::uint32_t max_header_bytes = 16 << 10;
   std::uint64_t max_unsent_bytes = 16 << 20;  // Of one answer; a slower client is cut off.
-  std::uint32_t max_connections = 20000;
+  // At most so many connections; the one that was quiet for longest closes for another, unless its
+  // request waits for an answer.
+  std::size_t max_connections = 20000;
   std::shared_ptr<ClientMemory> client_memory;  // Of requests; null: without a bound on their sum.
   // If set, called when a limit on connections or memory is met, with a name for the log.
   std::function<void(std::string_view event)> on_limit;
@@ -150,6 +152,8 @@
 struct HttpServerCounters {
   std::uint64_t bad_requests = 0;
   std::uint64_t memory_refusals = 0;  // There was no room for the request.
+  std::uint64_t displaced_connections = 0;
+  std::uint64_t refused_connections = 0;  // All others had a request that waits.
   std::uint64_t failed_accepts = 0;       // Mostly for lack of descriptors.
 };
 
--- a/include/junctionrail/settings.h
+++ b/include/junctionrail/settings.h
@@ -140,8 +140,9 @@
   Endpoint vm_list;
   LogFormat log_format = LogFormat::kText;
   std::string log_level = "info";
-  DurationMs drain_ms = 30000;    // A planned stop waits at most this long.
-  std::uint32_t memory_mb = 160;  // That this process may use.
+  DurationMs drain_ms = 30000;        // A planned stop waits at most this long.
+  std::uint32_t memory_mb = 160;      // That this process may use.
+  std::uint32_t max_descriptors = 0;  // 0: as many as the kernel allows it.
   EntrySettings entry;
   AgentSettings agent;
   std::optional<DirectSettings> direct;
@@ -149,6 +150,10 @@
 
 // What clients may make a process with so much memory hold, in bytes.
 std::size_t ClientMemoryBytes(std::uint32_t memory_mb);
+// The connections of callers, and those to each other address, that a process with these settings
+// may have open.
+std::size_t MaxCallerConnections(const Settings& settings);
+std::size_t MaxServerConnections(const Settings& settings);
 
 // Reads and checks a settings file.
 Result<Settings, DocumentError> ReadSettings(const std::string& file);
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -1,6 +1,7 @@
 #include "junctionrail/settings.h"
 
 #include <arpa/inet.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <charconv>
@@ -12,6 +13,14 @@
 constexpr std::int64_t kMostHalls = 1000;
 constexpr std::int64_t kLeastMemoryMb = 64;
 constexpr std::int64_t kMostMemoryMb = 1 << 20;
+constexpr std::int64_t kMostDescriptors = 1 << 20;
+// Of all descriptors. The store, agents and upstreams need the others.
+constexpr double kCallersPart = 0.4;
+constexpr double kServerPart = 0.06;
+// The buffers of callers' sockets may take a fifth of the memory.
+constexpr std::size_t kSocketBytes = 16 << 10;
+constexpr std::size_t kSocketsPart = 5;
+constexpr std::size_t kMostServerConnections = 256;
 constexpr std::size_t kBytesPerMb = 1'000'000;
 // The process itself, unfinished responses and the buffers of sockets share the rest.
 constexpr std::size_t kClientMemoryPart = 4;
@@ -133,6 +142,13 @@
   }
 }
 
+double Descriptors(const Settings& settings) {
+  if (settings.max_descriptors > 0) return settings.max_descriptors;
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<double>(limit.rlim_cur);
+}
+
 }  // namespace
 
 const std::vector<PolicySwitch> kPolicySwitches = {
@@ -159,6 +175,17 @@
   return memory_mb * kBytesPerMb / kClientMemoryPart;
 }
 
+std::size_t MaxCallerConnections(const Settings& settings) {
+  const std::size_t by_memory = settings.memory_mb * kBytesPerMb / kSocketsPart / kSocketBytes;
+  const double by_descriptors = kCallersPart * Descriptors(settings);
+  return static_cast<std::size_t>(std::min(static_cast<double>(by_memory), by_descriptors));
+}
+
+std::size_t MaxServerConnections(const Settings& settings) {
+  return static_cast<std::size_t>(
+      std::min(kServerPart * Descriptors(settings), static_cast<double>(kMostServerConnections)));
+}
+
 DurationMs DirectSettings::ExpiryBound() const { return ShorterBound(revoke_ms, evacuate_ms); }
 
 DurationMs DirectSettings::OperatorBound() const { return ShorterBound(apply_ms, ExpiryBound()); }
@@ -205,6 +232,8 @@
   settings.log_level = levels[r.Word("log_level", levels, 1)];
   settings.memory_mb = static_cast<std::uint32_t>(
       r.Integer("memory_mb", kLeastMemoryMb, kMostMemoryMb, settings.memory_mb));
+  settings.max_descriptors = static_cast<std::uint32_t>(
+      r.Integer("max_descriptors", 0, kMostDescriptors, settings.max_descriptors));
   settings.drain_ms = r.Integer("drain_ms", 0, kLongestMs, settings.drain_ms);
   if (r.Has("direct")) {
     settings.direct.emplace();
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -21,6 +21,12 @@
   page->Counter("junctionrail_failed_accepts_total",
                 "Connections that could not be accepted, mostly for lack of descriptors.",
                 server.failed_accepts);
+  page->Counter("junctionrail_displaced_connections_total",
+                "Connections closed for others, as there were too many.",
+                server.displaced_connections);
+  page->Counter("junctionrail_refused_connections_total",
+                "Connections closed at once, as all others had a request in flight.",
+                server.refused_connections);
   page->Counter(
       "junctionrail_memory_refusals_total",
       "Requests refused while they were received, as requests held too many bytes in sum.",
--- a/src/daemon/direct_entry.cc
+++ b/src/daemon/direct_entry.cc
@@ -99,6 +99,7 @@
   options.routing.small_fleet_engines = kSmallFleetEngines;
   options.routing.evacuation_bound_ms = direct.evacuate_ms;
   options.routing.record_period_ms = direct.record_period_ms;
+  options.max_connections = MaxCallerConnections(settings);
   options.client_memory = std::make_shared<ClientMemory>(
       ClientMemory::Limits{ClientMemoryBytes(settings.memory_mb), 0});
   return options;
@@ -446,6 +447,7 @@
     options.endpoint = endpoint;
     // Their requests have no body.
     options.max_body_bytes = kMaxPageBodyBytes;
+    options.max_connections = MaxServerConnections(settings_);
     options.on_limit = [this, path](std::string_view event) {
       log_.Write(MonotonicMs(), event, {{"server", std::string_view(path)}});
     };
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -108,6 +108,11 @@
   page.Counter("junctionrail_failed_accepts_total",
                "Connections that could not be accepted, mostly for lack of descriptors.",
                it.failed_accepts);
+  page.Counter("junctionrail_displaced_connections_total",
+               "Connections closed for others, as there were too many.", it.displaced_connections);
+  page.Counter("junctionrail_refused_connections_total",
+               "Connections closed at once, as all others had a request in flight.",
+               it.refused_connections);
   page.Counter("junctionrail_requests_total", "Requests read.", it.requests);
   const auto outcome = [&page](std::string_view name, std::uint64_t n) {
     page.Counter("junctionrail_outcomes_total", "Requests by their end.", n, {{"outcome", name}});
--- a/src/daemon/entry_daemon.cc
+++ b/src/daemon/entry_daemon.cc
@@ -137,6 +137,7 @@
   HttpServerOptions options;
   options.endpoint = settings_.entry.http;
   options.max_body_bytes = settings_.entry.max_body_bytes;
+  options.max_connections = MaxCallerConnections(settings_);
   options.client_memory = client_memory_;
   options.on_limit = [this](std::string_view event) { LogLimit(event); };
   return options;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -141,6 +141,7 @@
   const SocketPeek peek = Peek(socket_);
   if (peek.has_ended || IsFarEndClosed(socket_)) return Close();
   if (!peek.has_input) return Read();
+  has_sent_ahead_ = true;
   if (!ReserveUnread()) return CloseForUnread();
   ArmTimer(kWatchIntervalMs);
 }
@@ -390,6 +391,7 @@
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
   }
+  has_sent_ahead_ = false;
   reservation_.SetEvictable(false);
   reservation_.Resize(0, last_activity_at_);
   ArmTimer(IdleTimeout());
@@ -401,6 +403,21 @@
   });
 }
 
+CallerConnection::CloseCost CallerConnection::cost_of_close() const {
+  if (exchange_) return has_sent_ahead_ ? CloseCost::kUnread : CloseCost::kResponse;
+  if (is_last_response_done_ || !parser_) return CloseCost::kNothing;
+  return CloseCost::kReceived;
+}
+
+void CallerConnection::CloseForAnother() {
+  if (exchange_) return CloseForUnread();
+  if (parser_ && !is_last_response_done_) {
+    RefuseReceiving({kUnavailable, kConnectionsFullCode, kConnectionsFullSentence,
+                     Execution::kNotRun, kConnectionsFullRetryAfterMs});
+  }
+  Close();
+}
+
 void CallerConnection::ReleaseInput() {
   dropped_bytes_ += buffer_.size();
   buffer_.consume(buffer_.size());
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -22,6 +22,14 @@
  public:
   CallerConnection(Gateway::Impl& gateway, boost::asio::ip::tcp::socket socket);
 
+  // What a caller loses if its connection is closed now.
+  enum class CloseCost {
+    kNothing,   // It has its last response, or no request.
+    kReceived,  // A part of a request, which has not run.
+    kUnread,    // The response to a request behind which it has sent more.
+    kResponse,  // The response to its request.
+  };
+
   void Start();
   // The next response announces the close and is the last one. With `closes_idle`, the connection
   // is closed now if no request is in flight or on its way.
@@ -34,6 +42,10 @@
   void ForceClose();
   // The VM has resumed from a suspension.
   void OnVmResumed();
+  CloseCost cost_of_close() const;
+  TimeMs last_activity_at() const { return last_activity_at_; }
+  // Closes now, for another connection. A request that is being received is refused.
+  void CloseForAnother();
   // Adds what it holds.
   void CountWork(OpenWork* work);
   bool IsIdle() const {
@@ -125,6 +137,7 @@
   std::size_t peeked_bytes_ = 0;   // At the end of `buffer_`; they are still in the socket.
   std::size_t dropped_bytes_ = 0;  // Received, but not answered.
   std::size_t unread_bytes_ = 0;   // Behind a request whose response was broken off.
+  bool has_sent_ahead_ = false;    // More waits behind the request in flight.
   bool is_closed_ = false;
 };
 
--- a/src/gateway/error_response.h
+++ b/src/gateway/error_response.h
@@ -26,6 +26,11 @@
 // Requests are whole, or have given way, within about this time.
 constexpr DurationMs kMemoryFullRetryAfterMs = 1000;
 
+// Of requests that are received on a connection that is closed for another one.
+constexpr char kConnectionsFullCode[] = "connections_full";
+constexpr char kConnectionsFullSentence[] = "the entry has as many connections as it may have";
+constexpr DurationMs kConnectionsFullRetryAfterMs = 1000;
+
 struct ErrorResponse {
   unsigned status = 0;
   std::string_view code;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -137,6 +137,24 @@
   });
 }
 
+// The one whose end costs its caller the least; of those, the one that was quiet for longest.
+bool Gateway::Impl::MakeRoomForConnection() {
+  if (connections.size() < options.max_connections) return true;
+  const auto victim =
+      std::min_element(connections.begin(), connections.end(), [](const auto& a, const auto& b) {
+        return std::pair(a->cost_of_close(), a->last_activity_at()) <
+               std::pair(b->cost_of_close(), b->last_activity_at());
+      });
+  const internal::CallerConnection::CloseCost cost = (*victim)->cost_of_close();
+  const bool may_close = cost < internal::CallerConnection::CloseCost::kResponse;
+  ++(may_close ? counters.displaced_connections : counters.refused_connections);
+  log.Write(MonotonicMs(), may_close ? "connection_displaced" : "connection_refused",
+            {{"connections", static_cast<std::int64_t>(connections.size())},
+             {"quiet_ms", MonotonicMs() - (*victim)->last_activity_at()}});
+  if (may_close) std::shared_ptr(*victim)->CloseForAnother();
+  return may_close;
+}
+
 // A single request within the limits is served even if it takes more than requests together may.
 void Gateway::Impl::SetLargestRequest(std::size_t bytes) {
   if (client_memory->SetLargestRequest(bytes)) return;
@@ -147,6 +165,7 @@
 
 void Gateway::Impl::AddConnection(tcp::socket socket) {
   ++counters.connections;
+  if (!MakeRoomForConnection()) return;
   auto connection = std::make_shared<internal::CallerConnection>(*this, std::move(socket));
   connections.insert(connection);
   connection->Start();
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -46,6 +46,8 @@
   void Accept();
   void OnAcceptFailed(boost::system::error_code ec);
   void AddConnection(boost::asio::ip::tcp::socket socket);
+  // Returns false if there are too many connections and none may be closed.
+  bool MakeRoomForConnection();
   void SetLargestRequest(std::size_t bytes);
   void StopAccepting();
   void Tick();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -86,6 +86,9 @@
   Result<std::uint16_t, NetError> Listen();
   void Accept();
   void OnAcceptFailed();
+  void AddSession(tcp::socket socket);
+  // Returns false if there are too many connections and none may be closed.
+  bool MakeRoomForSession();
   void Stop();
 
   void ReportLimit(std::string_view event) const {
@@ -133,6 +136,7 @@
     parser_->header_limit(server_->options().max_header_bytes);
     reservation_.Resize(0, MonotonicMs());
     is_idle_ = true;
+    quiet_since_ = MonotonicMs();
     stream_.expires_after(kIdleTimeout);
     ReadMore();
   }
@@ -147,6 +151,9 @@
     if (gone_) asio::post(stream_.get_executor(), std::exchange(gone_, nullptr));
   }
 
+  // Whether no request waits for its answer.
+  bool MayClose() const { return is_idle_ || is_refused_; }
+  TimeMs quiet_since() const { return quiet_since_; }
   // A request that is being received, or waits in the socket, is still answered.
   void CloseIfIdle() {
     if (is_idle_ && !HasInput()) Close();
@@ -242,8 +249,9 @@
     if (is_closed_) return;
     if (is_evicted_) return RefuseForMemory();
     if (ec) return OnRead(ec);
+    quiet_since_ = MonotonicMs();
     reservation_.SetEvictable(true);
-    if (!reservation_.Resize(ReceivedBytes(), MonotonicMs())) return RefuseForMemory();
+    if (!reservation_.Resize(ReceivedBytes(), quiet_since_)) return RefuseForMemory();
     if (!parser_->is_done()) return ReadMore();
     // It is handled, and may be sent on.
     reservation_.SetEvictable(false);
@@ -400,6 +408,7 @@
   beast::flat_buffer buffer_{kMaxFramingBytes};
   std::optional<Parser> parser_;
   ClientMemory::Reservation reservation_;  // Of the request until it is answered.
+  TimeMs quiet_since_ = 0;                 // While no request waits for its answer.
   std::deque<std::string> unsent_;
   std::size_t unsent_bytes_ = 0;
   std::function<void()> gone_;
@@ -432,11 +441,7 @@
   acceptor_.async_accept([self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
     if (self->stopping_) return;
     if (ec) return self->OnAcceptFailed();
-    const bool has_room = self->sessions_.size() < self->options_.max_connections;
-    if (has_room) {
-      socket.set_option(tcp::no_delay(true), ec);
-      std::make_shared<Session>(std::move(socket), self)->Start();
-    }
+    self->AddSession(std::move(socket));
     self->Accept();
   });
 }
@@ -452,6 +457,27 @@
   });
 }
 
+void HttpServer::Impl::AddSession(tcp::socket socket) {
+  if (!MakeRoomForSession()) return;
+  beast::error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  std::make_shared<Session>(std::move(socket), shared_from_this())->Start();
+}
+
+bool HttpServer::Impl::MakeRoomForSession() {
+  if (sessions_.size() < options_.max_connections) return true;
+  Session* victim = nullptr;
+  for (Session* it : sessions_) {
+    const bool is_quieter = victim == nullptr || it->quiet_since() < victim->quiet_since();
+    if (it->MayClose() && is_quieter) victim = it;
+  }
+  const bool may_close = victim != nullptr;
+  ++(may_close ? counters_.displaced_connections : counters_.refused_connections);
+  ReportLimit(may_close ? "connection_displaced" : "connection_refused");
+  if (may_close) victim->Close();
+  return may_close;
+}
+
 void HttpServer::Impl::Stop() {
   if (stopping_) return;
   stopping_ = true;
--- a/test/support/entry_process.cc
+++ b/test/support/entry_process.cc
@@ -2,7 +2,6 @@
 
 #include <fcntl.h>
 #include <spawn.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +13,8 @@
 #include <stdexcept>
 #include <system_error>
 
+#include "descriptor_limit.h"
+
 namespace junctionrail::testing {
 namespace {
 
@@ -22,23 +23,6 @@
 constexpr DurationMs kStartMs = 10000;
 constexpr DurationMs kRetryMs = 50;
 
-// Limits this process, and those that it starts meanwhile.
-class ScopedDescriptorLimit {
- public:
-  explicit ScopedDescriptorLimit(std::optional<std::size_t> most) {
-    getrlimit(RLIMIT_NOFILE, &previous_);
-    rlimit limit = previous_;
-    if (most) limit.rlim_cur = *most;
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
-  ~ScopedDescriptorLimit() { setrlimit(RLIMIT_NOFILE, &previous_); }
-  ScopedDescriptorLimit(const ScopedDescriptorLimit&) = delete;
-  ScopedDescriptorLimit& operator=(const ScopedDescriptorLimit&) = delete;
-
- private:
-  rlimit previous_{};
-};
-
 json RouteTo(const std::string& service) {
   return {{"name", service},
           {"hostname", "shop.example"},
@@ -133,7 +117,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_CREAT | O_WRONLY, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  const ScopedDescriptorLimit limit(options.max_descriptors);
+  std::optional<ScopedDescriptorLimit> limit;
+  if (options.max_descriptors) limit.emplace(*options.max_descriptors);
   const int error = posix_spawn(&pid_, argv[0], &actions, nullptr, argv, environ);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) throw std::system_error(error, std::generic_category(), program);
