Responses with an invalid status are no answer

On other systems a client got an answer whose status was 000, from a worker in trouble. Here 600 to 999 were passed on to callers, and 000 to 099 were taken for interim responses: the caller waited out its deadline for a 504, where the failure was known at once. The client of the store, of engines and of other entries did the same: a call with such a status had no result before its time-out, or, from 600 on, a status that no reader expects; an order to an engine then counted as not accepted.

HTTP has statuses from 100 to 599 (RFC 9110, section 15). A response with another one is malformed now, where a connection to an upstream is read and in the HTTP client: the request may have run, so it is retried only if it may run twice, and gets 502 otherwise; an order is unknown.

--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -32,6 +32,10 @@
   std::string value;
 };
 
+// Whether a response may have this status (RFC 9110, section 15). What has another one is no
+// response, and nothing can be concluded from it.
+constexpr bool IsHttpStatus(unsigned status) { return status >= 100 && status <= 599; }
+
 struct HttpRequest {
   std::string method;
   std::string target;
--- a/src/gateway/response_reader.cc
+++ b/src/gateway/response_reader.cc
@@ -90,6 +90,10 @@
 
 std::optional<ResponseEvent> ResponseReader::OnHead() {
   UpstreamHead head = HeadOf(*parser_);
+  if (!IsHttpStatus(head.status)) {
+    return ResponseUnreadable{ResponseUnreadable::Cause::kMalformed,
+                              "malformed response: status " + std::to_string(head.status)};
+  }
   subject_ = SubjectOf(head);
   if (subject_ == Subject::kAwaited) return ResponseHeadRead{std::move(head)};
   if (subject_ == Subject::kInterim) return std::nullopt;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -154,6 +154,8 @@
 
   void OnHead() {
     const auto& message = parser_->get();
+    const unsigned status = message.result_int();
+    if (!IsHttpStatus(status)) return Fail(true, "an invalid status, " + std::to_string(status));
     const bool is_interim = message.result_int() < kFirstFinalStatus;
     if (is_interim) return OnInterim();
     if (callbacks_.head) {
