Entries: a bound on responses that clients do not read

A client that asks for large responses and reads none made the entry hold them: each counted towards the memory of unfinished responses until it was whole, and towards nothing from then on. On a connection that closes behind its last response, it was held without any time-out.

What is not in the socket yet counts towards the memory of clients now, from 8 KiB on, on the gateway's connections and on those of the product's own interface. A connection that has to give way for it, or for input behind a request in flight, closes; it is counted and logged apart from refused requests. Each part that a client takes is progress. The last response of a connection has the idle timeout without a byte taken.

--- a/include/junctionrail/gateway.h
+++ b/include/junctionrail/gateway.h
@@ -113,8 +113,11 @@
   std::uint64_t truncated_responses = 0;  // Aborted after the response had begun.
   std::uint64_t cancelled = 0;            // The caller disconnected.
   std::uint64_t bad_requests = 0;
-  std::uint64_t dropped_inputs = 0;   // Connections closed over bytes that got no response.
-  std::uint64_t slow_bodies = 0;      // Refused, as they arrived below the least rate.
+  std::uint64_t dropped_inputs = 0;  // Connections closed over bytes that got no response.
+  std::uint64_t slow_bodies = 0;     // Refused, as they arrived below the least rate.
+  // Connections with input behind a request, or output that was not read, for which there was no
+  // room.
+  std::uint64_t memory_closes = 0;
   std::uint64_t memory_refusals = 0;  // There was no room for the request.
   std::uint64_t stop_refusals = 0;    // By a stop, as it could not have completed the requests.
   std::uint64_t retries = 0;
--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -125,6 +125,8 @@
   using Clients = std::map<std::uint64_t, Client>;
 
   bool Resize(std::uint64_t id, std::size_t bytes, TimeMs now);
+  // Evicts others until it fits. Returns false if it does not.
+  bool MakeRoom(const Client& client, std::size_t bytes, TimeMs now);
   void Remove(std::uint64_t id);
   void SetBytes(Client* client, std::size_t bytes);
   bool Fits(const Client& client, std::size_t bytes) const;
--- a/src/daemon/direct_metrics.cc
+++ b/src/daemon/direct_metrics.cc
@@ -155,6 +155,10 @@
   page.Counter("junctionrail_memory_refusals_total",
                "Requests refused while they were received, as requests held too many bytes in sum.",
                it.memory_refusals);
+  page.Counter("junctionrail_memory_closes_total",
+               "Connections closed for what they sent ahead, or did not read, as clients held too "
+               "many bytes in sum.",
+               it.memory_closes);
   page.Gauge("junctionrail_client_memory_bytes", "What requests of clients hold.",
              static_cast<double>(gateway.client_memory().held_bytes()));
   page.Gauge("junctionrail_client_memory_limit_bytes", "The most that they may hold.",
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -41,19 +41,8 @@
 // No caller within the limits is slower for longer than the idle timeout.
 constexpr std::int64_t kMinBodyBytesPerS = 1 << 10;
 constexpr std::int64_t kMsPerS = 1000;
-// What a connection takes without a request.
-constexpr std::size_t kConnectionBytes = 2 << 10;
-// The fields of a head are kept as they were received, and as the request has them.
-constexpr std::size_t kHeadCopies = 2;
-
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-// A body and the memory that is reserved for it.
-struct HeldBody {
-  std::string text;
-  ClientMemory::Reservation reservation;
-};
-
 }  // namespace
 
 CallerConnection::CallerConnection(Gateway::Impl& gateway, asio::ip::tcp::socket socket)
@@ -65,12 +54,7 @@
 
 void CallerConnection::Start() {
   last_activity_at_ = MonotonicMs();
-  reservation_ = gateway_.client_memory->Reserve(
-      [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self) self->OnEvicted();
-      },
-      last_activity_at_);
+  BeginReservation();
   ArmTimer(IdleTimeout());
   Read();
 }
@@ -141,24 +125,10 @@
   const SocketPeek peek = Peek(socket_);
   if (peek.has_ended || IsFarEndClosed(socket_)) return Close();
   if (!peek.has_input) return Read();
-  has_sent_ahead_ = true;
-  if (!ReserveUnread()) return CloseForUnread();
-  ArmTimer(kWatchIntervalMs);
-}
-
-bool CallerConnection::ReserveUnread() {
   error_code ec;
-  reservation_.SetEvictable(true);
-  return reservation_.Resize(kConnectionBytes + socket_.available(ec), MonotonicMs());
-}
-
-// What waits behind the request in flight is no reason to refuse that, but nothing else would free
-// the memory. The request has an unknown outcome.
-void CallerConnection::CloseForUnread() {
-  ++gateway_.counters.memory_refusals;
-  error_code ec;
-  unread_bytes_ = socket_.available(ec);
-  Close();
+  ahead_bytes_ = socket_.available(ec);
+  if (!Reserve()) return CloseForMemory();
+  ArmTimer(kWatchIntervalMs);
 }
 
 bool CallerConnection::HasUnread() { return Peek(socket_).has_input; }
@@ -270,61 +240,6 @@
   exchange->Start();
 }
 
-// It is kept for a retry, and by connections on which it is being sent.
-std::shared_ptr<const std::string> CallerConnection::TakeBody() {
-  const TimeMs now = MonotonicMs();
-  const std::size_t bytes = ReceivedBytes();
-  const auto held = std::make_shared<HeldBody>();
-  held->text = std::move(parser_->get().body());
-  reservation_.SetEvictable(false);
-  reservation_.Resize(0, now);
-  held->reservation = gateway_.client_memory->Reserve([] {}, now);
-  held->reservation.Resize(bytes, now);
-  return {held, &held->text};
-}
-
-// Without this, it would grow up to twice the limit.
-void CallerConnection::GrowBody() {
-  if (parser_->content_length()) return;
-  std::string& body = parser_->get().body();
-  if (body.capacity() - body.size() >= buffer_.size()) return;
-  const std::size_t limit =
-      (gateway_.routes ? gateway_.routes->configuration().limits : CallerLimits()).max_body_bytes;
-  const std::size_t needed = body.size() + buffer_.size();
-  body.reserve(std::max(needed, std::min(2 * body.capacity(), limit)));
-}
-
-// A length that was announced is set aside at once, but not used before the body arrives.
-std::size_t CallerConnection::ReceivedBytes() const {
-  const std::string& body = parser_->get().body();
-  const std::size_t body_bytes = parser_->content_length() ? body.size() : body.capacity();
-  return kConnectionBytes + kHeadCopies * head_bytes_ + buffer_.capacity() + body_bytes;
-}
-
-bool CallerConnection::ReserveReceived() {
-  reservation_.SetEvictable(true);
-  if (reservation_.Resize(ReceivedBytes(), MonotonicMs())) return true;
-  RefuseForMemory("no_room");
-  return false;
-}
-
-void CallerConnection::OnEvicted() {
-  if (!is_closed_ && exchange_) return CloseForUnread();
-  if (!is_closed_ && parser_ && !is_last_response_done_) RefuseForMemory("evicted");
-}
-
-void CallerConnection::RefuseForMemory(std::string_view reason) {
-  ++gateway_.counters.memory_refusals;
-  gateway_.log.Write(
-      MonotonicMs(), "request_memory_full",
-      {{"reason", reason},
-       {"bytes", static_cast<std::int64_t>(ReceivedBytes())},
-       {"received_ms", MonotonicMs() - request_started_at_},
-       {"held_bytes", static_cast<std::int64_t>(gateway_.client_memory->held_bytes())}});
-  RefuseReceiving({kUnavailable, kMemoryFullCode, kMemoryFullSentence, Execution::kNotRun,
-                   kMemoryFullRetryAfterMs});
-}
-
 void CallerConnection::SendResponse(unsigned status, std::vector<HttpHeader> fields,
                                     std::string body) {
   const bool must_close = !is_keep_alive_ || is_draining_;
@@ -357,6 +272,7 @@
 void CallerConnection::SendBodyPart(std::string_view data) {
   AppendChunk(data, &pending_output_);
   Flush();
+  ReserveOutput();
 }
 
 void CallerConnection::SendEnd() {
@@ -372,9 +288,7 @@
   Close();
 }
 
-bool CallerConnection::IsSendQueueFull() const {
-  return pending_output_.size() + output_in_flight_.size() > kMaxUnsentBytes;
-}
+bool CallerConnection::IsSendQueueFull() const { return UnsentBytes() > kMaxUnsentBytes; }
 
 // Peeks at the socket: if this process was short of processor time, a close may be queued there
 // behind the request that it cancels.
@@ -388,12 +302,12 @@
   if (must_close) {
     is_last_response_done_ = true;
     ReleaseInput();
+    ArmTimer(IdleTimeout());
     if (output_in_flight_.empty() && pending_output_.empty()) Linger();
     return;
   }
-  has_sent_ahead_ = false;
-  reservation_.SetEvictable(false);
-  reservation_.Resize(0, last_activity_at_);
+  ahead_bytes_ = 0;
+  Reserve();
   ArmTimer(IdleTimeout());
   // Deferred, as this runs within a call from the exchange.
   asio::post(gateway_.io, [self = shared_from_this()] {
@@ -403,48 +317,54 @@
   });
 }
 
-CallerConnection::CloseCost CallerConnection::cost_of_close() const {
-  if (exchange_) return has_sent_ahead_ ? CloseCost::kUnread : CloseCost::kResponse;
-  if (is_last_response_done_ || !parser_) return CloseCost::kNothing;
-  return CloseCost::kReceived;
-}
-
-void CallerConnection::CloseForAnother() {
-  if (exchange_) return CloseForUnread();
-  if (parser_ && !is_last_response_done_) {
-    RefuseReceiving({kUnavailable, kConnectionsFullCode, kConnectionsFullSentence,
-                     Execution::kNotRun, kConnectionsFullRetryAfterMs});
-  }
-  Close();
-}
-
 void CallerConnection::ReleaseInput() {
   dropped_bytes_ += buffer_.size();
   buffer_.consume(buffer_.size());
   buffer_.shrink_to_fit();
   parser_.reset();
   request_ = CallerRequest();
-  reservation_ = ClientMemory::Reservation();
+  ahead_bytes_ = 0;
+  Reserve();
 }
 
 void CallerConnection::Write(std::string_view data) {
   pending_output_ += data;
   Flush();
+  ReserveOutput();
 }
 
 void CallerConnection::Flush() {
   if (is_closed_ || pending_output_.empty() || !output_in_flight_.empty()) return;
   output_in_flight_ = std::exchange(pending_output_, std::string());
-  asio::async_write(socket_, asio::buffer(output_in_flight_),
-                    [self = shared_from_this()](error_code ec, std::size_t) {
-                      self->output_in_flight_.clear();
-                      if (self->is_closed_) return;
-                      if (ec) return self->Close();
-                      self->Flush();
-                      if (!self->output_in_flight_.empty()) return;
-                      if (self->is_last_response_done_) return self->Linger();
-                      if (self->exchange_) self->exchange_->OnCallerWritable();
-                    });
+  written_bytes_ = 0;
+  WriteSome();
+}
+
+// Each part that the caller takes is progress.
+void CallerConnection::WriteSome() {
+  const std::string_view rest = std::string_view(output_in_flight_).substr(written_bytes_);
+  socket_.async_write_some(asio::buffer(rest.data(), rest.size()),
+                           [self = shared_from_this()](error_code ec, std::size_t n) {
+                             if (self->is_closed_) return;
+                             if (ec) return self->Close();
+                             self->OnWritten(n);
+                           });
+}
+
+void CallerConnection::OnWritten(std::size_t n) {
+  written_bytes_ += n;
+  if (!exchange_) last_activity_at_ = MonotonicMs();
+  if (written_bytes_ < output_in_flight_.size()) {
+    ReserveOutput();
+    return WriteSome();
+  }
+  output_in_flight_ = std::string();
+  written_bytes_ = 0;
+  Reserve();
+  Flush();
+  if (!output_in_flight_.empty()) return;
+  if (is_last_response_done_) return Linger();
+  if (exchange_) exchange_->OnCallerWritable();
 }
 
 void CallerConnection::Linger() {
@@ -513,6 +433,7 @@
   const std::string& name = gateway_.options.header_names.request_id;
   const std::string* id = FindField(request_.fields, name);
   if (id != nullptr && IsName(*id)) fields.push_back({name, *id});
+  ReleaseInput();
   SendResponse(response.status, std::move(fields), BodyOf(response));
 }
 
@@ -529,7 +450,7 @@
 
 // Part of it may have been written.
 void CallerConnection::RecordUnsentOutput() {
-  const std::size_t n = output_in_flight_.size() + pending_output_.size();
+  const std::size_t n = UnsentBytes();
   if (n == 0) return;
   gateway_.log.Write(MonotonicMs(), "output_dropped", {{"bytes", static_cast<std::int64_t>(n)}});
 }
@@ -555,15 +476,25 @@
 void CallerConnection::OnTimer() {
   if (exchange_) return WatchForEnd();
   if (is_lingering_ || is_closing_idle_) return Close();
-  if (is_last_response_done_) return ArmTimer(kLingerMs);
+  if (is_last_response_done_) return OnOutputTimer();
   // It is this process that was late.
   if (HasUnread()) return ArmTimer(kReadFirstMs);
   if (parser_) return OnRequestTimer();
   const DurationMs quiet = MonotonicMs() - last_activity_at_;
   if (quiet < IdleTimeout()) return ArmTimer(IdleTimeout() - quiet);
+  // The caller does not read its response.
+  if (UnsentBytes() > 0) return OnOutputTimer();
   CloseIdle();
 }
 
+// While the last response is being written.
+void CallerConnection::OnOutputTimer() {
+  const DurationMs quiet = MonotonicMs() - last_activity_at_;
+  if (quiet < IdleTimeout()) return ArmTimer(IdleTimeout() - quiet);
+  RecordUnsentOutput();
+  Close();
+}
+
 // While a request is being received.
 void CallerConnection::OnRequestTimer() {
   if (!parser_->is_header_done()) return Reject(kRequestTimeout, "header_timeout");
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -26,7 +26,7 @@
   enum class CloseCost {
     kNothing,   // It has its last response, or no request.
     kReceived,  // A part of a request, which has not run.
-    kUnread,    // The response to a request behind which it has sent more.
+    kUnread,    // A response that it does not read, or to a request behind which it sent more.
     kResponse,  // The response to its request.
   };
 
@@ -87,12 +87,19 @@
   void GrowBody();
   // What the request that is being received holds.
   std::size_t ReceivedBytes() const;
-  // Accounts for it. Returns false if there is no room, and the request was refused.
+  // Of responses that are not in the socket yet.
+  std::size_t UnsentBytes() const;
+  // Whether a request is being received.
+  bool IsReceiving() const;
+  void BeginReservation();
+  // Accounts for all that the connection holds. Returns false if there is no room.
+  bool Reserve();
+  // Likewise; if there is no room, a request being received is refused, or the connection closes
+  // soon.
   bool ReserveReceived();
-  // Accounts for what waits in the socket behind a request in flight.
-  bool ReserveUnread();
-  void CloseForUnread();
+  void ReserveOutput();
   void OnEvicted();
+  void CloseForMemory();
   void RefuseForMemory(std::string_view reason);
   // Refuses a request that is being received, and closes.
   void RefuseReceiving(const ErrorResponse& response);
@@ -102,6 +109,8 @@
   void FinishResponse(bool must_close);
   void Write(std::string_view data);
   void Flush();
+  void WriteSome();
+  void OnWritten(std::size_t n);
   void Linger();
   void CloseIdle();
   void Close();
@@ -109,6 +118,7 @@
   void RecordUnsentOutput();
   void ArmTimer(DurationMs delay);
   void OnTimer();
+  void OnOutputTimer();
   void OnRequestTimer();
   // When the body being received counts as too slow.
   TimeMs BodyDueAt() const;
@@ -119,12 +129,13 @@
   Timer timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
-  CallerRequest request_;                  // Being read: as its head has it, once that is whole.
-  std::size_t head_bytes_ = 0;             // Of the request being read.
-  ClientMemory::Reservation reservation_;  // Of what is being read.
+  CallerRequest request_;       // Being read: as its head has it, once that is whole.
+  std::size_t head_bytes_ = 0;  // Of the request being read.
+  ClientMemory::Reservation reservation_;
   std::shared_ptr<Exchange> exchange_;
   std::string pending_output_;     // Not yet passed to the socket.
   std::string output_in_flight_;   // Being written.
+  std::size_t written_bytes_ = 0;  // Of that.
   TimeMs request_started_at_ = 0;  // When the request being read began; 0: none.
   TimeMs last_activity_at_ = 0;
   bool is_reading_ = false;
@@ -137,7 +148,7 @@
   std::size_t peeked_bytes_ = 0;   // At the end of `buffer_`; they are still in the socket.
   std::size_t dropped_bytes_ = 0;  // Received, but not answered.
   std::size_t unread_bytes_ = 0;   // Behind a request whose response was broken off.
-  bool has_sent_ahead_ = false;    // More waits behind the request in flight.
+  std::size_t ahead_bytes_ = 0;    // That wait in the socket behind the request in flight.
   bool is_closed_ = false;
 };
 
--- a/src/net/client_memory.cc
+++ b/src/net/client_memory.cc
@@ -67,12 +67,27 @@
 
 bool ClientMemory::Resize(std::uint64_t id, std::size_t bytes, TimeMs now) {
   Client& client = clients_.at(id);
+  // What is called may need room as well.
+  const bool was_evictable = std::exchange(client.is_evictable, false);
+  const bool has_room = MakeRoom(client, bytes, now);
+  client.is_evictable = was_evictable;
+  if (!has_room) {
+    ++refusals_;
+    return false;
+  }
+  SetBytes(&client, bytes);
+  const bool has_restarted = bytes < client.bytes_at_progress;
+  if (has_restarted || bytes >= client.bytes_at_progress + kProgressBytes) {
+    client.bytes_at_progress = bytes;
+    client.progressed_at = now;
+  }
+  return true;
+}
+
+bool ClientMemory::MakeRoom(const Client& client, std::size_t bytes, TimeMs now) {
   while (bytes > client.bytes && !Fits(client, bytes)) {
     const auto victim = FindVictim(client, bytes, now);
-    if (victim == clients_.end()) {
-      ++refusals_;
-      return false;
-    }
+    if (victim == clients_.end()) return false;
     ++evictions_;
     SetBytes(&victim->second, 0);
     victim->second.is_evictable = false;
@@ -80,12 +95,6 @@
     const EvictCallback evict = victim->second.evict;
     evict();
   }
-  SetBytes(&client, bytes);
-  const bool has_restarted = bytes < client.bytes_at_progress;
-  if (has_restarted || bytes >= client.bytes_at_progress + kProgressBytes) {
-    client.bytes_at_progress = bytes;
-    client.progressed_at = now;
-  }
   return true;
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -33,7 +33,9 @@
 // with unread bytes would reset the connection.
 constexpr auto kLingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t kDropBytes = 8 << 10;
-// What a connection takes without a request.
+// So much of an answer is not counted: ordinary ones are soon in the socket.
+constexpr std::size_t kMinCountedOutputBytes = 8 << 10;
+// What a connection takes beside the body of its request.
 constexpr std::size_t kConnectionBytes = 2 << 10;
 
 constexpr unsigned kBadRequest = 400;
@@ -134,6 +136,7 @@
     parser_->eager(true);
     parser_->body_limit(server_->options().max_body_bytes);
     parser_->header_limit(server_->options().max_header_bytes);
+    request_bytes_ = 0;
     reservation_.Resize(0, MonotonicMs());
     is_idle_ = true;
     quiet_since_ = MonotonicMs();
@@ -167,6 +170,8 @@
     message->body() = std::move(body);
     message->prepare_payload();
     is_answered_ = true;
+    request_bytes_ = 0;
+    if (!ReserveOutput(message->body().size())) return;
     ArmWrite();
     http::async_write(stream_, *message,
                       [self = shared_from_this(), message](beast::error_code ec, std::size_t) {
@@ -255,9 +260,21 @@
     if (!parser_->is_done()) return ReadMore();
     // It is handled, and may be sent on.
     reservation_.SetEvictable(false);
+    request_bytes_ = ReceivedBytes();
     OnRead(ec);
   }
 
+  // For an answer that its client does not read. Returns false if there is no room, and the
+  // connection was closed.
+  bool ReserveOutput(std::size_t bytes) {
+    if (bytes <= kMinCountedOutputBytes) return true;
+    reservation_.SetEvictable(true);
+    if (reservation_.Resize(request_bytes_ + bytes, MonotonicMs())) return true;
+    server_->ReportLimit("connection_memory_full");
+    Close();
+    return false;
+  }
+
   // A length that was announced is set aside at once, but not used before the body arrives.
   std::size_t ReceivedBytes() const {
     const std::string& body = parser_->get().body();
@@ -267,6 +284,10 @@
 
   // The read under way uses what is to be released, and ends first.
   void OnEvicted() {
+    if (!is_idle_) {
+      server_->ReportLimit("connection_memory_full");
+      return Close();
+    }
     is_evicted_ = true;
     beast::error_code ec;
     stream_.socket().cancel(ec);
@@ -359,6 +380,7 @@
     unsent_bytes_ += bytes.size();
     unsent_.push_back(std::move(bytes));
     if (unsent_bytes_ > server_->options().max_unsent_bytes) return Close();
+    if (!ReserveOutput(unsent_bytes_)) return;
     if (unsent_.size() == 1) WriteNext();
   }
 
@@ -375,6 +397,8 @@
     unsent_bytes_ -= unsent_.front().size();
     unsent_.pop_front();
     if (!unsent_.empty()) return WriteNext();
+    reservation_.SetEvictable(false);
+    reservation_.Resize(request_bytes_, MonotonicMs());
     stream_.expires_never();
     if (is_broken_) return Close();
     if (is_answered_) OnAnswered(ec);
@@ -407,8 +431,9 @@
   std::shared_ptr<Impl> server_;
   beast::flat_buffer buffer_{kMaxFramingBytes};
   std::optional<Parser> parser_;
-  ClientMemory::Reservation reservation_;  // Of the request until it is answered.
-  TimeMs quiet_since_ = 0;                 // While no request waits for its answer.
+  ClientMemory::Reservation reservation_;
+  std::size_t request_bytes_ = 0;  // Of the request until it is answered.
+  TimeMs quiet_since_ = 0;         // While no request waits for its answer.
   std::deque<std::string> unsent_;
   std::size_t unsent_bytes_ = 0;
   std::function<void()> gone_;
--- a/test/client_crowd_test.cc
+++ b/test/client_crowd_test.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t kOrdinaryBytes = 1000;
 // So many of the longest bodies are half as much again as the memory of the VM.
 constexpr std::size_t kCrowd = 60;
+// For a large response to be whole before the next one is asked for.
+constexpr DurationMs kLargeResponseMs = 60;
 
 std::string SilentHead() { return RequestHead("POST /silent/a", "crowd"); }
 
@@ -143,6 +145,30 @@
   test.ExpectCalm("without the crowd");
 }
 
+// Guards against whole responses that their clients do not read.
+TEST(ClientCrowd, ThatDoesNotReadItsResponses) {
+  CrowdedEntry test;
+  ClientCrowd crowd(test.entry.io, test.entry.callers(), kCrowd, false);
+  ClientPayload payload;
+  payload.head = RequestHead("GET /quick/large", "crowd") + "\r\n";
+  crowd.SendInTurn(payload, kLargeResponseMs);
+  test.ExpectWell("with the crowd");
+  crowd.Leave();
+  test.ExpectCalm("without the crowd");
+}
+
+// Likewise, on connections that close behind the response.
+TEST(ClientCrowd, ThatDoesNotReadItsLastResponses) {
+  CrowdedEntry test;
+  ClientCrowd crowd(test.entry.io, test.entry.callers(), kCrowd, false);
+  ClientPayload payload;
+  payload.head = RequestHead("GET /quick/large", "crowd") + "Connection: close\r\n\r\n";
+  crowd.SendInTurn(payload, kLargeResponseMs);
+  test.ExpectWell("with the crowd");
+  crowd.Leave();
+  test.ExpectCalm("without the crowd");
+}
+
 // Guards against bodies at the addresses for health checks, other entries and metrics.
 TEST(ClientCrowd, AtTheOtherAddressesOfAnEntry) {
   constexpr std::size_t kServerBodyBytes = 1 << 20;
--- a/test/support/client_crowd.cc
+++ b/test/support/client_crowd.cc
@@ -106,12 +106,12 @@
  public:
   explicit Client(asio::io_context& io) : socket_(io) {}
 
-  void Connect(const Endpoint& endpoint) {
+  void Connect(const Endpoint& endpoint, bool reads) {
     error_code ec;
     socket_.connect(tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port), ec);
     if (ec) return End();
     socket_.non_blocking(true, ec);
-    Read();
+    if (reads) Read();
   }
 
   void Begin(std::shared_ptr<const ClientPayload> payload, bool pauses) {
@@ -188,11 +188,12 @@
   std::string received_;
 };
 
-ClientCrowd::ClientCrowd(asio::io_context& io, const Endpoint& endpoint, std::size_t size)
+ClientCrowd::ClientCrowd(asio::io_context& io, const Endpoint& endpoint, std::size_t size,
+                         bool reads)
     : io_(io) {
   for (std::size_t n = 0; n < size; ++n) {
     clients_.push_back(std::make_shared<Client>(io));
-    clients_.back()->Connect(endpoint);
+    clients_.back()->Connect(endpoint, reads);
   }
 }
 
@@ -221,6 +222,15 @@
   SettleAfterWrites();
 }
 
+void ClientCrowd::SendInTurn(const ClientPayload& payload, DurationMs pause_ms) {
+  const auto shared = std::make_shared<const ClientPayload>(payload);
+  for (const auto& it : clients_) {
+    it->Begin(shared, false);
+    RunFor(io_, pause_ms);
+  }
+  SettleAfterWrites();
+}
+
 void ClientCrowd::SettleAfterWrites() {
   std::size_t moved = 0;
   const TimeMs until = MonotonicMs() + kLongestSendMs;
--- a/test/support/client_crowd.h
+++ b/test/support/client_crowd.h
@@ -54,7 +54,9 @@
 
 class ClientCrowd {
  public:
-  ClientCrowd(boost::asio::io_context& io, const Endpoint& endpoint, std::size_t size);
+  // `reads`: whether the clients read what they are sent.
+  ClientCrowd(boost::asio::io_context& io, const Endpoint& endpoint, std::size_t size,
+              bool reads = true);
   ~ClientCrowd();
   ClientCrowd(const ClientCrowd&) = delete;
   ClientCrowd& operator=(const ClientCrowd&) = delete;
@@ -63,6 +65,8 @@
   void Send(const ClientPayload& payload);
   // Likewise, but no client sends its next piece before all have sent theirs.
   void SendInRounds(const ClientPayload& payload);
+  // Likewise, but one client after the other, with a pause that lets the process respond.
+  void SendInTurn(const ClientPayload& payload, DurationMs pause_ms);
   // Closes all connections.
   void Leave();
 
--- a/test/support/entry_process.cc
+++ b/test/support/entry_process.cc
@@ -44,8 +44,12 @@
 }
 
 std::string QuickResponse(const SeenRequest& request) {
+  constexpr std::size_t kLargeBytes = 8 << 20;
+  const bool is_large = request.Line().find("/quick/large") != std::string::npos;
+  const std::string body = is_large ? std::string(kLargeBytes, 'y') : "hello";
   return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.Field("Attempt-Id") +
-         "\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nhello";
+         "\r\nResponse-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 }  // namespace
--- a/test/support/entry_process.h
+++ b/test/support/entry_process.h
@@ -22,8 +22,8 @@
 
 class EntryProcess {
  public:
-  // Returns once the entry is ready. It serves "/quick/", which is answered at once, and
-  // "/silent/", which never is.
+  // Returns once the entry is ready. It serves "/quick/", which is answered at once, with 8 MiB at
+  // "/quick/large", and "/silent/", which never is answered.
   explicit EntryProcess(EntryProcessOptions options = {});
   ~EntryProcess();
   EntryProcess(const EntryProcess&) = delete;
