Entries: slow bodies have at least the time of any request

A body now has the longest time-out of all routes, and the idle timeout at least, before the rate counts: what is not whole by then could not be answered within the time of its request.

SlowBodies.AreTakenWithinTheTimeOfARequest is new; the test of the refusal has a route with a short time-out.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -38,7 +38,7 @@
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
-// No caller within the limits is slower for longer than the idle timeout.
+// Of a body that takes longer than any request may be held.
 constexpr std::int64_t kMinBodyBytesPerS = 1 << 10;
 constexpr std::int64_t kMsPerS = 1000;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -507,11 +507,12 @@
   ArmTimer(std::min(idle_at, too_slow_at) - now);
 }
 
-// By the least rate, for what has arrived of the body. A client that sends a byte now and then is
-// never idle.
+// As late as any request may be answered, and later by the least rate for what has arrived of the
+// body. A client that sends a byte now and then is never idle.
 TimeMs CallerConnection::BodyDueAt() const {
   const auto received = static_cast<DurationMs>(parser_->get().body().size());
-  return request_started_at_ + IdleTimeout() + received * kMsPerS / kMinBodyBytesPerS;
+  const DurationMs longest = std::max(IdleTimeout(), gateway_.longest_timeout_ms);
+  return request_started_at_ + longest + received * kMsPerS / kMinBodyBytesPerS;
 }
 
 void CallerConnection::RejectSlowBody() {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -50,6 +50,12 @@
   return "upstream_listed";
 }
 
+DurationMs LongestTimeout(const RoutingConfiguration& configuration) {
+  DurationMs longest = 0;
+  for (const auto& it : configuration.routes) longest = std::max(longest, it.timeout_ms);
+  return longest;
+}
+
 // With enough digits to tell limits apart.
 std::string FormatLimit(const std::optional<RateLimit>& limit) {
   if (!limit) return "none";
@@ -364,6 +370,7 @@
   const OrganisationTable organisations = configuration.organisations.value_or(OrganisationTable());
   impl_->quotas.SetOrganisations(organisations.all(), configuration.version, MonotonicMs());
   impl_->SetLargestRequest(configuration.limits.max_body_bytes);
+  impl_->longest_timeout_ms = LongestTimeout(configuration);
   impl_->routes = std::make_shared<const RouteTable>(std::move(configuration));
   if (impl_->waiting_exchanges.empty()) return;
   // The key of a waiting request may have been revoked.
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -137,6 +137,7 @@
   GatewayOptions options;
   EventLog& log;
   std::shared_ptr<const RouteTable> routes;
+  DurationMs longest_timeout_ms = 0;  // Of all routes.
   UpstreamTable upstreams;
   RetryBudget retry_budget;
   EntryCount entry_count;
--- a/test/connection_limit_test.cc
+++ b/test/connection_limit_test.cc
@@ -156,37 +156,68 @@
   EXPECT_TRUE(caller.AwaitText("hello"), "served once there is a descriptor");
 }
 
+namespace {
+
+constexpr DurationMs kIdleMs = 300;
+constexpr std::size_t kBodyBytes = 1000;
+
+// A caller that sends a byte of its body within each idle timeout.
+struct SlowCaller {
+  // The route holds requests for `timeout_ms`.
+  explicit SlowCaller(DurationMs timeout_ms) {
+    gateway.fixture.limits.idle_timeout_ms = kIdleMs;
+    gateway.fixture.limits.header_timeout_ms = kIdleMs;
+    Route route = MakeRoute("/a/", RequestKind::kNonIdempotent, "plain");
+    route.timeout_ms = timeout_ms;
+    gateway.fixture.Configure({route}, 2);
+    caller.Send(request.substr(0, request.size() - kBodyBytes));
+  }
+
+  // Sends `bytes` of the body, until a response comes.
+  void SendSlowly(int bytes) {
+    for (; bytes > 0 && caller.received().empty(); --bytes) {
+      caller.Send("x");
+      ++sent_bytes;
+      RunFor(gateway.fixture.io, 50);
+    }
+  }
+
+  SmallGateway gateway;
+  std::string request = MakeRequest("POST /a/", "", std::string(kBodyBytes, 'x'));
+  std::size_t sent_bytes = 0;
+  TestCaller caller{gateway.fixture.io, gateway.fixture.port};
+};
+
+}  // namespace
+
 TEST_GROUP(SlowBodies){};
 
 // Guards against a client that sends a byte now and then, and keeps its connection for good.
-TEST(SlowBodies, AreRefusedBelowTheLeastRate) {
-  SmallGateway test;
-  test.fixture.limits.idle_timeout_ms = 300;
-  test.fixture.limits.header_timeout_ms = 300;
-  test.fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")}, 2);
-  TestCaller caller(test.fixture.io, test.fixture.port);
-  const std::string request = MakeRequest("POST /a/", "", std::string(1000, 'x'));
-  caller.Send(request.substr(0, request.size() - 900));
-  for (int n = 0; n < 100 && caller.received().empty(); ++n) {
-    caller.Send("x");
-    RunFor(test.fixture.io, 50);
-  }
-  EXPECT_TRUE(Contains(caller.received(), "408") && Contains(caller.received(), "body_too_slow"),
-              caller.received());
-  EXPECT_NUMBER(1, test.fixture.gateway->counters().slow_bodies, "counted");
+TEST(SlowBodies, AreRefusedOnceNoRequestCouldStillBeAnswered) {
+  SlowCaller test(2 * kIdleMs);
+  test.SendSlowly(100);
+  const std::string& response = test.caller.received();
+  EXPECT_TRUE(Contains(response, "408") && Contains(response, "body_too_slow"), response);
+  EXPECT_NUMBER(1, test.gateway.fixture.gateway->counters().slow_bodies, "counted");
 }
 
-// Guards against a rate that refuses a slow line: this one needs several times the idle timeout.
+// Guards against a rate that refuses a caller within the limits, which name only its silence.
+TEST(SlowBodies, AreTakenWithinTheTimeOfARequest) {
+  SlowCaller test(10 * kIdleMs);
+  test.SendSlowly(30);
+  test.caller.Send(std::string(kBodyBytes - test.sent_bytes, 'x'));
+  EXPECT_TRUE(test.caller.AwaitText("hello"), test.caller.received());
+}
+
+// Guards against a rate that refuses a slow line.
 TEST(SlowBodies, AreTakenAboveTheLeastRate) {
-  SmallGateway test;
-  test.fixture.limits.idle_timeout_ms = 300;
-  test.fixture.limits.header_timeout_ms = 300;
-  test.fixture.Configure({MakeRoute("/a/", RequestKind::kNonIdempotent, "plain")}, 2);
-  TestCaller caller(test.fixture.io, test.fixture.port);
-  const std::string request = MakeRequest("POST /a/", "", std::string(20000, 'x'));
-  for (std::size_t at = 0; at < request.size(); at += 1000) {
-    caller.Send(request.substr(at, 1000));
-    RunFor(test.fixture.io, 60);
+  constexpr std::size_t kPartBytes = 1000;
+  SlowCaller test(kIdleMs);
+  const std::string request = MakeRequest("POST /a/", "", std::string(20 * kPartBytes, 'x'));
+  TestCaller caller(test.gateway.fixture.io, test.gateway.fixture.port);
+  for (std::size_t at = 0; at < request.size(); at += kPartBytes) {
+    caller.Send(request.substr(at, kPartBytes));
+    RunFor(test.gateway.fixture.io, 60);
   }
   EXPECT_TRUE(caller.AwaitText("hello"), caller.received());
 }
