Client memory: who holds nothing does not give way

With no room and no larger client to evict, a kept connection that held nothing could be closed, which freed nothing: a connection whose last answer was counted stayed evictable. Found by reading; the test NeverGiveUpThoseThatHoldNothing is new (not run on the code before).

Connections that the HTTP server closes for answers that were not read are counted.

--- a/include/junctionrail/net.h
+++ b/include/junctionrail/net.h
@@ -66,8 +66,8 @@
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
 // Accounts for the bytes that clients make a process hold: requests that are received, that wait or
-// are in flight, and input that is not read yet. If there is no room for more, it chooses the
-// client that gives way. Free of I/O.
+// are in flight, input that is not read yet, and responses that clients do not read. If there is no
+// room for more, it chooses the client that gives way. Free of I/O.
 class ClientMemory : public std::enable_shared_from_this<ClientMemory> {
  public:
   struct Limits {
@@ -158,6 +158,7 @@
 struct HttpServerCounters {
   std::uint64_t bad_requests = 0;
   std::uint64_t memory_refusals = 0;  // There was no room for the request.
+  std::uint64_t memory_closes = 0;    // Connections, for answers that were not read.
   std::uint64_t displaced_connections = 0;
   std::uint64_t refused_connections = 0;  // All others had a request that waits.
   std::uint64_t failed_accepts = 0;       // Mostly for lack of descriptors.
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -31,6 +31,10 @@
       "junctionrail_memory_refusals_total",
       "Requests refused while they were received, as requests held too many bytes in sum.",
       server.memory_refusals);
+  page->Counter("junctionrail_memory_closes_total",
+                "Connections closed for answers that were not read, as clients held too many bytes "
+                "in sum.",
+                server.memory_closes);
   page->Gauge("junctionrail_client_memory_bytes", "What requests of clients hold.",
               static_cast<double>(memory.held_bytes()));
   page->Gauge("junctionrail_client_memory_limit_bytes", "The most that they may hold.",
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -342,7 +342,8 @@
 
 // Each part that the caller takes is progress.
 void CallerConnection::WriteSome() {
-  const std::string_view rest = std::string_view(output_in_flight_).substr(written_bytes_);
+  const std::string_view output = output_in_flight_;
+  const std::string_view rest = output.substr(written_bytes_);
   socket_.async_write_some(asio::buffer(rest.data(), rest.size()),
                            [self = shared_from_this()](error_code ec, std::size_t n) {
                              if (self->is_closed_) return;
--- a/src/net/client_memory.cc
+++ b/src/net/client_memory.cc
@@ -128,7 +128,7 @@
   bool is_victim_stalled = false;
   for (auto it = clients_.begin(); it != clients_.end(); ++it) {
     const Client& other = it->second;
-    if (&other == &client || !other.is_evictable) continue;
+    if (&other == &client || !other.is_evictable || other.bytes == 0) continue;
     const bool is_stalled = now - other.progressed_at >= kStalledMs;
     const bool goes_before = IsSmall(bytes) && other.bytes > 2 * bytes;
     // If there is room in all, a large request needs the room of another large one.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -270,9 +270,14 @@
     if (bytes <= kMinCountedOutputBytes) return true;
     reservation_.SetEvictable(true);
     if (reservation_.Resize(request_bytes_ + bytes, MonotonicMs())) return true;
+    CloseForMemory();
+    return false;
+  }
+
+  void CloseForMemory() {
+    ++server_->counters_.memory_closes;
     server_->ReportLimit("connection_memory_full");
     Close();
-    return false;
   }
 
   // A length that was announced is set aside at once, but not used before the body arrives.
@@ -284,10 +289,7 @@
 
   // The read under way uses what is to be released, and ends first.
   void OnEvicted() {
-    if (!is_idle_) {
-      server_->ReportLimit("connection_memory_full");
-      return Close();
-    }
+    if (!is_idle_) return CloseForMemory();
     is_evicted_ = true;
     beast::error_code ec;
     stream_.socket().cancel(ec);
--- a/test/client_memory_test.cc
+++ b/test/client_memory_test.cc
@@ -106,6 +106,16 @@
   EXPECT_TEXT("", crowd.evicted, "gave way");
 }
 
+// Guards against a connection that holds nothing and is closed for another's memory.
+TEST(ClientMemories, NeverGiveUpThoseThatHoldNothing) {
+  Crowd crowd;
+  crowd.Add("empty", 0, 0);
+  for (int n = 0; n < 6; ++n) crowd.Add("whole", kMiB, 0);
+  for (std::size_t n = 1; n < crowd.clients.size(); ++n) crowd.clients[n].SetEvictable(false);
+  EXPECT_TRUE(!crowd.Add("late", 3 * kMiB, kLongMs), "no room");
+  EXPECT_TEXT("", crowd.evicted, "gave way");
+}
+
 // Guards against a limit of one request that is larger than the memory of all: it could never be
 // served.
 TEST(ClientMemories, HaveRoomForASingleRequestOfTheLegalSize) {
--- a/test/connection_limit_test.cc
+++ b/test/connection_limit_test.cc
@@ -18,7 +18,6 @@
 using testing::MakeRoute;
 using testing::OkResponse;
 using testing::RunFor;
-using testing::RunUntil;
 using testing::ScopedDescriptorLimit;
 using testing::SeenRequest;
 using testing::TestCaller;
