--- a/test/client_crowd_test.cc
+++ b/test/client_crowd_test.cc
@@ -148,7 +148,7 @@
 
 // Guards against a process that bears each kind of crowd alone, and not one after the other: what
 // the allocator kept of the first is missing for the next.
-TEST(ClientCrowd, ThatDoesAllOfThisAgainAndAgain) {
+TEST(ClientCrowd, OfEachKindAtOnceRepeatedly) {
   CrowdedEntry test;
   for (int n = 0; n < 3; ++n) {
     ClientCrowd short_of_end(test.entry.io, test.entry.callers(), kCrowd);
