--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -429,7 +429,7 @@
       {kUnavailable, kStoppingCode, kStoppingSentence, Execution::kNotRun, kStoppingRetryAfterMs});
 }
 
-// The rest of the request stays unread, so that nothing can follow it.
+// The rest of the request is dropped, and the connection closes: nothing can follow it.
 void CallerConnection::RefuseReceiving(const ErrorResponse& response) {
   is_keep_alive_ = false;
   is_head_method_ = false;
